Skeleton: contracts, tables, messages, calls between processes, test runner

The shared contracts that every package builds on: ids, states and errors; the typed document and its index; the rows of an entry; the messages between entry and agent and their transport (grpclib inside trio_asyncio, MessagePack by msgspec).

--- /dev/null
+++ b/crocusvalve/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside an upstream."""
--- /dev/null
+++ b/crocusvalve/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments."""
--- /dev/null
+++ b/crocusvalve/billing/__init__.py
@@ -0,0 +1,1 @@
+"""Bills, one a request."""
--- /dev/null
+++ b/crocusvalve/cascade/__init__.py
@@ -0,0 +1,1 @@
+"""Cascades from cheap to costly models."""
--- /dev/null
+++ b/crocusvalve/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/crocusvalve/config/_document.py
@@ -0,0 +1,158 @@
+"""Typed form of the configuration document.
+
+A document has a head and one section a member. Names inside a section are local; references across
+members are written ``member/name``. Everything that a request needs is read from this form.
+"""
+
+from msgspec import Struct, field
+
+from crocusvalve.base import (
+    ClassKind,
+    DomainState,
+    MemberId,
+    Priority,
+    RolloutState,
+    UpstreamKind,
+    VersionState,
+)
+
+__all__ = [
+    "CascadeConfig",
+    "ClassConfig",
+    "CustomerConfig",
+    "Document",
+    "DomainConfig",
+    "MemberConfig",
+    "ModelConfig",
+    "OperatorConfig",
+    "PolicyConfig",
+    "RolloutConfig",
+    "ServiceConfig",
+    "UpstreamConfig",
+    "VersionConfig",
+]
+
+
+class DomainConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """A failure domain."""
+
+    region: str
+    state: DomainState = DomainState.IN
+
+
+class VersionConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """A version of a model; prices are in currency units for 1,000 tokens."""
+
+    prompt_price: float = 0.0
+    completion_price: float = 0.0
+    quality_prior: float = 0.5
+    state: VersionState = VersionState.ACTIVE
+
+
+class ModelConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """A model with its versions; ``current`` serves what no roll-out diverts."""
+
+    current: str
+    versions: dict[str, VersionConfig]
+    shared_with: tuple[str, ...] = ()
+
+
+class UpstreamConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """An upstream and the agent beside it; limits are in concurrent requests."""
+
+    domain: str
+    agent: str
+    url: str
+    kind: UpstreamKind = UpstreamKind.ENGINE
+    serves: tuple[str, ...] = ()
+    cold_limit: int = 2
+    warm_limit: int = 16
+    honours_fencing: bool = False
+
+
+class OperatorConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator's key, stored as the SHA-256 of the key in hexadecimal."""
+
+    key_sha256: str
+
+
+class CustomerConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """A customer; ``allowed`` holds ``model``, ``model@version`` or ``member/model`` patterns."""
+
+    key_sha256: str
+    allowed: tuple[str, ...]
+    classes: tuple[str, ...]
+    quality_target: float = 0.0
+    weight: float = 1.0
+    rate_per_s: float = 50.0
+    burst: int = 100
+    max_in_flight: int = 64
+
+
+class ClassConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """A class of request; durations in seconds."""
+
+    kind: ClassKind
+    deadline_s: float = 30.0
+    priority: Priority = Priority.NORMAL
+    default_model: str = ""
+    max_attempts: int = 3
+    hedge_after_s: float = 0.0
+    alarm_before_s: float = 0.0
+    max_queue: int = 200
+
+
+class CascadeConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """Models from cheap to costly."""
+
+    steps: tuple[str, ...]
+    policy: str = "quality"
+
+
+class RolloutConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """Staged exposure of a version; stages are shares of first contacts from 0 to 1."""
+
+    model: str
+    version: str
+    stages: tuple[float, ...] = (0.01, 0.05, 0.2, 0.5, 1.0)
+    stage_s: float = 300.0
+    policy: str = "sequential"
+    state: RolloutState = RolloutState.RUNNING
+
+
+class ServiceConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """A plain service; ``repeatable`` tells whether a call may be sent twice."""
+
+    upstreams: tuple[str, ...]
+    repeatable: bool = False
+    class_name: str = ""
+    price: float = 0.0
+
+
+class PolicyConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """Policies chosen by name."""
+
+    routing: str = "expected_wait"
+    retry_budget: float = 0.1
+
+
+class MemberConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """Section of one member."""
+
+    operators: dict[str, OperatorConfig] = field(default_factory=dict)
+    domains: dict[str, DomainConfig] = field(default_factory=dict)
+    models: dict[str, ModelConfig] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamConfig] = field(default_factory=dict)
+    services: dict[str, ServiceConfig] = field(default_factory=dict)
+    customers: dict[str, CustomerConfig] = field(default_factory=dict)
+    classes: dict[str, ClassConfig] = field(default_factory=dict)
+    cascades: dict[str, CascadeConfig] = field(default_factory=dict)
+    rollouts: dict[str, RolloutConfig] = field(default_factory=dict)
+    policy: PolicyConfig = field(default_factory=PolicyConfig)
+
+
+class Document(Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole configuration of one environment."""
+
+    environment: str
+    members: dict[MemberId, MemberConfig]
--- /dev/null
+++ b/crocusvalve/control/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, controller and distribution of the configuration."""
--- /dev/null
+++ b/crocusvalve/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: from callers to agents."""
--- /dev/null
+++ b/crocusvalve/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas, queues and warm-up limits."""
--- /dev/null
+++ b/crocusvalve/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live and leaving nodes."""
--- /dev/null
+++ b/crocusvalve/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and logs."""
--- /dev/null
+++ b/crocusvalve/model/__init__.py
@@ -0,0 +1,23 @@
+"""Tables of entities and their rows."""
+
+from crocusvalve.model._rows import (
+    AttemptRow,
+    CustomerRow,
+    EstimateRow,
+    QuarantineRow,
+    RequestRow,
+    RolloutRow,
+    UpstreamRow,
+)
+from crocusvalve.model._tables import EntryTables
+
+__all__ = [
+    "AttemptRow",
+    "CustomerRow",
+    "EntryTables",
+    "EstimateRow",
+    "QuarantineRow",
+    "RequestRow",
+    "RolloutRow",
+    "UpstreamRow",
+]
--- /dev/null
+++ b/crocusvalve/model/_rows.py
@@ -0,0 +1,170 @@
+"""Rows of the tables that a process holds in memory."""
+
+from msgspec import Struct, field
+
+from crocusvalve.base import (
+    AttemptId,
+    AttemptState,
+    BootId,
+    ClassKind,
+    CustomerId,
+    DomainId,
+    MemberId,
+    ModelRef,
+    NodeId,
+    Priority,
+    RequestId,
+    RequestState,
+    Revision,
+    RolloutState,
+    SessionId,
+    UpstreamId,
+    UpstreamKind,
+    UpstreamState,
+    VersionRef,
+)
+
+__all__ = [
+    "AttemptRow",
+    "CustomerRow",
+    "EstimateRow",
+    "QuarantineRow",
+    "RequestRow",
+    "RolloutRow",
+    "UpstreamRow",
+]
+
+
+class RequestRow(Struct, kw_only=True):
+    """A request at its entry; instants in Unix seconds, cost in currency units.
+
+    ``steps`` holds the models still to try, cheapest first; ``step`` counts those done.
+    ``service`` names a plain service, qualified, or is empty.
+    """
+
+    request_id: RequestId
+    customer_id: CustomerId
+    member: MemberId
+    class_name: str
+    kind: ClassKind
+    priority: Priority
+    arrived_at: float
+    deadline: float
+    body: bytes
+    digest: str
+    prefix_digest: str = ""
+    steps: tuple[ModelRef, ...] = ()
+    step: int = 0
+    version: VersionRef = VersionRef("")
+    pinned_version: VersionRef = VersionRef("")
+    service: str = ""
+    method: str = "POST"
+    path: str = ""
+    session_id: SessionId = SessionId("")
+    idempotency_key: str = ""
+    is_repeatable: bool = True
+    is_stream: bool = False
+    state: RequestState = RequestState.QUEUED
+    n_attempts: int = 0
+    max_attempts: int = 3
+    not_before: float = 0.0
+    hedge_at: float = 0.0
+    avoid: set[UpstreamId] = field(default_factory=set)
+    n_frames_out: int = 0
+    cost: float = 0.0
+    quality_target: float = 0.0
+
+
+class AttemptRow(Struct, kw_only=True):
+    """An attempt at its entry."""
+
+    attempt_id: AttemptId
+    request_id: RequestId
+    upstream_id: UpstreamId
+    version: VersionRef
+    started_at: float
+    state: AttemptState = AttemptState.STARTING
+    next_seq: int = 0
+    is_hedge: bool = False
+    boot_id: BootId = BootId("")
+    last_frame_at: float = 0.0
+
+
+class UpstreamRow(Struct, kw_only=True):
+    """An upstream as an entry sees it.
+
+    ``in_flight`` counts this entry's own attempts; the ``reported_*`` fields come from the last
+    load report, taken at ``reported_at``. ``failed_at`` is when the last attempt failed.
+    """
+
+    upstream_id: UpstreamId
+    domain: DomainId
+    region: str
+    agent: str
+    kind: UpstreamKind
+    serves: tuple[VersionRef, ...] = ()
+    in_flight: int = 0
+    state: UpstreamState = UpstreamState.COLD
+    boot_id: BootId = BootId("")
+    reported_in_flight: int = 0
+    reported_limit: int = 1
+    reported_queued: int = 0
+    ewma_service_s: float = 0.5
+    reported_at: float = 0.0
+    revision: Revision = Revision(0)
+    n_failures: int = 0
+    failed_at: float = 0.0
+    retry_at: float = 0.0
+    leaving: bool = False
+    prefixes: dict[str, float] = field(default_factory=dict)
+
+
+class CustomerRow(Struct, kw_only=True):
+    """A customer's use at one entry; ``tokens`` are those of its rate limit's bucket."""
+
+    customer_id: CustomerId
+    tokens: float
+    refilled_at: float
+    in_flight: int = 0
+    queued: int = 0
+    virtual_time: float = 0.0
+
+
+class QuarantineRow(Struct, kw_only=True):
+    """A request digest that crashed upstreams; refused for good from the second crash on."""
+
+    digest: str
+    n_crashes: int
+    crashed_at: float
+    upstreams: set[UpstreamId] = field(default_factory=set)
+
+
+class EstimateRow(Struct, kw_only=True):
+    """Quality of a version for a customer's class, as a Beta distribution."""
+
+    version: VersionRef
+    customer_id: CustomerId
+    class_name: str
+    alpha: float
+    beta: float
+    updated_at: float
+
+
+class RolloutRow(Struct, kw_only=True):
+    """State of a roll-out as it stands in the platform's service."""
+
+    rollout_id: str
+    model: ModelRef
+    version: VersionRef
+    baseline: VersionRef
+    stages: tuple[float, ...]
+    stage: int = 0
+    stage_since: float = 0.0
+    state: RolloutState = RolloutState.RUNNING
+    number: int = 0
+    n_good: int = 0
+    n_bad: int = 0
+    n_baseline_good: int = 0
+    n_baseline_bad: int = 0
+    reason: str = ""
+    controller: NodeId = NodeId("")
--- /dev/null
+++ b/crocusvalve/model/_tables.py
@@ -0,0 +1,87 @@
+"""The tables of an entry."""
+
+from crocusvalve.base import (
+    AttemptId,
+    CustomerId,
+    RequestId,
+    UpstreamId,
+    VersionRef,
+)
+from crocusvalve.config import DocumentView
+from crocusvalve.model._rows import (
+    AttemptRow,
+    CustomerRow,
+    EstimateRow,
+    QuarantineRow,
+    RequestRow,
+    RolloutRow,
+    UpstreamRow,
+)
+
+__all__ = ["EntryTables"]
+
+
+class EntryTables:
+    """All rows of one entry; systems read and write them, the shell only adds events' rows.
+
+    Attributes
+    ----------
+    view : DocumentView
+        The revision in force.
+    requests, attempts : dict
+        Rows of requests and attempts not yet ended.
+    upstreams : dict
+        Rows of upstreams of the revision in force.
+    estimates : dict
+        Quality estimates by ``(version, customer, class)``.
+    rollouts : dict
+        Roll-outs under way, by model.
+    """
+
+    def __init__(self, view: DocumentView):
+        self.view = view
+        self.requests: dict[RequestId, RequestRow] = {}
+        self.attempts: dict[AttemptId, AttemptRow] = {}
+        self.attempts_of: dict[RequestId, list[AttemptId]] = {}
+        self.upstreams: dict[UpstreamId, UpstreamRow] = {}
+        self.customers: dict[CustomerId, CustomerRow] = {}
+        self.quarantine: dict[str, QuarantineRow] = {}
+        self.estimates: dict[tuple[VersionRef, CustomerId, str], EstimateRow] = {}
+        self.rollouts: dict[str, RolloutRow] = {}
+        self.domains_out: set[str] = set()
+        self.withdrawn: set[VersionRef] = set()
+        self.apply_view(view)
+
+    def apply_view(self, view: DocumentView) -> None:
+        """Put a revision in force; an older one than the present is ignored."""
+        if view.revision < self.view.revision:
+            return
+        self.view = view
+        for upstream_id in list(self.upstreams):
+            if upstream_id not in view.upstreams:
+                del self.upstreams[upstream_id]
+        for upstream_id, up in view.upstreams.items():
+            row = self.upstreams.get(upstream_id)
+            if row is None:
+                self.upstreams[upstream_id] = UpstreamRow(
+                    upstream_id=upstream_id,
+                    domain=up.domain,
+                    region=up.region,
+                    agent=up.cfg.agent,
+                    kind=up.cfg.kind,
+                    serves=up.serves,
+                    reported_limit=up.cfg.cold_limit,
+                )
+                continue
+            row.domain, row.region, row.agent = up.domain, up.region, up.cfg.agent
+            row.kind, row.serves = up.cfg.kind, up.serves
+
+    def is_version_withdrawn(self, version: VersionRef) -> bool:
+        """Tell whether a version may take no new work, by the document or by a notice."""
+        return version in self.withdrawn or self.view.is_withdrawn(version)
+
+    def is_upstream_open(self, row: UpstreamRow) -> bool:
+        """Tell whether operators and the platform let an upstream take new work."""
+        if row.leaving or row.domain in self.domains_out:
+            return False
+        return not self.view.is_domain_out(row.domain)
--- /dev/null
+++ b/crocusvalve/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests, run at most once."""
--- /dev/null
+++ b/crocusvalve/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's service."""
--- /dev/null
+++ b/crocusvalve/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Retries, hedges and their budget."""
--- /dev/null
+++ b/crocusvalve/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Staged roll-outs of versions."""
--- /dev/null
+++ b/crocusvalve/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of upstream."""
--- /dev/null
+++ b/crocusvalve/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Session tokens."""
--- /dev/null
+++ b/crocusvalve/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the systems that crocusvalve serves."""
--- /dev/null
+++ b/crocusvalve/utils/__init__.py
@@ -0,0 +1,16 @@
+"""Small helpers shared by all packages."""
+
+from crocusvalve.utils._clock import Clock, MonotonicClock
+from crocusvalve.utils._digest import compute_digest, hash_key, hash_to_unit
+from crocusvalve.utils.validation import check_name, check_range, check_type
+
+__all__ = [
+    "Clock",
+    "MonotonicClock",
+    "check_name",
+    "check_range",
+    "check_type",
+    "compute_digest",
+    "hash_key",
+    "hash_to_unit",
+]
