--- /dev/null
+++ b/crocusvalve/entry/_http.py
@@ -0,0 +1,326 @@
+"""Callers' HTTP interface: chat, models, plain services, durable requests, health and metrics."""
+
+import secrets
+from collections.abc import AsyncIterator
+
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from crocusvalve.base import ClassKind, RequestId, SessionId
+from crocusvalve.config import CustomerView
+from crocusvalve.entry import _openai
+from crocusvalve.entry._commands import AnswerSummary
+from crocusvalve.entry._handle import AnswerPart, RequestHandle
+from crocusvalve.entry._parse import (
+    MAX_BODY_BYTES,
+    SESSION_HEADER,
+    ChatBody,
+    parse_chat_body,
+    parse_headers,
+)
+from crocusvalve.entry._resolve import list_models, make_chat_row, make_service_row
+from crocusvalve.entry.base import DurableState, EntryService
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
+from crocusvalve.model import RequestRow
+from crocusvalve.sessions import SessionClaim
+
+__all__ = ["make_app"]
+
+BEARER = "Bearer "
+NEW_SESSION = "new"
+SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+JSON = "application/json"
+
+
+def make_app(service: EntryService, registry: CollectorRegistry) -> QuartTrio:
+    """Make the HTTP application of an entry.
+
+    Parameters
+    ----------
+    service : EntryService
+        What answers the requests.
+    registry : CollectorRegistry
+        Metrics shown at ``/metrics``.
+
+    Returns
+    -------
+    QuartTrio
+    """
+    app = QuartTrio("crocusvalve")
+    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
+    api = CallerApi(service)
+    app.post("/v1/chat/completions")(api.post_chat)
+    app.get("/v1/models")(api.get_models)
+    app.get("/v1/models/<path:name>")(api.get_model)
+    app.get("/v1/requests/<request_id>")(api.get_request)
+    app.route("/services/<name>", methods=SERVICE_METHODS, defaults={"path": ""})(api.call_service)
+    app.route("/services/<name>/<path:path>", methods=SERVICE_METHODS)(api.call_service)
+    app.register_error_handler(CrocusvalveError, _answer_error)
+    app.register_error_handler(404, _answer_not_found)
+    app.register_error_handler(405, _answer_method_not_allowed)
+    app.register_error_handler(413, _answer_too_large)
+    app.register_error_handler(Exception, _answer_internal)
+
+    @app.get("/metrics")
+    async def get_metrics() -> Response:
+        return Response(generate_latest(registry), content_type=CONTENT_TYPE_LATEST)
+
+    @app.get("/healthz")
+    async def get_health() -> Response:
+        return Response("ok\n", content_type="text/plain")
+
+    @app.get("/readyz")
+    async def get_ready() -> Response:
+        if service.is_ready():
+            return Response("ready\n", content_type="text/plain")
+        return Response("not ready\n", status=503, content_type="text/plain")
+
+    return app
+
+
+async def _answer_error(exc: CrocusvalveError) -> Response:
+    request_id = getattr(request, "crocusvalve_id", "")
+    response = Response(
+        _openai.make_error_body(exc, request_id), status=exc.code.http_status, content_type=JSON
+    )
+    if request_id:
+        response.headers["X-Request-Id"] = request_id
+    retry_after_s = getattr(exc, "retry_after_s", None)
+    if retry_after_s is not None:
+        response.headers["Retry-After"] = str(max(1, round(retry_after_s)))
+    return response
+
+
+async def _answer_not_found(_exc: Exception) -> Response:
+    message = "there is nothing at this path"
+    return await _answer_error(RefusedError(ErrorCode.NOT_FOUND, message, step="parse"))
+
+
+async def _answer_method_not_allowed(_exc: Exception) -> Response:
+    return await _answer_error(_openai.make_method_error(request.method))
+
+
+async def _answer_too_large(_exc: Exception) -> Response:
+    message = f"the body is over {MAX_BODY_BYTES} bytes"
+    return await _answer_error(RefusedError(ErrorCode.BODY_TOO_LARGE, message, step="parse"))
+
+
+async def _answer_internal(exc: Exception) -> Response:
+    message = f"internal error ({type(exc).__name__})"
+    return await _answer_error(CrocusvalveError(ErrorCode.INTERNAL, message, step="entry"))
+
+
+class CallerApi:
+    """Handlers of the callers' API."""
+
+    def __init__(self, service: EntryService):
+        self.service = service
+
+    def _authenticate(self) -> CustomerView:
+        header = request.headers.get("Authorization", "")
+        if not header.startswith(BEARER):
+            raise RefusedError(ErrorCode.BAD_KEY, "a bearer key is needed", step="authenticate")
+        return self.service.find_customer(header[len(BEARER) :].strip())
+
+    def _open_session(self, req: RequestRow, token: str) -> None:
+        if not token:
+            return
+        if token == NEW_SESSION:
+            req.session_id = SessionId(secrets.token_hex(12))
+            return
+        claim = self.service.open_session(token, req.customer_id)
+        if claim is None:
+            return
+        req.session_id = claim.session_id
+        self.service.pin_session(req, claim)
+
+    async def get_models(self) -> Response:
+        """List what the customer's key allows."""
+        customer = self._authenticate()
+        names = list_models(self.service.view(), customer)
+        return Response(_openai.make_model_list(names, customer.member), content_type=JSON)
+
+    async def get_model(self, name: str) -> Response:
+        """Show one model."""
+        customer = self._authenticate()
+        if name not in list_models(self.service.view(), customer):
+            raise RefusedError(
+                ErrorCode.UNKNOWN_MODEL, f"there is no model {name!r}", step="resolve"
+            )
+        return Response(_openai.make_model(name, customer.member), content_type=JSON)
+
+    async def post_chat(self) -> Response:
+        """Answer a chat request: plain, streamed or accepted as durable."""
+        request_id = self._name_request()
+        customer = self._authenticate()
+        raw = await request.get_data()
+        headers = parse_headers(request.headers)
+        body = parse_chat_body(raw)
+        now = self.service.now()
+        req = make_chat_row(
+            self.service.view(), customer, body, raw, headers, request_id, now
+        )
+        self._open_session(req, headers.session)
+        if req.kind is ClassKind.DURABLE:
+            return _answer_accepted(await self.service.accept_durable(req))
+        handle = await self.service.submit(req)
+        if body.stream:
+            return await self._answer_stream(req, handle, body, int(now))
+        return await self._answer_whole(req, handle, int(now))
+
+    def _name_request(self) -> RequestId:
+        request_id = self.service.make_request_id()
+        request.crocusvalve_id = request_id
+        return request_id
+
+    async def _collect(
+        self, req: RequestRow, handle: RequestHandle
+    ) -> tuple[bytes, AnswerSummary]:
+        try:
+            return await handle.collect()
+        finally:
+            self.service.abandon(req.request_id)
+
+    async def _answer_whole(
+        self, req: RequestRow, handle: RequestHandle, created: int
+    ) -> Response:
+        data, summary = await self._collect(req, handle)
+        text = data.decode("utf-8", "replace")
+        body = _openai.make_completion(
+            summary.request_id, summary.version, created, text, summary
+        )
+        response = Response(body, content_type=JSON)
+        self._add_headers(response, req, summary.version, summary.upstream_id)
+        response.headers["X-Request-Id"] = summary.request_id
+        response.headers["X-Crocusvalve-Cost"] = f"{summary.cost:.6f}"
+        response.headers["X-Crocusvalve-Attempts"] = str(summary.n_attempts)
+        return response
+
+    def _add_headers(
+        self, response: Response, req: RequestRow, version: str, upstream_id: str
+    ) -> None:
+        response.headers["X-Request-Id"] = req.request_id
+        response.headers["X-Crocusvalve-Class"] = req.class_name
+        if version:
+            response.headers["X-Crocusvalve-Model"] = version.partition("@")[0]
+            response.headers["X-Crocusvalve-Version"] = version
+        response.headers["X-Crocusvalve-Upstream"] = upstream_id
+        if req.session_id and version:
+            claim = SessionClaim(
+                session_id=req.session_id,
+                customer_id=req.customer_id,
+                version=version,
+                upstream_id=upstream_id,
+                issued_at=self.service.now(),
+            )
+            response.headers[SESSION_HEADER] = self.service.sign_session(claim)
+
+    async def _answer_stream(
+        self, req: RequestRow, handle: RequestHandle, body: ChatBody, created: int
+    ) -> Response:
+        try:
+            first = await handle.get()
+        except BaseException:
+            self.service.abandon(req.request_id)
+            raise
+        stream = ChatStream(self.service, req, handle, body, created)
+        response = Response(stream.iterate(first), content_type="text/event-stream")
+        response.timeout = None
+        response.headers["Cache-Control"] = "no-store"
+        self._add_headers(response, req, first.version, first.upstream_id)
+        return response
+
+    async def get_request(self, request_id: str) -> Response:
+        """Show a durable request's state, and its answer once done."""
+        customer = self._authenticate()
+        state = await self.service.find_durable(customer.customer_id, RequestId(request_id))
+        return _answer_durable(state)
+
+    async def call_service(self, name: str, path: str) -> Response:
+        """Pass a call to a plain service."""
+        request_id = self._name_request()
+        customer = self._authenticate()
+        raw = await request.get_data()
+        headers = parse_headers(request.headers)
+        query = request.query_string.decode("ascii", "replace")
+        full_path = f"/{path}?{query}" if query else f"/{path}"
+        req = make_service_row(
+            self.service.view(),
+            customer,
+            name,
+            request.method,
+            full_path,
+            raw,
+            headers,
+            request_id,
+            self.service.now(),
+        )
+        if req.kind is ClassKind.DURABLE:
+            return _answer_accepted(await self.service.accept_durable(req))
+        handle = await self.service.submit(req)
+        data, summary = await self._collect(req, handle)
+        response = Response(data, status=summary.status, content_type=summary.content_type)
+        self._add_headers(response, req, summary.version, summary.upstream_id)
+        response.headers["X-Request-Id"] = summary.request_id
+        response.headers["X-Crocusvalve-Cost"] = f"{summary.cost:.6f}"
+        return response
+
+
+class ChatStream:
+    """Events of one streamed answer."""
+
+    def __init__(
+        self,
+        service: EntryService,
+        req: RequestRow,
+        handle: RequestHandle,
+        body: ChatBody,
+        created: int,
+    ):
+        self.service = service
+        self.req = req
+        self.handle = handle
+        self.body = body
+        self.created = created
+
+    async def iterate(self, first: AnswerPart | AnswerSummary) -> AsyncIterator[bytes]:
+        """Yield the events; leaving early abandons the request."""
+        request_id = self.req.request_id
+        try:
+            yield _openai.make_first_chunk(request_id, first.version, self.created)
+            item = first
+            while isinstance(item, AnswerPart):
+                text = item.data.decode("utf-8", "replace")
+                yield _openai.make_chunk(request_id, item.version, self.created, text)
+                item = await self.handle.get()
+            yield self._make_end(item)
+        except RefusedError as exc:
+            yield _openai.make_error_event(exc, request_id)
+        finally:
+            self.service.abandon(request_id)
+
+    def _make_end(self, summary: AnswerSummary) -> bytes:
+        request_id, version = self.req.request_id, summary.version
+        end = _openai.make_last_chunk(request_id, version, self.created, summary.finish_reason)
+        options = self.body.stream_options
+        if options is not None and options.include_usage:
+            end += _openai.make_usage_chunk(request_id, version, self.created, summary.usage)
+        return end + _openai.SSE_DONE
+
+
+def _answer_accepted(state: DurableState) -> Response:
+    response = Response(_openai.make_durable_body(state), status=202, content_type=JSON)
+    response.headers["Location"] = f"/v1/requests/{state.request_id}"
+    response.headers["X-Request-Id"] = state.request_id
+    return response
+
+
+def _answer_durable(state: DurableState) -> Response:
+    if state.state == "done":
+        return Response(
+            state.result, status=state.http_status, content_type=state.content_type
+        )
+    if state.error:
+        return Response(state.error, status=state.http_status, content_type=JSON)
+    return Response(_openai.make_durable_body(state), status=202, content_type=JSON)
--- /dev/null
+++ b/crocusvalve/entry/_openai.py
@@ -0,0 +1,167 @@
+"""Answers and errors in the shape of the OpenAI API."""
+
+from typing import Any
+
+import msgspec
+
+from crocusvalve.base import RequestId
+from crocusvalve.entry._commands import AnswerSummary
+from crocusvalve.entry.base import DurableState
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
+from crocusvalve.rpc import Usage
+
+__all__ = [
+    "SSE_DONE",
+    "make_chunk",
+    "make_completion",
+    "make_durable_body",
+    "make_error_body",
+    "make_error_event",
+    "make_first_chunk",
+    "make_last_chunk",
+    "make_model",
+    "make_model_list",
+    "make_usage_chunk",
+]
+
+SSE_DONE = b"data: [DONE]\n\n"
+ERROR_TYPES = {
+    400: "invalid_request_error",
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    429: "rate_limit_error",
+}
+
+
+def _usage(usage: Usage) -> dict[str, Any]:
+    return {
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+    }
+
+
+def _event(payload: dict[str, Any]) -> bytes:
+    return b"data: " + msgspec.json.encode(payload) + b"\n\n"
+
+
+def _chunk(request_id: RequestId, model: str, created: int, choices: list) -> dict[str, Any]:
+    return {
+        "id": request_id,
+        "object": "chat.completion.chunk",
+        "created": created,
+        "model": model,
+        "choices": choices,
+    }
+
+
+def make_completion(
+    request_id: RequestId, model: str, created: int, text: str, summary: AnswerSummary
+) -> bytes:
+    """Encode a whole answer."""
+    message = {"role": "assistant", "content": text}
+    choice = {
+        "index": 0,
+        "message": message,
+        "finish_reason": summary.finish_reason,
+        "logprobs": None,
+    }
+    return msgspec.json.encode(
+        {
+            "id": request_id,
+            "object": "chat.completion",
+            "created": created,
+            "model": model,
+            "choices": [choice],
+            "usage": _usage(summary.usage),
+        }
+    )
+
+
+def make_first_chunk(request_id: RequestId, model: str, created: int) -> bytes:
+    """Encode the first event of a stream, which names the role."""
+    delta = {"role": "assistant", "content": ""}
+    choice = {"index": 0, "delta": delta, "finish_reason": None}
+    return _event(_chunk(request_id, model, created, [choice]))
+
+
+def make_chunk(request_id: RequestId, model: str, created: int, text: str) -> bytes:
+    """Encode a part of a streamed answer."""
+    choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+    return _event(_chunk(request_id, model, created, [choice]))
+
+
+def make_last_chunk(request_id: RequestId, model: str, created: int, reason: str) -> bytes:
+    """Encode the end of a streamed answer."""
+    choice = {"index": 0, "delta": {}, "finish_reason": reason}
+    return _event(_chunk(request_id, model, created, [choice]))
+
+
+def make_usage_chunk(request_id: RequestId, model: str, created: int, usage: Usage) -> bytes:
+    """Encode the usage figures that a caller asked for with ``include_usage``."""
+    payload = _chunk(request_id, model, created, [])
+    payload["usage"] = _usage(usage)
+    return _event(payload)
+
+
+def _error_payload(exc: CrocusvalveError, request_id: str) -> dict[str, Any]:
+    status = exc.code.http_status
+    error: dict[str, Any] = {
+        "message": exc.message,
+        "type": ERROR_TYPES.get(status, "server_error" if status >= 500 else "request_error"),
+        "param": None,
+        "code": exc.code.code,
+        "step": exc.step,
+        "peer": exc.peer,
+        "request_id": request_id,
+    }
+    if isinstance(exc, RefusedError):
+        error["ran"] = exc.ran.value
+        error["retry_after_s"] = exc.retry_after_s
+    return {"error": error}
+
+
+def make_error_body(exc: CrocusvalveError, request_id: str = "") -> bytes:
+    """Encode an error."""
+    return msgspec.json.encode(_error_payload(exc, request_id))
+
+
+def make_error_event(exc: CrocusvalveError, request_id: str) -> bytes:
+    """Encode an error inside a stream; no ``[DONE]`` follows it."""
+    return _event(_error_payload(exc, request_id))
+
+
+def make_durable_body(state: DurableState) -> bytes:
+    """Encode the state of a durable request that has no answer yet."""
+    return msgspec.json.encode(
+        {
+            "id": state.request_id,
+            "object": "request",
+            "state": state.state,
+            "deadline": state.deadline,
+            "url": f"/v1/requests/{state.request_id}",
+        }
+    )
+
+
+def make_model(name: str, owner: str) -> bytes:
+    """Encode one model."""
+    return msgspec.json.encode(_model(name, owner))
+
+
+def _model(name: str, owner: str) -> dict[str, Any]:
+    return {"id": name, "object": "model", "created": 0, "owned_by": owner}
+
+
+def make_model_list(names: list[str], owner: str) -> bytes:
+    """Encode the list of models."""
+    data = [_model(name, owner) for name in names]
+    return msgspec.json.encode({"object": "list", "data": data})
+
+
+def make_method_error(method: str) -> RefusedError:
+    """Make the error of a method that a path does not take."""
+    message = f"method {method} is not allowed here"
+    return RefusedError(ErrorCode.METHOD_NOT_ALLOWED, message, step="parse")
