contract: rows carry report history, subset, boots and redirects

Routing needs the own load at the instant of a lagging report, and membership needs the runs of an agent, to tell old news from new. Candidates are looked up by version, not by scanning upstreams.

--- a/crocusvalve/model/_rows.py
+++ b/crocusvalve/model/_rows.py
@@ -1,5 +1,7 @@
 """Rows of the tables that a process holds in memory."""
 
+from collections import deque
+
 from msgspec import Struct, field
 
 from crocusvalve.base import (
@@ -38,6 +40,9 @@
 class RequestRow(Struct, kw_only=True):
     """A request at its entry; instants in Unix seconds, cost in currency units.
 
+    ``n_redirects`` counts the attempts that an agent refused before any work.
+    ``preferred_upstream`` comes from the session's token.
+
     ``steps`` holds the models still to try, cheapest first; ``step`` counts those done.
     ``service`` names a plain service, qualified, or is empty.
     """
@@ -70,6 +75,8 @@
     not_before: float = 0.0
     hedge_at: float = 0.0
     avoid: set[UpstreamId] = field(default_factory=set)
+    preferred_upstream: UpstreamId = UpstreamId("")
+    n_redirects: int = 0
     n_frames_out: int = 0
     cost: float = 0.0
     quality_target: float = 0.0
@@ -94,7 +101,10 @@
     """An upstream as an entry sees it.
 
     ``in_flight`` counts this entry's own attempts; the ``reported_*`` fields come from the last
-    load report, taken at ``reported_at``. ``failed_at`` is when the last attempt failed.
+    load report, taken at ``reported_at`` by the agent's clock and heard at ``heard_at`` by the
+    entry's. ``own_at_report`` is ``in_flight`` at the instant of the report, looked up in
+    ``own_history``. ``failed_at`` is when the last attempt failed. ``drained_boot`` is the run of
+    the agent that said it drains; ``past_boots`` are its former runs.
     """
 
     upstream_id: UpstreamId
@@ -116,6 +126,15 @@
     failed_at: float = 0.0
     retry_at: float = 0.0
     leaving: bool = False
+    leaving_at: float = 0.0
+    heard_at: float = 0.0
+    probed_at: float = 0.0
+    boot_at: float = 0.0
+    drained_boot: BootId = BootId("")
+    past_boots: tuple[BootId, ...] = ()
+    own_at_report: int = 0
+    own_history: deque[tuple[float, int]] = field(default_factory=deque)
+    in_subset: bool = True
     prefixes: dict[str, float] = field(default_factory=dict)
 
 
--- a/crocusvalve/model/_tables.py
+++ b/crocusvalve/model/_tables.py
@@ -32,6 +32,8 @@
         Rows of requests and attempts not yet ended.
     upstreams : dict
         Rows of upstreams of the revision in force.
+    serving : dict
+        Rows of the entry's subset by the version that they serve; see ``index_upstreams``.
     estimates : dict
         Quality estimates by ``(version, customer, class)``.
     rollouts : dict
@@ -44,6 +46,7 @@
         self.attempts: dict[AttemptId, AttemptRow] = {}
         self.attempts_of: dict[RequestId, list[AttemptId]] = {}
         self.upstreams: dict[UpstreamId, UpstreamRow] = {}
+        self.serving: dict[VersionRef, list[UpstreamRow]] = {}
         self.customers: dict[CustomerId, CustomerRow] = {}
         self.quarantine: dict[str, QuarantineRow] = {}
         self.estimates: dict[tuple[VersionRef, CustomerId, str], EstimateRow] = {}
@@ -75,6 +78,16 @@
                 continue
             row.domain, row.region, row.agent = up.domain, up.region, up.cfg.agent
             row.kind, row.serves = up.cfg.kind, up.serves
+        self.index_upstreams()
+
+    def index_upstreams(self) -> None:
+        """Rebuild ``serving``; called when a row's subset or versions change."""
+        self.serving = {}
+        for row in self.upstreams.values():
+            if not row.in_subset:
+                continue
+            for version in row.serves:
+                self.serving.setdefault(version, []).append(row)
 
     def is_version_withdrawn(self, version: VersionRef) -> bool:
         """Tell whether a version may take no new work, by the document or by a notice."""
