--- a/crocusvalve/limits/__init__.py
+++ b/crocusvalve/limits/__init__.py
@@ -1,1 +1,6 @@
 """Quotas, queues and warm-up limits."""
+
+from crocusvalve.limits._queue import FairQueue
+from crocusvalve.limits._quota import check_quota, make_customer_row
+
+__all__ = ["FairQueue", "check_quota", "make_customer_row"]
--- a/crocusvalve/retry/__init__.py
+++ b/crocusvalve/retry/__init__.py
@@ -1,1 +1,15 @@
-"""Retries, hedges and their budget."""
+"""Retries, their budget, and requests that crash upstreams."""
+
+from crocusvalve.retry._backoff import compute_backoff_s
+from crocusvalve.retry._budget import RetryBudget
+from crocusvalve.retry._policy import RetryAction, RetryDecision, RetryPolicy
+from crocusvalve.retry._quarantine import Quarantine
+
+__all__ = [
+    "Quarantine",
+    "RetryAction",
+    "RetryBudget",
+    "RetryDecision",
+    "RetryPolicy",
+    "compute_backoff_s",
+]
--- /dev/null
+++ b/crocusvalve/retry/_budget.py
@@ -0,0 +1,45 @@
+"""Budget of retries and hedges, so that they can't amplify an outage."""
+
+from crocusvalve.base import MemberId
+
+__all__ = ["RetryBudget"]
+
+#: Retries that a member may save up.
+MAX_SAVED = 20.0
+#: Retries that a member may make though it sends hardly any requests, per second.
+MIN_RATE_PER_S = 0.2
+
+
+class RetryBudget:
+    """Token bucket per member that fills with each request and is drained by retries.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries per request, such as 0.1; a member's own ratio goes before it.
+    """
+
+    def __init__(self, ratio: float = 0.1):
+        self.ratio = ratio
+        self.tokens_: dict[MemberId, float] = {}
+        self.refilled_at_: dict[MemberId, float] = {}
+
+    def note_request(self, member: MemberId, now: float, *, ratio: float | None = None) -> None:
+        """Credit a member with a first attempt."""
+        self._refill(member, now)
+        gain = self.ratio if ratio is None else ratio
+        self.tokens_[member] = min(MAX_SAVED, self.tokens_[member] + gain)
+
+    def try_take(self, member: MemberId, now: float) -> bool:
+        """Take one retry of a member's budget; False where it is used up."""
+        self._refill(member, now)
+        if self.tokens_[member] < 1.0:
+            return False
+        self.tokens_[member] -= 1.0
+        return True
+
+    def _refill(self, member: MemberId, now: float) -> None:
+        since = self.refilled_at_.setdefault(member, now)
+        tokens = self.tokens_.setdefault(member, MAX_SAVED / 2.0)
+        self.tokens_[member] = min(MAX_SAVED, tokens + max(0.0, now - since) * MIN_RATE_PER_S)
+        self.refilled_at_[member] = max(since, now)
--- /dev/null
+++ b/crocusvalve/retry/_policy.py
@@ -0,0 +1,205 @@
+"""What follows a refused or failed attempt, by class of request."""
+
+import random
+from enum import Enum
+
+from msgspec import Struct
+
+from crocusvalve.base import ClassKind, Ran
+from crocusvalve.exceptions import ErrorCode
+from crocusvalve.model import RequestRow
+from crocusvalve.retry._backoff import compute_backoff_s
+from crocusvalve.retry._budget import RetryBudget
+from crocusvalve.rpc import Refused
+
+__all__ = ["RetryAction", "RetryDecision", "RetryPolicy"]
+
+#: Refusals that another upstream or a later moment doesn't mend.
+FINAL_CODES = frozenset(
+    {
+        ErrorCode.BAD_REQUEST,
+        ErrorCode.BAD_JSON,
+        ErrorCode.BAD_HEADER,
+        ErrorCode.BAD_DEADLINE,
+        ErrorCode.UNKNOWN_MODEL,
+        ErrorCode.MODEL_NOT_ALLOWED,
+        ErrorCode.FORBIDDEN,
+        ErrorCode.CRASHES_UPSTREAMS,
+        ErrorCode.DEADLINE_PASSED,
+        ErrorCode.BODY_TOO_LARGE,
+    }
+)
+#: Refusals that cost the upstream no work; they aren't charged to the retry budget.
+REDIRECT_CODES = frozenset(
+    {
+        ErrorCode.UPSTREAM_FULL,
+        ErrorCode.UPSTREAM_DOWN,
+        ErrorCode.DRAINING,
+        ErrorCode.DOMAIN_OUT,
+        ErrorCode.STALE_BOOT,
+        ErrorCode.STALE_REVISION,
+        ErrorCode.VERSION_WITHDRAWN,
+        ErrorCode.NOT_READY,
+        ErrorCode.FENCED,
+    }
+)
+MAX_REDIRECTS = 32
+#: Time that an attempt needs at least; no attempt starts closer to the deadline.
+MIN_ATTEMPT_S = 0.02
+REDIRECT_BASE_S = 0.005
+REDIRECT_MAX_S = 0.5
+RETRY_BASE_S = 0.05
+RETRY_MAX_S = 2.0
+DURABLE_BASE_S = 1.0
+DURABLE_MAX_S = 60.0
+
+
+class RetryAction(Enum):
+    """What to do with a request whose attempt ended without an answer."""
+
+    RETRY = "retry"
+    RESUME = "resume"
+    REFUSE = "refuse"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+
+
+class RetryDecision(Struct, frozen=True, kw_only=True):
+    """Decision about a request.
+
+    Attributes
+    ----------
+    action : RetryAction
+        RESUME asks the same agent for the frames from the next sequence number on.
+    not_before : float
+        Instant of the next attempt, for RETRY and RESUME.
+    code : ErrorCode
+        What the caller is told, for REFUSE and OUTCOME_UNKNOWN.
+    ran : Ran
+        Whether the request ran, for REFUSE and OUTCOME_UNKNOWN.
+    is_redirect : bool
+        Whether the retry was free, as the attempt had cost no work.
+    must_choose_version : bool
+        Whether the version is withdrawn and another is to be chosen.
+    retry_after_s : float or None
+        When the caller may come back.
+    """
+
+    action: RetryAction
+    not_before: float = 0.0
+    code: ErrorCode = ErrorCode.UPSTREAM_FAILED
+    ran: Ran = Ran.NOT_RUN
+    is_redirect: bool = False
+    must_choose_version: bool = False
+    retry_after_s: float | None = None
+
+
+class RetryPolicy:
+    """Decides by class of request whether an attempt is followed by another.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+        Shared by retries and hedges.
+    random_state : random.Random
+        Source of the backoff's jitter.
+    """
+
+    def __init__(self, *, budget: RetryBudget, random_state: random.Random):
+        self.budget = budget
+        self.random_state = random_state
+
+    def decide(self, req: RequestRow, refused: Refused, now: float) -> RetryDecision:
+        """Decide what follows a refused or failed attempt.
+
+        Parameters
+        ----------
+        req : RequestRow
+            The request; ``n_attempts`` counts the attempt that failed, ``n_redirects`` is raised
+            where the retry is free.
+        refused : Refused
+            How the attempt ended.
+        now : float
+            Present Unix time in seconds.
+
+        Returns
+        -------
+        RetryDecision
+            The next step.
+        """
+        code = _parse_code(refused.code)
+        if code in FINAL_CODES:
+            return self._refuse(code, refused)
+        if not _is_repeatable(req) and refused.ran is not Ran.NOT_RUN:
+            return _tell_unknown(refused)
+        if code is ErrorCode.VERSION_WITHDRAWN and req.pinned_version:
+            return self._refuse(code, refused)
+        if req.n_frames_out and refused.ran is not Ran.NOT_RUN:
+            return self._resume(req, code, refused, now)
+        return self._retry(req, code, refused, now)
+
+    def _resume(
+        self, req: RequestRow, code: ErrorCode, refused: Refused, now: float
+    ) -> RetryDecision:
+        # A crashed upstream has lost its buffer, and a restart would repeat frames.
+        can_resume = not refused.crashed and req.n_attempts < req.max_attempts
+        delay_s = self._draw_backoff_s(req, RETRY_BASE_S, RETRY_MAX_S)
+        if not can_resume or now + delay_s + MIN_ATTEMPT_S > req.deadline:
+            return self._refuse(code, refused)
+        return RetryDecision(action=RetryAction.RESUME, not_before=now + delay_s)
+
+    def _retry(
+        self, req: RequestRow, code: ErrorCode, refused: Refused, now: float
+    ) -> RetryDecision:
+        is_redirect = refused.ran is Ran.NOT_RUN and code in REDIRECT_CODES
+        if is_redirect:
+            has_attempts = req.n_redirects < MAX_REDIRECTS
+            delay_s = self._draw_backoff_s(req, REDIRECT_BASE_S, REDIRECT_MAX_S)
+        else:
+            has_attempts = req.n_attempts - req.n_redirects < req.max_attempts
+            is_durable = req.kind is ClassKind.DURABLE
+            base_s = DURABLE_BASE_S if is_durable else RETRY_BASE_S
+            delay_s = self._draw_backoff_s(
+                req, base_s, DURABLE_MAX_S if is_durable else RETRY_MAX_S
+            )
+        if not has_attempts:
+            return self._refuse(code, refused)
+        if now + delay_s + MIN_ATTEMPT_S > req.deadline:
+            return self._refuse(code, refused)
+        if not is_redirect and not self.budget.try_take(req.member, now):
+            return self._refuse(code, refused)
+        req.n_redirects += int(is_redirect)
+        return RetryDecision(
+            action=RetryAction.RETRY,
+            not_before=now + delay_s,
+            is_redirect=is_redirect,
+            must_choose_version=code is ErrorCode.VERSION_WITHDRAWN,
+        )
+
+    def _draw_backoff_s(self, req: RequestRow, base_s: float, max_s: float) -> float:
+        return compute_backoff_s(
+            req.n_attempts, base_s=base_s, max_s=max_s, random_state=self.random_state
+        )
+
+    def _refuse(self, code: ErrorCode, refused: Refused) -> RetryDecision:
+        return RetryDecision(
+            action=RetryAction.REFUSE,
+            code=code,
+            ran=refused.ran,
+            retry_after_s=refused.retry_after_s,
+        )
+
+
+def _parse_code(name: str) -> ErrorCode:
+    return ErrorCode.__members__.get(name, ErrorCode.UPSTREAM_FAILED)
+
+
+def _is_repeatable(req: RequestRow) -> bool:
+    return req.is_repeatable and req.kind is not ClassKind.ORDER
+
+
+def _tell_unknown(refused: Refused) -> RetryDecision:
+    if refused.ran is Ran.RAN:
+        return RetryDecision(action=RetryAction.REFUSE, code=_parse_code(refused.code), ran=Ran.RAN)
+    return RetryDecision(
+        action=RetryAction.OUTCOME_UNKNOWN, code=ErrorCode.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN
+    )
--- /dev/null
+++ b/crocusvalve/retry/_quarantine.py
@@ -0,0 +1,131 @@
+"""Requests that crash the upstreams that run them."""
+
+from collections.abc import Sequence
+
+from crocusvalve.base import UpstreamId
+from crocusvalve.model import QuarantineRow, UpstreamRow
+
+__all__ = ["Quarantine"]
+
+#: A digest is refused for good from this crash on.
+BANNED_CRASHES = 2
+MAX_ROWS = 10_000
+MAX_AGE_S = 7 * 86_400.0
+
+
+class Quarantine:
+    """Digests of requests that crashed upstreams.
+
+    A digest is a suspect after one crash and banned after two. A suspect runs on one upstream at a
+    time and shares it with no other suspect, so that those that merely ran beside a crash are
+    cleared by their next success.
+
+    Parameters
+    ----------
+    rows : dict
+        Table of the entry, by digest; kept in order of use, the oldest first.
+    max_rows : int
+        Bound of the table; the row used least recently goes first.
+    max_age_s : float
+        Age at which a row is forgotten.
+    """
+
+    def __init__(
+        self,
+        rows: dict[str, QuarantineRow],
+        *,
+        max_rows: int = MAX_ROWS,
+        max_age_s: float = MAX_AGE_S,
+    ):
+        self.rows = rows
+        self.max_rows = max_rows
+        self.max_age_s = max_age_s
+        self.running_: dict[str, UpstreamId] = {}
+
+    def note_crash(
+        self, digest: str, upstream_id: UpstreamId, now: float, *, incident: str = ""
+    ) -> bool:
+        """Count a crash; tell whether the digest is now banned.
+
+        Parameters
+        ----------
+        digest : str
+            Digest of the request that ran.
+        upstream_id : UpstreamId
+            Upstream that crashed.
+        now : float
+            Present Unix time in seconds.
+        incident : str
+            Distinguishes crashes of one upstream, such as the engine's boot id; a crash that is
+            reported twice counts once.
+        """
+        row = self.rows.pop(digest, None)
+        if row is None:
+            row = QuarantineRow(digest=digest, n_crashes=0, crashed_at=now)
+        self.rows[digest] = row
+        row.upstreams.add(UpstreamId(f"{upstream_id}#{incident}"))
+        row.n_crashes = max(row.n_crashes, len(row.upstreams))
+        row.crashed_at = max(row.crashed_at, now)
+        self.running_.pop(digest, None)
+        self._evict(now)
+        return row.n_crashes >= BANNED_CRASHES
+
+    def is_banned(self, digest: str) -> bool:
+        """Tell whether a digest is refused for good."""
+        row = self.rows.get(digest)
+        return row is not None and row.n_crashes >= BANNED_CRASHES
+
+    def is_suspect(self, digest: str) -> bool:
+        """Tell whether a digest has crashed an upstream and isn't banned."""
+        row = self.rows.get(digest)
+        return row is not None and row.n_crashes < BANNED_CRASHES
+
+    def filter_candidates(
+        self, digest: str, candidates: Sequence[UpstreamRow]
+    ) -> Sequence[UpstreamRow]:
+        """Leave the upstreams on which a digest may run now.
+
+        Returns
+        -------
+        sequence of UpstreamRow
+            All for a digest that isn't known; none for one that is banned, or a suspect that runs
+            already; for another suspect those on which no suspect runs.
+        """
+        if digest not in self.rows:
+            return candidates
+        if self.is_banned(digest) or digest in self.running_:
+            return []
+        taken = set(self.running_.values())
+        return [row for row in candidates if row.upstream_id not in taken]
+
+    def note_start(self, digest: str, upstream_id: UpstreamId) -> None:
+        """Count the start of an attempt; only suspects are remembered."""
+        if self.is_suspect(digest):
+            self.running_[digest] = upstream_id
+
+    def note_end(self, digest: str, *, is_success: bool) -> None:
+        """Count the end of an attempt; a success clears a suspect."""
+        self.running_.pop(digest, None)
+        if is_success and self.is_suspect(digest):
+            del self.rows[digest]
+
+    def merge(self, notice: QuarantineRow, now: float) -> bool:
+        """Merge what another entry knows of a digest; tell whether it was new."""
+        row = self.rows.pop(notice.digest, None)
+        if row is None:
+            row = QuarantineRow(digest=notice.digest, n_crashes=0, crashed_at=notice.crashed_at)
+        before = row.n_crashes
+        row.upstreams |= notice.upstreams
+        row.n_crashes = max(row.n_crashes, notice.n_crashes, len(row.upstreams))
+        row.crashed_at = max(row.crashed_at, notice.crashed_at)
+        self.rows[notice.digest] = row
+        self._evict(now)
+        return row.n_crashes > before
+
+    def _evict(self, now: float) -> None:
+        while self.rows:
+            oldest = next(iter(self.rows.values()))
+            is_old = now - oldest.crashed_at > self.max_age_s
+            if not is_old and len(self.rows) <= self.max_rows:
+                return
+            del self.rows[oldest.digest]
--- /dev/null
+++ b/crocusvalve/routing/_baselines.py
@@ -0,0 +1,67 @@
+"""Simple policies, to compare the others with."""
+
+import random
+from collections.abc import Sequence
+
+from crocusvalve.model import RequestRow, UpstreamRow
+from crocusvalve.routing.base import Router
+
+__all__ = ["LeastInFlightRouter", "RandomRouter", "RoundRobinRouter"]
+
+
+def _list_free(candidates: Sequence[UpstreamRow]) -> list[UpstreamRow]:
+    return [row for row in candidates if row.in_flight < max(1, row.reported_limit)]
+
+
+class RandomRouter(Router):
+    """Chooses at random among the upstreams that the own count leaves free.
+
+    Parameters
+    ----------
+    random_state : random.Random
+        Source of randomness.
+    """
+
+    def __init__(self, *, random_state: random.Random):
+        self.random_state = random_state
+
+    def choose(self, req: RequestRow, candidates: Sequence[UpstreamRow], now: float):
+        """Choose an upstream; see ``Router.choose``."""
+        free = _list_free(candidates)
+        return self.random_state.choice(free) if free else None
+
+
+class RoundRobinRouter(Router):
+    """Takes the upstreams that the own count leaves free in turn."""
+
+    def __init__(self):
+        self.n_chosen_ = 0
+
+    def choose(self, req: RequestRow, candidates: Sequence[UpstreamRow], now: float):
+        """Choose an upstream; see ``Router.choose``."""
+        free = _list_free(candidates)
+        if not free:
+            return None
+        self.n_chosen_ += 1
+        return free[self.n_chosen_ % len(free)]
+
+
+class LeastInFlightRouter(Router):
+    """Chooses the upstream with the fewest own attempts; ties are broken at random.
+
+    Parameters
+    ----------
+    random_state : random.Random
+        Source of randomness.
+    """
+
+    def __init__(self, *, random_state: random.Random):
+        self.random_state = random_state
+
+    def choose(self, req: RequestRow, candidates: Sequence[UpstreamRow], now: float):
+        """Choose an upstream; see ``Router.choose``."""
+        free = _list_free(candidates)
+        if not free:
+            return None
+        fewest = min(row.in_flight for row in free)
+        return self.random_state.choice([row for row in free if row.in_flight == fewest])
--- /dev/null
+++ b/crocusvalve/routing/_expected_wait.py
@@ -0,0 +1,86 @@
+"""Choice by expected wait, with locality and affinity within a load bound."""
+
+import random
+from collections.abc import Sequence
+
+from crocusvalve.model import RequestRow, UpstreamRow
+from crocusvalve.routing._affinity import compute_affinity
+from crocusvalve.routing._load import estimate_wait_s, is_full
+from crocusvalve.routing.base import Router
+
+__all__ = ["ExpectedWaitRouter"]
+
+#: Round trip to another failure domain of the same region.
+DOMAIN_COST_S = 0.002
+#: Round trip to another region.
+REGION_COST_S = 0.06
+#: Upstreams drawn at random.
+N_CHOICES = 2
+#: An affine upstream may wait this much longer than the best choice, whichever is more.
+AFFINITY_EXTRA_SHARE = 0.5
+AFFINITY_EXTRA_S = 0.05
+
+
+class ExpectedWaitRouter(Router):
+    """Chooses the better of two random upstreams by expected wait.
+
+    Upstreams are drawn with weight by their limit, so that a cold one is drawn seldom. Two more are
+    drawn from the other regions where the entry's region is known. The upstream of the session or
+    of the prompt's prefix is taken where its wait is within a bound of the best choice.
+
+    Parameters
+    ----------
+    random_state : random.Random
+        Source of randomness.
+    domain, region : str
+        Failure domain and region of this entry; empty where unknown.
+    """
+
+    def __init__(self, *, random_state: random.Random, domain: str = "", region: str = ""):
+        self.random_state = random_state
+        self.domain = domain
+        self.region = region
+
+    def choose(self, req: RequestRow, candidates: Sequence[UpstreamRow], now: float):
+        """Choose an upstream; see ``Router.choose``."""
+        free = [row for row in candidates if not is_full(row, now)]
+        if not free:
+            return None
+        best = min(self._draw(free), key=lambda row: self._compute_cost_s(row, now))
+        row, strength = self._find_affine(req, free, now)
+        if row is None or row is best:
+            return best
+        best_s = self._compute_cost_s(best, now)
+        extra_s = strength * max(AFFINITY_EXTRA_SHARE * best_s, AFFINITY_EXTRA_S)
+        return row if self._compute_cost_s(row, now) <= best_s + extra_s else best
+
+    def _draw(self, rows: list[UpstreamRow]) -> list[UpstreamRow]:
+        near = [row for row in rows if row.region == self.region] if self.region else []
+        if not near or len(near) == len(rows):
+            return self._draw_weighted(rows)
+        far = [row for row in rows if row.region != self.region]
+        return self._draw_weighted(near) + self._draw_weighted(far)
+
+    def _draw_weighted(self, rows: list[UpstreamRow]) -> list[UpstreamRow]:
+        if len(rows) <= N_CHOICES:
+            return rows
+        weights = [row.reported_limit for row in rows]
+        return self.random_state.choices(rows, weights, k=N_CHOICES)
+
+    def _compute_cost_s(self, row: UpstreamRow, now: float) -> float:
+        wait_s = estimate_wait_s(row, now)
+        if not self.domain or row.domain == self.domain:
+            return wait_s
+        return wait_s + (DOMAIN_COST_S if row.region == self.region else REGION_COST_S)
+
+    def _find_affine(
+        self, req: RequestRow, rows: list[UpstreamRow], now: float
+    ) -> tuple[UpstreamRow | None, float]:
+        found, best = None, 0.0
+        if not req.preferred_upstream and not req.prefix_digest:
+            return found, best
+        for row in rows:
+            strength = compute_affinity(req, row, now)
+            if strength > best:
+                found, best = row, strength
+        return found, best
--- /dev/null
+++ b/crocusvalve/routing/_load.py
@@ -0,0 +1,86 @@
+"""Estimates of an upstream's load from own attempts and a lagging report."""
+
+from crocusvalve.model import UpstreamRow
+
+__all__ = [
+    "estimate_load",
+    "estimate_wait_s",
+    "find_own_load",
+    "is_full",
+    "note_end",
+    "note_start",
+]
+
+#: Age at which half of a report's weight is left.
+REPORT_HALF_LIFE_S = 2.0
+#: Share of the limit assumed to be in use where nothing is known.
+PRIOR_LOAD = 0.5
+#: Below this weight a report no longer marks an upstream as full.
+FULL_MIN_WEIGHT = 0.5
+#: Samples of the own load kept per upstream, to look up the load at a report's instant.
+MAX_HISTORY = 64
+
+
+def note_start(row: UpstreamRow, now: float) -> None:
+    """Count an own attempt that starts on an upstream."""
+    row.in_flight += 1
+    _remember(row, now)
+
+
+def note_end(row: UpstreamRow, now: float) -> None:
+    """Count an own attempt that ended on an upstream."""
+    row.in_flight = max(0, row.in_flight - 1)
+    _remember(row, now)
+
+
+def _remember(row: UpstreamRow, now: float) -> None:
+    row.own_history.append((now, row.in_flight))
+    if len(row.own_history) > MAX_HISTORY:
+        row.own_history.popleft()
+
+
+def find_own_load(row: UpstreamRow, at: float) -> int:
+    """Return the own attempts on an upstream at a past instant, as far as it is remembered."""
+    for instant, in_flight in reversed(row.own_history):
+        if instant <= at:
+            return in_flight
+    return 0 if row.own_history and len(row.own_history) < MAX_HISTORY else row.in_flight
+
+
+def compute_report_weight(row: UpstreamRow, now: float) -> float:
+    """Return the weight of the last report, from 0 (none or very old) to 1 (new)."""
+    if row.reported_at <= 0.0:
+        return 0.0
+    age_s = now - row.reported_at
+    return 1.0 if age_s <= 0.0 else 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+
+
+def _count_others(row: UpstreamRow) -> int:
+    return max(0, row.reported_in_flight + row.reported_queued - row.own_at_report)
+
+
+def estimate_load(row: UpstreamRow, now: float) -> float:
+    """Estimate the concurrent requests on an upstream.
+
+    Own attempts are exact. Those of the other entries come from the report; as it ages, they tend
+    to ``PRIOR_LOAD`` of the limit.
+    """
+    weight = compute_report_weight(row, now)
+    prior = max(0.0, PRIOR_LOAD * row.reported_limit - row.in_flight)
+    return row.in_flight + weight * _count_others(row) + (1.0 - weight) * prior
+
+
+def estimate_wait_s(row: UpstreamRow, now: float) -> float:
+    """Estimate the time that one more request takes on an upstream, in seconds."""
+    limit = max(1, row.reported_limit)
+    return (estimate_load(row, now) + 1.0) / limit * row.ewma_service_s
+
+
+def is_full(row: UpstreamRow, now: float) -> bool:
+    """Tell whether an upstream takes no more, by the own count or by a fresh report."""
+    limit = max(1, row.reported_limit)
+    if row.in_flight >= limit:
+        return True
+    if compute_report_weight(row, now) < FULL_MIN_WEIGHT:
+        return False
+    return row.in_flight + _count_others(row) >= limit
--- /dev/null
+++ b/crocusvalve/routing/_outliers.py
@@ -0,0 +1,52 @@
+"""Passive ejection of failing upstreams."""
+
+from crocusvalve.model import UpstreamRow
+
+__all__ = ["drop_ejected", "note_failure", "note_success"]
+
+#: Consecutive failures that eject an upstream.
+EJECT_AFTER_FAILURES = 3
+#: First ejection; doubles with each further failure.
+EJECT_BASE_S = 0.5
+EJECT_MAX_S = 30.0
+#: At most this share of the candidates is ejected.
+MAX_EJECTED_SHARE = 0.5
+#: Weight of a new observation in the mean service time.
+SERVICE_TIME_GAIN = 0.1
+
+
+def note_failure(row: UpstreamRow, now: float, *, is_crash: bool = False) -> None:
+    """Count a failed attempt; eject the upstream after several in a row or after a crash."""
+    row.n_failures = max(row.n_failures + 1, EJECT_AFTER_FAILURES if is_crash else 0)
+    row.failed_at = now
+    n_over = row.n_failures - EJECT_AFTER_FAILURES
+    if n_over >= 0:
+        row.retry_at = now + min(EJECT_MAX_S, EJECT_BASE_S * 2.0 ** min(n_over, 16))
+
+
+def note_success(row: UpstreamRow, service_s: float, now: float) -> None:
+    """Clear the failures of an upstream and learn its service time in seconds."""
+    row.n_failures = 0
+    row.retry_at = 0.0
+    row.ewma_service_s += SERVICE_TIME_GAIN * (service_s - row.ewma_service_s)
+
+
+def _is_ejected(row: UpstreamRow, now: float) -> bool:
+    if row.n_failures < EJECT_AFTER_FAILURES:
+        return False
+    # After the ejection a single attempt at a time tries the upstream.
+    return row.retry_at > now or row.in_flight > 0
+
+
+def drop_ejected(rows: list[UpstreamRow], now: float) -> list[UpstreamRow]:
+    """Leave out ejected upstreams, but never more than half of the rows.
+
+    Where more are ejected, those whose ejection ends first are kept.
+    """
+    ejected = [row for row in rows if row.n_failures and _is_ejected(row, now)]
+    if not ejected:
+        return rows
+    n_max = int(len(rows) * MAX_EJECTED_SHARE)
+    ejected.sort(key=lambda row: row.retry_at, reverse=True)
+    dropped = {row.upstream_id for row in ejected[:n_max]}
+    return [row for row in rows if row.upstream_id not in dropped]
--- /dev/null
+++ b/crocusvalve/routing/_placement.py
@@ -0,0 +1,71 @@
+"""Invariants of a placement, asserted right before each send."""
+
+from crocusvalve.base import UpstreamState
+from crocusvalve.config._view import model_of
+from crocusvalve.exceptions import InvariantError
+from crocusvalve.model import EntryTables, RequestRow, UpstreamRow
+from crocusvalve.routing._candidates import list_service_upstreams
+
+__all__ = ["check_placement"]
+
+STEP = "placement"
+BANNED_CRASHES = 2
+
+
+def check_placement(tables: EntryTables, req: RequestRow, row: UpstreamRow, now: float) -> None:
+    """Assert that a request may go to an upstream now.
+
+    Raises
+    ------
+    InvariantError
+        Where the version is not allowed, withdrawn, not served or not the session's; where the
+        upstream's domain is out, or it leaves, drains or is down; where the request's digest is
+        banned, or its deadline has passed.
+    """
+    find_target_fault = _find_service_fault if req.service else _find_version_fault
+    fault = _find_upstream_fault(tables, row)
+    fault = fault or _find_request_fault(tables, req, now)
+    fault = fault or find_target_fault(tables, req, row)
+    if fault:
+        raise InvariantError(f"request {req.request_id}: {fault}", step=STEP, peer=row.upstream_id)
+
+
+def _find_upstream_fault(tables: EntryTables, row: UpstreamRow) -> str:
+    if row.leaving:
+        return "upstream is leaving"
+    if row.state in (UpstreamState.DRAINING, UpstreamState.DOWN):
+        return f"upstream is {row.state.value}"
+    if row.domain in tables.domains_out or tables.view.is_domain_out(row.domain):
+        return f"failure domain {row.domain} is out"
+    if row.upstream_id not in tables.view.upstreams:
+        return "upstream is not in the document"
+    return ""
+
+
+def _find_request_fault(tables: EntryTables, req: RequestRow, now: float) -> str:
+    banned = tables.quarantine.get(req.digest)
+    if banned is not None and banned.n_crashes >= BANNED_CRASHES:
+        return "digest is banned"
+    if now > req.deadline:
+        return "deadline has passed"
+    return ""
+
+
+def _find_service_fault(tables: EntryTables, req: RequestRow, row: UpstreamRow) -> str:
+    if row.upstream_id not in list_service_upstreams(tables, req):
+        return f"upstream does not serve {req.service}"
+    return ""
+
+
+def _find_version_fault(tables: EntryTables, req: RequestRow, row: UpstreamRow) -> str:
+    version, pinned = req.version, req.pinned_version
+    if not tables.view.is_allowed(req.customer_id, version):
+        return f"version {version} is not allowed"
+    if tables.is_version_withdrawn(version):
+        return f"version {version} is withdrawn"
+    if version not in row.serves:
+        return f"upstream does not serve {version}"
+    if pinned and version != pinned:
+        if model_of(version) == model_of(pinned) or model_of(version) not in req.steps:
+            return f"session keeps {pinned}, not {version}"
+    return ""
--- a/crocusvalve/sessions/__init__.py
+++ b/crocusvalve/sessions/__init__.py
@@ -1,1 +1,12 @@
-"""Session tokens."""
+"""Sessions: signed tokens that pin a version."""
+
+from crocusvalve.sessions._resolve import SessionAction, SessionDecision, resolve_session
+from crocusvalve.sessions._token import SessionClaim, SessionSigner
+
+__all__ = [
+    "SessionAction",
+    "SessionClaim",
+    "SessionDecision",
+    "SessionSigner",
+    "resolve_session",
+]
