--- a/crocusvalve/config/__init__.py
+++ b/crocusvalve/config/__init__.py
@@ -1,5 +1,6 @@
 """Configuration document: typed form, checks, differences and deltas."""
 
+from crocusvalve.config._check import check_document
 from crocusvalve.config._document import (
     CascadeConfig,
     ClassConfig,
@@ -15,6 +16,7 @@
     UpstreamConfig,
     VersionConfig,
 )
+from crocusvalve.config._parse import parse_document
 from crocusvalve.config._view import CustomerView, DocumentView, UpstreamView
 
 __all__ = [
@@ -34,4 +36,6 @@
     "UpstreamConfig",
     "UpstreamView",
     "VersionConfig",
+    "check_document",
+    "parse_document",
 ]
--- /dev/null
+++ b/crocusvalve/config/_check.py
@@ -0,0 +1,99 @@
+"""Checks of a whole document: names, ranges, sizes and references."""
+
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from crocusvalve.config._document import Document, MemberConfig
+from crocusvalve.config._limits import (
+    MAX_ENTRIES,
+    MAX_ITEMS,
+    MAX_MEMBERS,
+    MAX_TEXT_CHARS,
+    NUMBER_RANGES,
+)
+from crocusvalve.config._problems import Problem, show_value
+from crocusvalve.config._references import list_key_problems, list_reference_problems
+from crocusvalve.utils.validation import NAME_PATTERN
+
+__all__ = ["check_document", "list_problems"]
+
+ENVIRONMENT_PATTERN = re.compile(r"[a-z][a-z0-9-]{0,30}")
+
+
+def check_document(document: Document) -> list[str]:
+    """Return every fault of a document, empty where it is valid.
+
+    Parameters
+    ----------
+    document : Document
+        A document of the right types; its values are checked here.
+
+    Returns
+    -------
+    list of str
+        One message for each fault, naming key, value and allowed range.
+    """
+    return [str(problem) for problem in list_problems(document)]
+
+
+def list_problems(document: Document) -> list[Problem]:
+    """Return every fault of a document as typed problems."""
+    problems = []
+    if not ENVIRONMENT_PATTERN.fullmatch(document.environment):
+        shown = show_value("environment", document.environment)
+        problems.append(Problem("environment", shown, f"text like {ENVIRONMENT_PATTERN.pattern}"))
+    if len(document.members) > MAX_MEMBERS:
+        shown = f"{len(document.members)} members"
+        problems.append(Problem("members", shown, f"at most {MAX_MEMBERS} members"))
+    for member, section in document.members.items():
+        key = f"members.{member}"
+        problems.extend(_check_name(key, member))
+        problems.extend(_check_entries(key, section))
+        problems.extend(_check_struct(key, section))
+    problems.extend(list_reference_problems(document))
+    problems.extend(list_key_problems(document))
+    return problems
+
+
+def _check_entries(key: str, section: MemberConfig) -> Iterator[Problem]:
+    for table, limit in MAX_ENTRIES.items():
+        entries = getattr(section, table)
+        if len(entries) > limit:
+            yield Problem(f"{key}.{table}", f"{len(entries)} entries", f"at most {limit} entries")
+        for name in entries:
+            yield from _check_name(f"{key}.{table}.{name}", name)
+
+
+def _check_name(key: str, name: str) -> Iterator[Problem]:
+    if not NAME_PATTERN.fullmatch(name):
+        yield Problem(key[:MAX_TEXT_CHARS], repr(name)[:80], f"named like {NAME_PATTERN.pattern}")
+
+
+def _check_struct(key: str, cfg: Struct) -> Iterator[Problem]:
+    ranges = NUMBER_RANGES.get(type(cfg), {})
+    for field in msgspec.structs.fields(cfg):
+        value = getattr(cfg, field.name)
+        path = f"{key}.{field.name}"
+        allowed = ranges.get(field.name)
+        if allowed is not None and not allowed.contains(value):
+            yield Problem(path, show_value(path, value), str(allowed))
+        yield from _check_value(path, value)
+
+
+def _check_value(key: str, value: Any) -> Iterator[Problem]:
+    if isinstance(value, Struct):
+        yield from _check_struct(key, value)
+    elif isinstance(value, dict):
+        for name, item in value.items():
+            yield from _check_value(f"{key}.{name}", item)
+    elif isinstance(value, tuple):
+        if len(value) > MAX_ITEMS:
+            yield Problem(key, f"{len(value)} items", f"at most {MAX_ITEMS} items")
+        for item in value[:MAX_ITEMS]:
+            yield from _check_value(key, item)
+    elif isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+        yield Problem(key, f"{len(value)} characters", f"at most {MAX_TEXT_CHARS} characters")
--- /dev/null
+++ b/crocusvalve/config/_limits.py
@@ -0,0 +1,87 @@
+"""Allowed ranges of the document's numbers and bounds on the size of a section.
+
+A member's section is bounded so that no member's document slows the others' processes.
+"""
+
+from msgspec import Struct
+
+from crocusvalve.config import _document as doc
+
+__all__ = [
+    "CASCADE_POLICIES",
+    "MAX_ENTRIES",
+    "MAX_ITEMS",
+    "MAX_MEMBERS",
+    "MAX_TEXT_CHARS",
+    "NUMBER_RANGES",
+    "ROLLOUT_POLICIES",
+    "ROUTING_POLICIES",
+    "NumberRange",
+]
+
+ROUTING_POLICIES = ("expected_wait", "random", "round_robin", "least_in_flight")
+CASCADE_POLICIES = ("quality", "costliest", "cheapest")
+ROLLOUT_POLICIES = ("sequential", "fixed_share")
+
+MAX_MEMBERS = 64
+MAX_TEXT_CHARS = 256
+#: Largest number of items in an array of a section.
+MAX_ITEMS = 256
+#: Largest number of entries of each table of a section.
+MAX_ENTRIES = {
+    "operators": 256,
+    "domains": 64,
+    "models": 128,
+    "upstreams": 4000,
+    "services": 256,
+    "customers": 2000,
+    "classes": 64,
+    "cascades": 128,
+    "rollouts": 128,
+}
+
+
+class NumberRange(Struct, frozen=True):
+    """A closed range of a number with its unit."""
+
+    low: float
+    high: float
+    unit: str = ""
+
+    def contains(self, value: float) -> bool:
+        """Tell whether a number lies in the range; NaN does not."""
+        return self.low <= value <= self.high
+
+    def __str__(self) -> str:
+        unit = f" {self.unit}" if self.unit else ""
+        return f"in [{self.low:g}, {self.high:g}]{unit}"
+
+
+NUMBER_RANGES: dict[type, dict[str, NumberRange]] = {
+    doc.VersionConfig: {
+        "prompt_price": NumberRange(0, 1e6, "currency units for 1,000 tokens"),
+        "completion_price": NumberRange(0, 1e6, "currency units for 1,000 tokens"),
+        "quality_prior": NumberRange(0, 1),
+    },
+    doc.UpstreamConfig: {
+        "cold_limit": NumberRange(1, 4096, "concurrent requests"),
+        "warm_limit": NumberRange(1, 4096, "concurrent requests"),
+    },
+    doc.CustomerConfig: {
+        "quality_target": NumberRange(0, 1),
+        "weight": NumberRange(0.01, 1000),
+        "rate_per_s": NumberRange(0.001, 1e6, "requests a second"),
+        "burst": NumberRange(1, 1e6, "requests"),
+        "max_in_flight": NumberRange(1, 1e5, "requests"),
+    },
+    doc.ClassConfig: {
+        "deadline_s": NumberRange(0.01, 7 * 86400, "seconds"),
+        "max_attempts": NumberRange(1, 10, "attempts"),
+        "hedge_after_s": NumberRange(0, 3600, "seconds"),
+        "alarm_before_s": NumberRange(0, 7 * 86400, "seconds"),
+        "max_queue": NumberRange(0, 1e5, "requests"),
+    },
+    doc.RolloutConfig: {"stage_s": NumberRange(0.1, 30 * 86400, "seconds")},
+    doc.ServiceConfig: {"price": NumberRange(0, 1e6, "currency units a call")},
+    doc.PolicyConfig: {"retry_budget": NumberRange(0, 1)},
+}
--- /dev/null
+++ b/crocusvalve/config/_reader.py
@@ -0,0 +1,151 @@
+"""Reader of TOML tables into structs that lists every fault instead of the first one."""
+
+import tomllib
+from collections.abc import Mapping
+from enum import Enum
+from types import NoneType, UnionType
+from typing import Any, Union, get_args, get_origin, get_type_hints
+
+import msgspec
+from msgspec import NODEFAULT, Struct
+
+from crocusvalve.config._problems import Problem, show_value
+
+__all__ = ["StructReader", "parse_toml"]
+
+MAX_TOML_BYTES = 8 * 2**20
+
+
+def parse_toml(text: str) -> tuple[dict[str, Any], list[Problem]]:
+    """Parse TOML text.
+
+    Parameters
+    ----------
+    text : str
+        The text of a file, at most ``MAX_TOML_BYTES`` long.
+
+    Returns
+    -------
+    tuple of dict and list of Problem
+        The tables, empty where the text is no TOML, and what is wrong with it.
+    """
+    n_bytes = len(text.encode(errors="replace"))
+    if n_bytes > MAX_TOML_BYTES:
+        return {}, [Problem("file", f"{n_bytes} bytes", f"at most {MAX_TOML_BYTES} bytes")]
+    try:
+        return tomllib.loads(text), []
+    except RecursionError:
+        return {}, [Problem("file", "tables nested too deep", "TOML of the documented shape")]
+    except ValueError as exc:
+        return {}, [Problem("file", str(exc), "TOML")]
+
+
+class StructReader:
+    """Converts plain tables into structs and collects the faults met.
+
+    Faulty values are replaced by the field's default or an empty value, so that reading goes on.
+
+    Attributes
+    ----------
+    problems : list of Problem
+        Faults met so far, in the order of reading.
+    """
+
+    def __init__(self) -> None:
+        self.problems: list[Problem] = []
+
+    def read(self, raw: Any, struct_type: type[Struct], key: str = "") -> Any:
+        """Read a table.
+
+        Parameters
+        ----------
+        raw : object
+            What the TOML parser gave.
+        struct_type : type
+            Struct to build.
+        key : str
+            Dotted key of the table, empty for the whole file.
+
+        Returns
+        -------
+        Struct
+            An instance; not to be used where ``problems`` is not empty.
+        """
+        if not isinstance(raw, Mapping):
+            self._note(key, raw, "a table")
+            raw = {}
+        hints = get_type_hints(struct_type)
+        fields = {field.name: field for field in msgspec.structs.fields(struct_type)}
+        for name in raw:
+            if name not in fields:
+                self._note(_join(key, name), raw[name], f"one of the keys {', '.join(fields)}")
+        values = {}
+        for name, field in fields.items():
+            if name in raw:
+                values[name] = self._read_value(raw[name], hints[name], _join(key, name), field)
+            elif field.required:
+                self._note(_join(key, name), None, f"present, {_describe(hints[name])}")
+                values[name] = _make_empty(hints[name])
+        return struct_type(**values)
+
+    def _read_value(self, raw: Any, hint: Any, key: str, field: Any) -> Any:
+        if _is_struct(hint):
+            return self.read(raw, hint, key)
+        if get_origin(hint) is dict and _is_struct(get_args(hint)[1]):
+            return self._read_dict(raw, get_args(hint)[1], key)
+        try:
+            return msgspec.convert(raw, hint)
+        except (msgspec.ValidationError, OverflowError):
+            self._note(key, raw, _describe(hint))
+        return _make_default(field, hint)
+
+    def _read_dict(self, raw: Any, struct_type: type[Struct], key: str) -> dict[str, Any]:
+        if not isinstance(raw, Mapping):
+            self._note(key, raw, "a table of tables")
+            return {}
+        return {
+            name: self.read(value, struct_type, _join(key, name)) for name, value in raw.items()
+        }
+
+    def _note(self, key: str, value: Any, allowed: str) -> None:
+        self.problems.append(Problem(key, show_value(key, value), allowed))
+
+
+def _join(key: str, name: str) -> str:
+    return f"{key}.{name}" if key else name
+
+
+def _is_struct(hint: Any) -> bool:
+    return isinstance(hint, type) and issubclass(hint, Struct)
+
+
+def _describe(hint: Any) -> str:
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return "one of " + ", ".join(str(member.value) for member in hint)
+    if get_origin(hint) is tuple:
+        return f"an array of {_describe(get_args(hint)[0])}"
+    if get_origin(hint) is dict or _is_struct(hint):
+        return "a table"
+    if get_origin(hint) in (Union, UnionType):
+        return " or ".join(_describe(arg) for arg in get_args(hint) if arg is not NoneType)
+    names = {str: "text", int: "a whole number", float: "a number", bool: "true or false"}
+    return names.get(hint, str(hint))
+
+
+def _make_default(field: Any, hint: Any) -> Any:
+    if field.default is not NODEFAULT:
+        return field.default
+    if field.default_factory is not NODEFAULT:
+        return field.default_factory()
+    return _make_empty(hint)
+
+
+def _make_empty(hint: Any) -> Any:
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return next(iter(hint))
+    if _is_struct(hint):
+        hints = get_type_hints(hint)
+        required = [field for field in msgspec.structs.fields(hint) if field.required]
+        return hint(**{field.name: _make_empty(hints[field.name]) for field in required})
+    origin = get_origin(hint) or hint
+    return origin() if origin in (dict, tuple, str, int, float, bool) else None
