--- /dev/null
+++ b/crocusvalve/standin/_engine_model.py
@@ -0,0 +1,355 @@
+"""Pure model of a model engine: continuous batching, prefix cache, cold start and priorities.
+
+The model has no clock: ``EngineModel.step(now)`` computes everything up to ``now``. Work proceeds
+in steps; each gives one token to every sequence of the batch and lasts
+``step_s + per_sequence_s * n_batch + prefill_s * n_uncached_prompt_tokens`` seconds, times a factor
+that falls from ``cold_slowdown`` to 1 while the engine warms up.
+"""
+
+import random
+from bisect import insort
+from enum import Enum
+
+from msgspec import Struct, field
+
+from crocusvalve.base import BootId, Priority, UpstreamState, VersionRef
+from crocusvalve.standin._engine_cache import PrefixCache, split_tokens
+
+__all__ = [
+    "EngineFaults",
+    "EngineModel",
+    "EngineRefusedError",
+    "EngineRun",
+    "EngineRunState",
+    "EngineSpec",
+    "VersionSpec",
+]
+
+COLD_STEPS_AT_ONCE = 8
+
+
+class EngineRunState(Enum):
+    """State of a run in the engine."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "cancelled"
+    LOST = "lost"
+
+
+class VersionSpec(Struct, frozen=True):
+    """A version: prices for 1,000 tokens, quality in [0, 1], relative time a token, size in GB."""
+
+    quality: float = 0.8
+    prompt_price: float = 0.1
+    completion_price: float = 0.3
+    slowness: float = 1.0
+    size_gb: float = 10.0
+
+
+class EngineSpec(Struct, frozen=True):
+    """Figures of an engine; times in seconds, limits in concurrent requests or tokens."""
+
+    step_s: float = 0.004
+    per_sequence_s: float = 0.0002
+    prefill_s: float = 0.00002
+    max_batch: int = 16
+    max_queue: int = 64
+    cold_s: float = 5.0
+    cold_slowdown: float = 3.0
+    cold_bears: int = 4
+    restart_s: float = 0.5
+    cache_tokens: int = 20_000
+    block_tokens: int = 16
+    memory_gb: float = 40.0
+    load_s: float = 0.2
+    honours_fencing: bool = True
+    default_tokens: int = 32
+
+
+class EngineFaults(Struct):
+    """Fault switches; ``bad_versions`` maps a version to the quality that it falls to."""
+
+    slow_factor: float = 1.0
+    is_down: bool = False
+    hangs: bool = False
+    truncate_after: int = 0
+    crash_text: str = ""
+    bad_versions: dict[str, float] = field(default_factory=dict)
+
+
+class EngineRefusedError(Exception):
+    """The engine took no part of a request; ``status`` is the HTTP status."""
+
+    def __init__(self, status: int, code: str, message: str):
+        super().__init__(message)
+        self.status = status
+        self.code = code
+
+
+class EngineRun(Struct, kw_only=True, eq=False):
+    """A request inside the engine; ``n_out`` counts generated tokens."""
+
+    run_id: str
+    version: VersionRef
+    prompt: str
+    max_tokens: int
+    priority: Priority
+    arrived_at: float
+    n_prompt: int = 0
+    n_cached: int = 0
+    n_out: int = 0
+    quality: float = 0.0
+    state: EngineRunState = EngineRunState.QUEUED
+    first_token_at: float = 0.0
+    done_at: float = 0.0
+
+    @property
+    def order(self) -> tuple[int, float, str]:
+        """Key of the order of service."""
+        return (int(self.priority), self.arrived_at, self.run_id)
+
+
+class EngineModel:
+    """State of one engine.
+
+    Parameters
+    ----------
+    versions : dict of VersionRef to VersionSpec
+        Versions that the engine can run.
+    loaded : tuple of VersionRef or None
+        Versions in memory at the start; None means all.
+    spec : EngineSpec
+        Figures of the engine.
+    random_state : int
+        Seed of boot ids.
+    starts_warm : bool
+        Whether the engine is past its cold start.
+    now : float
+        Present Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        versions: dict[VersionRef, VersionSpec],
+        *,
+        loaded: tuple[VersionRef, ...] | None = None,
+        spec: EngineSpec | None = None,
+        random_state: int = 0,
+        starts_warm: bool = True,
+        now: float = 0.0,
+    ):
+        self.versions = versions
+        self.loaded = set(versions) if loaded is None else set(loaded)
+        self.spec = EngineSpec() if spec is None else spec
+        self.faults = EngineFaults()
+        self.cache = PrefixCache(
+            capacity_tokens=self.spec.cache_tokens, block_tokens=self.spec.block_tokens
+        )
+        self.batch: list[EngineRun] = []
+        self.queue: list[EngineRun] = []
+        self.n_crashes = 0
+        self.restart_at: float | None = None
+        self._rng = random.Random(random_state)
+        self._at = now
+        self._step_ends_at: float | None = None
+        self._boot(now - (self.spec.cold_s if starts_warm else 0.0))
+
+    def submit(
+        self,
+        run_id: str,
+        version: VersionRef,
+        prompt: str,
+        now: float,
+        *,
+        max_tokens: int = 0,
+        priority: Priority = Priority.NORMAL,
+    ) -> EngineRun:
+        """Take a request into the queue.
+
+        Raises
+        ------
+        EngineRefusedError
+            The engine is down, full, or has not loaded the version.
+        """
+        self.step(now)
+        if self.restart_at is not None or self.faults.is_down:
+            raise EngineRefusedError(503, "engine_down", "engine is restarting")
+        if version not in self.loaded:
+            raise EngineRefusedError(404, "model_not_found", f"{version} is not loaded")
+        if len(self.queue) >= self.spec.max_queue:
+            raise EngineRefusedError(429, "engine_full", "queue is full")
+        run = EngineRun(
+            run_id=run_id,
+            version=version,
+            prompt=prompt,
+            max_tokens=max_tokens or self.spec.default_tokens,
+            priority=priority,
+            arrived_at=now,
+            quality=self.faults.bad_versions.get(version, self.versions[version].quality),
+        )
+        insort(self.queue, run, key=lambda item: item.order)
+        if self.n_in_flight > self.compute_bearable(now):
+            self.crash(now)
+        return run
+
+    def cancel(self, run: EngineRun, now: float) -> None:
+        """Stop a run and free its place."""
+        self.step(now)
+        if run in self.queue:
+            self.queue.remove(run)
+        elif run in self.batch:
+            self.batch.remove(run)
+        else:
+            return
+        run.state, run.done_at = EngineRunState.CANCELLED, now
+
+    def crash(self, now: float) -> None:
+        """Lose all runs and the cache; the engine comes back cold after ``restart_s``."""
+        for run in self.batch + self.queue:
+            run.state, run.done_at = EngineRunState.LOST, now
+        self.batch.clear()
+        self.queue.clear()
+        self.cache.clear()
+        self.n_crashes += 1
+        self.restart_at = now + self.spec.restart_s
+        self._step_ends_at = None
+
+    def turn_cold(self, now: float) -> None:
+        """Turn cold without a restart: runs go on slowly, the boot id stays."""
+        self.step(now)
+        self.booted_at = now
+        self.cache.clear()
+
+    @property
+    def n_in_flight(self) -> int:
+        """Number of runs in the batch and in the queue."""
+        return len(self.batch) + len(self.queue)
+
+    def compute_warmth(self, now: float) -> float:
+        """Return how far the cold start is done, from 0 to 1."""
+        if self.spec.cold_s <= 0:
+            return 1.0
+        return min(1.0, max(0.0, (now - self.booted_at) / self.spec.cold_s))
+
+    def compute_bearable(self, now: float) -> int:
+        """Return the number of requests beyond which the engine falls over."""
+        warmth = self.compute_warmth(now)
+        if warmth >= 1.0:
+            return self.spec.max_batch + self.spec.max_queue
+        return self.spec.cold_bears + int(warmth * (self.spec.max_batch - self.spec.cold_bears))
+
+    def get_state(self, now: float) -> UpstreamState:
+        """Return the state at a moment."""
+        if self.restart_at is not None or self.faults.is_down:
+            return UpstreamState.DOWN
+        return UpstreamState.WARM if self.compute_warmth(now) >= 1.0 else UpstreamState.COLD
+
+    def compute_cost(self, run: EngineRun) -> float:
+        """Return the price of a run; cached prompt tokens cost a tenth."""
+        spec = self.versions[run.version]
+        n_paid = run.n_prompt - 0.9 * run.n_cached
+        return (n_paid * spec.prompt_price + run.n_out * spec.completion_price) / 1000.0
+
+    def next_event_at(self) -> float | None:
+        """Return when the next token, admission or restart is due; None while idle."""
+        if self.restart_at is not None:
+            return self.restart_at
+        if self._step_ends_at is not None:
+            return self._step_ends_at
+        return self._at if self.queue else None
+
+    def next_finish_at(self) -> float | None:
+        """Return a time before which no run ends if nothing is submitted; None while idle."""
+        at = self.next_event_at()
+        if at is None or not self.batch or self.restart_at is not None or self.queue:
+            return at
+        n_left = min(run.max_tokens - run.n_out for run in self.batch)
+        return at + max(0, n_left - 1) * self._compute_step_s(0)
+
+    def step(self, now: float) -> list[EngineRun]:
+        """Compute everything up to a moment.
+
+        Returns
+        -------
+        list of EngineRun
+            Runs that ended, in order.
+        """
+        if self.restart_at is not None:
+            if now < self.restart_at:
+                return []
+            self._boot(self.restart_at)
+        if self.faults.hangs or self.faults.is_down:
+            self._at, self._step_ends_at = now, None
+            return []
+        ended: list[EngineRun] = []
+        while self.restart_at is None and self._begin_step(now) and self._step_ends_at <= now:
+            ended += self._finish_steps(now)
+        return ended
+
+    def _boot(self, at: float) -> None:
+        self.boot_id = BootId(f"{self._rng.getrandbits(64):016x}")
+        self.booted_at = at
+        self.restart_at = None
+        self._at = max(self._at, at)
+        self._step_ends_at = None
+
+    def _begin_step(self, now: float) -> bool:
+        if self._step_ends_at is not None:
+            return True
+        if not self.batch and not self.queue:
+            self._at = now
+            return False
+        n_prefill = self._admit()
+        if self.restart_at is not None:
+            return False
+        self._step_ends_at = self._at + self._compute_step_s(n_prefill)
+        return True
+
+    def _admit(self) -> int:
+        n_prefill = 0
+        while self.queue and len(self.batch) < self.spec.max_batch:
+            run = self.queue.pop(0)
+            self.batch.append(run)
+            run.state = EngineRunState.RUNNING
+            if self.faults.crash_text and self.faults.crash_text in run.prompt:
+                self.crash(self._at)
+                return 0
+            tokens = split_tokens(run.prompt)
+            run.n_prompt = len(tokens)
+            run.n_cached = self.cache.lookup(run.version, tokens)
+            self.cache.insert(run.version, tokens)
+            n_prefill += run.n_prompt - run.n_cached
+        return n_prefill
+
+    def _compute_step_s(self, n_prefill: int) -> float:
+        spec = self.spec
+        slowness = max((self.versions[run.version].slowness for run in self.batch), default=1.0)
+        step_s = spec.step_s * slowness + spec.per_sequence_s * len(self.batch)
+        warmth = self.compute_warmth(self._at)
+        cold_factor = 1.0 + (spec.cold_slowdown - 1.0) * (1.0 - warmth)
+        return (step_s + spec.prefill_s * n_prefill) * cold_factor * self.faults.slow_factor
+
+    def _finish_steps(self, now: float) -> list[EngineRun]:
+        n_steps = 1
+        self._at = first_end = self._step_ends_at
+        can_admit = self.queue and len(self.batch) < self.spec.max_batch
+        if not can_admit and self.batch:
+            n_left = min(run.max_tokens - run.n_out for run in self.batch) - 1
+            step_s = self._compute_step_s(0)
+            n_more = min(n_left, int((now - self._at) / step_s))
+            if self.compute_warmth(self._at) < 1.0:
+                n_more = min(n_more, COLD_STEPS_AT_ONCE)
+            self._at += n_more * step_s
+            n_steps += max(0, n_more)
+        self._step_ends_at = None
+        for run in self.batch:
+            if run.n_out == 0:
+                run.first_token_at = first_end
+            run.n_out += n_steps
+        ended = [run for run in self.batch if run.n_out >= run.max_tokens]
+        self.batch = [run for run in self.batch if run.n_out < run.max_tokens]
+        for run in ended:
+            run.state, run.done_at = EngineRunState.DONE, self._at
+        return ended
--- /dev/null
+++ b/crocusvalve/standin/_plain.py
@@ -0,0 +1,135 @@
+"""Stand-in for a plain service: counts what it runs, so that doubled runs show."""
+
+from collections import Counter
+
+import msgspec
+import trio
+from msgspec import Struct
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from crocusvalve.standin._engine_server import serve_app
+
+__all__ = ["PlainCall", "PlainFaults", "StandinPlainService", "serve_plain"]
+
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+
+
+class PlainCall(Struct, frozen=True):
+    """A call that took effect."""
+
+    method: str
+    path: str
+    idempotency_key: str
+    body: bytes
+
+
+class PlainFaults(Struct, kw_only=True):
+    """Fault switches; ``slow_s`` delays the effect, ``lose_answers`` drops that many answers."""
+
+    slow_s: float = 0.0
+    lose_answers: int = 0
+    hangs: bool = False
+    hangs_after_effect: bool = False
+    is_down: bool = False
+
+
+class StandinPlainService:
+    """A plain service that counts each execution.
+
+    Attributes
+    ----------
+    calls : list of PlainCall
+        Calls that took effect, in order.
+    n_by_key, n_by_path : Counter
+        Executions by idempotency key and by path.
+    """
+
+    def __init__(self):
+        self.faults = PlainFaults()
+        self.calls: list[PlainCall] = []
+        self.n_by_key: Counter[str] = Counter()
+        self.n_by_path: Counter[str] = Counter()
+        self.n_begun = 0
+
+    def execute(self, call: PlainCall) -> dict:
+        """Run a call and count it; the service does not drop repeats by itself."""
+        self.calls.append(call)
+        self.n_by_path[call.path] += 1
+        if call.idempotency_key:
+            self.n_by_key[call.idempotency_key] += 1
+        return {"done": True, "path": call.path, "execution": len(self.calls)}
+
+    def list_doubled_keys(self) -> list[str]:
+        """Return the idempotency keys that ran more than once."""
+        return [key for key, n in self.n_by_key.items() if n > 1]
+
+
+class PlainApp:
+    """Handlers of the plain service's HTTP interface."""
+
+    def __init__(self, service: StandinPlainService):
+        self.service = service
+
+    async def call(self, path: str) -> Response:
+        """Run any call and answer it, as the fault switches allow."""
+        faults = self.service.faults
+        if faults.is_down:
+            return _json({"error": "down"}, 503)
+        body = await request.get_data()
+        self.service.n_begun += 1
+        if faults.hangs:
+            await trio.sleep_forever()
+        await trio.sleep(faults.slow_s)
+        key = request.headers.get(IDEMPOTENCY_HEADER, "")
+        result = self.service.execute(PlainCall(request.method, f"/{path}", key, body))
+        if faults.hangs_after_effect:
+            await trio.sleep_forever()
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            return _json({"error": "answer lost"}, 502)
+        return _json(result)
+
+    async def health(self) -> Response:
+        """Answer ``GET /health``."""
+        return _json({"state": "down"}, 503) if self.service.faults.is_down else _json({})
+
+    async def counts(self) -> Response:
+        """Answer ``GET /standin/counts``."""
+        by_key, by_path = dict(self.service.n_by_key), dict(self.service.n_by_path)
+        n_calls = len(self.service.calls)
+        return _json({"n_calls": n_calls, "n_by_key": by_key, "n_by_path": by_path})
+
+    async def set_faults(self) -> Response:
+        """Answer ``POST /standin/faults``; fields not given return to their defaults."""
+        data = await request.get_data()
+        self.service.faults = msgspec.json.decode(data, type=PlainFaults)
+        return _json(self.service.faults)
+
+
+def _json(value: object, status: int = 200) -> Response:
+    return Response(msgspec.json.encode(value), status=status, content_type="application/json")
+
+
+def make_plain_app(service: StandinPlainService) -> QuartTrio:
+    """Build the web application of a plain service."""
+    handlers = PlainApp(service)
+    app = QuartTrio("standin-plain")
+    app.add_url_rule("/health", view_func=handlers.health, methods=["GET"])
+    app.add_url_rule("/standin/counts", view_func=handlers.counts, methods=["GET"])
+    app.add_url_rule("/standin/faults", view_func=handlers.set_faults, methods=["POST"])
+    methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+    app.add_url_rule("/", view_func=handlers.call, methods=methods, defaults={"path": ""})
+    app.add_url_rule("/<path:path>", view_func=handlers.call, methods=methods)
+    return app
+
+
+async def serve_plain(
+    service: StandinPlainService,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    *,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a plain service until cancelled; started with the port in use."""
+    await serve_app(make_plain_app(service), host, port, task_status=task_status)
--- /dev/null
+++ b/features/engine/steps/http_steps.py
@@ -0,0 +1,136 @@
+"""Steps about the HTTP servers of the stand-in engine and plain service."""
+
+import json
+
+import httpx
+import trio
+from behave import given, then, when
+
+from crocusvalve.base import VersionRef
+from crocusvalve.standin import (
+    StandinEngine,
+    StandinPlainService,
+    VersionSpec,
+    serve_engine,
+    serve_plain,
+)
+
+FAILURE_GUARD_S = 20
+
+
+class HttpSubject:
+    """Collects calls and sends them in one run of the server."""
+
+    def __init__(self, serve, target):
+        self.serve = serve
+        self.target = target
+        self.calls = []
+
+    def add(self, method, path, body, headers=None):
+        self.calls.append((method, path, body, headers or {}))
+
+    def send(self):
+        async def main():
+            replies = []
+            with trio.fail_after(FAILURE_GUARD_S):
+                async with trio.open_nursery() as nursery:
+                    port = await nursery.start(self.serve, self.target)
+                    async with httpx.AsyncClient(base_url=f"http://127.0.0.1:{port}") as client:
+                        for method, path, body, headers in self.calls:
+                            reply = await client.request(method, path, json=body, headers=headers)
+                            replies.append(reply)
+                    nursery.cancel_scope.cancel()
+            return replies
+
+        return trio.run(main)
+
+
+def make_chat(text, n_tokens, stream):
+    messages = [{"role": "user", "content": text}]
+    body = {"model": "delta/assess@v1", "messages": messages, "max_tokens": n_tokens}
+    return body | {"stream": stream}
+
+
+def join_stream(text):
+    chunks = [json.loads(ln[6:]) for ln in text.splitlines() if ln.startswith("data: {")]
+    return "".join(chunk["choices"][0]["delta"].get("content", "") for chunk in chunks), chunks
+
+
+@given('a served engine with version "{version}"')
+def given_engine(context, version):
+    context.engine = StandinEngine({VersionRef(version): VersionSpec()})
+    context.http = HttpSubject(serve_engine, context.engine)
+
+
+@when('a plain completion of {n:d} tokens is asked for "{text}"')
+def when_plain(context, n, text):
+    context.http.add("POST", "/v1/chat/completions", make_chat(text, n, False))
+
+
+@when('a streamed completion of {n:d} tokens is asked for "{text}"')
+def when_streamed(context, n, text):
+    context.http.add("POST", "/v1/chat/completions", make_chat(text, n, True))
+
+
+@when("the engine is told {faults}")
+def when_told(context, faults):
+    context.http.add("POST", "/faults", json.loads(faults))
+
+
+@when("it takes a load order numbered {number:d}")
+def when_order(context, number):
+    order = {"action": "load", "version": "delta/assess@v1", "number": number}
+    context.http.add("POST", "/orders", order)
+
+
+@then("both answers have the same text and {n:d} completion tokens")
+def then_same(context, n):
+    plain, streamed = context.replies = context.http.send()
+    text, chunks = join_stream(streamed.text)
+    assert plain.json()["choices"][0]["message"]["content"] == text
+    assert plain.json()["usage"]["completion_tokens"] == n
+    assert chunks[-1]["usage"]["completion_tokens"] == n
+    assert len(text.split()) == n
+
+
+@then('the stream ends with "{mark}"')
+def then_ends(context, mark):
+    assert context.replies[-1].text.rstrip().endswith(mark)
+
+
+@then("a streamed completion ends {end} with status {status:d}")
+def then_end(context, end, status):
+    context.http.add("POST", "/v1/chat/completions", make_chat("soil level", 8, True))
+    reply = context.http.send()[-1]
+    assert reply.status_code == status, reply.text
+    assert ("[DONE]" in reply.text) == (end == "whole"), reply.text
+
+
+@then("a load order numbered {number:d} gets status {status:d}")
+def then_order(context, number, status):
+    when_order(context, number)
+    assert context.http.send()[-1].status_code == status
+
+
+@given("a served plain service that loses {n:d} answer")
+def given_plain(context, n):
+    context.service = StandinPlainService()
+    context.service.faults.lose_answers = n
+    context.http = HttpSubject(serve_plain, context.service)
+
+
+@when('the same order is posted twice with key "{key}"')
+def when_posted(context, key):
+    for _ in range(2):
+        context.http.add("POST", "/sluice/4", {"open": 1}, {"Idempotency-Key": key})
+    context.replies = context.http.send()
+
+
+@then("the statuses are {first:d} and {second:d}")
+def then_statuses(context, first, second):
+    assert [reply.status_code for reply in context.replies] == [first, second]
+
+
+@then('key "{key}" ran {n:d} times')
+def then_ran(context, key, n):
+    assert context.service.n_by_key[key] == n
