--- /dev/null
+++ b/crocusvalve/entry/_admission.py
@@ -0,0 +1,101 @@
+"""Admission: what is refused before any upstream work."""
+
+from crocusvalve.base import ClassKind
+from crocusvalve.entry._policies import Policies
+from crocusvalve.entry._tables import CoreTables, ProgressRow
+from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.limits import check_quota, make_customer_row
+from crocusvalve.model import CustomerRow, RequestRow
+
+__all__ = ["AdmissionSystem"]
+
+STEP = "admission"
+OUTBOX_RETRY_S = 5.0
+NO_UPSTREAM_RETRY_S = 1.0
+
+
+class AdmissionSystem:
+    """Checks quarantine, deadline, room for the bill and quota, then queues.
+
+    Parameters
+    ----------
+    policies : Policies
+        Policies by subject.
+    """
+
+    def __init__(self, policies: Policies):
+        self.policies = policies
+
+    def admit(
+        self, tables: CoreTables, req: RequestRow, now: float, can_bill: bool, share: float
+    ) -> None:
+        """Admit and queue a request.
+
+        Parameters
+        ----------
+        tables : CoreTables
+            Tables of the entry.
+        req : RequestRow
+            The request.
+        now : float
+            Present Unix time in seconds.
+        can_bill : bool
+            Whether the outbox has room for its bill.
+        share : float
+            Part of each customer's quota that this entry hands out.
+
+        Raises
+        ------
+        RefusedError
+            Always as not run.
+        """
+        if now >= req.deadline:
+            raise RefusedError(ErrorCode.DEADLINE_PASSED, "the deadline has passed", step=STEP)
+        if self.policies.get_quarantine(tables).is_banned(req.digest):
+            message = "this request crashed upstreams and is refused for good"
+            raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=STEP)
+        if not can_bill:
+            message = "bills wait for the platform's service; no more work is taken"
+            raise RefusedError(
+                ErrorCode.OVERLOADED, message, step=STEP, retry_after_s=OUTBOX_RETRY_S
+            )
+        row = self._check_quota(tables, req, now, share)
+        self._queue(tables, req, row, now)
+
+    def _check_quota(
+        self, tables: CoreTables, req: RequestRow, now: float, share: float
+    ) -> CustomerRow:
+        cfg = tables.view.customers[req.customer_id].cfg
+        row = tables.customers.get(req.customer_id)
+        if row is None:
+            row = make_customer_row(req.customer_id, cfg, now)
+            tables.customers[req.customer_id] = row
+        if req.kind is ClassKind.DURABLE:
+            # Its quota was taken when it was accepted.
+            return row
+        retry_after_s = check_quota(row, cfg, now, share=share)
+        if retry_after_s is not None:
+            message = "the customer's quota is used up"
+            raise RefusedError(
+                ErrorCode.RATE_LIMITED, message, step=STEP, retry_after_s=retry_after_s
+            )
+        return row
+
+    def _queue(
+        self, tables: CoreTables, req: RequestRow, row: CustomerRow, now: float
+    ) -> None:
+        cfg = tables.view.customers[req.customer_id].cfg
+        class_cfg = tables.view.class_of(req.member, req.class_name)
+        max_queue = class_cfg.max_queue if class_cfg else 1
+        tables.queue.push(req, weight=cfg.weight, max_queue=max_queue)
+        row.in_flight += 1
+        tables.requests[req.request_id] = req
+        tables.progress[req.request_id] = ProgressRow(
+            request_id=req.request_id,
+            is_buffered=not req.is_stream or len(req.steps) > 1,
+            had_candidates_at=now,
+        )
+        tables.add_timer(tables.deadlines, req.deadline, req.request_id)
+        if req.hedge_at:
+            tables.add_timer(tables.hedges, req.hedge_at, req.request_id)
+        self.policies.note_request(tables, req, now)
--- a/crocusvalve/entry/_commands.py
+++ b/crocusvalve/entry/_commands.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from crocusvalve.base import AttemptId, Command, ModelRef, RequestId, UpstreamId, VersionRef
-from crocusvalve.exceptions import RefusedError
+from crocusvalve.exceptions import InvariantError, RefusedError
 from crocusvalve.rpc import RunRequest, Usage
 
 __all__ = [
@@ -11,6 +11,7 @@
     "CancelAttempt",
     "Deliver",
     "Finish",
+    "InvariantBroken",
     "RateAnswer",
     "Refuse",
     "ResumeAttempt",
@@ -48,6 +49,7 @@
     upstream_id: UpstreamId
     attempt_id: AttemptId
     from_seq: int
+    not_before: float
 
 
 class CancelAttempt(Command, Struct, frozen=True):
@@ -94,3 +96,9 @@
 
     digest: str
     n_crashes: int
+
+
+class InvariantBroken(Command, Struct, frozen=True):
+    """An invariant did not hold; the step it guards was not taken."""
+
+    error: InvariantError
--- /dev/null
+++ b/crocusvalve/entry/_core.py
@@ -0,0 +1,117 @@
+"""Core of an entry: decides on requests, attempts and answers; no I/O and no clock."""
+
+from msgspec import Struct
+
+from crocusvalve.base import AttemptId, Command, NodeId, RequestId, VersionRef
+from crocusvalve.entry._admission import AdmissionSystem
+from crocusvalve.entry._outcome import OutcomeSystem
+from crocusvalve.entry._placement import PlacementSystem
+from crocusvalve.entry._policies import Policies
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.entry._timers import TimerSystem
+from crocusvalve.exceptions import ErrorCode, InvariantError, RefusedError
+from crocusvalve.model import RequestRow
+from crocusvalve.rpc import Frame, RunEvent
+
+__all__ = ["CoreLimits", "EntryCore"]
+
+
+class CoreLimits(Struct, frozen=True):
+    """Bounds that the shell tells the core.
+
+    ``quota_share`` is the part of each customer's quota that this entry hands out.
+    """
+
+    can_bill: bool = True
+    quota_share: float = 1.0
+    is_draining: bool = False
+
+
+class EntryCore:
+    """Runs the systems of an entry over its tables.
+
+    Parameters
+    ----------
+    tables : CoreTables
+        All rows.
+    policies : Policies
+        Policies by subject.
+    node_id : NodeId
+        This entry.
+    """
+
+    def __init__(self, *, tables: CoreTables, policies: Policies, node_id: NodeId):
+        self.tables = tables
+        self.policies = policies
+        self.node_id = node_id
+        self.limits = CoreLimits()
+        self.outcome = OutcomeSystem(policies)
+        self.placement = PlacementSystem(policies, self.outcome, node_id)
+        self.timers = TimerSystem(self.outcome, self.placement)
+        self.admission = AdmissionSystem(policies)
+
+    def submit(self, req: RequestRow, now: float) -> list[Command]:
+        """Take a request.
+
+        Raises
+        ------
+        RefusedError
+            Where it is refused at once; nothing of it is kept then.
+        """
+        if self.limits.is_draining:
+            raise RefusedError(
+                ErrorCode.DRAINING, "this entry is stopping", step="admission", retry_after_s=1.0
+            )
+        self.admission.admit(self.tables, req, now, self.limits.can_bill, self.limits.quota_share)
+        return self.placement.run(self.tables, now)
+
+    def take_event(self, attempt_id: AttemptId, event: RunEvent, now: float) -> list[Command]:
+        """Take an event of an attempt: a frame, the end or a refusal."""
+        commands = self.outcome.take_event(self.tables, attempt_id, event, now)
+        if not isinstance(event, Frame) and len(self.tables.queue):
+            commands += self.placement.run(self.tables, now)
+        return commands
+
+    def take_rating(self, request_id: RequestId, score: float | None, now: float) -> list[Command]:
+        """Take the rating of a held answer; None where it could not be rated."""
+        commands = self.outcome.take_rating(self.tables, request_id, score, now)
+        return commands + self.placement.run(self.tables, now)
+
+    def note_rating(
+        self, customer_id: str, class_name: str, version: VersionRef, score: float, now: float
+    ) -> None:
+        """Learn from the rating of an answer that was delivered."""
+        self.policies.note_rating(self.tables, customer_id, class_name, version, score, now)
+
+    def abandon(self, request_id: RequestId, now: float) -> list[Command]:
+        """The caller has gone: drop a request that has not ended."""
+        req = self.tables.requests.get(request_id)
+        if req is None:
+            return []
+        commands = self.outcome.cancel_attempts(self.tables, request_id, now)
+        self.outcome.forget(self.tables, req)
+        return commands + self.placement.run(self.tables, now)
+
+    def tick(self, now: float) -> list[Command]:
+        """Run what is due: deadlines, hedges, retries and placements."""
+        commands = self.timers.run(self.tables, now)
+        commands += self.placement.run(self.tables, now)
+        self.check(now)
+        return commands
+
+    def check(self, now: float) -> None:
+        """Assert that the tables agree with each other.
+
+        Raises
+        ------
+        InvariantError
+            Where a request has no progress, or an attempt no request.
+        """
+        tables = self.tables
+        if tables.requests.keys() != tables.progress.keys():
+            raise InvariantError("requests and their progress differ", step="check")
+        for attempt in tables.attempts.values():
+            if attempt.request_id not in tables.requests:
+                raise InvariantError(
+                    f"attempt {attempt.attempt_id} has no request", step="check"
+                )
--- /dev/null
+++ b/crocusvalve/entry/_outcome.py
@@ -0,0 +1,374 @@
+"""Outcomes: from events of attempts to answers, retries and refusals."""
+
+from crocusvalve.base import (
+    AttemptId,
+    AttemptState,
+    Command,
+    Ran,
+    RequestId,
+    RequestState,
+    VersionRef,
+)
+from crocusvalve.billing import add_usage, compute_cost
+from crocusvalve.config._view import model_of
+from crocusvalve.entry._commands import (
+    AnswerSummary,
+    CancelAttempt,
+    Deliver,
+    Finish,
+    RateAnswer,
+    Refuse,
+    ResumeAttempt,
+    ShareQuarantine,
+)
+from crocusvalve.entry._policies import Policies
+from crocusvalve.entry._tables import CoreTables, HeldAnswer, ProgressRow
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
+from crocusvalve.model import AttemptRow, RequestRow
+from crocusvalve.retry import RetryAction, RetryDecision
+from crocusvalve.routing import note_end, note_failure, note_success
+from crocusvalve.rpc import Final, Frame, Refused, RunEvent
+
+__all__ = ["OutcomeSystem", "combine_ran"]
+
+#: Failures that tell nothing of the upstream's health.
+HEALTHY_CODES = frozenset(
+    {
+        ErrorCode.UPSTREAM_FULL.name,
+        ErrorCode.DRAINING.name,
+        ErrorCode.DOMAIN_OUT.name,
+        ErrorCode.VERSION_WITHDRAWN.name,
+        ErrorCode.MODEL_NOT_ALLOWED.name,
+        ErrorCode.STALE_REVISION.name,
+        ErrorCode.STALE_BOOT.name,
+        ErrorCode.DEADLINE_PASSED.name,
+        ErrorCode.FENCED.name,
+        ErrorCode.CRASHES_UPSTREAMS.name,
+    }
+)
+RAN_ORDER = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)
+
+
+def combine_ran(first: Ran, second: Ran) -> Ran:
+    """Combine what is known of two attempts: RAN goes before UNKNOWN before NOT_RUN."""
+    return max(first, second, key=RAN_ORDER.index)
+
+
+class OutcomeSystem:
+    """Takes the events of attempts.
+
+    Parameters
+    ----------
+    policies : Policies
+        Policies by subject.
+    """
+
+    def __init__(self, policies: Policies):
+        self.policies = policies
+
+    def take_event(
+        self, tables: CoreTables, attempt_id: AttemptId, event: RunEvent, now: float
+    ) -> list[Command]:
+        """Take one event; events of ended attempts are dropped."""
+        attempt = tables.attempts.get(attempt_id)
+        if attempt is None:
+            return []
+        try:
+            accepted = tables.assemblers[attempt_id].accept(event)
+        except CrocusvalveError as exc:
+            return self._take_refused(tables, attempt, _make_damaged(attempt, exc), now)
+        if accepted is None:
+            return []
+        attempt.last_frame_at = now
+        if isinstance(accepted, Frame):
+            return self._take_frame(tables, attempt, accepted, now)
+        if isinstance(accepted, Final):
+            return self._take_final(tables, attempt, accepted, now)
+        return self._take_refused(tables, attempt, accepted, now)
+
+    def _lead(self, tables: CoreTables, attempt: AttemptRow, now: float) -> list[Command] | None:
+        """Make an attempt the leader where there is none; None where another one leads."""
+        progress = tables.progress[attempt.request_id]
+        if progress.leader == attempt.attempt_id:
+            return []
+        if progress.leader is not None:
+            return None
+        progress.leader = attempt.attempt_id
+        attempt.state = AttemptState.RUNNING
+        others = [
+            ref for ref in tables.attempts_of[attempt.request_id] if ref != attempt.attempt_id
+        ]
+        return [self._cancel(tables, ref, now) for ref in others]
+
+    def _take_frame(
+        self, tables: CoreTables, attempt: AttemptRow, frame: Frame, now: float
+    ) -> list[Command]:
+        commands = self._lead(tables, attempt, now)
+        if commands is None:
+            return []
+        attempt.next_seq = frame.seq + 1
+        req = tables.requests[attempt.request_id]
+        progress = tables.progress[attempt.request_id]
+        if progress.is_buffered:
+            progress.buffer.append(frame.data)
+            return commands
+        req.n_frames_out += 1
+        commands.append(
+            Deliver(req.request_id, attempt.version, attempt.upstream_id, frame.data)
+        )
+        return commands
+
+    def _take_final(
+        self, tables: CoreTables, attempt: AttemptRow, final: Final, now: float
+    ) -> list[Command]:
+        commands = self._lead(tables, attempt, now)
+        if commands is None:
+            return []
+        req = tables.requests[attempt.request_id]
+        progress = tables.progress[attempt.request_id]
+        self._end_attempt(tables, attempt, now)
+        row = tables.upstreams.get(attempt.upstream_id)
+        if row is not None:
+            note_success(row, final.service_s, now)
+        self.policies.get_quarantine(tables).note_end(req.digest, is_success=True)
+        self.policies.note_outcome(tables, attempt.version, True)
+        progress.ran = Ran.RAN
+        progress.n_whole += 1
+        progress.usage = add_usage(progress.usage, final.usage)
+        req.cost += compute_cost(tables.view, attempt.version, req.service, final.usage)
+        progress.held = HeldAnswer(
+            attempt_id=attempt.attempt_id,
+            version=attempt.version,
+            upstream_id=attempt.upstream_id,
+            data=progress.buffer,
+            finish_reason=final.finish_reason,
+            status=final.status,
+            content_type=final.content_type,
+        )
+        progress.buffer = []
+        progress.leader = None
+        if self._has_next_step(req):
+            answer = b"".join(progress.held.data)
+            rate = RateAnswer(req.request_id, progress.held.attempt_id, attempt.version, answer)
+            return [*commands, rate]
+        return commands + self.deliver_held(tables, req, now)
+
+    @staticmethod
+    def _has_next_step(req: RequestRow) -> bool:
+        return req.step + 1 < len(req.steps)
+
+    def take_rating(
+        self, tables: CoreTables, request_id: RequestId, score: float | None, now: float
+    ) -> list[Command]:
+        """Deliver a held answer or go on to the next model of the cascade."""
+        req = tables.requests.get(request_id)
+        if req is None:
+            return []
+        progress = tables.progress[request_id]
+        if progress.held is None or tables.attempts_of.get(request_id):
+            return []
+        if score is not None:
+            version = VersionRef(progress.held.version)
+            self.policies.note_rating(
+                tables, req.customer_id, req.class_name, version, score, now
+            )
+        if not self.policies.should_escalate(tables, req, score):
+            return self.deliver_held(tables, req, now)
+        req.step += 1
+        req.avoid.clear()
+        self._requeue(tables, req, now)
+        return []
+
+    def deliver_held(self, tables: CoreTables, req: RequestRow, now: float) -> list[Command]:
+        """Deliver a whole answer and end the request; the bill is made by the shell."""
+        progress = tables.progress[req.request_id]
+        held = progress.held
+        commands = self.cancel_attempts(tables, req.request_id, now)
+        data = b"".join(held.data)
+        if data:
+            commands.append(
+                Deliver(req.request_id, VersionRef(held.version), held.upstream_id, data)
+            )
+        commands.append(Finish(req.request_id, self._make_summary(req, progress, held)))
+        req.state = RequestState.DONE
+        self.forget(tables, req)
+        return commands
+
+    @staticmethod
+    def _make_summary(req: RequestRow, progress: ProgressRow, held: HeldAnswer) -> AnswerSummary:
+        return AnswerSummary(
+            request_id=req.request_id,
+            model=model_of(VersionRef(held.version)),
+            version=VersionRef(held.version),
+            upstream_id=held.upstream_id,
+            usage=progress.usage,
+            cost=req.cost,
+            n_attempts=req.n_attempts,
+            finish_reason=held.finish_reason,
+            status=held.status,
+            content_type=held.content_type,
+        )
+
+    def _take_refused(
+        self, tables: CoreTables, attempt: AttemptRow, refused: Refused, now: float
+    ) -> list[Command]:
+        req = tables.requests[attempt.request_id]
+        progress = tables.progress[attempt.request_id]
+        commands = self._note_failure(tables, attempt, refused, now)
+        progress.ran = combine_ran(progress.ran, refused.ran)
+        others = [ref for ref in tables.attempts_of[req.request_id] if ref != attempt.attempt_id]
+        if others and progress.leader != attempt.attempt_id:
+            self._end_attempt(tables, attempt, now)
+            return commands
+        decision = self.policies.retry.decide(req, refused, now)
+        if decision.action is RetryAction.RESUME:
+            return [*commands, self._resume(tables, attempt, decision)]
+        self._end_attempt(tables, attempt, now)
+        progress.leader = None
+        progress.buffer = []
+        if decision.action is RetryAction.RETRY:
+            self._retry(tables, req, attempt, refused, decision, now)
+            return commands
+        return commands + self._give_up(tables, req, refused, decision, now)
+
+    def _note_failure(
+        self, tables: CoreTables, attempt: AttemptRow, refused: Refused, now: float
+    ) -> list[Command]:
+        req = tables.requests[attempt.request_id]
+        row = tables.upstreams.get(attempt.upstream_id)
+        if row is not None and refused.code not in HEALTHY_CODES:
+            note_failure(row, now, is_crash=refused.crashed)
+        if refused.ran is not Ran.NOT_RUN:
+            self.policies.note_outcome(tables, attempt.version, False)
+        quarantine = self.policies.get_quarantine(tables)
+        if not refused.crashed:
+            quarantine.note_end(req.digest, is_success=False)
+            return []
+        quarantine.note_crash(
+            req.digest, attempt.upstream_id, now, incident=attempt.attempt_id
+        )
+        return [ShareQuarantine(req.digest, tables.quarantine[req.digest].n_crashes)]
+
+    def _resume(
+        self, tables: CoreTables, attempt: AttemptRow, decision: RetryDecision
+    ) -> ResumeAttempt:
+        req = tables.requests[attempt.request_id]
+        req.n_attempts += 1
+        # The assembler has seen an end by a cut, which a resumed stream replaces.
+        tables.assemblers[attempt.attempt_id].end = None
+        row = tables.upstreams[attempt.upstream_id]
+        return ResumeAttempt(
+            row.agent,
+            attempt.upstream_id,
+            attempt.attempt_id,
+            tables.assemblers[attempt.attempt_id].next_seq,
+            decision.not_before,
+        )
+
+    def _retry(
+        self,
+        tables: CoreTables,
+        req: RequestRow,
+        attempt: AttemptRow,
+        refused: Refused,
+        decision: RetryDecision,
+        now: float,
+    ) -> None:
+        if not decision.is_redirect or refused.code == ErrorCode.UPSTREAM_DOWN.name:
+            req.avoid.add(attempt.upstream_id)
+        req.not_before = decision.not_before
+        self._requeue(tables, req, now)
+
+    def _requeue(self, tables: CoreTables, req: RequestRow, now: float) -> None:
+        cfg = tables.view.customers.get(req.customer_id)
+        req.state = RequestState.QUEUED
+        tables.progress[req.request_id].had_candidates_at = now
+        tables.queue.push(req, weight=cfg.cfg.weight if cfg else 1.0, is_retry=True)
+
+    def _give_up(
+        self,
+        tables: CoreTables,
+        req: RequestRow,
+        refused: Refused,
+        decision: RetryDecision,
+        now: float,
+    ) -> list[Command]:
+        progress = tables.progress[req.request_id]
+        code = decision.code
+        if self.policies.get_quarantine(tables).is_banned(req.digest):
+            code = ErrorCode.CRASHES_UPSTREAMS
+        ran = combine_ran(progress.ran, decision.ran)
+        error = RefusedError(
+            code,
+            refused.message,
+            step=refused.step,
+            peer=refused.peer,
+            ran=ran,
+            retry_after_s=decision.retry_after_s,
+        )
+        return self.give_up(tables, req, error, now)
+
+    def give_up(
+        self, tables: CoreTables, req: RequestRow, error: RefusedError, now: float
+    ) -> list[Command]:
+        """End a request with a cheaper model's whole answer where it is held, else refuse it."""
+        progress = tables.progress[req.request_id]
+        if progress.held is not None and req.n_frames_out == 0:
+            return self.deliver_held(tables, req, now)
+        return self.refuse(tables, req, error)
+
+    def refuse(
+        self, tables: CoreTables, req: RequestRow, error: RefusedError
+    ) -> list[Command]:
+        """End a request without an answer; the caller is told at once."""
+        req.state = RequestState.REFUSED
+        self.forget(tables, req)
+        return [Refuse(req.request_id, error)]
+
+    def cancel_attempts(
+        self, tables: CoreTables, request_id: RequestId, now: float
+    ) -> list[Command]:
+        """Cancel all attempts of a request."""
+        attempts = list(tables.attempts_of.get(request_id, ()))
+        return [self._cancel(tables, ref, now) for ref in attempts]
+
+    def _cancel(self, tables: CoreTables, attempt_id: AttemptId, now: float) -> CancelAttempt:
+        attempt = tables.attempts[attempt_id]
+        row = tables.upstreams.get(attempt.upstream_id)
+        req = tables.requests[attempt.request_id]
+        self._end_attempt(tables, attempt, now)
+        self.policies.get_quarantine(tables).note_end(req.digest, is_success=False)
+        return CancelAttempt(row.agent if row else "", attempt_id)
+
+    @staticmethod
+    def _end_attempt(tables: CoreTables, attempt: AttemptRow, now: float) -> None:
+        row = tables.upstreams.get(attempt.upstream_id)
+        if row is not None:
+            note_end(row, now)
+        tables.assemblers.pop(attempt.attempt_id).close()
+        del tables.attempts[attempt.attempt_id]
+        refs = tables.attempts_of[attempt.request_id]
+        refs.remove(attempt.attempt_id)
+        if not refs:
+            del tables.attempts_of[attempt.request_id]
+
+    @staticmethod
+    def forget(tables: CoreTables, req: RequestRow) -> None:
+        """Remove a request that has ended."""
+        tables.queue.remove(req.request_id)
+        tables.requests.pop(req.request_id, None)
+        tables.progress.pop(req.request_id, None)
+        customer = tables.customers.get(req.customer_id)
+        if customer is not None:
+            customer.in_flight = max(0, customer.in_flight - 1)
+
+
+def _make_damaged(attempt: AttemptRow, exc: CrocusvalveError) -> Refused:
+    return Refused(
+        attempt_id=attempt.attempt_id,
+        code=exc.code.name,
+        message=exc.message,
+        ran=Ran.RAN,
+        step=exc.step,
+        peer=exc.peer,
+    )
--- /dev/null
+++ b/crocusvalve/entry/_placement.py
@@ -0,0 +1,205 @@
+"""Placement: from queued requests to attempts."""
+
+import msgspec
+
+from crocusvalve.answers import AnswerAssembler
+from crocusvalve.base import (
+    AttemptId,
+    ClassKind,
+    Command,
+    NodeId,
+    RequestState,
+    System,
+    VersionRef,
+)
+from crocusvalve.entry._commands import InvariantBroken, StartAttempt
+from crocusvalve.entry._outcome import OutcomeSystem
+from crocusvalve.entry._policies import Policies
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.exceptions import ErrorCode, InvariantError, RefusedError
+from crocusvalve.model import AttemptRow, RequestRow, UpstreamRow
+from crocusvalve.routing import check_placement, list_candidates, note_prefix, note_start
+from crocusvalve.rpc import RunRequest
+
+__all__ = ["PlacementSystem", "make_engine_body"]
+
+STEP = "placement"
+#: How long a request waits while no upstream at all may take it.
+NO_UPSTREAM_GRACE_S = 2.0
+NO_UPSTREAM_RETRY_S = 2.0
+
+
+def make_engine_body(body: bytes, version: VersionRef) -> bytes:
+    """Rewrite a chat body for an engine: its version, always streamed, with usage."""
+    params = msgspec.json.decode(body)
+    params["model"] = version
+    params["stream"] = True
+    params["stream_options"] = {"include_usage": True}
+    return msgspec.json.encode(params)
+
+
+class PlacementSystem(System):
+    """Starts attempts for the queued requests that have an upstream.
+
+    Parameters
+    ----------
+    policies : Policies
+        Policies by subject.
+    outcome : OutcomeSystem
+        Ends requests that can't be placed.
+    node_id : NodeId
+        This entry.
+    """
+
+    def __init__(self, policies: Policies, outcome: OutcomeSystem, node_id: NodeId):
+        self.policies = policies
+        self.outcome = outcome
+        self.node_id = node_id
+        self._chosen: UpstreamRow | None = None
+        self._stranded: list[RequestRow] = []
+
+    def run(self, tables: CoreTables, now: float) -> list[Command]:
+        """Start what can be placed now; refuse what has had no upstream for the grace time."""
+        commands: list[Command] = []
+        self._stranded = []
+
+        def can_place(req: RequestRow) -> bool:
+            self._chosen = self._choose(tables, req, now)
+            return self._chosen is not None
+
+        for req in tables.queue.drain_ready(can_place, now):
+            commands += self._start_checked(tables, req, self._chosen, now)
+        for req in self._stranded:
+            commands += self._refuse_stranded(tables, req, now)
+        return commands
+
+    def _start_checked(
+        self, tables: CoreTables, req: RequestRow, row: UpstreamRow, now: float
+    ) -> list[Command]:
+        try:
+            return [self.start(tables, req, row, now)]
+        except InvariantError as exc:
+            message = "an invariant of the program does not hold"
+            ran = tables.progress[req.request_id].ran
+            error = RefusedError(ErrorCode.INTERNAL, message, step=STEP, ran=ran)
+            return [InvariantBroken(exc), *self.outcome.give_up(tables, req, error, now)]
+
+    def _choose(self, tables: CoreTables, req: RequestRow, now: float) -> UpstreamRow | None:
+        if not req.service:
+            model = req.steps[req.step]
+            req.version = self.policies.choose_version(tables, req, model)
+        progress = tables.progress[req.request_id]
+        candidates = list_candidates(tables, req, req.version, now)
+        if not candidates and req.avoid:
+            # Every other upstream is closed: the ones that failed are better than none.
+            req.avoid.clear()
+            candidates = list_candidates(tables, req, req.version, now)
+        if not candidates:
+            if now - progress.had_candidates_at >= self._get_grace_s(tables, req):
+                self._stranded.append(req)
+            return None
+        progress.had_candidates_at = now
+        candidates = self.policies.get_quarantine(tables).filter_candidates(
+            req.digest, candidates
+        )
+        return self.policies.get_router(tables, req.member).choose(req, candidates, now)
+
+    @staticmethod
+    def _get_grace_s(tables: CoreTables, req: RequestRow) -> float:
+        if not req.service and tables.is_version_withdrawn(req.version):
+            return 0.0
+        return float("inf") if req.kind is ClassKind.DURABLE else NO_UPSTREAM_GRACE_S
+
+    def _refuse_stranded(
+        self, tables: CoreTables, req: RequestRow, now: float
+    ) -> list[Command]:
+        return self.outcome.give_up(
+            tables, req, self._make_stranded_error(tables, req), now
+        )
+
+    @staticmethod
+    def _make_stranded_error(tables: CoreTables, req: RequestRow) -> RefusedError:
+        ran = tables.progress[req.request_id].ran
+        if not req.service and tables.is_version_withdrawn(req.version):
+            message = f"version {req.version} is withdrawn"
+            return RefusedError(ErrorCode.VERSION_WITHDRAWN, message, step=STEP, ran=ran)
+        return RefusedError(
+            ErrorCode.NO_UPSTREAM,
+            "no upstream may take the request now",
+            step=STEP,
+            ran=ran,
+            retry_after_s=NO_UPSTREAM_RETRY_S,
+        )
+
+    def start(
+        self,
+        tables: CoreTables,
+        req: RequestRow,
+        row: UpstreamRow,
+        now: float,
+        *,
+        is_hedge: bool = False,
+    ) -> StartAttempt:
+        """Start an attempt on an upstream; the placement is checked right before."""
+        check_placement(tables, req, row, now)
+        req.n_attempts += 1
+        req.state = RequestState.RUNNING
+        attempt_id = AttemptId(f"{req.request_id}.{req.n_attempts}")
+        attempt = AttemptRow(
+            attempt_id=attempt_id,
+            request_id=req.request_id,
+            upstream_id=row.upstream_id,
+            version=req.version,
+            started_at=now,
+            is_hedge=is_hedge,
+            boot_id=row.boot_id,
+        )
+        tables.attempts[attempt_id] = attempt
+        tables.attempts_of.setdefault(req.request_id, []).append(attempt_id)
+        tables.assemblers[attempt_id] = AnswerAssembler(attempt_id, peer=row.upstream_id)
+        note_start(row, now)
+        if req.prefix_digest:
+            note_prefix(row, req.prefix_digest, now)
+        self.policies.get_quarantine(tables).note_start(req.digest, row.upstream_id)
+        return StartAttempt(row.agent, self._make_run_request(tables, req, row, attempt_id))
+
+    def _make_run_request(
+        self, tables: CoreTables, req: RequestRow, row: UpstreamRow, attempt_id: AttemptId
+    ) -> RunRequest:
+        body = req.body if req.service else make_engine_body(req.body, req.version)
+        return RunRequest(
+            attempt_id=attempt_id,
+            request_id=req.request_id,
+            entry_id=self.node_id,
+            customer_id=req.customer_id,
+            class_name=req.class_name,
+            kind=req.kind,
+            upstream_id=row.upstream_id,
+            upstream_kind=row.kind,
+            version=req.version,
+            revision=tables.view.revision,
+            deadline=req.deadline,
+            priority=req.priority,
+            body=body,
+            digest=req.digest,
+            session_id=req.session_id,
+            idempotency_key=req.idempotency_key,
+            method=req.method,
+            path=req.path or "/v1/chat/completions",
+        )
+
+    def start_hedge(self, tables: CoreTables, req: RequestRow, now: float) -> list[Command]:
+        """Start a second attempt of a slow lookup on another upstream, within the budget."""
+        used = {tables.attempts[ref].upstream_id for ref in tables.attempts_of[req.request_id]}
+        candidates = [
+            row
+            for row in list_candidates(tables, req, req.version, now)
+            if row.upstream_id not in used
+        ]
+        quarantine = self.policies.get_quarantine(tables)
+        candidates = quarantine.filter_candidates(req.digest, candidates)
+        row = self.policies.get_router(tables, req.member).choose(req, candidates, now)
+        if row is None or not self.policies.budget.try_take(req.member, now):
+            return []
+        return [self.start(tables, req, row, now, is_hedge=True)]
+
--- /dev/null
+++ b/crocusvalve/entry/_raters.py
@@ -0,0 +1,74 @@
+"""Has answers rated by the platform's service, within bounds of time and concurrency."""
+
+import logging
+
+import msgspec
+import trio
+
+from crocusvalve.base import VersionRef
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.model import RequestRow
+from crocusvalve.platform import RatingRequest, RatingService
+
+__all__ = ["Rater"]
+
+logger = logging.getLogger(__name__)
+
+RATING_TIMEOUT_S = 2.0
+MAX_RATINGS = 32
+MAX_TEXT_CHARS = 16_384
+
+
+class Rater:
+    """Rates answers; None stands for no rating in time.
+
+    Parameters
+    ----------
+    service : RatingService
+        The platform's service.
+    timeout_s : float
+        Longest wait for one rating, in seconds.
+    max_ratings : int
+        Ratings asked for at a time; more are not rated.
+    """
+
+    def __init__(
+        self,
+        service: RatingService,
+        *,
+        timeout_s: float = RATING_TIMEOUT_S,
+        max_ratings: int = MAX_RATINGS,
+    ):
+        self.service = service
+        self.timeout_s = timeout_s
+        self._limiter = trio.CapacityLimiter(max_ratings)
+
+    async def rate(self, req: RequestRow, version: VersionRef, answer: bytes) -> float | None:
+        """Return the score of an answer from 0 to 1, or None."""
+        rating_req = RatingRequest(
+            customer_id=req.customer_id,
+            class_name=req.class_name,
+            version=version,
+            prompt=_read_prompt(req),
+            answer=answer.decode("utf-8", "replace")[:MAX_TEXT_CHARS],
+        )
+        try:
+            self._limiter.acquire_nowait()
+        except trio.WouldBlock:
+            return None
+        try:
+            with trio.fail_after(self.timeout_s):
+                return (await self.service.rate(rating_req)).score
+        except (CrocusvalveError, trio.TooSlowError) as exc:
+            logger.info("no rating of %s: %s", version, exc)
+            return None
+        finally:
+            self._limiter.release()
+
+
+def _read_prompt(req: RequestRow) -> str:
+    try:
+        messages = msgspec.json.decode(req.body)["messages"]
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return ""
+    return msgspec.json.encode(messages).decode()[:MAX_TEXT_CHARS]
--- /dev/null
+++ b/crocusvalve/entry/_runtime.py
@@ -0,0 +1,221 @@
+"""Runtime of an entry: carries out the core's commands and feeds it events."""
+
+import logging
+from collections.abc import Callable
+
+import trio
+
+from crocusvalve.base import AttemptId, Command, RequestId
+from crocusvalve.billing import BillOutbox
+from crocusvalve.entry._attempts import AttemptRunner
+from crocusvalve.entry._commands import (
+    AnswerSummary,
+    CancelAttempt,
+    Deliver,
+    Finish,
+    InvariantBroken,
+    RateAnswer,
+    Refuse,
+    ResumeAttempt,
+    ShareQuarantine,
+    StartAttempt,
+)
+from crocusvalve.entry._core import EntryCore
+from crocusvalve.entry._handle import AnswerPart, RequestHandle
+from crocusvalve.entry._observe import RequestObserver
+from crocusvalve.entry._orders import OrderGate
+from crocusvalve.entry._raters import Rater
+from crocusvalve.exceptions import CrocusvalveError, InvariantError
+from crocusvalve.model import RequestRow
+from crocusvalve.rpc import BillRecord, RunEvent
+from crocusvalve.utils import Clock
+
+__all__ = ["EntryRuntime"]
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.05
+
+
+class EntryRuntime:
+    """Links the core with tasks that do I/O; ``run`` must be running.
+
+    Parameters
+    ----------
+    core : EntryCore
+        Decides.
+    clock : Clock
+        Source of the present time.
+    runner : AttemptRunner
+        Carries attempts to agents.
+    outbox : BillOutbox
+        Takes the bills.
+    orders : OrderGate
+        Keeps non-repeatable requests at most once.
+    rater : Rater
+        Has answers rated.
+    observer : RequestObserver
+        Metrics and log lines of requests.
+    share_quarantine : callable
+        Tells the other entries of a digest that crashed an upstream.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: EntryCore,
+        clock: Clock,
+        runner: AttemptRunner,
+        outbox: BillOutbox,
+        orders: OrderGate,
+        rater: Rater,
+        observer: RequestObserver,
+        share_quarantine: Callable[[ShareQuarantine], None],
+    ):
+        self.core = core
+        self.clock = clock
+        self.runner = runner
+        self.outbox = outbox
+        self.orders = orders
+        self.rater = rater
+        self.observer = observer
+        self.share_quarantine = share_quarantine
+        self._handles: dict[RequestId, RequestHandle] = {}
+        self._rows: dict[RequestId, RequestRow] = {}
+        self._nursery: trio.Nursery | None = None
+        self._carry_out = {
+            StartAttempt: self._start,
+            ResumeAttempt: self._resume,
+            CancelAttempt: self._cancel,
+            Deliver: self._deliver,
+            Finish: self._finish,
+            Refuse: self._refuse,
+            RateAnswer: self._rate,
+            ShareQuarantine: self.share_quarantine,
+            InvariantBroken: self._report_invariant,
+        }
+
+    @property
+    def n_open(self) -> int:
+        """Requests not yet ended."""
+        return len(self._handles)
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Tick and carry attempts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                await trio.sleep(TICK_S)
+                self.tick()
+
+    def tick(self) -> None:
+        """Run what is due."""
+        try:
+            self.dispatch(self.core.tick(self.clock.now()))
+        except InvariantError as exc:
+            self._report_invariant(InvariantBroken(exc))
+
+    def submit(self, req: RequestRow) -> RequestHandle:
+        """Hand a request to the core.
+
+        Raises
+        ------
+        RefusedError
+            Where it is refused at once.
+        """
+        handle = RequestHandle(req.request_id)
+        self._handles[req.request_id] = handle
+        self._rows[req.request_id] = req
+        try:
+            commands = self.core.submit(req, self.clock.now())
+        except CrocusvalveError as exc:
+            del self._handles[req.request_id]
+            del self._rows[req.request_id]
+            self.observer.note_refused(req, exc, self.clock.now())
+            raise
+        self.dispatch(commands)
+        return handle
+
+    def abandon(self, request_id: RequestId) -> None:
+        """Drop a request whose caller has gone."""
+        if request_id not in self._handles:
+            return
+        self._handles.pop(request_id)
+        self._rows.pop(request_id)
+        self.dispatch(self.core.abandon(request_id, self.clock.now()))
+
+    def feed(self, attempt_id: AttemptId, event: RunEvent) -> None:
+        """Take an event of an attempt."""
+        self.dispatch(self.core.take_event(attempt_id, event, self.clock.now()))
+
+    def dispatch(self, commands: list[Command]) -> None:
+        """Carry out commands in order."""
+        for command in commands:
+            self._carry_out[type(command)](command)
+
+    def _start(self, cmd: StartAttempt) -> None:
+        req = self._rows.get(cmd.run.request_id)
+        if req is not None and not req.is_repeatable:
+            self._nursery.start_soon(self.orders.start, cmd)
+            return
+        self._nursery.start_soon(self.runner.start, cmd)
+
+    def _resume(self, cmd: ResumeAttempt) -> None:
+        self._nursery.start_soon(self.runner.resume, cmd)
+
+    def _cancel(self, cmd: CancelAttempt) -> None:
+        if cmd.address:
+            self._nursery.start_soon(self.runner.cancel, cmd)
+
+    def _deliver(self, cmd: Deliver) -> None:
+        handle = self._handles.get(cmd.request_id)
+        if handle is None:
+            return
+        self.observer.note_first_part(self._rows[cmd.request_id], self.clock.now())
+        handle.put(AnswerPart(cmd.version, cmd.upstream_id, cmd.data))
+
+    def _finish(self, cmd: Finish) -> None:
+        handle = self._handles.pop(cmd.request_id, None)
+        if handle is None:
+            return
+        req = self._rows.pop(cmd.request_id)
+        now = self.clock.now()
+        self.outbox.add(_make_bill(req, cmd.summary, now))
+        self.observer.note_answered(req, cmd.summary, now)
+        handle.put(cmd.summary)
+
+    def _refuse(self, cmd: Refuse) -> None:
+        handle = self._handles.pop(cmd.request_id, None)
+        if handle is None:
+            return
+        req = self._rows.pop(cmd.request_id)
+        self.observer.note_refused(req, cmd.error, self.clock.now())
+        handle.put(cmd.error)
+
+    def _rate(self, cmd: RateAnswer) -> None:
+        req = self._rows.get(cmd.request_id)
+        if req is not None:
+            self._nursery.start_soon(self._rate_and_feed, cmd, req)
+
+    async def _rate_and_feed(self, cmd: RateAnswer, req: RequestRow) -> None:
+        score = await self.rater.rate(req, cmd.version, cmd.answer)
+        self.dispatch(self.core.take_rating(cmd.request_id, score, self.clock.now()))
+
+    def _report_invariant(self, cmd: InvariantBroken) -> None:
+        logger.error("invariant broken: %s", cmd.error)
+        self.observer.note_invariant(cmd.error)
+
+
+def _make_bill(req: RequestRow, summary: AnswerSummary, now: float) -> BillRecord:
+    return BillRecord(
+        request_id=req.request_id,
+        customer_id=req.customer_id,
+        class_name=req.class_name,
+        version=summary.version,
+        upstream_id=summary.upstream_id,
+        usage=summary.usage,
+        cost=summary.cost,
+        n_attempts=summary.n_attempts,
+        at=now,
+    )
--- /dev/null
+++ b/crocusvalve/entry/_timers.py
@@ -0,0 +1,59 @@
+"""Deadlines and hedges."""
+
+from crocusvalve.base import Command, Ran, RequestState, System
+from crocusvalve.entry._commands import Refuse
+from crocusvalve.entry._outcome import OutcomeSystem
+from crocusvalve.entry._placement import PlacementSystem
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.exceptions import ErrorCode, RefusedError
+
+__all__ = ["TimerSystem"]
+
+
+class TimerSystem(System):
+    """Ends requests at their deadline and hedges slow lookups.
+
+    Parameters
+    ----------
+    outcome : OutcomeSystem
+        Ends requests.
+    placement : PlacementSystem
+        Starts hedges.
+    """
+
+    def __init__(self, outcome: OutcomeSystem, placement: PlacementSystem):
+        self.outcome = outcome
+        self.placement = placement
+
+    def run(self, tables: CoreTables, now: float) -> list[Command]:
+        """Run the timers that are due."""
+        commands: list[Command] = []
+        for request_id in tables.pop_due(tables.deadlines, now):
+            if request_id in tables.requests:
+                commands += self._expire(tables, request_id, now)
+        for request_id in tables.pop_due(tables.hedges, now):
+            commands += self._hedge(tables, request_id, now)
+        return commands
+
+    def _expire(self, tables: CoreTables, request_id: str, now: float) -> list[Command]:
+        req = tables.requests[request_id]
+        progress = tables.progress[request_id]
+        if progress.held is not None and req.n_frames_out == 0:
+            return self.outcome.deliver_held(tables, req, now)
+        has_running = bool(tables.attempts_of.get(request_id))
+        ran = Ran.UNKNOWN if has_running else progress.ran
+        commands = self.outcome.cancel_attempts(tables, request_id, now)
+        code = ErrorCode.DEADLINE_PASSED
+        if not req.is_repeatable and ran is Ran.UNKNOWN:
+            code = ErrorCode.OUTCOME_UNKNOWN
+        error = RefusedError(code, "the deadline has passed", step="deadline", ran=ran)
+        return commands + self.outcome.refuse(tables, req, error)
+
+    def _hedge(self, tables: CoreTables, request_id: str, now: float) -> list[Command]:
+        req = tables.requests.get(request_id)
+        if req is None or req.state is not RequestState.RUNNING:
+            return []
+        progress = tables.progress[request_id]
+        if progress.leader is not None or len(tables.attempts_of.get(request_id, ())) != 1:
+            return []
+        return self.placement.start_hedge(tables, req, now)
