--- a/crocusvalve/billing/__init__.py
+++ b/crocusvalve/billing/__init__.py
@@ -1,1 +1,28 @@
 """Bills, one a request."""
+
+from crocusvalve.billing._flusher import BillFlusher, FlusherCounters
+from crocusvalve.billing._ledger import BILL_TABLE, TOTALS_TABLE, UsageLine, UsageTotals
+from crocusvalve.billing._outbox import BillOutbox, OutboxCounters
+from crocusvalve.billing._request_id import (
+    BILLS_PER_PAGE,
+    RequestIdMaker,
+    find_bill_page,
+    format_day,
+)
+from crocusvalve.billing._usage import UsageReport
+
+__all__ = [
+    "BILLS_PER_PAGE",
+    "BILL_TABLE",
+    "TOTALS_TABLE",
+    "BillFlusher",
+    "BillOutbox",
+    "FlusherCounters",
+    "OutboxCounters",
+    "RequestIdMaker",
+    "UsageLine",
+    "UsageReport",
+    "UsageTotals",
+    "find_bill_page",
+    "format_day",
+]
--- a/crocusvalve/config/__init__.py
+++ b/crocusvalve/config/__init__.py
@@ -1,5 +1,12 @@
 """Configuration document: typed form, checks, differences and deltas."""
 
+from crocusvalve.config._delta import (
+    apply_delta,
+    compute_document_digest,
+    decode_document,
+    encode_document,
+    make_delta,
+)
 from crocusvalve.config._document import (
     CascadeConfig,
     ClassConfig,
@@ -34,4 +41,9 @@
     "UpstreamConfig",
     "UpstreamView",
     "VersionConfig",
+    "apply_delta",
+    "compute_document_digest",
+    "decode_document",
+    "encode_document",
+    "make_delta",
 ]
--- /dev/null
+++ b/crocusvalve/control/_controller.py
@@ -0,0 +1,131 @@
+"""The controller: work done by the one entry that holds the controller's lease."""
+
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+import trio
+from msgspec import Struct
+
+from crocusvalve.control._lease import LeaseKeeper
+from crocusvalve.exceptions import CrocusvalveError, InvariantError, PlatformError
+from crocusvalve.utils import Clock
+
+__all__ = ["Controller", "ControllerCounters", "ControllerTask"]
+
+logger = logging.getLogger(__name__)
+
+TASK_INTERVAL_S = 1.0
+
+
+class ControllerTask(ABC):
+    """Work of the controller, such as roll-outs; idempotent, resumable from its rows."""
+
+    #: Name in logs.
+    name = "task"
+
+    @abstractmethod
+    async def run_once(self, lease: LeaseKeeper, now: float) -> None:
+        """Do what is due.
+
+        Parameters
+        ----------
+        lease : LeaseKeeper
+            Asked by ``is_held`` with the present time before each effect; orders carry its
+            ``number``.
+        now : float
+            Present Unix time in seconds.
+        """
+
+
+class ControllerCounters(Struct):
+    """Numbers of runs and failures."""
+
+    n_runs: int = 0
+    n_task_errors: int = 0
+    n_lease_errors: int = 0
+    n_invariant_errors: int = 0
+
+
+class Controller:
+    """Keeps the lease and runs the tasks while it is held.
+
+    Parameters
+    ----------
+    lease : LeaseKeeper
+        Lease of the controller.
+    tasks : sequence of ControllerTask
+        Work, in order.
+    clock : Clock
+        Source of the present time.
+    interval_s : float
+        Delay between runs of the tasks, in seconds.
+    """
+
+    def __init__(
+        self,
+        lease: LeaseKeeper,
+        tasks: Sequence[ControllerTask],
+        *,
+        clock: Clock,
+        interval_s: float = TASK_INTERVAL_S,
+    ):
+        self.lease = lease
+        self.tasks = list(tasks)
+        self.clock = clock
+        self.interval_s = interval_s
+        self.counters = ControllerCounters()
+
+    async def run(self) -> None:
+        """Keep the lease and run the tasks until cancelled; then release the lease."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._run_lease)
+                nursery.start_soon(self._run_tasks)
+        finally:
+            with trio.move_on_after(1.0, shield=True):
+                await self._release()
+
+    async def keep_lease_once(self) -> None:
+        """Acquire or renew the lease once."""
+        try:
+            await self.lease.acquire(self.clock.now())
+        except PlatformError as exc:
+            self.counters.n_lease_errors += 1
+            logger.info("controller lease: %s", exc)
+
+    async def run_tasks_once(self) -> None:
+        """Run each task once while the lease is held; a task is cancelled when it lapses."""
+        for task in self.tasks:
+            now = self.clock.now()
+            if not self.lease.is_held(now):
+                return
+            with trio.move_on_after(self.lease.held_until_ - now):
+                await self._run_task(task, now)
+
+    async def _run_lease(self) -> None:
+        while True:
+            await self.keep_lease_once()
+            await trio.sleep(self.lease.ttl_s / 4)
+
+    async def _run_tasks(self) -> None:
+        while True:
+            await self.run_tasks_once()
+            await trio.sleep(self.interval_s)
+
+    async def _run_task(self, task: ControllerTask, now: float) -> None:
+        self.counters.n_runs += 1
+        try:
+            await task.run_once(self.lease, now)
+        except InvariantError as exc:
+            self.counters.n_invariant_errors += 1
+            logger.error("controller task %s: %s", task.name, exc)
+        except CrocusvalveError as exc:
+            self.counters.n_task_errors += 1
+            logger.warning("controller task %s: %s", task.name, exc)
+
+    async def _release(self) -> None:
+        try:
+            await self.lease.release()
+        except PlatformError as exc:
+            logger.info("controller lease was not released: %s", exc)
--- /dev/null
+++ b/crocusvalve/platform/_guard.py
@@ -0,0 +1,186 @@
+"""Retries with a bounded wait around single calls of the platform's service."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import trio
+from msgspec import Struct
+
+from crocusvalve.exceptions import PlatformError
+from crocusvalve.platform._limits import Backoff, Circuit, CircuitState, TokenBucket
+from crocusvalve.utils import Clock, MonotonicClock
+
+__all__ = ["CallGuard", "GuardCounters", "GuardSettings", "GuardedReply"]
+
+T = TypeVar("T")
+
+
+class GuardSettings(Struct, frozen=True, kw_only=True):
+    """Limits of the client of the platform's service.
+
+    Attributes
+    ----------
+    attempt_timeout_s : float
+        Longest wait for one answer, in seconds.
+    call_timeout_s : float
+        Longest wait for a call with all its retries, in seconds.
+    backoff_base_s, backoff_max_s : float
+        Bounds of the delay between retries, in seconds.
+    n_failures_to_open : int
+        Failures in a row after which calls are refused at once.
+    probe_after_s : float
+        Delay between probes of a failing service, in seconds.
+    write_rate_per_s, write_burst : float
+        This process's share of the service's writes.
+    """
+
+    attempt_timeout_s: float = 1.0
+    call_timeout_s: float = 3.0
+    backoff_base_s: float = 0.05
+    backoff_max_s: float = 1.0
+    n_failures_to_open: int = 5
+    probe_after_s: float = 0.5
+    write_rate_per_s: float = 100.0
+    write_burst: float = 100.0
+
+
+class GuardCounters(Struct):
+    """Numbers of calls and of how they ended."""
+
+    n_calls: int = 0
+    n_attempts: int = 0
+    n_failed_attempts: int = 0
+    n_refused_open: int = 0
+    n_refused_budget: int = 0
+    n_given_up: int = 0
+
+
+class GuardedReply(Struct, frozen=True):
+    """Reply of a call; ``n_unknown`` earlier attempts of it may have taken effect."""
+
+    value: object
+    n_unknown: int
+
+
+class CallGuard:
+    """Runs calls with timeouts, backoff, a write budget and a circuit.
+
+    A caller waits at most ``call_timeout_s``; while the circuit is open it doesn't wait at all.
+
+    Parameters
+    ----------
+    settings : GuardSettings
+        Limits.
+    random_state : random.Random
+        Source of the jitter.
+    clock : Clock or None
+        Source of the present time; None takes the monotonic clock.
+    peer : str
+        Name of the service in errors.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GuardSettings,
+        random_state: random.Random,
+        clock: Clock | None = None,
+        peer: str = "platform",
+    ):
+        self.settings = settings
+        self.clock = clock or MonotonicClock()
+        self.peer = peer
+        self.counters = GuardCounters()
+        self.backoff = Backoff(
+            base_s=settings.backoff_base_s,
+            max_s=settings.backoff_max_s,
+            random_state=random_state,
+        )
+        self.circuit = Circuit(
+            n_failures_to_open=settings.n_failures_to_open, probe_after_s=settings.probe_after_s
+        )
+        self.write_budget = TokenBucket(
+            rate_per_s=settings.write_rate_per_s, burst=settings.write_burst
+        )
+
+    @property
+    def state(self) -> CircuitState:
+        """State of the circuit at present."""
+        return self.circuit.get_state(self.clock.now())
+
+    async def run(
+        self, step: str, call: Callable[[], Awaitable[T]], *, n_writes: int = 0
+    ) -> GuardedReply:
+        """Run a call until it has an answer or its time is up.
+
+        Parameters
+        ----------
+        step : str
+            Name of the call in errors.
+        call : callable
+            Makes one attempt; must be idempotent.
+        n_writes : int
+            Writes that each attempt takes from the budget.
+
+        Raises
+        ------
+        PlatformError
+            ``maybe_applied`` is True where a write was sent and its fate is not known.
+        """
+        self.counters.n_calls += 1
+        started_at = self.clock.now()
+        give_up_at = started_at + self.settings.call_timeout_s
+        n_failures = n_unknown = 0
+        while True:
+            try:
+                await self._wait_for_turn(step, n_writes, give_up_at)
+                value = await self._attempt(step, call, give_up_at)
+                self.circuit.record_success()
+                return GuardedReply(value, n_unknown)
+            except _TurnRefusedError as exc:
+                raise self._give_up(step, exc.reason, n_unknown) from exc
+            except PlatformError as exc:
+                n_failures += 1
+                n_unknown += bool(exc.maybe_applied and n_writes)
+                self._record_failure()
+                delay_s = self.backoff.compute_delay_s(n_failures)
+                if self.clock.now() + delay_s >= give_up_at:
+                    raise self._give_up(step, exc.message, n_unknown) from exc
+            await trio.sleep(delay_s)
+
+    async def _wait_for_turn(self, step: str, n_writes: int, give_up_at: float) -> None:
+        now = self.clock.now()
+        if n_writes:
+            wait_s = self.write_budget.compute_wait_s(n_writes, now)
+            if now + wait_s > give_up_at:
+                self.counters.n_refused_budget += 1
+                raise _TurnRefusedError("the write budget is used up")
+        if not self.circuit.try_enter(now):
+            self.counters.n_refused_open += 1
+            raise _TurnRefusedError("the service is failing; calls wait for its return")
+        if n_writes:
+            await trio.sleep(self.write_budget.reserve(n_writes, now))
+
+    async def _attempt(self, step: str, call: Callable[[], Awaitable[T]], give_up_at: float) -> T:
+        self.counters.n_attempts += 1
+        left_s = max(0.0, give_up_at - self.clock.now())
+        with trio.move_on_after(min(self.settings.attempt_timeout_s, left_s)):
+            return await call()
+        raise PlatformError("no answer in time", step=step, peer=self.peer, maybe_applied=True)
+
+    def _record_failure(self) -> None:
+        self.counters.n_failed_attempts += 1
+        self.circuit.record_failure(self.clock.now())
+
+    def _give_up(self, step: str, reason: str, n_unknown: int) -> PlatformError:
+        self.counters.n_given_up += 1
+        return PlatformError(reason, step=step, peer=self.peer, maybe_applied=n_unknown > 0)
+
+
+class _TurnRefusedError(Exception):
+    """An attempt was not made."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
--- /dev/null
+++ b/crocusvalve/platform/_http.py
@@ -0,0 +1,209 @@
+"""HTTP client of the platform's service."""
+
+import random
+import ssl
+from collections.abc import Sequence
+from types import TracebackType
+from typing import Any
+
+import httpx
+import msgspec
+
+from crocusvalve.base import VersionRef
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode, PlatformError
+from crocusvalve.platform import _messages as msg
+from crocusvalve.platform._guard import CallGuard, GuardSettings
+from crocusvalve.platform._reliable import ReliableObjects, ReliableTables
+from crocusvalve.platform.base import (
+    ObjectStore,
+    Rating,
+    RatingRequest,
+    RatingService,
+    Row,
+    TableService,
+    VmDirectory,
+    VmInfo,
+    WeightReservation,
+    WeightStore,
+    Write,
+    WriteResult,
+)
+from crocusvalve.utils import Clock
+
+__all__ = ["HttpPlatform"]
+
+MAX_CONNECTIONS = 16
+
+
+class _HttpCalls(TableService, ObjectStore):
+    """Single attempts of calls over HTTP."""
+
+    def __init__(self, client: httpx.AsyncClient, url: str, token: str, content_type: str):
+        self._client = client
+        self._url = url.rstrip("/")
+        self._content_type = content_type
+        self._headers = {"content-type": content_type}
+        if token:
+            self._headers["authorization"] = f"Bearer {token}"
+
+    async def call(self, call: msg.PlatformCall, message: Any) -> Any:
+        """Make one attempt of a call and decode its reply."""
+        step = call.value[0]
+        try:
+            response = await self._client.post(
+                self._url + call.path,
+                content=msg.encode_message(message, self._content_type),
+                headers=self._headers,
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
+            raise PlatformError(repr(exc), step=step, peer=self._url) from exc
+        except httpx.HTTPError as exc:
+            raise PlatformError(repr(exc), step=step, peer=self._url, maybe_applied=True) from exc
+        return self._decode(call, response)
+
+    def _decode(self, call: msg.PlatformCall, response: httpx.Response) -> Any:
+        step = call.value[0]
+        if response.status_code == 400:
+            raise CrocusvalveError(ErrorCode.BAD_REQUEST, response.text, step=step, peer=self._url)
+        if response.status_code != 200:
+            raise PlatformError(
+                f"status {response.status_code}: {response.text}",
+                step=step,
+                peer=self._url,
+                maybe_applied=response.status_code != 503,
+            )
+        try:
+            return msg.decode_message(response.content, call.reply_type, self._content_type)
+        except msgspec.DecodeError as exc:
+            raise PlatformError(repr(exc), step=step, peer=self._url, maybe_applied=True) from exc
+
+    async def transact(self, writes: Sequence[Write]) -> list[WriteResult]:
+        req = msg.TransactRequest(tuple(writes))
+        reply = await self.call(msg.PlatformCall.TRANSACT, req)
+        return list(reply.results)
+
+    async def get(self, table: str, key: str) -> Row | None:
+        reply = await self.call(msg.PlatformCall.GET, msg.GetRequest(table, key))
+        return reply.row
+
+    async def scan(
+        self, table: str, *, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> list[Row]:
+        req = msg.ScanRequest(table, prefix, after, limit)
+        reply = await self.call(msg.PlatformCall.SCAN, req)
+        return list(reply.rows)
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        await self.call(msg.PlatformCall.PUT, msg.PutRequest(name, data))
+
+    async def get_object(self, name: str) -> bytes | None:
+        reply = await self.call(msg.PlatformCall.OBJECT, msg.ObjectRequest(name))
+        return reply.data
+
+
+class HttpPlatform(TableService, ObjectStore, VmDirectory, RatingService, WeightStore):
+    """Client of the platform's service; use it as an asynchronous context manager.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the service.
+    random_state : random.Random
+        Source of the backoff's jitter.
+    settings : GuardSettings
+        Timeouts, retries, budget and circuit.
+    clock : Clock or None
+        Source of the present time; None takes the monotonic clock.
+    token : str
+        Bearer token of this system at the service, or empty.
+    tls : ssl.SSLContext or None
+        Client context for an ``https`` URL.
+    content_type : str
+        Coding of the messages: ``application/msgpack`` or ``application/json``.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        random_state: random.Random | None = None,
+        settings: GuardSettings | None = None,
+        clock: Clock | None = None,
+        token: str = "",
+        tls: ssl.SSLContext | None = None,
+        content_type: str = msg.MSGPACK_TYPE,
+    ):
+        self.url = url
+        self.guard = CallGuard(
+            settings=settings or GuardSettings(),
+            random_state=random_state or random.Random(),
+            clock=clock,
+            peer=url,
+        )
+        self._client = httpx.AsyncClient(
+            timeout=self.guard.settings.attempt_timeout_s,
+            limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
+            verify=tls if tls is not None else True,
+            trust_env=False,
+        )
+        self._calls = _HttpCalls(self._client, url, token, content_type)
+        self._tables = ReliableTables(self._calls, self.guard)
+        self._objects = ReliableObjects(self._calls, self.guard)
+
+    async def __aenter__(self) -> "HttpPlatform":
+        """Return the client."""
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the connections."""
+        await self.aclose()
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def transact(self, writes: Sequence[Write]) -> list[WriteResult]:
+        """Apply all writes or none of them."""
+        return await self._tables.transact(writes)
+
+    async def get(self, table: str, key: str) -> Row | None:
+        """Return a row, or None where it is absent."""
+        return await self._tables.get(table, key)
+
+    async def scan(
+        self, table: str, *, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> list[Row]:
+        """Return at most ``limit`` rows, by key, of a prefix, past the key ``after``."""
+        return await self._tables.scan(table, prefix=prefix, after=after, limit=limit)
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        """Store an object."""
+        await self._objects.put_object(name, data)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return an object, or None where it is absent."""
+        return await self._objects.get_object(name)
+
+    async def list_vms(self) -> list[VmInfo]:
+        """Return the VMs as the platform knows them."""
+        reply = await self._run(msg.PlatformCall.LIST_VMS, msg.ListVmsRequest())
+        return list(reply.vms)
+
+    async def rate(self, req: RatingRequest) -> Rating:
+        """Rate an answer; not retried, since ratings are only a hint."""
+        reply = await self._calls.call(msg.PlatformCall.RATE, msg.RateRequest(req))
+        return reply.rating
+
+    async def reserve(self, version: VersionRef) -> WeightReservation:
+        """Reserve one load of a version's weights; not retried, as it is not idempotent."""
+        reply = await self._calls.call(msg.PlatformCall.RESERVE, msg.ReserveRequest(version))
+        return reply.reservation
+
+    async def _run(self, call: msg.PlatformCall, message: Any) -> Any:
+        reply = await self.guard.run(call.value[0], lambda: self._calls.call(call, message))
+        return reply.value
--- /dev/null
+++ b/crocusvalve/standin/_platform_faults.py
@@ -0,0 +1,63 @@
+"""Fault switches of the stand-in platform."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+__all__ = ["ALL_CALLS", "PlatformFaults", "RatingFault"]
+
+#: Value of a counter of calls that never runs out.
+ALL_CALLS = -1
+
+
+class RatingFault(Enum):
+    """How the rating service fails."""
+
+    NONE = "none"
+    STOPPED = "stopped"
+    LYING = "lying"
+
+
+class PlatformFaults(Struct, kw_only=True, forbid_unknown_fields=True):
+    """Faults in force; the defaults are a healthy platform.
+
+    Attributes
+    ----------
+    is_down : bool
+        Every call fails before it takes effect.
+    delay_s : float
+        Delay of every call in seconds.
+    n_lost_answers : int
+        Number of coming writes that take effect and whose answer is lost; -1 for all.
+    n_lost_requests : int
+        Number of coming writes that are lost on the way; the caller can't tell them from writes
+        with a lost answer. -1 for all.
+    vm_list_lag_s : float
+        Lag of the list of VMs in seconds.
+    weight_reservations_per_s : float or None
+        Rate limit of the weight store; None leaves it as it was made.
+    ratings : RatingFault
+        How the rating service fails.
+    """
+
+    is_down: bool = False
+    delay_s: float = 0.0
+    n_lost_answers: int = 0
+    n_lost_requests: int = 0
+    vm_list_lag_s: float = 0.0
+    weight_reservations_per_s: float | None = None
+    ratings: RatingFault = RatingFault.NONE
+
+    def take_lost_answer(self) -> bool:
+        """Tell whether the answer of the present write is lost, and count it off."""
+        is_lost = self.n_lost_answers != 0
+        if self.n_lost_answers > 0:
+            self.n_lost_answers -= 1
+        return is_lost
+
+    def take_lost_request(self) -> bool:
+        """Tell whether the present write is lost on the way, and count it off."""
+        is_lost = self.n_lost_requests != 0
+        if self.n_lost_requests > 0:
+            self.n_lost_requests -= 1
+        return is_lost
