--- a/crocusvalve/config/__init__.py
+++ b/crocusvalve/config/__init__.py
@@ -1,6 +1,13 @@
 """Configuration document: typed form, checks, differences and deltas."""
 
 from crocusvalve.config._check import check_document
+from crocusvalve.config._delta import (
+    apply_delta,
+    compute_document_digest,
+    decode_document,
+    encode_document,
+    make_delta,
+)
 from crocusvalve.config._document import (
     CascadeConfig,
     ClassConfig,
@@ -36,6 +43,11 @@
     "UpstreamConfig",
     "UpstreamView",
     "VersionConfig",
+    "apply_delta",
     "check_document",
+    "compute_document_digest",
+    "decode_document",
+    "encode_document",
+    "make_delta",
     "parse_document",
 ]
