Read and check settings of entry, agent and stand-in platform

Cause: each process learns its addresses and failure domain from a settings file. Change: typed settings, load_settings with every fault told at once; keys from files, never in repr. Ruled out: one flat table; nested tables keep host and port of each listener together. Conclusion: 20 faulty lines are each refused with file, key, value and range (features/settings).

--- a/crocusvalve/config/__init__.py
+++ b/crocusvalve/config/__init__.py
@@ -1,5 +1,6 @@
 """Configuration document: typed form, checks, differences and deltas."""
 
+from crocusvalve.config._addresses import is_http_url, is_socket_address
 from crocusvalve.config._check import check_document
 from crocusvalve.config._document import (
     CascadeConfig,
@@ -17,6 +18,9 @@
     VersionConfig,
 )
 from crocusvalve.config._parse import parse_document
+from crocusvalve.config._problems import Problem, show_value
+from crocusvalve.config._ranges import NumberRange, list_value_problems
+from crocusvalve.config._reader import StructReader, parse_toml
 from crocusvalve.config._view import CustomerView, DocumentView, UpstreamView
 
 __all__ = [
@@ -29,13 +33,21 @@
     "DomainConfig",
     "MemberConfig",
     "ModelConfig",
+    "NumberRange",
     "OperatorConfig",
     "PolicyConfig",
+    "Problem",
     "RolloutConfig",
     "ServiceConfig",
+    "StructReader",
     "UpstreamConfig",
     "UpstreamView",
     "VersionConfig",
     "check_document",
+    "is_http_url",
+    "is_socket_address",
+    "list_value_problems",
     "parse_document",
+    "parse_toml",
+    "show_value",
 ]
--- a/crocusvalve/config/_check.py
+++ b/crocusvalve/config/_check.py
@@ -2,20 +2,15 @@
 
 import re
 from collections.abc import Iterator
-from typing import Any
-
-import msgspec
-from msgspec import Struct
 
 from crocusvalve.config._document import Document, MemberConfig
 from crocusvalve.config._limits import (
     MAX_ENTRIES,
-    MAX_ITEMS,
     MAX_MEMBERS,
-    MAX_TEXT_CHARS,
     NUMBER_RANGES,
 )
 from crocusvalve.config._problems import Problem, show_value
+from crocusvalve.config._ranges import MAX_TEXT_CHARS, list_value_problems
 from crocusvalve.config._references import list_key_problems, list_reference_problems
 from crocusvalve.utils.validation import NAME_PATTERN
 
@@ -53,7 +48,7 @@
         key = f"members.{member}"
         problems.extend(_check_name(key, member))
         problems.extend(_check_entries(key, section))
-        problems.extend(_check_struct(key, section))
+        problems.extend(list_value_problems(key, section, NUMBER_RANGES))
     problems.extend(list_reference_problems(document))
     problems.extend(list_key_problems(document))
     return problems
@@ -71,29 +66,3 @@
 def _check_name(key: str, name: str) -> Iterator[Problem]:
     if not NAME_PATTERN.fullmatch(name):
         yield Problem(key[:MAX_TEXT_CHARS], repr(name)[:80], f"named like {NAME_PATTERN.pattern}")
-
-
-def _check_struct(key: str, cfg: Struct) -> Iterator[Problem]:
-    ranges = NUMBER_RANGES.get(type(cfg), {})
-    for field in msgspec.structs.fields(cfg):
-        value = getattr(cfg, field.name)
-        path = f"{key}.{field.name}"
-        allowed = ranges.get(field.name)
-        if allowed is not None and not allowed.contains(value):
-            yield Problem(path, show_value(path, value), str(allowed))
-        yield from _check_value(path, value)
-
-
-def _check_value(key: str, value: Any) -> Iterator[Problem]:
-    if isinstance(value, Struct):
-        yield from _check_struct(key, value)
-    elif isinstance(value, dict):
-        for name, item in value.items():
-            yield from _check_value(f"{key}.{name}", item)
-    elif isinstance(value, tuple):
-        if len(value) > MAX_ITEMS:
-            yield Problem(key, f"{len(value)} items", f"at most {MAX_ITEMS} items")
-        for item in value[:MAX_ITEMS]:
-            yield from _check_value(key, item)
-    elif isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
-        yield Problem(key, f"{len(value)} characters", f"at most {MAX_TEXT_CHARS} characters")
--- a/crocusvalve/config/_limits.py
+++ b/crocusvalve/config/_limits.py
@@ -3,20 +3,16 @@
 A member's section is bounded so that no member's document slows the others' processes.
 """
 
-from msgspec import Struct
-
 from crocusvalve.config import _document as doc
+from crocusvalve.config._ranges import NumberRange
 
 __all__ = [
     "CASCADE_POLICIES",
     "MAX_ENTRIES",
-    "MAX_ITEMS",
     "MAX_MEMBERS",
-    "MAX_TEXT_CHARS",
     "NUMBER_RANGES",
     "ROLLOUT_POLICIES",
     "ROUTING_POLICIES",
-    "NumberRange",
 ]
 
 ROUTING_POLICIES = ("expected_wait", "random", "round_robin", "least_in_flight")
@@ -24,9 +20,6 @@
 ROLLOUT_POLICIES = ("sequential", "fixed_share")
 
 MAX_MEMBERS = 64
-MAX_TEXT_CHARS = 256
-#: Largest number of items in an array of a section.
-MAX_ITEMS = 256
 #: Largest number of entries of each table of a section.
 MAX_ENTRIES = {
     "operators": 256,
@@ -41,22 +34,6 @@
 }
 
 
-class NumberRange(Struct, frozen=True):
-    """A closed range of a number with its unit."""
-
-    low: float
-    high: float
-    unit: str = ""
-
-    def contains(self, value: float) -> bool:
-        """Tell whether a number lies in the range; NaN does not."""
-        return self.low <= value <= self.high
-
-    def __str__(self) -> str:
-        unit = f" {self.unit}" if self.unit else ""
-        return f"in [{self.low:g}, {self.high:g}]{unit}"
-
-
 NUMBER_RANGES: dict[type, dict[str, NumberRange]] = {
     doc.VersionConfig: {
         "prompt_price": NumberRange(0, 1e6, "currency units for 1,000 tokens"),
--- /dev/null
+++ b/crocusvalve/config/_ranges.py
@@ -0,0 +1,72 @@
+"""Ranges of numbers, and checks of them over nested structs."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from crocusvalve.config._problems import Problem, show_value
+
+__all__ = ["MAX_ITEMS", "MAX_TEXT_CHARS", "NumberRange", "RangeTable", "list_value_problems"]
+
+MAX_TEXT_CHARS = 256
+#: Largest number of items in an array.
+MAX_ITEMS = 256
+
+
+class NumberRange(Struct, frozen=True):
+    """A closed range of a number with its unit."""
+
+    low: float
+    high: float
+    unit: str = ""
+
+    def contains(self, value: float) -> bool:
+        """Tell whether a number lies in the range; NaN does not."""
+        return self.low <= value <= self.high
+
+    def __str__(self) -> str:
+        unit = f" {self.unit}" if self.unit else ""
+        return f"in [{self.low:g}, {self.high:g}]{unit}"
+
+
+#: Allowed ranges by struct type and field.
+RangeTable = Mapping[type, Mapping[str, NumberRange]]
+
+
+def list_value_problems(key: str, cfg: Struct, ranges: RangeTable) -> Iterator[Problem]:
+    """Yield the numbers out of range, and the texts and arrays that are too long.
+
+    Parameters
+    ----------
+    key : str
+        Dotted key of the struct, empty for the whole file.
+    cfg : Struct
+        Struct of the right types; nested ones are checked as well.
+    ranges : Mapping
+        Allowed ranges.
+    """
+    own = ranges.get(type(cfg), {})
+    for field in msgspec.structs.fields(cfg):
+        value = getattr(cfg, field.name)
+        path = f"{key}.{field.name}" if key else field.name
+        allowed = own.get(field.name)
+        if allowed is not None and not allowed.contains(value):
+            yield Problem(path, show_value(path, value), str(allowed))
+        yield from _check_value(path, value, ranges)
+
+
+def _check_value(key: str, value: Any, ranges: RangeTable) -> Iterator[Problem]:
+    if isinstance(value, Struct):
+        yield from list_value_problems(key, value, ranges)
+    elif isinstance(value, dict):
+        for name, item in value.items():
+            yield from _check_value(f"{key}.{name}", item, ranges)
+    elif isinstance(value, tuple):
+        if len(value) > MAX_ITEMS:
+            yield Problem(key, f"{len(value)} items", f"at most {MAX_ITEMS} items")
+        for item in value[:MAX_ITEMS]:
+            yield from _check_value(key, item, ranges)
+    elif isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+        yield Problem(key, f"{len(value)} characters", f"at most {MAX_TEXT_CHARS} characters")
--- /dev/null
+++ b/features/settings/settings.feature
@@ -0,0 +1,54 @@
+Feature: Settings of a process are checked whole
+
+  Scenario Outline: Good settings are loaded with their keys
+    Given good <role> settings
+    When they are loaded
+    Then the settings are those of node "<role>-1"
+
+    Examples:
+      | role     |
+      | entry    |
+      | agent    |
+      | platform |
+
+  Scenario Outline: A fault is told with file, key, value and allowed range
+    Given good <role> settings
+    And a line <line> in place of the key <key>
+    When they are loaded
+    Then the settings are refused, naming "<key>", "<shown>" and "<allowed>"
+
+    Examples:
+      | role     | key                | line                          | shown     | allowed                  |
+      | entry    | http.port          | http.port = 70000             | 70000     | in [0, 65535]            |
+      | entry    | http.port          | http.port = "web"             | 'web'     | a whole number           |
+      | entry    | http.prot          | http.prot = 80                | 80        | one of the keys host     |
+      | entry    | node_id            | node_id = "Node 1"            | Node 1    | text like                |
+      | entry    | node_id            |                               | (missing) | present                  |
+      | entry    | domain             | domain = "can-tho"            | can-tho   | text like                |
+      | entry    | platform.url       | platform.url = "ftp://x"      | ftp://x   | http or https            |
+      | entry    | platform.timeout_s | platform.timeout_s = nan      | nan       | in [0.01, 60] seconds    |
+      | entry    | peers              | peers = ["127.0.0.1"]         | 127.0.0.1 | HOST:PORT                |
+      | entry    | internal_key       | internal_key = "short-secret" | (hidden)  | at least 16              |
+      | entry    | internal_key       |                               | (hidden)  | set, or                  |
+      | entry    | session_key_file   | session_key_file = "gone.key" | gone.key  | readable file            |
+      | entry    | tls                | tls.cert = "setup.cfg"        | one of    | both cert and key        |
+      | entry    | log.format         | log.format = "xml"            | xml       | one of text, json        |
+      | entry    | config_poll_s      | config_poll_s = 60            | 60        | in [0.05, 5] seconds     |
+      | agent    | upstream_url       | upstream_url = "127.0.0.1:1"  | 127.0.0.1 | http or https            |
+      | agent    | upstream_id        | upstream_id = "assess-1"      | assess-1  | text like                |
+      | agent    | entries            | entries = []                  | ()        | at least one address     |
+      | agent    | role               | role = "entry"                | entry     | agent                    |
+      | platform | seed               | seed = -1                     | -1        | in [0,                   |
+
+  Scenario: All faults are told at once and no key is shown
+    Given good entry settings
+    And a line http.port = -1 in place of the key http.port
+    And a line internal_key = "short-secret" in place of the key internal_key
+    And a line unknown_thing = 1 in place of the key region
+    When they are loaded
+    Then 4 faults are told and none holds "short-secret"
+
+  Scenario: A file that is no TOML is refused
+    Given settings with the text "role ="
+    When they are loaded
+    Then the settings are refused, naming "file", "Invalid value" and "TOML"
