contract: roll-out row carries the lease's number, contacts and a pause

Cause: a controller that lost its lease must be told from the present one, and exposure must stop where answers of the new version are no longer rated. Change: RolloutRow.lease_number, n_contacts, is_paused, all with defaults.

--- a/crocusvalve/model/_rows.py
+++ b/crocusvalve/model/_rows.py
@@ -151,7 +151,12 @@
 
 
 class RolloutRow(Struct, kw_only=True):
-    """State of a roll-out as it stands in the platform's service."""
+    """State of a roll-out as it stands in the platform's service.
+
+    ``number`` rises by one with each write; ``lease_number`` is that of the controller's lease.
+    ``n_contacts`` counts answers of the new version, rated or not; while ``is_paused`` no first
+    contact goes to the new version.
+    """
 
     rollout_id: str
     model: ModelRef
@@ -168,3 +173,6 @@
     n_baseline_bad: int = 0
     reason: str = ""
     controller: NodeId = NodeId("")
+    lease_number: int = 0
+    n_contacts: int = 0
+    is_paused: bool = False
