--- a/crocusvalve/billing/__init__.py
+++ b/crocusvalve/billing/__init__.py
@@ -1,5 +1,6 @@
 """Bills, one a request."""
 
+from crocusvalve.billing._cost import add_usage, compute_cost
 from crocusvalve.billing._flusher import BillFlusher, FlusherCounters
 from crocusvalve.billing._ledger import BILL_TABLE, TOTALS_TABLE, UsageLine, UsageTotals
 from crocusvalve.billing._outbox import BillOutbox, OutboxCounters
@@ -23,6 +24,8 @@
     "UsageLine",
     "UsageReport",
     "UsageTotals",
+    "add_usage",
+    "compute_cost",
     "find_bill_page",
     "format_day",
 ]
--- a/crocusvalve/standin/__init__.py
+++ b/crocusvalve/standin/__init__.py
@@ -1,10 +1,28 @@
 """Small fakes of the systems that crocusvalve serves."""
 
-from crocusvalve.standin._engine import (EngineLoad, EngineOrder, EngineOrderAction, EngineOrderReply, EngineRole, FaultRequest, StandinEngine)
-from crocusvalve.standin._engine_model import (EngineFaults, EngineModel, EngineRefusedError, EngineRun, EngineRunState, EngineSpec, VersionSpec)
-from crocusvalve.standin._engine_server import (serve_app, serve_engine)
-from crocusvalve.standin._plain import (PlainCall, PlainFaults, StandinPlainService, serve_plain)
-
+from crocusvalve.standin._engine import (
+    EngineLoad,
+    EngineOrder,
+    EngineOrderAction,
+    EngineOrderReply,
+    EngineRole,
+    FaultRequest,
+    StandinEngine,
+)
+from crocusvalve.standin._engine_model import (
+    EngineFaults,
+    EngineModel,
+    EngineRefusedError,
+    EngineRun,
+    EngineRunState,
+    EngineSpec,
+    VersionSpec,
+)
+from crocusvalve.standin._engine_server import serve_app, serve_engine
+from crocusvalve.standin._plain import PlainCall, PlainFaults, StandinPlainService, serve_plain
+from crocusvalve.standin._platform import MemoryPlatform, PlatformCounters
+from crocusvalve.standin._platform_faults import ALL_CALLS, PlatformFaults, RatingFault
+from crocusvalve.standin._platform_server import make_platform_app, serve_platform
 
 __all__ = [
     "ALL_CALLS",
@@ -34,8 +52,4 @@
     "serve_engine",
     "serve_plain",
     "serve_platform",
-    __all__ = [
-    from crocusvalve.standin._platform import MemoryPlatform, PlatformCounters
-    from crocusvalve.standin._platform_faults import ALL_CALLS, PlatformFaults, RatingFault
-    from crocusvalve.standin._platform_server import make_platform_app, serve_platform
 ]
