--- a/crocusvalve/entry/_admission.py
+++ b/crocusvalve/entry/_admission.py
@@ -81,9 +81,7 @@
             )
         return row
 
-    def _queue(
-        self, tables: CoreTables, req: RequestRow, row: CustomerRow, now: float
-    ) -> None:
+    def _queue(self, tables: CoreTables, req: RequestRow, row: CustomerRow, now: float) -> None:
         cfg = tables.view.customers[req.customer_id].cfg
         class_cfg = tables.view.class_of(req.member, req.class_name)
         max_queue = class_cfg.max_queue if class_cfg else 1
--- a/crocusvalve/entry/_attempts.py
+++ b/crocusvalve/entry/_attempts.py
@@ -93,7 +93,8 @@
                     self.feed(attempt_id, event)
                     if not isinstance(event, Frame):
                         return None
-            message = "the agent fell silent" if scope.cancelled_caught else "the stream ended early"
+            is_silent = scope.cancelled_caught
+            message = "the agent fell silent" if is_silent else "the stream ended early"
             return RpcError(message, step="run", peer=address)
         except RpcError as exc:
             return exc
--- a/crocusvalve/entry/_core.py
+++ b/crocusvalve/entry/_core.py
@@ -112,6 +112,4 @@
             raise InvariantError("requests and their progress differ", step="check")
         for attempt in tables.attempts.values():
             if attempt.request_id not in tables.requests:
-                raise InvariantError(
-                    f"attempt {attempt.attempt_id} has no request", step="check"
-                )
+                raise InvariantError(f"attempt {attempt.attempt_id} has no request", step="check")
--- a/crocusvalve/entry/_http.py
+++ b/crocusvalve/entry/_http.py
@@ -158,9 +158,7 @@
         headers = parse_headers(request.headers)
         body = parse_chat_body(raw)
         now = self.service.now()
-        req = make_chat_row(
-            self.service.view(), customer, body, raw, headers, request_id, now
-        )
+        req = make_chat_row(self.service.view(), customer, body, raw, headers, request_id, now)
         self._open_session(req, headers.session)
         if req.kind is ClassKind.DURABLE:
             return _answer_accepted(await self.service.accept_durable(req))
@@ -174,22 +172,16 @@
         request.crocusvalve_id = request_id
         return request_id
 
-    async def _collect(
-        self, req: RequestRow, handle: RequestHandle
-    ) -> tuple[bytes, AnswerSummary]:
+    async def _collect(self, req: RequestRow, handle: RequestHandle) -> tuple[bytes, AnswerSummary]:
         try:
             return await handle.collect()
         finally:
             self.service.abandon(req.request_id)
 
-    async def _answer_whole(
-        self, req: RequestRow, handle: RequestHandle, created: int
-    ) -> Response:
+    async def _answer_whole(self, req: RequestRow, handle: RequestHandle, created: int) -> Response:
         data, summary = await self._collect(req, handle)
         text = data.decode("utf-8", "replace")
-        body = _openai.make_completion(
-            summary.request_id, summary.version, created, text, summary
-        )
+        body = _openai.make_completion(summary.request_id, summary.version, created, text, summary)
         response = Response(body, content_type=JSON)
         self._add_headers(response, req, summary.version, summary.upstream_id)
         response.headers["X-Request-Id"] = summary.request_id
@@ -318,9 +310,7 @@
 
 def _answer_durable(state: DurableState) -> Response:
     if state.state == "done":
-        return Response(
-            state.result, status=state.http_status, content_type=state.content_type
-        )
+        return Response(state.result, status=state.http_status, content_type=state.content_type)
     if state.error:
         return Response(state.error, status=state.http_status, content_type=JSON)
     return Response(_openai.make_durable_body(state), status=202, content_type=JSON)
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -113,9 +113,7 @@
             progress.buffer.append(frame.data)
             return commands
         req.n_frames_out += 1
-        commands.append(
-            Deliver(req.request_id, attempt.version, attempt.upstream_id, frame.data)
-        )
+        commands.append(Deliver(req.request_id, attempt.version, attempt.upstream_id, frame.data))
         return commands
 
     def _take_final(
@@ -169,9 +167,7 @@
             return []
         if score is not None:
             version = VersionRef(progress.held.version)
-            self.policies.note_rating(
-                tables, req.customer_id, req.class_name, version, score, now
-            )
+            self.policies.note_rating(tables, req.customer_id, req.class_name, version, score, now)
         if not self.policies.should_escalate(tables, req, score):
             return self.deliver_held(tables, req, now)
         req.step += 1
@@ -244,9 +240,7 @@
         if not refused.crashed:
             quarantine.note_end(req.digest, is_success=False)
             return []
-        quarantine.note_crash(
-            req.digest, attempt.upstream_id, now, incident=attempt.attempt_id
-        )
+        quarantine.note_crash(req.digest, attempt.upstream_id, now, incident=attempt.attempt_id)
         return [ShareQuarantine(req.digest, tables.quarantine[req.digest].n_crashes)]
 
     def _resume(
@@ -317,9 +311,7 @@
             return self.deliver_held(tables, req, now)
         return self.refuse(tables, req, error)
 
-    def refuse(
-        self, tables: CoreTables, req: RequestRow, error: RefusedError
-    ) -> list[Command]:
+    def refuse(self, tables: CoreTables, req: RequestRow, error: RefusedError) -> list[Command]:
         """End a request without an answer; the caller is told at once."""
         req.state = RequestState.REFUSED
         self.forget(tables, req)
--- a/crocusvalve/entry/_placement.py
+++ b/crocusvalve/entry/_placement.py
@@ -99,9 +99,7 @@
                 self._stranded.append(req)
             return None
         progress.had_candidates_at = now
-        candidates = self.policies.get_quarantine(tables).filter_candidates(
-            req.digest, candidates
-        )
+        candidates = self.policies.get_quarantine(tables).filter_candidates(req.digest, candidates)
         return self.policies.get_router(tables, req.member).choose(req, candidates, now)
 
     @staticmethod
@@ -110,12 +108,8 @@
             return 0.0
         return float("inf") if req.kind is ClassKind.DURABLE else NO_UPSTREAM_GRACE_S
 
-    def _refuse_stranded(
-        self, tables: CoreTables, req: RequestRow, now: float
-    ) -> list[Command]:
-        return self.outcome.give_up(
-            tables, req, self._make_stranded_error(tables, req), now
-        )
+    def _refuse_stranded(self, tables: CoreTables, req: RequestRow, now: float) -> list[Command]:
+        return self.outcome.give_up(tables, req, self._make_stranded_error(tables, req), now)
 
     @staticmethod
     def _make_stranded_error(tables: CoreTables, req: RequestRow) -> RefusedError:
@@ -202,4 +196,3 @@
         if row is None or not self.policies.budget.try_take(req.member, now):
             return []
         return [self.start(tables, req, row, now, is_hedge=True)]
-
--- a/crocusvalve/entry/_resolve.py
+++ b/crocusvalve/entry/_resolve.py
@@ -120,9 +120,7 @@
     return ref[len(prefix) :] if ref.startswith(prefix) else ref
 
 
-def find_class(
-    view: DocumentView, customer: CustomerView, name: str
-) -> tuple[str, ClassConfig]:
+def find_class(view: DocumentView, customer: CustomerView, name: str) -> tuple[str, ClassConfig]:
     """Return the class that a request names, or the customer's first one.
 
     Raises
--- a/crocusvalve/entry/_timers.py
+++ b/crocusvalve/entry/_timers.py
@@ -1,7 +1,6 @@
 """Deadlines and hedges."""
 
 from crocusvalve.base import Command, Ran, RequestState, System
-from crocusvalve.entry._commands import Refuse
 from crocusvalve.entry._outcome import OutcomeSystem
 from crocusvalve.entry._placement import PlacementSystem
 from crocusvalve.entry._tables import CoreTables
--- a/crocusvalve/entry/base.py
+++ b/crocusvalve/entry/base.py
@@ -12,6 +12,7 @@
 
 __all__ = ["DurableState", "EntryService"]
 
+
 class DurableState(Struct, frozen=True, kw_only=True):
     """What a caller is told of a durable request; ``result`` is the encoded answer when done."""
 
