contract: what earlier cascade steps used travels with an attempt

Cause: the agent of each cascade step must be able to hold the one bill of the whole request, should the entry die before its flush. Change: RunRequest gains cost_before, usage_before, n_attempts (all with defaults) and may_escalate. Conclusion: senders that set nothing keep their present meaning.

--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -58,7 +58,9 @@
 
     ``body`` is the JSON body for an engine, or the raw body for a plain service. ``boot_id`` is the
     agent's run that must take the attempt, or empty where any may. ``deadline`` is Unix time in
-    seconds.
+    seconds. ``cost_before``, ``usage_before`` and ``n_attempts`` tell what the request's earlier
+    cascade steps used, so that the agent of each step can hold the bill of the whole request;
+    ``may_escalate`` tells that a later step may replace this one's bill.
     """
 
     attempt_id: AttemptId
@@ -81,6 +83,10 @@
     method: str = "POST"
     path: str = "/v1/chat/completions"
     content_type: str = "application/json"
+    cost_before: float = 0.0
+    usage_before: Usage = Usage()
+    n_attempts: int = 1
+    may_escalate: bool = False
 
 
 class Frame(Struct, frozen=True, tag="frame"):
