--- /dev/null
+++ b/crocusvalve/agent/_admission.py
@@ -0,0 +1,173 @@
+"""Decides whether an attempt may start; every refusal is proved as not run."""
+
+from crocusvalve.agent._tables import AgentTables, RunRow
+from crocusvalve.base import AttemptId, ClassKind, Ran, UpstreamKind, UpstreamState, VersionRef
+from crocusvalve.exceptions import ErrorCode, InvariantError, RefusedError
+from crocusvalve.rpc import Refused, RunRequest
+
+__all__ = ["AdmissionSystem", "make_refused"]
+
+STEP = "agent_admission"
+RETRY_AFTER_S = 1.0
+
+
+def make_refused(
+    attempt_id: AttemptId,
+    exc: RefusedError,
+    *,
+    peer: str,
+    ran: Ran | None = None,
+    crashed: bool = False,
+) -> Refused:
+    """Turn an error into the event that ends an attempt; ``ran`` overrides the error's."""
+    return Refused(
+        attempt_id=attempt_id,
+        code=exc.code.name,
+        message=exc.message,
+        ran=exc.ran if ran is None else ran,
+        step=exc.step or STEP,
+        peer=exc.peer or peer,
+        retry_after_s=exc.retry_after_s,
+        crashed=crashed,
+    )
+
+
+class AdmissionSystem:
+    """Checks of one attempt against the tables; raises ``RefusedError`` where one fails."""
+
+    def admit(self, tables: AgentTables, req: RunRequest, now: float) -> RunRow:
+        """Check an attempt and take its place in the guard and in the limit."""
+        self._check_boot(tables, req)
+        self.check(tables, req, now)
+        self._check_room(tables)
+        tables.guard.admit(req.attempt_id, boot_id=req.boot_id, deadline=req.deadline, now=now)
+        generation = tables.limiter.generation
+        if not tables.limiter.try_start():
+            raise InvariantError("the limit fell between its check and its use", step=STEP)
+        row = RunRow(req=req, admitted_at=now, generation=generation)
+        tables.runs[req.attempt_id] = row
+        return row
+
+    def refuse(
+        self, tables: AgentTables, req: RunRequest, exc: RefusedError, now: float
+    ) -> Refused:
+        """Make a refusal binding: no later copy of the attempt starts."""
+        ran = tables.guard.refuse(req.attempt_id, deadline=req.deadline, now=now)
+        return make_refused(req.attempt_id, exc, peer=tables.upstream_id, ran=ran)
+
+    def check(self, tables: AgentTables, req: RunRequest, now: float) -> None:
+        """Run the checks whose facts may change until the attempt is sent to the upstream."""
+        self._check_address(tables, req)
+        self._check_deadline(req, now)
+        self._check_closed(tables)
+        self._check_request(tables, req)
+        self._check_customer(tables, req)
+
+    @staticmethod
+    def is_behind(tables: AgentTables, req: RunRequest) -> bool:
+        """Tell whether the entry has seen a newer revision than the agent."""
+        return tables.view is None or tables.view.revision < req.revision
+
+    def _check_boot(self, tables: AgentTables, req: RunRequest) -> None:
+        if req.boot_id and req.boot_id != tables.boot_id:
+            raise RefusedError(ErrorCode.STALE_BOOT, "the agent was restarted", step=STEP)
+        if req.kind is ClassKind.ORDER and not req.boot_id:
+            message = "an order must name the agent's boot"
+            raise RefusedError(ErrorCode.STALE_BOOT, message, step=STEP)
+
+    def _check_room(self, tables: AgentTables) -> None:
+        limiter = tables.limiter
+        if limiter.in_flight >= limiter.limit:
+            message = f"{limiter.in_flight} requests are under way, the limit is {limiter.limit}"
+            raise RefusedError(
+                ErrorCode.UPSTREAM_FULL,
+                message,
+                step=STEP,
+                retry_after_s=limiter.compute_retry_after_s(),
+            )
+
+    def _check_address(self, tables: AgentTables, req: RunRequest) -> None:
+        if req.upstream_id != tables.upstream_id:
+            message = f"this agent serves {tables.upstream_id}"
+            raise RefusedError(ErrorCode.NO_UPSTREAM, message, step=STEP)
+        upstream = tables.view.upstreams.get(tables.upstream_id) if tables.view else None
+        if upstream is not None and upstream.cfg.kind is not req.upstream_kind:
+            message = f"{tables.upstream_id} is of kind {upstream.cfg.kind.value}"
+            raise RefusedError(ErrorCode.NO_UPSTREAM, message, step=STEP)
+
+    def _check_deadline(self, req: RunRequest, now: float) -> None:
+        if now >= req.deadline:
+            raise RefusedError(ErrorCode.DEADLINE_PASSED, "the deadline has passed", step=STEP)
+
+    def _check_closed(self, tables: AgentTables) -> None:
+        state = tables.state
+        if state is UpstreamState.DRAINING:
+            message = "the upstream is leaving"
+            raise RefusedError(ErrorCode.DRAINING, message, step=STEP, retry_after_s=RETRY_AFTER_S)
+        if state is UpstreamState.DOWN:
+            message = "the upstream does not answer"
+            raise RefusedError(
+                ErrorCode.UPSTREAM_DOWN, message, step=STEP, retry_after_s=RETRY_AFTER_S
+            )
+        view = tables.view
+        is_out = view is not None and view.is_domain_out(tables.domain)
+        if is_out or tables.notices.is_domain_out(tables.domain):
+            message = f"failure domain {tables.domain} is out"
+            raise RefusedError(ErrorCode.DOMAIN_OUT, message, step=STEP)
+
+    def _check_request(self, tables: AgentTables, req: RunRequest) -> None:
+        if tables.notices.is_quarantined(req.digest):
+            message = "requests of this digest crash upstreams"
+            raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=STEP)
+        if req.version and tables.notices.is_withdrawn(req.version):
+            message = f"{req.version} was withdrawn"
+            raise RefusedError(ErrorCode.VERSION_WITHDRAWN, message, step=STEP)
+
+    def _check_customer(self, tables: AgentTables, req: RunRequest) -> None:
+        view = tables.view
+        if view is None:
+            raise self._make_stale("the agent has no revision yet")
+        is_behind = self.is_behind(tables, req)
+        if req.customer_id not in view.customers:
+            if is_behind:
+                raise self._make_stale("the agent does not know the customer yet")
+            message = f"customer {req.customer_id} is unknown"
+            raise RefusedError(ErrorCode.FORBIDDEN, message, step=STEP)
+        if req.upstream_kind is UpstreamKind.PLAIN:
+            self._check_service(tables, req)
+        else:
+            self._check_version(tables, req, is_behind)
+
+    def _check_service(self, tables: AgentTables, req: RunRequest) -> None:
+        customer = tables.view.customers[req.customer_id]
+        if tables.upstream_id.partition("/")[0] != customer.member:
+            message = "a plain service is open to its own member's customers"
+            raise RefusedError(ErrorCode.MODEL_NOT_ALLOWED, message, step=STEP)
+
+    def _check_version(self, tables: AgentTables, req: RunRequest, is_behind: bool) -> None:
+        view = tables.view
+        version = VersionRef(req.version)
+        if is_behind and version not in view.versions:
+            raise self._make_stale("the agent does not know the version yet")
+        if view.is_withdrawn(version):
+            message = f"{version} is withdrawn in revision {view.revision}"
+            raise RefusedError(ErrorCode.VERSION_WITHDRAWN, message, step=STEP)
+        if not view.is_allowed(req.customer_id, version):
+            if is_behind:
+                raise self._make_stale("the agent's older revision does not allow the version")
+            message = f"{version} is not allowed in revision {view.revision}"
+            raise RefusedError(ErrorCode.MODEL_NOT_ALLOWED, message, step=STEP)
+        upstream = view.upstreams.get(tables.upstream_id)
+        if upstream is not None and version not in upstream.serves and not is_behind:
+            message = f"{tables.upstream_id} does not serve {version}"
+            raise RefusedError(ErrorCode.NO_UPSTREAM, message, step=STEP)
+
+    @staticmethod
+    def _make_stale(message: str) -> RefusedError:
+        return RefusedError(
+            ErrorCode.STALE_REVISION,
+            message,
+            step=STEP,
+            ran=Ran.NOT_RUN,
+            retry_after_s=RETRY_AFTER_S,
+        )
--- /dev/null
+++ b/crocusvalve/agent/_bills.py
@@ -0,0 +1,140 @@
+"""Bills that the agent holds until an entry has flushed them to the ledger."""
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from crocusvalve.base import AttemptId, CustomerId, RequestId, UpstreamKind, VersionRef
+from crocusvalve.config import DocumentView
+from crocusvalve.rpc import BillRecord, RunRequest, Usage
+
+__all__ = ["BillHolder", "HeldBill", "add_usage", "compute_cost"]
+
+TOKENS_A_PRICE = 1000.0
+#: A step that may be replaced is offered after its successor's bill would have been.
+ESCALATION_FACTOR = 3.0
+
+
+def add_usage(first: Usage, second: Usage) -> Usage:
+    """Return the tokens of two attempts together."""
+    return Usage(
+        first.prompt_tokens + second.prompt_tokens,
+        first.completion_tokens + second.completion_tokens,
+        first.cached_tokens + second.cached_tokens,
+    )
+
+
+def compute_cost(view: DocumentView | None, req: RunRequest, usage: Usage) -> float:
+    """Return the cost of one attempt by the document's prices, in currency units."""
+    if view is None:
+        return 0.0
+    if req.upstream_kind is UpstreamKind.PLAIN:
+        return _price_service(view, req)
+    cfg = view.versions.get(VersionRef(req.version))
+    if cfg is None:
+        return 0.0
+    prompt = usage.prompt_tokens * cfg.prompt_price
+    completion = usage.completion_tokens * cfg.completion_price
+    return (prompt + completion) / TOKENS_A_PRICE
+
+
+def _price_service(view: DocumentView, req: RunRequest) -> float:
+    member, _, local = req.upstream_id.partition("/")
+    section = view.document.members.get(member)
+    services = section.services.values() if section else ()
+    for service in services:
+        if local in service.upstreams or req.upstream_id in service.upstreams:
+            return service.price
+    return 0.0
+
+
+class HeldBill(Struct, frozen=True):
+    """A bill and when it is offered to entries, in Unix seconds."""
+
+    bill: BillRecord
+    offer_at: float
+
+
+class BillHolder:
+    """Bills not yet acknowledged, oldest first.
+
+    A bill is owed once the end of the answer was handed to an entry. Until then it is pending: an
+    answer that nobody fetched is not billed.
+
+    Parameters
+    ----------
+    max_bills : int
+        Bills held; above it the oldest is dropped and counted in ``n_lost``.
+    offer_after_s : float
+        Age in seconds from which a bill is offered to any entry that asks: by then the entry
+        that ran the request should have flushed it.
+    """
+
+    def __init__(self, *, max_bills: int = 100_000, offer_after_s: float = 10.0):
+        self.max_bills = max_bills
+        self.offer_after_s = offer_after_s
+        self.n_lost = 0
+        self._pending: dict[AttemptId, HeldBill] = {}
+        self._owed: dict[RequestId, HeldBill] = {}
+
+    def __len__(self) -> int:
+        return len(self._owed)
+
+    def hold(self, req: RunRequest, usage: Usage, cost: float, now: float) -> BillRecord:
+        """Keep the bill of a request whose attempt ended whole.
+
+        Parameters
+        ----------
+        req : RunRequest
+            The attempt; tells what earlier cascade steps used.
+        usage : Usage
+            Tokens of this attempt.
+        cost : float
+            Cost of this attempt in currency units.
+        now : float
+            Present Unix time in seconds.
+        """
+        bill = BillRecord(
+            request_id=req.request_id,
+            customer_id=CustomerId(req.customer_id),
+            class_name=req.class_name,
+            version=req.version,
+            upstream_id=req.upstream_id,
+            usage=add_usage(req.usage_before, usage),
+            cost=req.cost_before + cost,
+            n_attempts=req.n_attempts,
+            at=now,
+        )
+        offer_at = now + self.offer_after_s
+        if req.may_escalate:
+            offer_at = req.deadline + ESCALATION_FACTOR * self.offer_after_s
+        self._pending[req.attempt_id] = HeldBill(bill, offer_at)
+        self._drop_oldest(self._pending)
+        return bill
+
+    def note_delivered(self, attempt_id: AttemptId) -> None:
+        """Note that an entry took the end of the answer, so that its bill is owed."""
+        held = self._pending.pop(attempt_id, None)
+        if held is None:
+            return
+        known = self._owed.get(held.bill.request_id)
+        if known is None or known.bill.n_attempts < held.bill.n_attempts:
+            self._owed[held.bill.request_id] = held
+            self.n_lost += self._drop_oldest(self._owed)
+
+    def list_due(self, now: float, *, is_draining: bool = False) -> tuple[BillRecord, ...]:
+        """Return the bills to offer; all of them while the agent drains."""
+        return tuple(
+            held.bill for held in self._owed.values() if is_draining or held.offer_at <= now
+        )
+
+    def acknowledge(self, request_ids: Iterable[RequestId]) -> None:
+        """Forget bills that are in the ledger."""
+        for request_id in request_ids:
+            self._owed.pop(request_id, None)
+
+    def _drop_oldest(self, bills: dict) -> int:
+        if len(bills) <= self.max_bills:
+            return 0
+        del bills[next(iter(bills))]
+        return 1
--- /dev/null
+++ b/crocusvalve/agent/_coalesce.py
@@ -0,0 +1,58 @@
+"""Joins tokens into frames: the first at once, then at most one frame for each window."""
+
+from crocusvalve.utils import check_range
+
+__all__ = ["FrameCoalescer"]
+
+WINDOW_S = 0.025
+MAX_FRAME_BYTES = 2048
+
+
+class FrameCoalescer:
+    """Holds back small parts of an answer for a short window.
+
+    Parameters
+    ----------
+    window_s : float
+        Least time between two frames in seconds; a part that comes later goes out at once.
+    max_bytes : int
+        Bytes that go out without waiting for the window.
+    """
+
+    def __init__(self, *, window_s: float = WINDOW_S, max_bytes: int = MAX_FRAME_BYTES):
+        check_range("window_s", window_s, low=0.0)
+        check_range("max_bytes", max_bytes, low=1)
+        self.window_s = window_s
+        self.max_bytes = max_bytes
+        self._parts: list[bytes] = []
+        self._n_bytes = 0
+        self._flushed_at = float("-inf")
+
+    @property
+    def due_at(self) -> float | None:
+        """When the held parts must go out; None where nothing is held."""
+        return self._flushed_at + self.window_s if self._parts else None
+
+    def add(self, data: bytes, now: float) -> bytes | None:
+        """Add a part and return the data of a frame where one is due."""
+        if data:
+            self._parts.append(data)
+            self._n_bytes += len(data)
+        return self.take_due(now)
+
+    def take_due(self, now: float) -> bytes | None:
+        """Return the data of a frame where one is due."""
+        due_at = self.due_at
+        if due_at is None or (now < due_at and self._n_bytes < self.max_bytes):
+            return None
+        return self.take_all(now)
+
+    def take_all(self, now: float) -> bytes | None:
+        """Return whatever is held."""
+        if not self._parts:
+            return None
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._n_bytes = 0
+        self._flushed_at = now
+        return data
--- /dev/null
+++ b/crocusvalve/agent/_http_upstream.py
@@ -0,0 +1,273 @@
+"""Upstreams over HTTP: OpenAI-compatible engines and plain services."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import httpx
+import msgspec
+from msgspec import Struct
+
+from crocusvalve.agent._upstream import (
+    HealthReport,
+    OnData,
+    OnSend,
+    Upstream,
+    UpstreamEnd,
+    UpstreamError,
+)
+from crocusvalve.base import Ran, UpstreamKind, UpstreamState
+from crocusvalve.exceptions import ErrorCode
+from crocusvalve.rpc import RunRequest, Usage
+
+__all__ = ["HttpUpstream", "make_engine_body", "make_http_client"]
+
+CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+MAX_PART_BYTES = 64 * 1024
+SSE_PREFIX = "data:"
+SSE_DONE = "[DONE]"
+SEND_EVENTS = ("send_request_headers.started", "send_request_body.started")
+#: Statuses with which an engine refuses a request before it runs any of it.
+ENGINE_NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422, 429, 503})
+NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class _TokenDetails(Struct, frozen=True):
+    cached_tokens: int = 0
+
+
+class _ChunkUsage(Struct, frozen=True):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _TokenDetails | None = None
+
+
+class _Delta(Struct, frozen=True):
+    content: str | None = None
+
+
+class _Choice(Struct, frozen=True):
+    delta: _Delta = _Delta()
+    finish_reason: str | None = None
+
+
+class _Chunk(Struct, frozen=True):
+    choices: tuple[_Choice, ...] = ()
+    usage: _ChunkUsage | None = None
+    error: Any = None
+
+
+class _Health(Struct, frozen=True):
+    state: str = ""
+    boot_id: str = ""
+    uptime_s: float | None = None
+
+
+_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
+
+
+def make_http_client() -> httpx.AsyncClient:
+    """Make the client of an agent; the attempt's deadline bounds each call as a whole."""
+    timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S)
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=64, keepalive_expiry=2.0)
+    return httpx.AsyncClient(timeout=timeout, limits=limits)
+
+
+class HttpUpstream(Upstream):
+    """An upstream over HTTP; the attempt tells whether it is an engine or a plain service.
+
+    Parameters
+    ----------
+    url : str
+        Base URL.
+    http : httpx.AsyncClient
+        The client.
+    traces_sends : bool
+        Whether the client's transport reports the writing of a request; where it does not,
+        ``on_send`` runs before the transport is called.
+    """
+
+    def __init__(self, url: str, http: httpx.AsyncClient, *, traces_sends: bool = True):
+        self.url = url.rstrip("/")
+        self.http = http
+        self.traces_sends = traces_sends
+
+    async def call(self, req: RunRequest, *, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
+        """Run an attempt."""
+        if req.upstream_kind is UpstreamKind.ENGINE:
+            return await self._call_engine(req, on_send, on_data)
+        return await self._call_service(req, on_send, on_data)
+
+    async def cancel(self, req: RunRequest) -> None:
+        """Post the cancel to an engine; a failure is ignored, as the closed connection tells it.
+
+        Plain services have no cancel beyond the closed connection.
+        """
+        if req.upstream_kind is not UpstreamKind.ENGINE:
+            return
+        try:
+            await self.http.post(
+                f"{self.url}/cancel", json={"id": req.attempt_id}, timeout=PROBE_TIMEOUT_S
+            )
+        except httpx.HTTPError:
+            return
+
+    async def probe(self) -> HealthReport:
+        """Probe ``GET /health``; any answer but 503 tells that the upstream is up."""
+        try:
+            reply = await self.http.get(f"{self.url}/health", timeout=PROBE_TIMEOUT_S)
+        except httpx.HTTPError:
+            return HealthReport(is_up=False)
+        if reply.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+            return HealthReport(is_up=False)
+        try:
+            health = msgspec.json.decode(reply.content, type=_Health)
+            state = UpstreamState(health.state) if health.state else None
+        except (msgspec.DecodeError, ValueError):
+            return HealthReport(is_up=True)
+        is_up = state is not UpstreamState.DOWN
+        return HealthReport(is_up, state, health.boot_id, health.uptime_s)
+
+    @asynccontextmanager
+    async def _send(
+        self, req: RunRequest, body: bytes, headers: dict[str, str], on_send: OnSend
+    ) -> AsyncIterator[httpx.Response]:
+        is_sent = False
+
+        def note_send() -> None:
+            nonlocal is_sent
+            on_send()
+            is_sent = True
+
+        extensions = {"trace": _make_trace(note_send)} if self.traces_sends else {}
+        if not self.traces_sends:
+            note_send()
+        request = self.http.build_request(
+            req.method,
+            self.url + req.path,
+            content=body or None,
+            headers=headers,
+            extensions=extensions,
+        )
+        try:
+            reply = await self.http.send(request, stream=True)
+        except httpx.HTTPError as exc:
+            raise _make_send_error(exc, is_sent) from exc
+        try:
+            yield reply
+        except httpx.HTTPError as exc:
+            message = f"the connection to the upstream was cut: {type(exc).__name__}"
+            raise UpstreamError(
+                ErrorCode.UPSTREAM_FAILED, message, ran=Ran.UNKNOWN, is_cut=True
+            ) from exc
+        finally:
+            await reply.aclose()
+
+    async def _call_engine(self, req: RunRequest, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
+        headers = {"Content-Type": "application/json", "X-Request-Id": req.attempt_id}
+        body = make_engine_body(req)
+        async with self._send(req, body, headers, on_send) as reply:
+            if reply.status_code != httpx.codes.OK:
+                raise _make_status_error(reply)
+            return await _read_events(reply, on_data)
+
+    async def _call_service(self, req: RunRequest, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
+        headers = {"X-Request-Id": req.attempt_id}
+        if req.body:
+            headers["Content-Type"] = req.content_type
+        if req.idempotency_key:
+            headers["Idempotency-Key"] = req.idempotency_key
+        async with self._send(req, req.body, headers, on_send) as reply:
+            if reply.is_server_error:
+                # A status of 500 or above does not prove that the call had no effect.
+                message = f"the service answered with status {reply.status_code}"
+                raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.UNKNOWN)
+            async for data in reply.aiter_bytes(MAX_PART_BYTES):
+                await on_data(data)
+            content_type = reply.headers.get("content-type", "application/octet-stream")
+            return UpstreamEnd(Usage(), "stop", reply.status_code, content_type)
+
+
+def make_engine_body(req: RunRequest) -> bytes:
+    """Set the checked version, streaming and priority in a caller's body."""
+    try:
+        body = msgspec.json.decode(req.body, type=dict[str, Any])
+    except msgspec.DecodeError as exc:
+        message = "the body is no JSON object"
+        raise UpstreamError(ErrorCode.BAD_JSON, message, ran=Ran.NOT_RUN) from exc
+    body["model"] = req.version
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    body["priority"] = int(req.priority)
+    return msgspec.json.encode(body)
+
+
+def _make_trace(note_send: Callable[[], None]) -> Callable[[str, dict], Awaitable[None]]:
+    async def trace(event: str, info: dict) -> None:
+        if event.endswith(SEND_EVENTS):
+            note_send()
+
+    return trace
+
+
+def _make_send_error(exc: httpx.HTTPError, is_sent: bool) -> UpstreamError:
+    if isinstance(exc, NOT_SENT_ERRORS) and not is_sent:
+        message = f"no connection to the upstream: {type(exc).__name__}"
+        return UpstreamError(ErrorCode.UPSTREAM_DOWN, message, ran=Ran.NOT_RUN, retry_after_s=1.0)
+    message = f"the connection to the upstream was cut: {type(exc).__name__}"
+    ran = Ran.UNKNOWN if is_sent else Ran.NOT_RUN
+    return UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ran, is_cut=is_sent)
+
+
+def _make_status_error(reply: httpx.Response) -> UpstreamError:
+    status = reply.status_code
+    message = f"the engine answered with status {status}"
+    if status not in ENGINE_NOT_RUN_STATUSES:
+        return UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.UNKNOWN)
+    if status == httpx.codes.TOO_MANY_REQUESTS:
+        return UpstreamError(ErrorCode.UPSTREAM_FULL, message, ran=Ran.NOT_RUN, retry_after_s=1.0)
+    if status == httpx.codes.SERVICE_UNAVAILABLE:
+        return UpstreamError(ErrorCode.UPSTREAM_DOWN, message, ran=Ran.NOT_RUN, retry_after_s=1.0)
+    if status == httpx.codes.NOT_FOUND:
+        return UpstreamError(ErrorCode.NO_UPSTREAM, message, ran=Ran.NOT_RUN)
+    return UpstreamError(ErrorCode.BAD_REQUEST, message, ran=Ran.NOT_RUN)
+
+
+async def _read_events(reply: httpx.Response, on_data: OnData) -> UpstreamEnd:
+    usage, finish_reason = Usage(), ""
+    async for line in reply.aiter_lines():
+        if not line.startswith(SSE_PREFIX):
+            continue
+        data = line[len(SSE_PREFIX) :].strip()
+        if data == SSE_DONE:
+            if finish_reason:
+                return UpstreamEnd(usage, finish_reason)
+            break
+        chunk = _decode_chunk(data)
+        if chunk.usage is not None:
+            usage = _make_usage(chunk.usage)
+        for choice in chunk.choices[:1]:
+            finish_reason = choice.finish_reason or finish_reason
+            if choice.delta.content:
+                await on_data(choice.delta.content.encode())
+    message = "the engine's stream ended before its end mark"
+    raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN, is_cut=True)
+
+
+def _decode_chunk(data: str) -> _Chunk:
+    try:
+        chunk = _CHUNK_DECODER.decode(data)
+    except msgspec.DecodeError as exc:
+        message = "the engine sent a damaged chunk"
+        raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN) from exc
+    if chunk.error is not None:
+        message = "the engine reported an error in its stream"
+        raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN)
+    return chunk
+
+
+def _make_usage(usage: _ChunkUsage) -> Usage:
+    details = usage.prompt_tokens_details
+    cached = details.cached_tokens if details else 0
+    return Usage(usage.prompt_tokens, usage.completion_tokens, cached)
--- /dev/null
+++ b/crocusvalve/agent/_process.py
@@ -0,0 +1,179 @@
+"""Process of an agent: serves, follows the configuration of the entries, drains on SIGTERM."""
+
+import logging
+import random
+import ssl
+from typing import Any
+
+import trio
+import trio_asyncio
+
+from crocusvalve.agent._http_upstream import HttpUpstream, make_http_client
+from crocusvalve.agent._service import Agent, RevisionKeeper
+from crocusvalve.base import DomainId, NodeId, Revision, UpstreamId
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.rpc import ConfigAck, PeerClient, serve_rpc
+from crocusvalve.utils import MonotonicClock
+
+__all__ = ["EntryFollower", "run_agent", "serve_agent"]
+
+logger = logging.getLogger(__name__)
+
+PULL_PERIOD_S = 2.0
+PULL_RETRY_S = 0.2
+DRAIN_S = 30.0
+
+
+class EntryFollower:
+    """Pulls revisions from the entries, as a safety net under their pushes.
+
+    Parameters
+    ----------
+    keeper : RevisionKeeper
+        Where revisions go.
+    addresses : tuple of str
+        Internal addresses of entries.
+    token : str
+        Internal key.
+    tls : ssl.SSLContext or None
+        Client context.
+    random_state : int or None
+        Seed of the order in which entries are asked.
+    """
+
+    def __init__(
+        self,
+        keeper: RevisionKeeper,
+        addresses: tuple[str, ...],
+        *,
+        token: str = "",
+        tls: ssl.SSLContext | None = None,
+        random_state: int | None = None,
+    ):
+        self.keeper = keeper
+        self.addresses = addresses
+        self.token = token
+        self.tls = tls
+        self._rng = random.Random(random_state)
+        self._clients: dict[str, PeerClient] = {}
+
+    @property
+    def revision(self) -> Revision:
+        """Revision in force."""
+        return self.keeper.view.revision if self.keeper.view else Revision(0)
+
+    async def pull(self, revision: Revision) -> bool:
+        """Ask entries in random order until one has a revision of at least a number."""
+        addresses = list(self.addresses)
+        self._rng.shuffle(addresses)
+        for address in addresses:
+            try:
+                await self._pull_from(address)
+            except CrocusvalveError as exc:
+                logger.info("no revision from entry %s: %s", address, exc)
+                continue
+            if self.keeper.view is not None and self.revision >= revision:
+                return True
+        return False
+
+    async def follow(self, agent: Agent) -> None:
+        """Pull for ever; often until the first revision is there."""
+        while True:
+            await self.pull(self.revision)
+            agent.apply_view()
+            has_view = self.keeper.view is not None
+            await trio.sleep(PULL_PERIOD_S if has_view else PULL_RETRY_S)
+
+    def close(self) -> None:
+        """Close the connections."""
+        for client in self._clients.values():
+            client.close()
+
+    async def _pull_from(self, address: str) -> None:
+        client = self._clients.get(address)
+        if client is None:
+            client = PeerClient(address, token=self.token, tls=self.tls)
+            self._clients[address] = client
+        ack = ConfigAck(self.revision, need_full=self.revision == 0)
+        push = await client.pull_config(ack)
+        if push.revision > self.revision and self.keeper.take_push(push).need_full:
+            full = await client.pull_config(ConfigAck(Revision(0), need_full=True))
+            self.keeper.take_push(full)
+
+
+async def serve_agent(
+    agent: Agent,
+    host: str,
+    port: int,
+    *,
+    token: str = "",
+    tls: ssl.SSLContext | None = None,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an agent until cancelled; must run inside ``trio_asyncio.open_loop()``.
+
+    Started with the port in use, after the first probe of the upstream.
+    """
+    async with trio.open_nursery() as nursery:
+        await nursery.start(agent.run_tasks)
+        served = await nursery.start(
+            lambda task_status: serve_rpc(
+                agent, host, port, token=token, tls=tls, task_status=task_status
+            )
+        )
+        task_status.started(served)
+
+
+async def run_agent(
+    settings: Any,
+    keeper: RevisionKeeper,
+    *,
+    server_tls: ssl.SSLContext | None = None,
+    client_tls: ssl.SSLContext | None = None,
+    stop: trio.Event | None = None,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an agent until it is told to stop, then drain it.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Settings of the process.
+    keeper : RevisionKeeper
+        Holds the newest revision.
+    server_tls, client_tls : ssl.SSLContext or None
+        Contexts of the internal connections.
+    stop : trio.Event or None
+        Set by whoever handles the signals.
+    task_status : trio.TaskStatus
+        Started with the agent and the port in use.
+    """
+    stop = stop or trio.Event()
+    follower = EntryFollower(keeper, settings.entries, token=settings.internal_key, tls=client_tls)
+    async with trio_asyncio.open_loop(), make_http_client() as http:
+        agent = Agent(
+            node_id=NodeId(settings.node_id),
+            upstream_id=UpstreamId(settings.upstream_id),
+            domain=DomainId(settings.domain),
+            upstream=HttpUpstream(settings.upstream_url, http),
+            keeper=keeper,
+            clock=MonotonicClock(),
+            learn_revision=follower.pull,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.follow, agent)
+            port = await nursery.start(
+                lambda task_status: serve_agent(
+                    agent,
+                    settings.rpc.host,
+                    settings.rpc.port,
+                    token=settings.internal_key,
+                    tls=server_tls,
+                    task_status=task_status,
+                )
+            )
+            task_status.started((agent, port))
+            await stop.wait()
+            await agent.drain(settings.drain_s)
+            nursery.cancel_scope.cancel()
+        follower.close()
--- /dev/null
+++ b/crocusvalve/agent/_runner.py
@@ -0,0 +1,241 @@
+"""Runs one attempt: calls the upstream, fills the answer buffer and records the end."""
+
+import logging
+from collections.abc import Callable
+
+import trio
+
+from crocusvalve.agent._admission import AdmissionSystem, make_refused
+from crocusvalve.agent._bills import compute_cost
+from crocusvalve.agent._coalesce import FrameCoalescer
+from crocusvalve.agent._tables import AgentTables, RunRow
+from crocusvalve.agent._upstream import Upstream, UpstreamEnd, UpstreamError
+from crocusvalve.answers import AnswerBuffer
+from crocusvalve.base import AttemptState, ClassKind, Ran
+from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.utils import Clock
+
+__all__ = ["AttemptRunner"]
+
+logger = logging.getLogger(__name__)
+
+ORDER_GRACE_S = 60.0
+CANCEL_TIMEOUT_S = 1.0
+
+
+class AttemptRunner:
+    """Carries one admitted attempt to its end.
+
+    Parameters
+    ----------
+    tables : AgentTables
+        Tables of the agent.
+    row : RunRow
+        The attempt; its place in the limit is taken.
+    buffer : AnswerBuffer
+        Where the frames go.
+    upstream : Upstream
+        The upstream.
+    clock : Clock
+        Source of the present time.
+    wake : callable
+        Called after each change of the buffer.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: AgentTables,
+        row: RunRow,
+        buffer: AnswerBuffer,
+        upstream: Upstream,
+        clock: Clock,
+        wake: Callable[[], None],
+    ):
+        self.tables = tables
+        self.row = row
+        self.buffer = buffer
+        self.upstream = upstream
+        self.clock = clock
+        self.wake = wake
+        self.scope = trio.CancelScope()
+        self._admission = AdmissionSystem()
+        self._coalescer = FrameCoalescer()
+        self._has_data = trio.Event()
+        self._has_room = trio.Event()
+
+    @property
+    def is_order(self) -> bool:
+        """Whether the attempt may run once only, so that its outcome is worth waiting for."""
+        return self.row.req.kind is ClassKind.ORDER
+
+    def cancel(self) -> None:
+        """Stop the attempt; an order that was sent is left to end, so that its outcome is known."""
+        self.row.is_cancelled = True
+        if not (self.is_order and self.row.ran is not Ran.NOT_RUN):
+            self.scope.cancel()
+
+    def note_read(self) -> None:
+        """Wake the writer after a reader has taken frames."""
+        self._has_room.set()
+
+    async def run(self) -> None:
+        """Run the attempt to its end, whatever it is; only a cancellation from outside raises."""
+        req = self.row.req
+        limit_s = req.deadline - self.clock.now() + (ORDER_GRACE_S if self.is_order else 0.0)
+        self.scope.deadline = trio.current_time() + max(0.0, limit_s)
+        outcome: UpstreamEnd | RefusedError | None = None
+        with self.scope:
+            outcome = await self._call()
+        if outcome is None:
+            await self._cancel_upstream()
+            outcome = self._make_stopped()
+        if isinstance(outcome, UpstreamEnd):
+            self._finish(outcome)
+        else:
+            await self._fail(outcome)
+
+    async def _call(self) -> UpstreamEnd | RefusedError:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._flush_windows)
+            outcome = await self._call_upstream()
+            nursery.cancel_scope.cancel()
+        return outcome
+
+    async def _call_upstream(self) -> UpstreamEnd | RefusedError:
+        try:
+            return await self.upstream.call(
+                self.row.req, on_send=self._begin, on_data=self._take_data
+            )
+        except RefusedError as exc:
+            return exc
+        except Exception as exc:
+            logger.exception("attempt %s failed inside the agent", self.row.req.attempt_id)
+            return RefusedError(
+                ErrorCode.INTERNAL,
+                f"{type(exc).__name__} in the agent",
+                step="run",
+                ran=self.row.ran,
+            )
+
+    async def _cancel_upstream(self) -> None:
+        if self.row.ran is Ran.NOT_RUN:
+            return
+        with trio.move_on_after(CANCEL_TIMEOUT_S):
+            await self.upstream.cancel(self.row.req)
+
+    def _begin(self) -> None:
+        now = self.clock.now()
+        if self.row.ran is not Ran.NOT_RUN:
+            self._check_late(now)
+            return
+        self._admission.check(self.tables, self.row.req, now)
+        self.tables.guard.begin(self.row.req.attempt_id, now)
+        self.row.ran = Ran.UNKNOWN
+        self.row.begun_at = now
+        self.row.engine_boot = self.tables.health.engine_boot
+
+    def _check_late(self, now: float) -> None:
+        if now >= self.row.req.deadline:
+            message = "the deadline passed while the request was written"
+            raise RefusedError(ErrorCode.DEADLINE_PASSED, message, step="send", ran=Ran.UNKNOWN)
+
+    async def _take_data(self, data: bytes) -> None:
+        self.row.ran = Ran.RAN
+        self._append(self._coalescer.add(data, self.clock.now()))
+        self._has_data.set()
+        while self.buffer.is_full:
+            self._has_room = trio.Event()
+            await self._has_room.wait()
+
+    async def _flush_windows(self) -> None:
+        while True:
+            await self._has_data.wait()
+            self._has_data = trio.Event()
+            while (due_at := self._coalescer.due_at) is not None:
+                await trio.sleep(max(0.0, due_at - self.clock.now()))
+                self._append(self._coalescer.take_due(self.clock.now()))
+
+    def _append(self, data: bytes | None) -> None:
+        if data is not None:
+            self.buffer.append(data)
+            self.wake()
+
+    def _finish(self, end: UpstreamEnd) -> None:
+        now = self.clock.now()
+        req = self.row.req
+        self._append(self._coalescer.take_all(now))
+        service_s = now - self.row.begun_at
+        self.tables.guard.end(req.attempt_id, AttemptState.DONE, Ran.RAN)
+        self.tables.limiter.finish(
+            now,
+            generation=self.row.generation,
+            service_s=service_s,
+            n_tokens=end.usage.completion_tokens,
+            is_success=True,
+        )
+        cost = compute_cost(self.tables.view, req, end.usage)
+        self.tables.bills.hold(req, end.usage, cost, now)
+        self.buffer.finish(
+            now,
+            usage=end.usage,
+            finish_reason=end.finish_reason,
+            service_s=service_s,
+            status=end.status,
+            content_type=end.content_type,
+        )
+        self.wake()
+
+    async def _fail(self, exc: RefusedError) -> None:
+        req = self.row.req
+        crashed = await self._is_crashed(exc)
+        now = self.clock.now()
+        ran = exc.ran if exc.ran is Ran.NOT_RUN else self._merge_ran(exc.ran)
+        state = AttemptState.CANCELLED if self.row.is_cancelled else AttemptState.FAILED
+        self.tables.guard.end(req.attempt_id, state, ran)
+        self._note_limiter(exc, now)
+        refused = make_refused(
+            req.attempt_id, exc, peer=self.tables.upstream_id, ran=ran, crashed=crashed
+        )
+        self.buffer.fail(refused, now)
+        self.wake()
+
+    def _merge_ran(self, ran: Ran) -> Ran:
+        return Ran.RAN if Ran.RAN in (ran, self.row.ran) else Ran.UNKNOWN
+
+    def _note_limiter(self, exc: RefusedError, now: float) -> None:
+        limiter = self.tables.limiter
+        is_upstream_fault = isinstance(exc, UpstreamError) and exc.code in (
+            ErrorCode.UPSTREAM_FAILED,
+            ErrorCode.UPSTREAM_DOWN,
+            ErrorCode.UPSTREAM_FULL,
+        )
+        if not is_upstream_fault:
+            limiter.abandon()
+            return
+        limiter.finish(
+            now,
+            generation=self.row.generation,
+            service_s=max(0.0, now - (self.row.begun_at or now)),
+            n_tokens=0,
+            is_success=False,
+        )
+        if exc.code is ErrorCode.UPSTREAM_DOWN:
+            self.tables.note_down()
+
+    async def _is_crashed(self, exc: RefusedError) -> bool:
+        if not isinstance(exc, UpstreamError) or not exc.is_cut:
+            return False
+        report = await self.upstream.probe()
+        if not report.is_up:
+            self.tables.note_down()
+            return True
+        self.tables.note_health(report, self.clock.now())
+        return bool(report.engine_boot) and report.engine_boot != self.row.engine_boot
+
+    def _make_stopped(self) -> RefusedError:
+        ran = self.row.ran
+        if self.row.is_cancelled:
+            return RefusedError(ErrorCode.FENCED, "the attempt was cancelled", step="run", ran=ran)
+        message = "the deadline passed while the attempt ran"
+        return RefusedError(ErrorCode.DEADLINE_PASSED, message, step="run", ran=ran)
--- /dev/null
+++ b/crocusvalve/agent/_service.py
@@ -0,0 +1,370 @@
+"""The agent: the only door to its upstream."""
+
+import logging
+import secrets
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Protocol
+
+import trio
+
+from crocusvalve.agent._admission import AdmissionSystem, make_refused
+from crocusvalve.agent._runner import AttemptRunner
+from crocusvalve.agent._tables import AgentTables
+from crocusvalve.agent._upstream import Upstream
+from crocusvalve.answers import AnswerStore
+from crocusvalve.base import (
+    AttemptId,
+    AttemptState,
+    BootId,
+    DomainId,
+    NodeId,
+    Ran,
+    Revision,
+    UpstreamId,
+)
+from crocusvalve.config import DocumentView
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
+from crocusvalve.rpc import (
+    AgentService,
+    BillsAck,
+    BillsReply,
+    CancelRequest,
+    ConfigAck,
+    ConfigPush,
+    Empty,
+    FenceReply,
+    FenceRequest,
+    Final,
+    Frame,
+    LoadReport,
+    Notice,
+    NoticeAck,
+    Refused,
+    ResumeRequest,
+    RunEvent,
+    RunRequest,
+)
+from crocusvalve.utils import Clock
+
+__all__ = ["Agent", "RevisionKeeper"]
+
+logger = logging.getLogger(__name__)
+
+PROBE_PERIOD_S = 0.25
+EXPIRY_PERIOD_S = 1.0
+DRAIN_POLL_S = 0.05
+LEARN_TIMEOUT_S = 0.5
+
+#: Pulls a revision of at least a number from the entries into the agent's keeper.
+LearnRevision = Callable[[Revision], Awaitable[bool]]
+
+
+class RevisionKeeper(Protocol):
+    """The newest revision in a process; ``control.ConfigKeeper`` has this shape."""
+
+    view: DocumentView | None
+
+    def take_push(self, push: ConfigPush) -> ConfigAck:
+        """Take a revision; an older one is ignored."""
+
+    def make_push(self, have: Revision) -> ConfigPush:
+        """Return the newest revision for a process that has an older one."""
+
+
+async def _learn_nothing(revision: Revision) -> bool:
+    """Stand in where no entry can be asked."""
+    return False
+
+
+class Agent(AgentService):
+    """Checks, runs and remembers the attempts of one upstream.
+
+    ``run_tasks`` must be running while the agent serves.
+
+    Parameters
+    ----------
+    node_id, upstream_id, domain : str
+        The agent, its upstream and its failure domain.
+    upstream : Upstream
+        The upstream.
+    keeper : RevisionKeeper
+        The newest revision.
+    clock : Clock
+        Source of the present time.
+    learn_revision : callable
+        Pulls a newer revision from the entries.
+    boot_id : BootId or None
+        Identity of this run; None makes a random one.
+    probe_period_s : float
+        Seconds between health probes of the upstream.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: NodeId,
+        upstream_id: UpstreamId,
+        domain: DomainId,
+        upstream: Upstream,
+        keeper: RevisionKeeper,
+        clock: Clock,
+        learn_revision: LearnRevision = _learn_nothing,
+        boot_id: BootId | None = None,
+        probe_period_s: float = PROBE_PERIOD_S,
+    ):
+        self.upstream = upstream
+        self.keeper = keeper
+        self.clock = clock
+        self.learn_revision = learn_revision
+        self.probe_period_s = probe_period_s
+        self.tables = AgentTables(
+            node_id=node_id,
+            upstream_id=upstream_id,
+            domain=domain,
+            boot_id=boot_id or BootId(secrets.token_hex(8)),
+        )
+        self.answers = AnswerStore()
+        self._admission = AdmissionSystem()
+        self._runners: dict[AttemptId, AttemptRunner] = {}
+        self._changed: dict[AttemptId, trio.Event] = {}
+        self._nursery: trio.Nursery | None = None
+        self._idle = trio.Event()
+        self.apply_view()
+
+    async def run_tasks(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Run the attempts, probes and expiry until cancelled; started after the first probe."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await self._probe_once()
+            nursery.start_soon(self._probe_forever)
+            nursery.start_soon(self._expire_forever)
+            task_status.started()
+
+    async def run(self, req: RunRequest) -> AsyncIterator[RunEvent]:
+        """Run an attempt, or attach to it where it was started before."""
+        if self.answers.get(req.attempt_id) is None:
+            refused = await self._admit(req)
+            if refused is not None:
+                yield refused
+                return
+        async for event in self._follow(req.attempt_id, 0):
+            yield event
+
+    async def resume(self, req: ResumeRequest) -> AsyncIterator[RunEvent]:
+        """Yield the frames of a known attempt from a sequence number on, then its end."""
+        async for event in self._follow(req.attempt_id, req.from_seq):
+            yield event
+
+    async def cancel(self, req: CancelRequest) -> Empty:
+        """Cancel an attempt and the call to the upstream."""
+        runner = self._runners.get(req.attempt_id)
+        if runner is not None:
+            runner.cancel()
+        return Empty()
+
+    async def fence(self, req: FenceRequest) -> FenceReply:
+        """Forbid an attempt that was not begun; tell what is known of it."""
+        guard = self.tables.guard
+        ran = guard.fence(req.attempt_id, boot_id=req.boot_id, now=self.clock.now())
+        return FenceReply(req.attempt_id, ran, self.tables.boot_id)
+
+    async def report(self, req: Empty) -> LoadReport:
+        """Return the present load."""
+        tables = self.tables
+        view = tables.view
+        upstream = view.upstreams.get(tables.upstream_id) if view else None
+        return LoadReport(
+            upstream_id=tables.upstream_id,
+            boot_id=tables.boot_id,
+            state=tables.state,
+            in_flight=tables.limiter.in_flight,
+            limit=tables.limiter.limit,
+            queued=0,
+            ewma_service_s=tables.limiter.ewma_service_s,
+            revision=view.revision if view else Revision(0),
+            at=self.clock.now(),
+            serves=upstream.serves if upstream else (),
+        )
+
+    async def push_config(self, req: ConfigPush) -> ConfigAck:
+        """Take a revision; an older one is ignored and the newer number is returned."""
+        ack = self.keeper.take_push(req)
+        self.apply_view()
+        return ack
+
+    async def pull_config(self, req: ConfigAck) -> ConfigPush:
+        """Return the newest revision known."""
+        return self.keeper.make_push(req.revision)
+
+    async def notify(self, req: Notice) -> NoticeAck:
+        """Take a notice."""
+        return NoticeAck(self.tables.notices.take(req))
+
+    async def list_bills(self, req: Empty) -> BillsReply:
+        """Return the bills that should have been acknowledged by now."""
+        tables = self.tables
+        return BillsReply(tables.bills.list_due(self.clock.now(), is_draining=tables.is_draining))
+
+    async def acknowledge_bills(self, req: BillsAck) -> Empty:
+        """Forget bills that are in the ledger."""
+        self.tables.bills.acknowledge(req.request_ids)
+        return Empty()
+
+    async def drain(self, limit_s: float) -> bool:
+        """Refuse new work, finish what runs and hand over the bills.
+
+        Parameters
+        ----------
+        limit_s : float
+            Longest time in seconds; what still runs then is cancelled.
+
+        Returns
+        -------
+        bool
+            Whether all work was finished and all bills were handed over.
+        """
+        self.tables.is_draining = True
+        with trio.move_on_after(limit_s):
+            while self._runners:
+                await self._idle.wait()
+            while len(self.tables.bills):
+                await trio.sleep(DRAIN_POLL_S)
+        is_done = not self._runners and not len(self.tables.bills)
+        if not is_done:
+            logger.warning(
+                "stopped with %d attempts and %d bills left",
+                len(self._runners),
+                len(self.tables.bills),
+            )
+        return is_done
+
+    async def _admit(self, req: RunRequest) -> Refused | None:
+        try:
+            await self._learn_if_behind(req)
+            if self.answers.get(req.attempt_id) is None:
+                self._start(req)
+        except RefusedError as exc:
+            return self._admission.refuse(self.tables, req, exc, self.clock.now())
+        return None
+
+    async def _learn_if_behind(self, req: RunRequest) -> None:
+        if not self._admission.is_behind(self.tables, req):
+            return
+        try:
+            self._admission.check(self.tables, req, self.clock.now())
+        except RefusedError as exc:
+            if exc.code is ErrorCode.STALE_REVISION:
+                await self._learn(req)
+
+    async def _learn(self, req: RunRequest) -> None:
+        with trio.move_on_after(LEARN_TIMEOUT_S):
+            try:
+                await self.learn_revision(req.revision)
+            except CrocusvalveError as exc:
+                logger.info("no newer revision: %s", exc)
+        self.apply_view()
+
+    def _start(self, req: RunRequest) -> None:
+        """Admit and start an attempt without a checkpoint in between."""
+        if self._nursery is None:
+            raise RefusedError(ErrorCode.NOT_READY, "the agent is starting", step="agent")
+        now = self.clock.now()
+        row = self._admission.admit(self.tables, req, now)
+        buffer = self.answers.open(req.attempt_id)
+        self._changed[req.attempt_id] = trio.Event()
+        runner = AttemptRunner(
+            tables=self.tables,
+            row=row,
+            buffer=buffer,
+            upstream=self.upstream,
+            clock=self.clock,
+            wake=lambda: self._wake(req.attempt_id),
+        )
+        self._runners[req.attempt_id] = runner
+        self._nursery.start_soon(self._run_attempt, runner)
+
+    async def _run_attempt(self, runner: AttemptRunner) -> None:
+        attempt_id = runner.row.req.attempt_id
+        try:
+            await runner.run()
+        finally:
+            del self._runners[attempt_id]
+            del self.tables.runs[attempt_id]
+            if not self._runners:
+                self._idle.set()
+                self._idle = trio.Event()
+
+    async def _follow(self, attempt_id: AttemptId, from_seq: int) -> AsyncIterator[RunEvent]:
+        seq = from_seq
+        while True:
+            buffer = self.answers.get(attempt_id)
+            if buffer is None:
+                yield self._make_unknown(attempt_id)
+                return
+            changed = self._changed.get(attempt_id)
+            try:
+                events = buffer.read(seq)
+            except CrocusvalveError as exc:
+                yield self._make_damaged(attempt_id, exc)
+                return
+            for event in events:
+                yield event
+                if not isinstance(event, Frame):
+                    self._note_end_read(event)
+                    return
+                seq = event.seq + 1
+                buffer.note_delivered(seq)
+            runner = self._runners.get(attempt_id)
+            if runner is not None:
+                runner.note_read()
+            if changed is not None:
+                await changed.wait()
+
+    def _note_end_read(self, event: RunEvent) -> None:
+        if isinstance(event, Final):
+            self.tables.bills.note_delivered(event.attempt_id)
+
+    def _make_unknown(self, attempt_id: AttemptId) -> Refused:
+        row = self.tables.guard.get(attempt_id)
+        ran = row.ran if row is not None and row.state is not AttemptState.STARTING else Ran.UNKNOWN
+        message = "the agent holds no answer of this attempt"
+        exc = RefusedError(ErrorCode.UNKNOWN_REQUEST, message, step="resume", ran=ran)
+        return make_refused(attempt_id, exc, peer=self.tables.upstream_id)
+
+    def _make_damaged(self, attempt_id: AttemptId, exc: CrocusvalveError) -> Refused:
+        row = self.tables.guard.get(attempt_id)
+        ran = row.ran if row is not None else Ran.UNKNOWN
+        refused = RefusedError(exc.code, exc.message, step="resume", ran=ran)
+        return make_refused(attempt_id, refused, peer=self.tables.upstream_id)
+
+    def _wake(self, attempt_id: AttemptId) -> None:
+        event = self._changed[attempt_id]
+        self._changed[attempt_id] = trio.Event()
+        event.set()
+
+    def apply_view(self) -> None:
+        """Put the keeper's newest revision in force."""
+        if self.keeper.view is not None:
+            self.tables.apply_view(self.keeper.view)
+
+    async def _probe_once(self) -> None:
+        report = await self.upstream.probe()
+        self.tables.note_health(report, self.clock.now())
+
+    async def _probe_forever(self) -> None:
+        while True:
+            await trio.sleep(self.probe_period_s)
+            await self._probe_once()
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await trio.sleep(EXPIRY_PERIOD_S)
+            self.expire(self.clock.now())
+
+    def expire(self, now: float) -> None:
+        """Forget what is too old to be asked for."""
+        self.answers.expire(now)
+        self.tables.guard.expire(now)
+        for attempt_id in list(self._changed):
+            if self.answers.get(attempt_id) is None:
+                del self._changed[attempt_id]
--- /dev/null
+++ b/crocusvalve/agent/_tables.py
@@ -0,0 +1,102 @@
+"""The tables of an agent."""
+
+from msgspec import Struct
+
+from crocusvalve.agent._bills import BillHolder
+from crocusvalve.agent._notices import NoticeBoard
+from crocusvalve.agent._upstream import HealthReport
+from crocusvalve.base import AttemptId, BootId, DomainId, NodeId, Ran, UpstreamId, UpstreamState
+from crocusvalve.config import DocumentView
+from crocusvalve.limits._warmup import WarmupLimiter
+from crocusvalve.orders import OrderGuard
+from crocusvalve.rpc import RunRequest
+
+__all__ = ["AgentTables", "HealthRow", "RunRow"]
+
+DEFAULT_COLD_LIMIT = 2
+DEFAULT_WARM_LIMIT = 16
+
+
+class HealthRow(Struct):
+    """What the last probe of the upstream told; ``uptime_s`` in seconds."""
+
+    state: UpstreamState = UpstreamState.COLD
+    engine_boot: str = ""
+    uptime_s: float = 0.0
+    probed_at: float = 0.0
+
+
+class RunRow(Struct):
+    """An attempt under way; ``generation`` is that of the limiter at its start."""
+
+    req: RunRequest
+    admitted_at: float
+    generation: int = 0
+    engine_boot: str = ""
+    begun_at: float = 0.0
+    is_cancelled: bool = False
+    ran: Ran = Ran.NOT_RUN
+
+
+class AgentTables:
+    """All rows of one agent.
+
+    Parameters
+    ----------
+    node_id, upstream_id, domain, boot_id : str
+        The agent, its upstream, its failure domain and this run of it.
+    """
+
+    def __init__(
+        self, *, node_id: NodeId, upstream_id: UpstreamId, domain: DomainId, boot_id: BootId
+    ):
+        self.node_id = node_id
+        self.upstream_id = upstream_id
+        self.domain = domain
+        self.boot_id = boot_id
+        self.view: DocumentView | None = None
+        self.guard = OrderGuard(boot_id=boot_id)
+        self.limiter = WarmupLimiter(cold_limit=DEFAULT_COLD_LIMIT, warm_limit=DEFAULT_WARM_LIMIT)
+        self.notices = NoticeBoard()
+        self.bills = BillHolder()
+        self.health = HealthRow()
+        self.runs: dict[AttemptId, RunRow] = {}
+        self.is_draining = False
+
+    def apply_view(self, view: DocumentView) -> None:
+        """Put a revision in force; an older one than the present is ignored."""
+        if self.view is not None and view.revision < self.view.revision:
+            return
+        self.view = view
+        upstream = view.upstreams.get(self.upstream_id)
+        if upstream is not None:
+            self.limiter.set_bounds(upstream.cfg.cold_limit, upstream.cfg.warm_limit)
+            self.domain = upstream.domain
+
+    def note_health(self, report: HealthReport, now: float) -> None:
+        """Take the answer to a health probe."""
+        self.health.probed_at = now
+        if not report.is_up:
+            self.note_down()
+            return
+        self.health.state = report.state or UpstreamState.WARM
+        self.health.engine_boot = report.engine_boot
+        self.health.uptime_s = report.uptime_s or 0.0
+        self.limiter.note_health(
+            state=report.state, engine_boot=report.engine_boot, uptime_s=report.uptime_s
+        )
+
+    def note_down(self) -> None:
+        """Note that the upstream does not answer; it is cold when it comes back."""
+        if self.health.state is not UpstreamState.DOWN:
+            self.limiter.note_cold()
+        self.health.state = UpstreamState.DOWN
+
+    @property
+    def state(self) -> UpstreamState:
+        """State to report to entries."""
+        if self.is_draining or self.notices.is_leaving(self.upstream_id, self.node_id):
+            return UpstreamState.DRAINING
+        if self.health.state is UpstreamState.DOWN:
+            return UpstreamState.DOWN
+        return self.limiter.state
--- /dev/null
+++ b/crocusvalve/orders/_guard.py
@@ -0,0 +1,195 @@
+"""Agent side of at most once: what this run of the agent knows of each attempt."""
+
+from collections import OrderedDict
+
+from msgspec import Struct
+
+from crocusvalve.base import AttemptId, AttemptState, BootId, Ran
+from crocusvalve.exceptions import ErrorCode, InvariantError, RefusedError
+from crocusvalve.utils import check_range
+
+__all__ = ["MAX_DEADLINE_S", "GuardRow", "OrderGuard"]
+
+#: Longest time from the making of an attempt to its deadline; entries cap deadlines to it.
+MAX_DEADLINE_S = 86_400.0
+CLOCK_MARGIN_S = 60.0
+STEP = "guard"
+ENDED = (AttemptState.DONE, AttemptState.FAILED, AttemptState.CANCELLED, AttemptState.FENCED)
+
+
+class GuardRow(Struct):
+    """An attempt; ``forget_at`` is when no copy of it could be admitted any more."""
+
+    attempt_id: AttemptId
+    state: AttemptState
+    ran: Ran
+    deadline: float
+    forget_at: float
+
+
+class OrderGuard:
+    """Starts each attempt at most once in one run of an agent.
+
+    An attempt is admitted, then begun right before the call to the upstream, then ended. A fence
+    turns an attempt that was not begun into one that never will be. A row is forgotten only when
+    the deadline check refuses every later copy of the attempt.
+
+    Parameters
+    ----------
+    boot_id : BootId
+        This run of the agent.
+    horizon_s : float
+        Longest time to the deadline of an attempt that is admitted; how long a fence on an unknown
+        attempt is remembered. No attempt may be made with a deadline further away.
+    max_rows : int
+        Rows above which new attempts and new fences are turned away, not forgotten.
+    """
+
+    def __init__(
+        self,
+        *,
+        boot_id: BootId,
+        horizon_s: float = MAX_DEADLINE_S + CLOCK_MARGIN_S,
+        max_rows: int = 200_000,
+    ):
+        check_range("horizon_s", horizon_s, low=1.0)
+        check_range("max_rows", max_rows, low=1)
+        self.boot_id = boot_id
+        self.horizon_s = horizon_s
+        self.max_rows = max_rows
+        self._rows: OrderedDict[AttemptId, GuardRow] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def get(self, attempt_id: AttemptId) -> GuardRow | None:
+        """Return what is known of an attempt."""
+        return self._rows.get(attempt_id)
+
+    def admit(self, attempt_id: AttemptId, *, boot_id: BootId, deadline: float, now: float) -> None:
+        """Take a new attempt.
+
+        Raises
+        ------
+        RefusedError
+            Always as ``NOT_RUN``: another boot is expected, the deadline has passed or lies beyond
+            the horizon, the attempt is fenced, or the guard is full.
+        """
+        if boot_id and boot_id != self.boot_id:
+            raise RefusedError(ErrorCode.STALE_BOOT, "the agent was restarted", step=STEP)
+        self._check_deadline(deadline, now)
+        if deadline - now > self.horizon_s:
+            message = f"the deadline is more than {self.horizon_s} s away"
+            raise RefusedError(ErrorCode.BAD_DEADLINE, message, step=STEP)
+        row = self._rows.get(attempt_id)
+        if row is not None:
+            self._raise_known(row)
+        self._check_room(now)
+        self._rows[attempt_id] = GuardRow(
+            attempt_id, AttemptState.STARTING, Ran.NOT_RUN, deadline, deadline
+        )
+
+    def begin(self, attempt_id: AttemptId, now: float) -> None:
+        """Mark an attempt as running; the call to the upstream follows without any wait.
+
+        Raises
+        ------
+        RefusedError
+            As ``NOT_RUN``, where the attempt was fenced or cancelled, or its deadline has passed.
+        """
+        row = self._rows.get(attempt_id)
+        if row is None:
+            raise InvariantError(f"attempt {attempt_id} was not admitted", step=STEP)
+        if row.state in (AttemptState.FENCED, AttemptState.CANCELLED):
+            raise RefusedError(ErrorCode.FENCED, "the attempt was fenced", step=STEP)
+        if row.state is not AttemptState.STARTING:
+            raise InvariantError(f"attempt {attempt_id} was begun twice", step=STEP)
+        self._check_deadline(row.deadline, now)
+        row.state = AttemptState.RUNNING
+        row.ran = Ran.UNKNOWN
+
+    def end(self, attempt_id: AttemptId, state: AttemptState, ran: Ran) -> None:
+        """Record how an attempt ended and whether it ran."""
+        row = self._rows.get(attempt_id)
+        if row is None:
+            return
+        if row.state in ENDED:
+            if row.state is state or row.state is AttemptState.FENCED:
+                return
+            raise InvariantError(f"attempt {attempt_id} ended twice", step=STEP)
+        if ran is Ran.NOT_RUN and row.ran is Ran.RAN:
+            raise InvariantError(f"attempt {attempt_id} ran and is told as not run", step=STEP)
+        row.state, row.ran = state, ran
+
+    def fence(self, attempt_id: AttemptId, *, boot_id: BootId, now: float) -> Ran:
+        """Forbid an attempt that was not begun.
+
+        Returns
+        -------
+        Ran
+            ``NOT_RUN`` is binding: the attempt has not run and never will. ``RAN`` and ``UNKNOWN``
+            tell of an attempt that was begun, or that another boot may have begun.
+        """
+        if boot_id != self.boot_id:
+            return Ran.UNKNOWN
+        row = self._rows.get(attempt_id)
+        if row is None:
+            return self._fence_unknown(attempt_id, now, forget_at=now + self.horizon_s)
+        if row.state is AttemptState.STARTING:
+            row.state = AttemptState.FENCED
+            row.forget_at = max(row.forget_at, now)
+        return row.ran
+
+    def refuse(self, attempt_id: AttemptId, *, deadline: float, now: float) -> Ran:
+        """Record that an attempt was turned away, so that no later copy of it starts.
+
+        Returns
+        -------
+        Ran
+            ``NOT_RUN`` is binding, as for ``fence``.
+        """
+        row = self._rows.get(attempt_id)
+        if row is not None:
+            return self.fence(attempt_id, boot_id=self.boot_id, now=now)
+        if now >= deadline:
+            return Ran.NOT_RUN
+        return self._fence_unknown(attempt_id, now, forget_at=deadline)
+
+    def expire(self, now: float) -> None:
+        """Forget ended attempts of which the deadline check refuses every later copy."""
+        stale = [
+            row.attempt_id
+            for row in self._rows.values()
+            if row.state in ENDED and row.forget_at < now
+        ]
+        for attempt_id in stale:
+            del self._rows[attempt_id]
+
+    def _fence_unknown(self, attempt_id: AttemptId, now: float, *, forget_at: float) -> Ran:
+        if len(self._rows) >= self.max_rows:
+            self.expire(now)
+        if len(self._rows) >= self.max_rows:
+            return Ran.UNKNOWN
+        self._rows[attempt_id] = GuardRow(
+            attempt_id, AttemptState.FENCED, Ran.NOT_RUN, now, forget_at
+        )
+        return Ran.NOT_RUN
+
+    def _check_room(self, now: float) -> None:
+        if len(self._rows) >= self.max_rows:
+            self.expire(now)
+        if len(self._rows) >= self.max_rows:
+            message = "the agent remembers too many attempts"
+            raise RefusedError(ErrorCode.UPSTREAM_FULL, message, step=STEP, retry_after_s=1.0)
+
+    @staticmethod
+    def _check_deadline(deadline: float, now: float) -> None:
+        if now >= deadline:
+            raise RefusedError(ErrorCode.DEADLINE_PASSED, "the deadline has passed", step=STEP)
+
+    @staticmethod
+    def _raise_known(row: GuardRow) -> None:
+        if row.state in (AttemptState.FENCED, AttemptState.CANCELLED):
+            raise RefusedError(ErrorCode.FENCED, "the attempt was fenced", step=STEP, ran=row.ran)
+        message = "the attempt was started before"
+        raise RefusedError(ErrorCode.IN_PROGRESS, message, step=STEP, ran=row.ran)
