limits: fair queue with priority, deadlines and bounds; early refusal

Change: start-time fair queueing between customers per priority, one in eight requests taken from the lowest priority first, bounds per class (the longest queue gives way) and per member, deadline heap, estimate of the wait from the gaps between departures. Ruled out so far: holding slots back for customers within their share.

--- a/crocusvalve/limits/__init__.py
+++ b/crocusvalve/limits/__init__.py
@@ -1,6 +1,7 @@
 """Quotas, queues and warm-up limits."""
 
+from crocusvalve.limits._early import should_refuse_early
 from crocusvalve.limits._queue import FairQueue
 from crocusvalve.limits._quota import check_quota, make_customer_row
 
-__all__ = ["FairQueue", "check_quota", "make_customer_row"]
+__all__ = ["FairQueue", "check_quota", "make_customer_row", "should_refuse_early"]
--- a/crocusvalve/limits/_queue.py
+++ b/crocusvalve/limits/_queue.py
@@ -3,48 +3,221 @@
 import heapq
 from collections.abc import Callable, Iterator
 
-from crocusvalve.base import RequestId
+from crocusvalve.base import ClassKind, CustomerId, Priority, RequestId
+from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.limits._backlog import Backlog
+from crocusvalve.limits._schedule import FairSchedule, SchedulePass
 from crocusvalve.model import RequestRow
 
 __all__ = ["FairQueue"]
 
+STEP = "queue"
+MAX_PER_MEMBER = 2000
+#: One in this many requests is taken from the lowest priority first, so that none starves.
+LOWEST_FIRST_EVERY = 8
+HIGHEST_FIRST = tuple(sorted(Priority))
+LOWEST_FIRST = tuple(sorted(Priority, reverse=True))
+FULL_RETRY_S = 1.0
+
 
 class FairQueue:
-    """FIFO queue (thin)."""
+    """Requests that wait for an upstream.
+
+    Served by priority, between customers of one priority by weighted fair queueing, within a
+    customer first in, first out for each target. Bounded per class and per member; where a class is
+    full, the newest request of the customer with the longest queue for its weight gives way.
 
-    def __init__(self):
+    Parameters
+    ----------
+    max_per_member : int
+        Requests of one member that may wait; members don't share the bound.
+    """
+
+    def __init__(self, *, max_per_member: int = MAX_PER_MEMBER):
+        self.max_per_member = max_per_member
+        self.n_served_ = 0
+        self.seen_at_ = 0.0
         self._rows: dict[RequestId, RequestRow] = {}
+        self._schedules = {priority: FairSchedule() for priority in Priority}
+        self._backlog = Backlog()
+        self._delayed: list[tuple[float, RequestId]] = []
+        self._delayed_ids: set[RequestId] = set()
         self._deadlines: list[tuple[float, RequestId]] = []
+        self._expired: list[RequestRow] = []
 
     def __len__(self) -> int:
-        return len(self._rows)
+        return len(self._rows) + len(self._expired)
 
-    def push(self, req: RequestRow, *, weight: float = 1.0, max_queue: int = 200) -> None:
-        """Add a request."""
-        self._rows[req.request_id] = req
-        heapq.heappush(self._deadlines, (req.deadline, req.request_id))
+    def __contains__(self, request_id: RequestId) -> bool:
+        return request_id in self._rows
 
-    def pop_ready(self, can_place: Callable[[RequestRow], bool], now: float) -> RequestRow | None:
-        """Take the next request that can be placed, or None."""
-        return next(self.drain_ready(can_place, now), None)
+    def push(
+        self, req: RequestRow, *, weight: float = 1.0, max_queue: int = 200
+    ) -> RequestRow | None:
+        """Add a request.
+
+        Parameters
+        ----------
+        req : RequestRow
+            The request; it waits until its ``not_before``. One that was tried before, or is
+            durable, is taken even where the queue is full.
+        weight : float
+            Weight of its customer, above 0.
+        max_queue : int
+            Requests of its class that may wait.
+
+        Returns
+        -------
+        RequestRow or None
+            A request that never ran and was dropped in favour of this one; its caller is to be
+            told OVERLOADED.
+
+        Raises
+        ------
+        RefusedError
+            OVERLOADED where the class or the member's share of the queue is full.
+        ValueError
+            Where the weight isn't above 0, or the request is queued already.
+        """
+        if weight <= 0.0:
+            raise ValueError(f"weight must be in (0, inf], got {weight!r}")
+        if req.request_id in self._rows:
+            raise ValueError(f"request_id must be new to the queue, got {req.request_id!r}")
+        dropped = None
+        if _is_droppable(req):
+            dropped = self._make_room(req, weight, max_queue)
+        self._add(req, weight)
+        return dropped
 
     def drain_ready(
         self, can_place: Callable[[RequestRow], bool], now: float
     ) -> Iterator[RequestRow]:
-        """Take the requests that can be placed one after the other."""
-        for req in list(self._rows.values()):
-            if req.not_before <= now < req.deadline and can_place(req):
-                yield self._rows.pop(req.request_id)
+        """Take the requests that can be placed, one after the other, in fair order.
+
+        Parameters
+        ----------
+        can_place : callable
+            Tells whether a request has a free upstream; a False also skips what stands behind the
+            request in its flow until the next call.
+        now : float
+            Present Unix time in seconds.
+        """
+        self.seen_at_ = max(self.seen_at_, now)
+        self._collect_expired(now)
+        self._release_delayed(now)
+        passes = {level: schedule.start_pass() for level, schedule in self._schedules.items()}
+        while (req := self._find_next(passes, can_place)) is not None:
+            self.n_served_ += 1
+            self._backlog.note_served(req, now)
+            self._take(req)
+            yield req
+
+    def pop_ready(self, can_place: Callable[[RequestRow], bool], now: float) -> RequestRow | None:
+        """Take the next request that can be placed, or None; see ``drain_ready``."""
+        return next(self.drain_ready(can_place, now), None)
 
     def remove(self, request_id: RequestId) -> RequestRow | None:
-        """Remove a request, such as one that its caller gave up."""
-        return self._rows.pop(request_id, None)
+        """Remove a request, such as one that its caller gave up; None where it isn't queued."""
+        req = self._rows.get(request_id)
+        if req is not None:
+            self._take(req)
+        return req
 
     def pop_expired(self, now: float) -> list[RequestRow]:
-        """Take all requests whose deadline has passed."""
-        expired = []
-        while self._deadlines and self._deadlines[0][0] <= now:
-            row = self._rows.pop(heapq.heappop(self._deadlines)[1], None)
-            if row is not None:
-                expired.append(row)
+        """Take all requests whose deadline has passed, in order of their deadlines."""
+        self._collect_expired(now)
+        expired, self._expired = self._expired, []
         return expired
+
+    def estimate_wait_s(self, req: RequestRow, now: float, *, weight: float = 1.0) -> float:
+        """Estimate how long a request would wait here, in seconds; 0 where unknown."""
+        return self._backlog.estimate_wait_s(req, weight, now)
+
+    def get_next_due(self) -> float | None:
+        """Return the instant of the next deadline or end of a delay, or None."""
+        due = [heap[0][0] for heap in (self._delayed, self._deadlines) if heap]
+        return min(due, default=None)
+
+    def _add(self, req: RequestRow, weight: float) -> None:
+        self._rows[req.request_id] = req
+        started_at = max(req.arrived_at, req.not_before, self.seen_at_)
+        self._backlog.add(req, weight, started_at)
+        heapq.heappush(self._deadlines, (req.deadline, req.request_id))
+        if req.not_before > req.arrived_at:
+            self._delayed_ids.add(req.request_id)
+            heapq.heappush(self._delayed, (req.not_before, req.request_id))
+            return
+        self._schedules[req.priority].add(req, weight)
+
+    def _take(self, req: RequestRow) -> None:
+        del self._rows[req.request_id]
+        self._backlog.remove(req)
+        if req.request_id in self._delayed_ids:
+            self._delayed_ids.remove(req.request_id)
+            return
+        self._schedules[req.priority].remove(req)
+
+    def _find_next(
+        self, passes: dict[Priority, SchedulePass], can_place: Callable[[RequestRow], bool]
+    ) -> RequestRow | None:
+        is_lowest_first = (self.n_served_ + 1) % LOWEST_FIRST_EVERY == 0
+        for level in LOWEST_FIRST if is_lowest_first else HIGHEST_FIRST:
+            req = passes[level].find_next(can_place)
+            if req is not None:
+                return req
+        return None
+
+    def _release_delayed(self, now: float) -> None:
+        while self._delayed and self._delayed[0][0] <= now:
+            _, request_id = heapq.heappop(self._delayed)
+            if request_id not in self._delayed_ids:
+                continue
+            self._delayed_ids.remove(request_id)
+            req = self._rows[request_id]
+            self._schedules[req.priority].add(req, self._backlog.weights[req.customer_id])
+
+    def _collect_expired(self, now: float) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            deadline, request_id = heapq.heappop(self._deadlines)
+            req = self._rows.get(request_id)
+            if req is not None and req.deadline <= deadline:
+                self._take(req)
+                self._expired.append(req)
+
+    def _make_room(self, req: RequestRow, weight: float, max_queue: int) -> RequestRow | None:
+        if self._backlog.by_member[req.member] >= self.max_per_member:
+            raise _refuse_full(f"member {req.member}")
+        counts = self._backlog.by_class.get((req.member, req.class_name))
+        if not counts or sum(counts.values()) < max_queue:
+            return None
+        weights = self._backlog.weights
+        longest = max(counts, key=lambda ref: counts[ref] / weights[ref])
+        own_length = (counts[req.customer_id] + 1) / weight
+        dropped = None
+        if counts[longest] / weights[longest] > own_length:
+            dropped = self._find_newest(req, longest)
+        if dropped is None:
+            raise _refuse_full(f"class {req.class_name}")
+        self._take(dropped)
+        return dropped
+
+    def _find_newest(self, req: RequestRow, customer_id: CustomerId) -> RequestRow | None:
+        queue = self._schedules[req.priority].customers.get(customer_id)
+        newest = None
+        for key, flow in queue.flows.items() if queue else ():
+            if key.class_name != req.class_name:
+                continue
+            last = next((row for row in reversed(flow.values()) if _is_droppable(row)), None)
+            if last and (newest is None or last.arrived_at > newest.arrived_at):
+                newest = last
+        return newest
+
+
+def _is_droppable(req: RequestRow) -> bool:
+    return not req.n_attempts and req.kind is not ClassKind.DURABLE
+
+
+def _refuse_full(what: str) -> RefusedError:
+    return RefusedError(
+        ErrorCode.OVERLOADED, f"the queue of {what} is full", step=STEP, retry_after_s=FULL_RETRY_S
+    )
--- /dev/null
+++ b/features/limits/queue.feature
@@ -0,0 +1,74 @@
+Feature: Requests wait in a fair and bounded queue
+
+  Scenario: Priority goes first, and the lowest is served at least once in eight
+    Given 40 URGENT requests of "a", 40 NORMAL of "b" and 40 BATCH of "c"
+    When 32 requests are taken
+    Then 28 are of "a", 0 of "b" and 4 of "c"
+
+  Scenario Outline: Customers are served by weight
+    Given 100 requests of "a" with weight <a>, then 100 of "b" with weight <b>
+    When <n> requests are taken
+    Then <n_a> are of "a", <n_b> of "b" and 0 of "c"
+
+    Examples:
+      | a | b | n  | n_a | n_b |
+      | 1 | 1 | 40 | 20  | 20  |
+      | 3 | 1 | 40 | 30  | 10  |
+      | 1 | 4 | 50 | 10  | 40  |
+
+  Scenario: A late customer neither pays for nor profits from its idle time
+    Given 100 requests of "a" with weight 1, then 0 of "b" with weight 1
+    When 50 requests are taken
+    And 50 requests of "b" join
+    And 20 requests are taken
+    Then 60 are of "a", 10 of "b" and 0 of "c"
+
+  Scenario: A target without a free upstream doesn't hold up another
+    Given 10 requests of "a" for each of the models "d/busy" and "d/free"
+    When only "d/free" has room and 20 requests are taken
+    Then 10 requests for "d/free" were taken and 10 still wait
+
+  Scenario Outline: What can't wait leaves the queue
+    Given a queued request that <what>
+    Then at <at> s it is <outcome>
+
+    Examples:
+      | what               | at   | outcome |
+      | ends at 5 s        | 4.9  | placed  |
+      | ends at 5 s        | 5    | expired |
+      | starts at 2 s      | 1.9  | waiting |
+      | starts at 2 s      | 2    | placed  |
+      | is given up        | 0    | gone    |
+
+  Scenario Outline: A full queue refuses or makes room
+    Given a queue of class bound 10 with <n_a> requests of "a" and <n_b> of "b"
+    When <who> pushes a request that <what>
+    Then it is <outcome> and <dropped> is dropped
+
+    Examples:
+      | n_a | n_b | who | what          | outcome | dropped |
+      | 9   | 0   | a   | is new        | queued  | none    |
+      | 10  | 0   | a   | is new        | refused | none    |
+      | 10  | 0   | b   | is new        | queued  | a       |
+      | 5   | 5   | b   | is new        | refused | none    |
+      | 10  | 0   | a   | is durable    | queued  | none    |
+      | 10  | 0   | a   | is tried again| queued  | none    |
+
+  Scenario: A rival's flood leaves the other member's queue open
+    Given a queue with at most 50 requests a member
+    When member "rival" pushes 500 requests
+    Then 450 are refused as not run
+    And member "d" can push 50 requests
+
+  Scenario Outline: Requests that can't meet their deadline are refused early
+    Given a queue drained at 10 a second with <n> waiting requests of "a"
+    Then a <kind> request of "<who>" with <left> s left is <outcome>
+
+    Examples:
+      | n  | kind    | who | left | outcome                 |
+      | 0  | answer  | a   | 1    | admitted                |
+      | 50 | answer  | a   | 10   | admitted                |
+      | 50 | answer  | a   | 2    | refused for about 3.5 s |
+      | 50 | answer  | b   | 2    | admitted                |
+      | 50 | durable | a   | 2    | admitted                |
+      | 0  | answer  | a   | 0.2  | refused for about 0.3 s |
--- /dev/null
+++ b/features/limits/steps/isolation_steps.py
@@ -0,0 +1,103 @@
+"""Steps about one customer's overload, in virtual time."""
+
+import heapq
+import random
+
+from behave import given, then, when
+
+from crocusvalve.config import CustomerConfig
+from crocusvalve.limits import FairQueue, check_quota, make_customer_row
+from features.core_builders import NOW, make_request
+
+N_SLOTS = 64
+MEAN_SERVICE_S = 0.5
+DEADLINE_S = 30.0
+
+
+class IsolationSubject:
+    """A pool of slots behind the queue; arrivals and service times come from one seed."""
+
+    def __init__(self, n_customers, load, seed):
+        self.n_customers = n_customers
+        self.seed = seed
+        self.quota = 0.0
+        self.rate_per_s = load * N_SLOTS / MEAN_SERVICE_S / n_customers
+
+    def make_arrivals(self, customer, factor, duration_s):
+        """Draw arrivals; the other customers' don't depend on the flood."""
+        rng = random.Random(f"{self.seed}-{customer}")
+        at = 0.0
+        while True:
+            at += rng.expovariate(self.rate_per_s * factor)
+            if at > duration_s:
+                return
+            yield at, customer, rng.expovariate(1 / MEAN_SERVICE_S)
+
+    def run(self, factor, order, duration_s):
+        """Return the times from arrival to answer of all but the first customer."""
+        customers = range(self.n_customers)
+        factors = [factor if customer == 0 else 1.0 for customer in customers]
+        arrivals = heapq.merge(*(self.make_arrivals(c, factors[c], duration_s) for c in customers))
+        rate_per_s = self.quota * self.rate_per_s
+        cfg = CustomerConfig(
+            "k", (), (), rate_per_s=rate_per_s, burst=int(2 * rate_per_s), max_in_flight=10**6
+        )
+        rows = [make_customer_row(f"d/c{c}", cfg, NOW) for c in customers]
+        queue, ends, times, service = FairQueue(max_per_member=10**6), [], [], {}
+        for i, (at, customer, service_s) in enumerate(arrivals):
+            while ends and ends[0] <= at:
+                self.start_waiting(queue, ends, heapq.heappop(ends), times, service)
+            name = f"c{customer}" if order == "fair" else "all"
+            now = NOW + at
+            if check_quota(rows[customer], cfg, now) is not None:
+                continue
+            req = make_request(f"{customer}-{i}", name, arrived_at=now, deadline=now + DEADLINE_S)
+            service[req.request_id] = service_s
+            queue.push(req, max_queue=10**6)
+            if len(ends) < N_SLOTS:
+                self.start_waiting(queue, ends, at, times, service)
+        return sorted(times)
+
+    def start_waiting(self, queue, ends, at, times, service):
+        queue.pop_expired(NOW + at)
+        req = queue.pop_ready(lambda req: True, NOW + at)
+        if req is None:
+            return
+        end = at + service[req.request_id]
+        heapq.heappush(ends, end)
+        if not req.request_id.startswith("0-"):
+            times.append(NOW + end - req.arrived_at)
+
+
+@given("{n:d} customers at {load:g} of the capacity of 64 slots, from seed {seed:d}")
+def given_customers(context, n, load, seed):
+    context.subject = IsolationSubject(n, load, seed)
+
+
+@given("a quota of {quota:g} times the load of each")
+def given_quota_factor(context, quota):
+    context.subject.quota = quota
+
+
+@when("one customer asks for five times its load for {duration:d} s")
+def when_flood(context, duration):
+    context.duration_s = duration
+
+
+@then("in {order} order the others' {quantiles} change by {change} a tenth")
+def then_change(context, order, quantiles, change):
+    quiet = context.subject.run(1.0, order, context.duration_s)
+    flooded = context.subject.run(5.0, order, context.duration_s)
+    ratios = []
+    for name in ("p50", "p95", "p99"):
+        share = int(name[1:]) / 100
+        before = quiet[int(share * len(quiet))]
+        after = flooded[int(share * len(flooded))]
+        print(f"{order} {name}: {before:.3f} s, flooded {after:.3f} s")
+        if name in quantiles:
+            ratios.append(after / before)
+    if change == "at most":
+        assert max(ratios) <= 1.1, ratios
+        assert len(flooded) >= 0.99 * len(quiet)
+    else:
+        assert max(ratios) > 1.1, ratios
--- /dev/null
+++ b/features/limits/steps/queue_steps.py
@@ -0,0 +1,191 @@
+"""Steps about the queue."""
+
+from collections import Counter
+
+from behave import given, then, when
+
+from crocusvalve.base import ClassKind, Priority, Ran
+from crocusvalve.exceptions import RefusedError
+from crocusvalve.limits import FairQueue, should_refuse_early
+from features.core_builders import NOW, make_request
+
+SERVICE_S = 0.5
+
+
+class QueueSubject:
+    """A queue and what was taken from it."""
+
+    def __init__(self, **options):
+        self.queue = FairQueue(**options)
+        self.n_made = 0
+        self.taken = []
+
+    def push(self, customer, n=1, *, weight=1.0, max_queue=1000, **fields):
+        dropped = []
+        for _ in range(n):
+            self.n_made += 1
+            fields.setdefault("member", "d")
+            req = make_request(f"r{self.n_made}", customer, **fields)
+            dropped.append(self.queue.push(req, weight=weight, max_queue=max_queue))
+        return dropped
+
+    def take(self, n, now=NOW, can_place=lambda req: True):
+        for _ in range(n):
+            req = self.queue.pop_ready(can_place, now)
+            if req is not None:
+                self.taken.append(req)
+
+
+@given('40 URGENT requests of "a", 40 NORMAL of "b" and 40 BATCH of "c"')
+def given_priorities(context):
+    context.subject = QueueSubject()
+    for customer, priority in zip("abc", Priority, strict=True):
+        context.subject.push(customer, 40, priority=priority)
+
+
+@given('{n:d} requests of "a" with weight {a:g}, then {m:d} of "b" with weight {b:g}')
+def given_weights(context, n, a, m, b):
+    context.subject = QueueSubject()
+    context.subject.push("a", n, weight=a)
+    context.subject.push("b", m, weight=b)
+
+
+@given('10 requests of "a" for each of the models "{first}" and "{second}"')
+def given_models(context, first, second):
+    context.subject = QueueSubject()
+    context.subject.push("a", 10, steps=(first,))
+    context.subject.push("a", 10, steps=(second,))
+
+
+@given("a queued request that ends at {at:g} s")
+def given_ends(context, at):
+    context.subject = QueueSubject()
+    context.subject.push("a", deadline=NOW + at)
+
+
+@given("a queued request that starts at {at:g} s")
+def given_starts(context, at):
+    context.subject = QueueSubject()
+    context.subject.push("a", not_before=NOW + at)
+
+
+@given("a queued request that is given up")
+def given_up(context):
+    context.subject = QueueSubject()
+    context.subject.push("a")
+    assert context.subject.queue.remove("r1").request_id == "r1"
+
+
+@given('a queue of class bound 10 with {n:d} requests of "a" and {m:d} of "b"')
+def given_bound(context, n, m):
+    context.subject = QueueSubject()
+    context.subject.push("a", n)
+    context.subject.push("b", m)
+
+
+@given("a queue with at most {n:d} requests a member")
+def given_member_bound(context, n):
+    context.subject = QueueSubject(max_per_member=n)
+
+
+@given('a queue drained at 10 a second with {n:d} waiting requests of "a"')
+def given_drained(context, n):
+    context.subject = subject = QueueSubject()
+    subject.push("a", n + 50, deadline=NOW + 1000)
+    for i in range(50):
+        subject.take(1, now=NOW + (i + 1) / 10)
+
+
+@when("{n:d} requests are taken")
+def when_taken(context, n):
+    context.subject.take(n)
+
+
+@when('{n:d} requests of "{customer}" join')
+def when_join(context, n, customer):
+    context.subject.push(customer, n)
+
+
+@when('only "{model}" has room and {n:d} requests are taken')
+def when_room(context, model, n):
+    context.subject.take(n, can_place=lambda req: req.steps[0] == model)
+
+
+@when("{who} pushes a request that {what}")
+def when_push(context, who, what):
+    fields = {
+        "is new": {},
+        "is durable": {"kind": ClassKind.DURABLE},
+        "is tried again": {"n_attempts": 1},
+    }[what]
+    try:
+        context.dropped = context.subject.push(who, max_queue=10, **fields)[0]
+        context.outcome = "queued"
+    except RefusedError as exc:
+        assert exc.ran is Ran.NOT_RUN and exc.retry_after_s > 0
+        context.dropped, context.outcome = None, "refused"
+
+
+@when('member "{member}" pushes {n:d} requests')
+def when_flood(context, member, n):
+    context.errors = []
+    for _ in range(n):
+        try:
+            context.subject.push("a", member=member)
+        except RefusedError as exc:
+            context.errors.append(exc)
+
+
+@then('{a:d} are of "a", {b:d} of "b" and {c:d} of "c"')
+def then_counts(context, a, b, c):
+    counts = Counter(req.customer_id for req in context.subject.taken)
+    assert (counts["d/a"], counts["d/b"], counts["d/c"]) == (a, b, c), counts
+
+
+@then('{n:d} requests for "{model}" were taken and {m:d} still wait')
+def then_model(context, n, model, m):
+    assert [req.steps[0] for req in context.subject.taken] == [model] * n
+    assert len(context.subject.queue) == m
+
+
+@then("at {at:g} s it is {outcome}")
+def then_outcome(context, at, outcome):
+    queue = context.subject.queue
+    placed = queue.pop_ready(lambda req: True, NOW + at)
+    expired = queue.pop_expired(NOW + at)
+    found = {
+        (True, 0, 0): "placed",
+        (False, 1, 0): "expired",
+        (False, 0, 1): "waiting",
+        (False, 0, 0): "gone",
+    }[placed is not None, len(expired), len(queue)]
+    assert found == outcome, found
+
+
+@then("it is {outcome} and {dropped} is dropped")
+def then_dropped(context, outcome, dropped):
+    assert context.outcome == outcome, context.outcome
+    found = context.dropped.customer_id.partition("/")[2] if context.dropped else "none"
+    assert found == dropped, found
+
+
+@then("{n:d} are refused as not run")
+def then_not_run(context, n):
+    assert [exc.ran for exc in context.errors] == [Ran.NOT_RUN] * n
+
+
+@then('member "{member}" can push {n:d} requests')
+def then_can_push(context, member, n):
+    context.subject.push("b", n, member=member)
+
+
+@then('a {kind} request of "{who}" with {left:g} s left is {outcome}')
+def then_early(context, kind, who, left, outcome):
+    now = NOW + 5.0
+    req = make_request("new", who, kind=ClassKind(kind), deadline=now + left)
+    found = should_refuse_early(context.subject.queue, req, SERVICE_S, now)
+    if outcome == "admitted":
+        assert found is None, found
+    else:
+        expected = float(outcome.split()[-2])
+        assert found is not None and abs(found - expected) < 0.1, found
