Thin whole path: caller, entry, agent, stand-in engine, document from the stand-in platform

Cause: nothing served a request from one end to the other. Conclusion: the path stands; streams are closed where they are opened, since a generator left to the collector ended after its event loop.

--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -148,7 +148,7 @@
     task_status : trio.TaskStatus
         Started with the agent and the port in use.
     """
-    stop = stop or trio.Event()
+    stop = stop if stop is not None else trio.Event()
     follower = EntryFollower(keeper, settings.entries, token=settings.internal_key, tls=client_tls)
     async with trio_asyncio.open_loop(), make_http_client() as http:
         agent = Agent(
@@ -175,5 +175,5 @@
             task_status.started((agent, port))
             await stop.wait()
             await agent.drain(settings.drain_s)
+            follower.close()
             nursery.cancel_scope.cancel()
-        follower.close()
--- a/crocusvalve/billing/_flusher.py
+++ b/crocusvalve/billing/_flusher.py
@@ -8,7 +8,7 @@
 import trio
 from msgspec import Struct
 
-from crocusvalve.base import BootId, NodeId, RequestId
+from crocusvalve.base import BootId, NodeId
 from crocusvalve.billing._ledger import (
     BILL_TABLE,
     TOTALS_TABLE,
@@ -36,7 +36,7 @@
 N_ROWS_CACHED = 32
 CLOSE_TIMEOUT_S = 3.0
 
-ConfirmListener = Callable[[list[RequestId]], None]
+ConfirmListener = Callable[[list[BillRecord]], None]
 
 
 class FlusherCounters(Struct):
@@ -109,7 +109,7 @@
         self._listeners: list[ConfirmListener] = []
 
     def add_listener(self, listener: ConfirmListener) -> None:
-        """Call a listener with the ids of bills that are in the ledger."""
+        """Call a listener with the bills that are in the ledger."""
         self._listeners.append(listener)
 
     async def run(self) -> None:
@@ -235,11 +235,11 @@
             self.counters.n_conflicts += merge.n_conflicts
 
     def _confirm(self, pages: dict[str, list[BillRecord]]) -> int:
-        request_ids = [bill.request_id for bills in pages.values() for bill in bills]
-        self.outbox.confirm(request_ids)
+        confirmed = [bill for bills in pages.values() for bill in bills]
+        self.outbox.confirm(bill.request_id for bill in confirmed)
         for listener in self._listeners:
-            listener(request_ids)
-        return len(request_ids)
+            listener(confirmed)
+        return len(confirmed)
 
 
 def _group_by_page(bills: list[BillRecord]) -> dict[str, list[BillRecord]]:
--- a/crocusvalve/entry/_admission.py
+++ b/crocusvalve/entry/_admission.py
@@ -1,17 +1,18 @@
 """Admission: what is refused before any upstream work."""
 
-from crocusvalve.base import ClassKind
+from crocusvalve.base import ClassKind, Command
+from crocusvalve.entry._outcome import OutcomeSystem
 from crocusvalve.entry._policies import Policies
 from crocusvalve.entry._tables import CoreTables, ProgressRow
 from crocusvalve.exceptions import ErrorCode, RefusedError
-from crocusvalve.limits import check_quota, make_customer_row
+from crocusvalve.limits import check_quota, make_customer_row, should_refuse_early
 from crocusvalve.model import CustomerRow, RequestRow
 
 __all__ = ["AdmissionSystem"]
 
 STEP = "admission"
 OUTBOX_RETRY_S = 5.0
-NO_UPSTREAM_RETRY_S = 1.0
+QUEUE_RETRY_S = 1.0
 
 
 class AdmissionSystem:
@@ -21,14 +22,17 @@
     ----------
     policies : Policies
         Policies by subject.
+    outcome : OutcomeSystem
+        Ends a queued request that gives way to a new one.
     """
 
-    def __init__(self, policies: Policies):
+    def __init__(self, policies: Policies, outcome: OutcomeSystem):
         self.policies = policies
+        self.outcome = outcome
 
     def admit(
         self, tables: CoreTables, req: RequestRow, now: float, can_bill: bool, share: float
-    ) -> None:
+    ) -> list[Command]:
         """Admit and queue a request.
 
         Parameters
@@ -44,6 +48,11 @@
         share : float
             Part of each customer's quota that this entry hands out.
 
+        Returns
+        -------
+        list of Command
+            Refusal of a queued request that gave way.
+
         Raises
         ------
         RefusedError
@@ -60,7 +69,18 @@
                 ErrorCode.OVERLOADED, message, step=STEP, retry_after_s=OUTBOX_RETRY_S
             )
         row = self._check_quota(tables, req, now, share)
-        self._queue(tables, req, row, now)
+        self._refuse_early(tables, req, now)
+        return self._queue(tables, req, row, now)
+
+    @staticmethod
+    def _refuse_early(tables: CoreTables, req: RequestRow, now: float) -> None:
+        weight = tables.view.customers[req.customer_id].cfg.weight
+        retry_after_s = should_refuse_early(tables.queue, req, 0.0, now, weight=weight)
+        if retry_after_s is not None:
+            message = "the queue is too long for the request's deadline"
+            raise RefusedError(
+                ErrorCode.OVERLOADED, message, step=STEP, retry_after_s=retry_after_s
+            )
 
     def _check_quota(
         self, tables: CoreTables, req: RequestRow, now: float, share: float
@@ -85,7 +105,7 @@
         cfg = tables.view.customers[req.customer_id].cfg
         class_cfg = tables.view.class_of(req.member, req.class_name)
         max_queue = class_cfg.max_queue if class_cfg else 1
-        tables.queue.push(req, weight=cfg.weight, max_queue=max_queue)
+        dropped = tables.queue.push(req, weight=cfg.weight, max_queue=max_queue)
         row.in_flight += 1
         tables.requests[req.request_id] = req
         tables.progress[req.request_id] = ProgressRow(
@@ -97,3 +117,9 @@
         if req.hedge_at:
             tables.add_timer(tables.hedges, req.hedge_at, req.request_id)
         self.policies.note_request(tables, req, now)
+        return self._refuse_dropped(tables, dropped) if dropped is not None else []
+
+    def _refuse_dropped(self, tables: CoreTables, req: RequestRow) -> list[Command]:
+        message = "the queue is full and other customers' shares go first"
+        error = RefusedError(ErrorCode.OVERLOADED, message, step=STEP, retry_after_s=QUEUE_RETRY_S)
+        return self.outcome.refuse(tables, req, error)
--- a/crocusvalve/entry/_attempts.py
+++ b/crocusvalve/entry/_attempts.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
 
 import trio
 
@@ -89,10 +90,8 @@
         scope = self.pool.open_scope(address)
         try:
             with scope:
-                async for event in stream:
-                    self.feed(attempt_id, event)
-                    if not isinstance(event, Frame):
-                        return None
+                if await self._feed_all(attempt_id, stream):
+                    return None
             is_silent = scope.cancelled_caught
             message = "the agent fell silent" if is_silent else "the stream ended early"
             return RpcError(message, step="run", peer=address)
@@ -100,3 +99,12 @@
             return exc
         finally:
             self.pool.close_scope(address, scope)
+
+    async def _feed_all(self, attempt_id: AttemptId, stream: AsyncIterator[RunEvent]) -> bool:
+        """Feed events up to the attempt's end; tell whether the end was there."""
+        async with aclosing(stream) as events:
+            async for event in events:
+                self.feed(attempt_id, event)
+                if not isinstance(event, Frame):
+                    return True
+        return False
--- /dev/null
+++ b/crocusvalve/entry/_config_sync.py
@@ -0,0 +1,51 @@
+"""Passes revisions from an entry to its peers and agents."""
+
+import logging
+
+import trio
+
+from crocusvalve.base import Revision
+from crocusvalve.control import ConfigKeeper
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.rpc import ConfigAck, ConfigPush
+from crocusvalve.rpc.base import AgentService, PeerService
+
+__all__ = ["push_revision"]
+
+logger = logging.getLogger(__name__)
+
+PUSH_TIMEOUT_S = 2.0
+
+
+async def push_revision(
+    keeper: ConfigKeeper, peer: AgentService | PeerService, have: Revision
+) -> Revision:
+    """Bring a peer from a revision to the newest; return the revision that it then has.
+
+    Parameters
+    ----------
+    keeper : ConfigKeeper
+        The newest revision of this process.
+    peer : AgentService or PeerService
+        Who takes it.
+    have : Revision
+        Revision that the peer is believed to have.
+    """
+    try:
+        with trio.fail_after(PUSH_TIMEOUT_S):
+            ack = await _push(keeper, peer, have)
+            if ack.need_full:
+                ack = await _push(keeper, peer, Revision(0))
+            return ack.revision
+    except (CrocusvalveError, trio.TooSlowError) as exc:
+        logger.info("revision %d not passed on: %s", keeper.revision, exc)
+        return have
+
+
+async def _push(
+    keeper: ConfigKeeper, peer: AgentService | PeerService, have: Revision
+) -> ConfigAck:
+    push: ConfigPush = keeper.make_push(have)
+    if push.revision <= have:
+        return ConfigAck(have)
+    return await peer.push_config(push)
--- a/crocusvalve/entry/_core.py
+++ b/crocusvalve/entry/_core.py
@@ -48,7 +48,7 @@
         self.outcome = OutcomeSystem(policies)
         self.placement = PlacementSystem(policies, self.outcome, node_id)
         self.timers = TimerSystem(self.outcome, self.placement)
-        self.admission = AdmissionSystem(policies)
+        self.admission = AdmissionSystem(policies, self.outcome)
 
     def submit(self, req: RequestRow, now: float) -> list[Command]:
         """Take a request.
@@ -62,8 +62,9 @@
             raise RefusedError(
                 ErrorCode.DRAINING, "this entry is stopping", step="admission", retry_after_s=1.0
             )
-        self.admission.admit(self.tables, req, now, self.limits.can_bill, self.limits.quota_share)
-        return self.placement.run(self.tables, now)
+        limits = self.limits
+        commands = self.admission.admit(self.tables, req, now, limits.can_bill, limits.quota_share)
+        return commands + self.placement.run(self.tables, now)
 
     def take_event(self, attempt_id: AttemptId, event: RunEvent, now: float) -> list[Command]:
         """Take an event of an attempt: a frame, the end or a refusal."""
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -277,7 +277,7 @@
         cfg = tables.view.customers.get(req.customer_id)
         req.state = RequestState.QUEUED
         tables.progress[req.request_id].had_candidates_at = now
-        tables.queue.push(req, weight=cfg.cfg.weight if cfg else 1.0, is_retry=True)
+        tables.queue.push(req, weight=cfg.cfg.weight if cfg else 1.0)
 
     def _give_up(
         self,
--- /dev/null
+++ b/crocusvalve/entry/_peers.py
@@ -0,0 +1,103 @@
+"""The other entries: clients, and what this entry tells them."""
+
+import ssl
+
+import trio
+
+from crocusvalve.base import Revision
+from crocusvalve.control import ConfigKeeper
+from crocusvalve.entry._config_sync import push_revision
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.rpc import ConfigAck, ConfigPush, Notice, NoticeAck, PeerClient, PeerService
+
+__all__ = ["EntryPeerService", "PeerGroup"]
+
+
+class PeerGroup:
+    """Clients of the other entries.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        Internal addresses, ``HOST:PORT``.
+    token : str
+        Internal key.
+    tls : ssl.SSLContext or None
+        Client context of internal connections.
+    """
+
+    def __init__(
+        self, addresses: tuple[str, ...], *, token: str = "", tls: ssl.SSLContext | None = None
+    ):
+        self.addresses = addresses
+        self.token = token
+        self.tls = tls
+        self._clients: dict[str, PeerClient] = {}
+        self._revisions: dict[str, Revision] = {}
+
+    def list_clients(self) -> list[PeerClient]:
+        """Return a client for each peer; must be called inside ``trio_asyncio.open_loop()``."""
+        return [self._get(address) for address in self.addresses]
+
+    def _get(self, address: str) -> PeerClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = PeerClient(address, token=self.token, tls=self.tls)
+            self._clients[address] = client
+        return client
+
+    async def push_to_all(self, keeper: ConfigKeeper) -> None:
+        """Pass the newest revision to all peers at once."""
+        async with trio.open_nursery() as nursery:
+            for address in self.addresses:
+                nursery.start_soon(self._push, keeper, address)
+
+    async def _push(self, keeper: ConfigKeeper, address: str) -> None:
+        have = self._revisions.get(address, Revision(0))
+        # A peer that follows the store mostly has the revision before this one.
+        base = have or Revision(keeper.revision - 1)
+        self._revisions[address] = await push_revision(keeper, self._get(address), base)
+
+    async def notify_all(self, notice: Notice) -> None:
+        """Pass a notice to all peers at once."""
+        async with trio.open_nursery() as nursery:
+            for address in self.addresses:
+                nursery.start_soon(self._notify, address, notice)
+
+    async def _notify(self, address: str, notice: Notice) -> None:
+        try:
+            await self._get(address).notify(notice)
+        except CrocusvalveError:
+            # The peer learns it from another entry or from the document.
+            return
+
+    def close(self) -> None:
+        """Close all clients."""
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
+
+
+class EntryPeerService(PeerService):
+    """What an entry answers to its peers and agents.
+
+    Parameters
+    ----------
+    keeper : ConfigKeeper
+        The newest revision.
+    """
+
+    def __init__(self, keeper: ConfigKeeper):
+        self.keeper = keeper
+
+    async def push_config(self, req: ConfigPush) -> ConfigAck:
+        """Take a revision."""
+        return self.keeper.take_push(req)
+
+    async def pull_config(self, req: ConfigAck) -> ConfigPush:
+        """Return the newest revision, as a delta on the asker's where possible."""
+        return self.keeper.make_push(Revision(0) if req.need_full else req.revision)
+
+    async def notify(self, req: Notice) -> NoticeAck:
+        """Take a notice."""
+        return NoticeAck(False)
--- a/crocusvalve/entry/_placement.py
+++ b/crocusvalve/entry/_placement.py
@@ -180,6 +180,10 @@
             idempotency_key=req.idempotency_key,
             method=req.method,
             path=req.path or "/v1/chat/completions",
+            cost_before=req.cost,
+            usage_before=tables.progress[req.request_id].usage,
+            n_attempts=req.n_attempts,
+            may_escalate=req.step + 1 < len(req.steps),
         )
 
     def start_hedge(self, tables: CoreTables, req: RequestRow, now: float) -> list[Command]:
--- /dev/null
+++ b/crocusvalve/entry/_process.py
@@ -0,0 +1,151 @@
+"""Process of an entry: serves callers and peers, drains on SIGTERM."""
+
+import logging
+import random
+import secrets
+import socket
+
+import trio
+import trio_asyncio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from msgspec import Struct
+from prometheus_client import CollectorRegistry
+from quart_trio import QuartTrio
+
+from crocusvalve.base import BootId
+from crocusvalve.entry._core import CoreLimits
+from crocusvalve.entry._http import make_app
+from crocusvalve.entry._observe import LogObserver
+from crocusvalve.entry._peers import EntryPeerService
+from crocusvalve.entry._service import Entry
+from crocusvalve.platform import HttpPlatform
+from crocusvalve.rpc import serve_rpc
+from crocusvalve.settings import EntrySettings, ListenSettings
+from crocusvalve.utils import MonotonicClock
+
+__all__ = ["EntryPorts", "run_entry", "serve_http"]
+
+logger = logging.getLogger(__name__)
+
+LISTEN_BACKLOG = 512
+DRAIN_POLL_S = 0.02
+
+
+class EntryPorts(Struct, frozen=True):
+    """Ports in use."""
+
+    http: int
+    rpc: int
+
+
+def open_listener(listen: ListenSettings) -> socket.socket:
+    """Open a listening socket; port 0 picks a free one."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((listen.host, listen.port))
+    sock.listen(LISTEN_BACKLOG)
+    return sock
+
+
+async def serve_http(
+    app: QuartTrio,
+    listen: ListenSettings,
+    shutdown: trio.Event,
+    *,
+    drain_s: float,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an application until the event is set; started with the port in use."""
+    sock = open_listener(listen)
+    port = sock.getsockname()[1]
+    cfg = Config()
+    cfg.bind = [f"fd://{sock.detach()}"]
+    cfg.accesslog = None
+    cfg.errorlog = None
+    cfg.graceful_timeout = drain_s
+    cfg.keep_alive_timeout = 75
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lambda: serve(app, cfg, shutdown_trigger=shutdown.wait))
+        task_status.started(port)
+
+
+async def run_entry(
+    settings: EntrySettings,
+    *,
+    stop: trio.Event | None = None,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an entry until it is told to stop, then drain it.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the process.
+    stop : trio.Event or None
+        Set by whoever handles the signals.
+    task_status : trio.TaskStatus
+        Started with the entry and its ``EntryPorts``.
+    """
+    stop = stop if stop is not None else trio.Event()
+    boot_id = BootId(secrets.token_hex(6))
+    registry = CollectorRegistry()
+    async with (
+        trio_asyncio.open_loop(),
+        HttpPlatform(settings.platform.url) as platform,
+        trio.open_nursery() as nursery,
+    ):
+        entry = Entry(
+            settings=settings,
+            platform=platform,
+            clock=MonotonicClock(),
+            boot_id=boot_id,
+            observer=LogObserver(),
+            random_state=random.Random(),
+        )
+        await nursery.start(entry.run)
+        rpc_port = await nursery.start(_serve_peers, entry)
+        closing = trio.Event()
+        app = make_app(entry, registry)
+        http_port = await nursery.start(_serve_callers, app, settings, closing)
+        task_status.started((entry, EntryPorts(http_port, rpc_port)))
+        await stop.wait()
+        await drain_entry(entry, settings.drain_s)
+        closing.set()
+        await trio.sleep(DRAIN_POLL_S)
+        entry.pool.close()
+        entry.peers.close()
+        nursery.cancel_scope.cancel()
+
+
+async def _serve_callers(
+    app: QuartTrio,
+    settings: EntrySettings,
+    closing: trio.Event,
+    *,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await serve_http(app, settings.http, closing, drain_s=settings.drain_s, task_status=task_status)
+
+
+async def _serve_peers(
+    entry: Entry, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+) -> None:
+    settings = entry.settings
+    await serve_rpc(
+        EntryPeerService(entry.keeper),
+        settings.rpc.host,
+        settings.rpc.port,
+        token=settings.internal_key,
+        task_status=task_status,
+    )
+
+
+async def drain_entry(entry: Entry, drain_s: float) -> None:
+    """Refuse new work, finish what runs, flush bills; bounded by ``drain_s`` seconds."""
+    entry.core.limits = CoreLimits(is_draining=True)
+    with trio.move_on_after(drain_s):
+        while entry.runtime.n_open:
+            await trio.sleep(DRAIN_POLL_S)
+        while len(entry.outbox) and not await entry.flusher.flush_safely():
+            await trio.sleep(DRAIN_POLL_S)
--- a/crocusvalve/entry/_runtime.py
+++ b/crocusvalve/entry/_runtime.py
@@ -23,7 +23,7 @@
 from crocusvalve.entry._core import EntryCore
 from crocusvalve.entry._handle import AnswerPart, RequestHandle
 from crocusvalve.entry._observe import RequestObserver
-from crocusvalve.entry._orders import OrderGate
+from crocusvalve.entry._orders import OrderGate, UnclaimedOrders
 from crocusvalve.entry._raters import Rater
 from crocusvalve.exceptions import CrocusvalveError, InvariantError
 from crocusvalve.model import RequestRow
@@ -50,8 +50,6 @@
         Carries attempts to agents.
     outbox : BillOutbox
         Takes the bills.
-    orders : OrderGate
-        Keeps non-repeatable requests at most once.
     rater : Rater
         Has answers rated.
     observer : RequestObserver
@@ -67,7 +65,6 @@
         clock: Clock,
         runner: AttemptRunner,
         outbox: BillOutbox,
-        orders: OrderGate,
         rater: Rater,
         observer: RequestObserver,
         share_quarantine: Callable[[ShareQuarantine], None],
@@ -76,7 +73,7 @@
         self.clock = clock
         self.runner = runner
         self.outbox = outbox
-        self.orders = orders
+        self.orders: OrderGate = UnclaimedOrders(runner)
         self.rater = rater
         self.observer = observer
         self.share_quarantine = share_quarantine
--- /dev/null
+++ b/crocusvalve/entry/_service.py
@@ -0,0 +1,216 @@
+"""An entry: answers callers and peers over one core."""
+
+import logging
+import random
+import ssl
+
+import trio
+
+from crocusvalve.base import AttemptId, BootId, CustomerId, NodeId, RequestId, Revision, VersionRef
+from crocusvalve.billing import BillFlusher, BillOutbox, RequestIdMaker
+from crocusvalve.config import CustomerView, Document, DocumentView
+from crocusvalve.control import ConfigFollower, ConfigKeeper, ConfigStore
+from crocusvalve.entry._agents import AgentPool
+from crocusvalve.entry._attempts import AttemptRunner
+from crocusvalve.entry._commands import ShareQuarantine
+from crocusvalve.entry._core import CoreLimits, EntryCore
+from crocusvalve.entry._handle import RequestHandle
+from crocusvalve.entry._observe import RequestObserver
+from crocusvalve.entry._peers import PeerGroup
+from crocusvalve.entry._policies import Policies
+from crocusvalve.entry._raters import Rater
+from crocusvalve.entry._reports import ReportMerger
+from crocusvalve.entry._runtime import EntryRuntime
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.entry._upstreams import UpstreamWatcher
+from crocusvalve.entry.base import DurableState, EntryService
+from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.model import RequestRow
+from crocusvalve.platform import HttpPlatform
+from crocusvalve.rpc import BillRecord, RunEvent
+from crocusvalve.sessions import SessionAction, SessionClaim, SessionSigner, resolve_session
+from crocusvalve.settings import EntrySettings
+from crocusvalve.utils import Clock, hash_key
+
+__all__ = ["Entry"]
+
+logger = logging.getLogger(__name__)
+
+EMPTY_VIEW = DocumentView(Document("", {}), Revision(0))
+
+
+class Entry(EntryService):
+    """One entry process; ``run`` must be running.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the process.
+    platform : HttpPlatform
+        Client of the platform's service.
+    clock : Clock
+        Source of the present time.
+    boot_id : BootId
+        This run of the process.
+    observer : RequestObserver
+        Metrics and log lines of requests.
+    random_state : random.Random
+        Source of randomness.
+    client_tls : ssl.SSLContext or None
+        Client context of internal connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        platform: HttpPlatform,
+        clock: Clock,
+        boot_id: BootId,
+        observer: RequestObserver,
+        random_state: random.Random,
+        client_tls: ssl.SSLContext | None = None,
+    ):
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock
+        self.boot_id = boot_id
+        self.observer = observer
+        node_id = NodeId(settings.node_id)
+        self.ids = RequestIdMaker(boot_id)
+        self.signer = SessionSigner(settings.session_key.encode())
+        self.tables = CoreTables(EMPTY_VIEW)
+        self.keeper = ConfigKeeper()
+        self.store = ConfigStore(platform, platform)
+        self.outbox = BillOutbox()
+        self.flusher = BillFlusher(
+            platform, self.outbox, node_id=node_id, boot_id=boot_id, clock=clock
+        )
+        self.pool = AgentPool(token=settings.internal_key, tls=client_tls)
+        self.peers = PeerGroup(settings.peers, token=settings.internal_key, tls=client_tls)
+        self.follower = ConfigFollower(
+            self.store,
+            self.keeper,
+            clock=clock,
+            list_peers=self.peers.list_clients,
+            poll_interval_s=settings.config_poll_s,
+        )
+        policies = Policies(
+            random_state=random_state, domain=settings.domain, region=settings.region
+        )
+        self.core = EntryCore(tables=self.tables, policies=policies, node_id=node_id)
+        self.runner = AttemptRunner(pool=self.pool, feed=self._feed, clock=clock)
+        self.runtime = EntryRuntime(
+            core=self.core,
+            clock=clock,
+            runner=self.runner,
+            outbox=self.outbox,
+            rater=Rater(platform),
+            observer=observer,
+            share_quarantine=self._share_quarantine,
+        )
+        self.watcher = UpstreamWatcher(
+            tables=self.tables,
+            pool=self.pool,
+            keeper=self.keeper,
+            membership=ReportMerger(),
+            outbox=self.outbox,
+            clock=clock,
+        )
+        self._nursery: trio.Nursery | None = None
+        self.keeper.add_listener(self._apply_view)
+        self.flusher.add_listener(self._acknowledge_bills)
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Run all tasks until cancelled; started once they run."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self.runtime.run)
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.flusher.run)
+            nursery.start_soon(self.watcher.run)
+            if self.keeper.view is not None:
+                self._apply_view(self.keeper.view)
+            task_status.started()
+
+    def _apply_view(self, view: DocumentView) -> None:
+        self.tables.apply_view(view)
+        if self._nursery is not None:
+            self._nursery.start_soon(self.watcher.push_to_all)
+            self._nursery.start_soon(self.peers.push_to_all, self.keeper)
+
+    def _acknowledge_bills(self, bills: list[BillRecord]) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self.watcher.acknowledge_bills, bills)
+
+    def _feed(self, attempt_id: AttemptId, event: RunEvent) -> None:
+        self.runtime.feed(attempt_id, event)
+
+    def _share_quarantine(self, cmd: ShareQuarantine) -> None:
+        logger.warning("request digest %s crashed an upstream (%d)", cmd.digest, cmd.n_crashes)
+
+    def now(self) -> float:
+        """Return Unix time in seconds."""
+        return self.clock.now()
+
+    def view(self) -> DocumentView:
+        """Return the revision in force."""
+        return self.tables.view
+
+    def make_request_id(self) -> RequestId:
+        """Make a new request id."""
+        return self.ids.make(self.clock.now())
+
+    def is_ready(self) -> bool:
+        """Tell whether there is a revision in force and the entry is not stopping."""
+        return self.tables.view.revision > 0 and not self.core.limits.is_draining
+
+    def find_customer(self, key: str) -> CustomerView:
+        """Return the customer of a bearer key."""
+        if self.tables.view.revision == 0:
+            message = "this entry has no configuration yet"
+            raise RefusedError(ErrorCode.NOT_READY, message, step="authenticate", retry_after_s=1)
+        customer = self.tables.view.customer_by_key.get(hash_key(key))
+        if customer is None:
+            raise RefusedError(ErrorCode.BAD_KEY, "the key is not known", step="authenticate")
+        return customer
+
+    async def submit(self, req: RequestRow) -> RequestHandle:
+        """Take a request."""
+        self.core.limits = CoreLimits(
+            can_bill=not self.outbox.is_full, is_draining=self.core.limits.is_draining
+        )
+        return self.runtime.submit(req)
+
+    def abandon(self, request_id: RequestId) -> None:
+        """The caller has gone: cancel what runs for it."""
+        self.runtime.abandon(request_id)
+
+    def open_session(self, token: str, customer_id: CustomerId) -> SessionClaim | None:
+        """Verify a session's token."""
+        return self.signer.verify(token, customer_id)
+
+    def pin_session(self, req: RequestRow, claim: SessionClaim) -> None:
+        """Pin a request to its session's version where it asks for the same model."""
+        if claim.model not in req.steps:
+            return
+        decision = resolve_session(claim, self.tables, self.clock.now())
+        if decision.action is SessionAction.REFUSE:
+            raise decision.error
+        if not req.pinned_version:
+            req.pinned_version = VersionRef(decision.version)
+        req.preferred_upstream = decision.preferred_upstream
+
+    def sign_session(self, claim: SessionClaim) -> str:
+        """Sign a session's token."""
+        return self.signer.sign(claim)
+
+    async def accept_durable(self, req: RequestRow) -> DurableState:
+        """Keep a durable request in the platform's service."""
+        raise RefusedError(
+            ErrorCode.NOT_READY, "durable requests are not served yet", step="durable"
+        )
+
+    async def find_durable(self, customer_id: CustomerId, request_id: RequestId) -> DurableState:
+        """Return the state of a durable request."""
+        raise RefusedError(ErrorCode.UNKNOWN_REQUEST, "there is no such request", step="durable")
--- a/crocusvalve/entry/_timers.py
+++ b/crocusvalve/entry/_timers.py
@@ -30,6 +30,8 @@
         for request_id in tables.pop_due(tables.deadlines, now):
             if request_id in tables.requests:
                 commands += self._expire(tables, request_id, now)
+        # Queued requests past their deadline have just been ended.
+        tables.queue.pop_expired(now)
         for request_id in tables.pop_due(tables.hedges, now):
             commands += self._hedge(tables, request_id, now)
         return commands
--- /dev/null
+++ b/crocusvalve/entry/_upstreams.py
@@ -0,0 +1,172 @@
+"""Keeps an entry's rows of upstreams fresh: load reports, revisions and held bills."""
+
+import logging
+
+import trio
+
+from crocusvalve.base import RequestId, Revision, UpstreamId
+from crocusvalve.billing import BillOutbox
+from crocusvalve.control import ConfigKeeper
+from crocusvalve.entry._agents import AgentPool
+from crocusvalve.entry._config_sync import push_revision
+from crocusvalve.entry._reports import ReportMerger
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.rpc import BillRecord, BillsAck, Empty, LoadReport
+from crocusvalve.utils import Clock
+
+__all__ = ["UpstreamWatcher"]
+
+logger = logging.getLogger(__name__)
+
+REPORT_INTERVAL_S = 0.5
+REPORT_TIMEOUT_S = 1.0
+#: Silence after which the streams of an agent are broken off.
+SILENCE_S = 2.5
+BILLS_INTERVAL_S = 5.0
+
+
+class UpstreamWatcher:
+    """Asks each agent of the entry's subset for its load, and passes it newer revisions.
+
+    Parameters
+    ----------
+    tables : CoreTables
+        Rows to keep fresh.
+    pool : AgentPool
+        Channels to the agents.
+    keeper : ConfigKeeper
+        The newest revision.
+    membership : ReportMerger
+        Merges reports into the rows.
+    outbox : BillOutbox
+        Takes bills that agents still hold for entries that have died.
+    clock : Clock
+        Source of the present time.
+    report_interval_s : float
+        Delay between two reports of one agent, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: CoreTables,
+        pool: AgentPool,
+        keeper: ConfigKeeper,
+        membership: ReportMerger,
+        outbox: BillOutbox,
+        clock: Clock,
+        report_interval_s: float = REPORT_INTERVAL_S,
+    ):
+        self.tables = tables
+        self.pool = pool
+        self.keeper = keeper
+        self.membership = membership
+        self.outbox = outbox
+        self.clock = clock
+        self.report_interval_s = report_interval_s
+        self._watched: dict[UpstreamId, trio.CancelScope] = {}
+        self._heard_at: dict[UpstreamId, float] = {}
+
+    async def run(self) -> None:
+        """Watch the upstreams of the revision in force until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._match_watchers(nursery)
+                await trio.sleep(self.report_interval_s)
+
+    def _match_watchers(self, nursery: trio.Nursery) -> None:
+        wanted = {ref for ref, row in self.tables.upstreams.items() if row.in_subset}
+        for upstream_id in wanted - self._watched.keys():
+            scope = trio.CancelScope()
+            self._watched[upstream_id] = scope
+            nursery.start_soon(self._watch, upstream_id, scope)
+        for upstream_id in self._watched.keys() - wanted:
+            self._watched.pop(upstream_id).cancel()
+        self.pool.retain({row.agent for row in self.tables.upstreams.values()})
+
+    async def _watch(self, upstream_id: UpstreamId, scope: trio.CancelScope) -> None:
+        bills_at = self.clock.now()
+        self._heard_at[upstream_id] = self.clock.now()
+        with scope:
+            while True:
+                await self._report_once(upstream_id)
+                if self.clock.now() >= bills_at:
+                    await self._collect_bills(upstream_id)
+                    bills_at = self.clock.now() + BILLS_INTERVAL_S
+                await trio.sleep(self.report_interval_s)
+
+    async def _report_once(self, upstream_id: UpstreamId) -> None:
+        row = self.tables.upstreams.get(upstream_id)
+        if row is None:
+            return
+        client = self.pool.get(row.agent)
+        try:
+            with trio.fail_after(REPORT_TIMEOUT_S):
+                report = await client.report(Empty())
+        except (CrocusvalveError, trio.TooSlowError) as exc:
+            self._note_silence(upstream_id, exc)
+            return
+        if report.upstream_id != upstream_id:
+            logger.error("agent %s reports for %s", row.agent, report.upstream_id)
+            return
+        self._take_report(upstream_id, report)
+        if report.revision < self.keeper.revision:
+            row.revision = await push_revision(self.keeper, client, report.revision)
+
+    def _take_report(self, upstream_id: UpstreamId, report: LoadReport) -> None:
+        now = self.clock.now()
+        self._heard_at[upstream_id] = now
+        self.membership.take_report(self.tables, report, now)
+
+    def _note_silence(self, upstream_id: UpstreamId, exc: Exception) -> None:
+        row = self.tables.upstreams.get(upstream_id)
+        silence_s = self.clock.now() - self._heard_at[upstream_id]
+        if row is not None and silence_s > SILENCE_S:
+            logger.info("agent of %s silent for %.1f s: %s", upstream_id, silence_s, exc)
+            self.pool.break_streams(row.agent)
+
+    async def _collect_bills(self, upstream_id: UpstreamId) -> None:
+        row = self.tables.upstreams.get(upstream_id)
+        if row is None:
+            return
+        try:
+            reply = await self.pool.get(row.agent).list_bills(Empty())
+        except CrocusvalveError:
+            return
+        for bill in reply.bills:
+            self.outbox.add(bill)
+
+    async def acknowledge_bills(self, bills: list[BillRecord]) -> None:
+        """Let the agents forget bills that are in the ledger."""
+        by_upstream: dict[UpstreamId, list[RequestId]] = {}
+        for bill in bills:
+            by_upstream.setdefault(bill.upstream_id, []).append(bill.request_id)
+        async with trio.open_nursery() as nursery:
+            for upstream_id, request_ids in by_upstream.items():
+                nursery.start_soon(self._acknowledge, upstream_id, tuple(request_ids))
+
+    async def _acknowledge(
+        self, upstream_id: UpstreamId, request_ids: tuple[RequestId, ...]
+    ) -> None:
+        row = self.tables.upstreams.get(upstream_id)
+        if row is None:
+            return
+        try:
+            await self.pool.get(row.agent).acknowledge_bills(BillsAck(request_ids))
+        except CrocusvalveError as exc:
+            # The agent offers the bills again, and the ledger drops the repeats.
+            logger.info("bills not acknowledged at %s: %s", upstream_id, exc)
+
+    async def push_to_all(self) -> None:
+        """Pass the newest revision to all agents of the subset at once."""
+        async with trio.open_nursery() as nursery:
+            for row in list(self.tables.upstreams.values()):
+                if row.in_subset and row.revision < self.keeper.revision:
+                    nursery.start_soon(self._push_one, row.upstream_id, row.revision)
+
+    async def _push_one(self, upstream_id: UpstreamId, have: Revision) -> None:
+        row = self.tables.upstreams.get(upstream_id)
+        if row is not None:
+            revision = await push_revision(self.keeper, self.pool.get(row.agent), have)
+            row.revision = max(row.revision, revision)
--- a/crocusvalve/rpc/_server.py
+++ b/crocusvalve/rpc/_server.py
@@ -2,6 +2,7 @@
 
 import ssl
 from collections.abc import Callable
+from contextlib import aclosing
 from typing import Any
 
 import msgspec
@@ -103,8 +104,9 @@
     @staticmethod
     async def _answer_stream(target: Callable, req: Any, stream: Any) -> None:
         send = aio_as_trio(stream.send_message)
-        async for event in target(req):
-            await send(event)
+        async with aclosing(target(req)) as events:
+            async for event in events:
+                await send(event)
 
 
 async def serve_rpc(
