--- a/crocusvalve/entry/_core.py
+++ b/crocusvalve/entry/_core.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from crocusvalve.base import AttemptId, Command, NodeId, RequestId, VersionRef
+from crocusvalve.base import AttemptId, Command, NodeId, RequestId, UpstreamId, VersionRef
 from crocusvalve.entry._admission import AdmissionSystem
 from crocusvalve.entry._outcome import OutcomeSystem
 from crocusvalve.entry._placement import PlacementSystem
@@ -66,6 +66,35 @@
         commands = self.admission.admit(self.tables, req, now, limits.can_bill, limits.quota_share)
         return commands + self.placement.run(self.tables, now)
 
+    def place_order(
+        self, req: RequestRow, avoid: frozenset[UpstreamId], now: float
+    ) -> list[Command]:
+        """Queue an order for a placement outside some upstreams.
+
+        Raises
+        ------
+        RefusedError
+            Where it is refused at once, always as not run.
+        """
+        req.avoid = set(avoid)
+        if req.request_id not in self.tables.requests:
+            return self.submit(req, now)
+        self.outcome.requeue(self.tables, req, now)
+        return self.placement.run(self.tables, now)
+
+    def end_order_attempt(
+        self, attempt_id: AttemptId, service_s: float | None, now: float
+    ) -> list[Command]:
+        """Free the upstream of an order's attempt; ``service_s`` is None where it failed."""
+        self.outcome.end_order_attempt(self.tables, attempt_id, service_s, now)
+        return self.placement.run(self.tables, now) if len(self.tables.queue) else []
+
+    def forget_order(self, request_id: RequestId) -> None:
+        """Remove an order that has ended."""
+        req = self.tables.requests.get(request_id)
+        if req is not None:
+            self.outcome.forget(self.tables, req)
+
     def take_event(self, attempt_id: AttemptId, event: RunEvent, now: float) -> list[Command]:
         """Take an event of an attempt: a frame, the end or a refusal."""
         commands = self.outcome.take_event(self.tables, attempt_id, event, now)
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -172,7 +172,7 @@
             return self.deliver_held(tables, req, now)
         req.step += 1
         req.avoid.clear()
-        self._requeue(tables, req, now)
+        self.requeue(tables, req, now)
         return []
 
     def deliver_held(self, tables: CoreTables, req: RequestRow, now: float) -> list[Command]:
@@ -271,9 +271,26 @@
         if not decision.is_redirect or refused.code == ErrorCode.UPSTREAM_DOWN.name:
             req.avoid.add(attempt.upstream_id)
         req.not_before = decision.not_before
-        self._requeue(tables, req, now)
+        self.requeue(tables, req, now)
 
-    def _requeue(self, tables: CoreTables, req: RequestRow, now: float) -> None:
+    def end_order_attempt(
+        self, tables: CoreTables, attempt_id: AttemptId, service_s: float | None, now: float
+    ) -> None:
+        """Count the end of an order's attempt; ``service_s`` is None where it failed."""
+        attempt = tables.attempts.get(attempt_id)
+        if attempt is None:
+            return
+        req = tables.requests[attempt.request_id]
+        row = tables.upstreams.get(attempt.upstream_id)
+        if row is not None and service_s is not None:
+            note_success(row, service_s, now)
+        self.policies.get_quarantine(tables).note_end(
+            req.digest, is_success=service_s is not None
+        )
+        self._end_attempt(tables, attempt, now)
+
+    def requeue(self, tables: CoreTables, req: RequestRow, now: float) -> None:
+        """Queue a request for its next attempt."""
         cfg = tables.view.customers.get(req.customer_id)
         req.state = RequestState.QUEUED
         tables.progress[req.request_id].had_candidates_at = now
--- a/crocusvalve/entry/_placement.py
+++ b/crocusvalve/entry/_placement.py
@@ -5,6 +5,7 @@
 from crocusvalve.answers import AnswerAssembler
 from crocusvalve.base import (
     AttemptId,
+    BootId,
     ClassKind,
     Command,
     NodeId,
@@ -89,11 +90,7 @@
             model = req.steps[req.step]
             req.version = self.policies.choose_version(tables, req, model)
         progress = tables.progress[req.request_id]
-        candidates = list_candidates(tables, req, req.version, now)
-        if not candidates and req.avoid:
-            # Every other upstream is closed: the ones that failed are better than none.
-            req.avoid.clear()
-            candidates = list_candidates(tables, req, req.version, now)
+        candidates = self._list_candidates(tables, req, now)
         if not candidates:
             if now - progress.had_candidates_at >= self._get_grace_s(tables, req):
                 self._stranded.append(req)
@@ -102,6 +99,20 @@
         candidates = self.policies.get_quarantine(tables).filter_candidates(req.digest, candidates)
         return self.policies.get_router(tables, req.member).choose(req, candidates, now)
 
+    @staticmethod
+    def _list_candidates(
+        tables: CoreTables, req: RequestRow, now: float
+    ) -> list[UpstreamRow]:
+        candidates = list_candidates(tables, req, req.version, now)
+        if not req.is_repeatable:
+            # An attempt of an order names the run of the agent that may start it.
+            return [row for row in candidates if row.boot_id]
+        if not candidates and req.avoid:
+            # Every other upstream is closed: the ones that failed are better than none.
+            req.avoid.clear()
+            candidates = list_candidates(tables, req, req.version, now)
+        return candidates
+
     @staticmethod
     def _get_grace_s(tables: CoreTables, req: RequestRow) -> float:
         if not req.service and tables.is_version_withdrawn(req.version):
@@ -178,6 +189,7 @@
             digest=req.digest,
             session_id=req.session_id,
             idempotency_key=req.idempotency_key,
+            boot_id=BootId("") if req.is_repeatable else row.boot_id,
             method=req.method,
             path=req.path or "/v1/chat/completions",
             cost_before=req.cost,
--- a/crocusvalve/entry/_runtime.py
+++ b/crocusvalve/entry/_runtime.py
@@ -23,10 +23,11 @@
 from crocusvalve.entry._core import EntryCore
 from crocusvalve.entry._handle import AnswerPart, RequestHandle
 from crocusvalve.entry._observe import RequestObserver
-from crocusvalve.entry._orders import OrderGate, UnclaimedOrders
+from crocusvalve.entry._order_desk import OrderDesk
 from crocusvalve.entry._raters import Rater
 from crocusvalve.exceptions import CrocusvalveError, InvariantError
 from crocusvalve.model import RequestRow
+from crocusvalve.orders import OrderRunner
 from crocusvalve.rpc import BillRecord, RunEvent
 from crocusvalve.utils import Clock
 
@@ -50,6 +51,8 @@
         Carries attempts to agents.
     outbox : BillOutbox
         Takes the bills.
+    orders : OrderRunner
+        Runs the flow of an order.
     rater : Rater
         Has answers rated.
     observer : RequestObserver
@@ -65,6 +68,7 @@
         clock: Clock,
         runner: AttemptRunner,
         outbox: BillOutbox,
+        orders: OrderRunner,
         rater: Rater,
         observer: RequestObserver,
         share_quarantine: Callable[[ShareQuarantine], None],
@@ -73,7 +77,14 @@
         self.clock = clock
         self.runner = runner
         self.outbox = outbox
-        self.orders: OrderGate = UnclaimedOrders(runner)
+        self.desk = OrderDesk(
+            runner=orders,
+            core=core,
+            dispatch=self.dispatch,
+            note_answered=self._note_order_answered,
+            note_refused=self._note_order_refused,
+            clock=clock,
+        )
         self.rater = rater
         self.observer = observer
         self.share_quarantine = share_quarantine
@@ -95,7 +106,7 @@
     @property
     def n_open(self) -> int:
         """Requests not yet ended."""
-        return len(self._handles)
+        return len(self._handles) + len(self.desk)
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Tick and carry attempts until cancelled."""
@@ -121,6 +132,8 @@
         RefusedError
             Where it is refused at once.
         """
+        if not req.is_repeatable:
+            return self._submit_order(req)
         handle = RequestHandle(req.request_id)
         self._handles[req.request_id] = handle
         self._rows[req.request_id] = req
@@ -134,6 +147,11 @@
         self.dispatch(commands)
         return handle
 
+    def _submit_order(self, req: RequestRow) -> RequestHandle:
+        call = self.desk.open(req)
+        self._nursery.start_soon(self.desk.run, call)
+        return call.handle
+
     def abandon(self, request_id: RequestId) -> None:
         """Drop a request whose caller has gone."""
         if request_id not in self._handles:
@@ -152,9 +170,9 @@
             self._carry_out[type(command)](command)
 
     def _start(self, cmd: StartAttempt) -> None:
-        req = self._rows.get(cmd.run.request_id)
-        if req is not None and not req.is_repeatable:
-            self._nursery.start_soon(self.orders.start, cmd)
+        call = self.desk.find(cmd.run.request_id)
+        if call is not None:
+            call.note_placed(cmd)
             return
         self._nursery.start_soon(self.runner.start, cmd)
 
@@ -183,6 +201,10 @@
         handle.put(cmd.summary)
 
     def _refuse(self, cmd: Refuse) -> None:
+        call = self.desk.find(cmd.request_id)
+        if call is not None:
+            call.note_refused(cmd.error)
+            return
         handle = self._handles.pop(cmd.request_id, None)
         if handle is None:
             return
@@ -190,6 +212,17 @@
         self.observer.note_refused(req, cmd.error, self.clock.now())
         handle.put(cmd.error)
 
+    def _note_order_answered(
+        self, req: RequestRow, summary: AnswerSummary, is_replay: bool
+    ) -> None:
+        now = self.clock.now()
+        if not is_replay:
+            self.outbox.add(_make_bill(req, summary, now))
+        self.observer.note_answered(req, summary, now)
+
+    def _note_order_refused(self, req: RequestRow, error: CrocusvalveError) -> None:
+        self.observer.note_refused(req, error, self.clock.now())
+
     def _rate(self, cmd: RateAnswer) -> None:
         req = self._rows.get(cmd.request_id)
         if req is not None:
--- a/crocusvalve/entry/_timers.py
+++ b/crocusvalve/entry/_timers.py
@@ -42,12 +42,13 @@
         if progress.held is not None and req.n_frames_out == 0:
             return self.outcome.deliver_held(tables, req, now)
         has_running = bool(tables.attempts_of.get(request_id))
+        if has_running and not req.is_repeatable:
+            # The order's flow keeps the deadline and tells what is known of the attempt.
+            return []
         ran = Ran.UNKNOWN if has_running else progress.ran
         commands = self.outcome.cancel_attempts(tables, request_id, now)
-        code = ErrorCode.DEADLINE_PASSED
-        if not req.is_repeatable and ran is Ran.UNKNOWN:
-            code = ErrorCode.OUTCOME_UNKNOWN
-        error = RefusedError(code, "the deadline has passed", step="deadline", ran=ran)
+        message = "the deadline has passed"
+        error = RefusedError(ErrorCode.DEADLINE_PASSED, message, step="deadline", ran=ran)
         return commands + self.outcome.refuse(tables, req, error)
 
     def _hedge(self, tables: CoreTables, request_id: str, now: float) -> list[Command]:
