retry, sessions: hedges, resumes, suspects kept apart, session decisions

Cause: a suspect whose first attempts ran on two upstreams could be retried on a third while the second still ran it; a stream whose agent had lost its buffer was restarted after its first frame; a token with lone surrogates raised UnicodeEncodeError in place of a coded error (each found by a row of the outlines). Change: all running digests are counted, not only suspects; resumes and redirects are bounded apart from retries; durable work outlasts the budget at the longest delay; lookups are hedged at p95 within the budget of retries.

--- a/crocusvalve/retry/__init__.py
+++ b/crocusvalve/retry/__init__.py
@@ -1,11 +1,14 @@
-"""Retries, their budget, and requests that crash upstreams."""
+"""Retries, hedges, their budget, and requests that crash upstreams."""
 
 from crocusvalve.retry._backoff import compute_backoff_s
 from crocusvalve.retry._budget import RetryBudget
+from crocusvalve.retry._hedge import HedgePolicy, LatencyWindow
 from crocusvalve.retry._policy import RetryAction, RetryDecision, RetryPolicy
 from crocusvalve.retry._quarantine import Quarantine
 
 __all__ = [
+    "HedgePolicy",
+    "LatencyWindow",
     "Quarantine",
     "RetryAction",
     "RetryBudget",
--- /dev/null
+++ b/crocusvalve/retry/_hedge.py
@@ -0,0 +1,97 @@
+"""Hedging: a second attempt of a late lookup on another upstream."""
+
+from collections import deque
+
+from sortedcontainers import SortedList
+
+from crocusvalve.base import ClassKind, MemberId
+from crocusvalve.config import ClassConfig
+from crocusvalve.model import RequestRow
+from crocusvalve.retry._budget import RetryBudget
+from crocusvalve.retry._quarantine import Quarantine
+
+__all__ = ["HedgePolicy", "LatencyWindow"]
+
+#: A lookup is late when it takes longer than this quantile of those before.
+HEDGE_QUANTILE = 0.95
+#: Latencies kept per class.
+WINDOW_SIZE = 500
+#: Latencies needed before the quantile is used.
+MIN_SAMPLES = 20
+#: No hedge is sent earlier than this.
+MIN_HEDGE_S = 0.005
+
+
+class LatencyWindow:
+    """The last latencies of one class, for their quantiles."""
+
+    def __init__(self, *, size: int = WINDOW_SIZE):
+        self.size = size
+        self._in_order: deque[float] = deque()
+        self._sorted: SortedList = SortedList()
+
+    def add(self, latency_s: float) -> None:
+        """Add a latency in seconds; the oldest is dropped."""
+        self._in_order.append(latency_s)
+        self._sorted.add(latency_s)
+        if len(self._in_order) > self.size:
+            self._sorted.remove(self._in_order.popleft())
+
+    def compute_quantile(self, q: float) -> float | None:
+        """Return a quantile in seconds; None where there are too few latencies."""
+        n = len(self._sorted)
+        return self._sorted[min(n - 1, int(q * n))] if n >= MIN_SAMPLES else None
+
+
+class HedgePolicy:
+    """Decides when a lookup is hedged.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+        Shared with the retries.
+    quarantine : Quarantine
+        Suspects aren't hedged.
+    """
+
+    def __init__(self, *, budget: RetryBudget, quarantine: Quarantine):
+        self.budget = budget
+        self.quarantine = quarantine
+        self.windows_: dict[tuple[MemberId, str], LatencyWindow] = {}
+
+    def note_latency(self, req: RequestRow, latency_s: float) -> None:
+        """Learn from the first attempt of a lookup that was answered."""
+        key = (req.member, req.class_name)
+        self.windows_.setdefault(key, LatencyWindow()).add(latency_s)
+
+    def compute_hedge_at(self, req: RequestRow, cfg: ClassConfig, now: float) -> float:
+        """Return the instant from which a request that starts now may be hedged.
+
+        Parameters
+        ----------
+        req : RequestRow
+            The request.
+        cfg : ClassConfig
+            Its class; ``hedge_after_s`` is the least delay, and the only one known at first.
+        now : float
+            Present Unix time in seconds.
+
+        Returns
+        -------
+        float
+            0 where the request isn't hedged.
+        """
+        if req.kind is not ClassKind.LOOKUP or not req.is_repeatable:
+            return 0.0
+        window = self.windows_.get((req.member, req.class_name))
+        quantile_s = window.compute_quantile(HEDGE_QUANTILE) if window else None
+        delay_s = max(quantile_s or 0.0, cfg.hedge_after_s)
+        return now + max(delay_s, MIN_HEDGE_S) if delay_s > 0.0 else 0.0
+
+    def should_hedge(self, req: RequestRow, n_running: int, now: float) -> bool:
+        """Tell whether a request is hedged now, and take the hedge from the budget."""
+        if not 0.0 < req.hedge_at <= now or now >= req.deadline or n_running != 1:
+            return False
+        if req.n_frames_out or self.quarantine.is_suspect(req.digest):
+            return False
+        return self.budget.try_take(req.member, now)
--- a/crocusvalve/retry/_policy.py
+++ b/crocusvalve/retry/_policy.py
@@ -43,7 +43,20 @@
         ErrorCode.FENCED,
     }
 )
+#: Answers to a resume that tell that the agent no longer holds the frames.
+BUFFER_LOST_CODES = frozenset(
+    {
+        ErrorCode.STALE_BOOT,
+        ErrorCode.FENCED,
+        ErrorCode.UNKNOWN_REQUEST,
+        ErrorCode.NOT_FOUND,
+        ErrorCode.ANSWER_DAMAGED,
+    }
+)
+#: Refusals whose ``retry_after_s`` is waited for.
+LOAD_CODES = frozenset({ErrorCode.OVERLOADED, ErrorCode.RATE_LIMITED})
 MAX_REDIRECTS = 32
+MAX_RESUMES = 8
 #: Time that an attempt needs at least; no attempt starts closer to the deadline.
 MIN_ATTEMPT_S = 0.02
 REDIRECT_BASE_S = 0.005
@@ -71,7 +84,7 @@
     action : RetryAction
         RESUME asks the same agent for the frames from the next sequence number on.
     not_before : float
-        Instant of the next attempt, for RETRY and RESUME.
+        Earliest instant of the next attempt, for RETRY and RESUME.
     code : ErrorCode
         What the caller is told, for REFUSE and OUTCOME_UNKNOWN.
     ran : Ran
@@ -114,8 +127,8 @@
         Parameters
         ----------
         req : RequestRow
-            The request; ``n_attempts`` counts the attempt that failed, ``n_redirects`` is raised
-            where the retry is free.
+            The request; ``n_attempts`` counts the attempt that failed (a resume is none).
+            ``n_redirects`` is raised by a free retry and by a resume.
         refused : Refused
             How the attempt ended.
         now : float
@@ -133,51 +146,68 @@
             return _tell_unknown(refused)
         if code is ErrorCode.VERSION_WITHDRAWN and req.pinned_version:
             return self._refuse(code, refused)
-        if req.n_frames_out and refused.ran is not Ran.NOT_RUN:
+        if req.n_frames_out:
             return self._resume(req, code, refused, now)
+        if refused.ran is Ran.NOT_RUN and code in REDIRECT_CODES:
+            return self._redirect(req, code, refused, now)
         return self._retry(req, code, refused, now)
 
     def _resume(
         self, req: RequestRow, code: ErrorCode, refused: Refused, now: float
     ) -> RetryDecision:
-        # A crashed upstream has lost its buffer, and a restart would repeat frames.
-        can_resume = not refused.crashed and req.n_attempts < req.max_attempts
-        delay_s = self._draw_backoff_s(req, RETRY_BASE_S, RETRY_MAX_S)
-        if not can_resume or now + delay_s + MIN_ATTEMPT_S > req.deadline:
-            return self._refuse(code, refused)
+        delay_s = self._draw_backoff_s(req.n_redirects + 1, RETRY_BASE_S, RETRY_MAX_S)
+        # A restart would repeat frames that the caller has, so without the buffer it ends here.
+        has_buffer = not refused.crashed and code not in BUFFER_LOST_CODES
+        has_time = _has_time(req, now + delay_s)
+        if not has_buffer or not has_time or req.n_redirects >= MAX_RESUMES:
+            return RetryDecision(action=RetryAction.REFUSE, code=code, ran=Ran.RAN)
+        req.n_redirects += 1
         return RetryDecision(action=RetryAction.RESUME, not_before=now + delay_s)
 
-    def _retry(
+    def _redirect(
         self, req: RequestRow, code: ErrorCode, refused: Refused, now: float
     ) -> RetryDecision:
-        is_redirect = refused.ran is Ran.NOT_RUN and code in REDIRECT_CODES
-        if is_redirect:
-            has_attempts = req.n_redirects < MAX_REDIRECTS
-            delay_s = self._draw_backoff_s(req, REDIRECT_BASE_S, REDIRECT_MAX_S)
-        else:
-            has_attempts = req.n_attempts - req.n_redirects < req.max_attempts
-            is_durable = req.kind is ClassKind.DURABLE
-            base_s = DURABLE_BASE_S if is_durable else RETRY_BASE_S
-            delay_s = self._draw_backoff_s(
-                req, base_s, DURABLE_MAX_S if is_durable else RETRY_MAX_S
-            )
-        if not has_attempts:
-            return self._refuse(code, refused)
-        if now + delay_s + MIN_ATTEMPT_S > req.deadline:
-            return self._refuse(code, refused)
-        if not is_redirect and not self.budget.try_take(req.member, now):
+        delay_s = self._draw_backoff_s(req.n_redirects + 1, REDIRECT_BASE_S, REDIRECT_MAX_S)
+        if req.n_redirects >= MAX_REDIRECTS or not _has_time(req, now + delay_s):
             return self._refuse(code, refused)
-        req.n_redirects += int(is_redirect)
+        req.n_redirects += 1
         return RetryDecision(
             action=RetryAction.RETRY,
             not_before=now + delay_s,
-            is_redirect=is_redirect,
+            is_redirect=True,
             must_choose_version=code is ErrorCode.VERSION_WITHDRAWN,
         )
 
-    def _draw_backoff_s(self, req: RequestRow, base_s: float, max_s: float) -> float:
+    def _retry(
+        self, req: RequestRow, code: ErrorCode, refused: Refused, now: float
+    ) -> RetryDecision:
+        if req.kind is ClassKind.DURABLE:
+            return self._retry_durable(req, code, refused, now)
+        n_failed = req.n_attempts - req.n_redirects
+        delay_s = self._draw_backoff_s(n_failed, RETRY_BASE_S, RETRY_MAX_S)
+        if code in LOAD_CODES:
+            delay_s = max(delay_s, refused.retry_after_s or 0.0)
+        if n_failed >= req.max_attempts or not _has_time(req, now + delay_s):
+            return self._refuse(code, refused)
+        if not self.budget.try_take(req.member, now):
+            return self._refuse(code, refused)
+        return RetryDecision(action=RetryAction.RETRY, not_before=now + delay_s)
+
+    def _retry_durable(
+        self, req: RequestRow, code: ErrorCode, refused: Refused, now: float
+    ) -> RetryDecision:
+        n_failed = req.n_attempts - req.n_redirects
+        delay_s = self._draw_backoff_s(n_failed, DURABLE_BASE_S, DURABLE_MAX_S)
+        # Accepted work isn't given up for want of budget, but waits the longest delay.
+        if not self.budget.try_take(req.member, now):
+            delay_s = DURABLE_MAX_S
+        if not _has_time(req, now + delay_s):
+            return self._refuse(code, refused)
+        return RetryDecision(action=RetryAction.RETRY, not_before=now + delay_s)
+
+    def _draw_backoff_s(self, n_attempts: int, base_s: float, max_s: float) -> float:
         return compute_backoff_s(
-            req.n_attempts, base_s=base_s, max_s=max_s, random_state=self.random_state
+            n_attempts, base_s=base_s, max_s=max_s, random_state=self.random_state
         )
 
     def _refuse(self, code: ErrorCode, refused: Refused) -> RetryDecision:
@@ -193,6 +223,10 @@
     return ErrorCode.__members__.get(name, ErrorCode.UPSTREAM_FAILED)
 
 
+def _has_time(req: RequestRow, at: float) -> bool:
+    return at + MIN_ATTEMPT_S <= req.deadline
+
+
 def _is_repeatable(req: RequestRow) -> bool:
     return req.is_repeatable and req.kind is not ClassKind.ORDER
 
--- a/crocusvalve/retry/_quarantine.py
+++ b/crocusvalve/retry/_quarantine.py
@@ -3,10 +3,12 @@
 from collections.abc import Sequence
 
 from crocusvalve.base import UpstreamId
+from crocusvalve.exceptions import InvariantError
 from crocusvalve.model import QuarantineRow, UpstreamRow
 
 __all__ = ["Quarantine"]
 
+STEP = "quarantine"
 #: A digest is refused for good from this crash on.
 BANNED_CRASHES = 2
 MAX_ROWS = 10_000
@@ -40,7 +42,7 @@
         self.rows = rows
         self.max_rows = max_rows
         self.max_age_s = max_age_s
-        self.running_: dict[str, UpstreamId] = {}
+        self.running_: dict[str, list[UpstreamId]] = {}
 
     def note_crash(
         self, digest: str, upstream_id: UpstreamId, now: float, *, incident: str = ""
@@ -66,14 +68,16 @@
         row.upstreams.add(UpstreamId(f"{upstream_id}#{incident}"))
         row.n_crashes = max(row.n_crashes, len(row.upstreams))
         row.crashed_at = max(row.crashed_at, now)
-        self.running_.pop(digest, None)
         self._evict(now)
         return row.n_crashes >= BANNED_CRASHES
 
     def is_banned(self, digest: str) -> bool:
-        """Tell whether a digest is refused for good."""
+        """Tell whether a digest is refused for good; a repeat keeps its row from eviction."""
         row = self.rows.get(digest)
-        return row is not None and row.n_crashes >= BANNED_CRASHES
+        if row is None or row.n_crashes < BANNED_CRASHES:
+            return False
+        self.rows[digest] = self.rows.pop(digest)
+        return True
 
     def is_suspect(self, digest: str) -> bool:
         """Tell whether a digest has crashed an upstream and isn't banned."""
@@ -95,17 +99,33 @@
             return candidates
         if self.is_banned(digest) or digest in self.running_:
             return []
-        taken = set(self.running_.values())
+        taken = {
+            upstream_id
+            for other, upstream_ids in self.running_.items()
+            if self.is_suspect(other)
+            for upstream_id in upstream_ids
+        }
         return [row for row in candidates if row.upstream_id not in taken]
 
     def note_start(self, digest: str, upstream_id: UpstreamId) -> None:
-        """Count the start of an attempt; only suspects are remembered."""
-        if self.is_suspect(digest):
-            self.running_[digest] = upstream_id
+        """Count the start of an attempt.
 
-    def note_end(self, digest: str, *, is_success: bool) -> None:
-        """Count the end of an attempt; a success clears a suspect."""
-        self.running_.pop(digest, None)
+        Raises
+        ------
+        InvariantError
+            Where the digest is banned, or is a suspect that runs already.
+        """
+        if digest in self.rows and (self.is_banned(digest) or digest in self.running_):
+            raise InvariantError(f"suspect {digest} may not start", step=STEP, peer=upstream_id)
+        self.running_.setdefault(digest, []).append(upstream_id)
+
+    def note_end(self, digest: str, upstream_id: UpstreamId, *, is_success: bool) -> None:
+        """Count the end of an attempt, after ``note_crash``; a success clears a suspect."""
+        running = self.running_.get(digest, [])
+        if upstream_id in running:
+            running.remove(upstream_id)
+        if not running:
+            self.running_.pop(digest, None)
         if is_success and self.is_suspect(digest):
             del self.rows[digest]
 
--- a/crocusvalve/routing/_candidates.py
+++ b/crocusvalve/routing/_candidates.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Iterable
 
-from crocusvalve.base import UpstreamId, UpstreamState, VersionRef
+from crocusvalve.base import AttemptState, UpstreamId, UpstreamState, VersionRef
 from crocusvalve.config._view import qualify
 from crocusvalve.model import EntryTables, RequestRow, UpstreamRow
 from crocusvalve.routing._outliers import drop_ejected
 
 __all__ = ["list_candidates", "list_service_upstreams"]
 
+_RUNNING_STATES = frozenset({AttemptState.STARTING, AttemptState.RUNNING})
 _CLOSED_STATES = frozenset({UpstreamState.DRAINING, UpstreamState.DOWN})
 
 
@@ -37,7 +38,8 @@
     tables : EntryTables
         Tables of the entry.
     req : RequestRow
-        The request; its ``avoid`` upstreams are left out.
+        The request; its ``avoid`` upstreams are left out where others are open, those that run an
+        attempt of it in any case.
     version : VersionRef
         Version to run on; ignored where the request goes to a plain service.
     now : float
@@ -53,14 +55,19 @@
             return []
         if not tables.view.is_allowed(req.customer_id, version):
             return []
-    domains_out = tables.domains_out
-    is_domain_out = tables.view.is_domain_out
-    avoid = req.avoid
-    rows = []
-    for row in _list_rows(tables, req, version):
-        if row.leaving or row.state in _CLOSED_STATES or row.upstream_id in avoid:
-            continue
-        if row.domain in domains_out or is_domain_out(row.domain):
-            continue
-        rows.append(row)
+    rows = [row for row in _list_rows(tables, req, version) if _is_open(tables, row)]
+    running = _list_running(tables, req)
+    if running:
+        rows = [row for row in rows if row.upstream_id not in running]
+    if req.avoid:
+        rows = [row for row in rows if row.upstream_id not in req.avoid] or rows
     return drop_ejected(rows, now)
+
+
+def _is_open(tables: EntryTables, row: UpstreamRow) -> bool:
+    return row.state not in _CLOSED_STATES and tables.is_upstream_open(row)
+
+
+def _list_running(tables: EntryTables, req: RequestRow) -> set[UpstreamId]:
+    attempts = [tables.attempts.get(ref) for ref in tables.attempts_of.get(req.request_id, ())]
+    return {row.upstream_id for row in attempts if row and row.state in _RUNNING_STATES}
--- a/crocusvalve/sessions/_token.py
+++ b/crocusvalve/sessions/_token.py
@@ -60,7 +60,9 @@
             BAD_HEADER where the token is malformed, forged or signed by an unknown key; FORBIDDEN
             where it was issued to another customer.
         """
-        name, _, rest = token[:MAX_TOKEN_CHARS].partition(".")
+        if len(token) > MAX_TOKEN_CHARS or not token.isascii():
+            raise _refuse("session token is malformed")
+        name, _, rest = token.partition(".")
         payload, _, mac = rest.partition(".")
         if name not in self._keys:
             raise _refuse("session token is signed by an unknown key")
--- /dev/null
+++ b/features/sessions/steps/session_steps.py
@@ -0,0 +1,111 @@
+"""Steps about sessions."""
+
+from behave import given, then, when
+
+from crocusvalve.exceptions import RefusedError
+from crocusvalve.sessions import SessionAction, SessionClaim, SessionSigner, resolve_session
+from features.core_builders import NOW, make_tables
+
+
+class SessionSubject:
+    """Claims, tokens and the ways to forge them."""
+
+    @staticmethod
+    def make_signer(names):
+        return SessionSigner([f"session key {name:>20}".encode() for name in names.split(",")])
+
+    @staticmethod
+    def make_claim(version="d/m@v1", customer="d/c"):
+        return SessionClaim(
+            session_id="s",
+            customer_id=customer,
+            model="d/m",
+            version=version,
+            preferred_upstream="d/u0",
+            issued_at=NOW,
+        )
+
+    @classmethod
+    def forge(cls, token, how):
+        name, payload, mac = token.split(".")
+        other = cls.make_signer("one").sign(cls.make_claim("d/m@v2")).split(".")[1]
+        return {
+            "kept": token,
+            "given another payload": f"{name}.{other}.{mac}",
+            "given another key name": f"00000000.{payload}.{mac}",
+            "given a version by hand": f"{name}.v2.{mac}",
+            "cut by its last character": token[:-1],
+            "cut before its signature": f"{name}.{payload}",
+            "made empty": "",
+            "made of dots": "....",
+            "made of other alphabets": f"{name}.{payload}.\u0645\u0646\udce4",
+            "made very long": token + "A" * 100_000,
+        }[how]
+
+
+@given('a token signed with key "{name}"')
+def given_token(context, name):
+    context.token = SessionSubject.make_signer(name).sign(SessionSubject.make_claim())
+
+
+@given('a session on "{version}" of customer "{customer}" with upstream "d/u0"')
+def given_session(context, version, customer):
+    context.claim = SessionSubject.make_claim(version, customer)
+    context.tables = make_tables()
+
+
+@when("the token is {how}")
+def when_forged(context, how):
+    context.token = SessionSubject.forge(context.token, how)
+
+
+@when("nothing happens")
+def when_nothing(context):
+    pass
+
+
+@when("the document withdraws v1")
+def when_withdrawn(context):
+    context.tables.apply_view(make_tables(revision=2, withdrawn=("v1",)).view)
+
+
+@when("a notice withdraws v1")
+def when_notice(context):
+    context.tables.withdrawn.add("d/m@v1")
+
+
+@when("domain a is out")
+def when_out(context):
+    context.tables.domains_out.add("d/a")
+
+
+@when("upstream d/u0 leaves")
+def when_leaves(context):
+    context.tables.upstreams["d/u0"].leaving = True
+
+
+@then('an entry with keys "{names}" reads the claim of customer "{customer}"')
+def then_read(context, names, customer):
+    claim = SessionSubject.make_signer(names).verify(context.token, customer)
+    assert claim == SessionSubject.make_claim()
+
+
+@then('an entry with keys "{names}" refuses it for customer "{customer}" as {code}')
+def then_refused(context, names, customer, code):
+    try:
+        SessionSubject.make_signer(names).verify(context.token, customer)
+    except RefusedError as exc:
+        assert (exc.code.code, exc.step) == (code, "session"), exc
+        return
+    raise AssertionError("the token was accepted")
+
+
+@then("the decision for a caller that {may} is {decision}")
+def then_decision(context, may, decision):
+    found = resolve_session(context.claim, context.tables, NOW, may_move=may == "may move")
+    text = found.action.value
+    if found.action is SessionAction.KEEP:
+        text = f"keep {found.version} at {found.preferred_upstream}".strip()
+    if found.error:
+        text = f"{text} {found.error.code.code}"
+    assert text == decision, text
