--- a/crocusvalve/membership/__init__.py
+++ b/crocusvalve/membership/__init__.py
@@ -1,5 +1,18 @@
-"""Upstreams as an entry knows them."""
+"""Upstreams as an entry knows them: subset, reports, heartbeats, notices."""
 
+from crocusvalve.membership._commands import ProbeUpstream
+from crocusvalve.membership._notices import NoticeTable
+from crocusvalve.membership._reports import VmStatus, mark_leaving, take_report, take_vm_list
 from crocusvalve.membership._subset import choose_subset
+from crocusvalve.membership._system import MembershipSystem
 
-__all__ = ["choose_subset"]
+__all__ = [
+    "MembershipSystem",
+    "NoticeTable",
+    "ProbeUpstream",
+    "VmStatus",
+    "choose_subset",
+    "mark_leaving",
+    "take_report",
+    "take_vm_list",
+]
--- a/crocusvalve/membership/_subset.py
+++ b/crocusvalve/membership/_subset.py
@@ -7,13 +7,14 @@
 import xxhash
 
 from crocusvalve.base import NodeId, UpstreamId
+from crocusvalve.config import UpstreamView
 from crocusvalve.model import UpstreamRow
 
 __all__ = ["choose_subset"]
 
 
 def choose_subset(
-    node_id: NodeId, upstreams: Iterable[UpstreamRow], n_per_domain: int
+    node_id: NodeId, upstreams: Iterable[UpstreamRow | UpstreamView], n_per_domain: int
 ) -> list[UpstreamId]:
     """Choose an entry's upstreams by rendezvous hashing.
 
@@ -21,7 +22,7 @@
     ----------
     node_id : NodeId
         The entry.
-    upstreams : iterable of UpstreamRow
+    upstreams : iterable of UpstreamRow or UpstreamView
         All upstreams; of each, domain, served versions and id are read.
     n_per_domain : int
         Upstreams per failure domain and set of served versions.
--- a/crocusvalve/retry/_quarantine.py
+++ b/crocusvalve/retry/_quarantine.py
@@ -47,7 +47,7 @@
     def note_crash(
         self, digest: str, upstream_id: UpstreamId, now: float, *, incident: str = ""
     ) -> bool:
-        """Count a crash; tell whether the digest is now banned.
+        """Count a crash, which ends an attempt; tell whether the digest is now banned.
 
         Parameters
         ----------
@@ -68,6 +68,7 @@
         row.upstreams.add(UpstreamId(f"{upstream_id}#{incident}"))
         row.n_crashes = max(row.n_crashes, len(row.upstreams))
         row.crashed_at = max(row.crashed_at, now)
+        self._end(digest, upstream_id)
         self._evict(now)
         return row.n_crashes >= BANNED_CRASHES
 
@@ -119,13 +120,14 @@
             raise InvariantError(f"suspect {digest} may not start", step=STEP, peer=upstream_id)
         self.running_.setdefault(digest, []).append(upstream_id)
 
-    def note_end(self, digest: str, upstream_id: UpstreamId, *, is_success: bool) -> None:
-        """Count the end of an attempt, after ``note_crash``; a success clears a suspect."""
-        running = self.running_.get(digest, [])
-        if upstream_id in running:
-            running.remove(upstream_id)
-        if not running:
-            self.running_.pop(digest, None)
+    def note_end(
+        self, digest: str, upstream_id: UpstreamId | None = None, *, is_success: bool
+    ) -> None:
+        """Count the end of an attempt that crashed nothing; a success clears a suspect.
+
+        Without an upstream the oldest attempt of the digest is the one that ends.
+        """
+        self._end(digest, upstream_id)
         if is_success and self.is_suspect(digest):
             del self.rows[digest]
 
@@ -142,6 +144,17 @@
         self._evict(now)
         return row.n_crashes > before
 
+    def _end(self, digest: str, upstream_id: UpstreamId | None) -> None:
+        running = self.running_.get(digest)
+        if running is None:
+            return
+        if upstream_id is None:
+            running.pop(0)
+        elif upstream_id in running:
+            running.remove(upstream_id)
+        if not running:
+            del self.running_[digest]
+
     def _evict(self, now: float) -> None:
         while self.rows:
             oldest = next(iter(self.rows.values()))
--- a/crocusvalve/routing/_load.py
+++ b/crocusvalve/routing/_load.py
@@ -78,7 +78,7 @@
 
 def is_full(row: UpstreamRow, now: float) -> bool:
     """Tell whether an upstream takes no more, by the own count or by a fresh report."""
-    limit = max(1, row.reported_limit)
+    limit = row.reported_limit
     if row.in_flight >= limit:
         return True
     if compute_report_weight(row, now) < FULL_MIN_WEIGHT:
--- a/crocusvalve/routing/_outliers.py
+++ b/crocusvalve/routing/_outliers.py
@@ -25,7 +25,12 @@
 
 
 def note_success(row: UpstreamRow, service_s: float, now: float) -> None:
-    """Clear the failures of an upstream and learn its service time in seconds."""
+    """Clear the failures of an upstream and learn its service time in seconds.
+
+    An answer also counts as a heartbeat.
+    """
+    if row.heard_at:
+        row.heard_at = max(row.heard_at, now)
     row.n_failures = 0
     row.retry_at = 0.0
     row.ewma_service_s += SERVICE_TIME_GAIN * (service_s - row.ewma_service_s)
