Add cascade policies, estimates of quality and proofs of the engine model

Cause: answers are to reach the customer's target for 95 in 100 requests at least cost, also when ratings stop or lie. Ruled out: an estimate of the mean score, since a mean at the target lets half the answers miss it.

--- a/crocusvalve/cascade/__init__.py
+++ b/crocusvalve/cascade/__init__.py
@@ -1,1 +1,44 @@
-"""Cascades from cheap to costly models."""
+"""Cascades from cheap to costly models and the estimates that they are planned by."""
+
+from crocusvalve.cascade._baselines import CheapestOnly, CostliestOnly
+from crocusvalve.cascade._estimator import QualityEstimator, compute_prior_share
+from crocusvalve.cascade._planning import compute_expected_price, estimate_steps, plan_steps
+from crocusvalve.cascade._quality import QualityCascade
+from crocusvalve.cascade._trust import RatingTrust
+from crocusvalve.cascade.base import (
+    TARGET_SHARE,
+    CascadePolicy,
+    EscalationFacts,
+    QualityEstimate,
+)
+
+__all__ = [
+    "CASCADE_POLICIES",
+    "TARGET_SHARE",
+    "CascadePolicy",
+    "CheapestOnly",
+    "CostliestOnly",
+    "EscalationFacts",
+    "QualityCascade",
+    "QualityEstimate",
+    "QualityEstimator",
+    "RatingTrust",
+    "compute_expected_price",
+    "compute_prior_share",
+    "estimate_steps",
+    "make_cascade_policy",
+    "plan_steps",
+]
+
+CASCADE_POLICIES: dict[str, type[CascadePolicy]] = {
+    "quality": QualityCascade,
+    "costliest": CostliestOnly,
+    "cheapest": CheapestOnly,
+}
+
+
+def make_cascade_policy(name: str) -> CascadePolicy:
+    """Build a policy by its name in the document; raises ValueError for an unknown one."""
+    if name not in CASCADE_POLICIES:
+        raise ValueError(f"cascade policy must be one of {sorted(CASCADE_POLICIES)}, got {name!r}")
+    return CASCADE_POLICIES[name]()
--- /dev/null
+++ b/crocusvalve/cascade/_estimator.py
@@ -0,0 +1,164 @@
+"""Estimates of quality from ratings and errors, kept in the table of estimates."""
+
+import math
+
+from crocusvalve.base import CustomerId, VersionRef
+from crocusvalve.cascade._trust import RatingTrust
+from crocusvalve.cascade.base import QualityEstimate
+from crocusvalve.model import EntryTables, EstimateRow
+from crocusvalve.utils import check_range
+
+__all__ = ["QualityEstimator", "compute_prior_share"]
+
+#: Concentration of the Beta distribution that scores around a declared quality are taken to have.
+SCORE_CONCENTRATION = 20.0
+MIN_SHARE = 0.01
+
+
+def compute_prior_share(quality_prior: float, quality_target: float) -> float:
+    """Return the prior probability that an answer reaches a target.
+
+    Scores are taken as normal around ``quality_prior`` with the variance of a Beta distribution of
+    concentration ``SCORE_CONCENTRATION``.
+    """
+    if quality_target <= 0.0:
+        return 1.0 - MIN_SHARE
+    variance = quality_prior * (1.0 - quality_prior) / (SCORE_CONCENTRATION + 1.0)
+    deviation = max(0.01, math.sqrt(variance))
+    share = 0.5 * math.erfc((quality_target - quality_prior) / (deviation * math.sqrt(2.0)))
+    return min(1.0 - MIN_SHARE, max(MIN_SHARE, share))
+
+
+class QualityEstimator:
+    """Estimates how often a version's answers reach a customer's quality target.
+
+    A row of ``EntryTables.estimates`` is a Beta distribution: the prior from the version's
+    ``quality_prior`` plus ratings, whose weight decays towards the prior. Trust is bounded: good
+    ratings lift an estimate at most ``max_gain`` above the prior, and while the rating service is
+    not trusted the prior alone counts; errors count always.
+
+    Parameters
+    ----------
+    prior_weight : float
+        Ratings that the prior is worth.
+    half_life_s : float
+        Time after which half of a rating's weight is left, in seconds.
+    max_gain : float
+        Largest rise above the prior that ratings may bring, in [0, 1].
+    n_deviations : float
+        Deviations between the mean and its bounds.
+    trust : RatingTrust or None
+        Judge of the rating service.
+    """
+
+    def __init__(
+        self,
+        *,
+        prior_weight: float = 10.0,
+        half_life_s: float = 3600.0,
+        max_gain: float = 0.5,
+        n_deviations: float = 2.0,
+        trust: RatingTrust | None = None,
+    ):
+        self.prior_weight = prior_weight
+        self.half_life_s = half_life_s
+        self.max_gain = max_gain
+        self.n_deviations = n_deviations
+        self.trust = RatingTrust() if trust is None else trust
+
+    def note_rating(
+        self,
+        tables: EntryTables,
+        version: VersionRef,
+        customer_id: CustomerId,
+        class_name: str,
+        score: float,
+        now: float,
+    ) -> None:
+        """Count the rating of an answer, in [0, 1]; ignored while ratings are not trusted."""
+        check_range("score", score, low=0.0, high=1.0)
+        self.trust.note_real(score, now)
+        if not self.trust.is_truthful():
+            return
+        target = self._get_target(tables, customer_id)
+        self._add(tables, version, customer_id, class_name, score >= target, now)
+
+    def note_control(self, score: float) -> None:
+        """Take the rating of a control answer."""
+        self.trust.note_control(score)
+
+    def note_error(
+        self,
+        tables: EntryTables,
+        version: VersionRef,
+        customer_id: CustomerId,
+        class_name: str,
+        now: float,
+    ) -> None:
+        """Count a failed or damaged answer as a poor one."""
+        self._add(tables, version, customer_id, class_name, False, now)
+
+    def estimate(
+        self,
+        tables: EntryTables,
+        version: VersionRef,
+        customer_id: CustomerId,
+        class_name: str,
+        now: float,
+        *,
+        price: float = 0.0,
+    ) -> QualityEstimate:
+        """Return what is expected of a version now."""
+        prior = self._compute_prior(tables, version, customer_id)
+        row = tables.estimates.get((version, customer_id, class_name))
+        alpha, beta = self._decay(row, prior, now)
+        if not self.trust.is_live(now):
+            alpha = min(alpha, prior * self.prior_weight)
+        n = alpha + beta
+        mean = min(alpha / n, prior + self.max_gain)
+        deviation = math.sqrt(mean * (1.0 - mean) / (n + 1.0))
+        lower = max(0.0, mean - self.n_deviations * deviation)
+        upper = min(1.0, mean + self.n_deviations * deviation)
+        return QualityEstimate(mean=mean, lower=lower, upper=upper, price=price)
+
+    def _add(
+        self,
+        tables: EntryTables,
+        version: VersionRef,
+        customer_id: CustomerId,
+        class_name: str,
+        is_good: bool,
+        now: float,
+    ) -> None:
+        key = (version, customer_id, class_name)
+        prior = self._compute_prior(tables, version, customer_id)
+        alpha, beta = self._decay(tables.estimates.get(key), prior, now)
+        tables.estimates[key] = EstimateRow(
+            version=version,
+            customer_id=customer_id,
+            class_name=class_name,
+            alpha=alpha + is_good,
+            beta=beta + (not is_good),
+            updated_at=now,
+        )
+
+    def _decay(self, row: EstimateRow | None, prior: float, now: float) -> tuple[float, float]:
+        alpha0, beta0 = prior * self.prior_weight, (1.0 - prior) * self.prior_weight
+        if row is None:
+            return alpha0, beta0
+        weight = 0.5 ** (max(0.0, now - row.updated_at) / self.half_life_s)
+        alpha = alpha0 + weight * max(0.0, row.alpha - alpha0)
+        beta = beta0 + weight * max(0.0, row.beta - beta0)
+        return alpha, beta
+
+    def _compute_prior(
+        self, tables: EntryTables, version: VersionRef, customer_id: CustomerId
+    ) -> float:
+        cfg = tables.view.versions.get(version)
+        quality_prior = cfg.quality_prior if cfg else 0.0
+        return compute_prior_share(quality_prior, self._get_target(tables, customer_id))
+
+    @staticmethod
+    def _get_target(tables: EntryTables, customer_id: CustomerId) -> float:
+        customer = tables.view.customers.get(customer_id)
+        return customer.cfg.quality_target if customer else 1.0
--- /dev/null
+++ b/crocusvalve/cascade/_trust.py
@@ -0,0 +1,70 @@
+"""Trust in the rating service, from control answers that are known to be wrong."""
+
+from collections import deque
+
+__all__ = ["RatingTrust"]
+
+
+class RatingTrust:
+    """Compares ratings of real answers with those of controls.
+
+    A control is a prompt rated together with the answer to another prompt. A service that scores
+    controls as high as real answers tells nothing, whatever the level of its scores.
+
+    Parameters
+    ----------
+    control_share : float
+        Share of ratings that are accompanied by a control.
+    min_gap : float
+        Least difference of the mean scores of real answers and controls.
+    n_controls, n_real : int
+        Ratings in each mean.
+    stale_s : float
+        Ratings older than this, in seconds, do not count as live.
+    """
+
+    def __init__(
+        self,
+        *,
+        control_share: float = 0.05,
+        min_gap: float = 0.2,
+        n_controls: int = 3,
+        n_real: int = 16,
+        stale_s: float = 120.0,
+    ):
+        self.control_share = control_share
+        self.min_gap = min_gap
+        self.stale_s = stale_s
+        self.n_controls = n_controls
+        self.controls_: deque[float] = deque(maxlen=n_controls)
+        self.real_: deque[float] = deque(maxlen=n_real)
+        self.rated_at_ = float("-inf")
+        self.n_due_ = 0.0
+
+    def is_control_due(self) -> bool:
+        """Tell whether the next rating is to be accompanied by a control."""
+        self.n_due_ += self.control_share
+        if len(self.controls_) >= self.n_controls and self.n_due_ < 1.0:
+            return False
+        self.n_due_ = 0.0
+        return True
+
+    def note_real(self, score: float, now: float) -> None:
+        """Take the rating of a real answer."""
+        self.real_.append(score)
+        self.rated_at_ = now
+
+    def note_control(self, score: float) -> None:
+        """Take the rating of a control."""
+        self.controls_.append(score)
+
+    def is_truthful(self) -> bool:
+        """Tell whether the service tells controls from real answers; True until it is known."""
+        if len(self.controls_) < self.n_controls or not self.real_:
+            return True
+        gap = sum(self.real_) / len(self.real_) - sum(self.controls_) / len(self.controls_)
+        return gap >= self.min_gap
+
+    def is_live(self, now: float) -> bool:
+        """Tell whether ratings come and may be believed."""
+        return now - self.rated_at_ <= self.stale_s and self.is_truthful()
--- /dev/null
+++ b/crocusvalve/engines/__init__.py
@@ -0,0 +1,6 @@
+"""Orders to engines: which versions are loaded where."""
+
+from crocusvalve.engines._loader import ModelLoader, OrderLoad, OrderUnload
+from crocusvalve.engines._tables import EngineRow, LoaderTables
+
+__all__ = ["EngineRow", "LoaderTables", "ModelLoader", "OrderLoad", "OrderUnload"]
--- /dev/null
+++ b/crocusvalve/engines/_loader.py
@@ -0,0 +1,124 @@
+"""Plans which engine loads which version next."""
+
+from msgspec import Struct
+
+from crocusvalve.base import Command, System, UpstreamId, VersionRef
+from crocusvalve.engines._tables import EngineRow, LoaderTables
+from crocusvalve.utils import check_range
+
+__all__ = ["ModelLoader", "OrderLoad", "OrderUnload"]
+
+
+class OrderLoad(Command, Struct, frozen=True):
+    """Order an engine to load a version; ``number`` is the fencing number."""
+
+    upstream_id: UpstreamId
+    version: VersionRef
+    number: int
+
+
+class OrderUnload(Command, Struct, frozen=True):
+    """Order an engine to drop a version from memory."""
+
+    upstream_id: UpstreamId
+    version: VersionRef
+    number: int
+
+
+class ModelLoader(System):
+    """Brings the engines' memory to what the document says that they serve.
+
+    Versions in the fewest engines come first, then those in the fewest engines of a domain. Loads
+    keep to the rate of the weight store, one at a time for each engine, and to its memory; what the
+    document no longer names or has withdrawn is unloaded first.
+
+    Parameters
+    ----------
+    number : int
+        Fencing number: that of the controller's lease.
+    loads_per_s : float
+        Rate of the weight store.
+    burst : int
+        Loads that may be ordered at once.
+    timeout_s : float
+        Time after which an order without effect is given again, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        loads_per_s: float = 0.1,
+        burst: int = 2,
+        timeout_s: float = 120.0,
+    ):
+        self.number = number
+        self.loads_per_s = loads_per_s
+        self.burst = burst
+        self.timeout_s = timeout_s
+
+    def run(self, tables: LoaderTables, now: float) -> list[Command]:
+        """Return the orders due now."""
+        check_range("loads_per_s", self.loads_per_s, low=0.0)
+        self._refill(tables, now)
+        commands: list[Command] = []
+        for row in tables.engines.values():
+            self._drop_expired(row, now)
+            commands += self._list_unloads(tables, row)
+        if now < tables.blocked_until:
+            return commands
+        while tables.n_tokens >= 1.0 and (order := self._choose_load(tables)) is not None:
+            tables.n_tokens -= 1.0
+            row = tables.engines[order.upstream_id]
+            row.loading[order.version] = now + self.timeout_s
+            commands.append(order)
+        return commands
+
+    def _refill(self, tables: LoaderTables, now: float) -> None:
+        if tables.refilled_at is None:
+            tables.n_tokens = float(self.burst)
+        else:
+            earned = max(0.0, now - tables.refilled_at) * self.loads_per_s
+            tables.n_tokens = min(float(self.burst), tables.n_tokens + earned)
+        tables.refilled_at = now
+
+    @staticmethod
+    def _drop_expired(row: EngineRow, now: float) -> None:
+        for version in [ref for ref, until in row.loading.items() if now >= until]:
+            del row.loading[version]
+
+    def _list_unloads(self, tables: LoaderTables, row: EngineRow) -> list[Command]:
+        unwanted = sorted(row.loaded - list_wanted(tables, row))
+        return [OrderUnload(row.upstream_id, version, self.number) for version in unwanted]
+
+    def _choose_load(self, tables: LoaderTables) -> OrderLoad | None:
+        best: tuple[tuple, EngineRow, VersionRef] | None = None
+        for row in tables.engines.values():
+            if not row.is_open or row.loading:
+                continue
+            for version in list_wanted(tables, row) - row.loaded:
+                if tables.get_size_gb(version) > tables.get_free_gb(row):
+                    continue
+                key = (*count_copies(tables, version, row), row.upstream_id, version)
+                if best is None or key < best[0]:
+                    best = (key, row, version)
+        if best is None:
+            return None
+        return OrderLoad(best[1].upstream_id, best[2], self.number)
+
+
+def list_wanted(tables: LoaderTables, row: EngineRow) -> set[VersionRef]:
+    """Return the versions that the document wants in an engine's memory."""
+    view = tables.view.upstreams.get(row.upstream_id)
+    serves = view.serves if view else ()
+    return {version for version in serves if not tables.view.is_withdrawn(version)}
+
+
+def count_copies(tables: LoaderTables, version: VersionRef, near: EngineRow) -> tuple[int, int]:
+    """Return in how many engines a version is or comes, in all and in one engine's domain."""
+    n_all = n_domain = 0
+    for row in tables.engines.values():
+        if version in row.loaded or version in row.loading:
+            n_all += 1
+            n_domain += row.domain == near.domain
+    return n_all, n_domain
--- a/crocusvalve/model/_rows.py
+++ b/crocusvalve/model/_rows.py
@@ -176,3 +176,5 @@
     lease_number: int = 0
     n_contacts: int = 0
     is_paused: bool = False
+    stage_s: float = 300.0
+    policy: str = "sequential"
--- /dev/null
+++ b/crocusvalve/rollout/_choice.py
@@ -0,0 +1,94 @@
+"""Choice of the version at a first contact."""
+
+from crocusvalve.base import CustomerId, ModelRef, RolloutState, VersionRef
+from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.model import EntryTables, RolloutRow
+from crocusvalve.rollout._factory import make_rollout_policy
+from crocusvalve.utils import hash_to_unit
+
+__all__ = ["choose_version", "compute_share", "is_version_usable"]
+
+STEP = "version"
+
+
+def compute_share(row: RolloutRow) -> float:
+    """Return the share of first contacts that goes to the new version of a roll-out now."""
+    if row.state is RolloutState.COMPLETE:
+        return 1.0
+    if row.state is RolloutState.WITHDRAWN or row.is_paused:
+        return 0.0
+    return make_rollout_policy(row.policy).get_share(row)
+
+
+def is_version_usable(tables: EntryTables, customer_id: CustomerId, version: VersionRef) -> bool:
+    """Tell whether a customer may use a version that takes new work."""
+    if tables.is_version_withdrawn(version) or is_rolled_back(tables, version):
+        return False
+    return tables.view.is_allowed(customer_id, version)
+
+
+def is_rolled_back(tables: EntryTables, version: VersionRef) -> bool:
+    """Tell whether a roll-out's row withdraws a version, before a revision says so."""
+    row = tables.rollouts.get(version.partition("@")[0])
+    return row is not None and row.version == version and row.state is RolloutState.WITHDRAWN
+
+
+def choose_version(
+    tables: EntryTables, customer_id: CustomerId, model: ModelRef, contact_key: str
+) -> VersionRef:
+    """Choose the version of a model for a first contact.
+
+    The choice depends on the contact's key alone: whoever got the new version at a smaller stage
+    gets it at every later one.
+
+    Parameters
+    ----------
+    tables : EntryTables
+        Tables of the entry.
+    customer_id : CustomerId
+        The customer.
+    model : ModelRef
+        The model.
+    contact_key : str
+        Key of the session, or of the customer's contact where there is no session.
+
+    Returns
+    -------
+    VersionRef
+        A version that the customer may use and that is not withdrawn.
+
+    Raises
+    ------
+    RefusedError
+        ``UNKNOWN_MODEL``, ``MODEL_NOT_ALLOWED`` or ``VERSION_WITHDRAWN``.
+    """
+    cfg = tables.view.models.get(model)
+    if cfg is None:
+        raise RefusedError(ErrorCode.UNKNOWN_MODEL, f"no model {model}", step=STEP)
+    row = tables.rollouts.get(model)
+    if row is not None and is_version_usable(tables, customer_id, row.version):
+        if hash_to_unit(f"{row.rollout_id}|{contact_key}") < compute_share(row):
+            return row.version
+    current = VersionRef(f"{model}@{cfg.current}")
+    baseline = row.baseline if row is not None else current
+    for version in (baseline, current):
+        if is_version_usable(tables, customer_id, version):
+            return version
+    return _choose_other(tables, customer_id, model)
+
+
+def _choose_other(tables: EntryTables, customer_id: CustomerId, model: ModelRef) -> VersionRef:
+    """Choose among the versions that no roll-out governs, for a customer bound to those."""
+    row = tables.rollouts.get(model)
+    governed = {row.version, row.baseline} if row is not None else set()
+    versions = [VersionRef(f"{model}@{name}") for name in tables.view.models[model].versions]
+    allowed = [ref for ref in versions if tables.view.is_allowed(customer_id, ref)]
+    if not allowed:
+        raise RefusedError(ErrorCode.MODEL_NOT_ALLOWED, f"{model} is not allowed", step=STEP)
+    usable = [ref for ref in allowed if is_version_usable(tables, customer_id, ref)]
+    for version in reversed(usable):
+        if version not in governed:
+            return version
+    raise RefusedError(
+        ErrorCode.VERSION_WITHDRAWN, f"no version of {model} takes new work", step=STEP
+    )
--- a/crocusvalve/standin/_engine_model.py
+++ b/crocusvalve/standin/_engine_model.py
@@ -276,17 +276,19 @@
         list of EngineRun
             Runs that ended, in order.
         """
-        if self.restart_at is not None:
-            if now < self.restart_at:
-                return []
-            self._boot(self.restart_at)
-        if self.faults.hangs or self.faults.is_down:
-            self._at, self._step_ends_at = now, None
-            return []
         ended: list[EngineRun] = []
-        while self.restart_at is None and self._begin_step(now) and self._step_ends_at <= now:
-            ended += self._finish_steps(now)
-        return ended
+        while True:
+            if self.restart_at is not None:
+                if now < self.restart_at:
+                    return ended
+                self._boot(self.restart_at)
+            if self.faults.hangs or self.faults.is_down:
+                self._at, self._step_ends_at = now, None
+                return ended
+            while self._begin_step(now) and self._step_ends_at <= now:
+                ended += self._finish_steps(now)
+            if self.restart_at is None:
+                return ended
 
     def _boot(self, at: float) -> None:
         self.boot_id = BootId(f"{self._rng.getrandbits(64):016x}")
--- /dev/null
+++ b/features/cascade/cascade.feature
@@ -0,0 +1,71 @@
+Feature: A cascade meets the target at least cost and stays safe without ratings
+
+  Scenario Outline: The start is the cheapest that meets the target
+    Given estimates <estimates> and prices <prices>
+    Then the policy "<policy>" starts at step <start> when answers <rated>
+
+    Examples:
+      | policy    | estimates        | prices    | rated          | start |
+      | quality   | 0.97, 0.98, 0.99 | 1, 4, 16  | are not rated  | 0     |
+      | quality   | 0.60, 0.97, 0.99 | 1, 4, 16  | are not rated  | 1     |
+      | quality   | 0.60, 0.70, 0.80 | 1, 4, 16  | are not rated  | 2     |
+      | quality   | 0.60, 0.90, 0.98 | 1, 4, 16  | are rated      | 0     |
+      | quality   | 0.05, 0.90, 0.98 | 3, 4, 16  | are rated      | 1     |
+      | costliest | 0.97, 0.98, 0.99 | 1, 4, 16  | are rated      | 2     |
+      | cheapest  | 0.10, 0.98, 0.99 | 1, 4, 16  | are rated      | 0     |
+
+  Scenario Outline: An answer is escalated where it falls short and time and money allow
+    Given an answer rated <score> by a model with a lower bound of <lower>
+    When <seconds> s are left for a step of 2 s and <money> for a step of 4
+    Then it is <done>
+
+    Examples:
+      | score | lower | seconds | money | done          |
+      | 0.9   | 0.1   | 10      | 10    | handed over   |
+      | 0.7   | 0.99  | 10      | 10    | escalated     |
+      | 0.7   | 0.99  | 1       | 10    | handed over   |
+      | 0.7   | 0.99  | 10      | 3     | handed over   |
+      | none  | 0.5   | 10      | 10    | escalated     |
+      | none  | 0.97  | 10      | 10    | handed over   |
+
+  Scenario: Ratings raise an estimate, and it returns to the prior when they stop
+    Given a cheap model with prior 0.80 and a costly one with prior 0.92 at target 0.8
+    When the cheap model's answers are rated 0.9 for 200 requests
+    Then a plain request starts at the cheap model
+    And a stream starts at the cheap model
+    When no rating comes for 12 hours
+    Then a plain request starts at the costly model
+    And a stream starts at the costly model
+
+  Scenario: Errors lower an estimate without any rating
+    Given a cheap model with prior 0.95 and a costly one with prior 0.96 at target 0.8
+    Then a stream starts at the cheap model
+    When the cheap model fails 10 times
+    Then a stream starts at the costly model
+
+  Scenario Outline: A rating service that lies is no longer believed
+    Given a cheap model with prior 0.70 and a costly one with prior 0.92 at target 0.8
+    When the rating service is truthful for 200 requests
+    And then scores everything <score> for 200 requests
+    Then at most <n> poor answers of the cheap model were handed over since
+    And a plain request starts at the costly model
+
+    Examples:
+      | score | n  |
+      | 0.95  | 70 |
+      | 0.81  | 70 |
+      | 0.05  | 0  |
+
+  Scenario: A lie told of one version alone does not lift it past its bound
+    Given a cheap model with prior 0.65 and a costly one with prior 0.92 at target 0.8
+    When the cheap model's answers are rated 1.0 for 500 requests
+    Then a stream starts at the costly model
+
+  Scenario: Old ratings weigh less than new ones
+    Given a cheap model with prior 0.80 and a costly one with prior 0.92 at target 0.8
+    When the cheap model's answers are rated 0.9 for 2000 requests
+    And no rating comes for 12 hours
+    And the cheap model's answers are rated 0.5 for 30 requests
+    Then a stream starts at the costly model
+    When the cheap model's answers are rated 0.9 for 3000 requests
+    Then a stream starts at the cheap model
