--- a/crocusvalve/entry/_admission.py
+++ b/crocusvalve/entry/_admission.py
@@ -68,6 +68,7 @@
             raise RefusedError(
                 ErrorCode.OVERLOADED, message, step=STEP, retry_after_s=OUTBOX_RETRY_S
             )
+        self.policies.plan(tables, req, now)
         row = self._check_quota(tables, req, now, share)
         self._refuse_early(tables, req, now)
         return self._queue(tables, req, row, now)
--- a/crocusvalve/entry/_commands.py
+++ b/crocusvalve/entry/_commands.py
@@ -4,6 +4,7 @@
 
 from crocusvalve.base import AttemptId, Command, ModelRef, RequestId, UpstreamId, VersionRef
 from crocusvalve.exceptions import InvariantError, RefusedError
+from crocusvalve.model import RequestRow
 from crocusvalve.rpc import RunRequest, Usage
 
 __all__ = [
@@ -15,6 +16,7 @@
     "RateAnswer",
     "Refuse",
     "ResumeAttempt",
+    "SampleAnswer",
     "ShareQuarantine",
     "StartAttempt",
 ]
@@ -91,6 +93,14 @@
     answer: bytes
 
 
+class SampleAnswer(Command, Struct, frozen=True):
+    """Have a delivered answer rated, to learn from."""
+
+    req: RequestRow
+    version: VersionRef
+    answer: bytes
+
+
 class ShareQuarantine(Command, Struct, frozen=True):
     """Tell the other entries that a request digest crashed an upstream."""
 
--- a/crocusvalve/entry/_core.py
+++ b/crocusvalve/entry/_core.py
@@ -89,10 +89,11 @@
         self.outcome.end_order_attempt(self.tables, attempt_id, service_s, now)
         return self.placement.run(self.tables, now) if len(self.tables.queue) else []
 
-    def forget_order(self, request_id: RequestId) -> None:
+    def forget_order(self, request_id: RequestId, now: float) -> None:
         """Remove an order that has ended."""
         req = self.tables.requests.get(request_id)
         if req is not None:
+            self.outcome.cancel_attempts(self.tables, request_id, now)
             self.outcome.forget(self.tables, req)
 
     def take_event(self, attempt_id: AttemptId, event: RunEvent, now: float) -> list[Command]:
@@ -107,11 +108,9 @@
         commands = self.outcome.take_rating(self.tables, request_id, score, now)
         return commands + self.placement.run(self.tables, now)
 
-    def note_rating(
-        self, customer_id: str, class_name: str, version: VersionRef, score: float, now: float
-    ) -> None:
+    def note_rating(self, req: RequestRow, version: VersionRef, score: float, now: float) -> None:
         """Learn from the rating of an answer that was delivered."""
-        self.policies.note_rating(self.tables, customer_id, class_name, version, score, now)
+        self.policies.note_rating(self.tables, req, version, score, now)
 
     def abandon(self, request_id: RequestId, now: float) -> list[Command]:
         """The caller has gone: drop a request that has not ended."""
--- a/crocusvalve/entry/_order_desk.py
+++ b/crocusvalve/entry/_order_desk.py
@@ -1,6 +1,7 @@
 """Orders at an entry: from a caller's call to the claim's outcome."""
 
 import logging
+import math
 from collections.abc import Callable
 
 import trio
@@ -41,7 +42,7 @@
         self.refusal: RefusedError | None = None
         self.run: RunRequest | None = None
         self.started_at = 0.0
-        self._send, self._receive = trio.open_memory_channel[StartAttempt | None](1)
+        self._send, self._receive = trio.open_memory_channel[StartAttempt | None](math.inf)
 
     def note_placed(self, cmd: StartAttempt) -> None:
         """Take the placement that the core found."""
@@ -118,7 +119,7 @@
         finally:
             self._calls.pop(req.request_id, None)
             self._end_attempt(call, is_success=False)
-            self.core.forget_order(req.request_id)
+            self.core.forget_order(req.request_id, self.clock.now())
 
     async def _run_flow(self, call: OrderCall) -> OrderOutcome:
         req = call.req
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -19,6 +19,7 @@
     RateAnswer,
     Refuse,
     ResumeAttempt,
+    SampleAnswer,
     ShareQuarantine,
 )
 from crocusvalve.entry._policies import Policies
@@ -113,6 +114,8 @@
             progress.buffer.append(frame.data)
             return commands
         req.n_frames_out += 1
+        if self.policies.should_sample(tables, req, attempt.version):
+            progress.sample.append(frame.data)
         commands.append(Deliver(req.request_id, attempt.version, attempt.upstream_id, frame.data))
         return commands
 
@@ -129,9 +132,8 @@
         if row is not None:
             note_success(row, final.service_s, now)
         self.policies.get_quarantine(tables).note_end(req.digest, is_success=True)
-        self.policies.note_outcome(tables, attempt.version, True)
+        self.policies.note_outcome(tables, req, attempt.version, now, is_good=True)
         progress.ran = Ran.RAN
-        progress.n_whole += 1
         progress.usage = add_usage(progress.usage, final.usage)
         req.cost += compute_cost(tables.view, attempt.version, req.service, final.usage)
         progress.held = HeldAnswer(
@@ -186,10 +188,20 @@
                 Deliver(req.request_id, VersionRef(held.version), held.upstream_id, data)
             )
         commands.append(Finish(req.request_id, self._make_summary(req, progress, held)))
+        commands += self._sample(tables, req, progress, data)
         req.state = RequestState.DONE
         self.forget(tables, req)
         return commands
 
+    def _sample(
+        self, tables: CoreTables, req: RequestRow, progress: ProgressRow, data: bytes
+    ) -> list[Command]:
+        version = VersionRef(progress.held.version)
+        # An answer of a cascade's earlier step has been rated already.
+        if req.step or not self.policies.should_sample(tables, req, version):
+            return []
+        return [SampleAnswer(req, version, b"".join(progress.sample) + data)]
+
     @staticmethod
     def _make_summary(req: RequestRow, progress: ProgressRow, held: HeldAnswer) -> AnswerSummary:
         return AnswerSummary(
@@ -234,8 +246,8 @@
         row = tables.upstreams.get(attempt.upstream_id)
         if row is not None and refused.code not in HEALTHY_CODES:
             note_failure(row, now, is_crash=refused.crashed)
-        if refused.ran is not Ran.NOT_RUN:
-            self.policies.note_outcome(tables, attempt.version, False)
+        if refused.ran is not Ran.NOT_RUN and refused.code not in HEALTHY_CODES:
+            self.policies.note_outcome(tables, req, attempt.version, now, is_good=False)
         quarantine = self.policies.get_quarantine(tables)
         if not refused.crashed:
             quarantine.note_end(req.digest, is_success=False)
@@ -284,9 +296,7 @@
         row = tables.upstreams.get(attempt.upstream_id)
         if row is not None and service_s is not None:
             note_success(row, service_s, now)
-        self.policies.get_quarantine(tables).note_end(
-            req.digest, is_success=service_s is not None
-        )
+        self.policies.get_quarantine(tables).note_end(req.digest, is_success=service_s is not None)
         self._end_attempt(tables, attempt, now)
 
     def requeue(self, tables: CoreTables, req: RequestRow, now: float) -> None:
--- a/crocusvalve/entry/_placement.py
+++ b/crocusvalve/entry/_placement.py
@@ -57,7 +57,7 @@
         self.outcome = outcome
         self.node_id = node_id
         self._chosen: UpstreamRow | None = None
-        self._stranded: list[RequestRow] = []
+        self._stranded: list[tuple[RequestRow, RefusedError]] = []
 
     def run(self, tables: CoreTables, now: float) -> list[Command]:
         """Start what can be placed now; refuse what has had no upstream for the grace time."""
@@ -70,8 +70,8 @@
 
         for req in tables.queue.drain_ready(can_place, now):
             commands += self._start_checked(tables, req, self._chosen, now)
-        for req in self._stranded:
-            commands += self._refuse_stranded(tables, req, now)
+        for req, error in self._stranded:
+            commands += self.outcome.give_up(tables, req, error, now)
         return commands
 
     def _start_checked(
@@ -87,22 +87,23 @@
 
     def _choose(self, tables: CoreTables, req: RequestRow, now: float) -> UpstreamRow | None:
         if not req.service:
-            model = req.steps[req.step]
-            req.version = self.policies.choose_version(tables, req, model)
+            try:
+                req.version = self.policies.choose_version(tables, req, req.steps[req.step])
+            except RefusedError as exc:
+                self._stranded.append((req, exc))
+                return None
         progress = tables.progress[req.request_id]
         candidates = self._list_candidates(tables, req, now)
         if not candidates:
             if now - progress.had_candidates_at >= self._get_grace_s(tables, req):
-                self._stranded.append(req)
+                self._stranded.append((req, self._make_stranded_error(tables, req)))
             return None
         progress.had_candidates_at = now
         candidates = self.policies.get_quarantine(tables).filter_candidates(req.digest, candidates)
         return self.policies.get_router(tables, req.member).choose(req, candidates, now)
 
     @staticmethod
-    def _list_candidates(
-        tables: CoreTables, req: RequestRow, now: float
-    ) -> list[UpstreamRow]:
+    def _list_candidates(tables: CoreTables, req: RequestRow, now: float) -> list[UpstreamRow]:
         candidates = list_candidates(tables, req, req.version, now)
         if not req.is_repeatable:
             # An attempt of an order names the run of the agent that may start it.
@@ -119,9 +120,6 @@
             return 0.0
         return float("inf") if req.kind is ClassKind.DURABLE else NO_UPSTREAM_GRACE_S
 
-    def _refuse_stranded(self, tables: CoreTables, req: RequestRow, now: float) -> list[Command]:
-        return self.outcome.give_up(tables, req, self._make_stranded_error(tables, req), now)
-
     @staticmethod
     def _make_stranded_error(tables: CoreTables, req: RequestRow) -> RefusedError:
         ran = tables.progress[req.request_id].ran
--- a/crocusvalve/entry/_policies.py
+++ b/crocusvalve/entry/_policies.py
@@ -1,19 +1,36 @@
 """The policies of an entry, chosen by the document's names."""
 
 import random
+from collections.abc import Callable
 
-from crocusvalve.base import ModelRef, VersionRef
+from crocusvalve.base import BootId, ModelRef, NodeId, VersionRef
+from crocusvalve.cascade import (
+    CascadePolicy,
+    EscalationFacts,
+    QualityEstimator,
+    estimate_steps,
+    make_cascade_policy,
+    plan_steps,
+)
 from crocusvalve.config._view import model_of
 from crocusvalve.entry._tables import CoreTables
-from crocusvalve.model import RequestRow
+from crocusvalve.model import RequestRow, RolloutRow
 from crocusvalve.retry import Quarantine, RetryBudget, RetryPolicy
+from crocusvalve.rollout import RolloutLedger, choose_version
 from crocusvalve.routing import Router, make_router
+from crocusvalve.utils import hash_to_unit
 
 __all__ = ["Policies"]
 
+DEFAULT_CASCADE_POLICY = "quality"
+#: Shares of delivered answers that are rated, to learn from.
+NEW_VERSION_SAMPLE = 1.0
+BASELINE_SAMPLE = 0.25
+OTHER_SAMPLE = 0.02
+
 
 class Policies:
-    """Routers by member, retries, quarantine, cascades and choice of version.
+    """Routers by member, retries, quarantine, cascades, roll-outs and choice of version.
 
     Parameters
     ----------
@@ -21,15 +38,28 @@
         Source of randomness.
     domain, region : str
         Where the entry stands.
+    node_id, boot_id : str
+        This run of the entry, under which it counts answers of roll-outs.
     """
 
-    def __init__(self, *, random_state: random.Random, domain: str = "", region: str = ""):
+    def __init__(
+        self,
+        *,
+        random_state: random.Random,
+        domain: str = "",
+        region: str = "",
+        node_id: str = "",
+        boot_id: str = "",
+    ):
         self.random_state = random_state
         self.domain = domain
         self.region = region
         self.budget = RetryBudget()
         self.retry = RetryPolicy(budget=self.budget, random_state=random_state)
+        self.estimator = QualityEstimator()
+        self.ledger = RolloutLedger(node_id=NodeId(node_id), boot_id=BootId(boot_id))
         self._routers: dict[str, Router] = {}
+        self._cascades: dict[str, CascadePolicy] = {}
         self._quarantine: Quarantine | None = None
 
     def get_router(self, tables: CoreTables, member: str) -> Router:
@@ -53,29 +83,108 @@
         self.budget.note_request(req.member, now, ratio=ratio)
 
     def choose_version(self, tables: CoreTables, req: RequestRow, model: ModelRef) -> VersionRef:
-        """Choose the version of a model for a request; a session's pin goes first."""
+        """Choose the version of a model for a request; a session's pin goes first.
+
+        Raises
+        ------
+        RefusedError
+            The model is unknown, not allowed, or has no version that takes new work.
+        """
         if req.pinned_version and model_of(req.pinned_version) == model:
             return req.pinned_version
-        return VersionRef(f"{model}@{tables.view.models[model].current}")
+        contact = req.session_id or req.request_id
+        return choose_version(tables, req.customer_id, model, contact)
+
+    def _get_cascade(self, tables: CoreTables, req: RequestRow) -> CascadePolicy:
+        cfg = tables.view.document.members[req.member].cascades.get(req.cascade)
+        name = cfg.policy if cfg else DEFAULT_CASCADE_POLICY
+        if name not in self._cascades:
+            self._cascades[name] = make_cascade_policy(name)
+        return self._cascades[name]
+
+    def _make_version_of(
+        self, tables: CoreTables, req: RequestRow
+    ) -> Callable[[ModelRef], VersionRef]:
+        return lambda model: self.choose_version(tables, req, model)
 
-    def should_escalate(self, tables: CoreTables, req: RequestRow, score: float | None) -> bool:
+    def plan(self, tables: CoreTables, req: RequestRow, now: float) -> None:
+        """Choose the steps of a request's cascade.
+
+        Raises
+        ------
+        RefusedError
+            No step has a version that takes new work.
+        """
+        if req.service or len(req.steps) < 2:
+            return
+        req.steps = plan_steps(
+            self._get_cascade(tables, req),
+            self.estimator,
+            tables,
+            req,
+            req.steps,
+            self._make_version_of(tables, req),
+            now,
+        )
+
+    def should_escalate(
+        self, tables: CoreTables, req: RequestRow, score: float | None, now: float
+    ) -> bool:
         """Tell whether a cascade goes on to its next model after a rating."""
-        return score is None or score < req.quality_target
+        steps = req.steps[req.step : req.step + 2]
+        estimates = estimate_steps(
+            self.estimator, tables, req, steps, self._make_version_of(tables, req), now
+        )
+        elapsed_s = now - req.arrived_at
+        facts = EscalationFacts(
+            score=score if self.estimator.trust.is_truthful() else None,
+            quality_target=req.quality_target,
+            estimate=estimates[steps[0]],
+            deadline=req.deadline,
+            next_s=elapsed_s,
+            next_price=estimates[steps[1]].price,
+        )
+        return self._get_cascade(tables, req).should_escalate(facts, now)
 
     def note_rating(
-        self,
-        tables: CoreTables,
-        customer_id: str,
-        class_name: str,
-        version: VersionRef,
-        score: float,
-        now: float,
+        self, tables: CoreTables, req: RequestRow, version: VersionRef, score: float, now: float
     ) -> None:
         """Learn from the rating of an answer."""
+        self.estimator.note_rating(tables, version, req.customer_id, req.class_name, score, now)
+        rollout = self._find_rollout(tables, version)
+        if rollout is not None:
+            is_good = score >= req.quality_target
+            is_new = version == rollout.version
+            self.ledger.note_answer(rollout.rollout_id, is_new=is_new, is_good=is_good)
 
-    def note_outcome(self, tables: CoreTables, version: VersionRef, is_good: bool) -> None:
+    def note_outcome(
+        self, tables: CoreTables, req: RequestRow, version: VersionRef, now: float, *, is_good: bool
+    ) -> None:
         """Count an attempt that ended whole, or failed after it had begun."""
+        rollout = self._find_rollout(tables, version)
+        if rollout is not None and version == rollout.version:
+            self.ledger.note_contact(rollout.rollout_id)
+        if is_good or req.service:
+            return
+        self.estimator.note_error(tables, version, req.customer_id, req.class_name, now)
+        if rollout is not None:
+            is_new = version == rollout.version
+            self.ledger.note_answer(rollout.rollout_id, is_new=is_new, is_good=False)
+
+    @staticmethod
+    def _find_rollout(tables: CoreTables, version: VersionRef) -> RolloutRow | None:
+        row = tables.rollouts.get(model_of(version))
+        if row is None or version not in (row.version, row.baseline):
+            return None
+        return row
 
-    def should_sample(self, tables: CoreTables, version: VersionRef) -> bool:
+    def should_sample(self, tables: CoreTables, req: RequestRow, version: VersionRef) -> bool:
         """Tell whether a delivered answer is to be rated, to learn from."""
-        return False
+        if req.service:
+            return False
+        rollout = self._find_rollout(tables, version)
+        if rollout is None:
+            share = OTHER_SAMPLE
+        else:
+            share = NEW_VERSION_SAMPLE if version == rollout.version else BASELINE_SAMPLE
+        return hash_to_unit(f"sample|{req.request_id}") < share
--- a/crocusvalve/entry/_raters.py
+++ b/crocusvalve/entry/_raters.py
@@ -42,14 +42,30 @@
         self.service = service
         self.timeout_s = timeout_s
         self._limiter = trio.CapacityLimiter(max_ratings)
+        self._other_prompt = ""
 
     async def rate(self, req: RequestRow, version: VersionRef, answer: bytes) -> float | None:
         """Return the score of an answer from 0 to 1, or None."""
+        return await self._rate(req, version, answer, _read_prompt(req))
+
+    async def rate_control(
+        self, req: RequestRow, version: VersionRef, answer: bytes
+    ) -> float | None:
+        """Rate an answer against another request's prompt; a truthful service scores it low."""
+        prompt = _read_prompt(req)
+        other, self._other_prompt = self._other_prompt, prompt
+        if not other or other == prompt:
+            return None
+        return await self._rate(req, version, answer, other)
+
+    async def _rate(
+        self, req: RequestRow, version: VersionRef, answer: bytes, prompt: str
+    ) -> float | None:
         rating_req = RatingRequest(
             customer_id=req.customer_id,
             class_name=req.class_name,
             version=version,
-            prompt=_read_prompt(req),
+            prompt=prompt,
             answer=answer.decode("utf-8", "replace")[:MAX_TEXT_CHARS],
         )
         try:
--- a/crocusvalve/entry/_resolve.py
+++ b/crocusvalve/entry/_resolve.py
@@ -184,6 +184,7 @@
         digest=compute_digest(messages),
         prefix_digest=compute_digest(messages[:MAX_PREFIX_BYTES]),
         steps=resolved.steps,
+        cascade=resolved.cascade,
         pinned_version=resolved.version,
         session_id=SessionId(""),
         idempotency_key=headers.idempotency_key,
--- a/crocusvalve/entry/_runtime.py
+++ b/crocusvalve/entry/_runtime.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from crocusvalve.base import AttemptId, Command, RequestId
+from crocusvalve.base import AttemptId, Command, RequestId, VersionRef
 from crocusvalve.billing import BillOutbox
 from crocusvalve.entry._attempts import AttemptRunner
 from crocusvalve.entry._commands import (
@@ -17,6 +17,7 @@
     RateAnswer,
     Refuse,
     ResumeAttempt,
+    SampleAnswer,
     ShareQuarantine,
     StartAttempt,
 )
@@ -99,6 +100,7 @@
             Finish: self._finish,
             Refuse: self._refuse,
             RateAnswer: self._rate,
+            SampleAnswer: self._sample,
             ShareQuarantine: self.share_quarantine,
             InvariantBroken: self._report_invariant,
         }
@@ -230,8 +232,26 @@
 
     async def _rate_and_feed(self, cmd: RateAnswer, req: RequestRow) -> None:
         score = await self.rater.rate(req, cmd.version, cmd.answer)
+        await self._rate_control(req, cmd.version, cmd.answer)
         self.dispatch(self.core.take_rating(cmd.request_id, score, self.clock.now()))
 
+    def _sample(self, cmd: SampleAnswer) -> None:
+        self._nursery.start_soon(self._sample_and_learn, cmd)
+
+    async def _sample_and_learn(self, cmd: SampleAnswer) -> None:
+        score = await self.rater.rate(cmd.req, cmd.version, cmd.answer)
+        await self._rate_control(cmd.req, cmd.version, cmd.answer)
+        if score is not None:
+            self.core.note_rating(cmd.req, cmd.version, score, self.clock.now())
+
+    async def _rate_control(self, req: RequestRow, version: VersionRef, answer: bytes) -> None:
+        estimator = self.core.policies.estimator
+        if not estimator.trust.is_control_due():
+            return
+        score = await self.rater.rate_control(req, version, answer)
+        if score is not None:
+            estimator.note_control(score)
+
     def _report_invariant(self, cmd: InvariantBroken) -> None:
         logger.error("invariant broken: %s", cmd.error)
         self.observer.note_invariant(cmd.error)
--- a/crocusvalve/entry/_tables.py
+++ b/crocusvalve/entry/_tables.py
@@ -30,7 +30,8 @@
     """How far a request has come.
 
     ``leader`` is the attempt whose frames count. ``ran`` is what is known for sure or not of all
-    ended attempts together. ``held`` is a whole answer not yet delivered. ``usage`` sums all whole
+    ended attempts together. ``held`` is a whole answer not yet delivered,
+    ``sample`` a copy of delivered parts that are to be rated. ``usage`` sums all whole
     attempts.
     """
 
@@ -38,11 +39,10 @@
     is_buffered: bool
     leader: AttemptId | None = None
     buffer: list[bytes] = field(default_factory=list)
+    sample: list[bytes] = field(default_factory=list)
     usage: Usage = Usage()
     ran: Ran = Ran.NOT_RUN
     held: HeldAnswer | None = None
-    is_rated: bool = False
-    n_whole: int = 0
     had_candidates_at: float = 0.0
 
 
--- a/crocusvalve/model/_rows.py
+++ b/crocusvalve/model/_rows.py
@@ -44,7 +44,8 @@
     ``preferred_upstream`` comes from the session's token.
 
     ``steps`` holds the models still to try, cheapest first; ``step`` counts those done.
-    ``service`` names a plain service, qualified, or is empty.
+    ``cascade`` is its local name, and ``service`` names a plain service, qualified; either may be
+    empty.
     """
 
     request_id: RequestId
@@ -60,6 +61,7 @@
     prefix_digest: str = ""
     steps: tuple[ModelRef, ...] = ()
     step: int = 0
+    cascade: str = ""
     version: VersionRef = VersionRef("")
     pinned_version: VersionRef = VersionRef("")
     service: str = ""
