--- a/crocusvalve/platform/__init__.py
+++ b/crocusvalve/platform/__init__.py
@@ -1,5 +1,6 @@
 """Client of the platform's service."""
 
+from crocusvalve.platform._batcher import BatcherCounters, WriteBatcher
 from crocusvalve.platform._guard import CallGuard, GuardCounters, GuardSettings
 from crocusvalve.platform._http import HttpPlatform
 from crocusvalve.platform._ids import WriteIdMaker
@@ -26,6 +27,7 @@
 __all__ = [
     "MAX_TRANSACT_WRITES",
     "Backoff",
+    "BatcherCounters",
     "CallGuard",
     "Circuit",
     "CircuitState",
@@ -47,6 +49,7 @@
     "WeightReservation",
     "WeightStore",
     "Write",
+    "WriteBatcher",
     "WriteIdMaker",
     "WriteResult",
     "WriteState",
--- a/crocusvalve/platform/base.py
+++ b/crocusvalve/platform/base.py
@@ -97,8 +97,8 @@
     async def transact(self, writes: Sequence[Write]) -> list[WriteResult]:
         """Apply all writes or none of them.
 
-        A transaction is idempotent: where a row carries the id of its write, the transaction is
-        already applied and nothing is written again.
+        Writes are idempotent: one whose row carries its id is applied already. It is reported as
+        applied, isn't written again and never stands in the way of the others.
 
         Parameters
         ----------
--- a/crocusvalve/standin/_platform.py
+++ b/crocusvalve/standin/_platform.py
@@ -182,15 +182,15 @@
         self.counters.n_transacts += 1
         rows = [self._table(write.table).get(write.key) for write in writes]
         pairs = list(zip(writes, rows, strict=True))
-        if any(row is not None and row.write_id == write.write_id for write, row in pairs):
-            return [_make_result(write, row, WriteState.APPLIED) for write, row in pairs]
         if not all(_is_condition_met(write, row) for write, row in pairs):
             self.counters.n_conflicts += 1
-            return [_make_result(write, row, _state_of_refused(write, row)) for write, row in pairs]
-        self.counters.n_rows_written += len(writes)
+            return [_make_result(write, row, _find_state(write, row)) for write, row in pairs]
         return [self._apply_one(write, row) for write, row in pairs]
 
     def _apply_one(self, write: Write, row: Row | None) -> WriteResult:
+        if _is_applied(write, row):
+            return _make_result(write, row, WriteState.APPLIED)
+        self.counters.n_rows_written += 1
         table = self._table(write.table)
         if write.value is None:
             table.pop(write.key, None)
@@ -208,13 +208,19 @@
         raise CrocusvalveError(ErrorCode.BAD_REQUEST, message, step="transact")
 
 
+def _is_applied(write: Write, row: Row | None) -> bool:
+    return row is not None and row.write_id == write.write_id
+
+
 def _is_condition_met(write: Write, row: Row | None) -> bool:
-    if write.if_version is None:
+    if write.if_version is None or _is_applied(write, row):
         return True
     return write.if_version == (row.version if row else 0)
 
 
-def _state_of_refused(write: Write, row: Row | None) -> WriteState:
+def _find_state(write: Write, row: Row | None) -> WriteState:
+    if _is_applied(write, row):
+        return WriteState.APPLIED
     return WriteState.SKIPPED if _is_condition_met(write, row) else WriteState.CONFLICT
 
 
--- a/crocusvalve/standin/_platform_faults.py
+++ b/crocusvalve/standin/_platform_faults.py
@@ -32,6 +32,8 @@
     n_lost_requests : int
         Number of coming writes that are lost on the way; the caller can't tell them from writes
         with a lost answer. -1 for all.
+    is_down_after_lost_answer : bool
+        Whether the platform goes down once it has lost an answer.
     vm_list_lag_s : float
         Lag of the list of VMs in seconds.
     weight_reservations_per_s : float or None
@@ -44,6 +46,7 @@
     delay_s: float = 0.0
     n_lost_answers: int = 0
     n_lost_requests: int = 0
+    is_down_after_lost_answer: bool = False
     vm_list_lag_s: float = 0.0
     weight_reservations_per_s: float | None = None
     ratings: RatingFault = RatingFault.NONE
@@ -53,6 +56,8 @@
         is_lost = self.n_lost_answers != 0
         if self.n_lost_answers > 0:
             self.n_lost_answers -= 1
+        if is_lost and self.is_down_after_lost_answer:
+            self.is_down = True
         return is_lost
 
     def take_lost_request(self) -> bool:
--- /dev/null
+++ b/features/durable/durable.feature
@@ -0,0 +1,111 @@
+Feature: A durable request is kept, worked on by one entry at a time, and ends once
+
+  Background:
+    Given two entries over one platform
+
+  Scenario Outline: An accepted request ends once whatever the store does, with a body of <size> bytes
+    Given a body of <size> bytes
+    When the fault "<fault at accept>" begins
+    And entry a accepts a durable request
+    And the fault "<fault at finish>" begins
+    And the upstreams answer
+    And 20 s pass
+    And the fault ends
+    And 20 s pass
+    Then the request is done, ended once, with <n> execution(s)
+    And every execution had the whole body
+
+    Examples:
+      | size  | fault at accept | fault at finish  | n |
+      | 10    | none            | none             | 1 |
+      | 40000 | none            | none             | 1 |
+      | 10    | answer lost     | none             | 1 |
+      | 10    | request lost    | none             | 1 |
+      | 10    | all answers lost | none            | 1 |
+      | 10    | none            | store down       | 1 |
+      | 40000 | none            | store down       | 1 |
+      | 10    | none            | store slow       | 1 |
+      | 10    | none            | answer lost      | 1 |
+      | 10    | none            | request lost     | 1 |
+      | 10    | none            | all answers lost | 1 |
+
+  Scenario Outline: A request that can't be accepted for sure is refused truthfully: <fault>
+    When the fault "<fault>" begins
+    And entry a accepts a durable request
+    And the fault ends
+    And the upstreams answer
+    And 20 s pass
+    Then entry a refuses with "<code>" and says "<ran>"
+    And <n> request(s) ended
+
+    Examples:
+      | fault                  | code            | ran     | n |
+      | store down             | platform_down   | not_run | 0 |
+      | store slow             | outcome_unknown | unknown | 0 |
+      | answer lost, then down | outcome_unknown | unknown | 1 |
+
+  Scenario: Another body under the same id is refused
+    When entry a accepts a durable request
+    And entry a gets another body under the same id
+    Then entry a refuses with "idempotency_key_reused" and says "not_run"
+
+  Scenario Outline: Another entry resumes a request when its entry <event>
+    When entry a accepts a durable request
+    And 1 s pass
+    And entry a <event>
+    And <wait> s pass
+    And the upstreams answer
+    And 1 s pass
+    Then the request is done, ended once, with 2 execution(s)
+    And its answer is "by b"
+
+    Examples:
+      | event                     | wait |
+      | is killed                 | 15   |
+      | stops                     | 5    |
+      | is cut off from the store | 18   |
+
+  Scenario: The late answer of an entry that lost its lease is not written
+    When entry a accepts a durable request
+    And 1 s pass
+    And entry a is cut off from the store
+    And 18 s pass
+    And the upstream of entry a answers
+    And entry a reaches the store again
+    And 10 s pass
+    And the upstreams answer
+    And 1 s pass
+    Then the request is done, ended once, with 2 execution(s)
+    And its answer is "by b"
+
+  Scenario: An execution that was refused is tried again
+    When the upstreams refuse 3 times, then answer
+    And entry a accepts a durable request
+    And 20 s pass
+    Then the request is done, ended once, with 4 execution(s)
+
+  Scenario Outline: The alarm is raised once before the deadline when its entry <event>
+    When entry a accepts a durable request
+    And 1 s pass
+    And entry a <event>
+    And <wait> s pass
+    Then the request is still open and entry <alarmed> has 1 alarm(s)
+
+    Examples:
+      | event     | wait | alarmed |
+      | works on  | 70   | a       |
+      | is killed | 70   | b       |
+
+  Scenario Outline: A request past its deadline ends as failed when its entry <event>
+    When entry a accepts a durable request
+    And 1 s pass
+    And entry a <event>
+    And 110 s pass
+    Then the request is failed, ended once, with <n> execution(s)
+    And its error is "deadline_passed"
+
+    Examples:
+      | event                     | n |
+      | works on                  | 1 |
+      | is killed                 | 2 |
+      | is cut off from the store | 2 |
--- /dev/null
+++ b/features/durable/steps/durable_steps.py
@@ -0,0 +1,308 @@
+"""Steps about durable requests."""
+
+import random
+
+import trio
+import trio.testing
+from behave import given, then, when
+
+from crocusvalve.base import BootId, CustomerId, NodeId, RequestId
+from crocusvalve.durable import (
+    OPEN_TABLE,
+    DurableRequest,
+    DurableResult,
+    DurableState,
+    DurableStore,
+    DurableSystem,
+    DurableWorker,
+)
+from crocusvalve.exceptions import ErrorCode, PlatformError, RefusedError
+from crocusvalve.platform import CallGuard, GuardSettings, ReliableTables, WriteIdMaker
+from crocusvalve.standin import ALL_CALLS, MemoryPlatform
+from crocusvalve.utils import Clock
+
+TTL_S = 10.0
+DEADLINE_S = 100.0
+ALARM_BEFORE_S = 40.0
+REQUEST_ID = RequestId("r1")
+
+
+class TrioClock(Clock):
+    """Time of the trio run, from 0; ``skew_s`` stands for a process that was paused."""
+
+    def __init__(self):
+        self.skew_s = 0.0
+
+    def now(self):
+        return trio.current_time() + self.skew_s
+
+
+class Entry:
+    """A worker with its own client, whose executions the test holds up or lets through."""
+
+    def __init__(self, subject, name, boot=0):
+        self.subject = subject
+        self.name = name
+        self.clock = TrioClock()
+        guard = CallGuard(
+            settings=GuardSettings(), random_state=random.Random(name), clock=self.clock
+        )
+        self.tables = ReliableTables(subject.platform, guard)
+        write_ids = WriteIdMaker(random.Random(f"{name}/{boot}"))
+        store = DurableStore(self.tables, subject.platform, write_ids=write_ids)
+        self.may_answer = trio.Event()
+        self.scope = trio.CancelScope()
+        self.alarms = []
+        self.n_refusals = 0
+        self.worker = DurableWorker(
+            store,
+            self.execute,
+            node_id=NodeId(name),
+            boot_id=BootId(str(boot)),
+            clock=self.clock,
+            random_state=random.Random(f"{name}/{boot}"),
+            ttl_s=TTL_S,
+            system=DurableSystem(),
+            scan_interval_s=1.0,
+            on_alarm=self.alarms.append,
+        )
+
+    async def execute(self, record):
+        self.subject.executions.append((self.name, record.body))
+        if self.n_refusals:
+            self.n_refusals -= 1
+            raise RefusedError(ErrorCode.NO_UPSTREAM, "none is free", retry_after_s=1.0)
+        await self.may_answer.wait()
+        return DurableResult(status=200, body=f"by {self.name}".encode())
+
+    async def run(self, *, task_status):
+        with self.scope:
+            await self.worker.run(task_status=task_status)
+
+
+class DurableSubject:
+    """Runs entries over one platform in virtual time and records what happened."""
+
+    def __init__(self):
+        self.platform = MemoryPlatform()
+        self.executions = []
+        self.script = []
+        self.body = b"dossier"
+        self.error = None
+        self.entries = {}
+
+    def run(self):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(self._main, clock=clock)
+
+    async def _main(self):
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            for name in ("a", "b"):
+                await self.start(name)
+            for step in self.script:
+                await step()
+            self.record = await self._get_record()
+            self.open_row = await self.platform.get(OPEN_TABLE, REQUEST_ID)
+            nursery.cancel_scope.cancel()
+
+    async def start(self, name, boot=0):
+        self.entries[name] = Entry(self, name, boot)
+        await self.nursery.start(self.entries[name].run)
+
+    async def accept(self, body=None):
+        entry = self.entries["a"]
+        req = DurableRequest(
+            request_id=REQUEST_ID,
+            customer_id=CustomerId("m/c"),
+            class_name="assessment",
+            deadline=DEADLINE_S,
+            body=body or self.body,
+            digest=str(hash(body or self.body)),
+            alarm_before_s=ALARM_BEFORE_S,
+        )
+        try:
+            self.accepted = await entry.worker.accept(req)
+        except RefusedError as exc:
+            self.error = exc
+
+    async def _get_record(self):
+        self.platform.faults = type(self.platform.faults)()
+        return await DurableStore(self.platform, self.platform).get(REQUEST_ID)
+
+    async def let_answer(self):
+        for entry in self.entries.values():
+            entry.may_answer.set()
+
+
+FAULT_STEPS = {
+    "none": {},
+    "store down": {"is_down": True},
+    "store slow": {"delay_s": 2.5},
+    "answer lost": {"n_lost_answers": 1},
+    "answer lost, then down": {"n_lost_answers": 1, "is_down_after_lost_answer": True},
+    "request lost": {"n_lost_requests": 1},
+    "all answers lost": {"n_lost_answers": ALL_CALLS},
+}
+
+
+def add_step(context, step):
+    context.durable.script.append(step)
+
+
+@given("two entries over one platform")
+def given_entries(context):
+    context.durable = DurableSubject()
+
+
+@given("a body of {n:d} bytes")
+def given_body(context, n):
+    context.durable.body = b"x" * n
+
+
+@given('the fault "{fault}"')
+@when('the fault "{fault}" begins')
+def when_fault(context, fault):
+    async def step():
+        for name, value in FAULT_STEPS[fault].items():
+            setattr(context.durable.platform.faults, name, value)
+
+    add_step(context, step)
+
+
+@when("the fault ends")
+def when_fault_ends(context):
+    async def step():
+        faults = context.durable.platform.faults
+        context.durable.platform.faults = type(faults)()
+
+    add_step(context, step)
+
+
+@when("entry a accepts a durable request")
+def when_accepts(context):
+    add_step(context, context.durable.accept)
+
+
+@when("entry a gets another body under the same id")
+def when_accepts_other(context):
+    add_step(context, lambda: context.durable.accept(b"other"))
+
+
+@when("{seconds:g} s pass")
+def when_pass(context, seconds):
+    add_step(context, lambda: trio.sleep(seconds))
+
+
+@when("the upstreams answer")
+def when_answer(context):
+    add_step(context, context.durable.let_answer)
+
+
+@when("the upstream of entry a answers")
+def when_a_answers(context):
+    async def step():
+        context.durable.entries["a"].may_answer.set()
+
+    add_step(context, step)
+
+
+@when("the upstreams refuse {n:d} times, then answer")
+def when_refuse(context, n):
+    async def step():
+        for entry in context.durable.entries.values():
+            entry.n_refusals = n
+            entry.may_answer.set()
+
+    add_step(context, step)
+
+
+@when("entry a is killed")
+def when_killed(context):
+    async def step():
+        entry = context.durable.entries["a"]
+        entry.worker.tables.rows.clear()
+        entry.scope.cancel()
+
+    add_step(context, step)
+
+
+@when("entry a works on")
+def when_works_on(context):
+    pass
+
+
+@when("entry a stops")
+def when_stops(context):
+    async def step():
+        context.durable.entries["a"].scope.cancel()
+
+    add_step(context, step)
+
+
+@when("entry a is cut off from the store")
+def when_cut(context):
+    async def fail(*args, **kwargs):
+        raise PlatformError("cut off")
+
+    async def step():
+        entry = context.durable.entries["a"]
+        context.durable.inner = entry.tables.inner
+        entry.tables.inner = type("Cut", (), {"get": fail, "scan": fail, "transact": fail})
+
+    add_step(context, step)
+
+
+@when("entry a reaches the store again")
+def when_mended(context):
+    async def step():
+        context.durable.entries["a"].tables.inner = context.durable.inner
+
+    add_step(context, step)
+
+
+@then("the request is {state}, ended once, with {n:d} execution(s)")
+def then_ended(context, state, n):
+    context.durable.run()
+    record = context.durable.record
+    assert record is not None and record.state is DurableState(state), record
+    assert context.durable.open_row is None
+    assert len(context.durable.executions) == n, context.durable.executions
+
+
+@then("the request is still open and entry {name} has {n:d} alarm(s)")
+def then_alarms(context, name, n):
+    context.durable.run()
+    assert context.durable.record.state is DurableState.OPEN
+    n_alarms = {key: len(entry.alarms) for key, entry in context.durable.entries.items()}
+    assert n_alarms[name] == n and sum(n_alarms.values()) == n, n_alarms
+
+
+@then('its answer is "{text}"')
+def then_answer(context, text):
+    assert context.durable.record.result.body.decode() == text
+
+
+@then('its error is "{code}"')
+def then_error(context, code):
+    assert context.durable.record.result.error_code == code
+
+
+@then('entry a refuses with "{code}" and says "{ran}"')
+def then_refused(context, code, ran):
+    if context.durable.error is None:
+        context.durable.run()
+    error = context.durable.error
+    assert error is not None and error.code.code == code and error.ran.value == ran, error
+
+
+@then("{n:d} request(s) ended")
+def then_n_ended(context, n):
+    record = context.durable.record
+    assert len(context.durable.executions) == n
+    assert (record is not None and record.state is DurableState.DONE) == bool(n), record
+
+
+@then("every execution had the whole body")
+def then_bodies(context):
+    assert {body for _, body in context.durable.executions} == {context.durable.body}
