--- a/crocusvalve/durable/_store.py
+++ b/crocusvalve/durable/_store.py
@@ -1,99 +1,271 @@
-"""Subset, heartbeats and probes of the upstreams of an entry."""
+"""Rows of durable requests in the platform's service."""
 
-import heapq
+import msgspec
+from msgspec import Struct
 
-from crocusvalve.base import NodeId, Revision, System, UpstreamState
-from crocusvalve.membership._commands import ProbeUpstream
-from crocusvalve.membership._subset import choose_subset
-from crocusvalve.model import EntryTables, UpstreamRow
+from crocusvalve.base import Ran, RequestId
+from crocusvalve.durable._records import (
+    DurableRecord,
+    DurableRequest,
+    DurableResult,
+    DurableState,
+    OpenRecord,
+)
+from crocusvalve.durable._tables import DurableRow, OpenRow
+from crocusvalve.exceptions import ErrorCode, InvariantError, PlatformError, RefusedError
+from crocusvalve.platform import ObjectStore, Row, TableService, Write, WriteIdMaker
 
-__all__ = ["MembershipSystem"]
+__all__ = [
+    "ACCEPTED_VERSION",
+    "DURABLE_TABLE",
+    "OPEN_TABLE",
+    "AcceptedRequest",
+    "DurableStore",
+    "FinishPlan",
+    "make_open_record",
+]
 
-N_PER_DOMAIN = 16
-#: Silence after which an upstream counts as down.
-EXPIRY_S = 5.0
-#: Interval between two looks at the heartbeats.
-CHECK_INTERVAL_S = 0.25
-PROBE_INTERVAL_S = 2.0
-#: An upstream silent for long is probed at this share of its silence, up to the maximum.
-PROBE_BACKOFF = 0.25
-MAX_PROBE_INTERVAL_S = 30.0
-MAX_PROBES_PER_S = 20.0
+DURABLE_TABLE = "durable"
+OPEN_TABLE = "durable_open"
+MAX_INLINE_BYTES = 16 * 1024
+RETRY_AFTER_S = 5.0
+#: Version of a durable row from its acceptance to its end.
+ACCEPTED_VERSION = 1
 
 
-class MembershipSystem(System):
-    """Chooses the entry's upstreams, marks silent ones as down and probes them.
+class AcceptedRequest(Struct, frozen=True):
+    """An accepted request; ``is_new`` is False for a repeat of one accepted before."""
+
+    record: DurableRecord
+    is_new: bool
+
+
+class FinishPlan(Struct, frozen=True):
+    """Writes that end a request; sent again as they are until the store answers."""
+
+    writes: tuple[Write, ...]
+
+
+class DurableStore:
+    """Reads and writes the rows of durable requests.
 
     Parameters
     ----------
-    node_id : NodeId
-        The entry.
-    n_per_domain : int
-        Upstreams per failure domain and set of served versions.
-    expiry_s : float
-        Silence in seconds after which an upstream counts as down.
-    max_probes_per_s : float
-        Bound on the rate of probes.
-
-    Attributes
-    ----------
-    subset_revision_ : Revision
-        Revision from which the subset was chosen.
+    tables : TableService
+        Holds the rows.
+    objects : ObjectStore
+        Holds large bodies.
+    max_inline_bytes : int
+        Largest body that stands in a row.
+    write_ids : WriteIdMaker or None
+        Makes the ids of writes.
     """
 
     def __init__(
         self,
-        node_id: NodeId,
+        tables: TableService,
+        objects: ObjectStore,
         *,
-        n_per_domain: int = N_PER_DOMAIN,
-        expiry_s: float = EXPIRY_S,
-        max_probes_per_s: float = MAX_PROBES_PER_S,
+        max_inline_bytes: int = MAX_INLINE_BYTES,
+        write_ids: WriteIdMaker | None = None,
     ):
-        self.node_id = node_id
-        self.n_per_domain = n_per_domain
-        self.expiry_s = expiry_s
-        self.max_probes_per_s = max_probes_per_s
-        self.subset_revision_ = Revision(-1)
-        self.checked_at_ = float("-inf")
-
-    def run(self, tables: EntryTables, now: float) -> list[ProbeUpstream]:
-        """Run once over the tables; see ``System.run``."""
-        if tables.view.revision != self.subset_revision_:
-            self._choose_subset(tables)
-        elapsed_s = now - self.checked_at_
-        if elapsed_s < CHECK_INTERVAL_S:
-            return []
-        self.checked_at_ = now
-        silent = []
-        for row in tables.upstreams.values():
-            if row.in_subset and self._check_heartbeat(row, now):
-                silent.append(row)
-        return self._probe(silent, min(elapsed_s, 1.0), now)
-
-    def _choose_subset(self, tables: EntryTables) -> None:
-        views = tables.view.upstreams.values()
-        chosen = set(choose_subset(self.node_id, views, self.n_per_domain))
-        for row in tables.upstreams.values():
-            row.in_subset = row.upstream_id in chosen
-        tables.index_upstreams()
-        self.subset_revision_ = tables.view.revision
-
-    def _check_heartbeat(self, row: UpstreamRow, now: float) -> bool:
-        """Mark a silent upstream as down; tell whether it is to be probed."""
-        silence_s = now - row.heard_at
-        if row.heard_at and silence_s > self.expiry_s:
-            row.state = UpstreamState.DOWN
-        if silence_s <= self.expiry_s / 2.0:
-            return False
-        backoff_s = PROBE_BACKOFF * silence_s if row.heard_at else 0.0
-        interval_s = min(MAX_PROBE_INTERVAL_S, max(PROBE_INTERVAL_S, backoff_s))
-        return now - row.probed_at >= interval_s
-
-    def _probe(
-        self, silent: list[UpstreamRow], elapsed_s: float, now: float
-    ) -> list[ProbeUpstream]:
-        n_max = max(1, int(self.max_probes_per_s * elapsed_s))
-        chosen = heapq.nsmallest(n_max, silent, key=lambda row: row.probed_at)
-        for row in chosen:
-            row.probed_at = now
-        return [ProbeUpstream(row.upstream_id, row.agent) for row in chosen]
+        self.tables = tables
+        self.objects = objects
+        self.max_inline_bytes = max_inline_bytes
+        self.write_ids = write_ids or WriteIdMaker()
+
+    async def accept(
+        self, req: DurableRequest, *, holder: str, ttl_s: float, now: float
+    ) -> AcceptedRequest:
+        """Write the rows of a request, leased to its entry; after this it can't be lost.
+
+        Raises
+        ------
+        RefusedError
+            The store failed. ``NOT_RUN`` where the request is certainly not accepted; ``UNKNOWN``
+            where it may be, so that a repeat under the same request id is safe.
+        """
+        try:
+            record = await self._make_record(req, now)
+            return await self._insert(record, make_open_record(req, holder, ttl_s))
+        except PlatformError as exc:
+            raise _make_refusal(exc) from exc
+
+    async def get(self, request_id: RequestId) -> DurableRecord | None:
+        """Return a request with its body and result, or None where it was never accepted."""
+        row = await self.tables.get(DURABLE_TABLE, request_id)
+        return await self._fetch_bodies(_decode_record(row)) if row else None
+
+    async def list_open(self, *, after: str, limit: int) -> list[OpenRow]:
+        """Return a page of open requests by request id; one read."""
+        rows = await self.tables.scan(OPEN_TABLE, after=after, limit=limit)
+        return [_decode_open(row) for row in rows]
+
+    async def write_open(self, record: OpenRecord, version: int) -> int | None:
+        """Change an open row on the condition of its version; return the new one, or None."""
+        write = self._make_write(OPEN_TABLE, record.request_id, record, version)
+        results = await self.tables.transact([write])
+        row = results[0].row
+        if not results[0].is_applied or row is None or row.write_id != write.write_id:
+            return None
+        return row.version
+
+    async def read_open(self, request_id: RequestId) -> OpenRow | None:
+        """Return an open row, or None where the request is open no more."""
+        row = await self.tables.get(OPEN_TABLE, request_id)
+        return _decode_open(row) if row else None
+
+    async def plan_finish(
+        self,
+        record: DurableRecord,
+        result: DurableResult,
+        open_row: OpenRow | DurableRow,
+        now: float,
+    ) -> FinishPlan:
+        """Make the writes that end a request on the condition of its open row's version."""
+        is_large = len(result.body) > self.max_inline_bytes
+        name = f"durable/{record.request_id}/result-{self.write_ids.make()}" if is_large else ""
+        if name:
+            await self.objects.put_object(name, result.body)
+            result = msgspec.structs.replace(result, body=b"")
+        ended = msgspec.structs.replace(
+            record,
+            state=DurableState.FAILED if result.error_code else DurableState.DONE,
+            result=result,
+            result_object=name,
+            ended_at=now,
+            number=open_row.record.number,
+            body=b"",
+        )
+        end = self._make_write(DURABLE_TABLE, record.request_id, ended, ACCEPTED_VERSION)
+        close = Write(
+            table=OPEN_TABLE,
+            key=record.request_id,
+            value=None,
+            write_id=self.write_ids.make(),
+            if_version=open_row.version,
+        )
+        return FinishPlan((end, close))
+
+    async def finish(self, plan: FinishPlan) -> bool:
+        """Carry out a plan; False where the lease was lost or the request has ended."""
+        results = await self.tables.transact(plan.writes)
+        return results[0].is_applied
+
+    async def _make_record(self, req: DurableRequest, now: float) -> DurableRecord:
+        name = ""
+        if len(req.body) > self.max_inline_bytes:
+            name = f"durable/{req.request_id}/body-{req.digest}"
+            await self._put_body(name, req.body)
+        return DurableRecord(
+            request_id=req.request_id,
+            customer_id=req.customer_id,
+            class_name=req.class_name,
+            accepted_at=now,
+            deadline=req.deadline,
+            digest=req.digest,
+            session_id=req.session_id,
+            body=b"" if name else req.body,
+            body_object=name,
+        )
+
+    async def _put_body(self, name: str, body: bytes) -> None:
+        try:
+            await self.objects.put_object(name, body)
+        except PlatformError as exc:
+            # An object without a row is no accepted request.
+            raise PlatformError(exc.message, step="accept_durable", peer=exc.peer) from exc
+
+    async def _insert(self, record: DurableRecord, open_record: OpenRecord) -> AcceptedRequest:
+        writes = [
+            self._make_write(DURABLE_TABLE, record.request_id, record, 0),
+            self._make_write(OPEN_TABLE, record.request_id, open_record, 0),
+        ]
+        try:
+            results = await self.tables.transact(writes)
+            row = results[0].row
+        except PlatformError as exc:
+            row = await self._read_back(record.request_id, exc)
+        if row is None:
+            raise PlatformError("the row is gone", step="accept_durable", maybe_applied=True)
+        found = _decode_record(row)
+        if found.digest != record.digest or found.customer_id != record.customer_id:
+            raise RefusedError(
+                ErrorCode.IDEMPOTENCY_KEY_REUSED,
+                "the request id stands for another request",
+                step="accept_durable",
+                ran=Ran.NOT_RUN,
+            )
+        return AcceptedRequest(found, row.write_id == writes[0].write_id)
+
+    async def _read_back(self, request_id: RequestId, cause: PlatformError) -> Row:
+        if not cause.maybe_applied:
+            raise cause
+        try:
+            row = await self.tables.get(DURABLE_TABLE, request_id)
+        except PlatformError:
+            raise cause from None
+        if row is None:
+            raise cause
+        return row
+
+    async def _fetch_bodies(self, record: DurableRecord) -> DurableRecord:
+        if record.body_object and record.state is DurableState.OPEN:
+            body = await self._fetch_object(record.body_object)
+            record = msgspec.structs.replace(record, body=body)
+        if record.result_object and record.result is not None:
+            body = await self._fetch_object(record.result_object)
+            result = msgspec.structs.replace(record.result, body=body)
+            record = msgspec.structs.replace(record, result=result)
+        return record
+
+    async def _fetch_object(self, name: str) -> bytes:
+        data = await self.objects.get_object(name)
+        if data is None:
+            raise InvariantError(f"object {name} is missing", step="fetch_durable")
+        return data
+
+    def _make_write(
+        self, table: str, key: str, record: DurableRecord | OpenRecord, version: int
+    ) -> Write:
+        return Write(
+            table=table,
+            key=key,
+            value=msgspec.msgpack.encode(record),
+            write_id=self.write_ids.make(),
+            if_version=version,
+        )
+
+
+def make_open_record(req: DurableRequest, holder: str, ttl_s: float) -> OpenRecord:
+    """Return the open row of a request as it is accepted."""
+    alarm_at = req.deadline - req.alarm_before_s if req.alarm_before_s else float("inf")
+    return OpenRecord(
+        request_id=req.request_id,
+        customer_id=req.customer_id,
+        class_name=req.class_name,
+        deadline=req.deadline,
+        alarm_at=alarm_at,
+        holder=holder,
+        number=1,
+        ttl_s=ttl_s,
+    )
+
+
+def _make_refusal(exc: PlatformError) -> RefusedError:
+    return RefusedError(
+        ErrorCode.OUTCOME_UNKNOWN if exc.maybe_applied else ErrorCode.PLATFORM_DOWN,
+        f"the request was not accepted for sure: {exc.message}",
+        step="accept_durable",
+        peer=exc.peer,
+        ran=Ran.UNKNOWN if exc.maybe_applied else Ran.NOT_RUN,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _decode_record(row: Row) -> DurableRecord:
+    return msgspec.msgpack.decode(row.value, type=DurableRecord)
+
+
+def _decode_open(row: Row) -> OpenRow:
+    return OpenRow(msgspec.msgpack.decode(row.value, type=OpenRecord), row.version)
