--- a/crocusvalve/entry/_admission.py
+++ b/crocusvalve/entry/_admission.py
@@ -60,16 +60,17 @@
         """
         if now >= req.deadline:
             raise RefusedError(ErrorCode.DEADLINE_PASSED, "the deadline has passed", step=STEP)
-        if self.policies.get_quarantine(tables).is_banned(req.digest):
-            message = "this request crashed upstreams and is refused for good"
-            raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=STEP)
+        self._check_quarantine(tables, req)
         if not can_bill:
             message = "bills wait for the platform's service; no more work is taken"
             raise RefusedError(
                 ErrorCode.OVERLOADED, message, step=STEP, retry_after_s=OUTBOX_RETRY_S
             )
         self.policies.plan(tables, req, now)
-        row = self._check_quota(tables, req, now, share)
+        row = self._get_customer(tables, req, now)
+        if req.kind is not ClassKind.DURABLE:
+            # The quota of a durable request was taken when it was accepted.
+            self._take_quota(tables, req, row, now, share)
         self._refuse_early(tables, req, now)
         return self._queue(tables, req, row, now)
 
@@ -83,24 +84,45 @@
                 ErrorCode.OVERLOADED, message, step=STEP, retry_after_s=retry_after_s
             )
 
-    def _check_quota(
-        self, tables: CoreTables, req: RequestRow, now: float, share: float
-    ) -> CustomerRow:
-        cfg = tables.view.customers[req.customer_id].cfg
+    def check_durable(self, tables: CoreTables, req: RequestRow, now: float, share: float) -> None:
+        """Check a durable request before it is kept, and take its quota.
+
+        Raises
+        ------
+        RefusedError
+            Always as not run.
+        """
+        self._check_quarantine(tables, req)
+        self._take_quota(tables, req, self._get_customer(tables, req, now), now, share)
+
+    def _check_quarantine(self, tables: CoreTables, req: RequestRow) -> None:
+        if self.policies.get_quarantine(tables).is_banned(req.digest):
+            message = "this request crashed upstreams and is refused for good"
+            raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=STEP)
+
+    @staticmethod
+    def _get_customer(tables: CoreTables, req: RequestRow, now: float) -> CustomerRow:
+        view = tables.view.customers.get(req.customer_id)
+        if view is None:
+            message = "the customer is no longer in the document"
+            raise RefusedError(ErrorCode.FORBIDDEN, message, step=STEP)
         row = tables.customers.get(req.customer_id)
         if row is None:
-            row = make_customer_row(req.customer_id, cfg, now)
+            row = make_customer_row(req.customer_id, view.cfg, now)
             tables.customers[req.customer_id] = row
-        if req.kind is ClassKind.DURABLE:
-            # Its quota was taken when it was accepted.
-            return row
+        return row
+
+    @staticmethod
+    def _take_quota(
+        tables: CoreTables, req: RequestRow, row: CustomerRow, now: float, share: float
+    ) -> None:
+        cfg = tables.view.customers[req.customer_id].cfg
         retry_after_s = check_quota(row, cfg, now, share=share)
         if retry_after_s is not None:
             message = "the customer's quota is used up"
             raise RefusedError(
                 ErrorCode.RATE_LIMITED, message, step=STEP, retry_after_s=retry_after_s
             )
-        return row
 
     def _queue(self, tables: CoreTables, req: RequestRow, row: CustomerRow, now: float) -> None:
         cfg = tables.view.customers[req.customer_id].cfg
--- a/crocusvalve/entry/_core.py
+++ b/crocusvalve/entry/_core.py
@@ -58,13 +58,27 @@
         RefusedError
             Where it is refused at once; nothing of it is kept then.
         """
+        self._check_not_draining()
+        limits = self.limits
+        commands = self.admission.admit(self.tables, req, now, limits.can_bill, limits.quota_share)
+        return commands + self.placement.run(self.tables, now)
+
+    def check_durable(self, req: RequestRow, now: float) -> None:
+        """Take a durable request's quota before it is kept.
+
+        Raises
+        ------
+        RefusedError
+            Always as not run.
+        """
+        self._check_not_draining()
+        self.admission.check_durable(self.tables, req, now, self.limits.quota_share)
+
+    def _check_not_draining(self) -> None:
         if self.limits.is_draining:
             raise RefusedError(
                 ErrorCode.DRAINING, "this entry is stopping", step="admission", retry_after_s=1.0
             )
-        limits = self.limits
-        commands = self.admission.admit(self.tables, req, now, limits.can_bill, limits.quota_share)
-        return commands + self.placement.run(self.tables, now)
 
     def place_order(
         self, req: RequestRow, avoid: frozenset[UpstreamId], now: float
--- a/crocusvalve/entry/_http.py
+++ b/crocusvalve/entry/_http.py
@@ -7,7 +7,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from crocusvalve.base import ClassKind, RequestId, SessionId
+from crocusvalve.base import ClassKind, Ran, RequestId, SessionId
 from crocusvalve.config import CustomerView
 from crocusvalve.entry import _openai
 from crocusvalve.entry._commands import AnswerSummary
@@ -15,12 +15,13 @@
 from crocusvalve.entry._parse import (
     MAX_BODY_BYTES,
     SESSION_HEADER,
+    CallerHeaders,
     ChatBody,
     parse_chat_body,
     parse_headers,
 )
 from crocusvalve.entry._resolve import list_models, make_chat_row, make_service_row
-from crocusvalve.entry.base import DurableState, EntryService
+from crocusvalve.entry.base import DurableStatus, EntryService
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.model import RequestRow
 from crocusvalve.sessions import SessionClaim
@@ -161,12 +162,26 @@
         req = make_chat_row(self.service.view(), customer, body, raw, headers, request_id, now)
         self._open_session(req, headers.session)
         if req.kind is ClassKind.DURABLE:
-            return _answer_accepted(await self.service.accept_durable(req))
+            accepted = await self._accept_durable(req, headers)
+            if accepted is not None:
+                return _answer_accepted(accepted)
         handle = await self.service.submit(req)
         if body.stream:
             return await self._answer_stream(req, handle, body, int(now))
         return await self._answer_whole(req, handle, int(now))
 
+    async def _accept_durable(
+        self, req: RequestRow, headers: CallerHeaders
+    ) -> DurableStatus | None:
+        """Accept a durable request; None where it is to run on the caller's connection."""
+        try:
+            return await self.service.accept_durable(req)
+        except RefusedError as exc:
+            is_store_down = exc.code is ErrorCode.PLATFORM_DOWN and exc.ran is Ran.NOT_RUN
+            if is_store_down and headers.may_wait:
+                return None
+            raise
+
     def _name_request(self) -> RequestId:
         request_id = self.service.make_request_id()
         request.crocusvalve_id = request_id
@@ -249,7 +264,9 @@
             self.service.now(),
         )
         if req.kind is ClassKind.DURABLE:
-            return _answer_accepted(await self.service.accept_durable(req))
+            accepted = await self._accept_durable(req, headers)
+            if accepted is not None:
+                return _answer_accepted(accepted)
         handle = await self.service.submit(req)
         data, summary = await self._collect(req, handle)
         response = Response(data, status=summary.status, content_type=summary.content_type)
@@ -301,16 +318,14 @@
         return end + _openai.SSE_DONE
 
 
-def _answer_accepted(state: DurableState) -> Response:
-    response = Response(_openai.make_durable_body(state), status=202, content_type=JSON)
-    response.headers["Location"] = f"/v1/requests/{state.request_id}"
-    response.headers["X-Request-Id"] = state.request_id
+def _answer_accepted(status: DurableStatus) -> Response:
+    response = Response(_openai.make_durable_body(status), status=202, content_type=JSON)
+    response.headers["Location"] = f"/v1/requests/{status.request_id}"
+    response.headers["X-Request-Id"] = status.request_id
     return response
 
 
-def _answer_durable(state: DurableState) -> Response:
-    if state.state == "done":
-        return Response(state.result, status=state.http_status, content_type=state.content_type)
-    if state.error:
-        return Response(state.error, status=state.http_status, content_type=JSON)
-    return Response(_openai.make_durable_body(state), status=202, content_type=JSON)
+def _answer_durable(status: DurableStatus) -> Response:
+    if not status.has_ended:
+        return Response(_openai.make_durable_body(status), status=202, content_type=JSON)
+    return Response(status.body, status=status.http_status, content_type=status.content_type)
--- a/crocusvalve/entry/_openai.py
+++ b/crocusvalve/entry/_openai.py
@@ -6,7 +6,7 @@
 
 from crocusvalve.base import RequestId
 from crocusvalve.entry._commands import AnswerSummary
-from crocusvalve.entry.base import DurableState
+from crocusvalve.entry.base import DurableStatus
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.rpc import Usage
 
@@ -133,15 +133,15 @@
     return _event(_error_payload(exc, request_id))
 
 
-def make_durable_body(state: DurableState) -> bytes:
+def make_durable_body(status: DurableStatus) -> bytes:
     """Encode the state of a durable request that has no answer yet."""
     return msgspec.json.encode(
         {
-            "id": state.request_id,
+            "id": status.request_id,
             "object": "request",
-            "state": state.state,
-            "deadline": state.deadline,
-            "url": f"/v1/requests/{state.request_id}",
+            "state": status.state,
+            "deadline": status.deadline,
+            "url": f"/v1/requests/{status.request_id}",
         }
     )
 
--- a/crocusvalve/entry/_parse.py
+++ b/crocusvalve/entry/_parse.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import Struct
 
 from crocusvalve.exceptions import ErrorCode, RefusedError
 
@@ -19,6 +19,7 @@
 CLASS_HEADER = "X-Crocusvalve-Class"
 DEADLINE_HEADER = "X-Crocusvalve-Deadline-Ms"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
+PREFER_HEADER = "Prefer"
 
 
 class ChatMessage(Struct):
@@ -52,13 +53,17 @@
 
 
 class CallerHeaders(Struct, frozen=True):
-    """Headers of a caller's request; ``deadline_s`` is a duration or None."""
+    """Headers of a caller's request.
+
+    ``deadline_s`` is a duration or None. ``may_wait`` tells that a durable request may run on the
+    caller's connection while it can't be kept.
+    """
 
     session: str = ""
     class_name: str = ""
     deadline_s: float | None = None
     idempotency_key: str = ""
-    extra: dict[str, str] = field(default_factory=dict)
+    may_wait: bool = False
 
 
 def _refuse(code: ErrorCode, message: str) -> RefusedError:
@@ -130,6 +135,7 @@
         class_name=headers.get(CLASS_HEADER, ""),
         deadline_s=_parse_deadline(headers.get(DEADLINE_HEADER)),
         idempotency_key=key,
+        may_wait="wait" in headers.get(PREFER_HEADER, ""),
     )
 
 
--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -144,8 +144,11 @@
 async def drain_entry(entry: Entry, drain_s: float) -> None:
     """Refuse new work, finish what runs, flush bills; bounded by ``drain_s`` seconds."""
     entry.core.limits = CoreLimits(is_draining=True)
+    entry.durable.worker.drain()
     with trio.move_on_after(drain_s):
         while entry.runtime.n_open:
             await trio.sleep(DRAIN_POLL_S)
+        while len(entry.settler) and not await entry.settler.settle():
+            await trio.sleep(DRAIN_POLL_S)
         while len(entry.outbox) and not await entry.flusher.flush_safely():
             await trio.sleep(DRAIN_POLL_S)
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -10,10 +10,12 @@
 from crocusvalve.billing import BillFlusher, BillOutbox, RequestIdMaker
 from crocusvalve.config import CustomerView, Document, DocumentView
 from crocusvalve.control import ConfigFollower, ConfigKeeper, ConfigStore
+from crocusvalve.durable import DurableStore
 from crocusvalve.entry._agents import AgentPool
 from crocusvalve.entry._attempts import AttemptRunner
 from crocusvalve.entry._commands import ShareQuarantine
 from crocusvalve.entry._core import CoreLimits, EntryCore
+from crocusvalve.entry._durable_desk import DurableDesk
 from crocusvalve.entry._handle import RequestHandle
 from crocusvalve.entry._observe import RequestObserver
 from crocusvalve.entry._peers import PeerGroup
@@ -23,10 +25,11 @@
 from crocusvalve.entry._runtime import EntryRuntime
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.entry._upstreams import UpstreamWatcher
-from crocusvalve.entry.base import DurableState, EntryService
+from crocusvalve.entry.base import DurableStatus, EntryService
 from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.model import RequestRow
-from crocusvalve.platform import HttpPlatform
+from crocusvalve.orders import ClaimSettler, OrderRunner, TableClaimStore
+from crocusvalve.platform import HttpPlatform, WriteIdMaker
 from crocusvalve.rpc import BillRecord, RunEvent
 from crocusvalve.sessions import SessionAction, SessionClaim, SessionSigner, resolve_session
 from crocusvalve.settings import EntrySettings
@@ -36,6 +39,7 @@
 
 logger = logging.getLogger(__name__)
 
+SETTLE_INTERVAL_S = 0.5
 EMPTY_VIEW = DocumentView(Document("", {}), Revision(0))
 
 
@@ -96,7 +100,11 @@
             poll_interval_s=settings.config_poll_s,
         )
         policies = Policies(
-            random_state=random_state, domain=settings.domain, region=settings.region
+            random_state=random_state,
+            domain=settings.domain,
+            region=settings.region,
+            node_id=settings.node_id,
+            boot_id=boot_id,
         )
         self.core = EntryCore(tables=self.tables, policies=policies, node_id=node_id)
         self.runner = AttemptRunner(pool=self.pool, feed=self._feed, clock=clock)
@@ -105,10 +113,19 @@
             clock=clock,
             runner=self.runner,
             outbox=self.outbox,
+            orders=self._make_order_runner(),
             rater=Rater(platform),
             observer=observer,
             share_quarantine=self._share_quarantine,
         )
+        self.durable = DurableDesk(
+            store=DurableStore(platform, platform),
+            runtime=self.runtime,
+            node_id=node_id,
+            boot_id=boot_id,
+            clock=clock,
+            random_state=random_state,
+        )
         self.watcher = UpstreamWatcher(
             tables=self.tables,
             pool=self.pool,
@@ -126,6 +143,8 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             await nursery.start(self.runtime.run)
+            await nursery.start(self.durable.run)
+            nursery.start_soon(self._run_settler)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.flusher.run)
             nursery.start_soon(self.watcher.run)
@@ -133,6 +152,22 @@
                 self._apply_view(self.keeper.view)
             task_status.started()
 
+    def _make_order_runner(self) -> OrderRunner:
+        claims = TableClaimStore(self.platform, make_write_id=WriteIdMaker().make)
+        self.settler = ClaimSettler(claims)
+        return OrderRunner(
+            store=claims,
+            settler=self.settler,
+            get_agent=lambda attempt: self.pool.get(attempt.agent),
+            clock=self.clock,
+        )
+
+    async def _run_settler(self) -> None:
+        while True:
+            await trio.sleep(SETTLE_INTERVAL_S)
+            if len(self.settler):
+                await self.settler.settle()
+
     def _apply_view(self, view: DocumentView) -> None:
         self.tables.apply_view(view)
         if self._nursery is not None:
@@ -205,12 +240,11 @@
         """Sign a session's token."""
         return self.signer.sign(claim)
 
-    async def accept_durable(self, req: RequestRow) -> DurableState:
+    async def accept_durable(self, req: RequestRow) -> DurableStatus:
         """Keep a durable request in the platform's service."""
-        raise RefusedError(
-            ErrorCode.NOT_READY, "durable requests are not served yet", step="durable"
-        )
+        self.core.check_durable(req, self.clock.now())
+        return await self.durable.accept(req)
 
-    async def find_durable(self, customer_id: CustomerId, request_id: RequestId) -> DurableState:
+    async def find_durable(self, customer_id: CustomerId, request_id: RequestId) -> DurableStatus:
         """Return the state of a durable request."""
-        raise RefusedError(ErrorCode.UNKNOWN_REQUEST, "there is no such request", step="durable")
+        return await self.durable.find(customer_id, request_id)
--- a/crocusvalve/entry/base.py
+++ b/crocusvalve/entry/base.py
@@ -10,20 +10,28 @@
 from crocusvalve.model import RequestRow
 from crocusvalve.sessions import SessionClaim
 
-__all__ = ["DurableState", "EntryService"]
+__all__ = ["DurableStatus", "EntryService"]
 
 
-class DurableState(Struct, frozen=True, kw_only=True):
-    """What a caller is told of a durable request; ``result`` is the encoded answer when done."""
+class DurableStatus(Struct, frozen=True, kw_only=True):
+    """What a caller is told of a durable request.
+
+    ``state`` is ``open``, ``done`` or ``failed``; ``body`` is the answer or the error once it has
+    ended, with its content type and HTTP status.
+    """
 
     request_id: RequestId
     state: str
     deadline: float
-    result: bytes = b""
+    body: bytes = b""
     content_type: str = "application/json"
-    error: bytes = b""
     http_status: int = 200
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the request has been answered or has failed."""
+        return self.state != "open"
+
 
 class EntryService(ABC):
     """What the callers' HTTP interface needs of an entry."""
@@ -53,11 +61,11 @@
         """The caller has gone: cancel what runs for it."""
 
     @abstractmethod
-    async def accept_durable(self, req: RequestRow) -> DurableState:
+    async def accept_durable(self, req: RequestRow) -> DurableStatus:
         """Keep a durable request in the platform's service; raises ``RefusedError``."""
 
     @abstractmethod
-    async def find_durable(self, customer_id: CustomerId, request_id: RequestId) -> DurableState:
+    async def find_durable(self, customer_id: CustomerId, request_id: RequestId) -> DurableStatus:
         """Return the state of a durable request; raises ``UNKNOWN_REQUEST``."""
 
     @abstractmethod
--- a/crocusvalve/retry/__init__.py
+++ b/crocusvalve/retry/__init__.py
@@ -3,10 +3,11 @@
 from crocusvalve.retry._backoff import compute_backoff_s
 from crocusvalve.retry._budget import RetryBudget
 from crocusvalve.retry._hedge import HedgePolicy, LatencyWindow
-from crocusvalve.retry._policy import RetryAction, RetryDecision, RetryPolicy
+from crocusvalve.retry._policy import FINAL_CODES, RetryAction, RetryDecision, RetryPolicy
 from crocusvalve.retry._quarantine import Quarantine
 
 __all__ = [
+    "FINAL_CODES",
     "HedgePolicy",
     "LatencyWindow",
     "Quarantine",
--- a/crocusvalve/retry/_policy.py
+++ b/crocusvalve/retry/_policy.py
@@ -12,7 +12,7 @@
 from crocusvalve.retry._budget import RetryBudget
 from crocusvalve.rpc import Refused
 
-__all__ = ["RetryAction", "RetryDecision", "RetryPolicy"]
+__all__ = ["FINAL_CODES", "RetryAction", "RetryDecision", "RetryPolicy"]
 
 #: Refusals that another upstream or a later moment doesn't mend.
 FINAL_CODES = frozenset(
