--- a/crocusvalve/config/__init__.py
+++ b/crocusvalve/config/__init__.py
@@ -1,7 +1,14 @@
 """Configuration document: typed form, checks, differences and deltas."""
 
 from crocusvalve.config._addresses import is_http_url, is_socket_address
+from crocusvalve.config._author import (
+    check_author,
+    check_change,
+    filter_document,
+    merge_section,
+)
 from crocusvalve.config._check import check_document
+from crocusvalve.config._diff import Change, diff_documents
 from crocusvalve.config._document import (
     CascadeConfig,
     ClassConfig,
@@ -17,14 +24,17 @@
     UpstreamConfig,
     VersionConfig,
 )
-from crocusvalve.config._parse import parse_document
+from crocusvalve.config._format import format_document
+from crocusvalve.config._parse import parse_document, read_document
 from crocusvalve.config._problems import Problem, show_value
+from crocusvalve.config._promote import promote_section
 from crocusvalve.config._ranges import NumberRange, list_value_problems
 from crocusvalve.config._reader import StructReader, parse_toml
 from crocusvalve.config._view import CustomerView, DocumentView, UpstreamView
 
 __all__ = [
     "CascadeConfig",
+    "Change",
     "ClassConfig",
     "CustomerConfig",
     "CustomerView",
@@ -43,11 +53,19 @@
     "UpstreamConfig",
     "UpstreamView",
     "VersionConfig",
+    "check_author",
+    "check_change",
     "check_document",
+    "diff_documents",
+    "filter_document",
+    "format_document",
     "is_http_url",
     "is_socket_address",
     "list_value_problems",
+    "merge_section",
     "parse_document",
     "parse_toml",
+    "promote_section",
+    "read_document",
     "show_value",
 ]
--- /dev/null
+++ b/crocusvalve/config/_author.py
@@ -0,0 +1,114 @@
+"""What a member's operator may change, and checks of such a change."""
+
+import msgspec
+
+from crocusvalve.base import MemberId
+from crocusvalve.config._check import list_problems
+from crocusvalve.config._document import Document, MemberConfig, ModelConfig
+from crocusvalve.exceptions import ConfigError, CrocusvalveError, ErrorCode
+
+__all__ = ["check_author", "check_change", "filter_document", "merge_section"]
+
+
+def check_author(old: Document, new: Document, member: MemberId) -> None:
+    """Raise where a change reaches outside a member's section.
+
+    Parameters
+    ----------
+    old, new : Document
+        The document in force and the one proposed.
+    member : MemberId
+        Member that the author's key is bound to.
+
+    Raises
+    ------
+    CrocusvalveError
+        With code ``forbidden``.
+    """
+    if member not in old.members:
+        raise _make_forbidden(f"member {member!r} has no section", member)
+    if new.environment != old.environment:
+        raise _make_forbidden("the environment may not be changed", member)
+    if member not in new.members:
+        raise _make_forbidden("a member may not remove its own section", member)
+    for other in old.members.keys() | new.members.keys():
+        if other != member and old.members.get(other) != new.members.get(other):
+            raise _make_forbidden("the change reaches another member's section", member)
+
+
+def check_change(old: Document, new: Document, member: MemberId) -> None:
+    """Check a change by a member: its author and the validity of what the member wrote.
+
+    Faults in other members' sections do not count, so that no member can block another's change;
+    nor does a reference to another member's model that its owner has meanwhile ceased to share.
+
+    Parameters
+    ----------
+    old, new : Document
+        The document in force and the one proposed.
+    member : MemberId
+        Member that the author's key is bound to.
+
+    Raises
+    ------
+    CrocusvalveError
+        With code ``forbidden`` where the change reaches another section.
+    ConfigError
+        With every fault of the member's section.
+    """
+    check_author(old, new, member)
+    inherited = {problem for problem in list_problems(old) if problem.is_foreign}
+    own = f"members.{member}."
+    problems = [
+        problem
+        for problem in list_problems(new)
+        if problem not in inherited
+        and (problem.key.startswith(own) or not problem.key.startswith("members."))
+    ]
+    if problems:
+        raise ConfigError([str(problem) for problem in problems], step="check", peer=member)
+
+
+def filter_document(document: Document, member: MemberId) -> Document:
+    """Return what a member may see: its own section and the models shared with it."""
+    members = {}
+    for other, section in document.members.items():
+        if other == member:
+            members[other] = section
+            continue
+        shared = _list_shared(section, member)
+        if shared:
+            members[other] = MemberConfig(models=shared)
+    return Document(document.environment, members)
+
+
+def merge_section(current: Document, proposed: Document, member: MemberId) -> Document:
+    """Put a member's section of a proposed document into the one in force.
+
+    The proposed document may leave out other members, or hold them as the member sees them.
+
+    Raises
+    ------
+    CrocusvalveError
+        With code ``forbidden`` where the proposal changes anything else.
+    """
+    visible = filter_document(current, member)
+    members = dict(current.members)
+    for other, section in proposed.members.items():
+        if other == member or section != visible.members.get(other):
+            members[other] = section
+    merged = Document(proposed.environment, members)
+    check_author(current, merged, member)
+    return merged
+
+
+def _list_shared(section: MemberConfig, member: MemberId) -> dict[str, ModelConfig]:
+    return {
+        name: msgspec.structs.replace(model, shared_with=(member,))
+        for name, model in section.models.items()
+        if member in model.shared_with
+    }
+
+
+def _make_forbidden(message: str, member: str) -> CrocusvalveError:
+    return CrocusvalveError(ErrorCode.FORBIDDEN, message, step="check_author", peer=member)
--- a/crocusvalve/config/_parse.py
+++ b/crocusvalve/config/_parse.py
@@ -1,11 +1,14 @@
 """Reading of a document from TOML."""
 
+from msgspec import Struct
+
 from crocusvalve.config._check import list_problems
 from crocusvalve.config._document import Document
+from crocusvalve.config._problems import Problem
 from crocusvalve.config._reader import StructReader, parse_toml
 from crocusvalve.exceptions import ConfigError
 
-__all__ = ["parse_document"]
+__all__ = ["parse_document", "read_document"]
 
 
 def parse_document(toml_text: str, *, source: str) -> Document:
@@ -28,14 +31,42 @@
     ConfigError
         With one entry in ``problems`` for each fault, naming file, key, value and allowed range.
     """
+    reading = _read(toml_text, source)
+    found = list(reading.problems)
+    known = {problem.key for problem in found}
+    found += [problem for problem in list_problems(reading.document) if problem.key not in known]
+    _raise_problems(source, found)
+    return reading.document
+
+
+def read_document(toml_text: str, *, source: str) -> Document:
+    """Read a document without checking values and references, as for a part of a document.
+
+    Raises
+    ------
+    ConfigError
+        With one entry in ``problems`` for each fault of form.
+    """
+    reading = _read(toml_text, source)
+    _raise_problems(source, reading.problems)
+    return reading.document
+
+
+class _Reading(Struct, frozen=True):
+    """A document and the faults of form met while it was read."""
+
+    document: Document
+    problems: list[Problem]
+
+
+def _read(toml_text: str, source: str) -> _Reading:
     raw, problems = parse_toml(toml_text)
-    if problems:
-        raise ConfigError([f"{source}: {problem}" for problem in problems], step="parse")
+    _raise_problems(source, problems)
     reader = StructReader()
     document = reader.read(raw, Document)
-    found = list(reader.problems)
-    known = {problem.key for problem in found}
-    found += [problem for problem in list_problems(document) if problem.key not in known]
-    if found:
-        raise ConfigError([f"{source}: {problem}" for problem in found], step="parse")
-    return document
+    return _Reading(document, reader.problems)
+
+
+def _raise_problems(source: str, problems: list[Problem]) -> None:
+    if problems:
+        raise ConfigError([f"{source}: {problem}" for problem in problems], step="parse")
--- a/crocusvalve/config/_problems.py
+++ b/crocusvalve/config/_problems.py
@@ -11,11 +11,15 @@
 
 
 class Problem(Struct, frozen=True):
-    """A fault: where it stands, the value found, shown as text, and what is allowed."""
+    """A fault: where it stands, the value found, shown as text, and what is allowed.
+
+    ``is_foreign`` marks a reference to another member's model that does not resolve.
+    """
 
     key: str
     value: str
     allowed: str
+    is_foreign: bool = False
 
     def __str__(self) -> str:
         return f"{self.key} = {self.value}: must be {self.allowed}"
--- a/crocusvalve/config/_references.py
+++ b/crocusvalve/config/_references.py
@@ -40,30 +40,33 @@
 
 def list_key_problems(document: Document) -> list[Problem]:
     """Return key hashes that are malformed or stand for two customers or operators."""
-    owners: dict[str, str] = {}
+    keys_of: dict[str, list[str]] = {}
     problems = []
     for member, section in document.members.items():
         for table in ("operators", "customers"):
             for name, cfg in getattr(section, table).items():
                 key = f"members.{member}.{table}.{name}.key_sha256"
+                keys_of.setdefault(cfg.key_sha256, []).append(key)
                 if not SHA256_PATTERN.fullmatch(cfg.key_sha256):
                     allowed = "a SHA-256 in 64 lower-case hexadecimal digits"
                     problems.append(Problem(key, "(hidden)", allowed))
-                elif cfg.key_sha256 in owners:
-                    problems.append(Problem(key, "(hidden)", "a hash that no other entry has"))
-                else:
-                    owners[cfg.key_sha256] = key
+    for keys in keys_of.values():
+        if len(keys) > 1:
+            allowed = "a hash that no other customer or operator has"
+            problems.extend(Problem(key, "(hidden)", allowed) for key in keys)
     return problems
 
 
 def _list_repeated_agents(document: Document) -> Iterator[Problem]:
-    owners: set[str] = set()
+    keys_of: dict[str, list[str]] = {}
     for member, section in document.members.items():
         for name, upstream in section.upstreams.items():
             key = f"members.{member}.upstreams.{name}.agent"
-            if upstream.agent in owners:
-                yield Problem(key, repr(upstream.agent), "an address that no other upstream has")
-            owners.add(upstream.agent)
+            keys_of.setdefault(upstream.agent, []).append(key)
+    for agent, keys in keys_of.items():
+        if len(keys) > 1:
+            allowed = "an address that no other upstream has"
+            yield from (Problem(key, repr(agent), allowed) for key in keys)
 
 
 class _SectionChecker:
@@ -91,6 +94,11 @@
         full = f"{self._prefix}.{key}"
         return Problem(full, show_value(full, value), allowed)
 
+    def _model_fault(self, key: str, ref: str, allowed: str) -> Problem:
+        full = f"{self._prefix}.{key}"
+        owner = ref.rpartition("/")[0]
+        return Problem(full, show_value(full, ref), allowed, owner not in ("", self._member))
+
     def _one_of(self, key: str, value: str, names: tuple[str, ...]) -> Iterator[Problem]:
         if value not in names:
             yield self._fault(key, value, "one of " + ", ".join(names))
@@ -138,7 +146,7 @@
                 yield self._fault(f"{key}.serves", (), "at least one version for an engine")
             for ref in upstream.serves:
                 if not self._resolver.has_version(self._member, ref):
-                    yield self._fault(f"{key}.serves", ref, "MODEL@VERSION of a usable model")
+                    yield self._model_fault(f"{key}.serves", ref, "MODEL@VERSION of a usable model")
 
     def _check_services(self) -> Iterator[Problem]:
         for name, service in self._section.services.items():
@@ -167,7 +175,7 @@
             for pattern in customer.allowed:
                 if not self._resolver.matches_any(self._member, pattern):
                     allowed = "a pattern that matches a usable model or version"
-                    yield self._fault(f"{key}.allowed", pattern, allowed)
+                    yield self._model_fault(f"{key}.allowed", pattern, allowed)
             if not customer.classes:
                 yield self._fault(f"{key}.classes", (), "at least one class")
             for ref in customer.classes:
@@ -180,7 +188,9 @@
             model = cls.default_model
             if model and model not in self._section.cascades:
                 if not self._resolver.has_model(self._member, model):
-                    yield self._fault(f"{key}.default_model", model, "a usable model or a cascade")
+                    yield self._model_fault(
+                        f"{key}.default_model", model, "a usable model or a cascade"
+                    )
             if cls.alarm_before_s > cls.deadline_s:
                 allowed = f"at most deadline_s ({cls.deadline_s:g})"
                 yield self._fault(f"{key}.alarm_before_s", cls.alarm_before_s, allowed)
@@ -198,7 +208,7 @@
                 yield self._fault(f"{key}.steps", cascade.steps, "free of repeats")
             for ref in cascade.steps:
                 if not self._resolver.has_model(self._member, ref):
-                    yield self._fault(f"{key}.steps", ref, "a usable model")
+                    yield self._model_fault(f"{key}.steps", ref, "a usable model")
             yield from self._one_of(f"{key}.policy", cascade.policy, CASCADE_POLICIES)
 
     def _check_rollouts(self) -> Iterator[Problem]:
--- /dev/null
+++ b/features/config/changes.feature
@@ -0,0 +1,61 @@
+Feature: Changes are shown with their dangers and stay within the author's section
+
+  Scenario Outline: A dangerous change carries a warning
+    Given the trial document
+    And in table members.<table> the line <line>
+    Then the change of "<path>" is warned of with "<warning>"
+
+    Examples:
+      | table                              | line                | path        | warning                 |
+      | delta.models.assess-small.versions.v1 | state = "withdrawn" | state    | current version         |
+      | delta.models.assess-small.versions.v2 | state = "withdrawn" | state    | sessions on this        |
+      | delta.models.assess-small          | current = "v2"      | current     | with no roll-out        |
+      | delta.models.assess-large          | shared_with = []    | shared_with | loses this model        |
+      | delta.domains.can-tho              | state = "out"       | state       | no new work             |
+      | delta.customers.coop-ke-sach       | classes = ["sluice-order"] | classes | requests are refused |
+      | delta.services.sluice-gates        | repeatable = true   | repeatable  | may be sent twice       |
+      | delta.upstreams.assess-1           | cold_limit = 9      | cold_limit  | may fall over           |
+      | delta.upstreams.assess-1           | warm_limit = 17     | warm_limit  |                         |
+
+  Scenario Outline: Removing an entry carries a warning
+    Given the trial document without <table> "<name>" of "delta"
+    Then the change of "<name>" is warned of with "<warning>"
+
+    Examples:
+      | table     | name         | warning                 |
+      | domains   | can-tho      | 5 upstreams stand in    |
+      | models    | assess-small | refused                 |
+      | customers | coop-ke-sach | refused                 |
+      | upstreams | assess-1     | takes no new work       |
+
+  Scenario Outline: A member's operator changes its own section only
+    Given the trial document
+    And <change>
+    Then the author check of "delta" <verdict>
+    And the author check of "sfax" <other verdict>
+
+    Examples:
+      | change                                                      | verdict | other verdict |
+      | in table members.delta.domains.can-tho the line state = "out" | passes  | fails         |
+      | in table members.sfax.domains.sfax-a the line state = "out"   | fails   | passes        |
+      | no section of "sfax"                                        | fails   | fails         |
+      | environment "production"                                    | fails   | fails         |
+
+  Scenario: A member withdraws a shared model though a rival refers to it
+    Given the trial document
+    And in table members.delta.models.assess-large the line shared_with = []
+    Then the change check of "delta" passes
+    And once in force, the change check of "sfax" passes for a change of a domain
+
+  Scenario: A member sees its own section and models shared with it
+    Given the trial document
+    Then "sfax" sees of "delta" only model "assess-large"
+    And "delta" sees nothing of "sfax"
+    And what "sfax" sees merges back into the same document
+
+  Scenario: Promotion keeps what belongs to the environment
+    Given the trial document
+    And in table members.delta.rollouts.assess-small-v2 the line stage_s = 77.0
+    And in table members.delta.upstreams.assess-1 the line agent = "10.9.9.9:7000"
+    When the section of "delta" is promoted to production
+    Then only "rollouts" of "delta" differ in production
--- /dev/null
+++ b/features/config/document_text.py
@@ -0,0 +1,41 @@
+"""Edits of the text of a shipped document."""
+
+from pathlib import Path
+
+from crocusvalve.config import parse_document
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+
+
+class DocumentText:
+    """Text of a shipped document as blocks of lines by table."""
+
+    def __init__(self, environment):
+        self.blocks = {"": []}
+        table = ""
+        for line in (EXAMPLES / f"{environment}.toml").read_text().splitlines():
+            if line.startswith("["):
+                table = line.strip("[]")
+                self.blocks[table] = []
+            else:
+                self.blocks[table].append(line)
+
+    def set_line(self, table, line):
+        key = line.partition("=")[0].strip()
+        lines = self.blocks[table]
+        kept = [old for old in lines if old.partition("=")[0].strip() != key]
+        self.blocks[table] = [*kept, line]
+
+    def drop(self, table):
+        kept = {name: lines for name, lines in self.blocks.items() if name != table}
+        self.blocks = {n: ls for n, ls in kept.items() if not n.startswith(f"{table}.")}
+
+    def render(self):
+        parts = [line for line in self.blocks[""]]
+        for table, lines in self.blocks.items():
+            if table:
+                parts += [f"[{table}]", *lines]
+        return "\n".join(parts)
+
+    def parse(self):
+        return parse_document(self.render(), source="shipped")
