Keys and TLS contexts with reload in place

Cause: callers' and internal connections take TLS by settings; keys change without a restart. Change: make_server_tls, make_client_tls, ReloadingTls, TlsServerConfig, make_key, is_internal_key. Ruled out: loading straight into the live context; a chain that misfits its key leaves it keyless.

--- /dev/null
+++ b/crocusvalve/security/__init__.py
@@ -0,0 +1,24 @@
+"""Keys and TLS contexts of a process."""
+
+from crocusvalve.security._hypercorn import TlsServerConfig
+from crocusvalve.security._keys import NewKey, is_internal_key, make_key, read_bearer
+from crocusvalve.security._tls import (
+    HTTP_ALPN,
+    RPC_ALPN,
+    ReloadingTls,
+    make_client_tls,
+    make_server_tls,
+)
+
+__all__ = [
+    "HTTP_ALPN",
+    "RPC_ALPN",
+    "NewKey",
+    "ReloadingTls",
+    "TlsServerConfig",
+    "is_internal_key",
+    "make_client_tls",
+    "make_key",
+    "make_server_tls",
+    "read_bearer",
+]
