--- a/crocusvalve/config/__init__.py
+++ b/crocusvalve/config/__init__.py
@@ -26,6 +26,7 @@
     UpstreamConfig,
     VersionConfig,
 )
+from crocusvalve.config._edit import set_current_version, set_domain_state, set_version_state
 from crocusvalve.config._format import format_document
 from crocusvalve.config._parse import parse_document, read_document
 from crocusvalve.config._problems import Problem, show_value
@@ -35,6 +36,9 @@
 from crocusvalve.config._view import CustomerView, DocumentView, UpstreamView
 
 __all__ = [
+    "set_current_version",
+    "set_domain_state",
+    "set_version_state",
     "CascadeConfig",
     "Change",
     "ClassConfig",
--- a/crocusvalve/entry/_admission.py
+++ b/crocusvalve/entry/_admission.py
@@ -137,8 +137,6 @@
             had_candidates_at=now,
         )
         tables.add_timer(tables.deadlines, req.deadline, req.request_id)
-        if req.hedge_at:
-            tables.add_timer(tables.hedges, req.hedge_at, req.request_id)
         self.policies.note_request(tables, req, now)
         return self._refuse_dropped(tables, dropped) if dropped is not None else []
 
--- /dev/null
+++ b/crocusvalve/entry/_notice_desk.py
@@ -0,0 +1,172 @@
+"""Notices at an entry: issued for operators, passed on, and written to the document later."""
+
+import logging
+import random
+
+import trio
+from msgspec import Struct
+
+from crocusvalve.base import DomainState, NodeId, VersionState
+from crocusvalve.config import Document, set_domain_state, set_version_state
+from crocusvalve.entry._agents import AgentPool
+from crocusvalve.entry._peers import PeerGroup
+from crocusvalve.entry._publisher import DocumentPublisher
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.membership import NoticeTable
+from crocusvalve.rpc import Notice, NoticeKind, is_signed_notice, sign_notice
+from crocusvalve.utils import Clock
+
+__all__ = ["NoticeDesk", "apply_notice"]
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+WRITE_INTERVAL_S = 1.0
+#: Kinds that a revision has to carry in the end.
+DOCUMENT_KINDS = frozenset({NoticeKind.DOMAIN_OUT, NoticeKind.DOMAIN_IN, NoticeKind.WITHDRAWN})
+
+
+def apply_notice(document: Document, notice: Notice) -> Document:
+    """Return the document as a notice on a failure domain or a version changes it."""
+    member, _, name = notice.subject.partition("/")
+    if notice.kind is NoticeKind.WITHDRAWN:
+        model, _, version = name.partition("@")
+        return set_version_state(document, member, model, version, VersionState.WITHDRAWN)
+    is_out = notice.kind is NoticeKind.DOMAIN_OUT
+    return set_domain_state(document, member, name, DomainState.OUT if is_out else DomainState.IN)
+
+
+class _Pending(Struct):
+    """A notice that the document does not carry yet."""
+
+    notice: Notice
+    write_at: float
+
+
+class NoticeDesk:
+    """Issues, verifies and spreads notices.
+
+    Parameters
+    ----------
+    node_id : NodeId
+        This entry, named as the issuer.
+    key : str
+        Internal key, which signs notices.
+    table : NoticeTable
+        The newest notice on each subject.
+    tables : CoreTables
+        Tables that notices take effect in.
+    peers : PeerGroup
+        The other entries.
+    pool : AgentPool
+        Channels to the agents.
+    publisher : DocumentPublisher
+        Writes notices to the document.
+    clock : Clock
+        Source of the present time.
+    random_state : random.Random
+        Source of the delay before another entry's notice is written.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: NodeId,
+        key: str,
+        table: NoticeTable,
+        tables: CoreTables,
+        peers: PeerGroup,
+        pool: AgentPool,
+        publisher: DocumentPublisher,
+        clock: Clock,
+        random_state: random.Random,
+    ):
+        self.node_id = node_id
+        self.key = key
+        self.table = table
+        self.tables = tables
+        self.peers = peers
+        self.pool = pool
+        self.publisher = publisher
+        self.clock = clock
+        self.random_state = random_state
+        self._pending: dict[tuple[str, str], _Pending] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Spread notices and write them to the document until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                await trio.sleep(WRITE_INTERVAL_S)
+                await self._write_pending()
+
+    def issue(self, kind: NoticeKind, subject: str, *, number: int | None = None) -> Notice:
+        """Issue a notice, put it in force here and spread it."""
+        if number is None:
+            number = int(self.clock.now() * MS_PER_S)
+        notice = Notice(kind=kind, subject=subject, number=number, issuer=self.node_id)
+        notice = sign_notice(notice, self.key)
+        self._accept(notice, write_delay_s=0.0)
+        return notice
+
+    def take(self, notice: Notice) -> bool:
+        """Take a notice of a peer; tell whether it was new. A forged one is dropped."""
+        if not is_signed_notice(notice, self.key):
+            logger.warning("notice on %s has a wrong signature", notice.subject)
+            return False
+        delay_s = self.random_state.uniform(5.0, 15.0)
+        return self._accept(notice, write_delay_s=delay_s)
+
+    def _accept(self, notice: Notice, *, write_delay_s: float) -> bool:
+        now = self.clock.now()
+        if not self.table.take(notice, self.tables, now):
+            return False
+        if notice.kind in DOCUMENT_KINDS:
+            self._pending[(notice.kind.value, notice.subject)] = _Pending(
+                notice, now + write_delay_s
+            )
+        self._spread(notice)
+        return True
+
+    def supersede(self) -> None:
+        """Hand over to a new revision what it confirms."""
+        self.table.supersede(self.tables)
+        in_force = self.table.list_notices()
+        self._pending = {
+            key: item for key, item in self._pending.items() if item.notice in in_force
+        }
+
+    def _spread(self, notice: Notice) -> None:
+        if self._nursery is None:
+            return
+        self._nursery.start_soon(self.peers.notify_all, notice)
+        for row in self.tables.upstreams.values():
+            if row.in_subset:
+                self._nursery.start_soon(self._notify_agent, row.agent, notice)
+
+    async def _notify_agent(self, address: str, notice: Notice) -> None:
+        try:
+            await self.pool.get(address).notify(notice)
+        except CrocusvalveError as exc:
+            logger.info("agent %s was not notified: %s", address, exc)
+
+    async def _write_pending(self) -> None:
+        now = self.clock.now()
+        for key, item in list(self._pending.items()):
+            if now < item.write_at:
+                continue
+            try:
+                await self._write(item.notice)
+            except CrocusvalveError as exc:
+                logger.info("notice on %s not yet in the document: %s", key[1], exc)
+                return
+            self._pending.pop(key, None)
+
+    async def _write(self, notice: Notice) -> None:
+        revision = await self.publisher.edit(
+            lambda document: apply_notice(document, notice), f"notice by {notice.issuer}"
+        )
+        logger.info("notice on %s is in revision %d", notice.subject, revision)
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -127,11 +127,12 @@
             return []
         req = tables.requests[attempt.request_id]
         progress = tables.progress[attempt.request_id]
-        self._end_attempt(tables, attempt, now)
+        self._end_attempt(tables, attempt, now, is_success=True)
         row = tables.upstreams.get(attempt.upstream_id)
         if row is not None:
             note_success(row, final.service_s, now)
-        self.policies.get_quarantine(tables).note_end(req.digest, is_success=True)
+        if not attempt.is_hedge:
+            self.policies.get_hedges(tables).note_latency(req, now - attempt.started_at)
         self.policies.note_outcome(tables, req, attempt.version, now, is_good=True)
         progress.ran = Ran.RAN
         progress.usage = add_usage(progress.usage, final.usage)
@@ -226,12 +227,12 @@
         progress.ran = combine_ran(progress.ran, refused.ran)
         others = [ref for ref in tables.attempts_of[req.request_id] if ref != attempt.attempt_id]
         if others and progress.leader != attempt.attempt_id:
-            self._end_attempt(tables, attempt, now)
+            self._end_attempt(tables, attempt, now, is_crash=refused.crashed)
             return commands
         decision = self.policies.retry.decide(req, refused, now)
         if decision.action is RetryAction.RESUME:
             return [*commands, self._resume(tables, attempt, decision)]
-        self._end_attempt(tables, attempt, now)
+        self._end_attempt(tables, attempt, now, is_crash=refused.crashed)
         progress.leader = None
         progress.buffer = []
         if decision.action is RetryAction.RETRY:
@@ -292,12 +293,10 @@
         attempt = tables.attempts.get(attempt_id)
         if attempt is None:
             return
-        req = tables.requests[attempt.request_id]
         row = tables.upstreams.get(attempt.upstream_id)
         if row is not None and service_s is not None:
             note_success(row, service_s, now)
-        self.policies.get_quarantine(tables).note_end(req.digest, is_success=service_s is not None)
-        self._end_attempt(tables, attempt, now)
+        self._end_attempt(tables, attempt, now, is_success=service_s is not None)
 
     def requeue(self, tables: CoreTables, req: RequestRow, now: float) -> None:
         """Queue a request for its next attempt."""
@@ -354,13 +353,23 @@
     def _cancel(self, tables: CoreTables, attempt_id: AttemptId, now: float) -> CancelAttempt:
         attempt = tables.attempts[attempt_id]
         row = tables.upstreams.get(attempt.upstream_id)
-        req = tables.requests[attempt.request_id]
         self._end_attempt(tables, attempt, now)
-        self.policies.get_quarantine(tables).note_end(req.digest, is_success=False)
         return CancelAttempt(row.agent if row else "", attempt_id)
 
-    @staticmethod
-    def _end_attempt(tables: CoreTables, attempt: AttemptRow, now: float) -> None:
+    def _end_attempt(
+        self,
+        tables: CoreTables,
+        attempt: AttemptRow,
+        now: float,
+        *,
+        is_success: bool = False,
+        is_crash: bool = False,
+    ) -> None:
+        """Remove an attempt; a crash has been counted as its end already."""
+        if not is_crash:
+            digest = tables.requests[attempt.request_id].digest
+            quarantine = self.policies.get_quarantine(tables)
+            quarantine.note_end(digest, attempt.upstream_id, is_success=is_success)
         row = tables.upstreams.get(attempt.upstream_id)
         if row is not None:
             note_end(row, now)
--- a/crocusvalve/entry/_peers.py
+++ b/crocusvalve/entry/_peers.py
@@ -1,6 +1,7 @@
 """The other entries: clients, and what this entry tells them."""
 
 import ssl
+from collections.abc import Callable
 
 import trio
 
@@ -85,10 +86,13 @@
     ----------
     keeper : ConfigKeeper
         The newest revision.
+    take_notice : callable
+        Takes a notice and tells whether it was new.
     """
 
-    def __init__(self, keeper: ConfigKeeper):
+    def __init__(self, keeper: ConfigKeeper, take_notice: Callable[[Notice], bool]):
         self.keeper = keeper
+        self.take_notice = take_notice
 
     async def push_config(self, req: ConfigPush) -> ConfigAck:
         """Take a revision."""
@@ -99,5 +103,5 @@
         return self.keeper.make_push(Revision(0) if req.need_full else req.revision)
 
     async def notify(self, req: Notice) -> NoticeAck:
-        """Take a notice."""
-        return NoticeAck(False)
+        """Take a notice and pass it on where it is new."""
+        return NoticeAck(self.take_notice(req))
--- a/crocusvalve/entry/_placement.py
+++ b/crocusvalve/entry/_placement.py
@@ -145,6 +145,7 @@
     ) -> StartAttempt:
         """Start an attempt on an upstream; the placement is checked right before."""
         check_placement(tables, req, row, now)
+        self.policies.get_quarantine(tables).note_start(req.digest, row.upstream_id)
         req.n_attempts += 1
         req.state = RequestState.RUNNING
         attempt_id = AttemptId(f"{req.request_id}.{req.n_attempts}")
@@ -163,9 +164,17 @@
         note_start(row, now)
         if req.prefix_digest:
             note_prefix(row, req.prefix_digest, now)
-        self.policies.get_quarantine(tables).note_start(req.digest, row.upstream_id)
+        self._set_hedge(tables, req, now)
         return StartAttempt(row.agent, self._make_run_request(tables, req, row, attempt_id))
 
+    def _set_hedge(self, tables: CoreTables, req: RequestRow, now: float) -> None:
+        cfg = tables.view.class_of(req.member, req.class_name)
+        if cfg is None or req.n_attempts > 1:
+            return
+        req.hedge_at = self.policies.get_hedges(tables).compute_hedge_at(req, cfg, now)
+        if req.hedge_at:
+            tables.add_timer(tables.hedges, req.hedge_at, req.request_id)
+
     def _make_run_request(
         self, tables: CoreTables, req: RequestRow, row: UpstreamRow, attempt_id: AttemptId
     ) -> RunRequest:
@@ -198,7 +207,8 @@
 
     def start_hedge(self, tables: CoreTables, req: RequestRow, now: float) -> list[Command]:
         """Start a second attempt of a slow lookup on another upstream, within the budget."""
-        used = {tables.attempts[ref].upstream_id for ref in tables.attempts_of[req.request_id]}
+        attempts = tables.attempts_of.get(req.request_id, ())
+        used = {tables.attempts[ref].upstream_id for ref in attempts}
         candidates = [
             row
             for row in list_candidates(tables, req, req.version, now)
@@ -207,6 +217,7 @@
         quarantine = self.policies.get_quarantine(tables)
         candidates = quarantine.filter_candidates(req.digest, candidates)
         row = self.policies.get_router(tables, req.member).choose(req, candidates, now)
-        if row is None or not self.policies.budget.try_take(req.member, now):
+        hedges = self.policies.get_hedges(tables)
+        if row is None or not hedges.should_hedge(req, len(attempts), now):
             return []
         return [self.start(tables, req, row, now, is_hedge=True)]
--- a/crocusvalve/entry/_policies.py
+++ b/crocusvalve/entry/_policies.py
@@ -15,7 +15,7 @@
 from crocusvalve.config._view import model_of
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.model import RequestRow, RolloutRow
-from crocusvalve.retry import Quarantine, RetryBudget, RetryPolicy
+from crocusvalve.retry import HedgePolicy, Quarantine, RetryBudget, RetryPolicy
 from crocusvalve.rollout import RolloutLedger, choose_version
 from crocusvalve.routing import Router, make_router
 from crocusvalve.utils import hash_to_unit
@@ -61,6 +61,7 @@
         self._routers: dict[str, Router] = {}
         self._cascades: dict[str, CascadePolicy] = {}
         self._quarantine: Quarantine | None = None
+        self._hedges: HedgePolicy | None = None
 
     def get_router(self, tables: CoreTables, member: str) -> Router:
         """Return the router that a member's policy names."""
@@ -77,6 +78,13 @@
             self._quarantine = Quarantine(tables.quarantine)
         return self._quarantine
 
+    def get_hedges(self, tables: CoreTables) -> HedgePolicy:
+        """Return the policy of hedges over the entry's quarantine."""
+        quarantine = self.get_quarantine(tables)
+        if self._hedges is None or self._hedges.quarantine is not quarantine:
+            self._hedges = HedgePolicy(budget=self.budget, quarantine=quarantine)
+        return self._hedges
+
     def note_request(self, tables: CoreTables, req: RequestRow, now: float) -> None:
         """Credit the member's retry budget with a request."""
         ratio = tables.view.document.members[req.member].policy.retry_budget
--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -133,7 +133,7 @@
 ) -> None:
     settings = entry.settings
     await serve_rpc(
-        EntryPeerService(entry.keeper),
+        EntryPeerService(entry.keeper, entry.notices.take),
         settings.rpc.host,
         settings.rpc.port,
         token=settings.internal_key,
--- a/crocusvalve/entry/_resolve.py
+++ b/crocusvalve/entry/_resolve.py
@@ -191,15 +191,10 @@
         is_repeatable=cfg.kind is not ClassKind.ORDER,
         is_stream=body.stream,
         max_attempts=cfg.max_attempts,
-        hedge_at=now + cfg.hedge_after_s if _may_hedge(cfg) else 0.0,
         quality_target=customer.cfg.quality_target,
     )
 
 
-def _may_hedge(cfg: ClassConfig) -> bool:
-    return cfg.kind is ClassKind.LOOKUP and cfg.hedge_after_s > 0
-
-
 def find_service(
     view: DocumentView, customer: CustomerView, name: str
 ) -> tuple[str, ServiceConfig]:
@@ -257,5 +252,4 @@
         idempotency_key=headers.idempotency_key,
         is_repeatable=is_repeatable,
         max_attempts=cfg.max_attempts,
-        hedge_at=now + cfg.hedge_after_s if is_repeatable and _may_hedge(cfg) else 0.0,
     )
--- /dev/null
+++ b/crocusvalve/entry/_rollouts.py
@@ -0,0 +1,193 @@
+"""Roll-outs at an entry: rows that all follow, counts that all report, the controller's task."""
+
+import logging
+
+import msgspec
+import trio
+
+from crocusvalve.base import Command, NodeId, VersionState
+from crocusvalve.config import Document, set_current_version, set_version_state
+from crocusvalve.config._view import model_of
+from crocusvalve.control import ControllerTask, LeaseKeeper
+from crocusvalve.entry._notice_desk import NoticeDesk
+from crocusvalve.entry._publisher import DocumentPublisher
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.model import RolloutRow
+from crocusvalve.platform import TableService, Write, WriteIdMaker
+from crocusvalve.rollout import (
+    CompleteRollout,
+    RolloutCounts,
+    RolloutLedger,
+    RolloutSystem,
+    SaveRollout,
+    WithdrawVersion,
+    aggregate,
+    take_row,
+)
+from crocusvalve.rpc import NoticeKind
+from crocusvalve.utils import Clock
+
+__all__ = ["ROLLOUT_TABLE", "RolloutFollower", "RolloutTask"]
+
+logger = logging.getLogger(__name__)
+
+ROLLOUT_TABLE = "rollouts"
+COUNTS_TABLE = "rollout_counts"
+FOLLOW_INTERVAL_S = 1.0
+
+
+class RolloutFollower:
+    """Reads the rows of roll-outs and writes this entry's counts.
+
+    Parameters
+    ----------
+    store : TableService
+        Holds the rows.
+    tables : CoreTables
+        Takes the rows.
+    ledger : RolloutLedger
+        This entry's counts.
+    """
+
+    def __init__(self, store: TableService, tables: CoreTables, ledger: RolloutLedger):
+        self.store = store
+        self.tables = tables
+        self.ledger = ledger
+        self.write_ids = WriteIdMaker()
+        self._written: dict[str, RolloutCounts] = {}
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self.follow_once()
+            except CrocusvalveError as exc:
+                logger.info("roll-outs are not followed: %s", exc)
+            await trio.sleep(FOLLOW_INTERVAL_S)
+
+    async def follow_once(self) -> None:
+        """Read the rows and write the counts that have changed, where any roll-out is declared."""
+        if not any(sec.rollouts for sec in self.tables.view.document.members.values()):
+            return
+        for row in await self.store.scan(ROLLOUT_TABLE):
+            take_row(self.tables, msgspec.msgpack.decode(row.value, type=RolloutRow))
+        for counts in self.ledger.list_reports():
+            if self._written.get(counts.rollout_id) != counts:
+                await self._write_counts(counts)
+
+    async def _write_counts(self, counts: RolloutCounts) -> None:
+        key = f"{counts.rollout_id}/{counts.node_id}/{counts.boot_id}"
+        value = msgspec.msgpack.encode(counts)
+        write = Write(table=COUNTS_TABLE, key=key, value=value, write_id=self.write_ids.make())
+        await self.store.transact([write])
+        self._written[counts.rollout_id] = counts
+
+
+class RolloutTask(ControllerTask):
+    """Advances the roll-outs while this entry holds the controller's lease.
+
+    Parameters
+    ----------
+    store : TableService
+        Holds rows and counts.
+    tables : CoreTables
+        Tables of the entry.
+    publisher : DocumentPublisher
+        Publishes withdrawals and completions.
+    notices : NoticeDesk
+        Tells all processes of a withdrawal at once.
+    node_id : NodeId
+        This entry.
+    clock : Clock
+        Source of the present time.
+    """
+
+    name = "rollouts"
+
+    def __init__(
+        self,
+        *,
+        store: TableService,
+        tables: CoreTables,
+        publisher: DocumentPublisher,
+        notices: NoticeDesk,
+        node_id: NodeId,
+        clock: Clock,
+    ):
+        self.store = store
+        self.tables = tables
+        self.publisher = publisher
+        self.notices = notices
+        self.node_id = node_id
+        self.clock = clock
+        self.write_ids = WriteIdMaker()
+        self._versions: dict[str, int] = {}
+
+    async def run_once(self, lease: LeaseKeeper, now: float) -> None:
+        """Read, aggregate, decide and carry out."""
+        await self._read_rows()
+        await self._aggregate()
+        system = RolloutSystem(node_id=self.node_id, lease_number=lease.number)
+        for command in system.run(self.tables, now):
+            if not lease.is_held(self.clock.now()):
+                return
+            await self._carry_out(command)
+
+    async def _read_rows(self) -> None:
+        self._versions.clear()
+        for row in await self.store.scan(ROLLOUT_TABLE):
+            self._versions[row.key] = row.version
+            take_row(self.tables, msgspec.msgpack.decode(row.value, type=RolloutRow))
+
+    async def _aggregate(self) -> None:
+        for model, row in list(self.tables.rollouts.items()):
+            found = await self.store.scan(COUNTS_TABLE, prefix=f"{row.rollout_id}/")
+            reports = [msgspec.msgpack.decode(item.value, type=RolloutCounts) for item in found]
+            self.tables.rollouts[model] = aggregate(row, reports)
+
+    async def _carry_out(self, command: Command) -> None:
+        if isinstance(command, SaveRollout):
+            await self._save(command.row)
+        elif isinstance(command, WithdrawVersion):
+            await self._withdraw(command)
+        elif isinstance(command, CompleteRollout):
+            await self._complete(command)
+
+    async def _save(self, row: RolloutRow) -> None:
+        write = Write(
+            table=ROLLOUT_TABLE,
+            key=row.model,
+            value=msgspec.msgpack.encode(row),
+            write_id=self.write_ids.make(),
+            if_version=self._versions.get(row.model, 0),
+        )
+        (result,) = await self.store.transact([write])
+        if result.is_applied:
+            logger.info(
+                "roll-out %s: stage %d, %s %s",
+                row.rollout_id,
+                row.stage,
+                row.state.value,
+                row.reason,
+            )
+            take_row(self.tables, row)
+
+    async def _withdraw(self, command: WithdrawVersion) -> None:
+        logger.error("version %s is withdrawn: %s", command.version, command.reason)
+        self.notices.issue(NoticeKind.WITHDRAWN, command.version)
+        member, _, model = model_of(command.version).partition("/")
+        version = command.version.partition("@")[2]
+
+        def edit(document: Document) -> Document:
+            return set_version_state(document, member, model, version, VersionState.WITHDRAWN)
+
+        await self.publisher.edit(edit, f"roll-out {command.rollout_id}")
+
+    async def _complete(self, command: CompleteRollout) -> None:
+        member, _, model = command.model.partition("/")
+        version = command.version.partition("@")[2]
+        await self.publisher.edit(
+            lambda document: set_current_version(document, member, model, version),
+            f"roll-out {command.rollout_id}",
+        )
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -9,7 +9,7 @@
 from crocusvalve.base import AttemptId, BootId, CustomerId, NodeId, RequestId, Revision, VersionRef
 from crocusvalve.billing import BillFlusher, BillOutbox, RequestIdMaker
 from crocusvalve.config import CustomerView, Document, DocumentView
-from crocusvalve.control import ConfigFollower, ConfigKeeper, ConfigStore
+from crocusvalve.control import ConfigFollower, ConfigKeeper, ConfigStore, Controller, LeaseKeeper
 from crocusvalve.durable import DurableStore
 from crocusvalve.entry._agents import AgentPool
 from crocusvalve.entry._attempts import AttemptRunner
@@ -17,20 +17,24 @@
 from crocusvalve.entry._core import CoreLimits, EntryCore
 from crocusvalve.entry._durable_desk import DurableDesk
 from crocusvalve.entry._handle import RequestHandle
+from crocusvalve.entry._notice_desk import NoticeDesk
 from crocusvalve.entry._observe import RequestObserver
 from crocusvalve.entry._peers import PeerGroup
 from crocusvalve.entry._policies import Policies
+from crocusvalve.entry._publisher import DocumentPublisher
 from crocusvalve.entry._raters import Rater
-from crocusvalve.entry._reports import ReportMerger
+from crocusvalve.entry._rollouts import RolloutFollower, RolloutTask
 from crocusvalve.entry._runtime import EntryRuntime
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.entry._upstreams import UpstreamWatcher
+from crocusvalve.entry._vm_list import VmListFollower
 from crocusvalve.entry.base import DurableStatus, EntryService
 from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.membership import MembershipSystem, NoticeTable
 from crocusvalve.model import RequestRow
 from crocusvalve.orders import ClaimSettler, OrderRunner, TableClaimStore
 from crocusvalve.platform import HttpPlatform, WriteIdMaker
-from crocusvalve.rpc import BillRecord, RunEvent
+from crocusvalve.rpc import BillRecord, NoticeKind, RunEvent
 from crocusvalve.sessions import SessionAction, SessionClaim, SessionSigner, resolve_session
 from crocusvalve.settings import EntrySettings
 from crocusvalve.utils import Clock, hash_key
@@ -40,6 +44,7 @@
 logger = logging.getLogger(__name__)
 
 SETTLE_INTERVAL_S = 0.5
+CONTROLLER_KEY = "controller"
 EMPTY_VIEW = DocumentView(Document("", {}), Revision(0))
 
 
@@ -130,10 +135,25 @@
             tables=self.tables,
             pool=self.pool,
             keeper=self.keeper,
-            membership=ReportMerger(),
+            membership=MembershipSystem(node_id),
             outbox=self.outbox,
             clock=clock,
         )
+        self.publisher = DocumentPublisher(self.store, self.keeper, clock=clock)
+        self.notices = NoticeDesk(
+            node_id=node_id,
+            key=settings.internal_key,
+            table=NoticeTable(quarantine=policies.get_quarantine(self.tables)),
+            tables=self.tables,
+            peers=self.peers,
+            pool=self.pool,
+            publisher=self.publisher,
+            clock=clock,
+            random_state=random_state,
+        )
+        self.rollouts = RolloutFollower(platform, self.tables, policies.ledger)
+        self.vm_list = VmListFollower(platform, self.tables, clock=clock)
+        self.controller = self._make_controller(node_id)
         self._nursery: trio.Nursery | None = None
         self.keeper.add_listener(self._apply_view)
         self.flusher.add_listener(self._acknowledge_bills)
@@ -148,6 +168,10 @@
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.flusher.run)
             nursery.start_soon(self.watcher.run)
+            await nursery.start(self.notices.run)
+            nursery.start_soon(self.rollouts.run)
+            nursery.start_soon(self.vm_list.run)
+            nursery.start_soon(self.controller.run)
             if self.keeper.view is not None:
                 self._apply_view(self.keeper.view)
             task_status.started()
@@ -162,6 +186,18 @@
             clock=self.clock,
         )
 
+    def _make_controller(self, node_id: NodeId) -> Controller:
+        lease = LeaseKeeper(self.platform, CONTROLLER_KEY, node_id, boot_id=self.boot_id)
+        task = RolloutTask(
+            store=self.platform,
+            tables=self.tables,
+            publisher=self.publisher,
+            notices=self.notices,
+            node_id=node_id,
+            clock=self.clock,
+        )
+        return Controller(lease, [task], clock=self.clock)
+
     async def _run_settler(self) -> None:
         while True:
             await trio.sleep(SETTLE_INTERVAL_S)
@@ -170,6 +206,7 @@
 
     def _apply_view(self, view: DocumentView) -> None:
         self.tables.apply_view(view)
+        self.notices.supersede()
         if self._nursery is not None:
             self._nursery.start_soon(self.watcher.push_to_all)
             self._nursery.start_soon(self.peers.push_to_all, self.keeper)
@@ -183,6 +220,7 @@
 
     def _share_quarantine(self, cmd: ShareQuarantine) -> None:
         logger.warning("request digest %s crashed an upstream (%d)", cmd.digest, cmd.n_crashes)
+        self.notices.issue(NoticeKind.QUARANTINE, cmd.digest, number=cmd.n_crashes)
 
     def now(self) -> float:
         """Return Unix time in seconds."""
--- a/crocusvalve/entry/_timers.py
+++ b/crocusvalve/entry/_timers.py
@@ -55,7 +55,6 @@
         req = tables.requests.get(request_id)
         if req is None or req.state is not RequestState.RUNNING:
             return []
-        progress = tables.progress[request_id]
-        if progress.leader is not None or len(tables.attempts_of.get(request_id, ())) != 1:
+        if tables.progress[request_id].leader is not None:
             return []
         return self.placement.start_hedge(tables, req, now)
--- a/crocusvalve/entry/_upstreams.py
+++ b/crocusvalve/entry/_upstreams.py
@@ -9,9 +9,9 @@
 from crocusvalve.control import ConfigKeeper
 from crocusvalve.entry._agents import AgentPool
 from crocusvalve.entry._config_sync import push_revision
-from crocusvalve.entry._reports import ReportMerger
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.membership import MembershipSystem, take_report
 from crocusvalve.rpc import BillRecord, BillsAck, Empty, LoadReport
 from crocusvalve.utils import Clock
 
@@ -37,8 +37,8 @@
         Channels to the agents.
     keeper : ConfigKeeper
         The newest revision.
-    membership : ReportMerger
-        Merges reports into the rows.
+    membership : MembershipSystem
+        Chooses the subset and marks silent upstreams as down.
     outbox : BillOutbox
         Takes bills that agents still hold for entries that have died.
     clock : Clock
@@ -53,7 +53,7 @@
         tables: CoreTables,
         pool: AgentPool,
         keeper: ConfigKeeper,
-        membership: ReportMerger,
+        membership: MembershipSystem,
         outbox: BillOutbox,
         clock: Clock,
         report_interval_s: float = REPORT_INTERVAL_S,
@@ -76,6 +76,8 @@
                 await trio.sleep(self.report_interval_s)
 
     def _match_watchers(self, nursery: trio.Nursery) -> None:
+        # Silent upstreams are asked by their own watcher, so that no other probe is needed.
+        self.membership.run(self.tables, self.clock.now())
         wanted = {ref for ref, row in self.tables.upstreams.items() if row.in_subset}
         for upstream_id in wanted - self._watched.keys():
             scope = trio.CancelScope()
@@ -117,7 +119,7 @@
     def _take_report(self, upstream_id: UpstreamId, report: LoadReport) -> None:
         now = self.clock.now()
         self._heard_at[upstream_id] = now
-        self.membership.take_report(self.tables, report, now)
+        take_report(self.tables, report, now)
 
     def _note_silence(self, upstream_id: UpstreamId, exc: Exception) -> None:
         row = self.tables.upstreams.get(upstream_id)
--- /dev/null
+++ b/crocusvalve/entry/_vm_list.py
@@ -0,0 +1,52 @@
+"""Follows the platform's lagging list of VMs."""
+
+import logging
+
+import trio
+
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.membership import VmStatus, take_vm_list
+from crocusvalve.platform import VmDirectory, VmState
+from crocusvalve.utils import Clock
+
+__all__ = ["VmListFollower"]
+
+logger = logging.getLogger(__name__)
+
+LIST_INTERVAL_S = 5.0
+
+
+class VmListFollower:
+    """Reads the list of VMs and merges it as a hint.
+
+    Parameters
+    ----------
+    directory : VmDirectory
+        The platform's list.
+    tables : CoreTables
+        Takes what the list says of upstreams' VMs.
+    clock : Clock
+        Source of the present time.
+    """
+
+    def __init__(self, directory: VmDirectory, tables: CoreTables, *, clock: Clock):
+        self.directory = directory
+        self.tables = tables
+        self.clock = clock
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self.follow_once()
+            except CrocusvalveError as exc:
+                logger.info("list of VMs not read: %s", exc)
+            await trio.sleep(LIST_INTERVAL_S)
+
+    async def follow_once(self) -> None:
+        """Read the list once."""
+        listed_at = self.clock.now()
+        vms = await self.directory.list_vms()
+        statuses = [VmStatus(vm.address, vm.state is VmState.LEAVING) for vm in vms]
+        take_vm_list(self.tables, statuses, listed_at, self.clock.now())
--- a/crocusvalve/rpc/__init__.py
+++ b/crocusvalve/rpc/__init__.py
@@ -25,6 +25,7 @@
     Usage,
 )
 from crocusvalve.rpc._server import serve_rpc
+from crocusvalve.rpc._signing import is_signed_notice, sign_notice
 from crocusvalve.rpc.base import AgentService, PeerService
 
 __all__ = [
@@ -56,5 +57,7 @@
     "Usage",
     "decode",
     "encode",
+    "is_signed_notice",
     "serve_rpc",
+    "sign_notice",
 ]
