Randomised runs over the core of entries and agents; faults that they found mended

Cause: the core had not been run under faults. The first runs failed on: "not run" told by a placement although an earlier attempt had run; a rating that met a withdrawn step; a digest that crashed five upstreams, since a killed entry's successor did not know it and a cut stream hid a crash from its entry. Ruled out: late copies reaching a later run of an agent, which a connection does not carry. Change: a refusal is combined with all that is known of the attempts; cascades leave out steps without a usable version; entries exchange notices at the start; load reports carry crashes.

--- a/crocusvalve/entry/_notice_desk.py
+++ b/crocusvalve/entry/_notice_desk.py
@@ -23,6 +23,9 @@
 
 MS_PER_S = 1000
 WRITE_INTERVAL_S = 1.0
+EXCHANGE_INTERVAL_S = 30.0
+#: Digests told to a peer in one exchange, the newest.
+MAX_CRASHED = 1000
 #: Kinds that a revision has to carry in the end.
 DOCUMENT_KINDS = frozenset({NoticeKind.DOMAIN_OUT, NoticeKind.DOMAIN_IN, NoticeKind.WITHDRAWN})
 
@@ -98,11 +101,35 @@
         """Spread notices and write them to the document until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._exchange_forever)
             task_status.started()
             while True:
                 await trio.sleep(WRITE_INTERVAL_S)
                 await self._write_pending()
 
+    async def _exchange_forever(self) -> None:
+        """Ask the peers at the start, and again in case a notice was lost."""
+        while True:
+            for notice in await self.peers.fetch_notices():
+                self.take(notice)
+            await trio.sleep(EXCHANGE_INTERVAL_S)
+
+    def list_notices(self) -> tuple[Notice, ...]:
+        """Return the notices in force, and one for each digest that crashed an upstream."""
+        crashed = [
+            sign_notice(
+                Notice(
+                    kind=NoticeKind.QUARANTINE,
+                    subject=row.digest,
+                    number=row.n_crashes,
+                    issuer=self.node_id,
+                ),
+                self.key,
+            )
+            for row in list(self.tables.quarantine.values())[-MAX_CRASHED:]
+        ]
+        return (*self.table.list_notices(), *crashed)
+
     def issue(self, kind: NoticeKind, subject: str, *, number: int | None = None) -> Notice:
         """Issue a notice, put it in force here and spread it."""
         if number is None:
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -168,10 +168,10 @@
         progress = tables.progress[request_id]
         if progress.held is None or tables.attempts_of.get(request_id):
             return []
+        version = VersionRef(progress.held.version)
         if score is not None:
-            version = VersionRef(progress.held.version)
-            self.policies.note_rating(tables, req.customer_id, req.class_name, version, score, now)
-        if not self.policies.should_escalate(tables, req, score):
+            self.policies.note_rating(tables, req, version, score, now)
+        if not self.policies.should_escalate(tables, req, version, score, now):
             return self.deliver_held(tables, req, now)
         req.step += 1
         req.avoid.clear()
@@ -313,17 +313,15 @@
         decision: RetryDecision,
         now: float,
     ) -> list[Command]:
-        progress = tables.progress[req.request_id]
         code = decision.code
         if self.policies.get_quarantine(tables).is_banned(req.digest):
             code = ErrorCode.CRASHES_UPSTREAMS
-        ran = combine_ran(progress.ran, decision.ran)
         error = RefusedError(
             code,
             refused.message,
             step=refused.step,
             peer=refused.peer,
-            ran=ran,
+            ran=decision.ran,
             retry_after_s=decision.retry_after_s,
         )
         return self.give_up(tables, req, error, now)
@@ -338,7 +336,12 @@
         return self.refuse(tables, req, error)
 
     def refuse(self, tables: CoreTables, req: RequestRow, error: RefusedError) -> list[Command]:
-        """End a request without an answer; the caller is told at once."""
+        """End a request without an answer; the caller is told at once.
+
+        Whatever the last error says, "not run" is told only where no attempt may have run.
+        """
+        progress = tables.progress[req.request_id]
+        error.ran = combine_ran(progress.ran, error.ran)
         req.state = RequestState.REFUSED
         self.forget(tables, req)
         return [Refuse(req.request_id, error)]
--- a/crocusvalve/entry/_peers.py
+++ b/crocusvalve/entry/_peers.py
@@ -1,7 +1,6 @@
 """The other entries: clients, and what this entry tells them."""
 
 import ssl
-from collections.abc import Callable
 
 import trio
 
@@ -9,9 +8,9 @@
 from crocusvalve.control import ConfigKeeper
 from crocusvalve.entry._config_sync import push_revision
 from crocusvalve.exceptions import CrocusvalveError
-from crocusvalve.rpc import ConfigAck, ConfigPush, Notice, NoticeAck, PeerClient, PeerService
+from crocusvalve.rpc import Empty, Notice, PeerClient
 
-__all__ = ["EntryPeerService", "PeerGroup"]
+__all__ = ["PeerGroup"]
 
 
 class PeerGroup:
@@ -72,36 +71,24 @@
             # The peer learns it from another entry or from the document.
             return
 
+    async def fetch_notices(self) -> list[Notice]:
+        """Return what the peers that answer have in force."""
+        notices: list[Notice] = []
+        async with trio.open_nursery() as nursery:
+            for address in self.addresses:
+                nursery.start_soon(self._fetch, address, notices)
+        return notices
+
+    async def _fetch(self, address: str, notices: list[Notice]) -> None:
+        try:
+            reply = await self._get(address).list_notices(Empty())
+        except CrocusvalveError:
+            # The next exchange asks the peer again.
+            return
+        notices.extend(reply.notices)
+
     def close(self) -> None:
         """Close all clients."""
         for client in self._clients.values():
             client.close()
         self._clients.clear()
-
-
-class EntryPeerService(PeerService):
-    """What an entry answers to its peers and agents.
-
-    Parameters
-    ----------
-    keeper : ConfigKeeper
-        The newest revision.
-    take_notice : callable
-        Takes a notice and tells whether it was new.
-    """
-
-    def __init__(self, keeper: ConfigKeeper, take_notice: Callable[[Notice], bool]):
-        self.keeper = keeper
-        self.take_notice = take_notice
-
-    async def push_config(self, req: ConfigPush) -> ConfigAck:
-        """Take a revision."""
-        return self.keeper.take_push(req)
-
-    async def pull_config(self, req: ConfigAck) -> ConfigPush:
-        """Return the newest revision, as a delta on the asker's where possible."""
-        return self.keeper.make_push(Revision(0) if req.need_full else req.revision)
-
-    async def notify(self, req: Notice) -> NoticeAck:
-        """Take a notice and pass it on where it is new."""
-        return NoticeAck(self.take_notice(req))
--- a/crocusvalve/entry/_placement.py
+++ b/crocusvalve/entry/_placement.py
@@ -81,8 +81,7 @@
             return [self.start(tables, req, row, now)]
         except InvariantError as exc:
             message = "an invariant of the program does not hold"
-            ran = tables.progress[req.request_id].ran
-            error = RefusedError(ErrorCode.INTERNAL, message, step=STEP, ran=ran)
+            error = RefusedError(ErrorCode.INTERNAL, message, step=STEP)
             return [InvariantBroken(exc), *self.outcome.give_up(tables, req, error, now)]
 
     def _choose(self, tables: CoreTables, req: RequestRow, now: float) -> UpstreamRow | None:
@@ -122,15 +121,13 @@
 
     @staticmethod
     def _make_stranded_error(tables: CoreTables, req: RequestRow) -> RefusedError:
-        ran = tables.progress[req.request_id].ran
         if not req.service and tables.is_version_withdrawn(req.version):
             message = f"version {req.version} is withdrawn"
-            return RefusedError(ErrorCode.VERSION_WITHDRAWN, message, step=STEP, ran=ran)
+            return RefusedError(ErrorCode.VERSION_WITHDRAWN, message, step=STEP)
         return RefusedError(
             ErrorCode.NO_UPSTREAM,
             "no upstream may take the request now",
             step=STEP,
-            ran=ran,
             retry_after_s=NO_UPSTREAM_RETRY_S,
         )
 
--- a/crocusvalve/entry/_policies.py
+++ b/crocusvalve/entry/_policies.py
@@ -1,7 +1,7 @@
 """The policies of an entry, chosen by the document's names."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Sequence
 
 from crocusvalve.base import BootId, ModelRef, NodeId, VersionRef
 from crocusvalve.cascade import (
@@ -14,6 +14,7 @@
 )
 from crocusvalve.config._view import model_of
 from crocusvalve.entry._tables import CoreTables
+from crocusvalve.exceptions import RefusedError
 from crocusvalve.model import RequestRow, RolloutRow
 from crocusvalve.retry import HedgePolicy, Quarantine, RetryBudget, RetryPolicy
 from crocusvalve.rollout import RolloutLedger, choose_version
@@ -110,39 +111,51 @@
             self._cascades[name] = make_cascade_policy(name)
         return self._cascades[name]
 
-    def _make_version_of(
-        self, tables: CoreTables, req: RequestRow
-    ) -> Callable[[ModelRef], VersionRef]:
-        return lambda model: self.choose_version(tables, req, model)
+    def _find_versions(
+        self, tables: CoreTables, req: RequestRow, steps: Sequence[ModelRef]
+    ) -> dict[ModelRef, VersionRef]:
+        """Return the version of each step that takes new work."""
+        versions = {}
+        for model in steps:
+            try:
+                versions[model] = self.choose_version(tables, req, model)
+            except RefusedError:
+                continue
+        return versions
 
     def plan(self, tables: CoreTables, req: RequestRow, now: float) -> None:
-        """Choose the steps of a request's cascade.
-
-        Raises
-        ------
-        RefusedError
-            No step has a version that takes new work.
-        """
+        """Choose the steps of a request's cascade among those that take new work."""
         if req.service or len(req.steps) < 2:
             return
+        versions = self._find_versions(tables, req, req.steps)
+        if not versions:
+            # The placement refuses the request and names the cause.
+            return
         req.steps = plan_steps(
             self._get_cascade(tables, req),
             self.estimator,
             tables,
             req,
-            req.steps,
-            self._make_version_of(tables, req),
+            tuple(versions),
+            versions.__getitem__,
             now,
         )
 
     def should_escalate(
-        self, tables: CoreTables, req: RequestRow, score: float | None, now: float
+        self,
+        tables: CoreTables,
+        req: RequestRow,
+        answered: VersionRef,
+        score: float | None,
+        now: float,
     ) -> bool:
         """Tell whether a cascade goes on to its next model after a rating."""
         steps = req.steps[req.step : req.step + 2]
-        estimates = estimate_steps(
-            self.estimator, tables, req, steps, self._make_version_of(tables, req), now
-        )
+        versions = self._find_versions(tables, req, steps[1:])
+        if not versions:
+            return False
+        versions[steps[0]] = answered
+        estimates = estimate_steps(self.estimator, tables, req, steps, versions.__getitem__, now)
         elapsed_s = now - req.arrived_at
         facts = EscalationFacts(
             score=score if self.estimator.trust.is_truthful() else None,
--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -17,7 +17,7 @@
 from crocusvalve.entry._core import CoreLimits
 from crocusvalve.entry._http import make_app
 from crocusvalve.entry._observe import LogObserver
-from crocusvalve.entry._peers import EntryPeerService
+from crocusvalve.entry._peer_service import EntryPeerService
 from crocusvalve.entry._service import Entry
 from crocusvalve.platform import HttpPlatform
 from crocusvalve.rpc import serve_rpc
@@ -133,7 +133,7 @@
 ) -> None:
     settings = entry.settings
     await serve_rpc(
-        EntryPeerService(entry.keeper, entry.notices.take),
+        EntryPeerService(entry.keeper, entry.notices),
         settings.rpc.host,
         settings.rpc.port,
         token=settings.internal_key,
--- a/crocusvalve/entry/_runtime.py
+++ b/crocusvalve/entry/_runtime.py
@@ -32,7 +32,7 @@
 from crocusvalve.rpc import BillRecord, RunEvent
 from crocusvalve.utils import Clock
 
-__all__ = ["EntryRuntime"]
+__all__ = ["EntryRuntime", "make_bill"]
 
 logger = logging.getLogger(__name__)
 
@@ -198,7 +198,7 @@
             return
         req = self._rows.pop(cmd.request_id)
         now = self.clock.now()
-        self.outbox.add(_make_bill(req, cmd.summary, now))
+        self.outbox.add(make_bill(req, cmd.summary, now))
         self.observer.note_answered(req, cmd.summary, now)
         handle.put(cmd.summary)
 
@@ -219,7 +219,7 @@
     ) -> None:
         now = self.clock.now()
         if not is_replay:
-            self.outbox.add(_make_bill(req, summary, now))
+            self.outbox.add(make_bill(req, summary, now))
         self.observer.note_answered(req, summary, now)
 
     def _note_order_refused(self, req: RequestRow, error: CrocusvalveError) -> None:
@@ -257,7 +257,8 @@
         self.observer.note_invariant(cmd.error)
 
 
-def _make_bill(req: RequestRow, summary: AnswerSummary, now: float) -> BillRecord:
+def make_bill(req: RequestRow, summary: AnswerSummary, now: float) -> BillRecord:
+    """Make the one bill of a request that was answered whole."""
     return BillRecord(
         request_id=req.request_id,
         customer_id=req.customer_id,
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -3,10 +3,20 @@
 import logging
 import random
 import ssl
+from collections.abc import Sequence
 
 import trio
 
-from crocusvalve.base import AttemptId, BootId, CustomerId, NodeId, RequestId, Revision, VersionRef
+from crocusvalve.base import (
+    AttemptId,
+    BootId,
+    CustomerId,
+    NodeId,
+    RequestId,
+    Revision,
+    UpstreamId,
+    VersionRef,
+)
 from crocusvalve.billing import BillFlusher, BillOutbox, RequestIdMaker
 from crocusvalve.config import CustomerView, Document, DocumentView
 from crocusvalve.control import ConfigFollower, ConfigKeeper, ConfigStore, Controller, LeaseKeeper
@@ -32,9 +42,10 @@
 from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.membership import MembershipSystem, NoticeTable
 from crocusvalve.model import RequestRow
-from crocusvalve.orders import ClaimSettler, OrderRunner, TableClaimStore
+from crocusvalve.orders import ClaimSettler, OrderRunner
+from crocusvalve.orders._table_store import TableClaimStore
 from crocusvalve.platform import HttpPlatform, WriteIdMaker
-from crocusvalve.rpc import BillRecord, NoticeKind, RunEvent
+from crocusvalve.rpc import BillRecord, CrashRecord, NoticeKind, RunEvent
 from crocusvalve.sessions import SessionAction, SessionClaim, SessionSigner, resolve_session
 from crocusvalve.settings import EntrySettings
 from crocusvalve.utils import Clock, hash_key
@@ -138,6 +149,7 @@
             membership=MembershipSystem(node_id),
             outbox=self.outbox,
             clock=clock,
+            note_crashes=self._note_crashes,
         )
         self.publisher = DocumentPublisher(self.store, self.keeper, clock=clock)
         self.notices = NoticeDesk(
@@ -222,6 +234,11 @@
         logger.warning("request digest %s crashed an upstream (%d)", cmd.digest, cmd.n_crashes)
         self.notices.issue(NoticeKind.QUARANTINE, cmd.digest, number=cmd.n_crashes)
 
+    def _note_crashes(self, upstream_id: UpstreamId, crashes: Sequence[CrashRecord]) -> None:
+        quarantine = self.core.policies.get_quarantine(self.tables)
+        for row in quarantine.take_report(upstream_id, crashes, self.clock.now()):
+            self._share_quarantine(ShareQuarantine(row.digest, row.n_crashes))
+
     def now(self) -> float:
         """Return Unix time in seconds."""
         return self.clock.now()
--- a/crocusvalve/entry/_upstreams.py
+++ b/crocusvalve/entry/_upstreams.py
@@ -1,6 +1,7 @@
 """Keeps an entry's rows of upstreams fresh: load reports, revisions and held bills."""
 
 import logging
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -12,7 +13,7 @@
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.exceptions import CrocusvalveError
 from crocusvalve.membership import MembershipSystem, take_report
-from crocusvalve.rpc import BillRecord, BillsAck, Empty, LoadReport
+from crocusvalve.rpc import BillRecord, BillsAck, CrashRecord, Empty, LoadReport
 from crocusvalve.utils import Clock
 
 __all__ = ["UpstreamWatcher"]
@@ -43,6 +44,8 @@
         Takes bills that agents still hold for entries that have died.
     clock : Clock
         Source of the present time.
+    note_crashes : callable
+        Takes the crashes that an agent reports.
     report_interval_s : float
         Delay between two reports of one agent, in seconds.
     """
@@ -56,6 +59,7 @@
         membership: MembershipSystem,
         outbox: BillOutbox,
         clock: Clock,
+        note_crashes: Callable[[UpstreamId, Sequence[CrashRecord]], None],
         report_interval_s: float = REPORT_INTERVAL_S,
     ):
         self.tables = tables
@@ -64,6 +68,7 @@
         self.membership = membership
         self.outbox = outbox
         self.clock = clock
+        self.note_crashes = note_crashes
         self.report_interval_s = report_interval_s
         self._watched: dict[UpstreamId, trio.CancelScope] = {}
         self._heard_at: dict[UpstreamId, float] = {}
@@ -120,6 +125,8 @@
         now = self.clock.now()
         self._heard_at[upstream_id] = now
         take_report(self.tables, report, now)
+        if report.crashes:
+            self.note_crashes(upstream_id, report.crashes)
 
     def _note_silence(self, upstream_id: UpstreamId, exc: Exception) -> None:
         row = self.tables.upstreams.get(upstream_id)
--- a/crocusvalve/retry/_quarantine.py
+++ b/crocusvalve/retry/_quarantine.py
@@ -5,6 +5,7 @@
 from crocusvalve.base import UpstreamId
 from crocusvalve.exceptions import InvariantError
 from crocusvalve.model import QuarantineRow, UpstreamRow
+from crocusvalve.rpc import CrashRecord
 
 __all__ = ["Quarantine"]
 
@@ -131,6 +132,23 @@
         if is_success and self.is_suspect(digest):
             del self.rows[digest]
 
+    def take_report(
+        self, upstream_id: UpstreamId, crashes: Sequence[CrashRecord], now: float
+    ) -> list[QuarantineRow]:
+        """Merge the crashes that an agent reports; return the rows that were news."""
+        news = []
+        for crash in crashes:
+            incident = UpstreamId(f"{upstream_id}#{crash.attempt_id}")
+            known = self.rows.get(crash.digest)
+            if known is not None and incident in known.upstreams:
+                continue
+            row = QuarantineRow(
+                digest=crash.digest, n_crashes=1, crashed_at=now, upstreams={incident}
+            )
+            if self.merge(row, now):
+                news.append(self.rows[crash.digest])
+        return news
+
     def merge(self, notice: QuarantineRow, now: float) -> bool:
         """Merge what another entry knows of a digest; tell whether it was new."""
         row = self.rows.pop(notice.digest, None)
--- a/crocusvalve/rpc/_server.py
+++ b/crocusvalve/rpc/_server.py
@@ -58,6 +58,7 @@
         RpcMethod("Peer", "push_config", msg.ConfigPush, msg.ConfigAck),
         RpcMethod("Peer", "pull_config", msg.ConfigAck, msg.ConfigPush),
         RpcMethod("Peer", "notify", msg.Notice, msg.NoticeAck),
+        RpcMethod("Peer", "list_notices", msg.Empty, msg.NoticeList),
     )
 }
 
--- /dev/null
+++ b/crocusvalve/soak/__init__.py
@@ -0,0 +1,8 @@
+"""Long randomised runs of the core of entries and agents, with invariants asserted."""
+
+from crocusvalve.soak._checks import SoakChecks
+from crocusvalve.soak._faults import SoakFaults
+from crocusvalve.soak._run import SoakReport, run_soak
+from crocusvalve.soak._world import SoakWorld
+
+__all__ = ["SoakChecks", "SoakFaults", "SoakReport", "SoakWorld", "run_soak"]
--- /dev/null
+++ b/crocusvalve/soak/_agent.py
@@ -0,0 +1,238 @@
+"""An agent's core with an engine that answers in virtual time."""
+
+import random
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from crocusvalve.agent import AdmissionSystem, AgentTables, HealthReport, RunRow
+from crocusvalve.agent._admission import make_refused
+from crocusvalve.answers import AnswerBuffer
+from crocusvalve.base import (
+    AttemptId,
+    AttemptState,
+    BootId,
+    DomainId,
+    NodeId,
+    Ran,
+    UpstreamId,
+    UpstreamState,
+)
+from crocusvalve.config import DocumentView, UpstreamView
+from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.rpc import CrashRecord, Refused, RunRequest, Usage
+from crocusvalve.soak._checks import SoakChecks
+from crocusvalve.soak._scheduler import Scheduler
+
+__all__ = ["SoakAgent"]
+
+POISON = b"poison"
+TOKEN_S = 0.03
+MAX_TOKENS = 8
+WARM_UPTIME_S = 100.0
+
+
+class _Running(Struct):
+    """An attempt in the engine."""
+
+    row: RunRow
+    buffer: AnswerBuffer
+    n_left: int
+    boot: int
+
+
+class SoakAgent:
+    """One agent with its engine; ``restart`` loses everything that it remembers.
+
+    Parameters
+    ----------
+    view : UpstreamView
+        The upstream.
+    scheduler : Scheduler
+        Virtual time.
+    random_state : random.Random
+        Source of randomness.
+    checks : SoakChecks
+        Invariants.
+    """
+
+    def __init__(
+        self,
+        view: UpstreamView,
+        *,
+        scheduler: Scheduler,
+        random_state: random.Random,
+        checks: SoakChecks,
+    ):
+        self.upstream = view
+        self.scheduler = scheduler
+        self.random_state = random_state
+        self.checks = checks
+        self.admission = AdmissionSystem()
+        self.frozen_until = 0.0
+        self.engine_boot = 0
+        self.engine_since = scheduler.now - WARM_UPTIME_S
+        self.n_boots = 0
+        self.document: DocumentView | None = None
+        self.crashes: list[CrashRecord] = []
+        self.buffers: dict[AttemptId, AnswerBuffer] = {}
+        self.running: dict[AttemptId, _Running] = {}
+        self.listeners: list[Callable[[AttemptId], None]] = []
+        self.tables = self._make_tables()
+
+    def _make_tables(self) -> AgentTables:
+        self.n_boots += 1
+        tables = AgentTables(
+            node_id=NodeId(f"agent-{self.upstream.upstream_id}"),
+            upstream_id=UpstreamId(self.upstream.upstream_id),
+            domain=DomainId(self.upstream.domain),
+            boot_id=BootId(f"boot-{self.n_boots}"),
+        )
+        if self.document is not None:
+            tables.apply_view(self.document)
+        tables.note_health(self._make_health(), self.scheduler.now)
+        return tables
+
+    def _make_health(self) -> HealthReport:
+        uptime_s = self.scheduler.now - self.engine_since
+        is_cold = uptime_s < 5.0
+        return HealthReport(
+            is_up=True,
+            state=UpstreamState.COLD if is_cold else UpstreamState.WARM,
+            engine_boot=str(self.engine_boot),
+            uptime_s=uptime_s,
+        )
+
+    def apply_view(self, view: DocumentView) -> None:
+        """Put a revision in force."""
+        self.document = view
+        self.tables.apply_view(view)
+
+    def probe(self) -> None:
+        """Look at the engine's health."""
+        self.tables.note_health(self._make_health(), self.scheduler.now)
+
+    def restart(self) -> None:
+        """Restart the agent alone: the engine cancels what the old run had started."""
+        for running in list(self.running.values()):
+            running.boot = -1
+        self.running.clear()
+        self.buffers.clear()
+        self.crashes.clear()
+        self.tables = self._make_tables()
+
+    def turn_cold(self) -> None:
+        """Restart the engine alone: everything under way is lost."""
+        self.engine_boot += 1
+        self.engine_since = self.scheduler.now
+        for running in list(self.running.values()):
+            self._fail(running, "the engine restarted", crashed=True)
+        self.probe()
+
+    def receive(self, run: RunRequest) -> Refused | None:
+        """Take an attempt; return the refusal where it is not started."""
+        now = self.scheduler.now
+        if run.attempt_id in self.buffers:
+            return None
+        try:
+            row = self.admission.admit(self.tables, run, now)
+        except RefusedError as exc:
+            return self.admission.refuse(self.tables, run, exc, now)
+        limiter = self.tables.limiter
+        self.checks.note_load(self.upstream.upstream_id, limiter.in_flight, limiter.limit)
+        buffer = AnswerBuffer(run.attempt_id)
+        self.buffers[run.attempt_id] = buffer
+        n_tokens = self.random_state.randint(1, MAX_TOKENS)
+        running = _Running(row=row, buffer=buffer, n_left=n_tokens, boot=self.engine_boot)
+        self.running[run.attempt_id] = running
+        self.scheduler.add(self._draw_delay_s(), lambda: self._begin(running))
+        return None
+
+    def _draw_delay_s(self) -> float:
+        frozen_s = max(0.0, self.frozen_until - self.scheduler.now)
+        return frozen_s + self.random_state.uniform(0.0, TOKEN_S)
+
+    def _begin(self, running: _Running) -> None:
+        run = running.row.req
+        if running.boot < 0 or run.attempt_id not in self.running:
+            return
+        now = self.scheduler.now
+        try:
+            self.admission.check(self.tables, run, now)
+            self.tables.guard.begin(run.attempt_id, now)
+        except RefusedError as exc:
+            self._refuse(running, exc, Ran.NOT_RUN)
+            return
+        running.row.ran = Ran.RAN
+        running.row.begun_at = now
+        running.boot = self.engine_boot
+        self.checks.answers[run.attempt_id] = self._make_answer(run, running.n_left)
+        self.checks.note_execution(run, self.tables.view.revision, now)
+        if POISON in run.body:
+            self.checks.note_crash(run.digest)
+            self.crashes.append(CrashRecord(run.digest, run.attempt_id))
+            self.turn_cold()
+            return
+        self.scheduler.add(self._draw_delay_s(), lambda: self._step(running))
+
+    @staticmethod
+    def _make_answer(run: RunRequest, n_tokens: int) -> bytes:
+        return b"".join(f"{run.attempt_id}:{index} ".encode() for index in range(n_tokens))
+
+    def _step(self, running: _Running) -> None:
+        run = running.row.req
+        if running.boot < 0 or run.attempt_id not in self.running:
+            return
+        index = running.buffer.n_frames
+        running.buffer.append(f"{run.attempt_id}:{index} ".encode())
+        running.n_left -= 1
+        if running.n_left:
+            self.scheduler.add(self._draw_delay_s(), lambda: self._step(running))
+        else:
+            self._finish(running)
+        self._tell(run.attempt_id)
+
+    def _finish(self, running: _Running) -> None:
+        now = self.scheduler.now
+        run = running.row.req
+        del self.running[run.attempt_id]
+        self.tables.guard.end(run.attempt_id, AttemptState.DONE, Ran.RAN)
+        n_tokens = running.buffer.n_frames
+        service_s = now - running.row.begun_at
+        self.tables.limiter.finish(
+            now,
+            generation=running.row.generation,
+            service_s=service_s,
+            n_tokens=n_tokens,
+            is_success=True,
+        )
+        usage = Usage(10, n_tokens, 0)
+        running.buffer.finish(now, usage=usage, finish_reason="stop", service_s=service_s)
+
+    def _fail(self, running: _Running, message: str, *, crashed: bool) -> None:
+        ran = running.row.ran
+        exc = RefusedError(ErrorCode.UPSTREAM_FAILED, message, step="engine", ran=ran)
+        self._refuse(running, exc, ran, crashed=crashed and ran is not Ran.NOT_RUN)
+
+    def _refuse(
+        self, running: _Running, exc: RefusedError, ran: Ran, *, crashed: bool = False
+    ) -> None:
+        attempt_id = running.row.req.attempt_id
+        self.running.pop(attempt_id, None)
+        self.tables.guard.end(attempt_id, AttemptState.FAILED, ran)
+        self.tables.limiter.abandon()
+        peer = self.upstream.upstream_id
+        refused = make_refused(attempt_id, exc, peer=peer, ran=ran, crashed=crashed)
+        running.buffer.fail(refused, self.scheduler.now)
+        self._tell(attempt_id)
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Cancel an attempt."""
+        running = self.running.get(attempt_id)
+        if running is not None:
+            exc = RefusedError(ErrorCode.FENCED, "cancelled", step="run", ran=running.row.ran)
+            self._refuse(running, exc, running.row.ran)
+
+    def _tell(self, attempt_id: AttemptId) -> None:
+        for listener in self.listeners:
+            listener(attempt_id)
--- /dev/null
+++ b/crocusvalve/soak/_checks.py
@@ -0,0 +1,145 @@
+"""Invariants of a randomised run, asserted as things happen."""
+
+from collections import Counter, defaultdict
+
+from msgspec import Struct
+
+from crocusvalve.base import AttemptId, Ran, RequestId, Revision
+from crocusvalve.config import DocumentView
+from crocusvalve.entry._commands import AnswerSummary
+from crocusvalve.exceptions import InvariantError, RefusedError
+from crocusvalve.rpc import RunRequest
+
+__all__ = ["SoakChecks"]
+
+STEP = "soak"
+#: Time within which every process has a published revision.
+IN_FORCE_S = 5.0
+#: A digest may crash this many upstreams while entries tell each other of it.
+MAX_CRASHES = 4
+
+
+class _Caller(Struct):
+    """What a caller has seen of one request."""
+
+    data: bytes = b""
+    is_ended: bool = False
+    pinned_version: str = ""
+
+
+def fail(message: str) -> None:
+    """Raise the typed error of a broken invariant."""
+    raise InvariantError(message, step=STEP)
+
+
+class SoakChecks:
+    """Records what the world does and raises ``InvariantError`` where a promise is broken.
+
+    Attributes
+    ----------
+    n_executions : int
+        Attempts that engines began.
+    """
+
+    def __init__(self):
+        self.n_executions = 0
+        self.n_answers = 0
+        self.n_refused: Counter[str] = Counter()
+        self.executions: dict[RequestId, list[AttemptId]] = defaultdict(list)
+        self.begun: set[AttemptId] = set()
+        self.answers: dict[AttemptId, bytes] = {}
+        self.crashes: Counter[str] = Counter()
+        self._views: list[tuple[float, DocumentView]] = []
+        self._callers: dict[RequestId, _Caller] = {}
+        self._not_run: set[RequestId] = set()
+
+    def note_revision(self, view: DocumentView, now: float) -> None:
+        """Record a published revision."""
+        self._views.append((now, view))
+
+    def note_request(self, request_id: RequestId, pinned_version: str) -> None:
+        """Record a caller's request."""
+        self._callers[request_id] = _Caller(pinned_version=pinned_version)
+
+    def note_execution(self, run: RunRequest, revision: Revision, now: float) -> None:
+        """An engine begins an attempt."""
+        self.n_executions += 1
+        if run.attempt_id in self.begun:
+            fail(f"attempt {run.attempt_id} began twice")
+        self.begun.add(run.attempt_id)
+        self.executions[run.request_id].append(run.attempt_id)
+        if run.request_id in self._not_run:
+            fail(f"{run.request_id} was told as not run and runs")
+        if now >= run.deadline:
+            fail(f"{run.attempt_id} began after its deadline")
+        caller = self._callers[run.request_id]
+        if caller.pinned_version and run.version != caller.pinned_version:
+            fail(f"session of {run.request_id} left {caller.pinned_version} for {run.version}")
+        self._check_in_force(run, revision, now)
+
+    def _check_in_force(self, run: RunRequest, revision: Revision, now: float) -> None:
+        in_force = [view for at, view in self._views if now - at > IN_FORCE_S]
+        known = [view for _, view in self._views if view.revision == revision]
+        for view in [*in_force[-1:], *known]:
+            if view.revision < revision:
+                continue
+            if not view.is_allowed(run.customer_id, run.version):
+                fail(f"{run.version} is not allowed to {run.customer_id}")
+            if view.is_withdrawn(run.version):
+                fail(f"{run.version} is withdrawn in revision {view.revision}")
+            if view.is_domain_out(view.upstreams[run.upstream_id].domain):
+                fail(f"failure domain of {run.upstream_id} is out")
+
+    def note_load(self, upstream_id: str, in_flight: int, limit: int) -> None:
+        """An engine has begun an attempt beside others."""
+        if in_flight > limit:
+            fail(f"{upstream_id} runs {in_flight} with a limit of {limit}")
+
+    def note_crash(self, digest: str) -> None:
+        """An engine crashed under a request."""
+        self.crashes[digest] += 1
+        if self.crashes[digest] > MAX_CRASHES:
+            fail(f"digest {digest} crashed {self.crashes[digest]} upstreams")
+
+    def note_part(self, request_id: RequestId, data: bytes) -> None:
+        """A part of an answer reaches a caller."""
+        caller = self._callers[request_id]
+        if caller.is_ended:
+            fail(f"{request_id} got a part after its end")
+        caller.data += data
+        attempts = self.executions[request_id]
+        if not any(self.answers[ref].startswith(caller.data) for ref in attempts):
+            fail(f"{request_id} got a part of no answer of its own")
+
+    def note_answered(self, summary: AnswerSummary) -> None:
+        """A caller has its whole answer."""
+        caller = self._end(summary.request_id)
+        self.n_answers += 1
+        attempts = self.executions[summary.request_id]
+        if not any(self.answers[ref] == caller.data for ref in attempts):
+            fail(f"{summary.request_id} got an answer that is not whole")
+
+    def note_refused(self, request_id: RequestId, error: RefusedError) -> None:
+        """A caller is refused."""
+        self._end(request_id)
+        self.n_refused[error.code.code] += 1
+        if error.ran is not Ran.NOT_RUN:
+            return
+        self._not_run.add(request_id)
+        if self.executions[request_id]:
+            fail(f"{request_id} ran and was told as not run ({error.code.code})")
+
+    def _end(self, request_id: RequestId) -> _Caller:
+        caller = self._callers[request_id]
+        if caller.is_ended:
+            fail(f"{request_id} ended twice")
+        caller.is_ended = True
+        return caller
+
+    def note_gone(self, request_id: RequestId) -> None:
+        """A caller has left, or its entry was killed."""
+        self._callers[request_id].is_ended = True
+
+    def list_open(self) -> list[RequestId]:
+        """Return the requests that have not ended."""
+        return [ref for ref, caller in self._callers.items() if not caller.is_ended]
--- /dev/null
+++ b/crocusvalve/soak/_faults.py
@@ -0,0 +1,34 @@
+"""Faults of a randomised run and their odds."""
+
+from collections import Counter
+
+from msgspec import Struct, field
+
+__all__ = ["SoakFaults"]
+
+
+class SoakFaults(Struct, kw_only=True):
+    """Odds of faults: of a message from 0 to 1, and of others each second.
+
+    ``counts`` holds how often each was injected.
+    """
+
+    cut_before_send: float = 0.02
+    cut_after_send: float = 0.02
+    cut_stream: float = 0.02
+    repeated_message: float = 0.02
+    repeated_frame: float = 0.02
+    late_frame: float = 0.02
+    agent_restart_per_s: float = 0.05
+    engine_cold_per_s: float = 0.05
+    freeze_per_s: float = 0.05
+    entry_kill_per_s: float = 0.03
+    revision_per_s: float = 0.4
+    store_outage_per_s: float = 0.05
+    caller_leaves: float = 0.02
+    poison: float = 0.01
+    counts: Counter[str] = field(default_factory=Counter)
+
+    def note(self, name: str) -> None:
+        """Count an injected fault."""
+        self.counts[name] += 1
--- /dev/null
+++ b/crocusvalve/soak/_run.py
@@ -0,0 +1,63 @@
+"""Runs a randomised world and reports on it."""
+
+import logging
+import traceback
+
+from msgspec import Struct
+
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.soak._world import SoakWorld
+
+__all__ = ["SoakReport", "run_soak"]
+
+logger = logging.getLogger(__name__)
+
+
+class SoakReport(Struct, frozen=True, kw_only=True):
+    """What a run did; ``failure`` is empty where every invariant held."""
+
+    seed: int
+    n_steps: int
+    n_requests: int
+    n_answers: int
+    n_executions: int
+    n_refused: dict[str, int]
+    n_faults: dict[str, int]
+    failure: str = ""
+
+
+def run_soak(seed: int, steps: int) -> SoakReport:
+    """Run a world for a number of steps, then let it end.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the run; the same seed gives the same run.
+    steps : int
+        Events to run before requests and faults stop.
+
+    Returns
+    -------
+    SoakReport
+    """
+    world = SoakWorld(seed)
+    n_done = 0
+    failure = ""
+    try:
+        while n_done < steps:
+            n_done += 1
+            world.step()
+        world.close()
+    except (CrocusvalveError, AssertionError, LookupError, TypeError, ValueError) as exc:
+        failure = f"step {n_done}: {exc!r}\n{traceback.format_exc(limit=-6)}"
+        logger.error("seed %d: %s", seed, failure)
+    return SoakReport(
+        seed=seed,
+        n_steps=n_done,
+        n_requests=world.n_requests,
+        n_answers=world.checks.n_answers,
+        n_executions=world.checks.n_executions,
+        n_refused=dict(world.checks.n_refused),
+        n_faults=dict(world.faults.counts),
+        failure=failure,
+    )
--- /dev/null
+++ b/crocusvalve/soak/_streams.py
@@ -0,0 +1,182 @@
+"""Streams between the entries' cores and the agents of a randomised run."""
+
+import random
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from crocusvalve.base import AttemptId
+from crocusvalve.entry._attempts import make_cut
+from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.rpc import ConnectError, Frame, RpcError, RunEvent, RunRequest
+from crocusvalve.soak._agent import SoakAgent
+from crocusvalve.soak._faults import SoakFaults
+from crocusvalve.soak._scheduler import Scheduler
+
+__all__ = ["SoakNetwork"]
+
+MAX_DELAY_S = 0.02
+CUT_NOTICE_S = 0.5
+LATE_S = 2.0
+
+Feed = Callable[[AttemptId, RunEvent], None]
+
+
+class _Stream(Struct, eq=False):
+    """A stream of one attempt towards one run of an entry."""
+
+    attempt_id: AttemptId
+    next_seq: int
+    feed: Feed
+    last_at: float = 0.0
+    is_open: bool = True
+
+
+class SoakNetwork:
+    """Carries attempts and events with delays, cuts, repeats and late frames.
+
+    Parameters
+    ----------
+    agents : dict
+        Agents by address.
+    scheduler : Scheduler
+        Virtual time.
+    random_state : random.Random
+        Source of randomness.
+    faults : SoakFaults
+        Odds of faults.
+    """
+
+    def __init__(
+        self,
+        agents: dict[str, SoakAgent],
+        *,
+        scheduler: Scheduler,
+        random_state: random.Random,
+        faults: SoakFaults,
+    ):
+        self.agents = agents
+        self.scheduler = scheduler
+        self.random_state = random_state
+        self.faults = faults
+        self._streams: dict[str, list[_Stream]] = {address: [] for address in agents}
+        for address, agent in agents.items():
+            agent.listeners.append(lambda ref, address=address: self._on_progress(address, ref))
+
+    def _happens(self, name: str) -> bool:
+        if self.random_state.random() >= getattr(self.faults, name):
+            return False
+        self.faults.note(name)
+        return True
+
+    def _draw_delay_s(self) -> float:
+        return self.random_state.uniform(0.0, MAX_DELAY_S)
+
+    def start(self, address: str, run: RunRequest, feed: Feed) -> None:
+        """Send an attempt."""
+        stream = _Stream(run.attempt_id, 0, feed)
+        if self._happens("cut_before_send"):
+            exc = ConnectError("cut", step="run", peer=address)
+            self.scheduler.add(self._draw_delay_s(), lambda: self._cut(stream, exc))
+            return
+        self._streams[address].append(stream)
+        self.scheduler.add(self._draw_delay_s(), lambda: self._arrive(address, run, stream))
+        if self._happens("repeated_message"):
+            late_s = self.random_state.uniform(0.0, LATE_S)
+            boot = self.agents[address].n_boots
+            self.scheduler.add(late_s, lambda: self._repeat(address, run, boot))
+        if self._happens("cut_after_send"):
+            self._cut_later(stream, address)
+
+    def resume(
+        self, address: str, attempt_id: AttemptId, from_seq: int, delay_s: float, feed: Feed
+    ) -> None:
+        """Ask for the rest of an attempt."""
+        stream = _Stream(attempt_id, from_seq, feed)
+        self._streams[address].append(stream)
+        self.scheduler.add(delay_s + self._draw_delay_s(), lambda: self._pump(address, stream))
+
+    def cancel(self, address: str, attempt_id: AttemptId) -> None:
+        """Cancel an attempt at its agent."""
+        self.scheduler.add(self._draw_delay_s(), lambda: self.agents[address].cancel(attempt_id))
+
+    def break_all(self, address: str) -> None:
+        """Cut all streams of an agent, as when it restarts."""
+        for stream in self._streams[address]:
+            self._cut_later(stream, address)
+
+    def _arrive(self, address: str, run: RunRequest, stream: _Stream) -> None:
+        refused = self.agents[address].receive(run)
+        if refused is not None:
+            self._deliver(stream, refused)
+            return
+        self._pump(address, stream)
+
+    def _repeat(self, address: str, run: RunRequest, boot: int) -> None:
+        # A connection ends with the agent's run, so no copy reaches a later run.
+        if self.agents[address].n_boots == boot:
+            self.agents[address].receive(run)
+
+    def _on_progress(self, address: str, attempt_id: AttemptId) -> None:
+        for stream in list(self._streams[address]):
+            if stream.attempt_id == attempt_id:
+                self._pump(address, stream)
+
+    def _pump(self, address: str, stream: _Stream) -> None:
+        if not stream.is_open:
+            return
+        buffer = self.agents[address].buffers.get(stream.attempt_id)
+        if buffer is None:
+            self._cut_later(stream, address)
+            return
+        try:
+            events = buffer.read(stream.next_seq)
+        except CrocusvalveError:
+            self._cut_later(stream, address)
+            return
+        for event in events:
+            if not stream.is_open:
+                return
+            if isinstance(event, Frame):
+                stream.next_seq = event.seq + 1
+            self._send(address, stream, event)
+
+    def _send(self, address: str, stream: _Stream, event: RunEvent) -> None:
+        if self._happens("cut_stream"):
+            self._cut_later(stream, address)
+            return
+        self._deliver(stream, event)
+        if self._happens("repeated_frame"):
+            self._deliver(stream, event)
+        if isinstance(event, Frame) and self._happens("late_frame"):
+            late_s = self.random_state.uniform(MAX_DELAY_S, LATE_S)
+            late_s += stream.last_at - self.scheduler.now
+            self.scheduler.add(late_s, lambda: stream.feed(stream.attempt_id, event))
+        if not isinstance(event, Frame):
+            self._close(address, stream)
+
+    def _deliver(self, stream: _Stream, event: RunEvent) -> None:
+        at = max(stream.last_at, self.scheduler.now + self._draw_delay_s())
+        stream.last_at = at
+        delay_s = at - self.scheduler.now
+        self.scheduler.add(delay_s, lambda: stream.feed(stream.attempt_id, event))
+
+    def _cut_later(self, stream: _Stream, address: str) -> None:
+        if not stream.is_open:
+            return
+        self._close(address, stream)
+        exc = RpcError("cut", step="run", peer=address)
+        delay_s = max(0.0, stream.last_at - self.scheduler.now)
+        delay_s += self.random_state.uniform(0.0, CUT_NOTICE_S)
+        self.scheduler.add(
+            delay_s, lambda: stream.feed(stream.attempt_id, make_cut(stream.attempt_id, exc))
+        )
+
+    def _cut(self, stream: _Stream, exc: RpcError) -> None:
+        stream.is_open = False
+        stream.feed(stream.attempt_id, make_cut(stream.attempt_id, exc))
+
+    def _close(self, address: str, stream: _Stream) -> None:
+        stream.is_open = False
+        if stream in self._streams[address]:
+            self._streams[address].remove(stream)
