Metrics with bounded labels; logs with context and without keys or prompts

Cause: histograms for each customer and class, and lines that tell request, class, step and peer. Change: EntryMetrics, AgentMetrics, render_metrics; setup_logging, bind_log_context, Redactor. Ruled out: printing other libraries' error messages, which quote what they were given. Not proved: a prompt put into the template of a log call itself is hidden only where it stands in JSON or looks like a key.

--- /dev/null
+++ b/crocusvalve/metrics/_logs.py
@@ -0,0 +1,135 @@
+"""Set-up of the log of a process."""
+
+import logging
+import traceback
+from datetime import UTC, datetime
+from typing import TextIO
+
+import msgspec
+
+from crocusvalve.metrics._context import get_log_context
+from crocusvalve.metrics._redact import Redactor, describe_error
+from crocusvalve.settings import LogFormat, LogLevel
+
+__all__ = ["setup_logging"]
+
+#: Libraries that log headers and addresses of calls at lower levels.
+QUIET_LOGGERS = ("httpx", "httpcore", "hpack", "h2", "hypercorn", "quart", "asyncio", "grpclib")
+CONTEXT_FIELDS = ("request_id", "customer", "class", "step", "peer")
+
+
+def setup_logging(level: LogLevel, format: LogFormat, stream: TextIO) -> Redactor:
+    """Direct all logs of the process to a stream.
+
+    Parameters
+    ----------
+    level : LogLevel
+        Lowest level that is logged.
+    format : LogFormat
+        One JSON object a line, or text.
+    stream : TextIO
+        Where lines go, as a rule standard error.
+
+    Returns
+    -------
+    Redactor
+        Takes the keys of this process through ``add_secret``.
+    """
+    redactor = Redactor()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(
+        JsonFormatter(redactor) if format is LogFormat.JSON else TextFormatter(redactor)
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.value.upper())
+    for name in QUIET_LOGGERS:
+        logger = logging.getLogger(name)
+        logger.handlers = []
+        logger.propagate = True
+        logger.setLevel(logging.WARNING)
+    return redactor
+
+
+class LogLine(msgspec.Struct, rename={"class_name": "class"}, omit_defaults=True):
+    """One line of the log."""
+
+    time: str
+    level: str
+    logger: str
+    message: str
+    request_id: str = ""
+    customer: str = ""
+    class_name: str = ""
+    step: str = ""
+    peer: str = ""
+    error: str = ""
+
+
+class _Formatter(logging.Formatter):
+    """Builds log lines; the context's fields may be overridden by a call's ``extra``."""
+
+    def __init__(self, redactor: Redactor):
+        super().__init__()
+        self._redactor = redactor
+
+    def _make_line(self, record: logging.LogRecord) -> LogLine:
+        context = get_log_context()
+        fields = {
+            name: self._redactor.redact_text(str(getattr(record, name, getattr(context, name))))
+            for name in context.__struct_fields__
+        }
+        time = datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds")
+        message = self._redactor.redact_text(self._make_message(record))
+        error = self._redactor.redact_text(self._format_error(record))
+        return LogLine(
+            time=time,
+            level=record.levelname.lower(),
+            logger=record.name,
+            message=message,
+            error=error,
+            **fields,
+        )
+
+    def _make_message(self, record: logging.LogRecord) -> str:
+        args = record.args or ()
+        if not isinstance(args, tuple):
+            args = (args,)
+        shown = tuple(self._redactor.redact_argument(arg) for arg in args)
+        template = record.msg if isinstance(record.msg, str) else "%s"
+        if template is not record.msg:
+            shown = (self._redactor.redact_argument(record.msg),)
+        try:
+            return template % shown if shown else template
+        except (TypeError, ValueError):
+            return template
+
+    @staticmethod
+    def _format_error(record: logging.LogRecord) -> str:
+        if not record.exc_info or record.exc_info[1] is None:
+            return ""
+        exc = record.exc_info[1]
+        frames = traceback.extract_tb(exc.__traceback__)
+        places = [f"{frame.name}:{frame.lineno}" for frame in frames]
+        return f"{describe_error(exc)} at {' > '.join(places)}"
+
+
+class JsonFormatter(_Formatter):
+    """One JSON object a line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line."""
+        return msgspec.json.encode(self._make_line(record)).decode()
+
+
+class TextFormatter(_Formatter):
+    """Time, level, message, and the context's fields that are set."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line."""
+        line = self._make_line(record)
+        values = (line.request_id, line.customer, line.class_name, line.step, line.peer)
+        pairs = zip(CONTEXT_FIELDS, values, strict=True)
+        fields = " ".join(f"{name}={value}" for name, value in pairs if value)
+        parts = [line.time, line.level.upper(), line.logger, line.message, fields, line.error]
+        return " ".join(part for part in parts if part).replace("\n", " ")
--- /dev/null
+++ b/crocusvalve/metrics/_render.py
@@ -0,0 +1,18 @@
+"""Metrics in the form that a Prometheus server reads."""
+
+from msgspec import Struct
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+
+__all__ = ["RenderedMetrics", "render_metrics"]
+
+
+class RenderedMetrics(Struct, frozen=True):
+    """Body and content type of an answer to ``GET /metrics``."""
+
+    body: bytes
+    content_type: str
+
+
+def render_metrics(registry: CollectorRegistry) -> RenderedMetrics:
+    """Render all metrics of a registry."""
+    return RenderedMetrics(generate_latest(registry), CONTENT_TYPE_LATEST)
--- /dev/null
+++ b/features/metrics/steps/metrics_steps.py
@@ -0,0 +1,240 @@
+"""Steps about metrics and logs."""
+
+import io
+import json
+import logging
+from pathlib import Path
+
+import msgspec
+import trio
+from behave import given, then, when
+from prometheus_client import CollectorRegistry
+
+from crocusvalve.base import AttemptState, Revision, UpstreamState
+from crocusvalve.config import Document, DocumentView, parse_document
+from crocusvalve.exceptions import ErrorCode
+from crocusvalve.metrics import (
+    AgentMetrics,
+    EntryMetrics,
+    bind_log_context,
+    render_metrics,
+    setup_logging,
+)
+from crocusvalve.settings import LogFormat, LogLevel
+
+TRIAL = Path(__file__).resolve().parents[3] / "examples" / "trial.toml"
+SECRET = "s3cretPromptText"
+LOGGER = logging.getLogger("crocusvalve.test")
+
+
+class MetricsSubject:
+    """Metrics over a registry of their own."""
+
+    def __init__(self, kind):
+        self.registry = CollectorRegistry()
+        self.metrics = kind(self.registry)
+        self.document = parse_document(TRIAL.read_text(), source="trial.toml")
+
+    def take(self, members, revision):
+        document = Document("trial", members)
+        self.metrics.take_view(DocumentView(document, Revision(revision)))
+
+    def render(self):
+        return render_metrics(self.registry).body.decode()
+
+    def sum(self, name, customer):
+        values = [
+            sample.value
+            for metric in self.registry.collect()
+            for sample in metric.samples
+            if sample.name == name and sample.labels.get("customer") in (customer, None)
+        ]
+        return sum(values)
+
+
+class Body(msgspec.Struct):
+    """A message with a caller's text."""
+
+    content: str
+
+
+class LogSubject:
+    """A log that is kept in memory."""
+
+    def __init__(self, form):
+        self.stream = io.StringIO()
+        self.redactor = setup_logging(LogLevel.DEBUG, LogFormat(form), self.stream)
+
+    def log(self, what):
+        key = f"cv-{SECRET}-0123456789"
+        match what:
+            case "a bearer header":
+                LOGGER.info("got Authorization: Bearer %s", key[3:])
+            case "a key as a setting":
+                LOGGER.info("started with internal_key = '%s'", SECRET)
+            case "a made key":
+                LOGGER.info("caller sent %s", key)
+            case "a demo key":
+                LOGGER.info("caller sent demo-delta-%s", SECRET.lower() + "-x")
+            case "a registered secret":
+                self.redactor.add_secret(SECRET)
+                LOGGER.info("odd %s", SECRET)
+            case "the bytes of a body":
+                LOGGER.info("body %s", SECRET.encode())
+            case "a request message":
+                LOGGER.info("message %r", Body(SECRET))
+            case "a dictionary":
+                LOGGER.info("body %(content)s", {"content": SECRET})
+            case "a JSON text":
+                LOGGER.info('sent {"model": "m", "messages": [{"content": "%s"}]}', SECRET)
+            case "a long text":
+                LOGGER.info("prompt %s", f"Season {SECRET} " * 40)
+            case "an error of a library":
+                self.log_error("failed")
+            case "an error as an argument":
+                LOGGER.warning("failed: %s", ValueError(SECRET))
+            case "an object as the message":
+                LOGGER.warning(Body(SECRET))
+            case "a wrong format":
+                LOGGER.warning("two %s %s", f"{SECRET}")
+            case "a peer that is a key":
+                with bind_log_context(peer=key):
+                    LOGGER.warning("refused")
+            case "a library's debug line":
+                logging.getLogger("hpack").debug("header authorization %s", SECRET)
+                LOGGER.info("done")
+
+    def log_error(self, message):
+        try:
+            json.loads(f"{SECRET}")
+            raise AssertionError
+        except ValueError as exc:
+            try:
+                raise ValueError(f"bad body {SECRET}") from exc
+            except ValueError:
+                LOGGER.exception(message)
+
+
+@given("an entry's metrics with the trial document at revision {revision:d}")
+def given_entry(context, revision):
+    context.subject = MetricsSubject(EntryMetrics)
+    context.subject.take(context.subject.document.members, revision)
+
+
+@given("an agent's metrics")
+def given_agent(context):
+    context.subject = MetricsSubject(AgentMetrics)
+
+
+@when('{n:d} requests of "{customer}" in class "{name}" take {latency:g} s and cost {cost:g}')
+def when_requests(context, n, customer, name, latency, cost):
+    metrics = context.subject.metrics
+    for _ in range(n):
+        metrics.observe_request(customer, name, latency_s=latency, cost=cost)
+        metrics.observe_first_token(customer, name, latency_s=latency)
+
+
+@when("{n:d} requests of unknown customers, classes, upstreams and steps are counted")
+def when_unknown(context, n):
+    metrics = context.subject.metrics
+    for i in range(n):
+        metrics.observe_request(f"delta/c{i}", f"class-{i}", latency_s=1, cost=1)
+        metrics.count_alarm(f"delta/c{i}", f"class-{i}")
+        metrics.set_upstream(f"delta/u{i}", in_flight=1, limit=2)
+        metrics.count_violation(f"step-{i}")
+
+
+@when('the document without member "{member}" is in force at revision {revision:d}')
+def when_dropped(context, member, revision):
+    members = context.subject.document.members
+    context.subject.take({k: v for k, v in members.items() if k != member}, revision)
+
+
+@when("a refusal, a load, an outbox of {n:d} and a violation are set")
+def when_set(context, n):
+    metrics = context.subject.metrics
+    metrics.count_refusal(ErrorCode.RATE_LIMITED)
+    metrics.set_upstream("delta/assess-1", in_flight=4, limit=16)
+    metrics.set_outbox(n)
+    metrics.count_violation("claim")
+
+
+@when("the agent sets its load and ends an attempt")
+def when_agent(context):
+    metrics = context.subject.metrics
+    metrics.set_load(in_flight=2, limit=8, queued=0, state=UpstreamState.WARM)
+    metrics.observe_attempt(AttemptState.DONE, service_s=0.3)
+
+
+@then('metric "{name}" of "{customer}" is {value:g}')
+def then_metric(context, name, customer, value):
+    assert abs(context.subject.sum(name, customer) - value) < 1e-9
+
+
+@then('metric "{name}" is {value:g}')
+def then_gauge(context, name, value):
+    assert context.subject.sum(name, None) == value
+
+
+@then("at most {n:d} lines of metrics are rendered")
+def then_lines(context, n):
+    lines = [ln for ln in context.subject.render().splitlines() if not ln.startswith("#")]
+    assert len(lines) <= n, len(lines)
+
+
+@then('no metric names "{text}"')
+def then_no_metric(context, text):
+    assert text not in context.subject.render()
+
+
+@then("the rendered metrics hold")
+def then_hold(context):
+    lines = context.subject.render().splitlines()
+    missing = [row["line"] for row in context.table if f"{row['line']}.0" not in lines]
+    assert not missing, missing
+
+
+@given("a log in {form} form")
+def given_log(context, form):
+    context.subject = LogSubject(form)
+
+
+@when("two tasks log within their own contexts")
+def when_tasks(context):
+    async def work(name, turn, other):
+        fields = {"request_id": f"req-{name}", "customer": f"delta/{name}", "peer": f"peer-{name}"}
+        with bind_log_context(class_name=f"class-{name}", step=f"step-{name}", **fields):
+            turn.set()
+            await other.wait()
+            LOGGER.info("worked %s", name)
+
+    async def main():
+        first, second = trio.Event(), trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(work, "a", first, second)
+            nursery.start_soon(work, "b", second, first)
+
+    trio.run(main)
+
+
+@then("each line names its own request, customer, class, step and peer")
+def then_context(context):
+    lines = context.subject.stream.getvalue().splitlines()
+    assert len(lines) == 2
+    for line in lines:
+        name = "a" if "worked a" in line else "b"
+        other = "b" if name == "a" else "a"
+        for kind in ("req", "peer", "class", "step"):
+            assert f"{kind}-{name}" in line and f"{kind}-{other}" not in line, line
+        assert f"delta/{name}" in line
+
+
+@when("{what} is logged")
+def when_logged(context, what):
+    context.subject.log(what)
+
+
+@then('the log has a line and none of it holds "{secret}"')
+def then_hidden(context, secret):
+    text = context.subject.stream.getvalue()
+    assert text and secret.lower() not in text.lower(), text
