Operators' API and its client

Cause: operators drive the system through one document per environment, each for its own member. Change: AdminBackend, make_admin_blueprint under /admin/v1, AdminClient; keys bound to a member; answers cut down to the member; a base revision of another member's change is no conflict. Proof, by scratch changes: without the digest rule the scenario of two members fails, without the base check those of the race and of a wrong base, without the filter the one on a rival's view.

--- /dev/null
+++ b/crocusvalve/admin/_auth.py
@@ -0,0 +1,49 @@
+"""Authentication of operators."""
+
+from msgspec import Struct
+
+from crocusvalve.base import MemberId
+from crocusvalve.config import Document
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode
+from crocusvalve.security import read_bearer
+from crocusvalve.utils import hash_key
+
+__all__ = ["Operator", "find_operator"]
+
+
+class Operator(Struct, frozen=True):
+    """An operator, whose key is bound to one member."""
+
+    member: MemberId
+    name: str
+
+    @property
+    def author(self) -> str:
+        """Name in the history, ``member/operator``."""
+        return f"{self.member}/{self.name}"
+
+
+def find_operator(document: Document, authorization: str | None) -> Operator:
+    """Return the operator of an ``Authorization`` header.
+
+    Parameters
+    ----------
+    document : Document
+        The document in force, which holds the hashes of the operators' keys.
+    authorization : str or None
+        Value of the header.
+
+    Raises
+    ------
+    CrocusvalveError
+        ``invalid_api_key`` where the header holds no operator's key.
+    """
+    key = read_bearer(authorization)
+    if key:
+        digest = hash_key(key)
+        for member, section in document.members.items():
+            for name, cfg in section.operators.items():
+                if cfg.key_sha256 == digest:
+                    return Operator(member, name)
+    message = "an operator's key is needed as a bearer token"
+    raise CrocusvalveError(ErrorCode.BAD_KEY, message, step="authenticate")
--- /dev/null
+++ b/crocusvalve/admin/_errors.py
@@ -0,0 +1,69 @@
+"""Errors of the operators' API, to JSON and back."""
+
+import math
+
+import msgspec
+
+from crocusvalve.admin._messages import AdminError, ErrorReply, find_error_code
+from crocusvalve.exceptions import (
+    ConfigConflictError,
+    ConfigError,
+    CrocusvalveError,
+    ErrorCode,
+    PlatformError,
+)
+
+__all__ = ["decode_error", "encode_error", "get_retry_after_s"]
+
+PLATFORM_RETRY_S = 2.0
+
+
+def get_retry_after_s(exc: CrocusvalveError) -> int | None:
+    """Return when to come back, in whole seconds, or None where that is not known."""
+    retry_after_s = getattr(exc, "retry_after_s", None)
+    if retry_after_s is None and isinstance(exc, PlatformError):
+        retry_after_s = PLATFORM_RETRY_S
+    return None if retry_after_s is None else max(1, math.ceil(retry_after_s))
+
+
+def encode_error(exc: CrocusvalveError) -> bytes:
+    """Encode an error as the body of a refusal."""
+    error = AdminError(
+        code=exc.code.code,
+        message=exc.message,
+        step=exc.step,
+        peer=exc.peer,
+        problems=getattr(exc, "problems", []),
+        revision=getattr(exc, "revision", 0),
+        maybe_applied=getattr(exc, "maybe_applied", False),
+        retry_after_s=get_retry_after_s(exc),
+    )
+    return msgspec.json.encode(ErrorReply(error))
+
+
+def decode_error(body: bytes, status: int, peer: str) -> CrocusvalveError:
+    """Make the error that a refusal stands for.
+
+    Parameters
+    ----------
+    body : bytes
+        Body of the answer.
+    status : int
+        HTTP status, told where the body is not one of ours.
+    peer : str
+        URL of the entry.
+    """
+    try:
+        error = msgspec.json.decode(body, type=ErrorReply).error
+    except msgspec.MsgspecError:
+        message = f"the entry answered with HTTP status {status}"
+        return CrocusvalveError(ErrorCode.INTERNAL, message, step="admin", peer=peer)
+    where = {"step": error.step, "peer": error.peer or peer}
+    code = find_error_code(error.code)
+    if code is ErrorCode.CONFIG_INVALID:
+        return ConfigError(error.problems or [error.message], **where)
+    if code is ErrorCode.CONFLICT:
+        return ConfigConflictError(error.message, revision=error.revision, **where)
+    if code is ErrorCode.PLATFORM_DOWN:
+        return PlatformError(error.message, maybe_applied=error.maybe_applied, **where)
+    return CrocusvalveError(code, error.message, **where)
--- /dev/null
+++ b/crocusvalve/admin/_routes.py
@@ -0,0 +1,175 @@
+"""Routes of the operators' API."""
+
+import math
+from typing import TypeVar
+
+import msgspec
+from quart import Blueprint, Response, request
+
+from crocusvalve.admin import _messages as msg
+from crocusvalve.admin._auth import Operator
+from crocusvalve.admin._errors import encode_error, get_retry_after_s
+from crocusvalve.admin._service import AdminService
+from crocusvalve.admin.base import AdminBackend
+from crocusvalve.config import RolloutStart
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode
+from crocusvalve.utils import Clock, MonotonicClock
+
+__all__ = ["make_admin_blueprint"]
+
+PREFIX = "/admin/v1"
+JSON = "application/json"
+MAX_BODY_BYTES = 9 * 2**20
+DEFAULT_HISTORY = 20
+MAX_HISTORY = 1000
+SECONDS_PER_DAY = 86400.0
+
+T = TypeVar("T")
+
+
+def make_admin_blueprint(backend: AdminBackend, *, clock: Clock | None = None) -> Blueprint:
+    """Make the routes under ``/admin/v1``.
+
+    Parameters
+    ----------
+    backend : AdminBackend
+        Configuration and state of the entry.
+    clock : Clock or None
+        Source of the present time.
+
+    Returns
+    -------
+    quart.Blueprint
+    """
+    blueprint = Blueprint("admin", __name__, url_prefix=PREFIX)
+    api = AdminApi(AdminService(backend), clock or MonotonicClock())
+    for method, path, view in (
+        ("GET", "/config", api.get_config),
+        ("PUT", "/config", api.put_config),
+        ("POST", "/config/check", api.check_config),
+        ("GET", "/config/history", api.get_history),
+        ("PUT", "/domains/<name>", api.put_domain),
+        ("GET", "/rollouts", api.get_rollouts),
+        ("POST", "/rollouts", api.post_rollout),
+        ("POST", "/withdrawals", api.post_withdrawal),
+        ("GET", "/usage", api.get_usage),
+        ("GET", "/status", api.get_status),
+    ):
+        blueprint.add_url_rule(path, view.__name__, view, methods=[method])
+    blueprint.register_error_handler(CrocusvalveError, answer_error)
+    return blueprint
+
+
+async def answer_error(exc: CrocusvalveError) -> Response:
+    """Answer a refusal."""
+    response = Response(encode_error(exc), status=exc.code.http_status, content_type=JSON)
+    retry_after_s = get_retry_after_s(exc)
+    if retry_after_s is not None:
+        response.headers["Retry-After"] = str(retry_after_s)
+    return response
+
+
+class AdminApi:
+    """Handlers; each authenticates the operator first."""
+
+    def __init__(self, service: AdminService, clock: Clock):
+        self.service = service
+        self.clock = clock
+
+    async def get_config(self) -> Response:
+        """Show the document."""
+        operator = await self._authenticate()
+        return _answer(await self.service.get_config(operator))
+
+    async def put_config(self) -> Response:
+        """Put a document in force."""
+        operator = await self._authenticate()
+        change = await _read_body(msg.ConfigChange)
+        return _answer(await self.service.apply(operator, change, self.clock.now()))
+
+    async def check_config(self) -> Response:
+        """Check a document and show what it would change."""
+        operator = await self._authenticate()
+        change = await _read_body(msg.ConfigChange)
+        return _answer(await self.service.plan(operator, change))
+
+    async def get_history(self) -> Response:
+        """Show the last revisions."""
+        operator = await self._authenticate()
+        n = int(_read_number("n", DEFAULT_HISTORY, low=1, high=MAX_HISTORY))
+        return _answer(await self.service.list_history(operator, n))
+
+    async def put_domain(self, name: str) -> Response:
+        """Take a failure domain out or in."""
+        operator = await self._authenticate()
+        change = await _read_body(msg.DomainChange)
+        now = self.clock.now()
+        return _answer(await self.service.set_domain(operator, name, change.state, now))
+
+    async def get_rollouts(self) -> Response:
+        """Show the roll-outs."""
+        operator = await self._authenticate()
+        return _answer(await self.service.list_rollouts(operator))
+
+    async def post_rollout(self) -> Response:
+        """Start a roll-out."""
+        operator = await self._authenticate()
+        start = await _read_body(RolloutStart)
+        return _answer(await self.service.start_rollout(operator, start, self.clock.now()))
+
+    async def post_withdrawal(self) -> Response:
+        """Withdraw a version."""
+        operator = await self._authenticate()
+        req = await _read_body(msg.WithdrawRequest)
+        return _answer(await self.service.withdraw(operator, req.version, self.clock.now()))
+
+    async def get_usage(self) -> Response:
+        """Show the usage, of the last day by default."""
+        operator = await self._authenticate()
+        now = self.clock.now()
+        until = _read_number("until", now, low=0)
+        since = _read_number("since", max(0.0, until - SECONDS_PER_DAY), low=0, high=until)
+        return _answer(await self.service.get_usage(operator, since, until))
+
+    async def get_status(self) -> Response:
+        """Show the state of this entry."""
+        operator = await self._authenticate()
+        return _answer(await self.service.get_status(operator))
+
+    async def _authenticate(self) -> Operator:
+        return await self.service.authenticate(request.headers.get("Authorization"))
+
+
+def _answer(message: msgspec.Struct) -> Response:
+    return Response(msgspec.json.encode(message), content_type=JSON)
+
+
+async def _read_body(kind: type[T]) -> T:
+    request.max_content_length = MAX_BODY_BYTES
+    if (request.content_length or 0) > MAX_BODY_BYTES:
+        raise _make_error(ErrorCode.BODY_TOO_LARGE, f"the body is over {MAX_BODY_BYTES} bytes")
+    data = await request.get_data()
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.ValidationError as exc:
+        raise _make_error(ErrorCode.BAD_REQUEST, f"the body does not fit: {exc}") from exc
+    except msgspec.DecodeError as exc:
+        raise _make_error(ErrorCode.BAD_JSON, "the body is no JSON") from exc
+
+
+def _read_number(name: str, default: float, *, low: float, high: float = math.inf) -> float:
+    text = request.args.get(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not low <= value <= high or math.isinf(value):
+        message = f"{name} must be a number in [{low:g}, {high:g}], got {text[:40]!r}"
+        raise _make_error(ErrorCode.BAD_REQUEST, message)
+    return value
+
+
+def _make_error(code: ErrorCode, message: str) -> CrocusvalveError:
+    return CrocusvalveError(code, message, step="parse")
--- a/crocusvalve/config/__init__.py
+++ b/crocusvalve/config/__init__.py
@@ -4,6 +4,7 @@
 from crocusvalve.config._author import (
     check_author,
     check_change,
+    compute_section_digest,
     filter_document,
     merge_section,
 )
@@ -30,6 +31,7 @@
 from crocusvalve.config._promote import promote_section
 from crocusvalve.config._ranges import NumberRange, list_value_problems
 from crocusvalve.config._reader import StructReader, parse_toml
+from crocusvalve.config._rollout_edit import RolloutStart, start_rollout, withdraw_version
 from crocusvalve.config._view import CustomerView, DocumentView, UpstreamView
 
 __all__ = [
@@ -48,6 +50,7 @@
     "PolicyConfig",
     "Problem",
     "RolloutConfig",
+    "RolloutStart",
     "ServiceConfig",
     "StructReader",
     "UpstreamConfig",
@@ -56,6 +59,7 @@
     "check_author",
     "check_change",
     "check_document",
+    "compute_section_digest",
     "diff_documents",
     "filter_document",
     "format_document",
@@ -68,4 +72,6 @@
     "promote_section",
     "read_document",
     "show_value",
+    "start_rollout",
+    "withdraw_version",
 ]
--- a/crocusvalve/config/_author.py
+++ b/crocusvalve/config/_author.py
@@ -6,8 +6,15 @@
 from crocusvalve.config._check import list_problems
 from crocusvalve.config._document import Document, MemberConfig, ModelConfig
 from crocusvalve.exceptions import ConfigError, CrocusvalveError, ErrorCode
+from crocusvalve.utils import compute_digest
 
-__all__ = ["check_author", "check_change", "filter_document", "merge_section"]
+__all__ = [
+    "check_author",
+    "check_change",
+    "compute_section_digest",
+    "filter_document",
+    "merge_section",
+]
 
 
 def check_author(old: Document, new: Document, member: MemberId) -> None:
@@ -102,6 +109,12 @@
     return merged
 
 
+def compute_section_digest(document: Document, member: MemberId) -> str:
+    """Return a digest of a member's section, the same for equal sections."""
+    section = document.members.get(member)
+    return compute_digest(msgspec.msgpack.encode(section, order="deterministic"))
+
+
 def _list_shared(section: MemberConfig, member: MemberId) -> dict[str, ModelConfig]:
     return {
         name: msgspec.structs.replace(model, shared_with=(member,))
--- /dev/null
+++ b/features/admin/steps/admin_steps.py
@@ -0,0 +1,422 @@
+"""Steps about the operators' API."""
+
+import json
+from contextlib import suppress
+from pathlib import Path
+
+import httpx
+import msgspec
+import trio
+from behave import given, then, when
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+from crocusvalve.admin import (
+    Accepted,
+    AdminBackend,
+    AdminClient,
+    ConfigChange,
+    HistoryEntry,
+    StatusReport,
+    UnreachableError,
+    UpstreamStatus,
+    UsageEntry,
+    make_admin_blueprint,
+)
+from crocusvalve.base import DomainState, UpstreamState
+from crocusvalve.config import DocumentView, parse_document, withdraw_version
+from crocusvalve.exceptions import ConfigConflictError, CrocusvalveError, PlatformError
+from crocusvalve.model import RolloutRow
+
+TRIAL = Path(__file__).resolve().parents[3] / "examples" / "trial.toml"
+OPERATORS = {"delta": "water-desk", "sfax": "control-room"}
+GUARD_S = 30
+DEAD_URL = "http://127.0.0.1:9"
+KEY = "demo-delta-operator-water-desk"
+
+
+class MemoryAdminBackend(AdminBackend):
+    """A backend in memory whose store can be down and can be raced."""
+
+    def __init__(self, document):
+        self.documents = [document]
+        self.entries = [HistoryEntry(1, "delta/first", 1.0, "first")]
+        self.is_store_up = True
+        self.before_publish = None
+
+    async def current(self):
+        return self.documents[-1], len(self.documents)
+
+    async def publish(self, base, document, author, now):
+        if not self.is_store_up:
+            raise PlatformError("the store is down", step="publish")
+        hook, self.before_publish = self.before_publish, None
+        if hook is not None:
+            await hook()
+        if base != len(self.documents):
+            raise ConfigConflictError("raced", revision=len(self.documents))
+        self.documents.append(document)
+        self.entries.append(HistoryEntry(len(self.documents), author, now))
+        return len(self.documents)
+
+    async def history(self, n):
+        return self.entries[::-1][:n]
+
+    async def _change(self, document, author, now):
+        document_now, revision = await self.current()
+        if not self.is_store_up:
+            return Accepted(revision, by_notice=True)
+        return Accepted(await self.publish(revision, document, author, now))
+
+    async def set_domain(self, member, domain, state, author, now):
+        document, _ = await self.current()
+        section = document.members[member]
+        cfg = msgspec.structs.replace(section.domains[domain], state=state)
+        section = msgspec.structs.replace(section, domains=section.domains | {domain: cfg})
+        members = document.members | {member: section}
+        return await self._change(msgspec.structs.replace(document, members=members), author, now)
+
+    async def withdraw(self, member, version, author, now):
+        document, _ = await self.current()
+        return await self._change(withdraw_version(document, member, version), author, now)
+
+    async def rollouts(self):
+        return [
+            RolloutRow(
+                rollout_id=f"{model}-v2",
+                model=model,
+                version=f"{model}@v2",
+                baseline=f"{model}@v1",
+                stages=(0.1, 1.0),
+            )
+            for model in ("delta/assess-small", "sfax/log-small")
+        ]
+
+    async def usage(self, member, since, until):
+        view = DocumentView(self.documents[-1], 1)
+        return [UsageEntry(name, "c", "m@v1", 1, 2, 3, 0.5) for name in view.customers]
+
+    async def status(self, member):
+        view = DocumentView(self.documents[-1], 1)
+        upstreams = [
+            UpstreamStatus(up.upstream_id, up.domain, UpstreamState.WARM, 1, 16, 0, 1, 5.0)
+            for up in view.upstreams.values()
+        ]
+        return StatusReport(
+            node_id="entry-1",
+            revision=len(self.documents),
+            is_store_up=self.is_store_up,
+            outbox=0,
+            queued=0,
+            domains=view.domains,
+            upstreams=upstreams,
+        )
+
+
+class AdminSubject:
+    """An entry's application and clients that call it without sockets."""
+
+    def __init__(self):
+        document = parse_document(TRIAL.read_text(), source="trial.toml")
+        self.backend = MemoryAdminBackend(document)
+        self.app = QuartTrio("admin")
+        self.app.register_blueprint(make_admin_blueprint(self.backend))
+        self.error = self.reply = None
+
+    def make_client(self, member, operator=None):
+        key = f"demo-{member}-operator-{operator or OPERATORS[member]}"
+        transport = httpx.ASGITransport(self.app)
+        return AdminClient(["http://entry"], key, transport=transport)
+
+    def run(self, work, *args):
+        async def main():
+            with trio.fail_after(GUARD_S):
+                return await work(*args)
+
+        return trio.run(main)
+
+    async def call(self, method, path, key, body):
+        transport = httpx.ASGITransport(self.app)
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        async with httpx.AsyncClient(transport=transport, base_url="http://entry") as http:
+            url = f"/admin/v1/{path}"
+            return await http.request(method, url, headers=headers, content=body)
+
+    async def apply_weight(self, member, customer, weight, *, owner=None, read=None, check=False):
+        async with self.make_client(member) as client:
+            reply = read or await client.get_config()
+            text = self.set_weight(reply.document, owner or member, customer, weight)
+            change = ConfigChange(reply.revision, text, "my.toml", reply.section_digest)
+            planned = await client.check_config(change) if check else None
+            return planned, await client.put_config(change)
+
+    @staticmethod
+    def set_weight(text, owner, customer, weight):
+        header = f"[members.{owner}.customers.{customer}]\n"
+        if header not in text:
+            return f'{text}\n{header}key_sha256 = "{"a" * 64}"\nallowed = []\nclasses = []\n'
+        head, tail = text.split(header)
+        lines = tail.splitlines(keepends=True)
+        end = next((i for i, line in enumerate(lines) if line == "\n"), len(lines))
+        block = [line for line in lines[:end] if not line.startswith("weight")]
+        return "".join([head, header, *block, f"weight = {weight}\n", *lines[end:]])
+
+    def try_apply(self, *args, **kwargs):
+        try:
+            self.reply = self.run(lambda: self.apply_weight(*args, **kwargs))
+        except CrocusvalveError as exc:
+            self.error = exc
+
+
+@given("an entry with the trial document in force")
+def given_entry(context):
+    context.subject = AdminSubject()
+
+
+@given("the store is {state}")
+def given_store(context, state):
+    context.subject.backend.is_store_up = state == "up"
+
+
+@when('{method} {path} is called with key "{key}"')
+def when_called(context, method, path, key):
+    subject = context.subject
+    context.response = subject.run(subject.call, method, path, key, b"{}")
+
+
+@when('{method} {path} is called with key ""')
+def when_called_without(context, method, path):
+    when_called(context, method, path, "")
+
+
+@when('{method} {path} is called by "{member}" with body {body}')
+def when_called_by(context, method, path, member, body):
+    subject = context.subject
+    key = f"demo-{member}-operator-{OPERATORS[member]}"
+    context.response = subject.run(subject.call, method, path, key, body.strip().encode())
+
+
+@then('the answer is {status:d} with code "{code}" at step "{step}"')
+def then_answer(context, status, code, step):
+    error = context.response.json()["error"]
+    assert (context.response.status_code, error["code"], error["step"]) == (status, code, step)
+
+
+@then("nothing was published")
+def then_nothing(context):
+    assert len(context.subject.backend.documents) == 1
+
+
+@when('"{member}" asks for configuration, history, usage, roll-outs and status')
+def when_asks(context, member):
+    async def ask():
+        async with context.subject.make_client(member) as client:
+            calls = (client.get_config, client.get_rollouts, client.get_status)
+            answers = [await call() for call in calls]
+            answers += [await client.get_history(5), await client.get_usage(None, None)]
+            return msgspec.json.encode(answers).decode()
+
+    context.answers = context.subject.run(ask)
+
+
+@then('no answer names a customer, an upstream, an operator or a count of "{member}"')
+def then_private(context, member):
+    section = context.subject.backend.documents[-1].members[member]
+    names = [*section.customers, *section.upstreams, *section.operators, *section.domains]
+    found = [name for name in names if name in context.answers]
+    assert not found and "first" not in context.answers, found
+    assert json.loads(context.answers)[4]["entries"], "the own usage is missing"
+
+
+@when('"{member}" plans and applies the weight {weight:g} for customer "{customer}"')
+def when_plans(context, member, weight, customer):
+    context.subject.try_apply(member, customer, weight, check=True)
+
+
+@when('"{member}" applies the weight {weight:g} for customer "{customer}"')
+def when_applies(context, member, weight, customer):
+    context.subject.try_apply(member, customer, weight)
+
+
+@when('"{member}" reaches for customer "{customer}" of "{owner}" with the weight {weight:g}')
+def when_reaches(context, member, customer, owner, weight):
+    context.subject.try_apply(member, customer, weight, owner=owner)
+
+
+@then('both tell one change of "{path}"')
+def then_one_change(context, path):
+    for reply in context.subject.reply:
+        assert [change.path for change in reply.changes] == [path], reply
+
+
+@then('revision {revision:d} is in force with author "{author}"')
+def then_in_force(context, revision, author):
+    entry = context.subject.backend.entries[-1]
+    assert (entry.revision, entry.author) == (revision, author)
+
+
+@then('the change is refused with code "{code}"')
+def then_refused(context, code):
+    error = context.subject.error
+    assert error is not None and error.code.code == code, error
+
+
+@then('the refusal names "{file}", "{key}" and "{allowed}"')
+def then_names(context, file, key, allowed):
+    problems = context.subject.error.problems
+    assert any(all(part in p for part in (file, key, allowed)) for p in problems), problems
+
+
+@then("the refusal tells when to come back")
+def then_retry(context):
+    subject = context.subject
+    body = b'{"model": "assess-small", "version": "v2"}'
+    response = subject.run(subject.call, "POST", "rollouts", KEY, body)
+    assert response.status_code == 503 and int(response.headers["Retry-After"]) >= 1
+
+
+@given('both operators of "{member}" have read revision {revision:d}')
+def given_both(context, member, revision):
+    given_read(context, member, revision)
+
+
+@given('"{member}" has read revision {revision:d}')
+def given_read(context, member, revision):
+    async def read():
+        async with context.subject.make_client(member) as client:
+            return await client.get_config()
+
+    context.read = context.subject.run(read)
+    assert context.read.revision == revision
+
+
+@when('the first applies the weight {first:g} and the second the weight {second:g} for "{name}"')
+def when_race(context, first, second, name):
+    context.subject.try_apply("delta", name, first, read=context.read)
+    assert context.subject.error is None
+    context.subject.try_apply("delta", name, second, read=context.read)
+
+
+@then("the second is refused with a conflict that names revision {revision:d}")
+def then_conflict(context, revision):
+    error = context.subject.error
+    assert isinstance(error, ConfigConflictError) and error.revision == revision
+
+
+@when('"{member}" changes its section {n:d} times, once during the publication by "{other}"')
+def when_changes(context, member, n, other):
+    subject = context.subject
+    for weight in range(1, n):
+        subject.try_apply(member, "archive", weight + 0.5)
+
+    async def hook():
+        await subject.apply_weight(member, "archive", n + 0.5)
+
+    subject.backend.before_publish = hook
+
+
+@when('"{member}" applies its change')
+def when_applies_read(context, member):
+    context.subject.try_apply(member, "coop-ke-sach", 9.5, read=context.read)
+
+
+@then("all {n:d} changes are in force")
+def then_all(context, n):
+    subject = context.subject
+    assert subject.error is None, subject.error
+    members = subject.backend.documents[-1].members
+    assert len(subject.backend.documents) == n + 1
+    assert members["delta"].customers["coop-ke-sach"].weight == 9.5
+    assert members["sfax"].customers["archive"].weight == 3.5
+
+
+@when('"{member}" takes "{domain}" out and withdraws "{version}"')
+def when_out(context, member, domain, version):
+    async def change():
+        async with context.subject.make_client(member) as client:
+            return [
+                await client.set_domain(domain, DomainState.OUT),
+                await client.withdraw(version),
+            ]
+
+    context.accepted = context.subject.run(change)
+
+
+@then("both are accepted by {means}")
+def then_accepted(context, means):
+    assert [item.by_notice for item in context.accepted] == [means == "notice"] * 2
+
+
+@then('roll-out "{name}" of the document is {state}')
+def then_rollout(context, name, state):
+    section = context.subject.backend.documents[-1].members["delta"]
+    assert section.rollouts[name].state.value == state
+
+
+class ServedSubject:
+    """An entry's application on a socket, and addresses at which nobody answers."""
+
+    def __init__(self, app):
+        self.app = app
+
+    async def run(self, check):
+        cfg = Config()
+        cfg.bind = ["127.0.0.1:0"]
+        cfg.loglevel = "CRITICAL"
+        stop = trio.Event()
+        with trio.fail_after(GUARD_S):
+            async with trio.open_nursery() as nursery:
+                binds = await nursery.start(
+                    lambda task_status: serve(
+                        self.app, cfg, shutdown_trigger=stop.wait, task_status=task_status
+                    )
+                )
+                await check(binds[0])
+                stop.set()
+
+    @staticmethod
+    async def close_unanswered(stream):
+        with suppress(trio.BrokenResourceError):
+            await stream.receive_some(10)
+        await stream.aclose()
+
+
+@then("a client with a dead first address is answered by the second")
+def then_second(context):
+    async def check(url):
+        async with AdminClient([DEAD_URL, url], KEY) as client:
+            assert (await client.get_config()).revision == 1
+
+    trio.run(ServedSubject(context.subject.app).run, check)
+
+
+@then("a client with only a dead address is told that nobody answered")
+def then_nobody(context):
+    async def check():
+        async with AdminClient([DEAD_URL], KEY) as client:
+            await client.withdraw("assess-small@v2")
+
+    try:
+        trio.run(check)
+    except UnreachableError as exc:
+        assert not exc.maybe_applied
+    else:
+        raise AssertionError
+
+
+@then("a client whose answer is lost is told that its change may be in force")
+def then_lost(context):
+    async def check():
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, ServedSubject.close_unanswered, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            async with AdminClient([f"http://127.0.0.1:{port}"], KEY) as client:
+                try:
+                    await client.withdraw("assess-small@v2")
+                except UnreachableError as exc:
+                    nursery.cancel_scope.cancel()
+                    return exc.maybe_applied
+
+    assert trio.run(check)
