--- a/crocusvalve/config/__init__.py
+++ b/crocusvalve/config/__init__.py
@@ -1,7 +1,13 @@
 """Configuration document: typed form, checks, differences and deltas."""
 
 from crocusvalve.config._addresses import is_http_url, is_socket_address
-from crocusvalve.config._author import check_author, check_change, filter_document, merge_section
+from crocusvalve.config._author import (
+    check_author,
+    check_change,
+    compute_section_digest,
+    filter_document,
+    merge_section,
+)
 from crocusvalve.config._check import check_document
 from crocusvalve.config._delta import (
     apply_delta,
@@ -33,12 +39,10 @@
 from crocusvalve.config._promote import promote_section
 from crocusvalve.config._ranges import NumberRange, list_value_problems
 from crocusvalve.config._reader import StructReader, parse_toml
+from crocusvalve.config._rollout_edit import RolloutStart, start_rollout, withdraw_version
 from crocusvalve.config._view import CustomerView, DocumentView, UpstreamView
 
 __all__ = [
-    "set_current_version",
-    "set_domain_state",
-    "set_version_state",
     "CascadeConfig",
     "Change",
     "ClassConfig",
@@ -54,6 +58,7 @@
     "PolicyConfig",
     "Problem",
     "RolloutConfig",
+    "RolloutStart",
     "ServiceConfig",
     "StructReader",
     "UpstreamConfig",
@@ -64,6 +69,7 @@
     "check_change",
     "check_document",
     "compute_document_digest",
+    "compute_section_digest",
     "decode_document",
     "diff_documents",
     "encode_document",
@@ -78,5 +84,10 @@
     "parse_toml",
     "promote_section",
     "read_document",
+    "set_current_version",
+    "set_domain_state",
+    "set_version_state",
     "show_value",
+    "start_rollout",
+    "withdraw_version",
 ]
