contract: a fence carries the deadline of its attempt

Cause: a randomised run (features/orders) found that an agent which had forgotten an ended attempt answered a later fence with NOT_RUN, although the attempt had run. Conclusion: needed by OrderGuard.fence.

--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -142,10 +142,15 @@
 
 
 class FenceRequest(Struct, frozen=True):
-    """Asks an agent never to start an attempt that it has not started."""
+    """Asks an agent never to start an attempt that it has not started.
+
+    ``deadline`` is that of the attempt; without it an agent that does not know the attempt can't
+    tell whether it has forgotten it.
+    """
 
     attempt_id: AttemptId
     boot_id: BootId
+    deadline: float = 0.0
 
 
 class FenceReply(Struct, frozen=True):
