--- a/crocusvalve/rpc/__init__.py
+++ b/crocusvalve/rpc/__init__.py
@@ -9,6 +9,7 @@
     CancelRequest,
     ConfigAck,
     ConfigPush,
+    CrashRecord,
     Empty,
     FenceReply,
     FenceRequest,
@@ -18,6 +19,7 @@
     Notice,
     NoticeAck,
     NoticeKind,
+    NoticeList,
     Refused,
     ResumeRequest,
     RunEvent,
@@ -25,6 +27,7 @@
     Usage,
 )
 from crocusvalve.rpc._server import serve_rpc
+from crocusvalve.rpc._signing import is_signed_notice, sign_notice
 from crocusvalve.rpc.base import AgentService, PeerService
 
 __all__ = [
@@ -36,6 +39,7 @@
     "CancelRequest",
     "ConfigAck",
     "ConfigPush",
+    "CrashRecord",
     "ConnectError",
     "Empty",
     "FenceReply",
@@ -46,6 +50,7 @@
     "Notice",
     "NoticeAck",
     "NoticeKind",
+    "NoticeList",
     "PeerClient",
     "PeerService",
     "Refused",
@@ -56,5 +61,7 @@
     "Usage",
     "decode",
     "encode",
+    "is_signed_notice",
     "serve_rpc",
+    "sign_notice",
 ]
--- a/crocusvalve/rpc/_client.py
+++ b/crocusvalve/rpc/_client.py
@@ -147,3 +147,7 @@
     async def notify(self, req: msg.Notice) -> msg.NoticeAck:
         """Pass a notice."""
         return await self._call("notify", req)
+
+    async def list_notices(self, req: msg.Empty) -> msg.NoticeList:
+        """Return the notices in force."""
+        return await self._call("list_notices", req)
--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -28,6 +28,7 @@
     "CancelRequest",
     "ConfigAck",
     "ConfigPush",
+    "CrashRecord",
     "Empty",
     "FenceReply",
     "FenceRequest",
@@ -37,6 +38,7 @@
     "Notice",
     "NoticeAck",
     "NoticeKind",
+    "NoticeList",
     "Refused",
     "ResumeRequest",
     "RunEvent",
@@ -161,8 +163,19 @@
     boot_id: BootId
 
 
+class CrashRecord(Struct, frozen=True):
+    """An attempt under which the upstream crashed, by the digest of its request."""
+
+    digest: str
+    attempt_id: AttemptId
+
+
 class LoadReport(Struct, frozen=True, kw_only=True):
-    """State of an upstream as its agent sees it; ``ewma_service_s`` in seconds a request."""
+    """State of an upstream as its agent sees it; ``ewma_service_s`` in seconds a request.
+
+    ``crashes`` are the last ones, so that entries learn of them even where the attempt's own
+    stream was cut.
+    """
 
     upstream_id: UpstreamId
     boot_id: BootId
@@ -174,6 +187,7 @@
     revision: Revision
     at: float
     serves: tuple[VersionRef, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
 
 
 class Empty(Struct, frozen=True):
@@ -221,6 +235,12 @@
     is_new: bool
 
 
+class NoticeList(Struct, frozen=True):
+    """Notices in force at an entry, for one that has just started."""
+
+    notices: tuple[Notice, ...]
+
+
 class BillRecord(Struct, frozen=True, kw_only=True):
     """What a customer owes for one request, over all attempts and cascade steps."""
 
--- a/crocusvalve/rpc/_server.py
+++ b/crocusvalve/rpc/_server.py
@@ -2,6 +2,7 @@
 
 import ssl
 from collections.abc import Callable
+from contextlib import aclosing
 from typing import Any
 
 import msgspec
@@ -57,6 +58,7 @@
         RpcMethod("Peer", "push_config", msg.ConfigPush, msg.ConfigAck),
         RpcMethod("Peer", "pull_config", msg.ConfigAck, msg.ConfigPush),
         RpcMethod("Peer", "notify", msg.Notice, msg.NoticeAck),
+        RpcMethod("Peer", "list_notices", msg.Empty, msg.NoticeList),
     )
 }
 
@@ -103,8 +105,9 @@
     @staticmethod
     async def _answer_stream(target: Callable, req: Any, stream: Any) -> None:
         send = aio_as_trio(stream.send_message)
-        async for event in target(req):
-            await send(event)
+        async with aclosing(target(req)) as events:
+            async for event in events:
+                await send(event)
 
 
 async def serve_rpc(
--- a/crocusvalve/rpc/base.py
+++ b/crocusvalve/rpc/base.py
@@ -18,6 +18,7 @@
     LoadReport,
     Notice,
     NoticeAck,
+    NoticeList,
     ResumeRequest,
     RunEvent,
     RunRequest,
@@ -87,3 +88,7 @@
     @abstractmethod
     async def notify(self, req: Notice) -> NoticeAck:
         """Take a notice and pass it on where it is new."""
+
+    @abstractmethod
+    async def list_notices(self, req: Empty) -> NoticeList:
+        """Return the notices in force and the digests that crashed upstreams."""
