Fault matrix of the agent; fencing of orders to engines; crashes and notices reported

Change: 29 faults x 4 kinds of request against the agent with a fake upstream under a mock clock; OrderFence and OrderDoor (order_upstream); crash records in the load report; notices fetched from an entry at the start; a cancellation that overtakes its attempt fences it; a drain waits for readers of answers too. Ruled out: checks of deadline and boot in the admission beside the guard's: taken out without effect on any row, so they stood twice.

--- a/crocusvalve/agent/_admission.py
+++ b/crocusvalve/agent/_admission.py
@@ -37,8 +37,8 @@
 
     def admit(self, tables: AgentTables, req: RunRequest, now: float) -> RunRow:
         """Check an attempt and take its place in the guard and in the limit."""
-        self._check_boot(tables, req)
-        self.check(tables, req, now)
+        self._check_boot(req)
+        self.check(tables, req)
         self._check_room(tables)
         tables.guard.admit(req.attempt_id, boot_id=req.boot_id, deadline=req.deadline, now=now)
         generation = tables.limiter.generation
@@ -55,10 +55,12 @@
         ran = tables.guard.refuse(req.attempt_id, deadline=req.deadline, now=now)
         return make_refused(req.attempt_id, exc, peer=tables.upstream_id, ran=ran)
 
-    def check(self, tables: AgentTables, req: RunRequest, now: float) -> None:
-        """Run the checks whose facts may change until the attempt is sent to the upstream."""
+    def check(self, tables: AgentTables, req: RunRequest) -> None:
+        """Run the checks whose facts may change until the attempt is sent to the upstream.
+
+        The deadline, the boot and the fences are the guard's to check.
+        """
         self._check_address(tables, req)
-        self._check_deadline(req, now)
         self._check_closed(tables)
         self._check_request(tables, req)
         self._check_customer(tables, req)
@@ -68,9 +70,8 @@
         """Tell whether the entry has seen a newer revision than the agent."""
         return tables.view is None or tables.view.revision < req.revision
 
-    def _check_boot(self, tables: AgentTables, req: RunRequest) -> None:
-        if req.boot_id and req.boot_id != tables.boot_id:
-            raise RefusedError(ErrorCode.STALE_BOOT, "the agent was restarted", step=STEP)
+    @staticmethod
+    def _check_boot(req: RunRequest) -> None:
         if req.kind is ClassKind.ORDER and not req.boot_id:
             message = "an order must name the agent's boot"
             raise RefusedError(ErrorCode.STALE_BOOT, message, step=STEP)
@@ -95,10 +96,6 @@
             message = f"{tables.upstream_id} is of kind {upstream.cfg.kind.value}"
             raise RefusedError(ErrorCode.NO_UPSTREAM, message, step=STEP)
 
-    def _check_deadline(self, req: RunRequest, now: float) -> None:
-        if now >= req.deadline:
-            raise RefusedError(ErrorCode.DEADLINE_PASSED, "the deadline has passed", step=STEP)
-
     def _check_closed(self, tables: AgentTables) -> None:
         state = tables.state
         if state is UpstreamState.DRAINING:
--- a/crocusvalve/agent/_bills.py
+++ b/crocusvalve/agent/_bills.py
@@ -1,5 +1,6 @@
 """Bills that the agent holds until an entry has flushed them to the ledger."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from msgspec import Struct
@@ -76,6 +77,7 @@
         self.n_lost = 0
         self._pending: dict[AttemptId, HeldBill] = {}
         self._owed: dict[RequestId, HeldBill] = {}
+        self._owed_by: OrderedDict[AttemptId, RequestId] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._owed)
@@ -120,7 +122,16 @@
         known = self._owed.get(held.bill.request_id)
         if known is None or known.bill.n_attempts < held.bill.n_attempts:
             self._owed[held.bill.request_id] = held
+            self._owed_by[attempt_id] = held.bill.request_id
             self.n_lost += self._drop_oldest(self._owed)
+            self._drop_oldest(self._owed_by)
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Void the bill of an attempt whose entry gave up its answer."""
+        self._pending.pop(attempt_id, None)
+        request_id = self._owed_by.pop(attempt_id, None)
+        if request_id is not None:
+            self._owed.pop(request_id, None)
 
     def list_due(self, now: float, *, is_draining: bool = False) -> tuple[BillRecord, ...]:
         """Return the bills to offer; all of them while the agent drains."""
--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -18,12 +18,13 @@
 )
 from crocusvalve.base import Ran, UpstreamKind, UpstreamState
 from crocusvalve.exceptions import ErrorCode
-from crocusvalve.rpc import RunRequest, Usage
+from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
 
 __all__ = ["HttpUpstream", "make_engine_body", "make_http_client"]
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
+ORDERS_PATH = "/orders"
 MAX_PART_BYTES = 64 * 1024
 SSE_PREFIX = "data:"
 SSE_DONE = "[DONE]"
@@ -58,6 +59,12 @@
     error: Any = None
 
 
+class _OrderReply(Struct, frozen=True):
+    accepted: bool = False
+    number: int = 0
+    ready_at: float = 0.0
+
+
 class _Health(Struct, frozen=True):
     state: str = ""
     boot_id: str = ""
@@ -129,9 +136,28 @@
         is_up = state is not UpstreamState.DOWN
         return HealthReport(is_up, state, health.boot_id, health.uptime_s)
 
+    async def order(self, order: UpstreamOrder, *, on_send: OnSend) -> UpstreamOrderReply:
+        """Post an order to the engine; 409 tells that it refused an older number."""
+        headers = {"Content-Type": "application/json"}
+        body = msgspec.json.encode(order)
+        async with self._send("POST", ORDERS_PATH, body, headers, on_send) as reply:
+            if reply.status_code not in (httpx.codes.OK, httpx.codes.CONFLICT):
+                raise _make_status_error(reply)
+            data = await reply.aread()
+        try:
+            told = msgspec.json.decode(data, type=_OrderReply)
+        except msgspec.DecodeError as exc:
+            message = "the engine's reply to an order is damaged"
+            raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.UNKNOWN) from exc
+        if told.accepted:
+            return UpstreamOrderReply(True, told.number, told.ready_at, ran=Ran.RAN)
+        is_stale = told.number > order.number
+        code = ErrorCode.STALE_FENCE if is_stale else ErrorCode.UPSTREAM_FAILED
+        return UpstreamOrderReply(False, told.number, code=code.name)
+
     @asynccontextmanager
     async def _send(
-        self, req: RunRequest, body: bytes, headers: dict[str, str], on_send: OnSend
+        self, method: str, path: str, body: bytes, headers: dict[str, str], on_send: OnSend
     ) -> AsyncIterator[httpx.Response]:
         is_sent = False
 
@@ -144,8 +170,8 @@
         if not self.traces_sends:
             note_send()
         request = self.http.build_request(
-            req.method,
-            self.url + req.path,
+            method,
+            self.url + path,
             content=body or None,
             headers=headers,
             extensions=extensions,
@@ -167,7 +193,7 @@
     async def _call_engine(self, req: RunRequest, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
         headers = {"Content-Type": "application/json", "X-Request-Id": req.attempt_id}
         body = make_engine_body(req)
-        async with self._send(req, body, headers, on_send) as reply:
+        async with self._send(req.method, req.path, body, headers, on_send) as reply:
             if reply.status_code != httpx.codes.OK:
                 raise _make_status_error(reply)
             return await _read_events(reply, on_data)
@@ -178,7 +204,7 @@
             headers["Content-Type"] = req.content_type
         if req.idempotency_key:
             headers["Idempotency-Key"] = req.idempotency_key
-        async with self._send(req, req.body, headers, on_send) as reply:
+        async with self._send(req.method, req.path, req.body, headers, on_send) as reply:
             if reply.is_server_error:
                 # A status of 500 or above does not prove that the call had no effect.
                 message = f"the service answered with status {reply.status_code}"
--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -9,10 +9,11 @@
 import trio_asyncio
 
 from crocusvalve.agent._http_upstream import HttpUpstream, make_http_client
+from crocusvalve.agent._order_door import ReadNumber, read_no_number
 from crocusvalve.agent._service import Agent, RevisionKeeper
 from crocusvalve.base import DomainId, NodeId, Revision, UpstreamId
 from crocusvalve.exceptions import CrocusvalveError
-from crocusvalve.rpc import ConfigAck, PeerClient, serve_rpc
+from crocusvalve.rpc import ConfigAck, Empty, PeerClient, serve_rpc
 from crocusvalve.utils import MonotonicClock
 
 __all__ = ["EntryFollower", "run_agent", "serve_agent"]
@@ -64,9 +65,7 @@
 
     async def pull(self, revision: Revision) -> bool:
         """Ask entries in random order until one has a revision of at least a number."""
-        addresses = list(self.addresses)
-        self._rng.shuffle(addresses)
-        for address in addresses:
+        for address in self._shuffle():
             try:
                 await self._pull_from(address)
             except CrocusvalveError as exc:
@@ -81,19 +80,42 @@
         while True:
             await self.pull(self.revision)
             agent.apply_view()
+            await self.pull_notices(agent)
             has_view = self.keeper.view is not None
             await trio.sleep(PULL_PERIOD_S if has_view else PULL_RETRY_S)
 
+    async def pull_notices(self, agent: Agent) -> bool:
+        """Take the notices in force from the first entry that answers."""
+        for address in self._shuffle():
+            try:
+                reply = await self._get_client(address).list_notices(Empty())
+            except CrocusvalveError as exc:
+                logger.info("no notices from entry %s: %s", address, exc)
+                continue
+            for notice in reply.notices:
+                await agent.notify(notice)
+            return True
+        return False
+
     def close(self) -> None:
         """Close the connections."""
         for client in self._clients.values():
             client.close()
 
-    async def _pull_from(self, address: str) -> None:
+    def _shuffle(self) -> list[str]:
+        addresses = list(self.addresses)
+        self._rng.shuffle(addresses)
+        return addresses
+
+    def _get_client(self, address: str) -> PeerClient:
         client = self._clients.get(address)
         if client is None:
             client = PeerClient(address, token=self.token, tls=self.tls)
             self._clients[address] = client
+        return client
+
+    async def _pull_from(self, address: str) -> None:
+        client = self._get_client(address)
         ack = ConfigAck(self.revision, need_full=self.revision == 0)
         push = await client.pull_config(ack)
         if push.revision > self.revision and self.keeper.take_push(push).need_full:
@@ -131,6 +153,7 @@
     server_tls: ssl.SSLContext | None = None,
     client_tls: ssl.SSLContext | None = None,
     stop: trio.Event | None = None,
+    read_number: ReadNumber = read_no_number,
     task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run an agent until it is told to stop, then drain it.
@@ -145,10 +168,12 @@
         Contexts of the internal connections.
     stop : trio.Event or None
         Set by whoever handles the signals.
+    read_number : callable
+        Reads the number of the controller's lease from the platform's service.
     task_status : trio.TaskStatus
         Started with the agent and the port in use.
     """
-    stop = stop or trio.Event()
+    stop = stop if stop is not None else trio.Event()
     follower = EntryFollower(keeper, settings.entries, token=settings.internal_key, tls=client_tls)
     async with trio_asyncio.open_loop(), make_http_client() as http:
         agent = Agent(
@@ -159,6 +184,7 @@
             keeper=keeper,
             clock=MonotonicClock(),
             learn_revision=follower.pull,
+            read_number=read_number,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follower.follow, agent)
@@ -175,5 +201,5 @@
             task_status.started((agent, port))
             await stop.wait()
             await agent.drain(settings.drain_s)
+            follower.close()
             nursery.cancel_scope.cancel()
-        follower.close()
--- a/crocusvalve/agent/_runner.py
+++ b/crocusvalve/agent/_runner.py
@@ -13,6 +13,7 @@
 from crocusvalve.answers import AnswerBuffer
 from crocusvalve.base import AttemptState, ClassKind, Ran
 from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.rpc import CrashRecord
 from crocusvalve.utils import Clock
 
 __all__ = ["AttemptRunner"]
@@ -129,7 +130,7 @@
         if self.row.ran is not Ran.NOT_RUN:
             self._check_late(now)
             return
-        self._admission.check(self.tables, self.row.req, now)
+        self._admission.check(self.tables, self.row.req)
         self.tables.guard.begin(self.row.req.attempt_id, now)
         self.row.ran = Ran.UNKNOWN
         self.row.begun_at = now
@@ -189,6 +190,8 @@
     async def _fail(self, exc: RefusedError) -> None:
         req = self.row.req
         crashed = await self._is_crashed(exc)
+        if crashed:
+            self.tables.crashes.append(CrashRecord(req.digest, req.attempt_id))
         now = self.clock.now()
         ran = exc.ran if exc.ran is Ran.NOT_RUN else self._merge_ran(exc.ran)
         state = AttemptState.CANCELLED if self.row.is_cancelled else AttemptState.FAILED
--- a/crocusvalve/agent/_service.py
+++ b/crocusvalve/agent/_service.py
@@ -3,11 +3,13 @@
 import logging
 import secrets
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
 from typing import Protocol
 
 import trio
 
 from crocusvalve.agent._admission import AdmissionSystem, make_refused
+from crocusvalve.agent._order_door import OrderDoor, ReadNumber, read_no_number
 from crocusvalve.agent._runner import AttemptRunner
 from crocusvalve.agent._tables import AgentTables
 from crocusvalve.agent._upstream import Upstream
@@ -43,6 +45,8 @@
     ResumeRequest,
     RunEvent,
     RunRequest,
+    UpstreamOrder,
+    UpstreamOrderReply,
 )
 from crocusvalve.utils import Clock
 
@@ -53,6 +57,7 @@
 PROBE_PERIOD_S = 0.25
 EXPIRY_PERIOD_S = 1.0
 DRAIN_POLL_S = 0.05
+CANCEL_MEMORY_S = 60.0
 LEARN_TIMEOUT_S = 0.5
 
 #: Pulls a revision of at least a number from the entries into the agent's keeper.
@@ -93,6 +98,8 @@
         Source of the present time.
     learn_revision : callable
         Pulls a newer revision from the entries.
+    read_number : callable
+        Reads the number of the controller's lease from the platform's service.
     boot_id : BootId or None
         Identity of this run; None makes a random one.
     probe_period_s : float
@@ -109,6 +116,7 @@
         keeper: RevisionKeeper,
         clock: Clock,
         learn_revision: LearnRevision = _learn_nothing,
+        read_number: ReadNumber = read_no_number,
         boot_id: BootId | None = None,
         probe_period_s: float = PROBE_PERIOD_S,
     ):
@@ -125,10 +133,11 @@
         )
         self.answers = AnswerStore()
         self._admission = AdmissionSystem()
+        self._orders = OrderDoor(upstream, read_number)
         self._runners: dict[AttemptId, AttemptRunner] = {}
         self._changed: dict[AttemptId, trio.Event] = {}
         self._nursery: trio.Nursery | None = None
-        self._idle = trio.Event()
+        self._n_readers = 0
         self.apply_view()
 
     async def run_tasks(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
@@ -142,24 +151,30 @@
 
     async def run(self, req: RunRequest) -> AsyncIterator[RunEvent]:
         """Run an attempt, or attach to it where it was started before."""
-        if self.answers.get(req.attempt_id) is None:
-            refused = await self._admit(req)
-            if refused is not None:
-                yield refused
-                return
-        async for event in self._follow(req.attempt_id, 0):
-            yield event
+        refused = await self._admit(req)
+        if refused is not None:
+            yield refused
+            return
+        async with aclosing(self._follow(req.attempt_id, 0)) as events:
+            async for event in events:
+                yield event
 
     async def resume(self, req: ResumeRequest) -> AsyncIterator[RunEvent]:
         """Yield the frames of a known attempt from a sequence number on, then its end."""
-        async for event in self._follow(req.attempt_id, req.from_seq):
-            yield event
+        async with aclosing(self._follow(req.attempt_id, req.from_seq)) as events:
+            async for event in events:
+                yield event
 
     async def cancel(self, req: CancelRequest) -> Empty:
         """Cancel an attempt and the call to the upstream."""
         runner = self._runners.get(req.attempt_id)
         if runner is not None:
             runner.cancel()
+        else:
+            # A cancellation may overtake the attempt itself.
+            now = self.clock.now()
+            self.tables.guard.refuse(req.attempt_id, deadline=now + CANCEL_MEMORY_S, now=now)
+        self.tables.bills.cancel(req.attempt_id)
         return Empty()
 
     async def fence(self, req: FenceRequest) -> FenceReply:
@@ -186,6 +201,7 @@
             revision=view.revision if view else Revision(0),
             at=self.clock.now(),
             serves=upstream.serves if upstream else (),
+            crashes=tuple(tables.crashes),
         )
 
     async def push_config(self, req: ConfigPush) -> ConfigAck:
@@ -212,6 +228,10 @@
         self.tables.bills.acknowledge(req.request_ids)
         return Empty()
 
+    async def order_upstream(self, req: UpstreamOrder) -> UpstreamOrderReply:
+        """Pass an order to the engine; one with an older number than the newest is refused."""
+        return await self._orders.pass_order(req)
+
     async def drain(self, limit_s: float) -> bool:
         """Refuse new work, finish what runs and hand over the bills.
 
@@ -227,18 +247,20 @@
         """
         self.tables.is_draining = True
         with trio.move_on_after(limit_s):
-            while self._runners:
-                await self._idle.wait()
-            while len(self.tables.bills):
+            while not self._is_drained:
                 await trio.sleep(DRAIN_POLL_S)
-        is_done = not self._runners and not len(self.tables.bills)
-        if not is_done:
+        if not self._is_drained:
             logger.warning(
-                "stopped with %d attempts and %d bills left",
+                "stopped with %d attempts, %d readers and %d bills left",
                 len(self._runners),
+                self._n_readers,
                 len(self.tables.bills),
             )
-        return is_done
+        return self._is_drained
+
+    @property
+    def _is_drained(self) -> bool:
+        return not (self._runners or self._n_readers or len(self.tables.bills))
 
     async def _admit(self, req: RunRequest) -> Refused | None:
         try:
@@ -253,7 +275,7 @@
         if not self._admission.is_behind(self.tables, req):
             return
         try:
-            self._admission.check(self.tables, req, self.clock.now())
+            self._admission.check(self.tables, req)
         except RefusedError as exc:
             if exc.code is ErrorCode.STALE_REVISION:
                 await self._learn(req)
@@ -292,11 +314,17 @@
         finally:
             del self._runners[attempt_id]
             del self.tables.runs[attempt_id]
-            if not self._runners:
-                self._idle.set()
-                self._idle = trio.Event()
 
     async def _follow(self, attempt_id: AttemptId, from_seq: int) -> AsyncIterator[RunEvent]:
+        self._n_readers += 1
+        try:
+            async with aclosing(self._read_events(attempt_id, from_seq)) as events:
+                async for event in events:
+                    yield event
+        finally:
+            self._n_readers -= 1
+
+    async def _read_events(self, attempt_id: AttemptId, from_seq: int) -> AsyncIterator[RunEvent]:
         seq = from_seq
         while True:
             buffer = self.answers.get(attempt_id)
--- a/crocusvalve/agent/_tables.py
+++ b/crocusvalve/agent/_tables.py
@@ -1,5 +1,7 @@
 """The tables of an agent."""
 
+from collections import deque
+
 from msgspec import Struct
 
 from crocusvalve.agent._bills import BillHolder
@@ -9,12 +11,13 @@
 from crocusvalve.config import DocumentView
 from crocusvalve.limits._warmup import WarmupLimiter
 from crocusvalve.orders import OrderGuard
-from crocusvalve.rpc import RunRequest
+from crocusvalve.rpc import CrashRecord, RunRequest
 
 __all__ = ["AgentTables", "HealthRow", "RunRow"]
 
 DEFAULT_COLD_LIMIT = 2
 DEFAULT_WARM_LIMIT = 16
+N_CRASHES_KEPT = 16
 
 
 class HealthRow(Struct):
@@ -61,6 +64,7 @@
         self.bills = BillHolder()
         self.health = HealthRow()
         self.runs: dict[AttemptId, RunRow] = {}
+        self.crashes: deque[CrashRecord] = deque(maxlen=N_CRASHES_KEPT)
         self.is_draining = False
 
     def apply_view(self, view: DocumentView) -> None:
--- a/crocusvalve/agent/_upstream.py
+++ b/crocusvalve/agent/_upstream.py
@@ -7,7 +7,7 @@
 
 from crocusvalve.base import Ran, UpstreamState
 from crocusvalve.exceptions import ErrorCode, RefusedError
-from crocusvalve.rpc import RunRequest, Usage
+from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
 
 __all__ = ["HealthReport", "Upstream", "UpstreamEnd", "UpstreamError"]
 
@@ -90,3 +90,13 @@
     @abstractmethod
     async def probe(self) -> HealthReport:
         """Probe the health of the upstream."""
+
+    @abstractmethod
+    async def order(self, order: UpstreamOrder, *, on_send: OnSend) -> UpstreamOrderReply:
+        """Give an engine an order, such as to load a version.
+
+        Raises
+        ------
+        UpstreamError
+            Tells whether the engine may have carried it out.
+        """
--- a/crocusvalve/orders/__init__.py
+++ b/crocusvalve/orders/__init__.py
@@ -10,6 +10,7 @@
     StoredClaim,
 )
 from crocusvalve.orders._events import OrderOutcome, OutcomeKind
+from crocusvalve.orders._fence import OrderFence
 from crocusvalve.orders._flow import OrderFlow, OrderSpec
 from crocusvalve.orders._guard import GuardRow, OrderGuard
 from crocusvalve.orders._runner import OrderRunner
@@ -24,6 +25,7 @@
     "GuardRow",
     "OrderAnswer",
     "OrderClaim",
+    "OrderFence",
     "OrderFlow",
     "OrderGuard",
     "OrderOutcome",
--- a/crocusvalve/rpc/__init__.py
+++ b/crocusvalve/rpc/__init__.py
@@ -24,6 +24,9 @@
     ResumeRequest,
     RunEvent,
     RunRequest,
+    UpstreamOrder,
+    UpstreamOrderAction,
+    UpstreamOrderReply,
     Usage,
 )
 from crocusvalve.rpc._server import serve_rpc
@@ -58,6 +61,9 @@
     "RpcError",
     "RunEvent",
     "RunRequest",
+    "UpstreamOrder",
+    "UpstreamOrderAction",
+    "UpstreamOrderReply",
     "Usage",
     "decode",
     "encode",
--- a/crocusvalve/rpc/_client.py
+++ b/crocusvalve/rpc/_client.py
@@ -130,6 +130,10 @@
         """Acknowledge bills."""
         return await self._call("acknowledge_bills", req)
 
+    async def order_upstream(self, req: msg.UpstreamOrder) -> msg.UpstreamOrderReply:
+        """Pass an order to the engine."""
+        return await self._call("order_upstream", req)
+
 
 class PeerClient(_Client, PeerService):
     """Client of another entry."""
--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -43,6 +43,9 @@
     "ResumeRequest",
     "RunEvent",
     "RunRequest",
+    "UpstreamOrder",
+    "UpstreamOrderAction",
+    "UpstreamOrderReply",
     "Usage",
 ]
 
@@ -265,3 +268,37 @@
     """Bills that an agent still holds."""
 
     bills: tuple[BillRecord, ...]
+
+
+class UpstreamOrderAction(Enum):
+    """What an order asks of an engine."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+class UpstreamOrder(Struct, frozen=True, kw_only=True):
+    """An order of the controller to an engine; ``number`` is that of the controller's lease.
+
+    ``role`` names the role that an order of kind ``ROLE`` asks for.
+    """
+
+    action: UpstreamOrderAction
+    number: int
+    version: VersionRef = VersionRef("")
+    role: str = "full"
+
+
+class UpstreamOrderReply(Struct, frozen=True):
+    """Effect of an order; ``ready_at`` is when a load will be done, in Unix seconds.
+
+    ``code`` is the name of an ``ErrorCode`` member where the order was not accepted, and ``ran``
+    tells whether the engine may have carried it out.
+    """
+
+    accepted: bool
+    number: int
+    ready_at: float = 0.0
+    code: str = ""
+    ran: Ran = Ran.NOT_RUN
--- a/crocusvalve/rpc/_server.py
+++ b/crocusvalve/rpc/_server.py
@@ -50,6 +50,7 @@
         RpcMethod("Agent", "notify", msg.Notice, msg.NoticeAck),
         RpcMethod("Agent", "list_bills", msg.Empty, msg.BillsReply),
         RpcMethod("Agent", "acknowledge_bills", msg.BillsAck, msg.Empty),
+        RpcMethod("Agent", "order_upstream", msg.UpstreamOrder, msg.UpstreamOrderReply),
     )
 }
 PEER_METHODS = {
--- a/crocusvalve/rpc/base.py
+++ b/crocusvalve/rpc/base.py
@@ -22,6 +22,8 @@
     ResumeRequest,
     RunEvent,
     RunRequest,
+    UpstreamOrder,
+    UpstreamOrderReply,
 )
 
 __all__ = ["AgentService", "PeerService"]
@@ -73,6 +75,10 @@
     async def acknowledge_bills(self, req: BillsAck) -> Empty:
         """Forget bills that are in the ledger."""
 
+    @abstractmethod
+    async def order_upstream(self, req: UpstreamOrder) -> UpstreamOrderReply:
+        """Pass an order to the engine; one with an older number than the newest is refused."""
+
 
 class PeerService(ABC):
     """What an entry offers to the other entries."""
--- a/features/agent/steps/agent_steps.py
+++ b/features/agent/steps/agent_steps.py
@@ -4,9 +4,10 @@
 import trio.testing
 from behave import given, then, when
 from fakes import BOOT, FakeKeeper, FakeUpstream, ManualClock, make_domain, make_request, make_view
+from faults import FAULTS, collect
 
 from crocusvalve.agent import Agent
-from crocusvalve.base import NodeId, UpstreamId
+from crocusvalve.base import ClassKind, NodeId, UpstreamId
 from crocusvalve.rpc import Final, Frame
 
 
@@ -43,10 +44,6 @@
         return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-async def collect(events):
-    return [event async for event in events]
-
-
 @given("an agent whose engine answers in {n:d} parts")
 def given_agent(context, n):
     script = tuple(f"part{i} ".encode() for i in range(n))
@@ -68,3 +65,29 @@
     assert text == "".join(f"part{i} " for i in range(n)), text
     final = context.events[-1]
     assert isinstance(final, Final) and final.n_frames == len(frames)
+
+
+@when("{fault} strikes an attempt of each kind")
+def when_strikes(context, fault):
+    context.results = {}
+    for kind in ClassKind:
+        subject = AgentSubject()
+
+        async def scenario(agent, upstream, kind=kind):
+            req = make_request(kind=kind, boot_id=BOOT)
+            return await FAULTS[fault](agent, upstream, req)
+
+        events = subject.run(scenario)
+        context.results[kind] = (events, len(subject.upstream.executed), subject.agent)
+
+
+@then("it ends as {code} with ran {ran} and {n:d} executions")
+def then_ends(context, code, ran, n):
+    for kind, (events, n_executed, agent) in context.results.items():
+        end = events[-1]
+        is_final = isinstance(end, Final)
+        told = ("Final", "ran") if is_final else (end.code, end.ran.value)
+        assert told == (code, ran), f"{kind}: {end}"
+        assert n_executed == n, f"{kind}: {n_executed} executions"
+        assert is_final or (end.step and end.peer), f"{kind}: {end}"
+        assert agent.tables.limiter.in_flight == 0, f"{kind}: a place was not given back"
--- a/features/agent/steps/fakes.py
+++ b/features/agent/steps/fakes.py
@@ -33,7 +33,7 @@
     UpstreamConfig,
     VersionConfig,
 )
-from crocusvalve.rpc import ConfigAck, RunRequest, Usage
+from crocusvalve.rpc import ConfigAck, RunRequest, UpstreamOrderReply, Usage
 from crocusvalve.utils import Clock
 
 BOOT = BootId("boot-1")
@@ -140,6 +140,11 @@
     async def probe(self):
         return self.health
 
+    async def order(self, order, *, on_send):
+        on_send()
+        self.executed.append(order.number)
+        return UpstreamOrderReply(True, order.number)
+
 
 def make_sse(texts, *, finish_reason="stop", usage=True, done=True):
     """Make the body of an engine's stream."""
--- /dev/null
+++ b/features/agent/steps/faults.py
@@ -0,0 +1,246 @@
+"""Faults that strike an attempt at an agent; each returns the events that the entry sees."""
+
+import trio
+from fakes import BOOT, NOW, make_request, make_view
+
+from crocusvalve.agent import HealthReport, UpstreamError
+from crocusvalve.base import BootId, CustomerId, Ran, Revision, UpstreamState
+from crocusvalve.exceptions import ErrorCode
+from crocusvalve.rpc import CancelRequest, FenceRequest, Notice, NoticeKind
+
+REFUSED_CONNECTION = UpstreamError(ErrorCode.UPSTREAM_DOWN, "refused", ran=Ran.NOT_RUN)
+CUT = UpstreamError(ErrorCode.UPSTREAM_FAILED, "cut", ran=Ran.UNKNOWN, is_cut=True)
+
+
+async def collect(events):
+    return [event async for event in events]
+
+
+def make_notice(kind, subject, number=1):
+    return Notice(kind=kind, subject=subject, number=number, issuer="entry-1")
+
+
+async def cut_before_send(agent, upstream, req):
+    async def refuse():
+        raise REFUSED_CONNECTION
+
+    upstream.before_send = refuse
+    return await collect(agent.run(req))
+
+
+async def cut_after_send(agent, upstream, req):
+    upstream.script = (CUT,)
+    return await collect(agent.run(req))
+
+
+async def cut_mid_stream(agent, upstream, req):
+    upstream.script = (b"some ", CUT)
+    return await collect(agent.run(req))
+
+
+async def crash_mid_stream(agent, upstream, req):
+    upstream.script = (b"some ", CUT)
+    upstream.before_send = lambda: set_health(upstream, HealthReport(False))
+    events = await collect(agent.run(req))
+    assert events[-1].crashed and agent.tables.crashes[0].digest == req.digest
+    return events
+
+
+async def crash_and_restart(agent, upstream, req):
+    upstream.script = (b"some ", CUT)
+    agent.probe_period_s = 1000.0
+    report = HealthReport(True, UpstreamState.COLD, "engine-2")
+    upstream.before_send = lambda: set_health(upstream, report)
+    events = await collect(agent.run(req))
+    assert events[-1].crashed
+    return events
+
+
+async def set_health(upstream, report):
+    upstream.health = report
+
+
+async def freeze_before_send(agent, upstream, req):
+    async def freeze():
+        agent.clock.offset_s += 60.0
+
+    upstream.before_send = freeze
+    return await collect(agent.run(req))
+
+
+async def freeze_before_admission(agent, upstream, req):
+    agent.clock.offset_s += 60.0
+    return await collect(agent.run(req))
+
+
+async def restart(agent, upstream, req):
+    return await collect(agent.run(make_request(kind=req.kind, boot_id=BootId("boot-0"))))
+
+
+async def repeat_while_running(agent, upstream, req):
+    gate = trio.Event()
+    upstream.script = (b"some ", gate, b"more")
+    results = []
+
+    async def run():
+        results.append(await collect(agent.run(req)))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run)
+        nursery.start_soon(run)
+        await trio.sleep(0.1)
+        gate.set()
+    assert results[0] == results[1]
+    return results[0]
+
+
+async def repeat_after_end(agent, upstream, req):
+    first = await collect(agent.run(req))
+    assert await collect(agent.run(req)) == first
+    return first
+
+
+async def repeat_after_forgotten(agent, upstream, req):
+    await collect(agent.run(req))
+    agent.answers.keep_s = 0.0
+    agent.expire(agent.clock.now())
+    return await collect(agent.run(req))
+
+
+async def fence_first(agent, upstream, req):
+    reply = await agent.fence(FenceRequest(req.attempt_id, BOOT, req.deadline))
+    assert reply.ran is Ran.NOT_RUN and reply.boot_id == BOOT
+    return await collect(agent.run(req))
+
+
+async def fence_before_send(agent, upstream, req):
+    async def fence():
+        reply = await agent.fence(FenceRequest(req.attempt_id, BOOT, req.deadline))
+        assert reply.ran is Ran.NOT_RUN
+
+    upstream.before_send = fence
+    return await collect(agent.run(req))
+
+
+async def fence_while_running(agent, upstream, req):
+    gate = trio.Event()
+    upstream.script = (gate, b"done")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(collect, agent.run(req))
+        await trio.sleep(0.1)
+        reply = await agent.fence(FenceRequest(req.attempt_id, BOOT, req.deadline))
+        assert reply.ran is not Ran.NOT_RUN
+        gate.set()
+    return await collect(agent.run(req))
+
+
+async def cancel_first(agent, upstream, req):
+    await agent.cancel(CancelRequest(req.attempt_id))
+    return await collect(agent.run(req))
+
+
+async def cold_again(agent, upstream, req):
+    """The engine restarts under load; a third request finds the cold limit of two taken."""
+    gate = trio.Event()
+    upstream.script = (gate, b"done")
+    async with trio.open_nursery() as nursery:
+        for name in ("x1", "x2", "x3"):
+            nursery.start_soon(collect, agent.run(make_request(name)))
+        await trio.sleep(0.1)
+        upstream.health = HealthReport(True, UpstreamState.COLD, "engine-2")
+        await trio.sleep(1.0)
+        events = await collect(agent.run(req))
+        gate.set()
+    upstream.executed = [name for name in upstream.executed if name == req.attempt_id]
+    return events
+
+
+def refuse_by_view(**changes):
+    async def strike(agent, upstream, req):
+        agent.keeper.view = make_view(2, **changes)
+        agent.apply_view()
+        return await collect(agent.run(req))
+
+    return strike
+
+
+def refuse_by_notice(kind, subject):
+    async def strike(agent, upstream, req):
+        assert (await agent.notify(make_notice(kind, subject))).is_new
+        return await collect(agent.run(req))
+
+    return strike
+
+
+async def withdraw_before_send(agent, upstream, req):
+    async def withdraw():
+        await agent.notify(make_notice(NoticeKind.WITHDRAWN, req.version))
+
+    upstream.before_send = withdraw
+    return await collect(agent.run(req))
+
+
+async def copy_after_domain_in(agent, upstream, req):
+    out = make_notice(NoticeKind.DOMAIN_OUT, "delta/can-tho", 1)
+    await agent.notify(out)
+    first = await collect(agent.run(req))
+    assert first[0].code == "DOMAIN_OUT" and first[0].ran is Ran.NOT_RUN
+    await agent.notify(make_notice(NoticeKind.DOMAIN_IN, "delta/can-tho", 2))
+    assert not (await agent.notify(out)).is_new
+    return await collect(agent.run(req))
+
+
+async def drain(agent, upstream, req):
+    agent.tables.is_draining = True
+    return await collect(agent.run(req))
+
+
+async def newer_entry_unknown_customer(agent, upstream, req):
+    req = make_request(
+        kind=req.kind, boot_id=BOOT, revision=Revision(9), customer_id=CustomerId("delta/new")
+    )
+    return await collect(agent.run(req))
+
+
+async def upstream_down(agent, upstream, req):
+    upstream.health = HealthReport(False)
+    await trio.sleep(1.0)
+    return await collect(agent.run(req))
+
+
+async def order_runs_past_deadline(agent, upstream, req):
+    upstream.script = (b"some ", trio.Event())
+    return await collect(agent.run(make_request(kind=req.kind, boot_id=BOOT, deadline=NOW + 2)))
+
+
+FAULTS = {
+    "a cut before the send": cut_before_send,
+    "a cut after the send": cut_after_send,
+    "a cut in the stream": cut_mid_stream,
+    "a crash in the stream": crash_mid_stream,
+    "a crash and a fast restart": crash_and_restart,
+    "a freeze before the admission": freeze_before_admission,
+    "a freeze before the send": freeze_before_send,
+    "the deadline while it runs": order_runs_past_deadline,
+    "a restart of the agent": restart,
+    "a copy while it runs": repeat_while_running,
+    "a copy after its end": repeat_after_end,
+    "a copy after its answer is freed": repeat_after_forgotten,
+    "a fence before it arrives": fence_first,
+    "a fence before the send": fence_before_send,
+    "a fence while it runs": fence_while_running,
+    "a cancel that overtakes it": cancel_first,
+    "a copy after a refusal": copy_after_domain_in,
+    "the engine turning cold": cold_again,
+    "the upstream down": upstream_down,
+    "a domain out by document": refuse_by_view(out=True),
+    "a domain out by notice": refuse_by_notice(NoticeKind.DOMAIN_OUT, "delta/can-tho"),
+    "a withdrawal by document": refuse_by_view(withdrawn=True),
+    "a withdrawal by notice": refuse_by_notice(NoticeKind.WITHDRAWN, "delta/assess@v1"),
+    "a withdrawal before the send": withdraw_before_send,
+    "an allowed set narrowed": refuse_by_view(allowed=("other",)),
+    "a customer of a newer revision": newer_entry_unknown_customer,
+    "a quarantine": refuse_by_notice(NoticeKind.QUARANTINE, "d1"),
+    "the upstream leaving": refuse_by_notice(NoticeKind.LEAVING, "delta/e1"),
+    "a drain": drain,
+}
