--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -43,6 +43,9 @@
     "ResumeRequest",
     "RunEvent",
     "RunRequest",
+    "UpstreamOrder",
+    "UpstreamOrderAction",
+    "UpstreamOrderReply",
     "Usage",
 ]
 
@@ -144,10 +147,15 @@
 
 
 class FenceRequest(Struct, frozen=True):
-    """Asks an agent never to start an attempt that it has not started."""
+    """Asks an agent never to start an attempt that it has not started.
+
+    ``deadline`` is that of the attempt; without it an agent that does not know the attempt can't
+    tell whether it has forgotten it.
+    """
 
     attempt_id: AttemptId
     boot_id: BootId
+    deadline: float = 0.0
 
 
 class FenceReply(Struct, frozen=True):
@@ -260,3 +268,37 @@
     """Bills that an agent still holds."""
 
     bills: tuple[BillRecord, ...]
+
+
+class UpstreamOrderAction(Enum):
+    """What an order asks of an engine."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+class UpstreamOrder(Struct, frozen=True, kw_only=True):
+    """An order of the controller to an engine; ``number`` is that of the controller's lease.
+
+    ``role`` names the role that an order of kind ``ROLE`` asks for.
+    """
+
+    action: UpstreamOrderAction
+    number: int
+    version: VersionRef = VersionRef("")
+    role: str = "full"
+
+
+class UpstreamOrderReply(Struct, frozen=True):
+    """Effect of an order; ``ready_at`` is when a load will be done, in Unix seconds.
+
+    ``code`` is the name of an ``ErrorCode`` member where the order was not accepted, and ``ran``
+    tells whether the engine may have carried it out.
+    """
+
+    accepted: bool
+    number: int
+    ready_at: float = 0.0
+    code: str = ""
+    ran: Ran = Ran.NOT_RUN
