Prove configuration and leases under store faults; renewals keep a task alive

Cause: a controller task was cancelled at the deadline that the lease had when the task began, although the lease had been renewed since. Change: each renewal moves the task's deadline; a revision is promoted between environments by one call. Proof: faults at publication, acquisition and renewal, racing operators, pauses and restored copies, each in five seeded task orders of virtual time.

--- a/crocusvalve/control/__init__.py
+++ b/crocusvalve/control/__init__.py
@@ -5,6 +5,7 @@
 from crocusvalve.control._config_store import ConfigStore
 from crocusvalve.control._controller import Controller, ControllerCounters, ControllerTask
 from crocusvalve.control._lease import LeaseKeeper
+from crocusvalve.control._promote import promote_document
 from crocusvalve.control._records import HeadRecord, LeaseRecord, RevisionRecord
 
 __all__ = [
@@ -22,4 +23,5 @@
     "LeaseRecord",
     "RevisionRecord",
     "fetch_from_peers",
+    "promote_document",
 ]
--- a/crocusvalve/control/_controller.py
+++ b/crocusvalve/control/_controller.py
@@ -75,6 +75,7 @@
         self.clock = clock
         self.interval_s = interval_s
         self.counters = ControllerCounters()
+        self._task_scope = trio.CancelScope()
 
     async def run(self) -> None:
         """Keep the lease and run the tasks until cancelled; then release the lease."""
@@ -93,6 +94,7 @@
         except PlatformError as exc:
             self.counters.n_lease_errors += 1
             logger.info("controller lease: %s", exc)
+        self._move_task_deadline()
 
     async def run_tasks_once(self) -> None:
         """Run each task once while the lease is held; a task is cancelled when it lapses."""
@@ -100,9 +102,15 @@
             now = self.clock.now()
             if not self.lease.is_held(now):
                 return
-            with trio.move_on_after(self.lease.held_until_ - now):
+            with trio.CancelScope() as self._task_scope:
+                self._move_task_deadline()
                 await self._run_task(task, now)
 
+    def _move_task_deadline(self) -> None:
+        """Cancel the present task when the lease lapses; a renewal moves that instant."""
+        left_s = self.lease.held_until_ - self.clock.now()
+        self._task_scope.deadline = trio.current_time() + left_s
+
     async def _run_lease(self) -> None:
         while True:
             await self.keep_lease_once()
--- /dev/null
+++ b/features/control/steps/config_steps.py
@@ -0,0 +1,435 @@
+"""Steps about the configuration: deltas, store, keeper and follower."""
+
+import msgspec
+import trio
+from behave import given, then, when
+from hypothesis import given as any_of
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from crocusvalve.base import ClassKind, DomainState, MemberId, Revision
+from crocusvalve.config import (
+    ClassConfig,
+    CustomerConfig,
+    Document,
+    DomainConfig,
+    MemberConfig,
+    PolicyConfig,
+    apply_delta,
+    encode_document,
+    make_delta,
+)
+from crocusvalve.control import ConfigFollower, ConfigKeeper, ConfigStore, promote_document
+from crocusvalve.exceptions import (
+    ConfigConflictError,
+    ConfigError,
+    InvariantError,
+    PlatformError,
+)
+from crocusvalve.rpc import ConfigAck, ConfigPush, RpcError
+from crocusvalve.standin import MemoryPlatform, PlatformFaults
+from features.support.virtual_platform import (
+    TrioClock,
+    make_client,
+    make_faults,
+    run_orders,
+    run_virtual,
+)
+
+
+def make_document(n, environment="trial"):
+    """Make a document that differs for each number."""
+    domains = {f"d{i}": DomainConfig("r") for i in range(5)}
+    domains[f"d{n % 5}"] = DomainConfig("r", DomainState.OUT)
+    customers = {f"c{n}": CustomerConfig("k", ("a",), ("x",), burst=n + 1)}
+    member = MemberConfig(domains=domains, customers=customers)
+    return Document(environment, {MemberId("m"): member})
+
+
+def make_store(platform, seed="s", snapshot_every=64, environment="trial"):
+    """Make a store with a client of its own."""
+    tables, objects = make_client(platform, seed)
+    return ConfigStore(tables, objects, environment=environment, snapshot_every=snapshot_every)
+
+
+async def publish_up_to(store, revision, start=0):
+    for n in range(start, revision):
+        await store.publish(Revision(n), make_document(n + 1), "op", float(n))
+
+
+class ConfigSubject:
+    """An environment on a platform in memory."""
+
+    def __init__(self, revision, snapshot_every=64):
+        self.revision = revision
+        self.snapshot_every = snapshot_every
+        self.faults = PlatformFaults()
+        self.publish = None
+
+    async def make_platform(self):
+        platform = MemoryPlatform(clock=TrioClock())
+        await publish_up_to(make_store(platform, "set-up", self.snapshot_every), self.revision)
+        platform.faults = msgspec.structs.replace(self.faults)
+        return platform
+
+    async def publish_as(self, platform, name, n, base):
+        store = make_store(platform, name)
+        try:
+            revision = await store.publish(base, make_document(n), name, trio.current_time())
+            return f"revision {revision}"
+        except ConfigConflictError as exc:
+            return f"conflict {exc.revision}"
+        except PlatformError as exc:
+            return "maybe applied" if exc.maybe_applied else "not applied"
+
+    async def load(self, platform):
+        platform.faults = PlatformFaults()
+        return await make_store(platform, "reader").load()
+
+
+names = st.sampled_from(["a", "b", "c"])
+members = st.builds(
+    MemberConfig,
+    domains=st.dictionaries(names, st.builds(DomainConfig, names, st.sampled_from(DomainState))),
+    customers=st.dictionaries(
+        names, st.builds(CustomerConfig, names, st.just(("a",)), st.just(("x",)))
+    ),
+    classes=st.dictionaries(names, st.builds(ClassConfig, st.sampled_from(ClassKind))),
+    policy=st.builds(PolicyConfig, names),
+)
+documents = st.builds(Document, names, st.dictionaries(names, members))
+
+
+@then("a delta between any two documents restores the second from the first")
+def then_delta(context):
+    @settings(derandomize=True, database=None, max_examples=200, deadline=None)
+    @any_of(documents, documents)
+    def check(old, new):
+        assert apply_delta(old, make_delta(old, new)) == new
+
+    check()
+
+
+@then("a delta for another document is refused")
+def then_delta_refused(context):
+    delta = make_delta(make_document(1), make_document(2))
+    try:
+        apply_delta(make_document(3), delta)
+    except ConfigError:
+        return
+    raise AssertionError("the delta was taken")
+
+
+@given("an environment at revision {n:d}")
+def given_environment(context, n):
+    context.env = ConfigSubject(n)
+
+
+@given("an environment at revision {n:d} with a snapshot every {every:d} revisions")
+def given_long_environment(context, n, every):
+    context.env = ConfigSubject(n, every)
+
+
+@when('the fault "{fault}" is in force')
+def when_fault(context, fault):
+    context.env.faults = make_faults(fault)
+
+
+@when("operator a publishes on revision {base:d}")
+def when_publishes(context, base):
+    subject = context.env
+
+    async def work():
+        platform = await subject.make_platform()
+        result = await subject.publish_as(platform, "a", 100, base)
+        return result, await subject.load(platform)
+
+    context.results = run_orders(work)
+
+
+@when("operators a and b publish on revision {base:d} at once")
+def when_publish_at_once(context, base):
+    subject = context.env
+
+    async def work():
+        platform = await subject.make_platform()
+        results = {}
+
+        async def publish(name, n):
+            results[name] = await subject.publish_as(platform, name, n, base)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(publish, "a", 100)
+            nursery.start_soon(publish, "b", 200)
+        return results, await subject.load(platform)
+
+    context.results = run_orders(work)
+
+
+@when("a's swap loses its answer and operator b publishes on revision {base:d} before the retry")
+def when_overtaken(context, base):
+    subject = context.env
+
+    async def work():
+        platform = await subject.make_platform()
+        transact = platform.transact
+
+        async def transact_and_lose(writes):
+            platform.transact = transact
+            await transact(writes)
+            assert await subject.publish_as(platform, "b", 200, base) == f"revision {base + 1}"
+            raise PlatformError("answer lost", maybe_applied=True)
+
+        platform.transact = transact_and_lose
+        result = await subject.publish_as(platform, "a", 100, Revision(base - 1))
+        return result, await subject.load(platform)
+
+    context.results = [run_virtual(work)]
+
+
+@then('operator a gets "{expected}"')
+def then_result(context, expected):
+    results = [result for result, _ in context.results]
+    assert results == [expected] * len(results), results
+
+
+@then("the store ends at revision {revision:d}")
+def then_ends_at(context, revision):
+    revisions = [loaded[1] for _, loaded in context.results]
+    assert revisions == [revision] * len(revisions), revisions
+
+
+@then("one gets revision {n:d} and the other a conflict with revision {m:d}")
+def then_one_wins(context, n, m):
+    for results, _ in context.results:
+        assert sorted(results.values()) == [f"conflict {m}", f"revision {n}"], results
+
+
+@then("the store holds the winner's document at revision {n:d}")
+def then_winner(context, n):
+    for results, (document, revision) in context.results:
+        winner = 100 if results["a"].startswith("revision") else 200
+        assert revision == n and document == make_document(winner)
+
+
+@then("every revision from 1 to {n:d} loads as it was published")
+def then_all_load(context, n):
+    async def work():
+        platform = await context.env.make_platform()
+        store = make_store(platform, snapshot_every=context.env.snapshot_every)
+        for revision in range(1, n + 1):
+            assert await store.load(Revision(revision)) == (make_document(revision), revision)
+
+    run_virtual(work)
+
+
+@then("a reader that is {n:d} revisions behind needs {n_reads:d} reads and no object")
+def then_cheap(context, n, n_reads):
+    async def work():
+        subject = context.env
+        platform = await subject.make_platform()
+        store = make_store(platform, snapshot_every=subject.snapshot_every)
+        await store.load()
+        await publish_up_to(make_store(platform, "w"), subject.revision + n, subject.revision)
+        platform.get_object = None
+        before = platform.counters.n_gets + platform.counters.n_scans
+        document, _ = await store.load()
+        assert document == make_document(subject.revision + n)
+        return platform.counters.n_gets + platform.counters.n_scans - before
+
+    assert run_virtual(work) == n_reads
+
+
+@then("the history of {n:d} names revisions {first:d} to {last:d}")
+def then_history(context, n, first, last):
+    async def work():
+        platform = await context.env.make_platform()
+        return [record.revision for record in await make_store(platform).history(n)]
+
+    assert run_virtual(work) == list(range(first, last - 1, -1))
+
+
+@when("revision {n:d} of it is promoted to an empty production")
+def when_promoted(context, n):
+    async def work():
+        platform = await context.env.make_platform()
+        source = make_store(platform)
+        target = make_store(platform, environment="production")
+        await promote_document(
+            source, target, revision=Revision(n), base=Revision(0), author="op", now=9.0
+        )
+        return await target.load(), (await target.history(1))[0]
+
+    context.promoted = run_virtual(work)
+    context.expected = make_document(n, "production")
+
+
+@then("production holds that document as revision 1 with a note")
+def then_promoted(context):
+    loaded, record = context.promoted
+    assert loaded == (context.expected, 1)
+    assert record.note == "promoted from trial revision 2"
+
+
+class KeeperSubject:
+    """A keeper that took revisions one after the other."""
+
+    def __init__(self, revision):
+        self.keeper = ConfigKeeper()
+        for n in range(1, revision + 1):
+            self.keeper.take_document(make_document(n), Revision(n))
+
+    def offer(self, offer):
+        new = make_document(6)
+        delta = make_delta(make_document(5), new)
+        offers = {
+            "a push of revision 4": ConfigPush(4, 0, encode_document(make_document(4))),
+            "a push of revision 5": ConfigPush(5, 0, encode_document(new)),
+            "a delta on revision 6": ConfigPush(7, 6, delta),
+            "a damaged push of revision 6": ConfigPush(6, 0, b"\xc1"),
+            "a delta made on another revision": ConfigPush(6, 4, delta),
+        }
+        if offer in offers:
+            ack = self.keeper.take_push(offers[offer])
+            return f"revision {ack.revision}" + (", full wanted" if ack.need_full else "")
+        n, document = (4, make_document(4)) if "4" in offer else (5, make_document(50))
+        return "taken" if self.keeper.take_document(document, Revision(n)) else "not taken"
+
+
+@given("a process at revision {n:d}")
+def given_process(context, n):
+    context.subject = KeeperSubject(n)
+
+
+@when("it is offered {offer}")
+def when_offered(context, offer):
+    context.answer = context.subject.offer(offer)
+
+
+@then("it answers {answer}")
+def then_answers(context, answer):
+    assert context.answer == answer, context.answer
+
+
+@then("it stays at revision {n:d}")
+def then_stays(context, n):
+    keeper = context.subject.keeper
+    assert keeper.revision == n and keeper.document == make_document(n)
+
+
+@then("installing revision {n:d} inside it raises an invariant error")
+def then_invariant(context, n):
+    try:
+        context.subject.keeper._install(make_document(n), Revision(n))
+    except InvariantError:
+        return
+    raise AssertionError("no error")
+
+
+@then("its push for revision {have:d} is a {kind} that brings a peer to revision {n:d}")
+def then_push(context, have, kind, n):
+    push = context.subject.keeper.make_push(Revision(have))
+    assert (push.base == 0) == (kind == "whole document"), push.base
+    peer = KeeperSubject(have)
+    assert peer.keeper.take_push(push) == ConfigAck(Revision(n))
+    assert peer.keeper.document == make_document(n)
+
+
+class KeeperPeer:
+    """A peer that answers from its keeper."""
+
+    def __init__(self, revision):
+        self.keeper = KeeperSubject(revision).keeper
+
+    async def pull_config(self, req):
+        return self.keeper.make_push(req.revision)
+
+
+class FailingPeer:
+    """A peer that can't be reached."""
+
+    async def pull_config(self, req):
+        raise RpcError("down", step="pull_config", peer="p")
+
+
+@given("a process that starts, with peers at revisions {first:d}, {second:d} and one that fails")
+def given_starting(context, first, second):
+    context.peers = [KeeperPeer(first), KeeperPeer(second), FailingPeer()]
+
+
+@when("the process polls")
+def when_polls(context):
+    async def work():
+        platform = await context.env.make_platform()
+        keeper = ConfigKeeper()
+        follower = ConfigFollower(
+            make_store(platform), keeper, clock=TrioClock(), list_peers=lambda: context.peers
+        )
+        assert not await follower.poll_once()
+        return keeper
+
+    context.keeper = run_virtual(work)
+
+
+@then("the process is at revision {n:d}")
+def then_process_at(context, n):
+    assert context.keeper.revision == n and context.keeper.document == make_document(n)
+
+
+@given("a back-up of the platform at revision {n:d}")
+@given("the environment goes on to revision {n:d}")
+def given_later(context, n):
+    context.later = n
+
+
+@given("a process that has polled")
+def given_polled(context):
+    pass
+
+
+@when("the platform is restored from the back-up")
+def given_restored(context):
+    async def work():
+        platform = await context.env.make_platform()
+        backup = platform.dump_tables()
+        operator = make_store(platform, "op")
+        await publish_up_to(operator, context.later, context.env.revision)
+        keeper = ConfigKeeper()
+        follower = ConfigFollower(make_store(platform), keeper, clock=TrioClock())
+        await follower.poll_once()
+        platform.restore_tables(backup)
+        try:
+            await operator.publish(Revision(3), make_document(9), "op", 1.0)
+            refused = None
+        except ConfigConflictError as exc:
+            refused = exc.revision
+        follower.repairs_head = False
+        states = []
+        for _ in range(2):
+            await follower.poll_once()
+            states.append(keeper.head_state.value)
+        follower.repairs_head = True
+        await follower.poll_once()
+        head = await make_store(platform).load()
+        next_revision = await operator.publish(Revision(6), make_document(7), "op", 2.0)
+        return refused, states, keeper, head, next_revision
+
+    context.restored = run_virtual(work)
+
+
+@then("an operator who knows revision {n:d} can't publish on revision {m:d}")
+def then_cannot_publish(context, n, m):
+    assert context.restored[0] == n
+
+
+@then('the process that polls reports "{state}" once and stays at revision {n:d}')
+def then_regressed(context, state, n):
+    _, states, keeper, _, _ = context.restored
+    assert states == [state, state] and keeper.counters.n_head_regressed == 1
+    assert keeper.revision == n and keeper.document == make_document(n)
+
+
+@then("the store is written back to revision {n:d} and takes revision {m:d}")
+def then_written_back(context, n, m):
+    assert context.restored[3] == (make_document(n), n)
+    assert context.restored[4] == m
--- /dev/null
+++ b/features/control/steps/lease_steps.py
@@ -0,0 +1,281 @@
+"""Steps about leases and the controller."""
+
+import trio
+from behave import given, then, when
+
+from crocusvalve.base import BootId, NodeId
+from crocusvalve.control import Controller, ControllerTask, LeaseKeeper
+from crocusvalve.exceptions import PlatformError
+from crocusvalve.standin import MemoryPlatform, PlatformFaults
+from features.support.virtual_platform import (
+    TrioClock,
+    make_client,
+    make_faults,
+    run_orders,
+    run_virtual,
+)
+
+TTL_S = 10.0
+POLL_S = 0.5
+
+
+class LeaseSubject:
+    """Nodes that keep one lease on a platform in memory."""
+
+    def __init__(self):
+        self.step = ""
+
+    def start(self):
+        self.platform = MemoryPlatform(clock=TrioClock())
+        self.a, self.b = self.make_keeper("a"), self.make_keeper("b")
+
+    def make_keeper(self, name):
+        tables, _ = make_client(self.platform, name)
+        return LeaseKeeper(tables, "controller", NodeId(name), boot_id=BootId("1"), ttl_s=TTL_S)
+
+    async def poll(self, keeper, duration_s, held):
+        """Poll a lease and note when it is held."""
+        end = trio.current_time() + duration_s
+        while trio.current_time() < end:
+            if await keeper.acquire(trio.current_time()):
+                held.append(trio.current_time())
+            await trio.sleep(POLL_S)
+
+
+@given("nodes a and b that keep one lease")
+def given_nodes(context):
+    context.lease = LeaseSubject()
+
+
+@given("{step} is to be done by node a")
+def given_step(context, step):
+    context.lease.step = step
+
+
+@when('the fault "{fault}" is in force at the step')
+def when_fault_at_step(context, fault):
+    subject = context.lease
+
+    async def work():
+        subject.start()
+        if subject.step == "renew":
+            await subject.a.acquire(0.0)
+            await trio.sleep(4.0)
+        subject.platform.faults = make_faults(fault)
+        held_until = subject.a.held_until_
+        now = trio.current_time()
+        try:
+            result = "holds it" if await subject.a.acquire(now) else "does not hold it"
+        except PlatformError:
+            is_same = subject.step == "renew" and subject.a.held_until_ == held_until
+            result = "keeps its deadline" if is_same else "has an error"
+        assert subject.a.is_held(now) == (result != "has an error")
+        subject.platform.faults = PlatformFaults()
+        is_held = await subject.a.acquire(trio.current_time())
+        assert not await subject.b.acquire(trio.current_time())
+        return result, is_held, subject.a.number
+
+    context.results = run_orders(work)
+
+
+@then('the outcome is "{result}"')
+def then_outcome(context, result):
+    results = {outcome[0] for outcome in context.results}
+    assert results == {result}, results
+
+
+@then("after the fault node a holds the lease under number {n:d}")
+def then_after_fault(context, n):
+    assert {(held, number) for _, held, number in context.results} == {(True, n)}, context.results
+
+
+@when("both acquire at once")
+def when_both(context):
+    subject = context.lease
+
+    async def work():
+        subject.start()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(subject.a.acquire, 0.0)
+            nursery.start_soon(subject.b.acquire, 0.0)
+        return [keeper.number for keeper in (subject.a, subject.b) if keeper.is_held(0.0)]
+
+    context.numbers = run_orders(work)
+
+
+@then("exactly one holds the lease under number 1")
+def then_one(context):
+    assert all(numbers == [1] for numbers in context.numbers), context.numbers
+
+
+@when("node a acquires and is paused for {seconds:g} s while node b polls")
+def when_paused(context, seconds):
+    subject = context.lease
+
+    async def work():
+        subject.start()
+        await subject.a.acquire(trio.current_time())
+        held = []
+        await trio.sleep(1.0)
+        before_pause = trio.current_time()
+        await subject.poll(subject.b, seconds, held)
+        subject.ended_at = subject.a.held_until_
+        subject.began_at = held[0]
+        subject.is_held_after = await subject.a.renew(before_pause) and subject.a.is_held(
+            trio.current_time()
+        )
+
+    run_virtual(work)
+
+
+@then("node a stopped holding before node b began")
+def then_stopped(context):
+    assert context.lease.ended_at < context.lease.began_at
+
+
+@then("node b holds number {n:d}")
+def then_b_holds(context, n):
+    assert context.lease.b.number == n, context.lease.b.number
+
+
+@then("node a, resumed in the middle of a renewal, does not hold the lease")
+def then_not_held(context):
+    assert not context.lease.is_held_after
+    assert context.lease.a.held_until_ == float("-inf")
+
+
+@when("node a renews for {seconds:g} s while node b polls")
+def when_renews(context, seconds):
+    subject = context.lease
+
+    async def work():
+        subject.start()
+        held_a, held_b = [], []
+        async with trio.open_nursery() as nursery:
+            await subject.a.acquire(0.0)
+            nursery.start_soon(subject.poll, subject.a, seconds, held_a)
+            nursery.start_soon(subject.poll, subject.b, seconds, held_b)
+        return held_b
+
+    context.held = run_orders(work)
+
+
+@then("node b never held the lease")
+def then_never(context):
+    assert not any(context.held)
+
+
+@when("node a acquires and releases, and node b acquires")
+def when_releases(context):
+    subject = context.lease
+
+    async def work():
+        subject.start()
+        await subject.a.acquire(0.0)
+        await subject.a.release()
+        assert not subject.a.is_held(0.0)
+        assert await subject.b.acquire(0.0)
+
+    run_virtual(work)
+
+
+@when("the lease goes round to number {n:d}, the row is restored to number 1 and node b acquires")
+def when_restored(context, n):
+    subject = context.lease
+
+    async def work():
+        subject.start()
+        keepers = [subject.a, subject.b]
+        await subject.a.acquire(0.0)
+        backup = subject.platform.dump_tables()
+        for i in range(1, n):
+            await keepers[(i + 1) % 2].release()
+            assert await keepers[i % 2].acquire(0.0)
+        await subject.b.release()
+        subject.platform.restore_tables(backup)
+        held = []
+        await subject.poll(subject.b, 30.0, held)
+        assert held
+
+    run_virtual(work)
+
+
+@then("node b holds a number past {n:d}")
+def then_past(context, n):
+    assert context.lease.b.number > n, context.lease.b.number
+
+
+class RecordingTask(ControllerTask):
+    """Notes its starts, its end and the lease's number."""
+
+    def __init__(self, runs_forever):
+        self.runs_forever = runs_forever
+        self.started_at = []
+        self.cancelled_at = []
+        self.numbers = []
+
+    async def run_once(self, lease, now):
+        self.started_at.append(now)
+        self.numbers.append(lease.number)
+        try:
+            if self.runs_forever:
+                await trio.sleep_forever()
+        except trio.Cancelled:
+            self.cancelled_at.append(trio.current_time())
+            raise
+
+
+@given("a controller with a task that never ends")
+@given("a controller with a task that ends")
+def given_controller(context):
+    context.lease = LeaseSubject()
+    context.task = RecordingTask("never" in context.scenario.steps[0].name)
+
+
+async def run_controller(context, during):
+    subject = context.lease
+    subject.start()
+    controller = Controller(subject.a, [context.task], clock=TrioClock())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(controller.run)
+        await trio.sleep(5.0)
+        await during(subject)
+        nursery.cancel_scope.cancel()
+
+
+@when("the store goes down for good")
+def when_down(context):
+    async def during(subject):
+        subject.platform.faults = PlatformFaults(is_down=True)
+        context.down_at = trio.current_time()
+        await trio.sleep(60.0)
+
+    run_virtual(lambda: run_controller(context, during))
+
+
+@then("the task is cancelled before another node could hold the lease")
+def then_cancelled(context):
+    assert len(context.task.cancelled_at) == 1
+    assert context.task.cancelled_at[0] < context.down_at + TTL_S
+
+
+@then("no task starts after that")
+def then_no_start(context):
+    assert max(context.task.started_at) < context.task.cancelled_at[0]
+
+
+@when("it is stopped and another node acquires")
+def when_stopped(context):
+    async def during(subject):
+        pass
+
+    async def work():
+        await run_controller(context, during)
+        assert await context.lease.b.acquire(trio.current_time())
+
+    run_virtual(work)
+
+
+@then("the task ran under number {n:d} and the other node holds number {m:d}")
+def then_numbers(context, n, m):
+    assert set(context.task.numbers) == {n} and context.lease.b.number == m
--- a/features/durable/durable.feature
+++ b/features/durable/durable.feature
@@ -25,7 +25,7 @@
       | 10    | all answers lost | none            | 1 |
       | 10    | none            | store down       | 1 |
       | 40000 | none            | store down       | 1 |
-      | 10    | none            | store slow       | 1 |
+      | 10    | none            | store too slow   | 1 |
       | 10    | none            | answer lost      | 1 |
       | 10    | none            | request lost     | 1 |
       | 10    | none            | all answers lost | 1 |
@@ -42,7 +42,7 @@
     Examples:
       | fault                  | code            | ran     | n |
       | store down             | platform_down   | not_run | 0 |
-      | store slow             | outcome_unknown | unknown | 0 |
+      | store too slow         | outcome_unknown | unknown | 0 |
       | answer lost, then down | outcome_unknown | unknown | 1 |
 
   Scenario: Another body under the same id is refused
--- a/features/durable/steps/durable_steps.py
+++ b/features/durable/steps/durable_steps.py
@@ -3,9 +3,7 @@
 import random
 
 import trio
-import trio.testing
 from behave import given, then, when
-from trio._core import _run as trio_run
 
 from crocusvalve.base import BootId, CustomerId, NodeId, RequestId
 from crocusvalve.durable import (
@@ -18,37 +16,30 @@
     DurableWorker,
 )
 from crocusvalve.exceptions import ErrorCode, PlatformError, RefusedError
-from crocusvalve.platform import CallGuard, GuardSettings, ReliableTables, WriteIdMaker
-from crocusvalve.standin import ALL_CALLS, MemoryPlatform, PlatformFaults
-from crocusvalve.utils import Clock, compute_digest
+from crocusvalve.platform import WriteIdMaker
+from crocusvalve.standin import MemoryPlatform, PlatformFaults
+from crocusvalve.utils import compute_digest
+from features.support.virtual_platform import (
+    FAULTS,
+    N_TASK_ORDERS,
+    TrioClock,
+    make_client,
+    run_virtual,
+)
 
 TTL_S = 10.0
 DEADLINE_S = 100.0
 ALARM_BEFORE_S = 40.0
-N_TASK_ORDERS = 5
 REQUEST_ID = RequestId("r1")
 
 
-class TrioClock(Clock):
-    """Time of the trio run, from 0."""
-
-    def now(self):
-        return trio.current_time()
-
-
 class Entry:
     """A worker with its own client, whose executions the test holds up or lets through."""
 
     def __init__(self, subject, name, boot=0):
         self.subject = subject
         self.name = name
-        self.clock = TrioClock()
-        guard = CallGuard(
-            settings=GuardSettings(n_failures_to_open=50),
-            random_state=random.Random(name),
-            clock=self.clock,
-        )
-        self.tables = ReliableTables(subject.platform, guard)
+        self.tables, _ = make_client(subject.platform, name)
         write_ids = WriteIdMaker(random.Random(f"{name}/{boot}"))
         store = DurableStore(self.tables, subject.platform, write_ids=write_ids)
         self.may_answer = trio.Event()
@@ -60,7 +51,7 @@
             self.execute,
             node_id=NodeId(name),
             boot_id=BootId(str(boot)),
-            clock=self.clock,
+            clock=TrioClock(),
             random_state=random.Random(f"{name}/{boot}"),
             ttl_s=TTL_S,
             system=DurableSystem(),
@@ -110,10 +101,7 @@
         self.executions = []
         self.entries = {}
         self.error = None
-        trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
-        trio_run._r.seed(seed)
-        clock = trio.testing.MockClock(autojump_threshold=0)
-        return trio.run(self._main, clock=clock)
+        return run_virtual(self._main, seed)
 
     async def _main(self):
         async with trio.open_nursery() as nursery:
@@ -154,17 +142,6 @@
             entry.may_answer.set()
 
 
-FAULT_STEPS = {
-    "none": {},
-    "store down": {"is_down": True},
-    "store slow": {"delay_s": 2.5},
-    "answer lost": {"n_lost_answers": 1},
-    "answer lost, then down": {"n_lost_answers": 1, "is_down_after_lost_answer": True},
-    "request lost": {"n_lost_requests": 1},
-    "all answers lost": {"n_lost_answers": ALL_CALLS},
-}
-
-
 def add_step(context, step):
     context.durable.script.append(step)
 
@@ -183,7 +160,7 @@
 @when('the fault "{fault}" begins')
 def when_fault(context, fault):
     async def step():
-        for name, value in FAULT_STEPS[fault].items():
+        for name, value in FAULTS[fault].items():
             setattr(context.durable.platform.faults, name, value)
 
     add_step(context, step)
--- /dev/null
+++ b/features/support/virtual_platform.py
@@ -0,0 +1,60 @@
+"""A platform in memory, in virtual time, shared by the steps of several subjects."""
+
+import random
+
+import trio
+import trio.testing
+from trio._core import _run as trio_run
+
+from crocusvalve.platform import CallGuard, GuardSettings, ReliableObjects, ReliableTables
+from crocusvalve.standin import ALL_CALLS, PlatformFaults
+from crocusvalve.utils import Clock
+
+N_TASK_ORDERS = 5
+FAULTS = {
+    "none": {},
+    "answer lost": {"n_lost_answers": 1},
+    "request lost": {"n_lost_requests": 1},
+    "all answers lost": {"n_lost_answers": ALL_CALLS},
+    "all requests lost": {"n_lost_requests": ALL_CALLS},
+    "answer lost, then down": {"n_lost_answers": 1, "is_down_after_lost_answer": True},
+    "store slow": {"delay_s": 0.4},
+    "store too slow": {"delay_s": 2.5},
+    "store down": {"is_down": True},
+}
+
+
+class TrioClock(Clock):
+    """Time of the trio run."""
+
+    def now(self):
+        return trio.current_time()
+
+
+def run_virtual(work, seed=0):
+    """Run a task in virtual time under one order of the tasks."""
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(seed)
+    return trio.run(work, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def run_orders(work):
+    """Run a task under several orders of the tasks and return the results."""
+    return [run_virtual(work, seed) for seed in range(N_TASK_ORDERS)]
+
+
+def make_faults(name):
+    """Make the fault switches of a name."""
+    return PlatformFaults(**FAULTS[name])
+
+
+def make_guard(seed, **settings):
+    """Make the limits of one client."""
+    settings = GuardSettings(**({"n_failures_to_open": 50} | settings))
+    return CallGuard(settings=settings, random_state=random.Random(seed), clock=TrioClock())
+
+
+def make_client(platform, seed, **settings):
+    """Make the tables and the objects of one client."""
+    guard = make_guard(seed, **settings)
+    return ReliableTables(platform, guard), ReliableObjects(platform, guard)
