Command line for operators, settings, keys and daemons

Cause: operators drive the system from a shell, by hand and by programs. Change: config check|diff|apply|promote|history|show, domain out|in, rollout start|status|withdraw, status, usage, settings check, key new, and the daemons' commands, imported when called; exit codes by kind of failure; what config show writes carries its base, so that an old copy is a conflict. Ruled out: keys as arguments, which every process list shows.

--- a/crocusvalve/admin/__init__.py
+++ b/crocusvalve/admin/__init__.py
@@ -7,10 +7,14 @@
     ConfigChange,
     ConfigReply,
     HistoryEntry,
+    HistoryReply,
     PlanReply,
+    RolloutsReply,
+    RolloutStatus,
     StatusReport,
     UpstreamStatus,
     UsageEntry,
+    UsageReply,
 )
 from crocusvalve.admin._routes import make_admin_blueprint
 from crocusvalve.admin.base import AdminBackend
@@ -23,10 +27,14 @@
     "ConfigChange",
     "ConfigReply",
     "HistoryEntry",
+    "HistoryReply",
     "PlanReply",
+    "RolloutStatus",
+    "RolloutsReply",
     "StatusReport",
     "UnreachableError",
     "UpstreamStatus",
     "UsageEntry",
+    "UsageReply",
     "make_admin_blueprint",
 ]
--- /dev/null
+++ b/crocusvalve/cli/_daemons.py
@@ -0,0 +1,245 @@
+"""Commands that run processes; the packages behind them are imported when they are called."""
+
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from importlib import import_module
+from typing import Any
+
+import trio
+from cyclopts import App
+from msgspec import to_builtins
+
+from crocusvalve.cli._commands import add_command
+from crocusvalve.cli._options import JsonFlag
+from crocusvalve.cli._output import print_result
+from crocusvalve.cli._signals import run_until_signal
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode
+from crocusvalve.metrics import setup_logging
+from crocusvalve.settings import (
+    AgentSettings,
+    EntrySettings,
+    LogFormat,
+    LogLevel,
+    ProcessSettings,
+    load_settings,
+)
+
+__all__ = ["make_standin_app", "run_agent", "run_bench", "run_demo", "run_entry", "run_soak"]
+
+
+def make_standin_app() -> App:
+    """Make the commands under ``standin``."""
+    app = App(name="standin", help="Stand-ins for tests: engine, plain service, platform.")
+    add_command(app, run_engine, "engine")
+    add_command(app, run_plain, "plain")
+    add_command(app, run_platform, "platform")
+    return app
+
+
+def run_entry(file: str) -> None:
+    """Run an entry until SIGTERM or SIGINT, then drain it.
+
+    Examples
+    --------
+    crocusvalve entry entry.toml
+
+    Parameters
+    ----------
+    file
+        Settings of the entry.
+    """
+    settings = load_settings(file, EntrySettings)
+    entry = load_module("crocusvalve.entry")
+    start_logging(settings)
+    trio.run(run_until_signal, entry.run_entry, settings)
+
+
+def run_agent(file: str) -> None:
+    """Run the agent beside an upstream until SIGTERM or SIGINT, then drain it.
+
+    Examples
+    --------
+    crocusvalve agent agent.toml
+
+    Parameters
+    ----------
+    file
+        Settings of the agent.
+    """
+    settings = load_settings(file, AgentSettings)
+    agent = load_module("crocusvalve.agent")
+    control = load_module("crocusvalve.control")
+    start_logging(settings)
+    trio.run(run_until_signal, agent.run_agent, settings, control.ConfigKeeper())
+
+
+def run_engine(
+    versions: list[str],
+    *,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    quality: list[float] | None = None,
+    seed: int = 0,
+    cold: bool = False,
+) -> None:
+    """Serve a stand-in engine.
+
+    Examples
+    --------
+    crocusvalve standin engine delta/assess-small@v1 --port 8101
+
+    Parameters
+    ----------
+    versions
+        Versions in memory, each ``member/model@version``.
+    host
+        Address to listen on.
+    port
+        Port to listen on; 0 picks a free one, which is printed.
+    quality
+        Quality of each version, in [0, 1].
+    seed
+        Seed of texts and boot ids.
+    cold
+        Begin with a cold start.
+    """
+    standin = load_module("crocusvalve.standin.cli")
+    with code_errors("standin"):
+        standin.run_engine(
+            versions=versions, host=host, port=port, qualities=quality, seed=seed, is_cold=cold
+        )
+
+
+def run_plain(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Serve a stand-in plain service.
+
+    Examples
+    --------
+    crocusvalve standin plain --port 8110
+
+    Parameters
+    ----------
+    host
+        Address to listen on.
+    port
+        Port to listen on; 0 picks a free one, which is printed.
+    """
+    standin = load_module("crocusvalve.standin.cli")
+    with code_errors("standin"):
+        standin.run_plain(host=host, port=port)
+
+
+def run_platform(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Serve the stand-in of the platform's service.
+
+    Examples
+    --------
+    crocusvalve standin platform --port 9000
+
+    Parameters
+    ----------
+    host
+        Address to listen on.
+    port
+        Port to listen on; 0 picks a free one, which is printed.
+    """
+    standin = load_module("crocusvalve.standin.cli")
+    with code_errors("standin"):
+        standin.run_platform(host=host, port=port)
+
+
+def run_demo(*, hold: bool = False, port: int = 0) -> None:
+    """Run all roles in one process and send a request of each class for each member.
+
+    Examples
+    --------
+    crocusvalve demo
+
+    crocusvalve demo --hold --port 8080
+
+    Parameters
+    ----------
+    hold
+        Stay up until SIGTERM or SIGINT.
+    port
+        Port of the callers' API; 0 picks a free one.
+    """
+    sys.exit(load_module("crocusvalve.demo").run_demo(hold, port))
+
+
+def run_bench(
+    name: str,
+    *,
+    seed: int = 1,
+    out: str = "out",
+    sizes: tuple[str, ...] = ("delta", "sfax"),
+) -> None:
+    """Run an experiment, or ``all``; prints tables and writes JSON and plots.
+
+    Examples
+    --------
+    crocusvalve bench exposure --seed 1 --out out
+
+    Parameters
+    ----------
+    name
+        Name of the experiment, or ``all``.
+    seed
+        Seed of all randomness.
+    out
+        Directory for the files.
+    sizes
+        Deployments to run.
+    """
+    bench = load_module("crocusvalve.bench.cli")
+    with code_errors("bench"):
+        bench.run_bench(name, seed=seed, out=out, sizes=sizes)
+
+
+def run_soak(*, seed: int = 0, steps: int = 10000, json: JsonFlag = False) -> None:
+    """Run the core at random with faults injected, with its invariants asserted.
+
+    Examples
+    --------
+    crocusvalve soak --seed 7 --steps 100000
+
+    Parameters
+    ----------
+    seed
+        Seed of the run; the same seed gives the same run.
+    steps
+        Events to run.
+    """
+    report = load_module("crocusvalve.soak").run_soak(seed, steps)
+    fields = to_builtins(report)
+    print_result(fields, [f"{name}: {value}" for name, value in fields.items()], as_json=json)
+    if report.failure:
+        message = f"seed {seed} failed"
+        raise CrocusvalveError(ErrorCode.INTERNAL, message, step="soak")
+
+
+@contextmanager
+def code_errors(step: str) -> Iterator[None]:
+    """Turn a wrong argument of a package behind a command into a coded error."""
+    try:
+        yield
+    except ValueError as exc:
+        raise CrocusvalveError(ErrorCode.BAD_REQUEST, str(exc), step=step) from exc
+
+
+def load_module(name: str) -> Any:
+    """Import a package of this program, with a coded error where it is missing."""
+    try:
+        return import_module(name)
+    except ModuleNotFoundError as exc:
+        message = f"{name} is not part of this installation"
+        raise CrocusvalveError(ErrorCode.INTERNAL, message, step="import", peer=name) from exc
+
+
+def start_logging(settings: ProcessSettings) -> None:
+    """Direct the log as the settings say and keep the process's keys out of it."""
+    level, form = LogLevel(settings.log.level), LogFormat(settings.log.format)
+    redactor = setup_logging(level, form, sys.stderr)
+    for name in ("internal_key", "session_key"):
+        redactor.add_secret(getattr(settings, name, ""))
--- /dev/null
+++ b/crocusvalve/cli/_output.py
@@ -0,0 +1,99 @@
+"""Printing of results and errors, as text or as JSON."""
+
+import json
+import sys
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+import msgspec
+
+from crocusvalve.config import Change
+from crocusvalve.exceptions import CrocusvalveError
+
+__all__ = [
+    "format_changes",
+    "format_table",
+    "format_time",
+    "print_error",
+    "print_lines",
+    "print_result",
+]
+
+
+def print_result(message: Any, lines: Sequence[str], *, as_json: bool) -> None:
+    """Print a result.
+
+    Parameters
+    ----------
+    message : object
+        Typed result, printed with ``--json`` as one document.
+    lines : sequence of str
+        What is printed otherwise.
+    as_json : bool
+        Which of the two.
+    """
+    if as_json:
+        print(json.dumps(msgspec.to_builtins(message), indent=2, sort_keys=True))
+    else:
+        print_lines(lines)
+
+
+def print_lines(lines: Sequence[str]) -> None:
+    """Print lines."""
+    for line in lines:
+        print(line)
+
+
+def print_error(exc: CrocusvalveError, *, as_json: bool) -> None:
+    """Print an error: with ``--json`` to standard output, else to standard error."""
+    problems = getattr(exc, "problems", [])
+    if as_json:
+        error = {
+            "code": exc.code.code,
+            "message": exc.message,
+            "step": exc.step,
+            "peer": exc.peer,
+            "problems": problems,
+            "revision": getattr(exc, "revision", None),
+            "maybe_applied": getattr(exc, "maybe_applied", False),
+        }
+        print(json.dumps({"error": error}, indent=2, sort_keys=True))
+        return
+    where = f" at {exc.step}" if exc.step else ""
+    peer = f" ({exc.peer})" if exc.peer else ""
+    text = f"{len(problems)} problem(s)" if problems else exc.message
+    print(f"error: {exc.code.code}{where}{peer}: {text}", file=sys.stderr)
+    for problem in problems:
+        print(f"  {problem}", file=sys.stderr)
+    if getattr(exc, "maybe_applied", False):
+        print("  the change may be in force: look with `config show`", file=sys.stderr)
+
+
+def format_table(header: Sequence[str], rows: Sequence[Sequence[Any]]) -> list[str]:
+    """Return rows as aligned columns under a header."""
+    cells = [[str(cell) for cell in row] for row in [header, *rows]]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(header))]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    ]
+
+
+def format_changes(changes: Sequence[Change]) -> list[str]:
+    """Return changes, one a line, each with its warning."""
+    lines = []
+    for change in changes:
+        lines.append(f"{change.path}: {_show(change.old)} -> {_show(change.new)}")
+        if change.is_dangerous:
+            lines.append(f"  warning: {change.warning}")
+    return lines or ["no changes"]
+
+
+def format_time(at: float) -> str:
+    """Return Unix seconds as a time in UTC."""
+    return datetime.fromtimestamp(at, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def _show(value: Any) -> str:
+    return "(none)" if value is None else json.dumps(value, sort_keys=True)
--- a/features/admin/steps/admin_steps.py
+++ b/features/admin/steps/admin_steps.py
@@ -13,21 +13,15 @@
 from quart_trio import QuartTrio
 
 from crocusvalve.admin import (
-    Accepted,
-    AdminBackend,
     AdminClient,
     ConfigChange,
-    HistoryEntry,
-    StatusReport,
     UnreachableError,
-    UpstreamStatus,
-    UsageEntry,
     make_admin_blueprint,
 )
-from crocusvalve.base import DomainState, UpstreamState
-from crocusvalve.config import DocumentView, parse_document, withdraw_version
-from crocusvalve.exceptions import ConfigConflictError, CrocusvalveError, PlatformError
-from crocusvalve.model import RolloutRow
+from crocusvalve.base import DomainState
+from crocusvalve.config import parse_document
+from crocusvalve.exceptions import ConfigConflictError, CrocusvalveError
+from features.admin.memory_backend import MemoryAdminBackend
 
 TRIAL = Path(__file__).resolve().parents[3] / "examples" / "trial.toml"
 OPERATORS = {"delta": "water-desk", "sfax": "control-room"}
@@ -36,84 +30,6 @@
 KEY = "demo-delta-operator-water-desk"
 
 
-class MemoryAdminBackend(AdminBackend):
-    """A backend in memory whose store can be down and can be raced."""
-
-    def __init__(self, document):
-        self.documents = [document]
-        self.entries = [HistoryEntry(1, "delta/first", 1.0, "first")]
-        self.is_store_up = True
-        self.before_publish = None
-
-    async def current(self):
-        return self.documents[-1], len(self.documents)
-
-    async def publish(self, base, document, author, now):
-        if not self.is_store_up:
-            raise PlatformError("the store is down", step="publish")
-        hook, self.before_publish = self.before_publish, None
-        if hook is not None:
-            await hook()
-        if base != len(self.documents):
-            raise ConfigConflictError("raced", revision=len(self.documents))
-        self.documents.append(document)
-        self.entries.append(HistoryEntry(len(self.documents), author, now))
-        return len(self.documents)
-
-    async def history(self, n):
-        return self.entries[::-1][:n]
-
-    async def _change(self, document, author, now):
-        document_now, revision = await self.current()
-        if not self.is_store_up:
-            return Accepted(revision, by_notice=True)
-        return Accepted(await self.publish(revision, document, author, now))
-
-    async def set_domain(self, member, domain, state, author, now):
-        document, _ = await self.current()
-        section = document.members[member]
-        cfg = msgspec.structs.replace(section.domains[domain], state=state)
-        section = msgspec.structs.replace(section, domains=section.domains | {domain: cfg})
-        members = document.members | {member: section}
-        return await self._change(msgspec.structs.replace(document, members=members), author, now)
-
-    async def withdraw(self, member, version, author, now):
-        document, _ = await self.current()
-        return await self._change(withdraw_version(document, member, version), author, now)
-
-    async def rollouts(self):
-        return [
-            RolloutRow(
-                rollout_id=f"{model}-v2",
-                model=model,
-                version=f"{model}@v2",
-                baseline=f"{model}@v1",
-                stages=(0.1, 1.0),
-            )
-            for model in ("delta/assess-small", "sfax/log-small")
-        ]
-
-    async def usage(self, member, since, until):
-        view = DocumentView(self.documents[-1], 1)
-        return [UsageEntry(name, "c", "m@v1", 1, 2, 3, 0.5) for name in view.customers]
-
-    async def status(self, member):
-        view = DocumentView(self.documents[-1], 1)
-        upstreams = [
-            UpstreamStatus(up.upstream_id, up.domain, UpstreamState.WARM, 1, 16, 0, 1, 5.0)
-            for up in view.upstreams.values()
-        ]
-        return StatusReport(
-            node_id="entry-1",
-            revision=len(self.documents),
-            is_store_up=self.is_store_up,
-            outbox=0,
-            queued=0,
-            domains=view.domains,
-            upstreams=upstreams,
-        )
-
-
 class AdminSubject:
     """An entry's application and clients that call it without sockets."""
 
--- /dev/null
+++ b/features/cli/cli.feature
@@ -0,0 +1,105 @@
+Feature: The command line does what the operators' API offers
+
+  Background:
+    Given a trial and a production entry
+
+  Scenario Outline: A command prints a result for people and for programs
+    When "<command>" is run by "delta"
+    Then it exits with OK and prints "<text>"
+    And with --json it prints a JSON document with "<key>"
+
+    Examples:
+      | command                                       | text                        | key          |
+      | config check examples/trial.toml              | delta: 10 customers         | environment  |
+      | config diff examples/trial.toml               | no changes                  | revision     |
+      | config diff examples/trial.toml examples/production.toml | 60.0 -> 1800.0   | path         |
+      | config show                                   | [members.delta.models       | document     |
+      | config history --n 3                          | REVISION                    | entries      |
+      | domain out can-tho                            | can-tho is out by revision  | by_notice    |
+      | domain in can-tho                             | can-tho is in by revision   | revision     |
+      | rollout status                                | delta/assess-small@v2       | rollouts     |
+      | rollout start assess-small v2 --stages 0.5 --stages 1 | roll-out assess-small-v2 has started | revision |
+      | rollout withdraw assess-small@v2              | is withdrawn by revision    | revision     |
+      | usage --since 2026-01-01 --until 2026-02-01   | 2026-01-01T00:00:00Z        | entries      |
+      | status                                        | 1/16                        | upstreams    |
+      | key new                                       | key_sha256:                 | sha256       |
+
+  Scenario Outline: The exit code tells the kind of failure
+    Given the store is <store>
+    When "<command>" is run by "<member>"
+    Then it exits with <exit> and tells "<text>"
+    And with --json it prints a JSON document with "error"
+
+    Examples:
+      | store | member | command                                   | exit        | text              |
+      | up    | delta  | status --timeout-s -1                     | USAGE       | (0, 600] seconds  |
+      | up    | delta  | usage --since soon                        | USAGE       | ISO 8601          |
+      | up    | delta  | config check Makefile                     | INVALID     | must be TOML      |
+      | up    | delta  | config check gone.toml                    | INVALID     | readable          |
+      | up    | delta  | settings check examples/trial.toml        | INVALID     | one of entry      |
+      | up    | delta  | domain out hanoi                          | INVALID     | no failure domain |
+      | up    | delta  | rollout start log-small v2                | INVALID     | a model of this   |
+      | up    | delta  | config apply examples/trial.toml --base 7 | CONFLICT    | newest is 1       |
+      | up    | delta  | rollout withdraw sfax/log-small@v1        | FORBIDDEN   | another member    |
+      | up    | nobody | status                                    | FORBIDDEN   | invalid_api_key   |
+      | up    | delta  | status --url http://127.0.0.1:9           | UNREACHABLE | no entry          |
+      | down  | delta  | rollout start assess-small v2 --stages 0.7 | REFUSED    | platform_down     |
+
+  Scenario Outline: A wrong call is a usage error
+    When "<command>" is run by "delta"
+    Then it exits with USAGE
+
+    Examples:
+      | command            |
+      | nothing            |
+      | config check       |
+      | domain out         |
+      | status --port x    |
+      | config apply a b c |
+
+  Scenario Outline: Help ends with an example
+    When "<command> --help" is run by "delta"
+    Then it exits with OK and prints "crocusvalve <example>"
+
+    Examples:
+      | command         | example                    |
+      | config check    | config check examples      |
+      | config apply    | config apply trial.toml    |
+      | config promote  | config promote --url       |
+      | domain out      | domain out can-tho         |
+      | rollout start   | rollout start assess-small |
+      | settings check  | settings check entry.toml  |
+      | entry           | entry entry.toml           |
+      | standin engine  | standin engine delta       |
+
+  Scenario: What is shown is edited and applied, and an old copy is a conflict
+    Given what "config show" prints for "delta" is kept in two files
+    When "sfax" changes its section meanwhile
+    And the first file is applied with another weight
+    Then it exits with OK and prints "in force as revision 3"
+    When the second file is applied with another weight
+    Then it exits with CONFLICT and tells "newest is 3"
+
+  Scenario: A dangerous change needs a confirmation
+    Given what "config show" prints for "delta" is kept in two files
+    When the first file is applied with a domain out
+    Then it exits with INVALID and tells "confirm with --yes"
+    When the first file is applied with a domain out and --yes
+    Then it exits with OK and prints "warning: this domain takes no new work"
+
+  Scenario: A section is promoted from trial to production
+    When the section of "delta" is promoted with --dry-run
+    Then it exits with OK and prints "would change at revision 1"
+    When the section of "delta" is promoted with --yes
+    Then it exits with OK and prints "stage_s: 1800.0 -> 60.0"
+    And only the section of "delta" has changed in production
+
+  Scenario Outline: A process stops gracefully at a signal
+    Given a process that runs a role until a signal
+    When it gets <signal>
+    Then the role drains and the process exits 0
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
--- /dev/null
+++ b/features/cli/steps/cli_steps.py
@@ -0,0 +1,217 @@
+"""Steps about the command line."""
+
+import io
+import json
+import os
+import shlex
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+from contextlib import redirect_stderr, redirect_stdout
+from pathlib import Path
+from unittest import mock
+
+import trio
+from behave import given, then, when
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+from crocusvalve.admin import make_admin_blueprint
+from crocusvalve.cli import ExitCode, main
+from crocusvalve.config import parse_document
+from features.admin.memory_backend import MemoryAdminBackend
+
+ROOT = Path(__file__).resolve().parents[3]
+GUARD_S = 60
+KEYS = {
+    "delta": "demo-delta-operator-water-desk",
+    "sfax": "demo-sfax-operator-control-room",
+    "nobody": "unknown",
+}
+ROLE = """
+import trio
+from crocusvalve.cli._signals import run_until_signal
+
+async def role(*, stop):
+    print("running", flush=True)
+    await stop.wait()
+    print("drained", flush=True)
+
+trio.run(run_until_signal, role)
+"""
+
+
+class ServedEntry:
+    """An entry's operators' API, served by a thread."""
+
+    def __init__(self, environment):
+        text = (ROOT / "examples" / f"{environment}.toml").read_text()
+        self.backend = MemoryAdminBackend(parse_document(text, source=environment))
+        self.url = ""
+        self._is_bound = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._serve,), daemon=True)
+        self._thread.start()
+        assert self._is_bound.wait(GUARD_S)
+
+    async def _serve(self):
+        app = QuartTrio("admin")
+        app.register_blueprint(make_admin_blueprint(self.backend))
+        cfg = Config()
+        cfg.bind = ["127.0.0.1:0"]
+        cfg.loglevel = "CRITICAL"
+        self._token, self._stop = trio.lowlevel.current_trio_token(), trio.Event()
+        async with trio.open_nursery() as nursery:
+            binds = await nursery.start(
+                lambda task_status: serve(
+                    app, cfg, shutdown_trigger=self._stop.wait, task_status=task_status
+                )
+            )
+            self.url = binds[0]
+            self._is_bound.set()
+
+    def close(self):
+        self._token.run_sync_soon(self._stop.set)
+        self._thread.join(GUARD_S)
+
+
+class CliSubject:
+    """Runs commands in this process and keeps what they print."""
+
+    def __init__(self):
+        self.trial, self.production = ServedEntry("trial"), ServedEntry("production")
+        self.tmp = tempfile.TemporaryDirectory()
+
+    def close(self):
+        self.trial.close()
+        self.production.close()
+        self.tmp.cleanup()
+
+    def run(self, command, member):
+        variables = {
+            "CROCUSVALVE_ADMIN_URL": self.trial.url,
+            "CROCUSVALVE_ADMIN_KEY": KEYS[member],
+            "CROCUSVALVE_TARGET_URL": self.production.url,
+            "CROCUSVALVE_TARGET_KEY": KEYS[member],
+        }
+        self.command, self.member = command, member
+        out, err = io.StringIO(), io.StringIO()
+        with mock.patch.dict(os.environ, variables), redirect_stdout(out), redirect_stderr(err):
+            self.exit = main(shlex.split(command))
+        self.out, self.err = out.getvalue(), err.getvalue()
+
+    def apply_edited(self, name, old, new, options=""):
+        path = Path(self.tmp.name) / name
+        edited = path.with_suffix(".edited")
+        edited.write_text(path.read_text().replace(old, new, 1))
+        assert edited.read_text() != path.read_text()
+        self.run(f"config apply {edited} {options}", "delta")
+
+
+@given("a trial and a production entry")
+def given_entries(context):
+    context.subject = CliSubject()
+    context.add_cleanup(context.subject.close)
+
+
+@given("the store is {state}")
+def given_store(context, state):
+    context.subject.trial.backend.is_store_up = state == "up"
+
+
+@when('"{command}" is run by "{member}"')
+def when_run(context, command, member):
+    context.subject.run(command, member)
+
+
+@then('it exits with {code} and prints "{text}"')
+def then_prints(context, code, text):
+    subject = context.subject
+    assert subject.exit == ExitCode[code], (subject.exit, subject.err)
+    assert text in subject.out, subject.out
+
+
+@then('it exits with {code} and tells "{text}"')
+def then_tells(context, code, text):
+    subject = context.subject
+    assert subject.exit == ExitCode[code], (subject.exit, subject.out, subject.err)
+    assert text in subject.err and not subject.out, (subject.out, subject.err)
+
+
+@then("it exits with USAGE")
+def then_usage(context):
+    assert context.subject.exit == ExitCode.USAGE
+
+
+@then('with --json it prints a JSON document with "{key}"')
+def then_json(context, key):
+    subject = context.subject
+    before = subject.exit
+    subject.run(f"{subject.command} --json", subject.member)
+    result = json.loads(subject.out)
+    assert key in (result[0] if isinstance(result, list) else result), result
+    assert subject.exit == before
+
+
+@given('what "{command}" prints for "{member}" is kept in two files')
+def given_files(context, command, member):
+    subject = context.subject
+    subject.run(command, member)
+    for name in ("first", "second"):
+        (Path(subject.tmp.name) / name).write_text(subject.out)
+
+
+@when('"{member}" changes its section meanwhile')
+def when_meanwhile(context, member):
+    context.subject.run("rollout start log-small v2 --stages 0.5", member)
+    assert context.subject.exit == ExitCode.OK
+
+
+@when("the {name} file is applied with another weight")
+def when_weight(context, name):
+    context.subject.apply_edited(name, "weight = 4.0", f"weight = 4.{len(name)}")
+
+
+@when("the {name} file is applied with a domain out")
+def when_out(context, name, options=""):
+    old = "[members.delta.domains.can-tho]\n"
+    context.subject.apply_edited(name, old, f'{old}state = "out"\n', options)
+
+
+@when("the {name} file is applied with a domain out and --yes")
+def when_out_confirmed(context, name):
+    when_out(context, name, "--yes")
+
+
+@when('the section of "{member}" is promoted with {option}')
+def when_promoted(context, member, option):
+    context.subject.run(f"config promote {option}", member)
+
+
+@then('only the section of "{member}" has changed in production')
+def then_only(context, member):
+    old, new = context.subject.production.backend.documents
+    assert new.environment == "production"
+    assert [name for name in old.members if old.members[name] != new.members[name]] == [member]
+
+
+@given("a process that runs a role until a signal")
+def given_process(context):
+    context.process = subprocess.Popen(
+        [sys.executable, "-c", ROLE], cwd=ROOT, stdout=subprocess.PIPE, text=True
+    )
+    context.add_cleanup(context.process.kill)
+    assert context.process.stdout.readline() == "running\n"
+
+
+@when("it gets {name}")
+def when_signal(context, name):
+    context.process.send_signal(signal.Signals[name])
+
+
+@then("the role drains and the process exits 0")
+def then_drains(context):
+    out, _ = context.process.communicate(timeout=GUARD_S)
+    assert out == "drained\n" and context.process.returncode == 0
