--- a/crocusvalve/cli/_config.py
+++ b/crocusvalve/cli/_config.py
@@ -1,21 +1,31 @@
 """Commands of the configuration."""
 
-import re
-from pathlib import Path
 from typing import Annotated
 
 import trio
 from cyclopts import App, Parameter
 
-from crocusvalve.admin import AdminClient, ConfigChange, ConfigReply, HistoryReply, PlanReply
-from crocusvalve.base import MemberId, Revision
+from crocusvalve.admin import (
+    Accepted,
+    ConfigReply,
+    HistoryReply,
+    PlanReply,
+)
+from crocusvalve.base import Revision
+from crocusvalve.cli._changes import (
+    apply_change,
+    find_base,
+    make_change,
+    print_plan,
+    read_text,
+)
 from crocusvalve.cli._commands import add_command
+from crocusvalve.cli._modules import load_module
 from crocusvalve.cli._options import (
     AdminOptions,
     JsonFlag,
     OptionsError,
     open_client,
-    read_key,
 )
 from crocusvalve.cli._output import (
     format_changes,
@@ -23,32 +33,27 @@
     format_time,
     print_result,
 )
+from crocusvalve.cli._promote import promote
 from crocusvalve.config import (
     Document,
     Problem,
     diff_documents,
-    format_document,
+    is_http_url,
     parse_document,
-    promote_section,
-    read_document,
 )
-from crocusvalve.exceptions import ConfigError
+from crocusvalve.utils import MonotonicClock
 
 __all__ = ["make_config_app"]
 
-TARGET_KEY_VARIABLE = "CROCUSVALVE_TARGET_KEY"
-TARGET_URL_VARIABLE = "CROCUSVALVE_TARGET_URL"
 DEFAULT_OPTIONS = AdminOptions()
-#: First line that ``config show`` writes.
-HEADER_PATTERN = re.compile(
-    r"# revision (?P<revision>\d{1,18}) for \S+, section (?P<digest>[0-9a-f]+)\n"
-)
+#: Author of the first revision in the history.
+FIRST_AUTHOR = "config init"
 
 
 def make_config_app() -> App:
     """Make the commands under ``config``."""
     app = App(name="config", help="Check, compare and change the document of an environment.")
-    for command in (check, diff, apply, promote, history, show):
+    for command in (check, diff, init, apply, promote, history, show):
         add_command(app, command)
     return app
 
@@ -110,6 +115,35 @@
     print_result(plan, lines, as_json=options.json)
 
 
+def init(
+    file: str,
+    *,
+    platform_url: Annotated[str, Parameter(help="URL of the platform's service.")],
+    json: JsonFlag = False,
+) -> None:
+    """Put the first document of an environment into an empty store.
+
+    Before it there is no operator whose key an entry could know; so the platform's service is
+    asked, to which only its owners have access. A store that holds a document is left as it is.
+
+    Examples
+    --------
+    crocusvalve config init examples/trial.toml --platform-url http://127.0.0.1:9000
+
+    Parameters
+    ----------
+    file
+        A whole document in TOML.
+    """
+    document = parse_document(read_text(file), source=file)
+    if not is_http_url(platform_url):
+        problem = Problem("--platform-url", repr(platform_url), "an http or https URL with a host")
+        raise OptionsError([str(problem)])
+    revision = trio.run(publish_first, document, platform_url)
+    lines = [f"{file}: in force as revision {revision}"]
+    print_result(Accepted(revision), lines, as_json=json)
+
+
 def apply(
     file: str,
     *,
@@ -144,43 +178,6 @@
     print_plan(trio.run(run), options.json)
 
 
-def promote(
-    *,
-    target_url: Annotated[
-        list[str] | None,
-        Parameter(env_var=TARGET_URL_VARIABLE, help="Entry of the target."),
-    ] = None,
-    target_key_file: Annotated[
-        str, Parameter(help=f"Operator's key there, in place of {TARGET_KEY_VARIABLE}.")
-    ] = "",
-    dry_run: Annotated[bool, Parameter(help="Only show the changes.")] = False,
-    yes: Annotated[bool, Parameter(help="Accept dangerous changes.")] = False,
-    options: AdminOptions = DEFAULT_OPTIONS,
-) -> None:
-    """Take the member's section over from one environment to another.
-
-    ``--url`` is an entry of the source. What belongs to an environment stays as it is: operators,
-    failure domains, upstreams and the keys of customers.
-
-    Examples
-    --------
-    crocusvalve config promote --url http://trial:8080 --target-url http://production:8080
-    """
-    target = AdminOptions(target_url, target_key_file, options.ca, options.timeout_s)
-
-    async def run() -> PlanReply:
-        async with open_client(options) as client:
-            source = await client.get_config()
-        async with open_target(target) as client:
-            reply = await client.get_config()
-            change = make_promotion(source, reply)
-            if dry_run:
-                return await client.check_config(change)
-            return await apply_change(client, change, yes)
-
-    print_plan(trio.run(run), options.json, is_plan=dry_run)
-
-
 def history(
     *,
     n: Annotated[int, Parameter(help="Number of revisions.")] = 20,
@@ -221,74 +218,11 @@
     print_result(reply, lines, as_json=options.json)
 
 
-def read_text(path: str) -> str:
-    """Return the text of a document's file.
-
-    Raises
-    ------
-    ConfigError
-        Where it is not readable.
-    """
-    try:
-        return Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        problem = Problem("file", repr(path), "the path of a readable text file")
-        raise ConfigError([str(problem)], step="read") from exc
-
-
-def make_change(reply: ConfigReply, text: str, source: str) -> ConfigChange:
-    """Make a change on the revision that was shown."""
-    return ConfigChange(reply.revision, text, source, reply.section_digest)
-
-
-def find_base(text: str, source: str, base: int | None) -> ConfigChange | None:
-    """Make a change on the revision that an option or the file's first line names."""
-    if base is not None:
-        return ConfigChange(Revision(base), text, source)
-    header = HEADER_PATTERN.match(text)
-    if header is None:
-        return None
-    return ConfigChange(Revision(int(header["revision"])), text, source, header["digest"])
-
-
-async def apply_change(client: AdminClient, change: ConfigChange, is_confirmed: bool) -> PlanReply:
-    """Apply a change; a dangerous one only where it is confirmed."""
-    if not is_confirmed:
-        plan = await client.check_config(change)
-        dangers = [item for item in plan.changes if item.is_dangerous]
-        if dangers:
-            problems = [f"{item.path}: {item.warning}: confirm with --yes" for item in dangers]
-            raise ConfigError(problems, step="apply")
-    return await client.put_config(change)
-
-
-def make_promotion(source: ConfigReply, target: ConfigReply) -> ConfigChange:
-    """Make the change that promotes a member's section."""
-    member = MemberId(source.member)
-    if target.member != member:
-        problem = Problem("--target-key-file", repr(target.member), f"a key of member {member!r}")
-        raise ConfigError([str(problem)], step="promote")
-    document = promote_section(read_reply(source), read_reply(target), member)
-    name = f"{source.environment} revision {source.revision}"
-    return make_change(target, format_document(document), name)
-
-
-def read_reply(reply: ConfigReply) -> Document:
-    """Read the document of a reply."""
-    return read_document(reply.document, source=reply.environment)
-
-
-def open_target(target: AdminOptions) -> AdminClient:
-    """Make a client of the target's entries, with a key of its own."""
-    if not target.url:
-        problem = Problem("--target-url", "(missing)", f"given, or {TARGET_URL_VARIABLE} set")
-        raise OptionsError([str(problem)])
-    key = read_key(target.key_file, TARGET_KEY_VARIABLE)
-    return open_client(target, key=key)
-
-
-def print_plan(plan: PlanReply, as_json: bool, *, is_plan: bool = False) -> None:
-    """Print what was or would be changed."""
-    verb = "would change at" if is_plan else "in force as"
-    lines = [f"{verb} revision {plan.revision}:", *format_changes(plan.changes)]
-    print_result(plan, lines, as_json=as_json)
+async def publish_first(document: Document, platform_url: str) -> Revision:
+    """Publish a document on an empty store."""
+    platform = load_module("crocusvalve.platform")
+    control = load_module("crocusvalve.control")
+    now = MonotonicClock().now()
+    async with platform.HttpPlatform(platform_url) as tables:
+        store = control.ConfigStore(tables, tables)
+        return await store.publish(Revision(0), document, FIRST_AUTHOR, now)
--- a/crocusvalve/cli/_daemons.py
+++ b/crocusvalve/cli/_daemons.py
@@ -3,14 +3,13 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
-from importlib import import_module
-from typing import Any
 
 import trio
 from cyclopts import App
 from msgspec import to_builtins
 
 from crocusvalve.cli._commands import add_command
+from crocusvalve.cli._modules import load_module
 from crocusvalve.cli._options import JsonFlag
 from crocusvalve.cli._output import print_result
 from crocusvalve.cli._signals import run_until_signal
@@ -228,15 +227,6 @@
         raise CrocusvalveError(ErrorCode.BAD_REQUEST, str(exc), step=step) from exc
 
 
-def load_module(name: str) -> Any:
-    """Import a package of this program, with a coded error where it is missing."""
-    try:
-        return import_module(name)
-    except ModuleNotFoundError as exc:
-        message = f"{name} is not part of this installation"
-        raise CrocusvalveError(ErrorCode.INTERNAL, message, step="import", peer=name) from exc
-
-
 def start_logging(settings: ProcessSettings) -> None:
     """Direct the log as the settings say and keep the process's keys out of it."""
     level, form = LogLevel(settings.log.level), LogFormat(settings.log.format)
