--- a/crocusvalve/admin/_service.py
+++ b/crocusvalve/admin/_service.py
@@ -1,5 +1,7 @@
 """What an operator may ask: every answer is cut down to the operator's own member."""
 
+import trio
+
 from crocusvalve.admin import _messages as msg
 from crocusvalve.admin._auth import Operator, find_operator
 from crocusvalve.admin.base import AdminBackend
@@ -56,7 +58,7 @@
     async def plan(self, operator: Operator, change: msg.ConfigChange) -> msg.PlanReply:
         """Check a document and tell what it would change."""
         current, revision = await self.backend.current()
-        proposed = self._prepare(operator, current, change)
+        proposed = await trio.to_thread.run_sync(prepare_change, operator, current, change)
         return msg.PlanReply(revision, diff_documents(current, proposed))
 
     async def apply(
@@ -69,7 +71,7 @@
         for _ in range(MAX_ROUNDS):
             current, revision = await self.backend.current()
             self._check_base(operator, change, current, revision)
-            proposed = self._prepare(operator, current, change)
+            proposed = await trio.to_thread.run_sync(prepare_change, operator, current, change)
             changes = diff_documents(current, proposed)
             if not changes:
                 return msg.PlanReply(revision)
@@ -165,16 +167,28 @@
         message = f"the change is based on revision {change.base}, the newest is {revision}"
         raise ConfigConflictError(message, revision=revision, step="apply", peer=operator.member)
 
-    def _prepare(self, operator: Operator, current: Document, change: msg.ConfigChange) -> Document:
-        proposed = read_document(change.document, source=change.source)
-        merged = merge_section(current, proposed, operator.member)
-        try:
-            check_change(current, merged, operator.member)
-        except ConfigError as exc:
-            problems = [f"{change.source}: {problem}" for problem in exc.problems]
-            raise ConfigError(problems, step=exc.step, peer=exc.peer) from exc
-        return merged
-
     @staticmethod
     def _make_error(operator: Operator, code: ErrorCode, message: str) -> CrocusvalveError:
         return CrocusvalveError(code, message, step="admin", peer=operator.member)
+
+
+def prepare_change(operator: Operator, current: Document, change: msg.ConfigChange) -> Document:
+    """Merge a proposed document into the one in force and check what the operator wrote.
+
+    Called in a thread of its own: a large document takes longer than tokens may wait.
+
+    Raises
+    ------
+    ConfigError
+        With every fault of the member's section, each naming the change's source.
+    CrocusvalveError
+        With code ``forbidden`` where the change reaches further.
+    """
+    proposed = read_document(change.document, source=change.source)
+    merged = merge_section(current, proposed, operator.member)
+    try:
+        check_change(current, merged, operator.member)
+    except ConfigError as exc:
+        problems = [f"{change.source}: {problem}" for problem in exc.problems]
+        raise ConfigError(problems, step=exc.step, peer=exc.peer) from exc
+    return merged
--- a/crocusvalve/config/_author.py
+++ b/crocusvalve/config/_author.py
@@ -64,14 +64,10 @@
         With every fault of the member's section.
     """
     check_author(old, new, member)
-    inherited = {problem for problem in list_problems(old) if problem.is_foreign}
-    own = f"members.{member}."
-    problems = [
-        problem
-        for problem in list_problems(new)
-        if problem not in inherited
-        and (problem.key.startswith(own) or not problem.key.startswith("members."))
-    ]
+    problems = list_problems(new, only=member)
+    if any(problem.is_foreign for problem in problems):
+        inherited = {prob for prob in list_problems(old, only=member) if prob.is_foreign}
+        problems = [problem for problem in problems if problem not in inherited]
     if problems:
         raise ConfigError([str(problem) for problem in problems], step="check", peer=member)
 
--- a/crocusvalve/config/_check.py
+++ b/crocusvalve/config/_check.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Iterator
 
+from crocusvalve.base import MemberId
 from crocusvalve.config._document import Document, MemberConfig
 from crocusvalve.config._limits import (
     MAX_ENTRIES,
@@ -35,8 +36,16 @@
     return [str(problem) for problem in list_problems(document)]
 
 
-def list_problems(document: Document) -> list[Problem]:
-    """Return every fault of a document as typed problems."""
+def list_problems(document: Document, *, only: MemberId | None = None) -> list[Problem]:
+    """Return the faults of a document as typed problems.
+
+    Parameters
+    ----------
+    document : Document
+        A document of the right types.
+    only : MemberId or None
+        Check this member's section alone, with its references and its keys against all others'.
+    """
     problems = []
     if not ENVIRONMENT_PATTERN.fullmatch(document.environment):
         shown = show_value("environment", document.environment)
@@ -45,13 +54,22 @@
         shown = f"{len(document.members)} members"
         problems.append(Problem("members", shown, f"at most {MAX_MEMBERS} members"))
     for member, section in document.members.items():
+        if only not in (None, member):
+            continue
         key = f"members.{member}"
         problems.extend(_check_name(key, member))
         problems.extend(_check_entries(key, section))
         problems.extend(list_value_problems(key, section, NUMBER_RANGES))
-    problems.extend(list_reference_problems(document))
+    problems.extend(list_reference_problems(document, only=only))
     problems.extend(list_key_problems(document))
-    return problems
+    if only is None:
+        return problems
+    own = f"members.{only}."
+    return [prob for prob in problems if prob.key.startswith(own) or _is_global(prob)]
+
+
+def _is_global(problem: Problem) -> bool:
+    return not problem.key.startswith("members.")
 
 
 def _check_entries(key: str, section: MemberConfig) -> Iterator[Problem]:
--- a/crocusvalve/config/_diff.py
+++ b/crocusvalve/config/_diff.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from crocusvalve.config._document import Document
+from crocusvalve.config._fields import list_fields
 from crocusvalve.config._warnings import find_warning
 
 __all__ = ["Change", "diff_documents"]
@@ -61,7 +62,7 @@
     if old == new:
         return
     if isinstance(old, Struct) and isinstance(new, Struct):
-        for field in msgspec.structs.fields(old):
+        for field in list_fields(type(old)):
             name = field.name
             yield from _walk((*path, name), getattr(old, name), getattr(new, name))
     elif isinstance(old, dict) and isinstance(new, dict):
--- a/crocusvalve/config/_format.py
+++ b/crocusvalve/config/_format.py
@@ -6,10 +6,10 @@
 from enum import Enum
 from typing import Any
 
-import msgspec
 from msgspec import NODEFAULT, Struct
 
 from crocusvalve.config._document import Document
+from crocusvalve.config._fields import list_fields
 
 __all__ = ["format_document"]
 
@@ -41,7 +41,7 @@
 def _format_table(path: tuple[str, ...], cfg: Struct) -> Iterator[str]:
     lines = []
     tables: list[tuple[tuple[str, ...], Struct]] = []
-    for field in msgspec.structs.fields(cfg):
+    for field in list_fields(type(cfg)):
         value = getattr(cfg, field.name)
         if isinstance(value, Struct):
             if value != _get_default(field):
--- a/crocusvalve/config/_ranges.py
+++ b/crocusvalve/config/_ranges.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-import msgspec
 from msgspec import Struct
 
+from crocusvalve.config._fields import list_fields
 from crocusvalve.config._problems import Problem, show_value
 
 __all__ = ["MAX_ITEMS", "MAX_TEXT_CHARS", "NumberRange", "RangeTable", "list_value_problems"]
@@ -48,7 +48,7 @@
         Allowed ranges.
     """
     own = ranges.get(type(cfg), {})
-    for field in msgspec.structs.fields(cfg):
+    for field in list_fields(type(cfg)):
         value = getattr(cfg, field.name)
         path = f"{key}.{field.name}" if key else field.name
         allowed = own.get(field.name)
--- a/crocusvalve/config/_reader.py
+++ b/crocusvalve/config/_reader.py
@@ -4,11 +4,13 @@
 from collections.abc import Mapping
 from enum import Enum
 from types import NoneType, UnionType
-from typing import Any, Union, get_args, get_origin, get_type_hints
+from typing import Any, Union, get_args, get_origin
 
 import msgspec
 from msgspec import NODEFAULT, Struct
+from msgspec.structs import FieldInfo
 
+from crocusvalve.config._fields import list_fields
 from crocusvalve.config._problems import Problem, show_value
 
 __all__ = ["StructReader", "parse_toml"]
@@ -74,21 +76,21 @@
         if not isinstance(raw, Mapping):
             self._note(key, raw, "a table")
             raw = {}
-        hints = get_type_hints(struct_type)
-        fields = {field.name: field for field in msgspec.structs.fields(struct_type)}
+        fields = {field.name: field for field in list_fields(struct_type)}
         for name in raw:
             if name not in fields:
                 self._note(_join(key, name), raw[name], f"one of the keys {', '.join(fields)}")
         values = {}
         for name, field in fields.items():
             if name in raw:
-                values[name] = self._read_value(raw[name], hints[name], _join(key, name), field)
+                values[name] = self._read_value(raw[name], field, _join(key, name))
             elif field.required:
-                self._note(_join(key, name), None, f"present, {_describe(hints[name])}")
-                values[name] = _make_empty(hints[name])
+                self._note(_join(key, name), None, f"present, {_describe(field.type)}")
+                values[name] = _make_empty(field.type)
         return struct_type(**values)
 
-    def _read_value(self, raw: Any, hint: Any, key: str, field: Any) -> Any:
+    def _read_value(self, raw: Any, field: FieldInfo, key: str) -> Any:
+        hint = field.type
         if _is_struct(hint):
             return self.read(raw, hint, key)
         if get_origin(hint) is dict and _is_struct(get_args(hint)[1]):
@@ -97,7 +99,7 @@
             return msgspec.convert(raw, hint)
         except (msgspec.ValidationError, OverflowError):
             self._note(key, raw, _describe(hint))
-        return _make_default(field, hint)
+        return _make_default(field)
 
     def _read_dict(self, raw: Any, struct_type: type[Struct], key: str) -> dict[str, Any]:
         if not isinstance(raw, Mapping):
@@ -132,20 +134,19 @@
     return names.get(hint, str(hint))
 
 
-def _make_default(field: Any, hint: Any) -> Any:
+def _make_default(field: FieldInfo) -> Any:
     if field.default is not NODEFAULT:
         return field.default
     if field.default_factory is not NODEFAULT:
         return field.default_factory()
-    return _make_empty(hint)
+    return _make_empty(field.type)
 
 
 def _make_empty(hint: Any) -> Any:
     if isinstance(hint, type) and issubclass(hint, Enum):
         return next(iter(hint))
     if _is_struct(hint):
-        hints = get_type_hints(hint)
-        required = [field for field in msgspec.structs.fields(hint) if field.required]
-        return hint(**{field.name: _make_empty(hints[field.name]) for field in required})
+        required = [field for field in list_fields(hint) if field.required]
+        return hint(**{field.name: _make_empty(field.type) for field in required})
     origin = get_origin(hint) or hint
     return origin() if origin in (dict, tuple, str, int, float, bool) else None
--- a/crocusvalve/config/_references.py
+++ b/crocusvalve/config/_references.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Iterator
 
-from crocusvalve.base import ClassKind, RolloutState, UpstreamKind, VersionState
+from crocusvalve.base import ClassKind, MemberId, RolloutState, UpstreamKind, VersionState
 from crocusvalve.config._addresses import is_http_url, is_socket_address
 from crocusvalve.config._document import Document, MemberConfig
 from crocusvalve.config._limits import CASCADE_POLICIES, ROLLOUT_POLICIES, ROUTING_POLICIES
@@ -16,13 +16,15 @@
 SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
 
 
-def list_reference_problems(document: Document) -> list[Problem]:
+def list_reference_problems(document: Document, *, only: MemberId | None = None) -> list[Problem]:
     """Return the references of a document that do not resolve.
 
     Parameters
     ----------
     document : Document
         A document of the right types.
+    only : MemberId or None
+        Follow the references of this member alone.
 
     Returns
     -------
@@ -32,6 +34,8 @@
     resolver = ReferenceResolver(document)
     problems: list[Problem] = []
     for member, section in document.members.items():
+        if only not in (None, member):
+            continue
         checker = _SectionChecker(member, section, resolver)
         problems.extend(checker.run())
     problems.extend(_list_repeated_agents(document))
