--- a/crocusvalve/config/_warnings.py
+++ b/crocusvalve/config/_warnings.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from crocusvalve.base import DomainState, VersionState
+from crocusvalve.base import DomainState, RolloutState, VersionState
 from crocusvalve.config._document import Document, MemberConfig
 
 __all__ = ["find_warning"]
@@ -55,6 +55,8 @@
 def _warn_version(
     section: MemberConfig, model: str, version: str, rest: list[str], new: Any
 ) -> str:
+    if rest == ["state"] and new is VersionState.ACTIVE:
+        return "a withdrawn version takes new work again"
     is_removed = not rest and new is None
     is_withdrawn = rest == ["state"] and new is VersionState.WITHDRAWN
     if not is_removed and not is_withdrawn:
@@ -68,6 +70,10 @@
     match table, field:
         case "domains", "state" if new is DomainState.OUT:
             return "this domain takes no new work from now on"
+        case "domains", "state" if new is DomainState.IN:
+            return "a domain that was taken out takes new work again"
+        case "rollouts", "state" if new is RolloutState.RUNNING:
+            return "a roll-out that had ended runs again"
         case "models", "current":
             return "all first contacts move to another version at once, with no roll-out"
         case "models", "shared_with" if set(old) - set(new):
--- a/features/config/changes.feature
+++ b/features/config/changes.feature
@@ -17,6 +17,17 @@
       | delta.upstreams.assess-1           | cold_limit = 9      | cold_limit  | may fall over           |
       | delta.upstreams.assess-1           | warm_limit = 17     | warm_limit  |                         |
 
+  Scenario Outline: Going back behind what was taken out carries a warning
+    Given the trial document
+    And in table members.<table> the line state = "<state>"
+    Then the change back of "state" is warned of with "<warning>"
+
+    Examples:
+      | table                                 | state     | warning                |
+      | delta.models.assess-small.versions.v2 | withdrawn | takes new work again   |
+      | delta.domains.can-tho                 | out       | takes new work again   |
+      | delta.rollouts.assess-small-v2        | withdrawn | had ended runs again   |
+
   Scenario Outline: Removing an entry carries a warning
     Given the trial document without <table> "<name>" of "delta"
     Then the change of "<name>" is warned of with "<warning>"
--- a/features/config/steps/changes_steps.py
+++ b/features/config/steps/changes_steps.py
@@ -58,6 +58,12 @@
     assert found and found[0].is_dangerous and warning in found[0].warning, changes
 
 
+@then('the change back of "{name}" is warned of with "{warning}"')
+def then_back_warned(context, name, warning):
+    (change,) = diff_documents(read(context), DocumentText("trial").parse())
+    assert change.path.endswith(f".{name}") and warning in change.warning, change
+
+
 @then('the change of "{name}" is warned of with ""')
 def then_not_warned(context, name):
     (change,) = diff_documents(DocumentText("trial").parse(), read(context))
