TLS contexts of a process by its settings; internal calls over TLS

Cause: internal connections take TLS by settings, with one certificate for VMs that have no names. Change: ProcessTls, watch_tls; internal_tls.check_host. Conclusion: calls over grpclib with both sides' certificates pass, without a certificate or TLS they fail, and a new certificate is used by new connections (features/security).

--- a/crocusvalve/security/__init__.py
+++ b/crocusvalve/security/__init__.py
@@ -2,6 +2,7 @@
 
 from crocusvalve.security._hypercorn import TlsServerConfig
 from crocusvalve.security._keys import NewKey, is_internal_key, make_key, read_bearer
+from crocusvalve.security._process import ProcessTls, watch_tls
 from crocusvalve.security._tls import (
     HTTP_ALPN,
     RPC_ALPN,
@@ -14,6 +15,7 @@
     "HTTP_ALPN",
     "RPC_ALPN",
     "NewKey",
+    "ProcessTls",
     "ReloadingTls",
     "TlsServerConfig",
     "is_internal_key",
@@ -21,4 +23,5 @@
     "make_key",
     "make_server_tls",
     "read_bearer",
+    "watch_tls",
 ]
--- a/crocusvalve/settings/_settings.py
+++ b/crocusvalve/settings/_settings.py
@@ -51,11 +51,15 @@
 
 
 class TlsSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Paths of PEM files; ``ca`` verifies the other side. Empty paths switch TLS off."""
+    """Paths of PEM files; ``ca`` verifies the other side. Empty paths switch TLS off.
+
+    ``check_host`` tells whether a server's certificate must name the address called.
+    """
 
     cert: str = ""
     key: str = ""
     ca: str = ""
+    check_host: bool = True
 
     @property
     def is_enabled(self) -> bool:
--- /dev/null
+++ b/features/security/steps/rpc_tls_steps.py
@@ -0,0 +1,136 @@
+"""Steps about TLS between processes."""
+
+import tempfile
+from pathlib import Path
+
+import trio
+import trio_asyncio
+import trustme
+from behave import given, then
+
+from crocusvalve.base import Revision
+from crocusvalve.rpc import (
+    ConfigAck,
+    ConfigPush,
+    NoticeAck,
+    PeerClient,
+    PeerService,
+    RpcError,
+    serve_rpc,
+)
+from crocusvalve.security import RPC_ALPN, ProcessTls, make_client_tls
+from crocusvalve.settings import TlsSettings
+
+GUARD_S = 30
+TOKEN = "internal-key-of-the-test"
+
+
+class FixedPeer(PeerService):
+    """Answers every call with revision 7."""
+
+    async def push_config(self, req):
+        return ConfigAck(Revision(7))
+
+    async def pull_config(self, req):
+        return ConfigPush(Revision(7), Revision(0), b"")
+
+    async def notify(self, req):
+        return NoticeAck(False)
+
+
+class RpcTlsSubject:
+    """Certificates of one authority for a server and a client, without names of their own."""
+
+    def __init__(self):
+        self.dir = tempfile.TemporaryDirectory()
+        self.ca = trustme.CA()
+        self.write("ca.pem", self.ca.cert_pem.bytes())
+        self.issue()
+        paths = {name: str(Path(self.dir.name) / f"{name}.pem") for name in ("cert", "key", "ca")}
+        self.settings = TlsSettings(**paths, check_host=False)
+        self.tls = ProcessTls(self.settings, alpn=RPC_ALPN)
+
+    def write(self, name, data):
+        (Path(self.dir.name) / name).write_bytes(data)
+
+    def issue(self):
+        leaf = self.ca.issue_cert("crocusvalve.internal")
+        self.write("cert.pem", leaf.cert_chain_pems[0].bytes())
+        self.write("key.pem", leaf.private_key_pem.bytes())
+
+    def run(self, check):
+        async def main():
+            with trio.fail_after(GUARD_S):
+                async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+                    port = await nursery.start(
+                        lambda task_status: serve_rpc(
+                            FixedPeer(),
+                            "127.0.0.1",
+                            0,
+                            token=TOKEN,
+                            tls=self.tls.server,
+                            task_status=task_status,
+                        )
+                    )
+                    await check(f"127.0.0.1:{port}")
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    @staticmethod
+    async def call(address, tls):
+        client = PeerClient(address, token=TOKEN, tls=tls)
+        try:
+            return (await client.pull_config(ConfigAck(Revision(0)))).revision
+        except RpcError:
+            return None
+        finally:
+            client.close()
+
+    @staticmethod
+    async def fetch_certificate(address, tls):
+        host, _, port = address.rpartition(":")
+        stream = await trio.open_ssl_over_tcp_stream(host, int(port), ssl_context=tls)
+        await stream.do_handshake()
+        found = stream.getpeercert(binary_form=True)
+        await trio.aclose_forcefully(stream)
+        return found
+
+
+@given("two processes with certificates of a private authority")
+def given_processes(context):
+    context.subject = RpcTlsSubject()
+    context.add_cleanup(context.subject.dir.cleanup)
+
+
+@then("a call between them is answered")
+def then_answered(context):
+    async def check(address):
+        assert await subject.call(address, subject.tls.client) == 7
+
+    subject = context.subject
+    subject.run(check)
+
+
+@then("a call without a certificate and one without TLS fail")
+def then_fail(context):
+    async def check(address):
+        bare = make_client_tls(subject.settings.ca, check_host=False)
+        assert await subject.call(address, bare) is None
+        assert await subject.call(address, None) is None
+
+    subject = context.subject
+    subject.run(check)
+
+
+@then("after new certificates are in place new connections use them")
+def then_new(context):
+    async def check(address):
+        before = await subject.fetch_certificate(address, subject.tls.client)
+        subject.issue()
+        assert subject.tls.poll(1e9)
+        assert await subject.call(address, subject.tls.client) == 7
+        assert await subject.fetch_certificate(address, subject.tls.client) != before
+
+    subject = context.subject
+    subject.run(check)
--- a/features/security/tls.feature
+++ b/features/security/tls.feature
@@ -22,6 +22,12 @@
     Given a server that asks its clients for a certificate
     Then a client with a certificate is answered and one without is not
 
+  Scenario: Calls between processes run over TLS and go on after a new certificate
+    Given two processes with certificates of a private authority
+    Then a call between them is answered
+    And a call without a certificate and one without TLS fail
+    And after new certificates are in place new connections use them
+
   Scenario: Files are read at most once a second
     Given a server with a certificate that its clients trust
     Then 100 polls within a second read the files once
