Tests share one served application and the example settings

Cause: three subjects served an application each in its own way; settings of the examples were untested. Change: features/served.py; settings features edit examples/settings.

--- a/features/admin/steps/admin_steps.py
+++ b/features/admin/steps/admin_steps.py
@@ -1,15 +1,11 @@
 """Steps about the operators' API."""
 
 import json
-from contextlib import suppress
-from pathlib import Path
 
 import httpx
 import msgspec
 import trio
 from behave import given, then, when
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from quart_trio import QuartTrio
 
 from crocusvalve.admin import (
@@ -19,11 +15,11 @@
     make_admin_blueprint,
 )
 from crocusvalve.base import DomainState
-from crocusvalve.config import parse_document
 from crocusvalve.exceptions import ConfigConflictError, CrocusvalveError
 from features.admin.memory_backend import MemoryAdminBackend
+from features.config.document_text import DocumentText
+from features.served import ServedApp
 
-TRIAL = Path(__file__).resolve().parents[3] / "examples" / "trial.toml"
 OPERATORS = {"delta": "water-desk", "sfax": "control-room"}
 GUARD_S = 30
 DEAD_URL = "http://127.0.0.1:9"
@@ -34,8 +30,7 @@
     """An entry's application and clients that call it without sockets."""
 
     def __init__(self):
-        document = parse_document(TRIAL.read_text(), source="trial.toml")
-        self.backend = MemoryAdminBackend(document)
+        self.backend = MemoryAdminBackend(DocumentText("trial").parse())
         self.app = QuartTrio("admin")
         self.app.register_blueprint(make_admin_blueprint(self.backend))
         self.error = self.reply = None
@@ -270,41 +265,15 @@
     assert section.rollouts[name].state.value == state
 
 
-class ServedSubject:
-    """An entry's application on a socket, and addresses at which nobody answers."""
-
-    def __init__(self, app):
-        self.app = app
-
-    async def run(self, check):
-        cfg = Config()
-        cfg.bind = ["127.0.0.1:0"]
-        cfg.loglevel = "CRITICAL"
-        stop = trio.Event()
-        with trio.fail_after(GUARD_S):
-            async with trio.open_nursery() as nursery:
-                binds = await nursery.start(
-                    lambda task_status: serve(
-                        self.app, cfg, shutdown_trigger=stop.wait, task_status=task_status
-                    )
-                )
-                await check(binds[0])
-                stop.set()
-
-    @staticmethod
-    async def close_unanswered(stream):
-        with suppress(trio.BrokenResourceError):
-            await stream.receive_some(10)
-        await stream.aclose()
-
-
 @then("a client with a dead first address is answered by the second")
 def then_second(context):
-    async def check(url):
-        async with AdminClient([DEAD_URL, url], KEY) as client:
+    async def check():
+        async with AdminClient([DEAD_URL, served.url], KEY) as client:
             assert (await client.get_config()).revision == 1
 
-    trio.run(ServedSubject(context.subject.app).run, check)
+    served = ServedApp(context.subject.app)
+    context.subject.run(check)
+    served.close()
 
 
 @then("a client with only a dead address is told that nobody answered")
@@ -323,10 +292,14 @@
 
 @then("a client whose answer is lost is told that its change may be in force")
 def then_lost(context):
+    async def close_unanswered(stream):
+        await stream.receive_some(10)
+        await stream.aclose()
+
     async def check():
         async with trio.open_nursery() as nursery:
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            nursery.start_soon(trio.serve_listeners, ServedSubject.close_unanswered, listeners)
+            nursery.start_soon(trio.serve_listeners, close_unanswered, listeners)
             port = listeners[0].socket.getsockname()[1]
             async with AdminClient([f"http://127.0.0.1:{port}"], KEY) as client:
                 try:
@@ -335,4 +308,4 @@
                     nursery.cancel_scope.cancel()
                     return exc.maybe_applied
 
-    assert trio.run(check)
+    assert context.subject.run(check)
--- a/features/cli/steps/cli_steps.py
+++ b/features/cli/steps/cli_steps.py
@@ -8,21 +8,18 @@
 import subprocess
 import sys
 import tempfile
-import threading
 from contextlib import redirect_stderr, redirect_stdout
 from pathlib import Path
 from unittest import mock
 
-import trio
 from behave import given, then, when
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from quart_trio import QuartTrio
 
 from crocusvalve.admin import make_admin_blueprint
 from crocusvalve.cli import ExitCode, main
-from crocusvalve.config import parse_document
 from features.admin.memory_backend import MemoryAdminBackend
+from features.config.document_text import DocumentText
+from features.served import ServedApp
 
 ROOT = Path(__file__).resolve().parents[3]
 GUARD_S = 60
@@ -44,44 +41,21 @@
 """
 
 
-class ServedEntry:
-    """An entry's operators' API, served by a thread."""
+class TrialEntry(ServedApp):
+    """The operators' API over an example document."""
 
     def __init__(self, environment):
-        text = (ROOT / "examples" / f"{environment}.toml").read_text()
-        self.backend = MemoryAdminBackend(parse_document(text, source=environment))
-        self.url = ""
-        self._is_bound = threading.Event()
-        self._thread = threading.Thread(target=trio.run, args=(self._serve,), daemon=True)
-        self._thread.start()
-        assert self._is_bound.wait(GUARD_S)
-
-    async def _serve(self):
+        self.backend = MemoryAdminBackend(DocumentText(environment).parse())
         app = QuartTrio("admin")
         app.register_blueprint(make_admin_blueprint(self.backend))
-        cfg = Config()
-        cfg.bind = ["127.0.0.1:0"]
-        cfg.loglevel = "CRITICAL"
-        self._token, self._stop = trio.lowlevel.current_trio_token(), trio.Event()
-        async with trio.open_nursery() as nursery:
-            binds = await nursery.start(
-                lambda task_status: serve(
-                    app, cfg, shutdown_trigger=self._stop.wait, task_status=task_status
-                )
-            )
-            self.url = binds[0]
-            self._is_bound.set()
-
-    def close(self):
-        self._token.run_sync_soon(self._stop.set)
-        self._thread.join(GUARD_S)
+        super().__init__(app)
 
 
 class CliSubject:
     """Runs commands in this process and keeps what they print."""
 
     def __init__(self):
-        self.trial, self.production = ServedEntry("trial"), ServedEntry("production")
+        self.trial, self.production = TrialEntry("trial"), TrialEntry("production")
         self.tmp = tempfile.TemporaryDirectory()
 
     def close(self):
--- a/features/config/document_text.py
+++ b/features/config/document_text.py
@@ -22,7 +22,7 @@
 
     def set_line(self, table, line):
         key = line.partition("=")[0].strip()
-        lines = self.blocks[table]
+        lines = self.blocks.get(table, [])
         kept = [old for old in lines if old.partition("=")[0].strip() != key]
         self.blocks[table] = [*kept, line]
 
--- a/features/config/steps/config_steps.py
+++ b/features/config/steps/config_steps.py
@@ -1,27 +1,15 @@
 """Steps about reading and checking documents."""
 
-from pathlib import Path
-
 from behave import given, then
 
 from crocusvalve.base import ClassKind, UpstreamKind
-from crocusvalve.config import check_document, parse_document
-
-EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
-
-
-class ConfigSubject:
-    """Reads the shipped documents."""
-
-    @staticmethod
-    def read_text(environment):
-        return (EXAMPLES / f"{environment}.toml").read_text()
+from crocusvalve.config import check_document
+from features.config.document_text import DocumentText
 
 
 @given("the document examples/{environment}.toml")
 def given_example(context, environment):
-    text = ConfigSubject.read_text(environment)
-    context.document = parse_document(text, source=f"{environment}.toml")
+    context.document = DocumentText(environment).parse()
 
 
 @then('it is valid for environment "{environment}"')
--- a/features/metrics/steps/metrics_steps.py
+++ b/features/metrics/steps/metrics_steps.py
@@ -3,7 +3,6 @@
 import io
 import json
 import logging
-from pathlib import Path
 
 import msgspec
 import trio
@@ -11,7 +10,7 @@
 from prometheus_client import CollectorRegistry
 
 from crocusvalve.base import AttemptState, Revision, UpstreamState
-from crocusvalve.config import Document, DocumentView, parse_document
+from crocusvalve.config import Document, DocumentView
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.metrics import (
     AgentMetrics,
@@ -21,9 +20,10 @@
     setup_logging,
 )
 from crocusvalve.settings import LogFormat, LogLevel
+from features.config.document_text import DocumentText
 
-TRIAL = Path(__file__).resolve().parents[3] / "examples" / "trial.toml"
 SECRET = "s3cretPromptText"
+KEY = f"cv-{SECRET}-0123456789"
 LOGGER = logging.getLogger("crocusvalve.test")
 
 
@@ -33,7 +33,7 @@
     def __init__(self, kind):
         self.registry = CollectorRegistry()
         self.metrics = kind(self.registry)
-        self.document = parse_document(TRIAL.read_text(), source="trial.toml")
+        self.document = DocumentText("trial").parse()
 
     def take(self, members, revision):
         document = Document("trial", members)
@@ -66,53 +66,47 @@
         self.redactor = setup_logging(LogLevel.DEBUG, LogFormat(form), self.stream)
 
     def log(self, what):
-        key = f"cv-{SECRET}-0123456789"
-        match what:
-            case "a bearer header":
-                LOGGER.info("got Authorization: Bearer %s", key[3:])
-            case "a key as a setting":
-                LOGGER.info("started with internal_key = '%s'", SECRET)
-            case "a made key":
-                LOGGER.info("caller sent %s", key)
-            case "a demo key":
-                LOGGER.info("caller sent demo-delta-%s", SECRET.lower() + "-x")
-            case "a registered secret":
-                self.redactor.add_secret(SECRET)
-                LOGGER.info("odd %s", SECRET)
-            case "the bytes of a body":
-                LOGGER.info("body %s", SECRET.encode())
-            case "a request message":
-                LOGGER.info("message %r", Body(SECRET))
-            case "a dictionary":
-                LOGGER.info("body %(content)s", {"content": SECRET})
-            case "a JSON text":
-                LOGGER.info('sent {"model": "m", "messages": [{"content": "%s"}]}', SECRET)
-            case "a long text":
-                LOGGER.info("prompt %s", f"Season {SECRET} " * 40)
-            case "an error of a library":
-                self.log_error("failed")
-            case "an error as an argument":
-                LOGGER.warning("failed: %s", ValueError(SECRET))
-            case "an object as the message":
-                LOGGER.warning(Body(SECRET))
-            case "a wrong format":
-                LOGGER.warning("two %s %s", f"{SECRET}")
-            case "a peer that is a key":
-                with bind_log_context(peer=key):
-                    LOGGER.warning("refused")
-            case "a library's debug line":
-                logging.getLogger("hpack").debug("header authorization %s", SECRET)
-                LOGGER.info("done")
-
-    def log_error(self, message):
+        if what == "a registered secret":
+            self.redactor.add_secret(SECRET)
+        peer = KEY if what == "a peer that is a key" else "peer"
+        with bind_log_context(peer=peer):
+            CALLS[what]()
+
+
+def log_library_error():
+    try:
         try:
-            json.loads(f"{SECRET}")
-            raise AssertionError
+            json.loads(SECRET)
         except ValueError as exc:
-            try:
-                raise ValueError(f"bad body {SECRET}") from exc
-            except ValueError:
-                LOGGER.exception(message)
+            raise ValueError(f"bad body {SECRET}") from exc
+    except ValueError:
+        LOGGER.exception("failed")
+
+
+def log_library_debug():
+    logging.getLogger("hpack").debug("header authorization %s", SECRET)
+    LOGGER.info("done")
+
+
+JSON_TEXT = 'sent {"model": "m", "messages": [{"content": "%s"}]}'
+CALLS = {
+    "a bearer header": lambda: LOGGER.info("got Authorization: Bearer %s", KEY[3:]),
+    "a key as a setting": lambda: LOGGER.info("started with internal_key = '%s'", SECRET),
+    "a made key": lambda: LOGGER.info("caller sent %s", KEY),
+    "a demo key": lambda: LOGGER.info("caller sent demo-delta-%s", SECRET.lower()),
+    "a registered secret": lambda: LOGGER.info("odd %s", SECRET),
+    "the bytes of a body": lambda: LOGGER.info("body %s", SECRET.encode()),
+    "a request message": lambda: LOGGER.info("message %r", Body(SECRET)),
+    "a dictionary": lambda: LOGGER.info("body %(content)s", {"content": SECRET}),
+    "a JSON text": lambda: LOGGER.info(JSON_TEXT, SECRET),
+    "a long text": lambda: LOGGER.info("prompt %s", f"Season {SECRET} " * 40),
+    "an error of a library": log_library_error,
+    "an error as an argument": lambda: LOGGER.warning("failed: %s", ValueError(SECRET)),
+    "an object as the message": lambda: LOGGER.warning(Body(SECRET)),
+    "a wrong format": lambda: LOGGER.warning("two %s %s", SECRET),
+    "a peer that is a key": lambda: LOGGER.warning("refused"),
+    "a library's debug line": log_library_debug,
+}
 
 
 @given("an entry's metrics with the trial document at revision {revision:d}")
--- a/features/security/steps/rpc_tls_steps.py
+++ b/features/security/steps/rpc_tls_steps.py
@@ -103,19 +103,11 @@
     context.add_cleanup(context.subject.dir.cleanup)
 
 
-@then("a call between them is answered")
+@then("a call between them is answered, one without a certificate or without TLS is not")
 def then_answered(context):
-    async def check(address):
-        assert await subject.call(address, subject.tls.client) == 7
-
-    subject = context.subject
-    subject.run(check)
-
-
-@then("a call without a certificate and one without TLS fail")
-def then_fail(context):
     async def check(address):
         bare = make_client_tls(subject.settings.ca, check_host=False)
+        assert await subject.call(address, subject.tls.client) == 7
         assert await subject.call(address, bare) is None
         assert await subject.call(address, None) is None
 
--- a/features/security/steps/security_steps.py
+++ b/features/security/steps/security_steps.py
@@ -2,7 +2,6 @@
 
 import ssl
 import tempfile
-from functools import partial
 from pathlib import Path
 from unittest import mock
 
@@ -10,19 +9,18 @@
 import trio
 import trustme
 from behave import given, then, when
-from hypercorn.trio import serve
 from quart_trio import QuartTrio
 
 from crocusvalve.security import (
     HTTP_ALPN,
     ReloadingTls,
-    TlsServerConfig,
     is_internal_key,
     make_client_tls,
     make_key,
     make_server_tls,
 )
 from crocusvalve.utils import hash_key
+from features.served import ServedApp
 
 HOST = "127.0.0.1"
 GUARD_S = 30
@@ -74,21 +72,17 @@
                 return False
 
     def run(self, check):
-        trio.run(self._serve, check)
+        async def main():
+            with trio.fail_after(GUARD_S):
+                await check(served.url)
 
-    async def _serve(self, check):
         app = QuartTrio("tls")
         app.add_url_rule("/", view_func=self.answer)
-        cfg = TlsServerConfig(self.context)
-        cfg.bind = [f"{HOST}:0"]
-        cfg.loglevel = "CRITICAL"
-        stop = trio.Event()
-        with trio.fail_after(GUARD_S):
-            async with trio.open_nursery() as nursery:
-                start = partial(serve, app, cfg, shutdown_trigger=stop.wait)
-                binds = await nursery.start(start)
-                await check(binds[0])
-                stop.set()
+        served = ServedApp(app, self.context)
+        try:
+            trio.run(main)
+        finally:
+            served.close()
 
     @staticmethod
     async def answer():
--- a/features/security/tls.feature
+++ b/features/security/tls.feature
@@ -24,8 +24,7 @@
 
   Scenario: Calls between processes run over TLS and go on after a new certificate
     Given two processes with certificates of a private authority
-    Then a call between them is answered
-    And a call without a certificate and one without TLS fail
+    Then a call between them is answered, one without a certificate or without TLS is not
     And after new certificates are in place new connections use them
 
   Scenario: Files are read at most once a second
--- /dev/null
+++ b/features/served.py
@@ -0,0 +1,49 @@
+"""An application on a loopback port, served by a thread."""
+
+import threading
+
+import trio
+from hypercorn.trio import serve
+
+from crocusvalve.security import TlsServerConfig
+
+GUARD_S = 60
+
+
+class ServedApp:
+    """Serves an application until it is closed.
+
+    Parameters
+    ----------
+    app : quart.Quart
+        The application.
+    tls : ssl.SSLContext or None
+        Server context.
+    """
+
+    def __init__(self, app, tls=None):
+        self.app = app
+        self.tls = tls
+        self.url = ""
+        self._is_bound = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._serve,), daemon=True)
+        self._thread.start()
+        assert self._is_bound.wait(GUARD_S)
+
+    async def _serve(self):
+        cfg = TlsServerConfig(self.tls)
+        cfg.bind = ["127.0.0.1:0"]
+        cfg.loglevel = "CRITICAL"
+        self._token, self._stop = trio.lowlevel.current_trio_token(), trio.Event()
+        async with trio.open_nursery() as nursery:
+            binds = await nursery.start(
+                lambda task_status: serve(
+                    self.app, cfg, shutdown_trigger=self._stop.wait, task_status=task_status
+                )
+            )
+            self.url = binds[0]
+            self._is_bound.set()
+
+    def close(self):
+        self._token.run_sync_soon(self._stop.set)
+        self._thread.join(GUARD_S)
--- a/features/settings/settings.feature
+++ b/features/settings/settings.feature
@@ -3,13 +3,19 @@
   Scenario Outline: Good settings are loaded with their keys
     Given good <role> settings
     When they are loaded
-    Then the settings are those of node "<role>-1"
+    Then the settings are those of node "<node>"
 
     Examples:
-      | role     |
-      | entry    |
-      | agent    |
-      | platform |
+      | role     | node           |
+      | entry    | entry-1        |
+      | agent    | agent-assess-1 |
+      | platform | platform-1     |
+
+  Scenario: A key is read from its file
+    Given good entry settings
+    And a session key in a file of its own
+    When they are loaded
+    Then their session key is that of the file and is not shown
 
   Scenario Outline: A fault is told with file, key, value and allowed range
     Given good <role> settings
@@ -30,7 +36,7 @@
       | entry    | peers              | peers = ["127.0.0.1"]         | 127.0.0.1 | HOST:PORT                |
       | entry    | internal_key       | internal_key = "short-secret" | (hidden)  | at least 16              |
       | entry    | internal_key       |                               | (hidden)  | set, or                  |
-      | entry    | session_key_file   | session_key_file = "gone.key" | gone.key  | readable file            |
+      | entry    | session_key        | session_key_file = "gone.key" | gone.key  | readable file            |
       | entry    | tls                | tls.cert = "setup.cfg"        | one of    | both cert and key        |
       | entry    | log.format         | log.format = "xml"            | xml       | one of text, json        |
       | entry    | config_poll_s      | config_poll_s = 60            | 60        | in [0.05, 5] seconds     |
--- a/features/settings/steps/docs_steps.py
+++ b/features/settings/steps/docs_steps.py
@@ -10,10 +10,10 @@
 
 from crocusvalve.admin import make_admin_blueprint
 from crocusvalve.cli import make_app
-from crocusvalve.config import parse_document
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.metrics import AgentMetrics, EntryMetrics
 from crocusvalve.settings import AgentSettings, EntrySettings, PlatformSettings
+from features.config.document_text import DocumentText
 
 ROOT = Path(__file__).resolve().parents[3]
 
@@ -49,8 +49,7 @@
 
     @staticmethod
     def list_classes():
-        text = (ROOT / "examples" / "trial.toml").read_text()
-        members = parse_document(text, source="trial").members.values()
+        members = DocumentText("trial").parse().members.values()
         return [f"`{name}`" for section in members for name in section.classes]
 
 
--- a/features/settings/steps/settings_steps.py
+++ b/features/settings/steps/settings_steps.py
@@ -7,47 +7,32 @@
 
 from crocusvalve.exceptions import SettingsError
 from crocusvalve.settings import AgentSettings, EntrySettings, PlatformSettings, load_settings
+from features.config.document_text import DocumentText
 
-KEY = "0123456789abcdef-internal"
+KEY = "0123456789abcdef-session"
 KINDS = {"entry": EntrySettings, "agent": AgentSettings, "platform": PlatformSettings}
-GOOD = {
-    "entry": {
-        "node_id": '"entry-1"',
-        "region": '"delta-south"',
-        "domain": '"delta/can-tho"',
-        "http.port": "8080",
-        "platform.url": '"http://127.0.0.1:9000"',
-        "internal_key": f'"{KEY}"',
-        "session_key_file": '"{tmp}/session.key"',
-    },
-    "agent": {
-        "node_id": '"agent-1"',
-        "upstream_id": '"delta/assess-1"',
-        "upstream_url": '"http://127.0.0.1:8101"',
-        "region": '"delta-south"',
-        "domain": '"delta/can-tho"',
-        "entries": '["127.0.0.1:7000"]',
-        "internal_key": f'"{KEY}"',
-    },
-    "platform": {"node_id": '"platform-1"', "http.port": "9000"},
-}
 
 
 class SettingsSubject:
-    """Writes a settings file and loads it."""
+    """Edits the settings of the examples and loads them."""
 
     def __init__(self, role):
         self.role = role
+        self.edited = DocumentText(f"settings/{role}")
         self.tmp = tempfile.TemporaryDirectory()
-        (Path(self.tmp.name) / "session.key").write_text(KEY + "\n")
-        lines = {"role": f'"{role}"'} | GOOD[role]
-        self.lines = {key: f"{key} = {value}" for key, value in lines.items()}
         self.text = None
 
+    def set_line(self, line, key):
+        table, _, name = key.rpartition(".")
+        self.edited.set_line(table, f"{name} = ")
+        self.edited.blocks[table].pop()
+        if line:
+            line = line.removeprefix(f"{table}.") if table else line
+            self.edited.set_line(table, line)
+
     def load(self):
         path = Path(self.tmp.name) / f"{self.role}.toml"
-        text = self.text or "\n".join(self.lines.values()).replace("{tmp}", self.tmp.name)
-        path.write_text(text)
+        path.write_text(self.text or self.edited.render())
         return load_settings(path, KINDS[self.role])
 
 
@@ -57,6 +42,13 @@
     context.add_cleanup(context.subject.tmp.cleanup)
 
 
+@given("a session key in a file of its own")
+def given_key_file(context):
+    path = Path(context.subject.tmp.name) / "session.key"
+    path.write_text(f"{KEY}\n")
+    context.subject.set_line(f'session_key_file = "{path}"', "session_key")
+
+
 @given('settings with the text "{text}"')
 def given_text(context, text):
     given_good(context, "entry")
@@ -65,12 +57,12 @@
 
 @given("a line {line} in place of the key {key}")
 def given_line(context, line, key):
-    context.subject.lines[key] = line
+    context.subject.set_line(line, key)
 
 
 @given("a line  in place of the key {key}")
 def given_no_line(context, key):
-    del context.subject.lines[key]
+    context.subject.set_line("", key)
 
 
 @when("they are loaded")
@@ -86,7 +78,11 @@
 def then_loaded(context, node):
     assert context.problems is None, context.problems
     assert context.settings.node_id == node
-    assert getattr(context.settings, "session_key", KEY) == KEY
+
+
+@then("their session key is that of the file and is not shown")
+def then_key(context):
+    assert context.settings.session_key == KEY
     assert KEY not in repr(context.settings)
 
 
