--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -21,7 +21,7 @@
 from crocusvalve.metrics import EntryMetrics
 from crocusvalve.platform import HttpPlatform
 from crocusvalve.rpc import serve_rpc
-from crocusvalve.security import ProcessTls, TlsServerConfig
+from crocusvalve.security import RPC_ALPN, ProcessTls, TlsServerConfig, watch_tls
 from crocusvalve.settings import EntrySettings, ListenSettings
 from crocusvalve.utils import MonotonicClock
 
@@ -94,7 +94,8 @@
     registry = CollectorRegistry()
     metrics = EntryMetrics(registry)
     clock = MonotonicClock()
-    tls = ProcessTls(settings.tls, settings.internal_tls, clock=clock)
+    callers_tls = ProcessTls(settings.tls)
+    internal_tls = ProcessTls(settings.internal_tls, alpn=RPC_ALPN)
     async with (
         trio_asyncio.open_loop(),
         HttpPlatform(settings.platform.url) as platform,
@@ -107,14 +108,14 @@
             boot_id=boot_id,
             metrics=metrics,
             random_state=random.Random(),
-            client_tls=tls.rpc_client,
+            client_tls=internal_tls.client,
         )
-        nursery.start_soon(tls.run)
+        nursery.start_soon(watch_tls, (callers_tls, internal_tls), clock)
         await nursery.start(entry.run)
-        rpc_port = await nursery.start(_serve_peers, entry, tls.rpc_server)
+        rpc_port = await nursery.start(_serve_peers, entry, internal_tls.server)
         closing = trio.Event()
         app = make_app(entry, registry)
-        http_port = await nursery.start(_serve_callers, app, settings, tls.http, closing)
+        http_port = await nursery.start(_serve_callers, app, settings, callers_tls.server, closing)
         task_status.started((entry, EntryPorts(http_port, rpc_port)))
         await stop.wait()
         await drain_entry(entry, settings.drain_s)
--- a/crocusvalve/soak/_agent.py
+++ b/crocusvalve/soak/_agent.py
@@ -36,6 +36,7 @@
 TOKEN_S = 0.03
 MAX_TOKENS = 8
 WARM_UPTIME_S = 100.0
+CANCEL_MEMORY_S = 60.0
 
 
 class _Running(Struct):
@@ -239,8 +240,9 @@
         self.tables.bills.cancel(attempt_id)
         running = self.running.get(attempt_id)
         if running is None:
-            boot_id = self.tables.boot_id
-            self.tables.guard.fence(attempt_id, boot_id=boot_id, now=self.scheduler.now)
+            now = self.scheduler.now
+            deadline = now + CANCEL_MEMORY_S
+            self.tables.guard.refuse(attempt_id, deadline=deadline, now=now)
         else:
             exc = RefusedError(ErrorCode.FENCED, "cancelled", step="run", ran=running.row.ran)
             self._refuse(running, exc, running.row.ran)
--- a/features/admin/steps/admin_steps.py
+++ b/features/admin/steps/admin_steps.py
@@ -1,125 +1,36 @@
 """Steps about the operators' API."""
 
 import json
-from contextlib import suppress
-from pathlib import Path
 
 import httpx
 import msgspec
 import trio
 from behave import given, then, when
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from quart_trio import QuartTrio
 
 from crocusvalve.admin import (
-    Accepted,
-    AdminBackend,
     AdminClient,
     ConfigChange,
-    HistoryEntry,
-    StatusReport,
     UnreachableError,
-    UpstreamStatus,
-    UsageEntry,
     make_admin_blueprint,
 )
-from crocusvalve.base import DomainState, UpstreamState
-from crocusvalve.config import DocumentView, parse_document, withdraw_version
-from crocusvalve.exceptions import ConfigConflictError, CrocusvalveError, PlatformError
-from crocusvalve.model import RolloutRow
+from crocusvalve.base import DomainState
+from crocusvalve.exceptions import ConfigConflictError, CrocusvalveError
+from features.admin.memory_backend import MemoryAdminBackend
+from features.config.document_text import DocumentText
+from features.served import ServedApp
 
-TRIAL = Path(__file__).resolve().parents[3] / "examples" / "trial.toml"
 OPERATORS = {"delta": "water-desk", "sfax": "control-room"}
 GUARD_S = 30
 DEAD_URL = "http://127.0.0.1:9"
 KEY = "demo-delta-operator-water-desk"
 
 
-class MemoryAdminBackend(AdminBackend):
-    """A backend in memory whose store can be down and can be raced."""
-
-    def __init__(self, document):
-        self.documents = [document]
-        self.entries = [HistoryEntry(1, "delta/first", 1.0, "first")]
-        self.is_store_up = True
-        self.before_publish = None
-
-    async def current(self):
-        return self.documents[-1], len(self.documents)
-
-    async def publish(self, base, document, author, now):
-        if not self.is_store_up:
-            raise PlatformError("the store is down", step="publish")
-        hook, self.before_publish = self.before_publish, None
-        if hook is not None:
-            await hook()
-        if base != len(self.documents):
-            raise ConfigConflictError("raced", revision=len(self.documents))
-        self.documents.append(document)
-        self.entries.append(HistoryEntry(len(self.documents), author, now))
-        return len(self.documents)
-
-    async def history(self, n):
-        return self.entries[::-1][:n]
-
-    async def _change(self, document, author, now):
-        document_now, revision = await self.current()
-        if not self.is_store_up:
-            return Accepted(revision, by_notice=True)
-        return Accepted(await self.publish(revision, document, author, now))
-
-    async def set_domain(self, member, domain, state, author, now):
-        document, _ = await self.current()
-        section = document.members[member]
-        cfg = msgspec.structs.replace(section.domains[domain], state=state)
-        section = msgspec.structs.replace(section, domains=section.domains | {domain: cfg})
-        members = document.members | {member: section}
-        return await self._change(msgspec.structs.replace(document, members=members), author, now)
-
-    async def withdraw(self, member, version, author, now):
-        document, _ = await self.current()
-        return await self._change(withdraw_version(document, member, version), author, now)
-
-    async def rollouts(self):
-        return [
-            RolloutRow(
-                rollout_id=f"{model}-v2",
-                model=model,
-                version=f"{model}@v2",
-                baseline=f"{model}@v1",
-                stages=(0.1, 1.0),
-            )
-            for model in ("delta/assess-small", "sfax/log-small")
-        ]
-
-    async def usage(self, member, since, until):
-        view = DocumentView(self.documents[-1], 1)
-        return [UsageEntry(name, "c", "m@v1", 1, 2, 3, 0.5) for name in view.customers]
-
-    async def status(self, member):
-        view = DocumentView(self.documents[-1], 1)
-        upstreams = [
-            UpstreamStatus(up.upstream_id, up.domain, UpstreamState.WARM, 1, 16, 0, 1, 5.0)
-            for up in view.upstreams.values()
-        ]
-        return StatusReport(
-            node_id="entry-1",
-            revision=len(self.documents),
-            is_store_up=self.is_store_up,
-            outbox=0,
-            queued=0,
-            domains=view.domains,
-            upstreams=upstreams,
-        )
-
-
 class AdminSubject:
     """An entry's application and clients that call it without sockets."""
 
     def __init__(self):
-        document = parse_document(TRIAL.read_text(), source="trial.toml")
-        self.backend = MemoryAdminBackend(document)
+        self.backend = MemoryAdminBackend(DocumentText("trial").parse())
         self.app = QuartTrio("admin")
         self.app.register_blueprint(make_admin_blueprint(self.backend))
         self.error = self.reply = None
@@ -354,41 +265,15 @@
     assert section.rollouts[name].state.value == state
 
 
-class ServedSubject:
-    """An entry's application on a socket, and addresses at which nobody answers."""
-
-    def __init__(self, app):
-        self.app = app
-
-    async def run(self, check):
-        cfg = Config()
-        cfg.bind = ["127.0.0.1:0"]
-        cfg.loglevel = "CRITICAL"
-        stop = trio.Event()
-        with trio.fail_after(GUARD_S):
-            async with trio.open_nursery() as nursery:
-                binds = await nursery.start(
-                    lambda task_status: serve(
-                        self.app, cfg, shutdown_trigger=stop.wait, task_status=task_status
-                    )
-                )
-                await check(binds[0])
-                stop.set()
-
-    @staticmethod
-    async def close_unanswered(stream):
-        with suppress(trio.BrokenResourceError):
-            await stream.receive_some(10)
-        await stream.aclose()
-
-
 @then("a client with a dead first address is answered by the second")
 def then_second(context):
-    async def check(url):
-        async with AdminClient([DEAD_URL, url], KEY) as client:
+    async def check():
+        async with AdminClient([DEAD_URL, served.url], KEY) as client:
             assert (await client.get_config()).revision == 1
 
-    trio.run(ServedSubject(context.subject.app).run, check)
+    served = ServedApp(context.subject.app)
+    context.subject.run(check)
+    served.close()
 
 
 @then("a client with only a dead address is told that nobody answered")
@@ -407,10 +292,14 @@
 
 @then("a client whose answer is lost is told that its change may be in force")
 def then_lost(context):
+    async def close_unanswered(stream):
+        await stream.receive_some(10)
+        await stream.aclose()
+
     async def check():
         async with trio.open_nursery() as nursery:
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-            nursery.start_soon(trio.serve_listeners, ServedSubject.close_unanswered, listeners)
+            nursery.start_soon(trio.serve_listeners, close_unanswered, listeners)
             port = listeners[0].socket.getsockname()[1]
             async with AdminClient([f"http://127.0.0.1:{port}"], KEY) as client:
                 try:
@@ -419,4 +308,4 @@
                     nursery.cancel_scope.cancel()
                     return exc.maybe_applied
 
-    assert trio.run(check)
+    assert context.subject.run(check)
--- a/features/security/tls.feature
+++ b/features/security/tls.feature
@@ -22,6 +22,11 @@
     Given a server that asks its clients for a certificate
     Then a client with a certificate is answered and one without is not
 
+  Scenario: Calls between processes run over TLS and go on after a new certificate
+    Given two processes with certificates of a private authority
+    Then a call between them is answered, one without a certificate or without TLS is not
+    And after new certificates are in place new connections use them
+
   Scenario: Files are read at most once a second
     Given a server with a certificate that its clients trust
     Then 100 polls within a second read the files once
