routing: features of candidates, placement, load and choice

Change: the bound is the time that a cached prefix saves, a quarter of the service time, scaled by the hint's age.

--- a/crocusvalve/routing/_expected_wait.py
+++ b/crocusvalve/routing/_expected_wait.py
@@ -16,9 +16,8 @@
 REGION_COST_S = 0.06
 #: Upstreams drawn at random.
 N_CHOICES = 2
-#: An affine upstream may wait this much longer than the best choice, whichever is more.
-AFFINITY_EXTRA_SHARE = 0.5
-AFFINITY_EXTRA_S = 0.05
+#: Share of the service time that a cached prefix is taken to save; it bounds the extra wait.
+AFFINITY_SAVING_SHARE = 0.25
 
 
 class ExpectedWaitRouter(Router):
@@ -26,7 +25,7 @@
 
     Upstreams are drawn with weight by their limit, so that a cold one is drawn seldom. Two more are
     drawn from the other regions where the entry's region is known. The upstream of the session or
-    of the prompt's prefix is taken where its wait is within a bound of the best choice.
+    of the prompt's prefix is taken where its longer wait costs less than the cache saves.
 
     Parameters
     ----------
@@ -50,9 +49,9 @@
         row, strength = self._find_affine(req, free, now)
         if row is None or row is best:
             return best
+        saving_s = strength * AFFINITY_SAVING_SHARE * row.ewma_service_s
         best_s = self._compute_cost_s(best, now)
-        extra_s = strength * max(AFFINITY_EXTRA_SHARE * best_s, AFFINITY_EXTRA_S)
-        return row if self._compute_cost_s(row, now) <= best_s + extra_s else best
+        return row if self._compute_cost_s(row, now) - saving_s <= best_s else best
 
     def _draw(self, rows: list[UpstreamRow]) -> list[UpstreamRow]:
         near = [row for row in rows if row.region == self.region] if self.region else []
--- /dev/null
+++ b/features/routing/choice.feature
@@ -0,0 +1,60 @@
+Feature: The choice of an upstream
+
+  Rows are written "domain in_flight/limit", by an entry in domain a of region south; x stands in
+  another region. Service time is 0.5 s unless given after "@".
+
+  Scenario Outline: What is chosen
+    Given upstreams "<rows>" and a request that <wants>
+    Then "<router>" chooses <chosen> in 50 draws
+
+    Examples: expected wait
+      | rows                       | wants              | router        | chosen |
+      | a 4/8, a 0/8               | nothing            | expected_wait | 1      |
+      | a 4/8@0.1, a 0/8@2         | nothing            | expected_wait | 0      |
+      | a 3/16, a 0/2              | nothing            | expected_wait | 0      |
+      | a 8/8, a 7/8               | nothing            | expected_wait | 1      |
+      | a 8/8, a 2/2               | nothing            | expected_wait | none   |
+      | a 0/0, a 0/0               | nothing            | expected_wait | none   |
+
+    Examples: locality
+      | rows                       | wants              | router        | chosen |
+      | a 0/8, b 0/8               | nothing            | expected_wait | 0      |
+      | a 1/8, b 0/8               | nothing            | expected_wait | 1      |
+      | b 1/9, x 0/9               | nothing            | expected_wait | 0      |
+      | a 0/8, x 0/8               | nothing            | expected_wait | 0      |
+      | a 7/8, x 0/8               | nothing            | expected_wait | 1      |
+
+    Examples: affinity within a load bound
+      | rows                       | wants              | router        | chosen |
+      | a 1/8, a 0/8               | session 0          | expected_wait | 0      |
+      | a 4/8, a 0/8               | session 0          | expected_wait | 1      |
+      | a 8/8, a 0/8               | session 0          | expected_wait | 1      |
+      | a 1/8, a 0/8               | prefix 0 fresh     | expected_wait | 0      |
+      | a 1/8, a 0/8               | prefix 0 fading    | expected_wait | 1      |
+      | a 1/8, a 0/8               | prefix 0 expired   | expected_wait | 1      |
+      | a 1/8, a 0/8               | prefix 0 evicted   | expected_wait | 1      |
+
+    Examples: baselines
+      | rows                       | wants              | router          | chosen |
+      | a 1/8, a 0/8               | session 0          | least_in_flight | 1      |
+      | a 8/8, a 0/8               | nothing            | random          | 1      |
+      | a 8/8, a 0/8               | nothing            | round_robin     | 1      |
+      | a 8/8, a 8/8               | nothing            | round_robin     | none   |
+
+  Scenario Outline: Load from a report that lags
+    Given an upstream of limit 10 with own attempts "<own>" and a report of <load> at 5 s
+    Then at <at> s its load is <estimate> and it is <state>
+
+    Examples:
+      | own              | load | at | estimate | state |
+      |                  | 0    | 5  | 0        | free  |
+      |                  | 9    | 5  | 9        | free  |
+      |                  | 10   | 5  | 10       | full  |
+      | +1 +2            | 2    | 5  | 2        | free  |
+      | +1 +6            | 1    | 6  | 2.88     | free  |
+      | +1 -6            | 5    | 5  | 4        | free  |
+      | +1 +2 -6 -7 +8   | 6    | 5  | 5        | free  |
+      |                  | 10   | 7  | 7.5      | full  |
+      |                  | 10   | 8  | 6.77     | free  |
+      |                  | 0    | 99 | 5        | free  |
+      | +1 +1 +1 +1 +1 +1| 6    | 99 | 6        | free  |
