--- /dev/null
+++ b/crocusvalve/bench/_deployments.py
@@ -0,0 +1,225 @@
+"""The two deployments of the brief: domains, engines, customers and traffic by class."""
+
+import random
+
+from msgspec import Struct
+
+from crocusvalve.base import ClassKind, MemberId, Priority
+from crocusvalve.config import (
+    ClassConfig,
+    CustomerConfig,
+    Document,
+    DomainConfig,
+    MemberConfig,
+    ModelConfig,
+    RolloutConfig,
+    UpstreamConfig,
+    VersionConfig,
+)
+from crocusvalve.standin import EngineSpec
+
+__all__ = ["DEPLOYMENTS", "Deployment", "EngineGroup", "Traffic", "make_document"]
+
+N_CUSTOMERS = 10
+#: Share of the traffic by customer: a few large ones.
+CUSTOMER_SHARES = (0.25, 0.2, 0.15, 0.1, 0.08, 0.06, 0.05, 0.05, 0.03, 0.03)
+COLD_LIMIT = 2
+WARM_LIMIT = 16
+
+#: An engine for long answers and one for short ones.
+LARGE_ENGINE = EngineSpec(
+    step_s=0.025, per_sequence_s=0.0005, prefill_s=0.0001, cold_s=30.0, restart_s=5.0
+)
+SMALL_ENGINE = EngineSpec(
+    step_s=0.006, per_sequence_s=0.0002, prefill_s=0.00003, cold_s=30.0, restart_s=5.0
+)
+
+
+class Traffic(Struct, frozen=True, kw_only=True):
+    """Requests of one class; rate for a second over all customers, lengths in tokens."""
+
+    class_name: str
+    kind: ClassKind
+    model: str
+    rate_per_s: float
+    n_prompt: int
+    n_out: int
+    deadline_s: float
+    priority: Priority
+
+
+class EngineGroup(Struct, frozen=True):
+    """Engines of one model, spread over the domains in turn."""
+
+    model: str
+    n_engines: int
+    spec: EngineSpec
+
+
+class Deployment(Struct, frozen=True, kw_only=True):
+    """A member's deployment."""
+
+    member: MemberId
+    region: str
+    domains: tuple[str, ...]
+    client_delay_s: float
+    engines: tuple[EngineGroup, ...]
+    traffic: tuple[Traffic, ...]
+
+
+DELTA = Deployment(
+    member=MemberId("delta"),
+    region="delta-south",
+    domains=("can-tho", "soc-trang", "vinh-long"),
+    client_delay_s=0.001,
+    engines=(EngineGroup("assess", 6, LARGE_ENGINE), EngineGroup("irrigate", 3, SMALL_ENGINE)),
+    traffic=(
+        Traffic(
+            class_name="assessment",
+            kind=ClassKind.DURABLE,
+            model="assess",
+            rate_per_s=2.0,
+            n_prompt=400,
+            n_out=300,
+            deadline_s=600.0,
+            priority=Priority.BATCH,
+        ),
+        Traffic(
+            class_name="advice",
+            kind=ClassKind.ANSWER,
+            model="assess",
+            rate_per_s=5.0,
+            n_prompt=200,
+            n_out=100,
+            deadline_s=30.0,
+            priority=Priority.NORMAL,
+        ),
+        Traffic(
+            class_name="status",
+            kind=ClassKind.LOOKUP,
+            model="irrigate",
+            rate_per_s=40.0,
+            n_prompt=30,
+            n_out=12,
+            deadline_s=2.0,
+            priority=Priority.URGENT,
+        ),
+        Traffic(
+            class_name="gate-order",
+            kind=ClassKind.ORDER,
+            model="irrigate",
+            rate_per_s=4.0,
+            n_prompt=40,
+            n_out=16,
+            deadline_s=10.0,
+            priority=Priority.URGENT,
+        ),
+    ),
+)
+SFAX = Deployment(
+    member=MemberId("sfax"),
+    region="sfax",
+    domains=("sfax-a", "sfax-b", "sfax-c"),
+    client_delay_s=0.003,
+    engines=(EngineGroup("logread", 6, LARGE_ENGINE), EngineGroup("control", 3, SMALL_ENGINE)),
+    traffic=(
+        Traffic(
+            class_name="digest",
+            kind=ClassKind.DURABLE,
+            model="logread",
+            rate_per_s=1.5,
+            n_prompt=500,
+            n_out=250,
+            deadline_s=300.0,
+            priority=Priority.BATCH,
+        ),
+        Traffic(
+            class_name="summary",
+            kind=ClassKind.ANSWER,
+            model="logread",
+            rate_per_s=6.0,
+            n_prompt=250,
+            n_out=120,
+            deadline_s=30.0,
+            priority=Priority.NORMAL,
+        ),
+        Traffic(
+            class_name="tag",
+            kind=ClassKind.LOOKUP,
+            model="control",
+            rate_per_s=60.0,
+            n_prompt=20,
+            n_out=8,
+            deadline_s=1.0,
+            priority=Priority.URGENT,
+        ),
+        Traffic(
+            class_name="valve-order",
+            kind=ClassKind.ORDER,
+            model="control",
+            rate_per_s=3.0,
+            n_prompt=40,
+            n_out=16,
+            deadline_s=10.0,
+            priority=Priority.URGENT,
+        ),
+    ),
+)
+DEPLOYMENTS = {"delta": DELTA, "sfax": SFAX}
+
+
+def draw_customer(rng: random.Random) -> str:
+    """Draw a customer's local name by its share of the traffic."""
+    return f"c{rng.choices(range(N_CUSTOMERS), CUSTOMER_SHARES)[0]}"
+
+
+def make_document(
+    deployment: Deployment,
+    *,
+    versions: dict[str, VersionConfig] | None = None,
+    rollout: RolloutConfig | None = None,
+) -> Document:
+    """Build the document of a deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment.
+    versions : dict of str to VersionConfig or None
+        Versions of every model; the first is the current one.
+    rollout : RolloutConfig or None
+        A roll-out.
+    """
+    versions = versions or {"v1": VersionConfig(0.1, 0.3, 0.9)}
+    current = next(iter(versions))
+    domains = deployment.domains
+    upstreams = {}
+    for group in deployment.engines:
+        serves = tuple(f"{group.model}@{name}" for name in versions)
+        for index in range(group.n_engines):
+            upstreams[f"{group.model}-{index}"] = UpstreamConfig(
+                domain=domains[index % len(domains)],
+                agent=f"127.0.0.{len(upstreams) + 1}:7000",
+                url="",
+                serves=serves,
+                cold_limit=COLD_LIMIT,
+                warm_limit=WARM_LIMIT,
+            )
+    models = tuple(group.model for group in deployment.engines)
+    classes = {
+        item.class_name: ClassConfig(item.kind, item.deadline_s, item.priority)
+        for item in deployment.traffic
+    }
+    customers = {
+        f"c{index}": CustomerConfig(f"key{index}", models, tuple(classes), 0.8)
+        for index in range(N_CUSTOMERS)
+    }
+    section = MemberConfig(
+        domains={name: DomainConfig(deployment.region) for name in domains},
+        models={model: ModelConfig(current, versions) for model in models},
+        upstreams=upstreams,
+        customers=customers,
+        classes=classes,
+        rollouts={"trial": rollout} if rollout else {},
+    )
+    return Document("bench", {deployment.member: section})
--- /dev/null
+++ b/crocusvalve/bench/_exposure.py
@@ -0,0 +1,198 @@
+"""Experiment ``exposure``: answers by a bad version until it is withdrawn."""
+
+import random
+
+from msgspec import Struct, structs
+
+from crocusvalve.base import BootId, CustomerId, ModelRef, NodeId, Revision, RolloutState
+from crocusvalve.bench._deployments import DEPLOYMENTS, Deployment, draw_customer, make_document
+from crocusvalve.bench._loop import EventLoop
+from crocusvalve.bench._report import BenchTable, Progress, compute_percentile
+from crocusvalve.config import DocumentView, RolloutConfig, VersionConfig
+from crocusvalve.model import EntryTables
+from crocusvalve.rollout import (
+    RolloutLedger,
+    RolloutSystem,
+    SaveRollout,
+    aggregate,
+    check_successor,
+    choose_version,
+    take_row,
+)
+
+__all__ = ["run_exposure"]
+
+N_RUNS = 10
+N_ENTRIES = 3
+HORIZON_S = 3600.0
+SERVICE_S = 4.0
+RATING_LAG_S = 5.0
+REPORT_S = 5.0
+CONTROL_S = 2.0
+IN_FORCE_S = 1.0
+SETTLE_S = 60.0
+STAGE_S = 300.0
+BASELINE_BAD = 0.04
+NEW_SESSION_SHARE = 0.3
+BAD_SHARES = (0.04, 0.1, 0.2, 0.5, 0.9)
+POLICIES = ("sequential", "fixed_share")
+
+
+class ExposureRun(Struct, kw_only=True):
+    """Outcome of one run; the counts go on to the horizon, also after the roll-out has ended."""
+
+    state: RolloutState
+    ended_at: float
+    n_exposed: int
+    n_bad: int
+
+
+class ExposureTrial:
+    """Entries that answer under a roll-out and a controller that decides on it."""
+
+    def __init__(self, deployment: Deployment, policy: str, bad_share: float, seed: int):
+        self.deployment = deployment
+        self.bad_share = bad_share
+        self.rng = random.Random(seed)
+        self.loop = EventLoop(1000.0)
+        traffic = deployment.traffic[0]
+        self.model = ModelRef(f"{deployment.member}/{traffic.model}")
+        versions = {"v1": VersionConfig(), "v2": VersionConfig()}
+        rollout = RolloutConfig(traffic.model, "v2", stage_s=STAGE_S, policy=policy)
+        document = make_document(deployment, versions=versions, rollout=rollout)
+        view = DocumentView(document, Revision(1))
+        self.entries = [EntryTables(view) for _ in range(N_ENTRIES)]
+        self.ledgers = [
+            RolloutLedger(node_id=NodeId(f"e{index}"), boot_id=BootId("b"))
+            for index in range(N_ENTRIES)
+        ]
+        self.controller = RolloutSystem(node_id=NodeId("e0"), lease_number=1)
+        self.tables = EntryTables(view)
+        self.reports: dict[int, list] = {}
+        self.row = None
+        self.sessions: list[tuple[str, str]] = []
+        self.n_exposed = self.n_bad = self.n_requests = 0
+        self.rate_per_s = sum(
+            item.rate_per_s for item in deployment.traffic if item.model == traffic.model
+        )
+
+    def run(self) -> ExposureRun:
+        """Run to the horizon."""
+        start = self.loop.now
+        ended_at = HORIZON_S
+        self._arrive()
+        self._control()
+        for index in range(N_ENTRIES):
+            self.loop.call_after(REPORT_S * (index + 1) / N_ENTRIES, self._report, index)
+        while self.loop.now < start + HORIZON_S:
+            self.loop.run_until(self.loop.now + 10.0)
+            is_running = self.row is None or self.row.state is RolloutState.RUNNING
+            if not is_running and ended_at == HORIZON_S:
+                ended_at = self.loop.now - start
+            if not is_running and self.row.state is RolloutState.WITHDRAWN:
+                self.loop.run_until(self.loop.now + SETTLE_S)
+                break
+        return ExposureRun(
+            state=self.row.state, ended_at=ended_at, n_exposed=self.n_exposed, n_bad=self.n_bad
+        )
+
+    def _arrive(self) -> None:
+        self.loop.call_after(self.rng.expovariate(self.rate_per_s), self._arrive)
+        self.n_requests += 1
+        index = self.rng.randrange(N_ENTRIES)
+        tables, rollout = self.entries[index], self.entries[index].rollouts.get(self.model)
+        if self.sessions and self.rng.random() >= NEW_SESSION_SHARE:
+            version = self._continue_session(tables)
+        else:
+            customer = CustomerId(f"{self.deployment.member}/{draw_customer(self.rng)}")
+            key = f"{customer}/{self.n_requests}"
+            version = choose_version(tables, customer, self.model, key)
+            self.sessions.append((customer, version))
+            self.sessions = self.sessions[-200:]
+        if rollout is not None:
+            self.loop.call_after(SERVICE_S, self._answer, index, rollout, version)
+
+    def _continue_session(self, tables: EntryTables) -> str:
+        customer, version = self.rng.choice(self.sessions)
+        row = tables.rollouts.get(self.model)
+        if row is not None and row.version == version and row.state is RolloutState.WITHDRAWN:
+            return row.baseline
+        return version
+
+    def _answer(self, index: int, rollout, version: str) -> None:
+        is_new = version == rollout.version
+        is_good = self.rng.random() >= (self.bad_share if is_new else BASELINE_BAD)
+        if is_new:
+            self.n_exposed += 1
+            self.n_bad += not is_good
+            self.ledgers[index].note_contact(rollout.rollout_id)
+        self.loop.call_after(RATING_LAG_S, self._rate, index, rollout.rollout_id, is_new, is_good)
+
+    def _rate(self, index: int, rollout_id: str, is_new: bool, is_good: bool) -> None:
+        self.ledgers[index].note_answer(rollout_id, is_new=is_new, is_good=is_good)
+
+    def _report(self, index: int) -> None:
+        self.loop.call_after(REPORT_S, self._report, index)
+        self.reports[index] = self.ledgers[index].list_reports()
+
+    def _control(self) -> None:
+        self.loop.call_after(CONTROL_S, self._control)
+        if self.row is not None:
+            reports = [report for reports in self.reports.values() for report in reports]
+            take_row(self.tables, aggregate(self.row, reports))
+        for command in self.controller.run(self.tables, self.loop.now):
+            if isinstance(command, SaveRollout) and check_successor(self.row, command.row):
+                self.row = command.row
+                self.loop.call_after(IN_FORCE_S, self._put_in_force, self.row)
+
+    def _put_in_force(self, row) -> None:
+        take_row(self.tables, structs.replace(row))
+        for tables in self.entries:
+            take_row(tables, structs.replace(row))
+
+
+def run_exposure(seed: int, sizes: tuple[str, ...]) -> list[BenchTable]:
+    """Compare roll-out policies by the answers of a bad version within an hour."""
+    table = BenchTable(
+        name="exposure",
+        seed=seed,
+        columns=(
+            "size",
+            "bad share",
+            "policy",
+            "withdrawn",
+            "completed",
+            "exposed mean",
+            "exposed p95",
+            "bad answers mean",
+            "ended mean s",
+        ),
+        plot_x="bad share",
+        plot_y="exposed mean",
+        plot_group=("size", "policy"),
+    )
+    progress = Progress(len(sizes) * len(BAD_SHARES) * len(POLICIES))
+    for size in sizes:
+        for bad_share in BAD_SHARES:
+            for policy in POLICIES:
+                runs = [
+                    ExposureTrial(DEPLOYMENTS[size], policy, bad_share, seed * 1000 + index).run()
+                    for index in range(N_RUNS)
+                ]
+                table.rows.append((size, bad_share, policy, *_summarise(runs)))
+                progress.advance(f"exposure {size} {bad_share} {policy}")
+    return [table]
+
+
+def _summarise(runs: list[ExposureRun]) -> tuple:
+    n_withdrawn = sum(run.state is RolloutState.WITHDRAWN for run in runs)
+    n_complete = sum(run.state is RolloutState.COMPLETE for run in runs)
+    exposed = [float(run.n_exposed) for run in runs]
+    return (
+        f"{n_withdrawn}/{len(runs)}",
+        f"{n_complete}/{len(runs)}",
+        sum(exposed) / len(runs),
+        compute_percentile(exposed, 0.95),
+        sum(run.n_bad for run in runs) / len(runs),
+        sum(run.ended_at for run in runs) / len(runs),
+    )
--- /dev/null
+++ b/crocusvalve/bench/cli.py
@@ -0,0 +1,59 @@
+"""Entry point of the experiments for the command line."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+from crocusvalve.bench._deployments import DEPLOYMENTS
+from crocusvalve.bench._exposure import run_exposure
+from crocusvalve.bench._report import BenchTable, format_table, write_tables
+
+__all__ = ["EXPERIMENTS", "run_bench"]
+
+Experiment = Callable[[int, tuple[str, ...]], list[BenchTable]]
+
+EXPERIMENTS: dict[str, Experiment] = {
+    "exposure": run_exposure,
+}
+
+
+def run_bench(
+    name: str, *, seed: int = 1, out: str = "out", sizes: tuple[str, ...] = tuple(DEPLOYMENTS)
+) -> list[BenchTable]:
+    """Run an experiment, print its tables and write them as JSON and PNG.
+
+    Parameters
+    ----------
+    name : str
+        One of ``EXPERIMENTS``, or ``all``.
+    seed : int
+        Seed of all randomness.
+    out : str
+        Directory for the files.
+    sizes : tuple of str
+        Deployments, of ``delta`` and ``sfax``.
+
+    Returns
+    -------
+    list of BenchTable
+        The results.
+
+    Raises
+    ------
+    ValueError
+        For an unknown experiment or deployment.
+    """
+    if name != "all" and name not in EXPERIMENTS:
+        raise ValueError(f"name must be one of {[*EXPERIMENTS, 'all']}, got {name!r}")
+    unknown = [size for size in sizes if size not in DEPLOYMENTS]
+    if unknown or not sizes:
+        raise ValueError(f"sizes must be of {list(DEPLOYMENTS)}, got {list(sizes)!r}")
+    names = list(EXPERIMENTS) if name == "all" else [name]
+    tables: list[BenchTable] = []
+    for each in names:
+        results = EXPERIMENTS[each](seed, sizes)
+        paths = write_tables(results, Path(out))
+        for table in results:
+            print(f"\n{table.name} (seed {seed})\n{format_table(table)}")
+        print("written: " + ", ".join(str(path) for path in paths))
+        tables += results
+    return tables
--- /dev/null
+++ b/features/bench/steps/bench_steps.py
@@ -0,0 +1,86 @@
+"""Steps about the experiments."""
+
+import json
+import tempfile
+from pathlib import Path
+
+from behave import given, then
+
+from crocusvalve.base import RolloutState
+from crocusvalve.bench import BenchTable, run_bench
+from crocusvalve.bench._deployments import DELTA
+from crocusvalve.bench._exposure import ExposureTrial
+from crocusvalve.bench._report import format_table, write_tables
+
+
+class BenchSubject:
+    """Runs one trial of an experiment."""
+
+    @staticmethod
+    def run_trial(name, seed):
+        if name == "exposure":
+            return ExposureTrial(DELTA, "sequential", 0.5, seed).run()
+        raise ValueError(name)
+
+
+@then('"{name}" gives the same figures twice with seed {seed:d}')
+def then_same(context, name, seed):
+    context.figures = BenchSubject.run_trial(name, seed)
+    assert BenchSubject.run_trial(name, seed) == context.figures
+
+
+@then('"{name}" gives other figures with seed {seed:d}')
+def then_other(context, name, seed):
+    assert BenchSubject.run_trial(name, seed) != context.figures
+
+
+@given('roll-outs of a version with half of its answers bad on "delta" for {n:d} seeds')
+def given_rollouts(context, n):
+    context.trials = [ExposureTrial(DELTA, "sequential", 0.5, seed) for seed in range(n)]
+    context.runs = [trial.run() for trial in context.trials]
+
+
+@then("each is withdrawn, with at most {n:d} of its answers given")
+def then_bounded(context, n):
+    for run in context.runs:
+        assert run.state is RolloutState.WITHDRAWN
+        assert run.n_exposed <= n, run
+
+
+@then("no answer of it starts after the withdrawal is in force")
+def then_none_after(context):
+    for trial in context.trials:
+        before = trial.n_exposed
+        trial.loop.run_until(trial.loop.now + 300.0)
+        assert trial.n_exposed == before
+
+
+@given("a small table of results")
+def given_table(context):
+    context.results = BenchTable(
+        name="small",
+        seed=1,
+        columns=("size", "p99 s"),
+        rows=[("delta", 1.25), ("sfax", 12.0)],
+        plot_y="p99 s",
+        plot_group=("size",),
+    )
+
+
+@then("it is written as JSON and as PNG and printed with aligned columns")
+def then_written(context):
+    with tempfile.TemporaryDirectory() as tmp:
+        paths = write_tables([context.results], Path(tmp))
+        assert json.loads(paths[0].read_text())["rows"] == [["delta", 1.25], ["sfax", 12.0]]
+        assert paths[1].read_bytes().startswith(b"\x89PNG")
+    assert format_table(context.results) == "size   p99 s\ndelta  1.25\nsfax   12"
+
+
+@then('running "{name}" for "{sizes}" fails with "{message}"')
+def then_fails(context, name, sizes, message):
+    try:
+        run_bench(name, sizes=tuple(sizes.split(",")))
+    except ValueError as exc:
+        assert message in str(exc), exc
+    else:
+        raise AssertionError("no error")
