--- a/features/security/steps/rpc_tls_steps.py
+++ b/features/security/steps/rpc_tls_steps.py
@@ -12,7 +12,6 @@
 from crocusvalve.rpc import (
     ConfigAck,
     ConfigPush,
-    NoticeAck,
     PeerClient,
     PeerService,
     RpcError,
@@ -25,17 +24,14 @@
 TOKEN = "internal-key-of-the-test"
 
 
-class FixedPeer(PeerService):
-    """Answers every call with revision 7."""
+async def answer_pull(self, req):
+    return ConfigPush(Revision(7), Revision(0), b"")
 
-    async def push_config(self, req):
-        return ConfigAck(Revision(7))
 
-    async def pull_config(self, req):
-        return ConfigPush(Revision(7), Revision(0), b"")
-
-    async def notify(self, req):
-        return NoticeAck(False)
+#: A peer that answers ``pull_config`` with revision 7; no other call is made.
+FixedPeer = type(
+    "FixedPeer", (PeerService,), dict.fromkeys(PeerService.__abstractmethods__, answer_pull)
+)
 
 
 class RpcTlsSubject:
