Operators' API at entries; services bound to their class; domain and version changes by notice

Cause: operators could not reach a running entry, a service could be called in a class that hides its kind, and a strict check of other members' sections could block an owner's withdrawal. Change: EntryAdmin behind the operators' routes; a change goes to the store, else by notice, and the newest notice on a subject overrules one that waits; services are called in their class only; the internal key is compared in constant time.

--- a/crocusvalve/billing/__init__.py
+++ b/crocusvalve/billing/__init__.py
@@ -2,7 +2,7 @@
 
 from crocusvalve.billing._cost import add_usage, compute_cost
 from crocusvalve.billing._flusher import BillFlusher, FlusherCounters
-from crocusvalve.billing._ledger import BILL_TABLE, TOTALS_TABLE, UsageLine, UsageTotals
+from crocusvalve.billing._ledger import BILL_TABLE, TOTALS_TABLE, UsageLine, UsageTotals, sum_bills
 from crocusvalve.billing._outbox import BillOutbox, OutboxCounters
 from crocusvalve.billing._request_id import (
     BILLS_PER_PAGE,
@@ -28,4 +28,5 @@
     "compute_cost",
     "find_bill_page",
     "format_day",
+    "sum_bills",
 ]
--- /dev/null
+++ b/crocusvalve/entry/_admin.py
@@ -0,0 +1,222 @@
+"""What an entry does for operators."""
+
+from datetime import UTC, datetime, timedelta
+
+from crocusvalve.admin import (
+    Accepted,
+    AdminBackend,
+    HistoryEntry,
+    StatusReport,
+    UpstreamStatus,
+    UsageEntry,
+)
+from crocusvalve.base import (
+    DomainId,
+    DomainState,
+    MemberId,
+    NodeId,
+    Revision,
+    VersionRef,
+    VersionState,
+)
+from crocusvalve.billing import BillOutbox, UsageReport, UsageTotals, sum_bills
+from crocusvalve.config import Document, set_domain_state, set_version_state
+from crocusvalve.control import ConfigKeeper, ConfigStore
+from crocusvalve.entry._notice_desk import NoticeDesk
+from crocusvalve.entry._publisher import DocumentPublisher, Edit
+from crocusvalve.entry._tables import CoreTables
+from crocusvalve.exceptions import ConfigConflictError, CrocusvalveError, ErrorCode, PlatformError
+from crocusvalve.model import RolloutRow, UpstreamRow
+from crocusvalve.platform import CircuitState, HttpPlatform
+from crocusvalve.rpc import NoticeKind
+
+__all__ = ["EntryAdmin"]
+
+DAY = timedelta(days=1)
+MAX_USAGE_DAYS = 400
+
+
+class EntryAdmin(AdminBackend):
+    """Backend of the operators' API at an entry.
+
+    Parameters
+    ----------
+    node_id : NodeId
+        This entry.
+    platform : HttpPlatform
+        Client of the platform's service.
+    store : ConfigStore
+        The environment's configuration.
+    keeper : ConfigKeeper
+        The newest revision.
+    publisher : DocumentPublisher
+        Publishes documents and changes.
+    notices : NoticeDesk
+        Issues notices while the store is down.
+    tables : CoreTables
+        Tables of the entry.
+    outbox : BillOutbox
+        Bills not yet flushed.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: NodeId,
+        platform: HttpPlatform,
+        store: ConfigStore,
+        keeper: ConfigKeeper,
+        publisher: DocumentPublisher,
+        notices: NoticeDesk,
+        tables: CoreTables,
+        outbox: BillOutbox,
+    ):
+        self.node_id = node_id
+        self.platform = platform
+        self.store = store
+        self.keeper = keeper
+        self.publisher = publisher
+        self.notices = notices
+        self.tables = tables
+        self.outbox = outbox
+        self.report = UsageReport(platform)
+
+    async def current(self) -> tuple[Document, Revision]:
+        """Return the newest document known and its revision."""
+        if self.keeper.document is None:
+            message = "this entry has no configuration yet"
+            raise CrocusvalveError(ErrorCode.NOT_READY, message, step="admin")
+        return self.keeper.document, self.keeper.revision
+
+    async def publish(
+        self, base: Revision, document: Document, author: str, now: float
+    ) -> Revision:
+        """Put a document in force on a base revision; after a conflict the newest one is known."""
+        try:
+            return await self.publisher.publish(base, document, author)
+        except ConfigConflictError:
+            newest, revision = await self.store.load()
+            self.keeper.take_document(newest, revision)
+            raise
+
+    async def history(self, n: int) -> list[HistoryEntry]:
+        """Return the last revisions, newest first."""
+        records = await self.store.history(n)
+        entries = [
+            HistoryEntry(record.revision, record.author, record.at, record.note)
+            for record in records
+        ]
+        return sorted(entries, key=lambda entry: entry.revision, reverse=True)
+
+    async def set_domain(
+        self, member: MemberId, domain: str, state: DomainState, author: str, now: float
+    ) -> Accepted:
+        """Take a failure domain out or in; by a notice while the store is down."""
+        name = domain.partition("/")[2] or domain
+        document, _ = await self.current()
+        # Raises where there is no such failure domain, before any notice is issued.
+        set_domain_state(document, member, name, state)
+        is_out = state is DomainState.OUT
+        kind = NoticeKind.DOMAIN_OUT if is_out else NoticeKind.DOMAIN_IN
+        return await self._change(
+            lambda current: set_domain_state(current, member, name, state),
+            author,
+            kind,
+            DomainId(f"{member}/{name}"),
+        )
+
+    async def withdraw(self, member: MemberId, version: str, author: str, now: float) -> Accepted:
+        """Withdraw a version; by a notice while the store is down."""
+        model, _, name = version.rpartition("/")[2].partition("@")
+        withdrawn = VersionState.WITHDRAWN
+        document, _ = await self.current()
+        set_version_state(document, member, model, name, withdrawn)
+        return await self._change(
+            lambda current: set_version_state(current, member, model, name, withdrawn),
+            author,
+            NoticeKind.WITHDRAWN,
+            VersionRef(f"{member}/{model}@{name}"),
+        )
+
+    async def _change(self, edit: Edit, author: str, kind: NoticeKind, subject: str) -> Accepted:
+        try:
+            accepted = Accepted(await self.publisher.edit(edit, author))
+        except PlatformError:
+            accepted = Accepted(self.keeper.revision, by_notice=True)
+        # The newest notice on a subject overrules one that still waits for the store.
+        self.notices.issue(kind, subject)
+        return accepted
+
+    async def rollouts(self) -> list[RolloutRow]:
+        """Return all roll-outs known."""
+        return list(self.tables.rollouts.values())
+
+    async def usage(self, member: MemberId, since: float, until: float) -> list[UsageEntry]:
+        """Return the usage of a member's customers; whole days come from the totals."""
+        totals = UsageTotals()
+        for day in _list_days(since, until):
+            start = day.timestamp()
+            name = day.strftime("%Y%m%d")
+            if since <= start and (day + DAY).timestamp() <= until:
+                totals.add_lines(await self.report.read_totals(name, member=member))
+                continue
+            async for bill in self.report.list_bills(f"{name}/", member=member):
+                if since <= bill.at < until:
+                    totals.add_lines(sum_bills([bill]).lines)
+        return [
+            UsageEntry(
+                customer_id=line.customer_id,
+                class_name=line.class_name,
+                version=line.version,
+                n_requests=line.n_requests,
+                prompt_tokens=line.prompt_tokens,
+                completion_tokens=line.completion_tokens,
+                cost=line.cost,
+            )
+            for line in sorted(totals.lines, key=lambda line: line.key)
+        ]
+
+    async def status(self, member: MemberId) -> StatusReport:
+        """Return the state of this entry with a member's upstreams and domains."""
+        prefix = f"{member}/"
+        tables = self.tables
+        domains = {
+            ref: DomainState.OUT if ref in tables.domains_out else state
+            for ref, state in tables.view.domains.items()
+            if ref.startswith(prefix)
+        }
+        rows = [row for ref, row in sorted(tables.upstreams.items()) if ref.startswith(prefix)]
+        return StatusReport(
+            node_id=self.node_id,
+            revision=tables.view.revision,
+            is_store_up=self.platform.guard.state is not CircuitState.OPEN,
+            outbox=len(self.outbox),
+            queued=len(tables.queue),
+            domains=domains,
+            upstreams=[_make_status(row) for row in rows],
+        )
+
+
+def _make_status(row: UpstreamRow) -> UpstreamStatus:
+    return UpstreamStatus(
+        upstream_id=row.upstream_id,
+        domain=row.domain,
+        state=row.state,
+        in_flight=row.reported_in_flight,
+        limit=row.reported_limit,
+        queued=row.reported_queued,
+        revision=row.revision,
+        reported_at=row.reported_at,
+    )
+
+
+def _list_days(since: float, until: float) -> list[datetime]:
+    """List the days in UTC that a span touches, the last ``MAX_USAGE_DAYS`` of them."""
+    first = datetime.fromtimestamp(since, UTC).replace(hour=0, minute=0, second=0, microsecond=0)
+    days = []
+    day = datetime.fromtimestamp(until, UTC).replace(hour=0, minute=0, second=0, microsecond=0)
+    while day >= first and len(days) < MAX_USAGE_DAYS:
+        if day.timestamp() < until:
+            days.append(day)
+        day -= DAY
+    return days[::-1]
--- a/crocusvalve/entry/_notice_desk.py
+++ b/crocusvalve/entry/_notice_desk.py
@@ -152,9 +152,7 @@
         if not self.table.take(notice, self.tables, now):
             return False
         if notice.kind in DOCUMENT_KINDS:
-            self._pending[(notice.kind.value, notice.subject)] = _Pending(
-                notice, now + write_delay_s
-            )
+            self._pending[_make_key(notice)] = _Pending(notice, now + write_delay_s)
         self._spread(notice)
         return True
 
@@ -197,3 +195,9 @@
             lambda document: apply_notice(document, notice), f"notice by {notice.issuer}"
         )
         logger.info("notice on %s is in revision %d", notice.subject, revision)
+
+
+def _make_key(notice: Notice) -> tuple[str, str]:
+    """Return the key under which a newer notice replaces an older one."""
+    is_domain = notice.kind is not NoticeKind.WITHDRAWN
+    return ("domain" if is_domain else "version", notice.subject)
--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -14,6 +14,7 @@
 from prometheus_client import CollectorRegistry
 from quart_trio import QuartTrio
 
+from crocusvalve.admin import make_admin_blueprint
 from crocusvalve.base import BootId
 from crocusvalve.entry._http import make_app
 from crocusvalve.entry._peer_service import EntryPeerService
@@ -115,6 +116,7 @@
         rpc_port = await nursery.start(_serve_peers, entry, internal_tls.server)
         closing = trio.Event()
         app = make_app(entry, registry)
+        app.register_blueprint(make_admin_blueprint(entry.admin, clock=clock))
         http_port = await nursery.start(_serve_callers, app, settings, callers_tls.server, closing)
         task_status.started((entry, EntryPorts(http_port, rpc_port)))
         await stop.wait()
--- a/crocusvalve/entry/_publisher.py
+++ b/crocusvalve/entry/_publisher.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from crocusvalve.base import Revision
-from crocusvalve.config import Document, check_document
+from crocusvalve.config import Document
 from crocusvalve.control import ConfigKeeper, ConfigStore
-from crocusvalve.exceptions import ConfigConflictError, ConfigError
+from crocusvalve.exceptions import ConfigConflictError
 from crocusvalve.utils import Clock
 
 __all__ = ["DocumentPublisher", "Edit"]
@@ -35,20 +35,15 @@
         self.clock = clock
 
     async def publish(self, base: Revision, document: Document, author: str) -> Revision:
-        """Publish a whole document on a base revision.
+        """Publish a whole document, already checked, on a base revision.
 
         Raises
         ------
-        ConfigError
-            The document is invalid; all faults are listed.
         ConfigConflictError
             Another change was accepted first.
         PlatformError
             The store failed.
         """
-        problems = check_document(document)
-        if problems:
-            raise ConfigError([str(problem) for problem in problems])
         revision = await self.store.publish(base, document, author, self.clock.now())
         self.keeper.take_document(document, revision)
         return revision
--- a/crocusvalve/entry/_resolve.py
+++ b/crocusvalve/entry/_resolve.py
@@ -211,6 +211,21 @@
     return f"{customer.member}/{name}", cfg
 
 
+def _find_service_class(
+    view: DocumentView,
+    customer: CustomerView,
+    name: str,
+    service_cfg: ServiceConfig,
+    headers: CallerHeaders,
+) -> tuple[str, ClassConfig]:
+    """Return the class of a call; a service with a class of its own is called in no other."""
+    asked = headers.class_name
+    if service_cfg.class_name and asked not in ("", service_cfg.class_name):
+        message = f"service {name!r} is called in class {service_cfg.class_name!r} only"
+        raise _refuse(ErrorCode.UNKNOWN_CLASS, message)
+    return find_class(view, customer, asked or service_cfg.class_name)
+
+
 def make_service_row(
     view: DocumentView,
     customer: CustomerView,
@@ -230,7 +245,7 @@
         Where service, class, deadline or idempotency key do not fit.
     """
     service, service_cfg = find_service(view, customer, service_name)
-    class_name, cfg = find_class(view, customer, headers.class_name or service_cfg.class_name)
+    class_name, cfg = _find_service_class(view, customer, service_name, service_cfg, headers)
     is_repeatable = service_cfg.repeatable and cfg.kind is not ClassKind.ORDER
     if not is_repeatable and not headers.idempotency_key:
         message = f"service {service_name!r} is not repeatable: it needs Idempotency-Key"
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -21,6 +21,7 @@
 from crocusvalve.config import CustomerView, Document, DocumentView
 from crocusvalve.control import ConfigFollower, ConfigKeeper, ConfigStore, Controller, LeaseKeeper
 from crocusvalve.durable import DurableStore
+from crocusvalve.entry._admin import EntryAdmin
 from crocusvalve.entry._agents import AgentPool
 from crocusvalve.entry._attempts import AttemptRunner
 from crocusvalve.entry._commands import ShareQuarantine
@@ -169,6 +170,16 @@
         self.rollouts = RolloutFollower(platform, self.tables, policies.ledger)
         self.vm_list = VmListFollower(platform, self.tables, clock=clock)
         self.controller = self._make_controller(node_id)
+        self.admin = EntryAdmin(
+            node_id=node_id,
+            platform=platform,
+            store=self.store,
+            keeper=self.keeper,
+            publisher=self.publisher,
+            notices=self.notices,
+            tables=self.tables,
+            outbox=self.outbox,
+        )
         self._nursery: trio.Nursery | None = None
         self.keeper.add_listener(self._apply_view)
         self.flusher.add_listener(self._acknowledge_bills)
--- a/crocusvalve/rpc/_server.py
+++ b/crocusvalve/rpc/_server.py
@@ -1,5 +1,6 @@
 """Servers: trio services behind grpclib handlers."""
 
+import hmac
 import ssl
 from collections.abc import Callable
 from contextlib import aclosing
@@ -88,13 +89,17 @@
         answer = self._answer_stream if method.is_stream else self._answer_unary
 
         async def handle(stream: Any) -> None:
-            if self._token and stream.metadata.get(AUTH_HEADER) != self._token:
+            if self._token and not self._is_authentic(stream.metadata.get(AUTH_HEADER, "")):
                 raise GRPCError(Status.UNAUTHENTICATED, "wrong internal key")
             req = await stream.recv_message()
             await trio_as_aio(answer)(target, req, stream)
 
         return handle
 
+    def _is_authentic(self, token: Any) -> bool:
+        given = token if isinstance(token, bytes) else str(token).encode()
+        return hmac.compare_digest(given, self._token.encode())
+
     @staticmethod
     async def _answer_unary(target: Callable, req: Any, stream: Any) -> None:
         try:
