--- a/crocusvalve/demo/__init__.py
+++ b/crocusvalve/demo/__init__.py
@@ -1,6 +1,14 @@
 """All roles in one process on loopback ports: the embedded default."""
 
 from crocusvalve.demo._keys import make_customer_key, make_operator_key
-from crocusvalve.demo._world import DemoSpec, DemoWorld
+from crocusvalve.demo._run import run_demo
+from crocusvalve.demo._world import DemoSpec, DemoWorld, load_example
 
-__all__ = ["DemoSpec", "DemoWorld", "make_customer_key", "make_operator_key"]
+__all__ = [
+    "DemoSpec",
+    "DemoWorld",
+    "load_example",
+    "make_customer_key",
+    "make_operator_key",
+    "run_demo",
+]
--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -174,3 +174,5 @@
             await trio.sleep(DRAIN_POLL_S)
         while len(entry.outbox) and not await entry.flusher.flush_safely():
             await trio.sleep(DRAIN_POLL_S)
+        while entry.n_acknowledging:
+            await trio.sleep(DRAIN_POLL_S)
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -180,6 +180,7 @@
             tables=self.tables,
             outbox=self.outbox,
         )
+        self.n_acknowledging = 0
         self._nursery: trio.Nursery | None = None
         self.keeper.add_listener(self._apply_view)
         self.flusher.add_listener(self._acknowledge_bills)
@@ -241,7 +242,14 @@
 
     def _acknowledge_bills(self, bills: list[BillRecord]) -> None:
         if self._nursery is not None:
-            self._nursery.start_soon(self.watcher.acknowledge_bills, bills)
+            self.n_acknowledging += 1
+            self._nursery.start_soon(self._acknowledge, bills)
+
+    async def _acknowledge(self, bills: list[BillRecord]) -> None:
+        try:
+            await self.watcher.acknowledge_bills(bills)
+        finally:
+            self.n_acknowledging -= 1
 
     def _feed(self, attempt_id: AttemptId, event: RunEvent) -> None:
         self.runtime.feed(attempt_id, event)
