--- a/crocusvalve/entry/_admin.py
+++ b/crocusvalve/entry/_admin.py
@@ -33,6 +33,9 @@
 __all__ = ["EntryAdmin"]
 
 DAY = timedelta(days=1)
+DAY_FORMAT = "%Y%m%d"
+#: Prefix of the bills of requests whose id carries no day.
+OTHER_PAGES = "other/"
 MAX_USAGE_DAYS = 400
 
 
@@ -154,15 +157,14 @@
     async def usage(self, member: MemberId, since: float, until: float) -> list[UsageEntry]:
         """Return the usage of a member's customers; whole days come from the totals."""
         totals = UsageTotals()
+        partial_days: list[datetime] = []
         for day in _list_days(since, until):
-            start = day.timestamp()
-            name = day.strftime("%Y%m%d")
-            if since <= start and (day + DAY).timestamp() <= until:
+            if since <= day.timestamp() and (day + DAY).timestamp() <= until:
+                name = day.strftime(DAY_FORMAT)
                 totals.add_lines(await self.report.read_totals(name, member=member))
-                continue
-            async for bill in self.report.list_bills(f"{name}/", member=member):
-                if since <= bill.at < until:
-                    totals.add_lines(sum_bills([bill]).lines)
+            else:
+                partial_days.append(day)
+        await self._add_partial(totals, member, partial_days, since, until)
         return [
             UsageEntry(
                 customer_id=line.customer_id,
@@ -176,6 +178,23 @@
             for line in sorted(totals.lines, key=lambda line: line.key)
         ]
 
+    async def _add_partial(
+        self,
+        totals: UsageTotals,
+        member: MemberId,
+        days: list[datetime],
+        since: float,
+        until: float,
+    ) -> None:
+        """Add the single bills of days that the span covers in part."""
+        prefixes = [f"{day.strftime(DAY_FORMAT)}/" for day in days]
+        spans = [(day.timestamp(), (day + DAY).timestamp()) for day in days]
+        for prefix in [*prefixes, OTHER_PAGES] if days else ():
+            async for bill in self.report.list_bills(prefix, member=member):
+                is_within = any(start <= bill.at < end for start, end in spans)
+                if is_within and since <= bill.at < until:
+                    totals.add_lines(sum_bills([bill]).lines)
+
     async def status(self, member: MemberId) -> StatusReport:
         """Return the state of this entry with a member's upstreams and domains."""
         prefix = f"{member}/"
