--- a/crocusvalve/platform/_guard.py
+++ b/crocusvalve/platform/_guard.py
@@ -15,6 +15,9 @@
 
 T = TypeVar("T")
 
+#: An attempt isn't made with less time than this left for its answer.
+MIN_ATTEMPT_S = 0.05
+
 
 class GuardSettings(Struct, frozen=True, kw_only=True):
     """Limits of the client of the platform's service.
@@ -145,7 +148,7 @@
                 n_unknown += bool(exc.maybe_applied and n_writes)
                 self._record_failure()
                 delay_s = self.backoff.compute_delay_s(n_failures)
-                if self.clock.now() + delay_s >= give_up_at:
+                if self.clock.now() + delay_s + MIN_ATTEMPT_S >= give_up_at:
                     raise self._give_up(step, exc.message, n_unknown) from exc
             await trio.sleep(delay_s)
 
@@ -153,7 +156,7 @@
         now = self.clock.now()
         if n_writes:
             wait_s = self.write_budget.compute_wait_s(n_writes, now)
-            if now + wait_s > give_up_at:
+            if now + wait_s + MIN_ATTEMPT_S > give_up_at:
                 self.counters.n_refused_budget += 1
                 raise _TurnRefusedError("the write budget is used up")
         if not self.circuit.try_enter(now):
