--- a/crocusvalve/control/_config_store.py
+++ b/crocusvalve/control/_config_store.py
@@ -3,32 +3,23 @@
 import msgspec
 
 from crocusvalve.base import Revision, WriteId
-from crocusvalve.config import (
-    Document,
-    apply_delta,
-    decode_document,
-    encode_document,
-    make_delta,
+from crocusvalve.config import Document, encode_document, make_delta
+from crocusvalve.control._config_reader import (
+    HEAD_KEY,
+    HEAD_TABLE,
+    HISTORY_TABLE,
+    ConfigReader,
 )
 from crocusvalve.control._records import HeadRecord, RevisionRecord
-from crocusvalve.exceptions import (
-    ConfigConflictError,
-    ConfigError,
-    InvariantError,
-    PlatformError,
-)
+from crocusvalve.exceptions import ConfigConflictError, PlatformError
 from crocusvalve.platform import ObjectStore, Row, TableService, Write, WriteIdMaker, WriteResult
 
 __all__ = ["ConfigStore"]
 
-HEAD_TABLE = "config_head"
-HISTORY_TABLE = "config_history"
-HEAD_KEY = "head"
 SNAPSHOT_EVERY = 64
-HISTORY_PAGE_ROWS = 200
 
 
-class ConfigStore:
+class ConfigStore(ConfigReader):
     """Reads and publishes revisions of one environment's document.
 
     Parameters
@@ -54,40 +45,9 @@
         snapshot_every: int = SNAPSHOT_EVERY,
         write_ids: WriteIdMaker | None = None,
     ):
-        self.tables = tables
-        self.objects = objects
-        self.environment = environment
+        super().__init__(tables, objects, environment=environment)
         self.snapshot_every = snapshot_every
         self.write_ids = write_ids or WriteIdMaker()
-        self.document_: Document | None = None
-        self.revision_ = Revision(0)
-        self.newest_seen_ = Revision(0)
-
-    async def read_head(self) -> Revision:
-        """Return the newest revision, 0 where there is none; costs one read."""
-        head, _ = await self._read_head()
-        return head.revision if head else Revision(0)
-
-    async def load(self, revision: Revision | None = None) -> tuple[Document, Revision]:
-        """Return a document and its revision, the newest by default.
-
-        The last document loaded is kept, so that a newer one costs the head row and the rows of
-        the revisions between.
-
-        Raises
-        ------
-        ConfigConflictError
-            There is no such revision.
-        """
-        head, _ = await self._read_head()
-        if head is None or (revision is not None and not 0 < revision <= head.revision):
-            newest = head.revision if head else 0
-            raise ConfigConflictError(
-                f"revision {revision} is not in the store", revision=newest, step="load_config"
-            )
-        if revision is not None and revision != head.revision:
-            return await self._load_from_snapshot(revision), revision
-        return await self._load_head(head), head.revision
 
     async def publish(
         self, base: Revision, document: Document, author: str, now: float, *, note: str = ""
@@ -121,13 +81,12 @@
             author=author,
             at=now,
             delta=make_delta(old, document) if old else b"",
+            snapshot_revision=head.snapshot_revision if head else Revision(0),
             note=note,
         )
-        snapshot_revision = head.snapshot_revision if head else Revision(0)
-        if old is None or record.revision - snapshot_revision >= self.snapshot_every:
+        if old is None or record.revision - record.snapshot_revision >= self.snapshot_every:
             record = await self._add_snapshot(record, document)
-            snapshot_revision = record.revision
-        await self._swap_head(record, snapshot_revision, row)
+        await self._swap_head(record, row)
         self._remember(document, record.revision)
         return record.revision
 
@@ -144,97 +103,14 @@
             return False
         record = RevisionRecord(revision=revision, author=author, at=now, note="repair")
         record = await self._add_snapshot(record, document)
-        await self._swap_head(record, revision, row)
+        await self._swap_head(record, row)
         self._remember(document, revision)
         return True
 
-    async def history(self, n: int = 20) -> list[RevisionRecord]:
-        """Return the last revisions, newest first; costs two reads."""
-        newest = await self.read_head()
-        after = self._make_key(Revision(max(0, newest - n)))
-        rows = await self.tables.scan(
-            HISTORY_TABLE, prefix=f"{self.environment}/", after=after, limit=n
-        )
-        return [_decode_revision(row) for row in reversed(rows)]
-
-    async def _read_head(self) -> tuple[HeadRecord | None, Row | None]:
-        row = await self.tables.get(HEAD_TABLE, f"{self.environment}/{HEAD_KEY}")
-        if row is None:
-            return None, None
-        return msgspec.msgpack.decode(row.value, type=HeadRecord), row
-
-    async def _load_head(self, head: HeadRecord) -> Document:
-        document, have = self.document_, self.revision_
-        if document is None or not head.snapshot_revision <= have <= head.revision:
-            document = await self._load_from_snapshot(head.revision)
-        elif have < head.revision:
-            document = await self._load_from_known(document, have, head.revision)
-        self._remember(document, head.revision)
-        return document
-
-    async def _load_from_known(
-        self, document: Document, have: Revision, revision: Revision
-    ) -> Document:
-        try:
-            return await self._apply_records(document, have, revision)
-        except ConfigError:
-            # The document kept is of a history that a restored store no longer has.
-            return await self._load_from_snapshot(revision)
-
-    async def _load_from_snapshot(self, revision: Revision) -> Document:
-        document, have = await self._load_snapshot(revision)
-        return await self._apply_records(document, have, revision)
-
-    async def _apply_records(
-        self, document: Document, have: Revision, revision: Revision
-    ) -> Document:
-        for record in await self._read_records(have, revision):
-            if record.delta:
-                document = apply_delta(document, record.delta)
-            else:
-                document = await self._fetch_snapshot(record)
-        return document
-
-    async def _load_snapshot(self, revision: Revision) -> tuple[Document, Revision]:
-        start = Revision(max(0, revision - self.snapshot_every))
-        records = await self._read_records(start, revision)
-        for record in reversed(records):
-            if record.snapshot:
-                return await self._fetch_snapshot(record), record.revision
-        raise InvariantError(
-            f"no snapshot within {self.snapshot_every} revisions before {revision}",
-            step="load_config",
-        )
-
-    async def _read_records(self, have: Revision, revision: Revision) -> list[RevisionRecord]:
-        records: list[RevisionRecord] = []
-        last = have
-        while last < revision:
-            limit = min(HISTORY_PAGE_ROWS, revision - last)
-            rows = await self.tables.scan(
-                HISTORY_TABLE,
-                prefix=f"{self.environment}/",
-                after=self._make_key(last),
-                limit=limit,
-            )
-            page = [_decode_revision(row) for row in rows]
-            page = [record for record in page if record.revision <= revision]
-            if not page:
-                break
-            records.extend(page)
-            last = page[-1].revision
-        return records
-
-    async def _fetch_snapshot(self, record: RevisionRecord) -> Document:
-        data = await self.objects.get_object(record.snapshot)
-        if data is None:
-            raise InvariantError(f"snapshot {record.snapshot} is missing", step="load_config")
-        return decode_document(data)
-
     async def _add_snapshot(self, record: RevisionRecord, document: Document) -> RevisionRecord:
         name = f"config/{self.environment}/{record.revision:012d}-{self.write_ids.make()}"
         await self._put_snapshot(name, document)
-        return msgspec.structs.replace(record, snapshot=name)
+        return msgspec.structs.replace(record, snapshot=name, snapshot_revision=record.revision)
 
     async def _put_snapshot(self, name: str, document: Document) -> None:
         try:
@@ -243,12 +119,10 @@
             # An object that no row names is no revision, so the publication certainly failed.
             raise PlatformError(exc.message, step="publish_config", peer=exc.peer) from exc
 
-    async def _swap_head(
-        self, record: RevisionRecord, snapshot_revision: Revision, row: Row | None
-    ) -> None:
+    async def _swap_head(self, record: RevisionRecord, row: Row | None) -> None:
         head = HeadRecord(
             revision=record.revision,
-            snapshot_revision=snapshot_revision,
+            snapshot_revision=record.snapshot_revision,
             author=record.author,
             at=record.at,
         )
@@ -302,18 +176,6 @@
             return True
         raise _make_conflict(Revision(record.revision - 1), record.revision)
 
-    def _remember(self, document: Document, revision: Revision) -> None:
-        self.document_ = document
-        self.revision_ = revision
-        self.newest_seen_ = max(self.newest_seen_, revision)
-
-    def _make_key(self, revision: Revision) -> str:
-        return f"{self.environment}/{revision:012d}"
-
-
-def _decode_revision(row: Row) -> RevisionRecord:
-    return msgspec.msgpack.decode(row.value, type=RevisionRecord)
-
 
 def _make_conflict(base: Revision, newest: Revision) -> ConfigConflictError:
     return ConfigConflictError(
--- a/crocusvalve/control/_records.py
+++ b/crocusvalve/control/_records.py
@@ -25,6 +25,8 @@
         Change from the revision before; empty where there was none to start from.
     snapshot : str
         Name of the object that holds the whole document, or empty.
+    snapshot_revision : Revision
+        Newest revision up to this one that has a snapshot.
     at : float
         When it was accepted, Unix time in seconds.
     note : str
@@ -36,6 +38,7 @@
     at: float
     delta: bytes = b""
     snapshot: str = ""
+    snapshot_revision: Revision = Revision(0)
     note: str = ""
 
 
