--- a/crocusvalve/model/_rows.py
+++ b/crocusvalve/model/_rows.py
@@ -103,8 +103,9 @@
     ``in_flight`` counts this entry's own attempts; the ``reported_*`` fields come from the last
     load report, taken at ``reported_at`` by the agent's clock and heard at ``heard_at`` by the
     entry's. ``own_at_report`` is ``in_flight`` at the instant of the report, looked up in
-    ``own_history``. ``failed_at`` is when the last attempt failed. ``drained_boot`` is the run of
-    the agent that said it drains; ``past_boots`` are its former runs.
+    ``own_history``. ``failed_at`` is when the last attempt failed. ``full_until`` ends a short
+    pause after a refusal as full. ``drained_boot`` is the run of the agent that said it drains;
+    ``past_boots`` are its former runs.
     """
 
     upstream_id: UpstreamId
@@ -135,6 +136,7 @@
     own_at_report: int = 0
     own_history: deque[tuple[float, int]] = field(default_factory=deque)
     in_subset: bool = True
+    full_until: float = 0.0
     prefixes: dict[str, float] = field(default_factory=dict)
 
 
