Add the experiments domain and latency

Cause: service while a domain leaves and returns, and latencies with a cold upstream, lag and one heavy customer, are to be measured against baselines. Change: Cluster of entries (real queue, quotas, early refusal, routers, membership, retries, hedges) and upstreams (engine model behind a small agent) in virtual time; domain and latency.

--- /dev/null
+++ b/crocusvalve/bench/_domain.py
@@ -0,0 +1,110 @@
+"""Experiment ``domain``: service while operators take a failure domain out and bring it back."""
+
+from crocusvalve.base import ClassKind, DomainId, DomainState, Ran
+from crocusvalve.bench._cluster import START, Cluster
+from crocusvalve.bench._deployments import DEPLOYMENTS
+from crocusvalve.bench._report import BenchTable, Progress, compute_percentile
+
+__all__ = ["run_domain", "run_domain_case"]
+
+#: Choice of upstream, and whether entries and agents hear of the operators' revision.
+VARIANTS = {
+    "expected_wait, told": ("expected_wait", True),
+    "expected_wait, not told": ("expected_wait", False),
+    "least_in_flight, not told": ("least_in_flight", False),
+    "random, not told": ("random", False),
+}
+PHASES = {"before": (30.0, 60.0), "out": (60.0, 120.0), "back": (120.0, 180.0)}
+OUT_S = 60.0
+#: The VMs of the domain go this long after the operators' command.
+OFF_AFTER_S = 12.0
+BACK_S = 120.0
+END_S = 200.0
+#: A revision is in force everywhere within these bounds.
+IN_FORCE_S = (0.05, 1.0)
+#: No new work on the domain after this time.
+BOUND_S = 2.0
+
+
+def run_domain_case(size: str, variant: str, seed: int) -> Cluster:
+    """Run one variant to its end."""
+    router, is_told = VARIANTS[variant]
+    deployment = DEPLOYMENTS[size]
+    domain = deployment.domains[0]
+    cluster = Cluster(deployment, router=router, seed=seed)
+    loop = cluster.loop
+    if is_told:
+        loop.call_at(START + OUT_S, cluster.publish, domain, DomainState.OUT, IN_FORCE_S)
+        loop.call_at(START + BACK_S, cluster.publish, domain, DomainState.IN, IN_FORCE_S)
+    for upstream in cluster.list_upstreams(domain):
+        loop.call_at(START + OUT_S + OFF_AFTER_S, upstream.switch_off)
+        loop.call_at(START + BACK_S, upstream.switch_on)
+    cluster.run_until(END_S)
+    return cluster
+
+
+def count_late_placements(cluster: Cluster) -> int:
+    """Count the attempts sent to the domain past the bound and before its return."""
+    ref = DomainId(f"{cluster.deployment.member}/{cluster.deployment.domains[0]}")
+    first, last = START + OUT_S + BOUND_S, START + BACK_S
+    return sum(
+        domain == ref and first < at < last
+        for entry in cluster.entries
+        for at, domain in entry.placements
+    )
+
+
+def run_domain(seed: int, sizes: tuple[str, ...]) -> list[BenchTable]:
+    """Compare success and latency by class while a domain leaves and returns."""
+    table = BenchTable(
+        name="domain",
+        seed=seed,
+        columns=(
+            "size",
+            "class",
+            "phase",
+            "variant",
+            "success",
+            "p50 s",
+            "p99 s",
+            "refused",
+            "unknown outcome",
+            "late placements",
+        ),
+        plot_y="p99 s",
+        plot_group=("size", "class", "phase", "variant"),
+    )
+    progress = Progress(len(sizes) * len(VARIANTS))
+    for size in sizes:
+        for variant in VARIANTS:
+            cluster = run_domain_case(size, variant, seed)
+            _add_rows(table, size, variant, cluster)
+            progress.advance(f"domain {size} {variant}")
+    phases = list(PHASES)
+    table.rows.sort(key=lambda row: (sizes.index(row[0]), row[1], phases.index(row[2])))
+    return [table]
+
+
+def _add_rows(table: BenchTable, size: str, variant: str, cluster: Cluster) -> None:
+    n_late = count_late_placements(cluster)
+    delay_s = 2 * cluster.deployment.client_delay_s
+    for traffic in cluster.deployment.traffic:
+        for phase, (first, last) in PHASES.items():
+            rows = [
+                item
+                for item in cluster.outcomes
+                if item.class_name == traffic.class_name
+                and START + first <= item.arrived_at < START + last
+            ]
+            answered = [item.latency_s + delay_s for item in rows if not item.code]
+            is_order = traffic.kind is ClassKind.ORDER
+            n_unknown = sum(item.ran is Ran.UNKNOWN for item in rows) if is_order else 0
+            cells = (
+                len(answered) / max(1, len(rows)),
+                compute_percentile(answered, 0.5),
+                compute_percentile(answered, 0.99),
+                len(rows) - len(answered) - n_unknown,
+                n_unknown,
+                n_late,
+            )
+            table.rows.append((size, traffic.class_name, phase, variant, *cells))
--- /dev/null
+++ b/crocusvalve/bench/_entry.py
@@ -0,0 +1,281 @@
+"""An entry of an experiment: the real queue, routers, limits, retries and hedges."""
+
+import random
+
+from msgspec import Struct
+
+from crocusvalve.base import (
+    AttemptId,
+    ClassKind,
+    DomainId,
+    NodeId,
+    Ran,
+    RequestId,
+    UpstreamId,
+    VersionRef,
+)
+from crocusvalve.bench._loop import EventLoop
+from crocusvalve.bench._upstream import FAR_DELAY_S, NEAR_DELAY_S, Attempt, BenchUpstream
+from crocusvalve.config import DocumentView
+from crocusvalve.exceptions import ErrorCode
+from crocusvalve.limits import FairQueue, check_quota, make_customer_row, should_refuse_early
+from crocusvalve.membership import MembershipSystem, take_report
+from crocusvalve.model import EntryTables, RequestRow, UpstreamRow
+from crocusvalve.retry import HedgePolicy, Quarantine, RetryAction, RetryBudget, RetryPolicy
+from crocusvalve.routing import (
+    check_placement,
+    list_candidates,
+    make_router,
+    note_end,
+    note_failure,
+    note_prefix,
+    note_start,
+    note_success,
+)
+from crocusvalve.rpc import LoadReport, Refused
+
+__all__ = ["BenchEntry", "Outcome"]
+
+MEMBERSHIP_S = 0.25
+
+
+class Outcome(Struct, kw_only=True):
+    """How a request ended; ``code`` is empty for an answer."""
+
+    class_name: str
+    customer_id: str
+    arrived_at: float
+    latency_s: float
+    code: str = ""
+    ran: Ran = Ran.NOT_RUN
+    n_attempts: int = 1
+
+
+class BenchEntry:
+    """One entry, with the policies that the product runs.
+
+    Parameters
+    ----------
+    loop : EventLoop
+        Source of the time.
+    view : DocumentView
+        The revision that it starts with.
+    upstreams : dict of UpstreamId to BenchUpstream
+        What it sends attempts to.
+    domain, region : str
+        Where it stands.
+    router : str
+        Name of the routing policy.
+    random_state : int
+        Seed.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        view: DocumentView,
+        upstreams: dict[UpstreamId, BenchUpstream],
+        *,
+        node_id: str,
+        domain: str,
+        region: str,
+        router: str,
+        random_state: int,
+    ):
+        rng = random.Random(random_state)
+        self.loop = loop
+        self.node_id = NodeId(node_id)
+        self.domain = domain
+        self.upstreams = upstreams
+        self.tables = EntryTables(view)
+        self.queue = FairQueue()
+        self.router = make_router(router, random_state=rng, domain=domain, region=region)
+        budget = RetryBudget()
+        self.budget = budget
+        self.retries = RetryPolicy(budget=budget, random_state=rng)
+        self.quarantine = Quarantine(self.tables.quarantine)
+        self.hedges = HedgePolicy(budget=budget, quarantine=self.quarantine)
+        self.membership = MembershipSystem(self.node_id)
+        self.running: dict[RequestId, list[Attempt]] = {}
+        self.prompts: dict[RequestId, tuple[str, int]] = {}
+        self.outcomes: list[Outcome] = []
+        self.placements: list[tuple[float, DomainId]] = []
+        self._chosen: UpstreamRow | None = None
+        self._full_versions: set[VersionRef] = set()
+        self._n_attempts = 0
+        self._due_at = float("inf")
+        self._run_membership()
+
+    def take_view(self, view: DocumentView) -> None:
+        """Put a revision in force."""
+        self.tables.apply_view(view)
+        self.pump()
+
+    def take_report(self, report: LoadReport) -> None:
+        """Take a load report, which lags."""
+        take_report(self.tables, report, self.loop.now)
+        self.pump()
+
+    def arrive(self, req: RequestRow, prompt: str, n_out: int) -> None:
+        """Admit a request or refuse it."""
+        now = self.loop.now
+        self.budget.note_request(req.member, now)
+        cfg = self.tables.view.customers[req.customer_id].cfg
+        row = self.tables.customers.get(req.customer_id)
+        if row is None:
+            row = make_customer_row(req.customer_id, cfg, now)
+            self.tables.customers[req.customer_id] = row
+        if check_quota(row, cfg, now) is not None:
+            self._finish(req, ErrorCode.RATE_LIMITED.code, Ran.NOT_RUN)
+            return
+        if should_refuse_early(self.queue, req, self._expect_service_s(req), now) is not None:
+            self._finish(req, ErrorCode.OVERLOADED.code, Ran.NOT_RUN)
+            return
+        self.prompts[req.request_id] = (prompt, n_out)
+        row.in_flight += 1
+        dropped = self.queue.push(req)
+        if dropped is not None:
+            self._finish(dropped, ErrorCode.OVERLOADED.code, Ran.NOT_RUN)
+        self.pump()
+
+    def pump(self) -> None:
+        """Start what can be placed now."""
+        now = self.loop.now
+        self._full_versions.clear()
+        for req in self.queue.drain_ready(self._can_place, now):
+            self._start(req, self._chosen)
+        for req in self.queue.pop_expired(now):
+            self._finish(req, ErrorCode.DEADLINE_PASSED.code, Ran.NOT_RUN)
+        due_at = self.queue.get_next_due()
+        if due_at is not None and due_at < self._due_at - 1e-9:
+            self._due_at = due_at
+            self.loop.call_at(due_at, self._pump_due)
+
+    def _pump_due(self) -> None:
+        self._due_at = float("inf")
+        self.pump()
+
+    def _run_membership(self) -> None:
+        self.membership.run(self.tables, self.loop.now)
+        self.loop.call_after(MEMBERSHIP_S, self._run_membership)
+
+    def _expect_service_s(self, req: RequestRow) -> float:
+        rows = self.tables.serving.get(req.version, ())
+        return min((row.ewma_service_s for row in rows), default=0.0)
+
+    def _can_place(self, req: RequestRow) -> bool:
+        if req.version in self._full_versions:
+            return False
+        candidates = list_candidates(self.tables, req, req.version, self.loop.now)
+        if not candidates and req.avoid:
+            req.avoid.clear()
+            candidates = list_candidates(self.tables, req, req.version, self.loop.now)
+        self._chosen = self.router.choose(req, candidates, self.loop.now)
+        if self._chosen is None and not req.avoid:
+            self._full_versions.add(req.version)
+        return self._chosen is not None
+
+    def _start(self, req: RequestRow, row: UpstreamRow, *, is_hedge: bool = False) -> None:
+        now = self.loop.now
+        check_placement(self.tables, req, row, now)
+        req.n_attempts += 1
+        self._n_attempts += 1
+        note_start(row, now)
+        prompt, n_out = self.prompts[req.request_id]
+        attempt = Attempt(
+            attempt_id=AttemptId(f"{self.node_id}-{self._n_attempts}"),
+            req=req,
+            prompt=prompt,
+            n_out=n_out,
+            started_at=now,
+            upstream_id=row.upstream_id,
+            delay_s=NEAR_DELAY_S if row.domain == self.domain else FAR_DELAY_S,
+            on_answer=self._on_answer,
+            on_refused=self._on_refused,
+            is_hedge=is_hedge,
+        )
+        self.running.setdefault(req.request_id, []).append(attempt)
+        self.placements.append((now, row.domain))
+        note_prefix(row, req.prefix_digest, now)
+        self.loop.call_after(attempt.delay_s, self.upstreams[row.upstream_id].receive, attempt)
+        if not is_hedge:
+            self._plan_hedge(req, now)
+
+    def _plan_hedge(self, req: RequestRow, now: float) -> None:
+        cfg = self.tables.view.class_of(req.member, req.class_name)
+        req.hedge_at = self.hedges.compute_hedge_at(req, cfg, now)
+        if req.hedge_at:
+            self.loop.call_at(req.hedge_at, self._hedge, req, req.n_attempts)
+
+    def _hedge(self, req: RequestRow, n_attempts: int) -> None:
+        running = self.running.get(req.request_id, [])
+        if req.n_attempts != n_attempts or len(running) != 1:
+            return
+        candidates = [
+            row
+            for row in list_candidates(self.tables, req, req.version, self.loop.now)
+            if row.upstream_id != running[0].upstream_id
+        ]
+        row = self.router.choose(req, candidates, self.loop.now)
+        if row is not None and self.hedges.should_hedge(req, 1, self.loop.now):
+            self._start(req, row, is_hedge=True)
+
+    def _on_answer(self, attempt: Attempt, service_s: float) -> None:
+        req, now = attempt.req, self.loop.now
+        if not self._end_attempt(attempt):
+            return
+        row = self.tables.upstreams.get(attempt.upstream_id)
+        note_success(row, service_s, now)
+        if req.kind is ClassKind.LOOKUP and not attempt.is_hedge:
+            self.hedges.note_latency(req, now - attempt.started_at)
+        for other in self.running.get(req.request_id, []):
+            self.loop.call_after(other.delay_s, self.upstreams[other.upstream_id].cancel, other)
+            note_end(self.tables.upstreams[other.upstream_id], now)
+        self._finish(req, "", Ran.RAN)
+        self.pump()
+
+    def _on_refused(self, attempt: Attempt, refused: Refused) -> None:
+        req, now = attempt.req, self.loop.now
+        if not self._end_attempt(attempt):
+            return
+        row = self.tables.upstreams[attempt.upstream_id]
+        if refused.code == ErrorCode.UPSTREAM_FULL.name:
+            row.reported_limit = max(1, min(row.reported_limit, row.in_flight))
+        elif refused.code != ErrorCode.DOMAIN_OUT.name:
+            note_failure(row, now)
+        if not self.running.get(req.request_id):
+            self._retry(req, refused)
+        self.pump()
+
+    def _retry(self, req: RequestRow, refused: Refused) -> None:
+        req.avoid.add(UpstreamId(refused.peer))
+        decision = self.retries.decide(req, refused, self.loop.now)
+        if decision.action is not RetryAction.RETRY:
+            self._finish(req, decision.code.code, decision.ran)
+            return
+        req.not_before = decision.not_before
+        self.queue.push(req)
+
+    def _end_attempt(self, attempt: Attempt) -> bool:
+        """Count the end of an attempt; False where it was cancelled before."""
+        running = self.running.get(attempt.req.request_id)
+        if not running or attempt not in running:
+            return False
+        running.remove(attempt)
+        note_end(self.tables.upstreams[attempt.upstream_id], self.loop.now)
+        return True
+
+    def _finish(self, req: RequestRow, code: str, ran: Ran) -> None:
+        self.running.pop(req.request_id, None)
+        if self.prompts.pop(req.request_id, None) is not None:
+            self.tables.customers[req.customer_id].in_flight -= 1
+        outcome = Outcome(
+            class_name=req.class_name,
+            customer_id=req.customer_id,
+            arrived_at=req.arrived_at,
+            latency_s=self.loop.now - req.arrived_at,
+            code=code,
+            ran=ran,
+            n_attempts=req.n_attempts,
+        )
+        self.outcomes.append(outcome)
--- a/crocusvalve/bench/cli.py
+++ b/crocusvalve/bench/cli.py
@@ -4,7 +4,9 @@
 from pathlib import Path
 
 from crocusvalve.bench._deployments import DEPLOYMENTS
+from crocusvalve.bench._domain import run_domain
 from crocusvalve.bench._exposure import run_exposure
+from crocusvalve.bench._latency import run_latency
 from crocusvalve.bench._report import BenchTable, format_table, write_tables
 
 __all__ = ["EXPERIMENTS", "run_bench"]
@@ -13,6 +15,8 @@
 
 EXPERIMENTS: dict[str, Experiment] = {
     "exposure": run_exposure,
+    "domain": run_domain,
+    "latency": run_latency,
 }
 
 
