--- a/crocusvalve/rollout/_sequential.py
+++ b/crocusvalve/rollout/_sequential.py
@@ -48,9 +48,9 @@
     ----------
     tolerance : float
         Share of bad answers above the current version's that is no harm.
-    margin : float
+    first_margin, margin : float
         A new version whose share of bad answers is not shown to be less than this above the current
-        version's does not advance.
+        version's does not advance, from the first and from any later stage.
     alpha : float
         Bound of the chance that a harmless version is ever withdrawn.
     beta : float
@@ -65,13 +65,15 @@
         self,
         *,
         tolerance: float = 0.02,
-        margin: float = 0.1,
+        first_margin: float = 0.1,
+        margin: float = 0.05,
         alpha: float = 0.01,
         beta: float = 0.1,
         max_unrated: int = 20,
         unrated_per_rated: float = 4.0,
     ):
         self.tolerance = tolerance
+        self.first_margin = first_margin
         self.margin = margin
         self.alpha = alpha
         self.beta = beta
@@ -100,7 +102,8 @@
         return RolloutDecision(RolloutAction.COMPLETE, "no harm found at the last stage")
 
     def _is_shown_harmless(self, row: RolloutRow) -> bool:
-        bound = min(1.0 - MIN_SHARE, self._compute_baseline_share(row) + self.margin)
+        margin = self.margin if row.stage else self.first_margin
+        bound = min(1.0 - MIN_SHARE, self._compute_baseline_share(row) + margin)
         return compute_evidence_below(row.n_good, row.n_bad, bound) >= 1.0 / self.beta
 
     def _compute_harmless_share(self, row: RolloutRow) -> float:
