--- a/crocusvalve/rollout/_sequential.py
+++ b/crocusvalve/rollout/_sequential.py
@@ -55,6 +55,10 @@
         Bound of the chance that a harmless version is ever withdrawn.
     beta : float
         Bound of the chance that a version past the margin advances, for each stage.
+    stall_stages : float
+        A version that is not shown to be harmless within this many times ``stage_s`` is withdrawn.
+    n_stall : int
+        Rated answers below which a version does not count as stalled.
     max_unrated : int
         Unrated answers of the new version at which its exposure is paused.
     unrated_per_rated : float
@@ -69,6 +73,8 @@
         margin: float = 0.05,
         alpha: float = 0.01,
         beta: float = 0.1,
+        stall_stages: float = 4.0,
+        n_stall: int = 200,
         max_unrated: int = 20,
         unrated_per_rated: float = 4.0,
     ):
@@ -77,6 +83,8 @@
         self.margin = margin
         self.alpha = alpha
         self.beta = beta
+        self.stall_stages = stall_stages
+        self.n_stall = n_stall
         self.max_unrated = max_unrated
         self.unrated_per_rated = unrated_per_rated
 
@@ -95,12 +103,22 @@
         if row.is_paused:
             action = RolloutAction.HOLD if is_unrated else RolloutAction.RESUME
             return RolloutDecision(action)
-        if now - row.stage_since < row.stage_s or not self._is_shown_harmless(row):
+        if now - row.stage_since < row.stage_s:
             return RolloutDecision(RolloutAction.HOLD)
+        if not self._is_shown_harmless(row):
+            return self._hold_or_stall(row, now)
         if row.stage + 1 < len(row.stages):
             return RolloutDecision(RolloutAction.ADVANCE, "no harm found")
         return RolloutDecision(RolloutAction.COMPLETE, "no harm found at the last stage")
 
+    def _hold_or_stall(self, row: RolloutRow, now: float) -> RolloutDecision:
+        n_rated = row.n_good + row.n_bad
+        has_time = now - row.stage_since < self.stall_stages * row.stage_s
+        if has_time or n_rated < self.n_stall:
+            return RolloutDecision(RolloutAction.HOLD)
+        reason = f"not shown to be harmless by {n_rated} answers, of which {row.n_bad} bad"
+        return RolloutDecision(RolloutAction.WITHDRAW, reason)
+
     def _is_shown_harmless(self, row: RolloutRow) -> bool:
         margin = self.margin if row.stage else self.first_margin
         bound = min(1.0 - MIN_SHARE, self._compute_baseline_share(row) + margin)
--- a/features/rollout/rollout.feature
+++ b/features/rollout/rollout.feature
@@ -62,3 +62,14 @@
     Given a roll-out of "v2" over "v1" that is running at stage 3
     When version "v2" is withdrawn by a notice
     Then the controller writes the row as withdrawn
+
+  Scenario Outline: A version that is not shown to be harmless in time is withdrawn
+    Given a roll-out of "v2" over "v1" that is running at stage 1
+    When <bad> of 300 rated answers of "v2" are bad after <stages> times the stage's time
+    Then the policy decides to <action>
+
+    Examples:
+      | bad | stages | action   |
+      | 27  | 3.9    | hold     |
+      | 27  | 4.0    | withdraw |
+      | 9   | 4.0    | advance  |
--- a/features/rollout/steps/rollout_steps.py
+++ b/features/rollout/steps/rollout_steps.py
@@ -222,9 +222,18 @@
     row.n_good, row.n_contacts = n, n + n_unrated
 
 
+@when('{bad:d} of {n:d} rated answers of "v2" are bad after {stages:g} times the stage\'s time')
+def when_stalled(context, bad, n, stages):
+    row = context.subject.stored
+    row.n_good, row.n_bad, row.n_contacts = n - bad, bad, n
+    row.n_baseline_good, row.n_baseline_bad = 4800, 200
+    context.subject.now += stages * STAGE_S
+
+
 @then("the policy decides to {action}")
 def then_decides(context, action):
-    decision = make_rollout_policy("sequential").decide(context.subject.stored, 1000.0)
+    policy = make_rollout_policy("sequential")
+    decision = policy.decide(context.subject.stored, context.subject.now)
     assert decision.action is RolloutAction(action), decision
 
 
