--- a/crocusvalve/bench/cli.py
+++ b/crocusvalve/bench/cli.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from crocusvalve.bench._cost import run_cost
 from crocusvalve.bench._deployments import DEPLOYMENTS
 from crocusvalve.bench._domain import run_domain
 from crocusvalve.bench._exposure import run_exposure
@@ -17,6 +18,7 @@
     "exposure": run_exposure,
     "domain": run_domain,
     "latency": run_latency,
+    "cost": run_cost,
 }
 
 
