--- a/crocusvalve/cascade/_quality.py
+++ b/crocusvalve/cascade/_quality.py
@@ -30,7 +30,7 @@
         makes up for noise of the ratings.
     """
 
-    def __init__(self, *, score_margin: float = 0.0):
+    def __init__(self, *, score_margin: float = 0.03):
         self.score_margin = score_margin
 
     def plan(
