Add the experiment slopes and proofs of the experiments

Cause: docs/CAPACITY.md is worked out from measured slopes; experiments must repeat exactly. Change: slopes (bytes and processor time at 100, 400, 1600 and 3500 items); scenarios on repeats, on a domain that leaves told and not told, and on the bound of the subset. Proof: the told row of the domain scenario fails where the revision does not reach the entries (its second row is that run).

--- a/crocusvalve/bench/_domain.py
+++ b/crocusvalve/bench/_domain.py
@@ -26,8 +26,8 @@
 BOUND_S = 2.0
 
 
-def run_domain_case(size: str, variant: str, seed: int) -> Cluster:
-    """Run one variant to its end."""
+def run_domain_case(size: str, variant: str, seed: int, *, end_s: float = END_S) -> Cluster:
+    """Run one variant to a time, in seconds since its start."""
     router, is_told = VARIANTS[variant]
     deployment = DEPLOYMENTS[size]
     domain = deployment.domains[0]
@@ -39,7 +39,7 @@
     for upstream in cluster.list_upstreams(domain):
         loop.call_at(START + OUT_S + OFF_AFTER_S, upstream.switch_off)
         loop.call_at(START + BACK_S, upstream.switch_on)
-    cluster.run_until(END_S)
+    cluster.run_until(end_s)
     return cluster
 
 
--- a/crocusvalve/bench/cli.py
+++ b/crocusvalve/bench/cli.py
@@ -9,6 +9,7 @@
 from crocusvalve.bench._exposure import run_exposure
 from crocusvalve.bench._latency import run_latency
 from crocusvalve.bench._report import BenchTable, format_table, write_tables
+from crocusvalve.bench._slopes import run_slopes
 
 __all__ = ["EXPERIMENTS", "run_bench"]
 
@@ -19,6 +20,7 @@
     "domain": run_domain,
     "latency": run_latency,
     "cost": run_cost,
+    "slopes": run_slopes,
 }
 
 
--- a/features/bench/bench.feature
+++ b/features/bench/bench.feature
@@ -7,6 +7,8 @@
     Examples:
       | trial    |
       | exposure |
+      | cluster  |
+      | cost     |
 
   Scenario: A bad version's exposure is bounded over seeds
     Given roll-outs of a version with half of its answers bad on "delta" for 8 seeds
@@ -24,3 +26,16 @@
       | name     | sizes | message      |
       | unknown  | delta | name must be |
       | exposure | mars  | sizes must   |
+
+  Scenario Outline: A domain that operators take out gets no new work past the bound
+    Given 90 s of "sfax" whose domain leaves at 60 s, entries and agents "<told>"
+    Then every request that ended was answered: <answered>
+    And attempts sent to the domain past the bound: <late>
+
+    Examples:
+      | told                     | answered | late |
+      | expected_wait, told      | yes      | none |
+      | least_in_flight, not told | no      | some |
+
+  Scenario: The state at the letter's size grows as the page says
+    Then the placement of a request looks at no more upstreams at 3500 than at 1600
--- a/features/bench/steps/bench_steps.py
+++ b/features/bench/steps/bench_steps.py
@@ -8,9 +8,13 @@
 
 from crocusvalve.base import RolloutState
 from crocusvalve.bench import BenchTable, run_bench
-from crocusvalve.bench._deployments import DELTA
+from crocusvalve.bench._cluster import Cluster
+from crocusvalve.bench._cost import CostTrial
+from crocusvalve.bench._deployments import DELTA, SFAX
+from crocusvalve.bench._domain import count_late_placements, run_domain_case
 from crocusvalve.bench._exposure import ExposureTrial
 from crocusvalve.bench._report import format_table, write_tables
+from crocusvalve.bench._slopes import measure_upstreams
 
 
 class BenchSubject:
@@ -20,7 +24,11 @@
     def run_trial(name, seed):
         if name == "exposure":
             return ExposureTrial(DELTA, "sequential", 0.5, seed).run()
-        raise ValueError(name)
+        if name == "cost":
+            return CostTrial(DELTA, "quality", "live", seed).run(2300)
+        cluster = Cluster(SFAX, seed=seed)
+        cluster.run_until(5.0)
+        return cluster.outcomes
 
 
 @then('"{name}" gives the same figures twice with seed {seed:d}')
@@ -84,3 +92,36 @@
         assert message in str(exc), exc
     else:
         raise AssertionError("no error")
+
+
+@given('{end_s:g} s of "{size}" whose domain leaves at 60 s, entries and agents "{variant}"')
+def given_domain(context, end_s, size, variant):
+    context.cluster = run_domain_case(size, variant, 3, end_s=end_s)
+
+
+@then("every request that ended was answered: {answered}")
+def then_answered(context, answered):
+    codes = [outcome.code for outcome in context.cluster.outcomes if outcome.code]
+    assert len(context.cluster.outcomes) > 5000
+    assert (not codes) == (answered == "yes"), codes
+
+
+@then("attempts sent to the domain past the bound: {late}")
+def then_late(context, late):
+    n_late = count_late_placements(context.cluster)
+    assert (n_late == 0) == (late == "none"), n_late
+
+
+@then("the placement of a request looks at no more upstreams at {large:d} than at {small:d}")
+def then_subset(context, large, small):
+    found = {}
+
+    def add(what, size, unit, value):
+        found[what, size, unit] = value
+
+    for size in (small, large):
+        measure_upstreams(size, add)
+    n_small = found["candidates in the subset", small, "rows"]
+    assert found["candidates in the subset", large, "rows"] <= n_small
+    delta = "delta of one change"
+    assert found[delta, large, "bytes"] == found[delta, small, "bytes"] < 1000
