--- a/crocusvalve/limits/_warmup.py
+++ b/crocusvalve/limits/_warmup.py
@@ -13,7 +13,7 @@
 COLD_RATIO = 8.0
 SHRINK_FACTOR = 0.7
 EWMA_WEIGHT = 0.2
-BEST_DRIFT = 1.002
+BEST_DRIFT = 1.005
 PROOF_OF_WARM_UPTIME_S = 30.0
 
 
@@ -29,8 +29,10 @@
     """Adaptive limit between a cold and a warm limit.
 
     The limit starts at ``cold_limit``. It grows by one for each round of ``limit`` successful
-    requests whose service time per token stays near the best known, shrinks by a factor where it
-    degrades or requests fail, and falls to ``cold_limit`` where the upstream turned cold.
+    requests whose service time per token stays near the best known, and doubles in a round after
+    the upstream has reported that it is warm, until the first setback. It shrinks by a factor
+    where service degrades or requests fail, and falls to ``cold_limit`` where the upstream turned
+    cold.
 
     Parameters
     ----------
@@ -62,6 +64,8 @@
         self._engine_boot = ""
         self._has_health = False
         self._is_reported_cold = False
+        self._is_reported_warm = False
+        self._has_shrunk = False
         self._shrunk_at = float("-inf")
 
     @property
@@ -79,6 +83,11 @@
         """State of the upstream as the limit tells it."""
         return UpstreamState.WARM if self.phase is LimiterPhase.WARM else UpstreamState.COLD
 
+    @property
+    def _is_slow_start(self) -> bool:
+        """Whether to double in a round: the upstream says it is warm, and nothing denied it."""
+        return self._is_reported_warm and not self._has_shrunk
+
     def set_bounds(self, cold_limit: int, warm_limit: int) -> None:
         """Take the bounds of a new revision."""
         check_range("cold_limit", cold_limit, low=1)
@@ -133,10 +142,11 @@
         self.in_flight -= 1
 
     def note_cold(self) -> None:
-        """Fall to the cold limit and forget the service times."""
+        """Fall to the cold limit; it grows again once service is near the best known."""
         self.phase = LimiterPhase.COLD
         self._limit = float(self.cold_limit)
-        self._best_token_s = self._ewma_token_s = None
+        self._ewma_token_s = None
+        self._has_shrunk = False
         self._generation += 1
 
     def note_health(
@@ -170,6 +180,7 @@
         if is_cold and not self._is_reported_cold and self.phase is not LimiterPhase.COLD:
             self.note_cold()
         self._is_reported_cold = is_cold
+        self._is_reported_warm = state is UpstreamState.WARM
         is_old = uptime_s is None or uptime_s >= PROOF_OF_WARM_UPTIME_S
         if is_first and state is UpstreamState.WARM and is_old:
             self.phase = LimiterPhase.WARM
@@ -197,7 +208,8 @@
     def _grow(self) -> None:
         if self._is_reported_cold:
             return
-        self._limit = min(float(self.warm_limit), self._limit + 1.0 / self._limit)
+        step = 1.0 if self._is_slow_start else 1.0 / self._limit
+        self._limit = min(float(self.warm_limit), self._limit + step)
         at_top = self._limit >= self.warm_limit
         self.phase = LimiterPhase.WARM if at_top else LimiterPhase.RAMPING
 
@@ -205,6 +217,7 @@
         if now - self._shrunk_at < service_s:
             return
         self._shrunk_at = now
+        self._has_shrunk = True
         self._limit = max(float(self.cold_limit), self._limit * SHRINK_FACTOR)
         if self.phase is LimiterPhase.WARM:
             self.phase = LimiterPhase.RAMPING
--- /dev/null
+++ b/features/warmup/steps/warmup_steps.py
@@ -0,0 +1,213 @@
+"""Steps about the warm-up limit, with a small model of an engine in virtual time."""
+
+import heapq
+
+from behave import given, then, when
+from hypothesis import given as given_random
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from crocusvalve.base import UpstreamState
+from crocusvalve.limits._warmup import LimiterPhase, WarmupLimiter
+
+WARM, COLD = UpstreamState.WARM, UpstreamState.COLD
+N_TOKENS = 20
+TOKEN_S = 0.01
+
+
+class EngineModel:
+    """Engine that bears few requests while it warms up and loses all of them above that."""
+
+    def __init__(self, bears, warm_s):
+        self.bears, self.warm_s = bears, warm_s
+        self.n_boots = 0
+        self.n_crashes = 0
+        self.boot(0.0)
+
+    def boot(self, now):
+        self.n_boots += 1
+        self.booted_at = now
+        self.running = []
+
+    def warmth(self, now):
+        return min(1.0, (now - self.booted_at) / self.warm_s)
+
+    def start(self, now):
+        bearable = self.bears + self.warmth(now) * 100
+        if len(self.running) + 1 > bearable:
+            self.n_crashes += 1
+            return None
+        slow = 3.0 - 2.0 * self.warmth(now)
+        end = now + N_TOKENS * TOKEN_S * slow * (1 + 0.03 * len(self.running))
+        heapq.heappush(self.running, (end, now))
+        return end
+
+
+class WarmupSubject:
+    """Drives a limiter and an engine through virtual time."""
+
+    def __init__(self, low, high, bears, warm_s):
+        self.limiter = WarmupLimiter(cold_limit=low, warm_limit=high)
+        self.engine = EngineModel(bears, warm_s)
+        self.now = 0.0
+
+    def serve(self, n_waiting, seconds):
+        until = self.now + seconds
+        while self.now < until and not self.engine.n_crashes:
+            self.tick()
+            while n_waiting and self.limiter.try_start():
+                if self.engine.start(self.now) is None:
+                    return
+            self.now += 0.01
+
+    def tick(self):
+        engine, limiter = self.engine, self.limiter
+        state = WARM if engine.warmth(self.now) >= 1.0 else COLD
+        limiter.note_health(state=state, engine_boot=str(engine.n_boots))
+        while engine.running and engine.running[0][0] <= self.now:
+            _, began = heapq.heappop(engine.running)
+            limiter.finish(
+                self.now,
+                generation=limiter.generation,
+                service_s=self.now - began,
+                n_tokens=N_TOKENS,
+                is_success=True,
+            )
+
+    def restart(self):
+        for _ in self.engine.running:
+            self.limiter.abandon()
+        self.engine.boot(self.now)
+
+
+def finish(limiter, *, generation=None, token_s=TOKEN_S, is_success=True, now=100.0):
+    limiter.try_start()
+    limiter.finish(
+        now,
+        generation=limiter.generation if generation is None else generation,
+        service_s=token_s * N_TOKENS,
+        n_tokens=N_TOKENS,
+        is_success=is_success,
+    )
+
+
+def slow_down(limiter):
+    for _ in range(5):
+        finish(limiter)
+    for _ in range(20):
+        finish(limiter, token_s=TOKEN_S * 40)
+
+
+def fail_twice(limiter):
+    finish(limiter, is_success=False, now=100.0)
+    finish(limiter, is_success=False, now=100.1)
+
+
+def serve_cold(limiter):
+    limiter.note_health(state=COLD, engine_boot="b1")
+    for _ in range(20):
+        finish(limiter)
+
+
+EVENTS = {
+    "a new run of the engine": lambda lim: lim.note_health(state=WARM, engine_boot="b2"),
+    "a cold state": lambda lim: lim.note_health(state=COLD, engine_boot="b1"),
+    "a refused connection": lambda lim: lim.note_cold(),
+    "a sudden slow-down": slow_down,
+    "a failure": lambda lim: finish(lim, is_success=False),
+    "two failures in one round": fail_twice,
+    "a failure of an old run": lambda lim: finish(lim, generation=-1, is_success=False),
+    "good service in a cold state": serve_cold,
+    "an unchanged health report": lambda lim: lim.note_health(state=WARM, engine_boot="b1"),
+    "narrower bounds": lambda lim: lim.set_bounds(1, 4),
+}
+HEALTH = {
+    "warm": {"state": WARM},
+    "warm for 5 seconds": {"state": WARM, "uptime_s": 5.0},
+    "warm for 100 seconds": {"state": WARM, "uptime_s": 100.0},
+    "cold": {"state": COLD},
+    "no state": {"state": None},
+}
+
+
+@given(
+    "a limiter from {low:d} to {high:d} before an engine that bears {n:d} and is cold for {s:d} s"
+)
+def given_engine(context, low, high, n, s):
+    context.subject = WarmupSubject(low, high, n, float(s))
+
+
+@when("{n:d} requests wait for {seconds:d} seconds")
+def when_wait(context, n, seconds):
+    context.subject.serve(n, seconds)
+
+
+@when("the engine restarts and {n:d} requests wait for {seconds:d} seconds")
+def when_restarts(context, n, seconds):
+    context.subject.restart()
+    context.subject.serve(n, seconds)
+
+
+@then("the engine never had more than it bears and the limit reached {limit:d}")
+def then_bears(context, limit):
+    subject = context.subject
+    assert subject.engine.n_crashes == 0
+    assert subject.limiter.limit == limit, subject.limiter.limit
+    assert subject.limiter.phase is LimiterPhase.WARM
+
+
+@then("the engine fell over")
+def then_fell(context):
+    assert context.subject.engine.n_crashes
+
+
+@given("a {state} limiter from {low:d} to {high:d}")
+def given_limiter(context, state, low, high):
+    context.limiter = WarmupLimiter(cold_limit=low, warm_limit=high)
+    if state == "warm":
+        context.limiter.note_health(state=WARM, engine_boot="b1")
+        assert context.limiter.limit == high
+
+
+@when("the first health report tells {health}")
+def when_first(context, health):
+    context.limiter.note_health(engine_boot="b1", **HEALTH[health])
+
+
+@when("{event} is noted")
+def when_event(context, event):
+    EVENTS[event](context.limiter)
+
+
+@then("the limit is {limit:d}")
+def then_limit(context, limit):
+    assert context.limiter.limit == limit, context.limiter.limit
+
+
+@when("{n:d} random sequences of events befall a limiter")
+def when_random(context, n):
+    context.n_starts = 0
+    names = st.lists(st.sampled_from(["start", "start", "end", *EVENTS]), max_size=60)
+
+    @settings(max_examples=n, derandomize=True, database=None, deadline=None)
+    @given_random(names=names)
+    def befall(names):
+        limiter = WarmupLimiter(cold_limit=2, warm_limit=16)
+        for name in names:
+            before = limiter.in_flight
+            if name == "start":
+                if limiter.try_start():
+                    assert before + 1 <= limiter.limit
+                    context.n_starts += 1
+            elif name == "end" and before:
+                limiter.abandon()
+            elif name in EVENTS and before < limiter.limit:
+                EVENTS[name](limiter)
+            assert limiter.cold_limit <= limiter.limit <= limiter.warm_limit
+
+    befall()
+
+
+@then("no start was above the limit")
+def then_none_above(context):
+    assert context.n_starts > 100
