--- a/features/agent/steps/agent_steps.py
+++ b/features/agent/steps/agent_steps.py
@@ -1,49 +1,14 @@
 """Steps about the agent as a service, with a fake upstream under trio's mock clock."""
 
-import trio
-import trio.testing
 from behave import given, then, when
-from fakes import BOOT, FakeKeeper, FakeUpstream, ManualClock, make_domain, make_request, make_view
+from fakes import BOOT, FakeUpstream, make_request
 from faults import FAULTS, collect
+from subject import AgentSubject
 
-from crocusvalve.agent import Agent
-from crocusvalve.base import ClassKind, NodeId, UpstreamId
+from crocusvalve.base import ClassKind
 from crocusvalve.rpc import Final, Frame
 
 
-class AgentSubject:
-    """Runs an agent inside a test's trio run."""
-
-    def __init__(self, upstream=None, view=None):
-        self.upstream = upstream or FakeUpstream()
-        self.keeper = FakeKeeper(view or make_view())
-        self.agent = None
-
-    async def start(self, nursery):
-        self.agent = Agent(
-            node_id=NodeId("agent-1"),
-            upstream_id=UpstreamId("delta/e1"),
-            domain=make_domain(),
-            upstream=self.upstream,
-            keeper=self.keeper,
-            clock=ManualClock(),
-            boot_id=BOOT,
-        )
-        await nursery.start(self.agent.run_tasks)
-        return self.agent
-
-    def run(self, scenario):
-        async def main():
-            async with trio.open_nursery() as nursery:
-                agent = await self.start(nursery)
-                with trio.fail_after(120):
-                    result = await scenario(agent, self.upstream)
-                nursery.cancel_scope.cancel()
-            return result
-
-        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 @given("an agent whose engine answers in {n:d} parts")
 def given_agent(context, n):
     script = tuple(f"part{i} ".encode() for i in range(n))
