--- a/crocusvalve/orders/_flow.py
+++ b/crocusvalve/orders/_flow.py
@@ -146,7 +146,7 @@
             if self.stored is None:
                 self.phase = FlowPhase.FINDING
                 return ev.FindClaim()
-            return self._end_not_run(make_no_upstream(), now)
+            return self._end_not_run(self._make_last_outcome(self._last_refused, now), now)
         if attempt.deadline > self.spec.deadline:
             raise InvariantError("an attempt outlives its order", step=STEP)
         self._attempt = attempt
--- a/features/orders/steps/order_steps.py
+++ b/features/orders/steps/order_steps.py
@@ -1,6 +1,7 @@
 """Steps about orders that run at most once: randomised runs and single paths."""
 
 from behave import then, when
+from cases import run_case
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -135,3 +136,23 @@
 def then_true(context):
     print(TOTALS)
     assert TOTALS["executions"] > 0 and TOTALS["faults"] > 0, TOTALS
+
+
+def name_outcome(call):
+    outcome = call.outcome
+    if outcome is None:
+        return "nothing"
+    if outcome.code is not None:
+        return outcome.code.code
+    return "answered again" if outcome.is_replay else "answered"
+
+
+@when("an order meets {case}")
+def when_meets(context, case):
+    context.first, context.repeat, context.n_executed = run_case(case)
+
+
+@then("its caller is told {first}, a repeat is told {repeat} and it ran {n:d} times")
+def then_told(context, first, repeat, n):
+    told = (name_outcome(context.first), name_outcome(context.repeat), context.n_executed)
+    assert told == (first, repeat, n), told
