Three more cases of orders, each for a rule that no test needed before

Cause: taking out the deadline check before the send, the reply of a fenced call and the conflict of a last write left all tests green. Change: cases for each; every rule of the flow now fails a test when taken out, but the comparison of boots in _on_fence, which the guard makes as well.

--- a/features/orders/cases.feature
+++ b/features/orders/cases.feature
@@ -21,6 +21,8 @@
       | the entry frozen past the deadline        | deadline_passed   | answered               | 1 |
       | the entry frozen in the claim             | deadline_passed   | answered               | 1 |
       | the entry frozen, another taking over     | in_progress       | answered               | 1 |
+      | a taker's fence and the store down        | in_progress       | answered               | 1 |
+      | the entry frozen in its last write        | in_progress       | answered               | 1 |
       | the entry killed before the send          | nothing           | answered               | 1 |
       | the entry killed while it runs            | nothing           | answered again         | 1 |
       | the entry killed, the agent restarted     | nothing           | outcome_unknown        | 1 |
--- a/features/orders/steps/cases.py
+++ b/features/orders/steps/cases.py
@@ -3,6 +3,7 @@
 from world import UPSTREAMS, World
 
 from crocusvalve.orders import _events as ev
+from crocusvalve.orders._flow import FlowPhase
 
 
 def drive(world, call, faults=None, *, until=None, is_served=True):
@@ -106,7 +107,31 @@
     result = world.store.write(claim, 0)
     world.now += 25.0
     world.feed(first, ev.ClaimWritten(result))
-    return drive(world, first), repeat(world)
+    drive(world, first)
+    assert not any(len(agent.guard) for agent in world.agents.values()), "sent though too late"
+    return first, repeat(world)
+
+
+def fenced_by_taker(world):
+    """The taker has fenced but not yet written; the first call can't write either."""
+    first = drive(world, world.start_call("k1", "e1"), until="SendAttempt")
+    world.now += 6.0
+    second = drive(world, world.start_call("k1", "e2"), until="UpdateClaim")
+    drive(world, first, {"UpdateClaim": "lost"})
+    return first, drive(world, second)
+
+
+def frozen_in_last_write(world):
+    for agent in world.agents.values():
+        agent.is_closed = True
+    first = world.start_call("k1", "e1")
+    while first.flow.phase is not FlowPhase.SETTLING:
+        world.step(first, "ok")
+    for agent in world.agents.values():
+        agent.is_closed = False
+    world.now += 6.0
+    second = drive(world, world.start_call("k1", "e2"))
+    return drive(world, first), second
 
 
 def entry_dies(world, *, at, restarts=False):
@@ -173,6 +198,8 @@
     "the entry frozen past the deadline": lambda w: entry_freezes(w, seconds=25, has_taker=False),
     "the entry frozen in the claim": entry_freezes_before_write_ends,
     "the entry frozen, another taking over": lambda w: entry_freezes(w, seconds=6, has_taker=True),
+    "a taker's fence and the store down": fenced_by_taker,
+    "the entry frozen in its last write": frozen_in_last_write,
     "the entry killed before the send": lambda w: entry_dies(w, at="SendAttempt"),
     "the entry killed while it runs": lambda w: entry_dies(w, at="ResumeAttempt"),
     "the entry killed, the agent restarted": lambda w: entry_dies(
