--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -11,6 +11,7 @@
 from crocusvalve.agent._http_upstream import HttpUpstream, make_http_client
 from crocusvalve.agent._order_door import ReadNumber, read_no_number
 from crocusvalve.agent._service import Agent, RevisionKeeper
+from crocusvalve.answers import AnswerStore
 from crocusvalve.base import DomainId, NodeId, Revision, UpstreamId
 from crocusvalve.exceptions import CrocusvalveError
 from crocusvalve.rpc import ConfigAck, Empty, PeerClient, serve_rpc
@@ -22,7 +23,8 @@
 
 PULL_PERIOD_S = 2.0
 PULL_RETRY_S = 0.2
-DRAIN_S = 30.0
+MIN_BUFFER_BYTES = 64 * 1024
+N_FULL_BUFFERS = 16
 
 
 class EntryFollower:
@@ -123,6 +125,12 @@
             self.keeper.take_push(full)
 
 
+def make_answer_store(max_bytes: int) -> AnswerStore:
+    """Make the buffers of an agent; one answer may take a share of the bytes."""
+    buffer_max_bytes = max(MIN_BUFFER_BYTES, max_bytes // N_FULL_BUFFERS)
+    return AnswerStore(max_bytes=max_bytes, buffer_max_bytes=buffer_max_bytes)
+
+
 async def serve_agent(
     agent: Agent,
     host: str,
@@ -185,6 +193,7 @@
             clock=MonotonicClock(),
             learn_revision=follower.pull,
             read_number=read_number,
+            answers=make_answer_store(settings.max_answer_bytes),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follower.follow, agent)
--- a/crocusvalve/agent/_service.py
+++ b/crocusvalve/agent/_service.py
@@ -55,7 +55,7 @@
 logger = logging.getLogger(__name__)
 
 PROBE_PERIOD_S = 0.25
-EXPIRY_PERIOD_S = 1.0
+EXPIRY_PERIOD_S = 2.0
 DRAIN_POLL_S = 0.05
 CANCEL_MEMORY_S = 60.0
 LEARN_TIMEOUT_S = 0.5
@@ -100,6 +100,8 @@
         Pulls a newer revision from the entries.
     read_number : callable
         Reads the number of the controller's lease from the platform's service.
+    answers : AnswerStore or None
+        Buffers of answers; None makes a store with its default bounds.
     boot_id : BootId or None
         Identity of this run; None makes a random one.
     probe_period_s : float
@@ -117,6 +119,7 @@
         clock: Clock,
         learn_revision: LearnRevision = _learn_nothing,
         read_number: ReadNumber = read_no_number,
+        answers: AnswerStore | None = None,
         boot_id: BootId | None = None,
         probe_period_s: float = PROBE_PERIOD_S,
     ):
@@ -131,7 +134,7 @@
             domain=domain,
             boot_id=boot_id or BootId(secrets.token_hex(8)),
         )
-        self.answers = AnswerStore()
+        self.answers = answers if answers is not None else AnswerStore()
         self._admission = AdmissionSystem()
         self._orders = OrderDoor(upstream, read_number)
         self._runners: dict[AttemptId, AttemptRunner] = {}
--- a/features/warmup/steps/warmup_steps.py
+++ b/features/warmup/steps/warmup_steps.py
@@ -50,14 +50,18 @@
         self.limiter = WarmupLimiter(cold_limit=low, warm_limit=high)
         self.engine = EngineModel(bears, warm_s)
         self.now = 0.0
+        self.reached_s = None
 
     def serve(self, n_waiting, seconds):
         until = self.now + seconds
         while self.now < until and not self.engine.n_crashes:
             self.tick()
             while n_waiting and self.limiter.try_start():
+                n_waiting -= 1
                 if self.engine.start(self.now) is None:
                     return
+            if self.reached_s is None and self.limiter.limit == self.limiter.warm_limit:
+                self.reached_s = self.now - self.engine.booted_at
             self.now += 0.01
 
     def tick(self):
@@ -78,6 +82,7 @@
         for _ in self.engine.running:
             self.limiter.abandon()
         self.engine.boot(self.now)
+        self.reached_s = None
 
 
 def finish(limiter, *, generation=None, token_s=TOKEN_S, is_success=True, now=100.0):
@@ -154,11 +159,13 @@
     assert subject.engine.n_crashes == 0
     assert subject.limiter.limit == limit, subject.limiter.limit
     assert subject.limiter.phase is LimiterPhase.WARM
+    print(f"warm limit {subject.reached_s:.2f} s after the engine's start")
 
 
 @then("the engine fell over")
 def then_fell(context):
     assert context.subject.engine.n_crashes
+    print(f"fell over {context.subject.now:.2f} s after the engine's start")
 
 
 @given("a {state} limiter from {low:d} to {high:d}")
--- a/features/warmup/warmup.feature
+++ b/features/warmup/warmup.feature
@@ -2,18 +2,18 @@
 
   Scenario: The limit rises from the cold to the warm limit while service stays good
     Given a limiter from 2 to 16 before an engine that bears 4 and is cold for 20 s
-    When 200 requests wait for 60 seconds
+    When 2000 requests wait for 60 seconds
     Then the engine never had more than it bears and the limit reached 16
 
   Scenario: Without the ramp the same engine falls over
     Given a limiter from 16 to 16 before an engine that bears 4 and is cold for 20 s
-    When 200 requests wait for 60 seconds
+    When 2000 requests wait for 60 seconds
     Then the engine fell over
 
   Scenario: The engine restarts under full load
     Given a limiter from 2 to 16 before an engine that bears 4 and is cold for 20 s
-    When 200 requests wait for 60 seconds
-    And the engine restarts and 200 requests wait for 60 seconds
+    When 2000 requests wait for 60 seconds
+    And the engine restarts and 2000 requests wait for 60 seconds
     Then the engine never had more than it bears and the limit reached 16
 
   Scenario Outline: <event> leaves the limit at <limit>
