Latency: quotas of the deployments, ratio to the steady case

Change: customers of the deployments have bounds on requests under way of 1.5 times their share (at least 16); case heavy without quotas; column p99 / steady; the heavy customer left out throughout. Conclusion: quotas carry the bound; fair queueing alone doesn't, since a heavy customer's normal requests go before the others' batch requests.

--- a/crocusvalve/bench/_cluster.py
+++ b/crocusvalve/bench/_cluster.py
@@ -58,6 +58,8 @@
         Seed of traffic and policies.
     report_lag_s : float
         Age of a load report when an entry takes it.
+    has_quotas : bool
+        Whether customers' requests under way are bounded.
     """
 
     def __init__(
@@ -67,13 +69,14 @@
         router: str = "expected_wait",
         seed: int = 0,
         report_lag_s: float = 0.3,
+        has_quotas: bool = True,
     ):
         self.deployment = deployment
         self.seed = seed
         self.loop = EventLoop(START)
         self.rng = random.Random(seed)
         self.report_lag_s = report_lag_s
-        self.document = make_document(deployment)
+        self.document = make_document(deployment, has_quotas=has_quotas)
         self.view = DocumentView(self.document, Revision(1))
         self.upstreams = self._make_upstreams(seed)
         self.entries = [self._make_entry(index, router, seed) for index in range(N_ENTRIES)]
@@ -138,6 +141,7 @@
             region=self.deployment.region,
             router=router,
             random_state=seed * 100 + 50 + index,
+            quota_share=1.0 / N_ENTRIES,
         )
 
     def _report(self, upstream: BenchUpstream) -> None:
--- a/crocusvalve/bench/_deployments.py
+++ b/crocusvalve/bench/_deployments.py
@@ -23,6 +23,9 @@
 N_CUSTOMERS = 10
 #: Share of the traffic by customer: a few large ones.
 CUSTOMER_SHARES = (0.25, 0.2, 0.15, 0.1, 0.08, 0.06, 0.05, 0.05, 0.03, 0.03)
+#: Bound on a customer's requests under way: this many times its share of the large engines' slots.
+QUOTA_FACTOR = 1.5
+MIN_QUOTA = 16
 COLD_LIMIT = 2
 WARM_LIMIT = 16
 
@@ -173,11 +176,18 @@
     return f"c{rng.choices(range(N_CUSTOMERS), CUSTOMER_SHARES)[0]}"
 
 
+def compute_quota(deployment: Deployment, share: float) -> int:
+    """Return the bound on the requests under way of a customer with a share of the traffic."""
+    n_slots = deployment.engines[0].n_engines * WARM_LIMIT
+    return max(MIN_QUOTA, int(QUOTA_FACTOR * share * n_slots))
+
+
 def make_document(
     deployment: Deployment,
     *,
     versions: dict[str, VersionConfig] | None = None,
     rollout: RolloutConfig | None = None,
+    has_quotas: bool = True,
 ) -> Document:
     """Build the document of a deployment.
 
@@ -189,6 +199,8 @@
         Versions of every model; the first is the current one.
     rollout : RolloutConfig or None
         A roll-out.
+    has_quotas : bool
+        Whether customers' requests under way are bounded by their share.
     """
     versions = versions or {"v1": VersionConfig(0.1, 0.3, 0.9)}
     current = next(iter(versions))
@@ -211,8 +223,16 @@
         for item in deployment.traffic
     }
     customers = {
-        f"c{index}": CustomerConfig(f"key{index}", models, tuple(classes), 0.8)
-        for index in range(N_CUSTOMERS)
+        f"c{index}": CustomerConfig(
+            f"key{index}",
+            models,
+            tuple(classes),
+            quality_target=0.8,
+            rate_per_s=200.0,
+            burst=400,
+            max_in_flight=compute_quota(deployment, share) if has_quotas else 10_000,
+        )
+        for index, share in enumerate(CUSTOMER_SHARES)
     }
     section = MemberConfig(
         domains={name: DomainConfig(deployment.region) for name in domains},
--- a/crocusvalve/bench/_entry.py
+++ b/crocusvalve/bench/_entry.py
@@ -68,6 +68,8 @@
         Name of the routing policy.
     random_state : int
         Seed.
+    quota_share : float
+        Part of each quota that this entry hands out.
     """
 
     def __init__(
@@ -81,11 +83,13 @@
         region: str,
         router: str,
         random_state: int,
+        quota_share: float = 1.0,
     ):
         rng = random.Random(random_state)
         self.loop = loop
         self.node_id = NodeId(node_id)
         self.domain = domain
+        self.quota_share = quota_share
         self.upstreams = upstreams
         self.tables = EntryTables(view)
         self.queue = FairQueue()
@@ -125,7 +129,7 @@
         if row is None:
             row = make_customer_row(req.customer_id, cfg, now)
             self.tables.customers[req.customer_id] = row
-        if check_quota(row, cfg, now) is not None:
+        if check_quota(row, cfg, now, share=self.quota_share) is not None:
             self._finish(req, ErrorCode.RATE_LIMITED.code, Ran.NOT_RUN)
             return
         if should_refuse_early(self.queue, req, self._expect_service_s(req), now) is not None:
--- a/crocusvalve/bench/_latency.py
+++ b/crocusvalve/bench/_latency.py
@@ -11,7 +11,7 @@
 __all__ = ["run_latency"]
 
 ROUTERS = ("expected_wait", "least_in_flight", "random")
-CASES = ("steady", "cold", "lag", "heavy")
+CASES = ("steady", "cold", "lag", "heavy", "heavy, no quota")
 WARM_UP_S = 30.0
 END_S = 120.0
 LAG_S = 3.0
@@ -23,8 +23,11 @@
     """Run one case to its end."""
     deployment = DEPLOYMENTS[size]
     lag_s = LAG_S if case == "lag" else 0.3
-    cluster = Cluster(deployment, router=router, seed=seed, report_lag_s=lag_s)
-    if case == "heavy":
+    has_quotas = "no quota" not in case
+    cluster = Cluster(
+        deployment, router=router, seed=seed, report_lag_s=lag_s, has_quotas=has_quotas
+    )
+    if case.startswith("heavy"):
         cluster.add_load(HEAVY_CUSTOMER, HEAVY_FACTOR, WARM_UP_S)
     if case == "cold":
         rng = random.Random(seed)
@@ -36,42 +39,55 @@
     return cluster
 
 
-def list_measured(cluster: Cluster, case: str) -> list[Outcome]:
-    """Return the outcomes that count: after the warm-up, without the heavy customer's own."""
+def list_measured(cluster: Cluster) -> list[Outcome]:
+    """Return the outcomes that count: after the warm-up, without those of the heavy customer."""
     heavy = CustomerId(f"{cluster.deployment.member}/{HEAVY_CUSTOMER}")
     return [
         outcome
         for outcome in cluster.outcomes
-        if outcome.arrived_at >= START + WARM_UP_S
-        and not (case in ("heavy", "steady") and outcome.customer_id == heavy)
+        if outcome.arrived_at >= START + WARM_UP_S and outcome.customer_id != heavy
     ]
 
 
 def run_latency(seed: int, sizes: tuple[str, ...]) -> list[BenchTable]:
-    """Compare routing policies by latency; ``steady`` and ``heavy`` show the other customers."""
+    """Compare routing policies by the latency of all customers but the heavy one."""
     table = BenchTable(
         name="latency",
         seed=seed,
-        columns=("size", "case", "class", "router", "p50 s", "p95 s", "p99 s", "answered"),
+        columns=(
+            "size",
+            "case",
+            "class",
+            "router",
+            "p50 s",
+            "p95 s",
+            "p99 s",
+            "p99 / steady",
+            "answered",
+        ),
         plot_y="p99 s",
         plot_group=("size", "case", "class", "router"),
     )
+    steady: dict[tuple, float] = {}
     progress = Progress(len(sizes) * len(CASES) * len(ROUTERS))
     for size in sizes:
         for case in CASES:
             for router in ROUTERS:
                 cluster = run_case(size, case, router, seed)
-                measured = list_measured(cluster, case)
                 for traffic in DEPLOYMENTS[size].traffic:
-                    rows = [item for item in measured if item.class_name == traffic.class_name]
-                    cells = _summarise(rows, DEPLOYMENTS[size].client_delay_s)
+                    key = (size, traffic.class_name, router)
+                    cells = _summarise(cluster, traffic.class_name)
+                    steady.setdefault(key, cells[2])
+                    cells = (*cells[:3], cells[2] / steady[key], cells[3])
                     table.rows.append((size, case, traffic.class_name, router, *cells))
                 progress.advance(f"latency {size} {case} {router}")
     table.rows.sort(key=lambda row: (sizes.index(row[0]), CASES.index(row[1]), row[2]))
     return [table]
 
 
-def _summarise(outcomes: list[Outcome], client_delay_s: float) -> tuple:
-    answered = [item.latency_s + 2 * client_delay_s for item in outcomes if not item.code]
+def _summarise(cluster: Cluster, class_name: str) -> tuple:
+    delay_s = 2 * cluster.deployment.client_delay_s
+    rows = [item for item in list_measured(cluster) if item.class_name == class_name]
+    answered = [item.latency_s + delay_s for item in rows if not item.code]
     percentiles = (compute_percentile(answered, share) for share in (0.5, 0.95, 0.99))
-    return (*percentiles, f"{len(answered)}/{len(outcomes)}")
+    return (*percentiles, f"{len(answered)}/{len(rows)}")
