--- a/crocusvalve/bench/_domain.py
+++ b/crocusvalve/bench/_domain.py
@@ -31,7 +31,7 @@
     router, is_told = VARIANTS[variant]
     deployment = DEPLOYMENTS[size]
     domain = deployment.domains[0]
-    cluster = Cluster(deployment, router=router, seed=seed)
+    cluster = Cluster(deployment, router=router, seed=seed, has_quotas=False)
     loop = cluster.loop
     if is_told:
         loop.call_at(START + OUT_S, cluster.publish, domain, DomainState.OUT, IN_FORCE_S)
