--- a/crocusvalve/limits/_backlog.py
+++ b/crocusvalve/limits/_backlog.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, defaultdict
 
-from crocusvalve.base import CustomerId, MemberId, Priority
+from crocusvalve.base import CustomerId, MemberId, Priority, RequestId
 from crocusvalve.limits._schedule import make_flow_key
 from crocusvalve.model import RequestRow
 
@@ -15,28 +15,20 @@
 class DrainRate:
     """Mean gap between two departures for a target while requests wait for it, in seconds.
 
-    Gaps during which nothing waited don't count, so the mean tells what the upstreams can take, not
-    what the callers ask for.
+    A gap counts only as far as the request that ends it has waited, so the mean tells what the
+    upstreams can take, not what the callers ask for, and a request that is held back alone changes
+    nothing.
     """
 
     def __init__(self):
         self.gap_s_ = 0.0
-        self.since_ = 0.0
+        self.served_at_ = 0.0
 
-    def note_busy(self, now: float) -> None:
-        """Start a gap as the first request begins to wait."""
-        self.since_ = max(self.since_, now)
-
-    def note_served(self, now: float) -> None:
-        """End a gap with a departure and start the next."""
-        gap_s = max(0.0, now - self.since_)
+    def note_served(self, queued_at: float, now: float) -> None:
+        """Count a departure of a request that was ready to leave from ``queued_at`` on."""
+        gap_s = max(0.0, now - max(self.served_at_, queued_at))
         self.gap_s_ = gap_s if not self.gap_s_ else self.gap_s_ + GAP_GAIN * (gap_s - self.gap_s_)
-        self.since_ = max(self.since_, now)
-
-    def estimate_wait_s(self, n_ahead: float, now: float) -> float:
-        """Estimate the wait behind requests; a stall is expected to last as long again."""
-        stall_s = max(0.0, now - self.since_ - self.gap_s_)
-        return n_ahead * self.gap_s_ + stall_s
+        self.served_at_ = max(self.served_at_, now)
 
 
 class Backlog:
@@ -46,22 +38,23 @@
         self.by_member: Counter[MemberId] = Counter()
         self.by_class: dict[tuple[MemberId, str], Counter[CustomerId]] = defaultdict(Counter)
         self._by_target: dict[str, dict[Priority, Counter[CustomerId]]] = {}
+        self._ready_at: dict[RequestId, float] = {}
         self._rates: dict[str, DrainRate] = {}
         self.weights: dict[CustomerId, float] = {}
 
     def add(self, req: RequestRow, weight: float, now: float) -> None:
-        """Count a request that is queued."""
+        """Count a request that is queued and ready to leave from ``now`` on."""
         self.weights[req.customer_id] = weight
         self.by_member[req.member] += 1
         self.by_class[req.member, req.class_name][req.customer_id] += 1
         target = make_flow_key(req).target
         levels = self._by_target.setdefault(target, {})
-        if not any(levels.values()):
-            self._rates.setdefault(target, DrainRate()).note_busy(now)
+        self._ready_at[req.request_id] = now
         levels.setdefault(req.priority, Counter())[req.customer_id] += 1
 
     def remove(self, req: RequestRow) -> None:
         """Count a request that leaves the queue."""
+        del self._ready_at[req.request_id]
         _decrease(self.by_member, req.member)
         class_key = (req.member, req.class_name)
         _decrease(self.by_class[class_key], req.customer_id)
@@ -71,13 +64,15 @@
 
     def note_served(self, req: RequestRow, now: float) -> None:
         """Count a request that leaves the queue for an upstream."""
-        self._rates[make_flow_key(req).target].note_served(now)
+        rate = self._rates.setdefault(make_flow_key(req).target, DrainRate())
+        rate.note_served(self._ready_at[req.request_id], now)
 
-    def estimate_wait_s(self, req: RequestRow, weight: float, now: float) -> float:
-        """Estimate how long a request would wait in fair order, in seconds; 0 where none waits."""
+    def estimate_wait_s(self, req: RequestRow, weight: float) -> float:
+        """Estimate how long a request would wait in fair order, in seconds; 0 where unknown."""
         target = make_flow_key(req).target
         levels = self._by_target.get(target, {})
-        if not any(levels.values()):
+        rate = self._rates.get(target)
+        if rate is None or not any(levels.values()):
             return 0.0
         n_ahead = sum(counts.total() for level, counts in levels.items() if level < req.priority)
         peers = levels.get(req.priority, Counter())
@@ -86,7 +81,7 @@
         for customer_id, n_queued in peers.items():
             if customer_id != req.customer_id:
                 n_ahead += min(n_queued, n_rounds * self.weights[customer_id])
-        return self._rates[target].estimate_wait_s(n_ahead + n_own, now)
+        return (n_ahead + n_own) * rate.gap_s_
 
 
 def _decrease(counter: Counter, key: str) -> None:
--- a/crocusvalve/limits/_early.py
+++ b/crocusvalve/limits/_early.py
@@ -41,7 +41,7 @@
     """
     if req.kind is ClassKind.DURABLE:
         return None
-    wait_s = queue.estimate_wait_s(req, now, weight=weight) + expected_wait_s
+    wait_s = queue.estimate_wait_s(req, weight=weight) + expected_wait_s
     excess_s = wait_s - (req.deadline - now)
     if excess_s <= 0.0:
         return None
--- a/crocusvalve/limits/_queue.py
+++ b/crocusvalve/limits/_queue.py
@@ -60,7 +60,8 @@
         ----------
         req : RequestRow
             The request; it waits until its ``not_before``. One that was tried before, or is
-            durable, is taken even where the queue is full.
+            durable, is taken even where the queue is full. Its ``service``, ``steps``, ``step`` and
+            ``pinned_version`` may not change while it is queued.
         weight : float
             Weight of its customer, above 0.
         max_queue : int
@@ -129,9 +130,9 @@
         expired, self._expired = self._expired, []
         return expired
 
-    def estimate_wait_s(self, req: RequestRow, now: float, *, weight: float = 1.0) -> float:
+    def estimate_wait_s(self, req: RequestRow, *, weight: float = 1.0) -> float:
         """Estimate how long a request would wait here, in seconds; 0 where unknown."""
-        return self._backlog.estimate_wait_s(req, weight, now)
+        return self._backlog.estimate_wait_s(req, weight)
 
     def get_next_due(self) -> float | None:
         """Return the instant of the next deadline or end of a delay, or None."""
--- a/features/limits/queue.feature
+++ b/features/limits/queue.feature
@@ -72,3 +72,13 @@
       | 50 | answer  | b   | 2    | admitted                |
       | 50 | durable | a   | 2    | admitted                |
       | 0  | answer  | a   | 0.2  | refused for about 0.3 s |
+
+  Scenario Outline: A request that is held back doesn't make the others look late
+    Given a queue in which a request of "a" is held back by <what>
+    When a request of "b" is taken at once every 5 s for 50 s
+    Then a request of "b" with 1 s left is admitted
+
+    Examples:
+      | what              |
+      | its backoff       |
+      | a lack of room    |
--- a/features/limits/steps/queue_steps.py
+++ b/features/limits/steps/queue_steps.py
@@ -189,3 +189,25 @@
     else:
         expected = float(outcome.split()[-2])
         assert found is not None and abs(found - expected) < 0.1, found
+
+
+@given('a queue in which a request of "a" is held back by {what}')
+def given_held_back(context, what):
+    context.subject = QueueSubject()
+    not_before = NOW + 60 if what == "its backoff" else 0.0
+    context.subject.push("a", not_before=not_before, deadline=NOW + 900)
+
+
+@when('a request of "b" is taken at once every 5 s for 50 s')
+def when_light(context):
+    for i in range(1, 11):
+        now = NOW + 5 * i
+        context.subject.push("b", arrived_at=now, deadline=now + 5)
+        context.subject.take(1, now + 0.01, can_place=lambda req: req.customer_id == "d/b")
+    assert len(context.subject.taken) == 10
+
+
+@then('a request of "b" with 1 s left is admitted')
+def then_admitted_late(context):
+    req = make_request("new", "b", deadline=NOW + 52)
+    assert should_refuse_early(context.subject.queue, req, 0.1, NOW + 51) is None
