Keep one broken durable request, or a few dead peers, from holding up the rest

Cause: an exception in one execution would have ended the worker, and so its entry; a request whose body is gone could not be ended at its deadline, since the expiry read the body; a process without the store always asked the same three peers. Change: the execution is logged, counted and claimed again; the expiry reads the row only; peers are asked in turn. Each scenario fails without its change.

--- a/crocusvalve/control/_config_follower.py
+++ b/crocusvalve/control/_config_follower.py
@@ -94,6 +94,7 @@
         self.list_peers = list_peers
         self.repairs_head = repairs_head
         self.poll_interval_s = poll_interval_s
+        self._n_peers_asked = 0
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -133,8 +134,17 @@
         is_written = await self.store.repair(document, revision, "repair", self.clock.now())
         logger.warning("head_regressed: revision %d written back: %s", revision, is_written)
 
+    def _choose_peers(self) -> list[ConfigPeer]:
+        """Return the next few peers in turn, so that dead ones don't hide the others."""
+        peers = list(self.list_peers())
+        if not peers:
+            return []
+        start = self._n_peers_asked % len(peers)
+        self._n_peers_asked += N_PEERS_ASKED
+        return (peers[start:] + peers[:start])[:N_PEERS_ASKED]
+
     async def _poll_peers(self) -> None:
-        peers = list(self.list_peers())[:N_PEERS_ASKED]
+        peers = self._choose_peers()
         push = await fetch_from_peers(peers, self.keeper.revision)
         if push is None:
             return
--- a/crocusvalve/durable/_runner.py
+++ b/crocusvalve/durable/_runner.py
@@ -11,7 +11,7 @@
 from crocusvalve.durable._records import DurableRecord, DurableResult
 from crocusvalve.durable._store import DurableStore, FinishPlan
 from crocusvalve.durable._tables import DurableRow
-from crocusvalve.exceptions import CrocusvalveError, InvariantError, PlatformError, RefusedError
+from crocusvalve.exceptions import CrocusvalveError, InvariantError, PlatformError
 from crocusvalve.platform import Backoff
 from crocusvalve.utils import Clock
 
@@ -34,6 +34,7 @@
     n_alarms: int = 0
     n_store_errors: int = 0
     n_invariant_errors: int = 0
+    n_errors: int = 0
 
 
 class DurableRun:
@@ -108,6 +109,10 @@
         except InvariantError as exc:
             self.counters.n_invariant_errors += 1
             logger.error("durable request %s: %s", run.request_id, exc)
+        except Exception:
+            # One request must not end the work on all others; it is claimed again or expires.
+            self.counters.n_errors += 1
+            logger.exception("durable request %s broke off", run.request_id)
 
     async def _execute(self, run: DurableRun) -> DurableResult:
         n_failures = 0
@@ -119,11 +124,13 @@
                 if self._may_start(run.row):
                     self.counters.n_executions += 1
                     return await self.execute(run.record)
-            except RefusedError as exc:
-                retry_after_s = exc.retry_after_s or 0.0
-                logger.info("durable request %s is tried again: %s", run.request_id, exc)
             except PlatformError as exc:
                 self.note_store_error(exc)
+            except InvariantError:
+                raise
+            except CrocusvalveError as exc:
+                retry_after_s = getattr(exc, "retry_after_s", None) or 0.0
+                logger.info("durable request %s is tried again: %s", run.request_id, exc)
             n_failures += 1
             await trio.sleep(max(retry_after_s, self.backoff.compute_delay_s(n_failures)))
 
--- a/crocusvalve/durable/_store.py
+++ b/crocusvalve/durable/_store.py
@@ -93,8 +93,13 @@
 
     async def get(self, request_id: RequestId) -> DurableRecord | None:
         """Return a request with its body and result, or None where it was never accepted."""
+        record = await self.get_record(request_id)
+        return await self._fetch_bodies(record) if record is not None else None
+
+    async def get_record(self, request_id: RequestId) -> DurableRecord | None:
+        """Return a request as its row stands, without bodies from the object store."""
         row = await self.tables.get(DURABLE_TABLE, request_id)
-        return await self._fetch_bodies(_decode_record(row)) if row else None
+        return _decode_record(row) if row else None
 
     async def list_open(self, *, after: str, limit: int) -> list[OpenRow]:
         """Return a page of open requests by request id; one read."""
--- a/crocusvalve/durable/_worker.py
+++ b/crocusvalve/durable/_worker.py
@@ -232,7 +232,7 @@
     async def _expire(self, row: DurableRow) -> None:
         request_id = row.record.request_id
         self._cancel(request_id)
-        record = await self.store.get(request_id)
+        record = await self.store.get_record(request_id)
         open_row = await self.store.read_open(request_id)
         if record is None:
             raise InvariantError("an open row without a durable row", step="expire_durable")
--- a/features/control/config.feature
+++ b/features/control/config.feature
@@ -88,7 +88,14 @@
     Given an environment at revision 3
     And a process that starts, with peers at revisions 2, 3 and one that fails
     When the fault "store down" is in force
-    And the process polls
+    And the process polls 1 times
+    Then the process is at revision 3
+
+  Scenario: Peers that fail don't hide one that answers
+    Given an environment at revision 3
+    And a process that starts, with 4 peers that fail and one at revision 3
+    When the fault "store down" is in force
+    And the process polls 2 times
     Then the process is at revision 3
 
   Scenario: A platform restored from an old copy never reverts anything, and is mended
--- a/features/control/steps/config_steps.py
+++ b/features/control/steps/config_steps.py
@@ -357,15 +357,21 @@
     context.peers = [KeeperPeer(first), KeeperPeer(second), FailingPeer()]
 
 
-@when("the process polls")
-def when_polls(context):
+@given("a process that starts, with {n:d} peers that fail and one at revision {revision:d}")
+def given_failing_peers(context, n, revision):
+    context.peers = [FailingPeer()] * n + [KeeperPeer(revision)]
+
+
+@when("the process polls {n:d} times")
+def when_polls(context, n):
     async def work():
         platform = await context.env.make_platform()
         keeper = ConfigKeeper()
         follower = ConfigFollower(
             make_store(platform), keeper, clock=TrioClock(), list_peers=lambda: context.peers
         )
-        assert not await follower.poll_once()
+        for _ in range(n):
+            assert not await follower.poll_once()
         return keeper
 
     context.keeper = run_virtual(work)
--- a/features/durable/durable.feature
+++ b/features/durable/durable.feature
@@ -84,6 +84,22 @@
     And 20 s pass
     Then the request is done, ended once, with 4 execution(s)
 
+  Scenario: An execution that breaks off takes no other work with it and is claimed again
+    When the upstreams break once, then answer
+    And entry a accepts a durable request
+    And 20 s pass
+    Then the request is done, ended once, with 2 execution(s)
+
+  Scenario: A request whose body is gone ends as failed at its deadline
+    Given a body of 40000 bytes
+    When entry a accepts a durable request
+    And 1 s pass
+    And entry a is killed
+    And the body is gone
+    And 120 s pass
+    Then the request is failed, ended once, with 1 execution(s)
+    And its error is "deadline_passed"
+
   Scenario Outline: The alarm is raised once before the deadline when its entry <event>
     When entry a accepts a durable request
     And 1 s pass
--- a/features/durable/steps/durable_steps.py
+++ b/features/durable/steps/durable_steps.py
@@ -45,7 +45,7 @@
         self.may_answer = trio.Event()
         self.scope = trio.CancelScope()
         self.alarms = []
-        self.n_refusals = 0
+        self.n_refusals = self.n_breaks = 0
         self.worker = DurableWorker(
             store,
             self.execute,
@@ -61,6 +61,9 @@
 
     async def execute(self, record):
         self.subject.executions.append((self.name, record.body))
+        if self.n_breaks:
+            self.n_breaks -= 1
+            raise ValueError("broken")
         if self.n_refusals:
             self.n_refusals -= 1
             raise RefusedError(ErrorCode.NO_UPSTREAM, "none is free", retry_after_s=1.0)
@@ -212,6 +215,23 @@
     add_step(context, step)
 
 
+@when("the upstreams break once, then answer")
+def when_break(context):
+    async def step():
+        context.durable.entries["a"].n_breaks = 1
+        await context.durable.let_answer()
+
+    add_step(context, step)
+
+
+@when("the body is gone")
+def when_gone(context):
+    async def step():
+        context.durable.platform._objects.clear()
+
+    add_step(context, step)
+
+
 @when("entry a is killed")
 def when_killed(context):
     async def step():
