--- a/features/durable/durable.feature
+++ b/features/durable/durable.feature
@@ -45,6 +45,23 @@
       | store too slow         | outcome_unknown | unknown | 0 |
       | answer lost, then down | outcome_unknown | unknown | 1 |
 
+  Scenario Outline: A repeat through another entry at once is the same request: <fault>
+    When the fault "<fault>" begins
+    And entries a and b accept the same request at once
+    And the fault ends
+    And the upstreams answer
+    And 20 s pass
+    Then exactly one entry took it as new
+    And the request is done, ended once, with 1 execution(s)
+
+    Examples:
+      | fault            |
+      | none             |
+      | answer lost      |
+      | request lost     |
+      | all answers lost |
+      | store slow       |
+
   Scenario: Another body under the same id is refused
     When entry a accepts a durable request
     And entry a gets another body under the same id
--- a/features/durable/steps/durable_steps.py
+++ b/features/durable/steps/durable_steps.py
@@ -83,6 +83,7 @@
         self.open_row = open_row
         self.executions = subject.executions
         self.error = subject.error
+        self.n_new = subject.n_new
         self.alarms = {name: len(entry.alarms) for name, entry in subject.entries.items()}
 
 
@@ -104,6 +105,7 @@
         self.executions = []
         self.entries = {}
         self.error = None
+        self.n_new = 0
         return run_virtual(self._main, seed)
 
     async def _main(self):
@@ -124,8 +126,8 @@
         self.entries[name] = Entry(self, name, boot)
         await self.nursery.start(self.entries[name].run)
 
-    async def accept(self, body=None):
-        entry = self.entries["a"]
+    async def accept(self, body=None, name="a"):
+        entry = self.entries[name]
         req = DurableRequest(
             request_id=REQUEST_ID,
             customer_id=CustomerId("m/c"),
@@ -136,7 +138,8 @@
             alarm_before_s=ALARM_BEFORE_S,
         )
         try:
-            self.accepted = await entry.worker.accept(req)
+            accepted = await entry.worker.accept(req)
+            self.n_new += accepted.is_new
         except RefusedError as exc:
             self.error = exc
 
@@ -182,6 +185,21 @@
     add_step(context, context.durable.accept)
 
 
+@when("entries a and b accept the same request at once")
+def when_accept_at_once(context):
+    async def step():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.durable.accept, None, "a")
+            nursery.start_soon(context.durable.accept, None, "b")
+
+    add_step(context, step)
+
+
+@then("exactly one entry took it as new")
+def then_one_new(context):
+    assert [outcome.n_new for outcome in context.durable.run()] == [1] * N_TASK_ORDERS
+
+
 @when("entry a gets another body under the same id")
 def when_accepts_other(context):
     add_step(context, lambda: context.durable.accept(b"other"))
