--- a/crocusvalve/bench/_cost.py
+++ b/crocusvalve/bench/_cost.py
@@ -173,6 +173,7 @@
         noise = random.Random(f"{req.request_id}/{model}").gauss(0.0, RATING_DEVIATION)
         is_faulty = self.n_sent > N_WARM_UP
         if self.case == "stopped" and is_faulty:
+            self.estimator.trust.note_missing()
             return None
         is_lie = self.case == "lying" and is_faulty
         rated = LIE_SCORE if is_lie else min(1.0, max(0.0, score + noise))
--- a/crocusvalve/cascade/_planning.py
+++ b/crocusvalve/cascade/_planning.py
@@ -95,7 +95,7 @@
     can_escalate = not req.is_stream and estimator.trust.is_live(now)
     planned = policy.plan(steps, estimates, target, can_escalate=can_escalate)
     start = len(steps) - len(planned)
-    explores = estimator.trust.is_live(now) and hash_to_unit(req.request_id) < EXPLORE_SHARE
-    if start > 0 and explores:
+    is_explorer = policy.explores and hash_to_unit(req.request_id) < EXPLORE_SHARE
+    if start > 0 and is_explorer and estimator.trust.is_live(now):
         return tuple(steps[start - 1 :])
     return planned
--- a/crocusvalve/cascade/_quality.py
+++ b/crocusvalve/cascade/_quality.py
@@ -30,6 +30,8 @@
         makes up for noise of the ratings.
     """
 
+    explores = True
+
     def __init__(self, *, score_margin: float = 0.03):
         self.score_margin = score_margin
 
--- a/crocusvalve/cascade/_trust.py
+++ b/crocusvalve/cascade/_trust.py
@@ -21,6 +21,8 @@
         Ratings in each mean.
     stale_s : float
         Ratings older than this, in seconds, do not count as live.
+    max_missing : int
+        Answers in a row left without a rating at which ratings do not count as live.
     """
 
     def __init__(
@@ -31,15 +33,18 @@
         n_controls: int = 3,
         n_real: int = 16,
         stale_s: float = 120.0,
+        max_missing: int = 5,
     ):
         self.control_share = control_share
         self.min_gap = min_gap
         self.stale_s = stale_s
+        self.max_missing = max_missing
         self.n_controls = n_controls
         self.controls_: deque[float] = deque(maxlen=n_controls)
         self.real_: deque[float] = deque(maxlen=n_real)
         self.rated_at_ = float("-inf")
         self.n_due_ = 0.0
+        self.n_missing_ = 0
 
     def is_control_due(self) -> bool:
         """Tell whether the next rating is to be accompanied by a control."""
@@ -53,6 +58,11 @@
         """Take the rating of a real answer."""
         self.real_.append(score)
         self.rated_at_ = now
+        self.n_missing_ = 0
+
+    def note_missing(self) -> None:
+        """Count an answer whose rating was asked for and did not come."""
+        self.n_missing_ += 1
 
     def note_control(self, score: float) -> None:
         """Take the rating of a control."""
@@ -67,4 +77,5 @@
 
     def is_live(self, now: float) -> bool:
         """Tell whether ratings come and may be believed."""
-        return now - self.rated_at_ <= self.stale_s and self.is_truthful()
+        is_coming = self.n_missing_ < self.max_missing and now - self.rated_at_ <= self.stale_s
+        return is_coming and self.is_truthful()
--- a/crocusvalve/cascade/base.py
+++ b/crocusvalve/cascade/base.py
@@ -63,7 +63,15 @@
 
 
 class CascadePolicy(ABC):
-    """Decides where a cascade starts and when it goes on."""
+    """Decides where a cascade starts and when it goes on.
+
+    Attributes
+    ----------
+    explores : bool
+        Whether a small share of requests starts a step lower than planned.
+    """
+
+    explores: bool = False
 
     @abstractmethod
     def plan(
--- a/crocusvalve/engines/_loader.py
+++ b/crocusvalve/engines/_loader.py
@@ -1,5 +1,7 @@
 """Plans which engine loads which version next."""
 
+from collections import Counter
+
 from msgspec import Struct
 
 from crocusvalve.base import Command, System, UpstreamId, VersionRef
@@ -8,6 +10,8 @@
 
 __all__ = ["ModelLoader", "OrderLoad", "OrderUnload"]
 
+ALL_DOMAINS = ""
+
 
 class OrderLoad(Command, Struct, frozen=True):
     """Order an engine to load a version; ``number`` is the fencing number."""
@@ -67,10 +71,12 @@
             commands += self._list_unloads(tables, row)
         if now < tables.blocked_until:
             return commands
-        while tables.n_tokens >= 1.0 and (order := self._choose_load(tables)) is not None:
+        copies = count_copies(tables)
+        while tables.n_tokens >= 1.0 and (order := self._choose_load(tables, copies)) is not None:
             tables.n_tokens -= 1.0
             row = tables.engines[order.upstream_id]
             row.loading[order.version] = now + self.timeout_s
+            add_copy(copies, order.version, row)
             commands.append(order)
         return commands
 
@@ -91,7 +97,9 @@
         unwanted = sorted(row.loaded - list_wanted(tables, row))
         return [OrderUnload(row.upstream_id, version, self.number) for version in unwanted]
 
-    def _choose_load(self, tables: LoaderTables) -> OrderLoad | None:
+    def _choose_load(
+        self, tables: LoaderTables, copies: Counter[tuple[VersionRef, str]]
+    ) -> OrderLoad | None:
         best: tuple[tuple, EngineRow, VersionRef] | None = None
         for row in tables.engines.values():
             if not row.is_open or row.loading:
@@ -99,7 +107,8 @@
             for version in list_wanted(tables, row) - row.loaded:
                 if tables.get_size_gb(version) > tables.get_free_gb(row):
                     continue
-                key = (*count_copies(tables, version, row), row.upstream_id, version)
+                n_all, n_domain = copies[version, ALL_DOMAINS], copies[version, row.domain]
+                key = (n_all, n_domain, row.upstream_id, version)
                 if best is None or key < best[0]:
                     best = (key, row, version)
         if best is None:
@@ -114,11 +123,16 @@
     return {version for version in serves if not tables.view.is_withdrawn(version)}
 
 
-def count_copies(tables: LoaderTables, version: VersionRef, near: EngineRow) -> tuple[int, int]:
-    """Return in how many engines a version is or comes, in all and in one engine's domain."""
-    n_all = n_domain = 0
+def count_copies(tables: LoaderTables) -> Counter[tuple[VersionRef, str]]:
+    """Count in how many engines each version is or comes, by domain and in all."""
+    copies: Counter[tuple[VersionRef, str]] = Counter()
     for row in tables.engines.values():
-        if version in row.loaded or version in row.loading:
-            n_all += 1
-            n_domain += row.domain == near.domain
-    return n_all, n_domain
+        for version in row.loaded | row.loading.keys():
+            add_copy(copies, version, row)
+    return copies
+
+
+def add_copy(copies: Counter[tuple[VersionRef, str]], version: VersionRef, row: EngineRow) -> None:
+    """Count one more engine that a version is in."""
+    copies[version, row.domain] += 1
+    copies[version, ALL_DOMAINS] += 1
--- a/features/cascade/cascade.feature
+++ b/features/cascade/cascade.feature
@@ -69,3 +69,13 @@
     Then a stream starts at the costly model
     When the cheap model's answers are rated 0.9 for 3000 requests
     Then a stream starts at the cheap model
+
+  Scenario: Ratings that do not come are noticed after a few answers
+    Given a cheap model with prior 0.80 and a costly one with prior 0.92 at target 0.8
+    When the cheap model's answers are rated 0.9 for 200 requests
+    And 4 ratings do not come
+    Then a plain request starts at the cheap model
+    When 1 ratings do not come
+    Then a plain request starts at the costly model
+    When the cheap model's answers are rated 0.9 for 1 requests
+    Then a plain request starts at the cheap model
--- a/features/cascade/steps/cascade_steps.py
+++ b/features/cascade/steps/cascade_steps.py
@@ -177,6 +177,12 @@
     context.subject.now += hours * 3600.0
 
 
+@when("{n:d} ratings do not come")
+def when_missing(context, n):
+    for _ in range(n):
+        context.subject.estimator.trust.note_missing()
+
+
 @when("the cheap model fails {n:d} times")
 def when_fails(context, n):
     subject = context.subject
