--- a/crocusvalve/bench/_entry.py
+++ b/crocusvalve/bench/_entry.py
@@ -28,6 +28,7 @@
     make_router,
     note_end,
     note_failure,
+    note_full,
     note_prefix,
     note_start,
     note_success,
@@ -68,6 +69,8 @@
         Name of the routing policy.
     random_state : int
         Seed.
+    quota_share : float
+        Part of each quota that this entry hands out.
     """
 
     def __init__(
@@ -81,11 +84,13 @@
         region: str,
         router: str,
         random_state: int,
+        quota_share: float = 1.0,
     ):
         rng = random.Random(random_state)
         self.loop = loop
         self.node_id = NodeId(node_id)
         self.domain = domain
+        self.quota_share = quota_share
         self.upstreams = upstreams
         self.tables = EntryTables(view)
         self.queue = FairQueue()
@@ -125,7 +130,7 @@
         if row is None:
             row = make_customer_row(req.customer_id, cfg, now)
             self.tables.customers[req.customer_id] = row
-        if check_quota(row, cfg, now) is not None:
+        if check_quota(row, cfg, now, share=self.quota_share) is not None:
             self._finish(req, ErrorCode.RATE_LIMITED.code, Ran.NOT_RUN)
             return
         if should_refuse_early(self.queue, req, self._expect_service_s(req), now) is not None:
@@ -240,7 +245,8 @@
             return
         row = self.tables.upstreams[attempt.upstream_id]
         if refused.code == ErrorCode.UPSTREAM_FULL.name:
-            row.reported_limit = max(1, min(row.reported_limit, row.in_flight))
+            note_full(row, now)
+            self.loop.call_at(row.full_until, self.pump)
         elif refused.code != ErrorCode.DOMAIN_OUT.name:
             note_failure(row, now)
         if not self.running.get(req.request_id):
