Requests that crash upstreams are refused at once wherever they wait

Cause: a process scenario saw a request wait 30 s for its deadline after it had crashed its second engine: it was queued again and, banned, had no candidate. A randomised run without deadlines then found banned requests behind others in the queue. Ruled out: the stand-in's crash (each engine was restarted once) and the notices (both entries knew within 0.5 s). Change: no retry of a banned digest; what waits is refused by the next tick; the core asserts it. Agents hand a notice over to the document that confirms it, and ban from the second crash on. Conclusion: the soak's world asserts it from now on.

--- a/crocusvalve/agent/_notices.py
+++ b/crocusvalve/agent/_notices.py
@@ -1,19 +1,27 @@
 """Urgent facts that reach the agent beside the revisions."""
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId, VersionRef
+from crocusvalve.config import DocumentView
 from crocusvalve.rpc import Notice, NoticeKind
 
 __all__ = ["NoticeBoard"]
 
 DOMAIN_KINDS = (NoticeKind.DOMAIN_OUT, NoticeKind.DOMAIN_IN)
 MAX_NOTICES = 10_000
+#: The number of a QUARANTINE notice is that of the crashes.
+BANNED_CRASHES = 2
 
 
 class NoticeBoard:
-    """The newest notice for each subject; the highest number wins, and a tie changes nothing."""
+    """The newest notice for each subject; the highest number wins, and a tie changes nothing.
+
+    A notice on a failure domain or a version is in force until a revision says the same; from then
+    on the document decides, and the notice's number alone is remembered.
+    """
 
     def __init__(self):
         self._notices: dict[tuple[str, str], Notice] = {}
+        self._superseded: set[tuple[str, str]] = set()
 
     def take(self, notice: Notice) -> bool:
         """Keep a notice and tell whether it was new."""
@@ -24,20 +32,31 @@
         if known is None and len(self._notices) >= MAX_NOTICES:
             self._drop_oldest_quarantine()
         self._notices[key] = notice
+        self._superseded.discard(key)
         return True
 
+    def supersede(self, view: DocumentView) -> None:
+        """Hand over to the document what it confirms; run after each revision and notice."""
+        for key, notice in self._notices.items():
+            if key not in self._superseded and _is_confirmed(notice, view):
+                self._superseded.add(key)
+
+    def _find(self, key: tuple[str, str]) -> Notice | None:
+        return None if key in self._superseded else self._notices.get(key)
+
     def is_domain_out(self, domain: DomainId) -> bool:
         """Tell whether the newest notice on a failure domain takes it out."""
-        notice = self._notices.get(("domain", domain))
+        notice = self._find(("domain", domain))
         return notice is not None and notice.kind is NoticeKind.DOMAIN_OUT
 
     def is_withdrawn(self, version: VersionRef) -> bool:
         """Tell whether a version was withdrawn by notice."""
-        return (NoticeKind.WITHDRAWN.value, version) in self._notices
+        return self._find((NoticeKind.WITHDRAWN.value, version)) is not None
 
     def is_quarantined(self, digest: str) -> bool:
-        """Tell whether requests of a digest crash upstreams."""
-        return (NoticeKind.QUARANTINE.value, digest) in self._notices
+        """Tell whether requests of a digest are refused for good, after their second crash."""
+        notice = self._find((NoticeKind.QUARANTINE.value, digest))
+        return notice is not None and notice.number >= BANNED_CRASHES
 
     def is_leaving(self, upstream_id: UpstreamId, node_id: NodeId) -> bool:
         """Tell whether the upstream or the agent is leaving."""
@@ -55,3 +74,13 @@
         if notice.kind in DOMAIN_KINDS:
             return ("domain", notice.subject)
         return (notice.kind.value, notice.subject)
+
+
+def _is_confirmed(notice: Notice, view: DocumentView) -> bool:
+    if notice.kind is NoticeKind.WITHDRAWN:
+        version = VersionRef(notice.subject)
+        return version in view.versions and view.is_withdrawn(version)
+    if notice.kind not in DOMAIN_KINDS or notice.subject not in view.domains:
+        return False
+    is_out = view.is_domain_out(DomainId(notice.subject))
+    return is_out == (notice.kind is NoticeKind.DOMAIN_OUT)
--- a/crocusvalve/agent/_service.py
+++ b/crocusvalve/agent/_service.py
@@ -219,7 +219,7 @@
 
     async def notify(self, req: Notice) -> NoticeAck:
         """Take a notice."""
-        return NoticeAck(self.tables.notices.take(req))
+        return NoticeAck(self.tables.take_notice(req))
 
     async def list_bills(self, req: Empty) -> BillsReply:
         """Return the bills that should have been acknowledged by now."""
--- a/crocusvalve/agent/_tables.py
+++ b/crocusvalve/agent/_tables.py
@@ -11,7 +11,7 @@
 from crocusvalve.config import DocumentView
 from crocusvalve.limits._warmup import WarmupLimiter
 from crocusvalve.orders import OrderGuard
-from crocusvalve.rpc import CrashRecord, RunRequest
+from crocusvalve.rpc import CrashRecord, Notice, RunRequest
 
 __all__ = ["AgentTables", "HealthRow", "RunRow"]
 
@@ -72,11 +72,19 @@
         if self.view is not None and view.revision < self.view.revision:
             return
         self.view = view
+        self.notices.supersede(view)
         upstream = view.upstreams.get(self.upstream_id)
         if upstream is not None:
             self.limiter.set_bounds(upstream.cfg.cold_limit, upstream.cfg.warm_limit)
             self.domain = upstream.domain
 
+    def take_notice(self, notice: Notice) -> bool:
+        """Take a notice; tell whether it was new."""
+        is_new = self.notices.take(notice)
+        if self.view is not None:
+            self.notices.supersede(self.view)
+        return is_new
+
     def note_health(self, report: HealthReport, now: float) -> None:
         """Take the answer to a health probe."""
         self.health.probed_at = now
--- a/crocusvalve/entry/_admission.py
+++ b/crocusvalve/entry/_admission.py
@@ -2,6 +2,7 @@
 
 from crocusvalve.base import ClassKind, Command
 from crocusvalve.entry._outcome import OutcomeSystem
+from crocusvalve.entry._placement import make_banned_error
 from crocusvalve.entry._policies import Policies
 from crocusvalve.entry._tables import CoreTables, ProgressRow
 from crocusvalve.exceptions import ErrorCode, RefusedError
@@ -97,8 +98,7 @@
 
     def _check_quarantine(self, tables: CoreTables, req: RequestRow) -> None:
         if self.policies.get_quarantine(tables).is_banned(req.digest):
-            message = "this request crashed upstreams and is refused for good"
-            raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=STEP)
+            raise make_banned_error(STEP)
 
     @staticmethod
     def _get_customer(tables: CoreTables, req: RequestRow, now: float) -> CustomerRow:
--- a/crocusvalve/entry/_core.py
+++ b/crocusvalve/entry/_core.py
@@ -2,7 +2,15 @@
 
 from msgspec import Struct
 
-from crocusvalve.base import AttemptId, Command, NodeId, RequestId, UpstreamId, VersionRef
+from crocusvalve.base import (
+    AttemptId,
+    Command,
+    NodeId,
+    RequestId,
+    RequestState,
+    UpstreamId,
+    VersionRef,
+)
 from crocusvalve.entry._admission import AdmissionSystem
 from crocusvalve.entry._outcome import OutcomeSystem
 from crocusvalve.entry._placement import PlacementSystem
@@ -138,6 +146,7 @@
     def tick(self, now: float) -> list[Command]:
         """Run what is due: deadlines, hedges, retries and placements."""
         commands = self.timers.run(self.tables, now)
+        commands += self.placement.refuse_banned(self.tables, now)
         commands += self.placement.run(self.tables, now)
         self.check(now)
         return commands
@@ -148,11 +157,17 @@
         Raises
         ------
         InvariantError
-            Where a request has no progress, or an attempt no request.
+            Where a request has no progress, an attempt no request, or a request that is refused
+            for good still waits.
         """
         tables = self.tables
+        quarantine = self.policies.get_quarantine(tables)
         if tables.requests.keys() != tables.progress.keys():
             raise InvariantError("requests and their progress differ", step="check")
+        for req in tables.requests.values() if tables.quarantine else ():
+            is_due = req.state is RequestState.QUEUED and req.not_before <= now < req.deadline
+            if is_due and req.request_id in tables.queue and quarantine.is_banned(req.digest):
+                raise InvariantError(f"{req.request_id} is banned and waits", step="check")
         for attempt in tables.attempts.values():
             if attempt.request_id not in tables.requests:
                 raise InvariantError(f"attempt {attempt.attempt_id} has no request", step="check")
--- a/crocusvalve/entry/_notice_desk.py
+++ b/crocusvalve/entry/_notice_desk.py
@@ -164,6 +164,13 @@
             key: item for key, item in self._pending.items() if item.notice in in_force
         }
 
+    def tell_agent(self, address: str) -> None:
+        """Tell a new run of an agent all notices in force."""
+        if self._nursery is None:
+            return
+        for notice in self.list_notices():
+            self._nursery.start_soon(self._notify_agent, address, notice)
+
     def _spread(self, notice: Notice) -> None:
         if self._nursery is None:
             return
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -238,7 +238,8 @@
         self._end_attempt(tables, attempt, now, is_crash=refused.crashed)
         progress.leader = None
         progress.buffer = []
-        if decision.action is RetryAction.RETRY:
+        is_banned = self.policies.get_quarantine(tables).is_banned(req.digest)
+        if decision.action is RetryAction.RETRY and not is_banned:
             self._retry(tables, req, attempt, refused, decision, now)
             return commands
         return commands + self._give_up(tables, req, refused, decision, now)
--- a/crocusvalve/entry/_placement.py
+++ b/crocusvalve/entry/_placement.py
@@ -22,7 +22,7 @@
 from crocusvalve.routing import check_placement, list_candidates, note_prefix, note_start
 from crocusvalve.rpc import RunRequest
 
-__all__ = ["PlacementSystem", "make_engine_body"]
+__all__ = ["PlacementSystem", "make_banned_error", "make_engine_body"]
 
 STEP = "placement"
 #: How long a request waits while no upstream at all may take it.
@@ -74,6 +74,21 @@
             commands += self.outcome.give_up(tables, req, error, now)
         return commands
 
+    def refuse_banned(self, tables: CoreTables, now: float) -> list[Command]:
+        """Refuse what waits and has been banned, wherever it stands in the queue."""
+        if not tables.quarantine:
+            return []
+        quarantine = self.policies.get_quarantine(tables)
+        banned = [
+            req
+            for req in tables.requests.values()
+            if req.request_id in tables.queue and quarantine.is_banned(req.digest)
+        ]
+        commands: list[Command] = []
+        for req in banned:
+            commands += self.outcome.give_up(tables, req, make_banned_error(STEP), now)
+        return commands
+
     def _start_checked(
         self, tables: CoreTables, req: RequestRow, row: UpstreamRow, now: float
     ) -> list[Command]:
@@ -85,6 +100,9 @@
             return [InvariantBroken(exc), *self.outcome.give_up(tables, req, error, now)]
 
     def _choose(self, tables: CoreTables, req: RequestRow, now: float) -> UpstreamRow | None:
+        if self.policies.get_quarantine(tables).is_banned(req.digest):
+            self._stranded.append((req, make_banned_error(STEP)))
+            return None
         if not req.service:
             try:
                 req.version = self.policies.choose_version(tables, req, req.steps[req.step])
@@ -218,3 +236,9 @@
         if row is None or not hedges.should_hedge(req, len(attempts), now):
             return []
         return [self.start(tables, req, row, now, is_hedge=True)]
+
+
+def make_banned_error(step: str) -> RefusedError:
+    """Make the refusal of a request that crashed upstreams."""
+    message = "this request crashed upstreams and is refused for good"
+    return RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=step)
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -154,6 +154,7 @@
             outbox=self.outbox,
             clock=clock,
             note_crashes=self._note_crashes,
+            greet_agent=lambda address: self.notices.tell_agent(address),
         )
         self.publisher = DocumentPublisher(self.store, self.keeper, clock=clock)
         self.notices = NoticeDesk(
--- a/crocusvalve/entry/_upstreams.py
+++ b/crocusvalve/entry/_upstreams.py
@@ -46,6 +46,8 @@
         Source of the present time.
     note_crashes : callable
         Takes the crashes that an agent reports.
+    greet_agent : callable
+        Called with the address of an agent of which a new run is heard.
     report_interval_s : float
         Delay between two reports of one agent, in seconds.
     """
@@ -60,6 +62,7 @@
         outbox: BillOutbox,
         clock: Clock,
         note_crashes: Callable[[UpstreamId, Sequence[CrashRecord]], None],
+        greet_agent: Callable[[str], None],
         report_interval_s: float = REPORT_INTERVAL_S,
     ):
         self.tables = tables
@@ -69,6 +72,7 @@
         self.outbox = outbox
         self.clock = clock
         self.note_crashes = note_crashes
+        self.greet_agent = greet_agent
         self.report_interval_s = report_interval_s
         self._watched: dict[UpstreamId, trio.CancelScope] = {}
         self._heard_at: dict[UpstreamId, float] = {}
@@ -124,6 +128,9 @@
     def _take_report(self, upstream_id: UpstreamId, report: LoadReport) -> None:
         now = self.clock.now()
         self._heard_at[upstream_id] = now
+        row = self.tables.upstreams[upstream_id]
+        if row.boot_id != report.boot_id:
+            self.greet_agent(row.agent)
         take_report(self.tables, report, now)
         if report.crashes:
             self.note_crashes(upstream_id, report.crashes)
--- a/crocusvalve/soak/_faults.py
+++ b/crocusvalve/soak/_faults.py
@@ -10,7 +10,8 @@
 class SoakFaults(Struct, kw_only=True):
     """Odds of faults: of a message from 0 to 1, and of others each second.
 
-    ``counts`` holds how often each was injected.
+    ``max_delay_s`` bounds the delay of a message, in seconds. ``counts`` holds how often each was
+    injected.
     """
 
     cut_before_send: float = 0.02
@@ -27,6 +28,7 @@
     store_outage_per_s: float = 0.05
     caller_leaves: float = 0.02
     poison: float = 0.01
+    max_delay_s: float = 0.02
     counts: Counter[str] = field(default_factory=Counter)
 
     def note(self, name: str) -> None:
--- a/crocusvalve/soak/_run.py
+++ b/crocusvalve/soak/_run.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.soak._faults import SoakFaults
 from crocusvalve.soak._world import SoakWorld
 
 __all__ = ["SoakReport", "run_soak"]
@@ -26,7 +27,7 @@
     failure: str = ""
 
 
-def run_soak(seed: int, steps: int) -> SoakReport:
+def run_soak(seed: int, steps: int, *, faults: SoakFaults | None = None) -> SoakReport:
     """Run a world for a number of steps, then let it end.
 
     Parameters
@@ -35,12 +36,14 @@
         Seed of the run; the same seed gives the same run.
     steps : int
         Events to run before requests and faults stop.
+    faults : SoakFaults or None
+        Odds of faults; None takes the usual ones.
 
     Returns
     -------
     SoakReport
     """
-    world = SoakWorld(seed)
+    world = SoakWorld(seed, faults=faults)
     n_done = 0
     failure = ""
     try:
--- a/crocusvalve/soak/_streams.py
+++ b/crocusvalve/soak/_streams.py
@@ -15,7 +15,6 @@
 
 __all__ = ["SoakNetwork"]
 
-MAX_DELAY_S = 0.02
 CUT_NOTICE_S = 0.5
 LATE_S = 2.0
 
@@ -70,7 +69,7 @@
         return True
 
     def _draw_delay_s(self) -> float:
-        return self.random_state.uniform(0.0, MAX_DELAY_S)
+        return self.random_state.uniform(0.0, self.faults.max_delay_s)
 
     def start(self, address: str, run: RunRequest, feed: Feed) -> None:
         """Send an attempt."""
@@ -149,7 +148,7 @@
         if self._happens("repeated_frame"):
             self._deliver(stream, event)
         if isinstance(event, Frame) and self._happens("late_frame"):
-            late_s = self.random_state.uniform(MAX_DELAY_S, LATE_S)
+            late_s = self.random_state.uniform(self.faults.max_delay_s, LATE_S)
             late_s += stream.last_at - self.scheduler.now
             self.scheduler.add(late_s, lambda: stream.feed(stream.attempt_id, event))
         if not isinstance(event, Frame):
--- a/crocusvalve/standin/_engine.py
+++ b/crocusvalve/standin/_engine.py
@@ -76,6 +76,7 @@
     role: EngineRole
     cached_tokens: int
     number: int
+    n_crashes: int
     at: float
 
 
@@ -236,6 +237,7 @@
             role=self.role,
             cached_tokens=len(self.model.cache),
             number=self.number,
+            n_crashes=self.model.n_crashes,
             at=now,
         )
 
--- a/features/agent/steps/faults.py
+++ b/features/agent/steps/faults.py
@@ -166,7 +166,7 @@
 
 def refuse_by_notice(kind, subject):
     async def strike(agent, upstream, req):
-        assert (await agent.notify(make_notice(kind, subject))).is_new
+        assert (await agent.notify(make_notice(kind, subject, number=2))).is_new
         return await collect(agent.run(req))
 
     return strike
--- a/features/processes/faults.feature
+++ b/features/processes/faults.feature
@@ -7,9 +7,10 @@
     Given only upstream "plain-0" serves the gates
     When its agent is frozen
     And an order with key "sluice-1" and a deadline of 8000 ms is sent to entry 0
-    Then it is refused with code "outcome_unknown" and "unknown"
-    When its agent goes on
-    And a repeat of key "sluice-1" is sent to entry 1 until it is settled
+    Then it is refused and told as not run or unknown
+    When its agent goes on and both entries hear of it
+    Then the gates have not run key "sluice-1"
+    When a repeat of key "sluice-1" is sent to entry 1 until it is settled
     Then the gates ran key "sluice-1" at most once
 
   Scenario: An order whose agent is killed while it runs is not run again
--- a/features/processes/steps/process_steps.py
+++ b/features/processes/steps/process_steps.py
@@ -284,9 +284,33 @@
     context.cluster.signal(context.agent, signal.SIGSTOP)
 
 
-@when("its agent goes on")
+@when("its agent goes on and both entries hear of it")
 def when_continued(context):
+    upstream = "delta/" + context.agent.partition("-")[2]
+    before = [find_upstream(context, entry, upstream)["reported_at"] for entry in (0, 1)]
     context.cluster.signal(context.agent, signal.SIGCONT)
+    for entry in (0, 1):
+        wait_until(
+            lambda entry=entry: find_upstream(context, entry, upstream)["reported_at"]
+            > before[entry],
+            "the agent reports",
+        )
+
+
+def find_upstream(context, entry, upstream):
+    rows = context.cluster.get_status(entry)["upstreams"]
+    return next(row for row in rows if row["upstream_id"] == upstream)
+
+
+@then("it is refused and told as not run or unknown")
+def then_told(context):
+    error = context.response.json()["error"]
+    assert error["ran"] in ("not_run", "unknown"), context.response.text
+
+
+@then('the gates have not run key "{key}"')
+def then_no_run(context, key):
+    assert context.calls.count_runs(key) == 0
 
 
 @when('an order with key "{key}" and a deadline of {ms:d} ms is sent to entry 0')
@@ -411,7 +435,7 @@
 
 @when('a chat request with the text "{text}" is sent to entry 0 until it is refused for good')
 def when_poison(context, text):
-    context.text = text
+    context.poison = text
 
     def send():
         response = context.calls.chat(0, text)
@@ -424,7 +448,7 @@
 @then('entry 1 refuses it with code "{code}" in the end')
 def then_other_entry(context, code):
     def send():
-        return context.calls.chat(1, context.text).json()["error"]["code"] == code
+        return context.calls.chat(1, context.poison).json()["error"]["code"] == code
 
     wait_until(send, "the other entry refuses it")
 
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -14,6 +14,15 @@
       | 42   |
       | 170  |
 
+  Scenario Outline: Every mechanism in place, seed <seed>, many cuts and long delays
+    When a randomised run with many cuts has seed <seed> and 20000 steps
+    Then no invariant is broken
+
+    Examples:
+      | seed |
+      | 3    |
+      | 29   |
+
   Scenario: The same seed gives the same run
     When a randomised run has seed 5 and 6000 steps
     And it is run again
@@ -21,7 +30,7 @@
 
   Scenario Outline: Without <mechanism> a promise is broken
     Given a world without <mechanism>
-    When randomised runs of 20000 steps have 12 seeds from <first> on
+    When randomised runs of 20000 steps with many cuts have 12 seeds from <first> on
     Then an invariant is broken that says "<message>"
 
     Examples:
@@ -33,8 +42,9 @@
       | the combination of attempts' outcomes | 0     | was told as not run     |
       | the check of answers                  | 0     | answer                  |
       | the quarantine                        | 0     | crashed 5 upstreams     |
+      | the refusal of banned requests        | 0     | is banned and waits     |
       | the warm-up limit                     | 0     | with a limit of         |
       | the agents' bills                     | 0     | answered and not billed |
       | the cancellation of bills             | 0     | billed and not answered |
-      | the memory of cancelled attempts      | 17    | billed and not answered |
+      | the memory of cancelled attempts      | 0     | billed and not answered |
       | the deadlines of requests             | 0     | requests without an end |
--- a/features/soak/steps/soak_steps.py
+++ b/features/soak/steps/soak_steps.py
@@ -8,10 +8,11 @@
 from crocusvalve.answers import AnswerAssembler
 from crocusvalve.config import DocumentView
 from crocusvalve.entry import Policies
+from crocusvalve.entry._placement import PlacementSystem
 from crocusvalve.entry._timers import TimerSystem
 from crocusvalve.limits._warmup import WarmupLimiter
 from crocusvalve.retry import Quarantine
-from crocusvalve.soak import SoakChecks, run_soak
+from crocusvalve.soak import SoakChecks, SoakFaults, run_soak
 from crocusvalve.soak._agent import SoakAgent
 
 PLACEMENT_CHECK = "crocusvalve.entry._placement.check_placement"
@@ -31,6 +32,7 @@
             "the check of answers": SoakSubject._without_answer_check,
             "the quarantine": SoakSubject._without_quarantine,
             "the warm-up limit": SoakSubject._without_warmup,
+            "the refusal of banned requests": SoakSubject._without_banning,
             "the agents' bills": lambda: [patch.object(BillHolder, "list_due", _nothing)],
             "the cancellation of bills": lambda: [patch.object(BillHolder, "cancel", _nothing)],
             "the memory of cancelled attempts": lambda: [
@@ -105,6 +107,22 @@
             patch(PLACEMENT_CHECK, lambda *args: None),
         ]
 
+    @staticmethod
+    def _without_banning():
+        choose = PlacementSystem._choose
+        is_banned = Quarantine.is_banned
+
+        def choose_banned(self, tables, req, now):
+            with patch.object(Quarantine, "is_banned", lambda self, digest: False):
+                row = choose(self, tables, req, now)
+            quarantine = self.policies.get_quarantine(tables)
+            return None if is_banned(quarantine, req.digest) else row
+
+        return [
+            patch.object(PlacementSystem, "_choose", choose_banned),
+            patch.object(PlacementSystem, "refuse_banned", _nothing),
+        ]
+
     @staticmethod
     def _without_warmup():
         def try_start(self):
@@ -118,6 +136,11 @@
         ]
 
 
+def make_harsh_faults():
+    """Many cuts, and delays in which a cancellation overtakes its attempt."""
+    return SoakFaults(cut_after_send=0.1, cut_stream=0.08, caller_leaves=0.1, max_delay_s=0.25)
+
+
 def _nothing(*args, **kwargs):
     return []
 
@@ -140,11 +163,16 @@
     context.second = run_soak(*context.run)
 
 
-@when("randomised runs of {steps:d} steps have {n:d} seeds from {first:d} on")
+@when("a randomised run with many cuts has seed {seed:d} and {steps:d} steps")
+def when_harsh_run(context, seed, steps):
+    context.report = run_soak(seed, steps, faults=make_harsh_faults())
+
+
+@when("randomised runs of {steps:d} steps with many cuts have {n:d} seeds from {first:d} on")
 def when_runs(context, steps, n, first):
     context.failures = []
     for seed in range(first, first + n):
-        report = run_soak(seed, steps)
+        report = run_soak(seed, steps, faults=make_harsh_faults())
         if report.failure:
             context.failures.append(report.failure)
             return
