--- a/features/routing/steps/random_steps.py
+++ b/features/routing/steps/random_steps.py
@@ -107,7 +107,7 @@
         if should_refuse_early(self.queue, req, 0.1, self.now) is not None:
             return self.end(req, "refused")
         try:
-            dropped = self.queue.push(req, max_queue=8)
+            dropped = self.queue.push(req, max_queue=16)
         except RefusedError as exc:
             assert exc.ran is Ran.NOT_RUN
             return self.end(req, "refused")
