--- a/features/orders/steps/order_steps.py
+++ b/features/orders/steps/order_steps.py
@@ -121,7 +121,7 @@
     run_state_machine_as_test(
         OrderMachine,
         settings=settings(
-            max_examples=n,
+            max_examples=int(context.config.userdata.get("runs", n)),
             stateful_step_count=steps,
             derandomize=True,
             database=None,
