--- /dev/null
+++ b/crocusvalve/agent/_lease_number.py
@@ -0,0 +1,33 @@
+"""Reads the number of the controller's lease, so that a new run of an agent can fence orders."""
+
+from crocusvalve.control import LeaseRecord
+from crocusvalve.platform import TableService
+from crocusvalve.rpc import decode
+
+__all__ = ["LeaseNumberReader"]
+
+LEASE_TABLE = "leases"
+CONTROLLER_KEY = "controller"
+#: Number where the lease was never held.
+NO_NUMBER = 0
+
+
+class LeaseNumberReader:
+    """Reads one lease's row.
+
+    Parameters
+    ----------
+    tables : TableService
+        The platform's tables.
+    key : str
+        Key of the lease.
+    """
+
+    def __init__(self, tables: TableService, *, key: str = CONTROLLER_KEY):
+        self.tables = tables
+        self.key = key
+
+    async def read(self) -> int:
+        """Return the lease's number; raises ``PlatformError`` where the service fails."""
+        row = await self.tables.get(LEASE_TABLE, self.key)
+        return decode(row.value, LeaseRecord).number if row is not None else NO_NUMBER
