Measure tokens without the prompt's share; a connection of its own for each order

Cause: one-token answers to long prompts, or one slow request, raised the average time for a token past the fall to cold; an order on a kept connection that its service closes meanwhile ended as outcome unknown without need. Ruled out: leaving out the fall on a slow-down, which sees an engine that turns cold without a restart and tells no state. Change: time from first to last token of answers of 8 tokens or more, samples clipped at 4 times the average; orders on a client that keeps no connections. Conclusion: odd requests no longer cost an upstream its limit.

--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -16,13 +16,15 @@
     UpstreamEnd,
     UpstreamError,
 )
-from crocusvalve.base import Ran, UpstreamKind, UpstreamState
+from crocusvalve.base import ClassKind, Ran, UpstreamKind, UpstreamState
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
 
 __all__ = ["HttpUpstream", "make_engine_body", "make_http_client"]
 
 CONNECT_TIMEOUT_S = 1.0
+KEEP_S = 2.0
+MAX_KEPT_CONNECTIONS = 64
 PROBE_TIMEOUT_S = 1.0
 ORDERS_PATH = "/orders"
 MAX_PART_BYTES = 64 * 1024
@@ -34,6 +36,14 @@
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
+class _Call(Struct, frozen=True):
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    is_order: bool
+
+
 class _TokenDetails(Struct, frozen=True):
     cached_tokens: int = 0
 
@@ -74,10 +84,20 @@
 _CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
 
 
-def make_http_client() -> httpx.AsyncClient:
-    """Make the client of an agent; the attempt's deadline bounds each call as a whole."""
+def make_http_client(*, keeps_connections: bool = True) -> httpx.AsyncClient:
+    """Make a client of an agent; the attempt's deadline bounds each call as a whole.
+
+    Parameters
+    ----------
+    keeps_connections : bool
+        Whether connections are used again. An upstream may close a kept one at the moment of a
+        send, after which nobody can tell whether the call ran.
+    """
     timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S)
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=64, keepalive_expiry=2.0)
+    n_kept = MAX_KEPT_CONNECTIONS if keeps_connections else 0
+    limits = httpx.Limits(
+        max_connections=None, max_keepalive_connections=n_kept, keepalive_expiry=KEEP_S
+    )
     return httpx.AsyncClient(timeout=timeout, limits=limits)
 
 
@@ -90,14 +110,24 @@
         Base URL.
     http : httpx.AsyncClient
         The client.
+    order_http : httpx.AsyncClient or None
+        Client of orders, which keeps no connections; None takes ``http``.
     traces_sends : bool
         Whether the client's transport reports the writing of a request; where it does not,
         ``on_send`` runs before the transport is called.
     """
 
-    def __init__(self, url: str, http: httpx.AsyncClient, *, traces_sends: bool = True):
+    def __init__(
+        self,
+        url: str,
+        http: httpx.AsyncClient,
+        *,
+        order_http: httpx.AsyncClient | None = None,
+        traces_sends: bool = True,
+    ):
         self.url = url.rstrip("/")
         self.http = http
+        self.order_http = order_http if order_http is not None else http
         self.traces_sends = traces_sends
 
     async def call(self, req: RunRequest, *, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
@@ -139,8 +169,8 @@
     async def order(self, order: UpstreamOrder, *, on_send: OnSend) -> UpstreamOrderReply:
         """Post an order to the engine; 409 tells that it refused an older number."""
         headers = {"Content-Type": "application/json"}
-        body = msgspec.json.encode(order)
-        async with self._send("POST", ORDERS_PATH, body, headers, on_send) as reply:
+        call = _Call("POST", ORDERS_PATH, msgspec.json.encode(order), headers, is_order=True)
+        async with self._send(call, on_send) as reply:
             if reply.status_code not in (httpx.codes.OK, httpx.codes.CONFLICT):
                 raise _make_status_error(reply)
             data = await reply.aread()
@@ -156,9 +186,7 @@
         return UpstreamOrderReply(False, told.number, code=code.name)
 
     @asynccontextmanager
-    async def _send(
-        self, method: str, path: str, body: bytes, headers: dict[str, str], on_send: OnSend
-    ) -> AsyncIterator[httpx.Response]:
+    async def _send(self, call: _Call, on_send: OnSend) -> AsyncIterator[httpx.Response]:
         is_sent = False
 
         def note_send() -> None:
@@ -169,15 +197,16 @@
         extensions = {"trace": _make_trace(note_send)} if self.traces_sends else {}
         if not self.traces_sends:
             note_send()
-        request = self.http.build_request(
-            method,
-            self.url + path,
-            content=body or None,
-            headers=headers,
+        http = self.order_http if call.is_order else self.http
+        request = http.build_request(
+            call.method,
+            self.url + call.path,
+            content=call.body or None,
+            headers=call.headers,
             extensions=extensions,
         )
         try:
-            reply = await self.http.send(request, stream=True)
+            reply = await http.send(request, stream=True)
         except httpx.HTTPError as exc:
             raise _make_send_error(exc, is_sent) from exc
         try:
@@ -192,8 +221,8 @@
 
     async def _call_engine(self, req: RunRequest, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
         headers = {"Content-Type": "application/json", "X-Request-Id": req.attempt_id}
-        body = make_engine_body(req)
-        async with self._send(req.method, req.path, body, headers, on_send) as reply:
+        call = _Call(req.method, req.path, make_engine_body(req), headers, _is_order(req))
+        async with self._send(call, on_send) as reply:
             if reply.status_code != httpx.codes.OK:
                 raise _make_status_error(reply)
             return await _read_events(reply, on_data)
@@ -204,7 +233,8 @@
             headers["Content-Type"] = req.content_type
         if req.idempotency_key:
             headers["Idempotency-Key"] = req.idempotency_key
-        async with self._send(req.method, req.path, req.body, headers, on_send) as reply:
+        call = _Call(req.method, req.path, req.body, headers, _is_order(req))
+        async with self._send(call, on_send) as reply:
             if reply.is_server_error:
                 # A status of 500 or above does not prove that the call had no effect.
                 message = f"the service answered with status {reply.status_code}"
@@ -229,6 +259,10 @@
     return msgspec.json.encode(body)
 
 
+def _is_order(req: RunRequest) -> bool:
+    return req.kind is ClassKind.ORDER
+
+
 def _make_trace(note_send: Callable[[], None]) -> Callable[[str, dict], Awaitable[None]]:
     async def trace(event: str, info: dict) -> None:
         if event.endswith(SEND_EVENTS):
--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -183,12 +183,16 @@
     """
     stop = stop if stop is not None else trio.Event()
     follower = EntryFollower(keeper, settings.entries, token=settings.internal_key, tls=client_tls)
-    async with trio_asyncio.open_loop(), make_http_client() as http:
+    async with (
+        trio_asyncio.open_loop(),
+        make_http_client() as http,
+        make_http_client(keeps_connections=False) as order_http,
+    ):
         agent = Agent(
             node_id=NodeId(settings.node_id),
             upstream_id=UpstreamId(settings.upstream_id),
             domain=DomainId(settings.domain),
-            upstream=HttpUpstream(settings.upstream_url, http),
+            upstream=HttpUpstream(settings.upstream_url, http, order_http=order_http),
             keeper=keeper,
             clock=MonotonicClock(),
             learn_revision=follower.pull,
--- a/crocusvalve/agent/_runner.py
+++ b/crocusvalve/agent/_runner.py
@@ -142,8 +142,10 @@
             raise RefusedError(ErrorCode.DEADLINE_PASSED, message, step="send", ran=Ran.UNKNOWN)
 
     async def _take_data(self, data: bytes) -> None:
+        now = self.clock.now()
         self.row.ran = Ran.RAN
-        self._append(self._coalescer.add(data, self.clock.now()))
+        self.row.first_at = self.row.first_at or now
+        self._append(self._coalescer.add(data, now))
         self._has_data.set()
         while self.buffer.is_full:
             self._has_room = trio.Event()
@@ -174,6 +176,7 @@
             service_s=service_s,
             n_tokens=end.usage.completion_tokens,
             is_success=True,
+            decode_s=now - self.row.first_at if self.row.first_at else None,
         )
         cost = compute_cost(self.tables.view, req, end.usage)
         self.tables.bills.hold(req, end.usage, cost, now)
--- a/crocusvalve/agent/_tables.py
+++ b/crocusvalve/agent/_tables.py
@@ -37,6 +37,7 @@
     generation: int = 0
     engine_boot: str = ""
     begun_at: float = 0.0
+    first_at: float = 0.0
     is_cancelled: bool = False
     ran: Ran = Ran.NOT_RUN
 
--- a/crocusvalve/limits/_warmup.py
+++ b/crocusvalve/limits/_warmup.py
@@ -13,6 +13,8 @@
 COLD_RATIO = 8.0
 SHRINK_FACTOR = 0.7
 EWMA_WEIGHT = 0.2
+CLIP_RATIO = 4.0
+MIN_TOKENS = 8
 BEST_DRIFT = 1.005
 PROOF_OF_WARM_UPTIME_S = 30.0
 
@@ -109,7 +111,14 @@
         return True
 
     def finish(
-        self, now: float, *, generation: int, service_s: float, n_tokens: int, is_success: bool
+        self,
+        now: float,
+        *,
+        generation: int,
+        service_s: float,
+        n_tokens: int,
+        is_success: bool,
+        decode_s: float | None = None,
     ) -> None:
         """Count a request as ended and learn from it.
 
@@ -125,6 +134,9 @@
             Tokens generated; 0 for a plain service.
         is_success : bool
             False where the upstream failed or timed out.
+        decode_s : float or None
+            Time from the first token to the last, in seconds; None takes the service time. Short
+            answers tell nothing of the time for a token, as the prompt's share leads in them.
         """
         used = self.in_flight
         self.in_flight -= 1
@@ -135,7 +147,15 @@
         if not is_success:
             self._shrink(now, service_s)
             return
-        self._learn(now, service_s, service_s / max(1, n_tokens), used)
+        self.ewma_service_s += EWMA_WEIGHT * (service_s - self.ewma_service_s)
+        if n_tokens >= MIN_TOKENS:
+            span_s, n_steps = (
+                (service_s, n_tokens) if decode_s is None else (decode_s, n_tokens - 1)
+            )
+            self._learn(now, service_s, span_s / n_steps)
+        has_fallen = generation != self._generation
+        if not has_fallen and self._is_near_best and 2 * used >= self.limit:
+            self._grow()
 
     def abandon(self) -> None:
         """Count a request as ended that says nothing of the upstream."""
@@ -190,20 +210,26 @@
         """Return when a slot is likely to be free, in seconds."""
         return max(0.05, self.ewma_service_s / max(1, self.limit))
 
-    def _learn(self, now: float, service_s: float, token_s: float, used: int) -> None:
-        self.ewma_service_s += EWMA_WEIGHT * (service_s - self.ewma_service_s)
+    @property
+    def _is_near_best(self) -> bool:
+        """Whether the time for a token is near the best known; unknown times are."""
+        if self._ewma_token_s is None or self._best_token_s is None:
+            return True
+        return self._ewma_token_s <= GROW_RATIO * self._best_token_s
+
+    def _learn(self, now: float, service_s: float, token_s: float) -> None:
         previous = self._ewma_token_s
         if previous is None:
             previous = token_s
+        # One odd request must not pass for a slow-down.
+        token_s = min(token_s, CLIP_RATIO * previous)
         self._ewma_token_s = previous + EWMA_WEIGHT * (token_s - previous)
         best = token_s if self._best_token_s is None else self._best_token_s * BEST_DRIFT
         self._best_token_s = best = min(best, self._ewma_token_s)
-        if self._ewma_token_s > COLD_RATIO * best:
+        if self._ewma_token_s > COLD_RATIO * best and self.phase is not LimiterPhase.COLD:
             self.note_cold()
         elif self._ewma_token_s > SHRINK_RATIO * best:
             self._shrink(now, service_s)
-        elif self._ewma_token_s <= GROW_RATIO * best and 2 * used >= self.limit:
-            self._grow()
 
     def _grow(self) -> None:
         if self._is_reported_cold:
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -40,6 +40,11 @@
     When an attempt whose body names another model is sent to it
     Then the engine was asked for the checked version as a stream
 
+  Scenario: An order does not use a kept connection that its service may just have closed
+    Given a service that closes its connection without a word after the first answer
+    When an attempt and then an order are sent to it
+    Then the order is answered on a connection of its own
+
   Scenario: Nothing is written on a connection when the attempt is refused after it was made
     When a plain call over a real connection is refused right before the send
     Then the service has received no byte and the attempt is not run
--- a/features/agent/steps/http_steps.py
+++ b/features/agent/steps/http_steps.py
@@ -7,7 +7,7 @@
 from fakes import BrokenStream, make_request, make_sse
 
 from crocusvalve.agent import HttpUpstream, UpstreamError, make_http_client
-from crocusvalve.base import Ran, UpstreamKind
+from crocusvalve.base import ClassKind, Ran, UpstreamKind
 from crocusvalve.exceptions import ErrorCode, RefusedError
 
 TEXTS = ["one ", "two"]
@@ -124,3 +124,44 @@
 @then("the service has received no byte and the attempt is not run")
 def then_no_byte(context):
     assert context.received == b"" and context.error.ran is Ran.NOT_RUN
+
+
+@given("a service that closes its connection without a word after the first answer")
+def given_closing(context):
+    context.n_connections = 0
+
+    async def serve(stream):
+        context.n_connections += 1
+        await stream.receive_some()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+        # The next request on this connection is read and dropped.
+        await stream.receive_some()
+
+    context.serve = serve
+
+
+@when("an attempt and then an order are sent to it")
+def when_order_follows(context):
+    async def take(data):
+        pass
+
+    async def main():
+        async with (
+            trio.open_nursery() as nursery,
+            make_http_client() as http,
+            make_http_client(keeps_connections=False) as order_http,
+        ):
+            listeners = await nursery.start(trio.serve_tcp, context.serve, 0)
+            url = f"http://127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            upstream = HttpUpstream(url, http, order_http=order_http)
+            for kind in (ClassKind.LOOKUP, ClassKind.ORDER):
+                req = make_request(kind=kind, upstream_kind=UpstreamKind.PLAIN, body=b"")
+                context.end = await upstream.call(req, on_send=lambda: None, on_data=take)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@then("the order is answered on a connection of its own")
+def then_own_connection(context):
+    assert context.end.status == 200 and context.n_connections == 2
--- a/features/warmup/steps/warmup_steps.py
+++ b/features/warmup/steps/warmup_steps.py
@@ -85,13 +85,15 @@
         self.reached_s = None
 
 
-def finish(limiter, *, generation=None, token_s=TOKEN_S, is_success=True, now=100.0):
+def finish(
+    limiter, *, generation=None, token_s=TOKEN_S, is_success=True, now=100.0, n_tokens=N_TOKENS
+):
     limiter.try_start()
     limiter.finish(
         now,
         generation=limiter.generation if generation is None else generation,
         service_s=token_s * N_TOKENS,
-        n_tokens=N_TOKENS,
+        n_tokens=n_tokens,
         is_success=is_success,
     )
 
@@ -108,6 +110,12 @@
     finish(limiter, is_success=False, now=100.1)
 
 
+def serve_mixed(limiter, **odd):
+    for i in range(40):
+        is_odd = i % 20 == 10 or (i > 5 and "n_tokens" in odd)
+        finish(limiter, **(odd if is_odd else {}))
+
+
 def serve_cold(limiter):
     limiter.note_health(state=COLD, engine_boot="b1")
     for _ in range(20):
@@ -121,6 +129,8 @@
     "a sudden slow-down": slow_down,
     "a failure": lambda lim: finish(lim, is_success=False),
     "two failures in one round": fail_twice,
+    "one odd request": lambda lim: serve_mixed(lim, token_s=100 * TOKEN_S),
+    "short answers to long prompts": lambda lim: serve_mixed(lim, n_tokens=1, token_s=0.2),
     "a failure of an old run": lambda lim: finish(lim, generation=-1, is_success=False),
     "good service in a cold state": serve_cold,
     "an unchanged health report": lambda lim: lim.note_health(state=WARM, engine_boot="b1"),
--- a/features/warmup/warmup.feature
+++ b/features/warmup/warmup.feature
@@ -29,6 +29,8 @@
       | a sudden slow-down             | 2     |
       | a failure                      | 11    |
       | two failures in one round      | 11    |
+      | one odd request                | 16    |
+      | short answers to long prompts  | 16    |
       | a failure of an old run        | 16    |
       | good service in a cold state   | 2     |
       | an unchanged health report     | 16    |
