Bodies that are too long are read to their end; session tokens name their model

Cause: a process scenario saw a refused 2 MiB body block the connection's next request until the client's timeout, and a new session end in an internal error. Ruled out: the client (curl was answered; the next request on the same connection hung). Change: the entry reads and drops a long body itself and closes the connection after refusals that may come before the body is read; SessionClaim gets its model; an upstream that refuses as full is paused; the subset knows the entry's region.

--- a/crocusvalve/entry/_http.py
+++ b/crocusvalve/entry/_http.py
@@ -9,6 +9,7 @@
 
 from crocusvalve.base import ClassKind, Ran, RequestId, SessionId
 from crocusvalve.config import CustomerView
+from crocusvalve.config._view import model_of
 from crocusvalve.entry import _openai
 from crocusvalve.entry._commands import AnswerSummary
 from crocusvalve.entry._handle import AnswerPart, RequestHandle
@@ -32,6 +33,18 @@
 NEW_SESSION = "new"
 SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 JSON = "application/json"
+#: Refusals that may come before the body is read; the connection can't be used again then.
+UNREAD_CODES = frozenset(
+    {
+        ErrorCode.BAD_KEY,
+        ErrorCode.BODY_TOO_LARGE,
+        ErrorCode.METHOD_NOT_ALLOWED,
+        ErrorCode.NOT_FOUND,
+        ErrorCode.NOT_READY,
+    }
+)
+#: A longer body is not read to its end.
+MAX_DROPPED_BYTES = 64 << 20
 
 
 def make_app(service: EntryService, registry: CollectorRegistry) -> QuartTrio:
@@ -49,7 +62,8 @@
     QuartTrio
     """
     app = QuartTrio("crocusvalve")
-    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
+    # ``read_body`` keeps the bound: a body left unread would block the connection's next request.
+    app.config["MAX_CONTENT_LENGTH"] = None
     api = CallerApi(service)
     app.post("/v1/chat/completions")(api.post_chat)
     app.get("/v1/models")(api.get_models)
@@ -87,6 +101,8 @@
     )
     if request_id:
         response.headers["X-Request-Id"] = request_id
+    if exc.code in UNREAD_CODES and request.http_version.startswith("1"):
+        response.headers["Connection"] = "close"
     retry_after_s = getattr(exc, "retry_after_s", None)
     if retry_after_s is not None:
         response.headers["Retry-After"] = str(max(1, round(retry_after_s)))
@@ -112,6 +128,28 @@
     return await _answer_error(CrocusvalveError(ErrorCode.INTERNAL, message, step="entry"))
 
 
+async def read_body() -> bytes:
+    """Read the body of the present request; one that is too long is read and dropped.
+
+    Raises
+    ------
+    RefusedError
+        ``BODY_TOO_LARGE``.
+    """
+    parts: list[bytes] = []
+    n_bytes = 0
+    async for part in request.body:
+        n_bytes += len(part)
+        if n_bytes <= MAX_BODY_BYTES:
+            parts.append(part)
+        elif n_bytes > MAX_DROPPED_BYTES:
+            break
+    if n_bytes > MAX_BODY_BYTES:
+        message = f"the body is over {MAX_BODY_BYTES} bytes"
+        raise RefusedError(ErrorCode.BODY_TOO_LARGE, message, step="parse")
+    return b"".join(parts)
+
+
 class CallerApi:
     """Handlers of the callers' API."""
 
@@ -155,7 +193,7 @@
         """Answer a chat request: plain, streamed or accepted as durable."""
         request_id = self._name_request()
         customer = self._authenticate()
-        raw = await request.get_data()
+        raw = await read_body()
         headers = parse_headers(request.headers)
         body = parse_chat_body(raw)
         now = self.service.now()
@@ -210,15 +248,16 @@
         response.headers["X-Request-Id"] = req.request_id
         response.headers["X-Crocusvalve-Class"] = req.class_name
         if version:
-            response.headers["X-Crocusvalve-Model"] = version.partition("@")[0]
+            response.headers["X-Crocusvalve-Model"] = model_of(version)
             response.headers["X-Crocusvalve-Version"] = version
         response.headers["X-Crocusvalve-Upstream"] = upstream_id
         if req.session_id and version:
             claim = SessionClaim(
                 session_id=req.session_id,
                 customer_id=req.customer_id,
+                model=model_of(version),
                 version=version,
-                upstream_id=upstream_id,
+                preferred_upstream=upstream_id,
                 issued_at=self.service.now(),
             )
             response.headers[SESSION_HEADER] = self.service.sign_session(claim)
@@ -248,7 +287,7 @@
         """Pass a call to a plain service."""
         request_id = self._name_request()
         customer = self._authenticate()
-        raw = await request.get_data()
+        raw = await read_body()
         headers = parse_headers(request.headers)
         query = request.query_string.decode("ascii", "replace")
         full_path = f"/{path}?{query}" if query else f"/{path}"
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -27,7 +27,7 @@
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.model import AttemptRow, RequestRow
 from crocusvalve.retry import RetryAction, RetryDecision
-from crocusvalve.routing import note_end, note_failure, note_success
+from crocusvalve.routing import note_end, note_failure, note_full, note_success
 from crocusvalve.rpc import Final, Frame, Refused, RunEvent
 
 __all__ = ["OutcomeSystem", "combine_ran"]
@@ -249,6 +249,8 @@
     ) -> list[Command]:
         req = tables.requests[attempt.request_id]
         row = tables.upstreams.get(attempt.upstream_id)
+        if row is not None and refused.code == ErrorCode.UPSTREAM_FULL.name:
+            note_full(row, now)
         if row is not None and refused.code not in HEALTHY_CODES:
             note_failure(row, now, is_crash=refused.crashed)
         if refused.ran is not Ran.NOT_RUN and refused.code not in HEALTHY_CODES:
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -150,7 +150,7 @@
             tables=self.tables,
             pool=self.pool,
             keeper=self.keeper,
-            membership=MembershipSystem(node_id),
+            membership=MembershipSystem(node_id, region=settings.region),
             outbox=self.outbox,
             clock=clock,
             note_crashes=self._note_crashes,
