--- a/crocusvalve/bench/_entry.py
+++ b/crocusvalve/bench/_entry.py
@@ -154,9 +154,12 @@
         due_at = self.queue.get_next_due()
         if due_at is not None and due_at < self._due_at - 1e-9:
             self._due_at = due_at
-            self.loop.call_at(due_at, self._pump_due)
+            self.loop.call_at(due_at, self._pump_due, due_at)
 
-    def _pump_due(self) -> None:
+    def _pump_due(self, due_at: float) -> None:
+        if due_at != self._due_at:
+            # An earlier instant has taken its place since.
+            return
         self._due_at = float("inf")
         self.pump()
 
--- a/crocusvalve/bench/_upstream.py
+++ b/crocusvalve/bench/_upstream.py
@@ -209,7 +209,10 @@
         )
         self.loop.call_after(attempt.delay_s, attempt.on_refused, attempt, refused)
 
-    def _wake(self) -> None:
+    def _wake(self, at: float) -> None:
+        if at != self._wakes_at:
+            # An earlier instant has taken its place since.
+            return
         self._wakes_at = float("inf")
         if not self.is_off:
             self._step()
@@ -219,4 +222,4 @@
         at = self.model.next_finish_at()
         if at is not None and at < self._wakes_at - 1e-9:
             self._wakes_at = at
-            self.loop.call_at(at, self._wake)
+            self.loop.call_at(at, self._wake, at)
