--- a/crocusvalve/retry/_policy.py
+++ b/crocusvalve/retry/_policy.py
@@ -168,7 +168,10 @@
         self, req: RequestRow, code: ErrorCode, refused: Refused, now: float
     ) -> RetryDecision:
         delay_s = self._draw_backoff_s(req.n_redirects + 1, REDIRECT_BASE_S, REDIRECT_MAX_S)
-        if req.n_redirects >= MAX_REDIRECTS or not _has_time(req, now + delay_s):
+        # Accepted work isn't given up for want of a slot before its deadline.
+        is_bounded = req.kind is not ClassKind.DURABLE
+        is_over = is_bounded and req.n_redirects >= MAX_REDIRECTS
+        if is_over or not _has_time(req, now + delay_s):
             return self._refuse(code, refused)
         req.n_redirects += 1
         return RetryDecision(
--- a/features/retry/policy.feature
+++ b/features/retry/policy.feature
@@ -56,6 +56,10 @@
     Then at most 32 attempts in a row that end with UPSTREAM_FULL are redirected
     And at most 8 breaks in a row of a stream are resumed
 
+  Scenario: Accepted durable work is redirected as long as its deadline allows
+    Given a durable request with 0 frames out, 1 attempts and 9000 s left
+    Then 200 attempts in a row that end with UPSTREAM_FULL are all redirected
+
   Scenario Outline: Backoff doubles up to its limit and varies
     Then the delay after <n> attempts is from <low> to <high> s
 
--- a/features/retry/steps/policy_steps.py
+++ b/features/retry/steps/policy_steps.py
@@ -108,6 +108,12 @@
     assert found == [RetryAction.RETRY] * n + [RetryAction.REFUSE]
 
 
+@then("{n:d} attempts in a row that end with {code} are all redirected")
+def then_all_redirected(context, n, code):
+    found = [context.subject.decide(code, Ran.NOT_RUN).action for _ in range(n)]
+    assert found == [RetryAction.RETRY] * n
+
+
 @then("at most {n:d} breaks in a row of a stream are resumed")
 def then_resumes(context, n):
     context.subject.make("answer", 1, 1, 9000)
