Split the agent's service: revisions and the feed of answers in modules of their own

Change: AnswerFeed holds the readers and their wake-ups, _revisions the keeper's contract; no change in what is done.

--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -10,7 +10,8 @@
 
 from crocusvalve.agent._http_upstream import HttpUpstream, make_http_client
 from crocusvalve.agent._order_door import ReadNumber, read_no_number
-from crocusvalve.agent._service import Agent, RevisionKeeper
+from crocusvalve.agent._revisions import RevisionKeeper
+from crocusvalve.agent._service import Agent
 from crocusvalve.answers import AnswerStore
 from crocusvalve.base import DomainId, NodeId, Revision, UpstreamId
 from crocusvalve.exceptions import CrocusvalveError
--- a/crocusvalve/agent/_service.py
+++ b/crocusvalve/agent/_service.py
@@ -2,29 +2,27 @@
 
 import logging
 import secrets
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import aclosing
-from typing import Protocol
 
 import trio
 
-from crocusvalve.agent._admission import AdmissionSystem, make_refused
+from crocusvalve.agent._admission import AdmissionSystem
+from crocusvalve.agent._feed import AnswerFeed
 from crocusvalve.agent._order_door import OrderDoor, ReadNumber, read_no_number
+from crocusvalve.agent._revisions import LearnRevision, RevisionKeeper, learn_nothing
 from crocusvalve.agent._runner import AttemptRunner
 from crocusvalve.agent._tables import AgentTables
 from crocusvalve.agent._upstream import Upstream
 from crocusvalve.answers import AnswerStore
 from crocusvalve.base import (
     AttemptId,
-    AttemptState,
     BootId,
     DomainId,
     NodeId,
-    Ran,
     Revision,
     UpstreamId,
 )
-from crocusvalve.config import DocumentView
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.rpc import (
     AgentService,
@@ -36,8 +34,6 @@
     Empty,
     FenceReply,
     FenceRequest,
-    Final,
-    Frame,
     LoadReport,
     Notice,
     NoticeAck,
@@ -50,7 +46,7 @@
 )
 from crocusvalve.utils import Clock
 
-__all__ = ["Agent", "RevisionKeeper"]
+__all__ = ["Agent"]
 
 logger = logging.getLogger(__name__)
 
@@ -60,26 +56,6 @@
 CANCEL_MEMORY_S = 60.0
 LEARN_TIMEOUT_S = 0.5
 
-#: Pulls a revision of at least a number from the entries into the agent's keeper.
-LearnRevision = Callable[[Revision], Awaitable[bool]]
-
-
-class RevisionKeeper(Protocol):
-    """The newest revision in a process; ``control.ConfigKeeper`` has this shape."""
-
-    view: DocumentView | None
-
-    def take_push(self, push: ConfigPush) -> ConfigAck:
-        """Take a revision; an older one is ignored."""
-
-    def make_push(self, have: Revision) -> ConfigPush:
-        """Return the newest revision for a process that has an older one."""
-
-
-async def _learn_nothing(revision: Revision) -> bool:
-    """Stand in where no entry can be asked."""
-    return False
-
 
 class Agent(AgentService):
     """Checks, runs and remembers the attempts of one upstream.
@@ -117,7 +93,7 @@
         upstream: Upstream,
         keeper: RevisionKeeper,
         clock: Clock,
-        learn_revision: LearnRevision = _learn_nothing,
+        learn_revision: LearnRevision = learn_nothing,
         read_number: ReadNumber = read_no_number,
         answers: AnswerStore | None = None,
         boot_id: BootId | None = None,
@@ -134,13 +110,11 @@
             domain=domain,
             boot_id=boot_id or BootId(secrets.token_hex(8)),
         )
-        self.answers = answers if answers is not None else AnswerStore()
+        self.feed = AnswerFeed(self.tables, answers if answers is not None else AnswerStore())
         self._admission = AdmissionSystem()
         self._orders = OrderDoor(upstream, read_number)
         self._runners: dict[AttemptId, AttemptRunner] = {}
-        self._changed: dict[AttemptId, trio.Event] = {}
         self._nursery: trio.Nursery | None = None
-        self._n_readers = 0
         self.apply_view()
 
     async def run_tasks(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
@@ -158,13 +132,13 @@
         if refused is not None:
             yield refused
             return
-        async with aclosing(self._follow(req.attempt_id, 0)) as events:
+        async with aclosing(self.feed.follow(req.attempt_id, 0)) as events:
             async for event in events:
                 yield event
 
     async def resume(self, req: ResumeRequest) -> AsyncIterator[RunEvent]:
         """Yield the frames of a known attempt from a sequence number on, then its end."""
-        async with aclosing(self._follow(req.attempt_id, req.from_seq)) as events:
+        async with aclosing(self.feed.follow(req.attempt_id, req.from_seq)) as events:
             async for event in events:
                 yield event
 
@@ -256,19 +230,19 @@
             logger.warning(
                 "stopped with %d attempts, %d readers and %d bills left",
                 len(self._runners),
-                self._n_readers,
+                self.feed.n_readers,
                 len(self.tables.bills),
             )
         return self._is_drained
 
     @property
     def _is_drained(self) -> bool:
-        return not (self._runners or self._n_readers or len(self.tables.bills))
+        return not (self._runners or self.feed.n_readers or len(self.tables.bills))
 
     async def _admit(self, req: RunRequest) -> Refused | None:
         try:
             await self._learn_if_behind(req)
-            if self.answers.get(req.attempt_id) is None:
+            if self.feed.answers.get(req.attempt_id) is None:
                 self._start(req)
         except RefusedError as exc:
             return self._admission.refuse(self.tables, req, exc, self.clock.now())
@@ -297,16 +271,16 @@
             raise RefusedError(ErrorCode.NOT_READY, "the agent is starting", step="agent")
         now = self.clock.now()
         row = self._admission.admit(self.tables, req, now)
-        buffer = self.answers.open(req.attempt_id)
-        self._changed[req.attempt_id] = trio.Event()
+        buffer = self.feed.open(req.attempt_id)
         runner = AttemptRunner(
             tables=self.tables,
             row=row,
             buffer=buffer,
             upstream=self.upstream,
             clock=self.clock,
-            wake=lambda: self._wake(req.attempt_id),
+            wake=lambda: self.feed.wake(req.attempt_id),
         )
+        buffer.on_read = runner.note_read
         self._runners[req.attempt_id] = runner
         self._nursery.start_soon(self._run_attempt, runner)
 
@@ -318,63 +292,6 @@
             del self._runners[attempt_id]
             del self.tables.runs[attempt_id]
 
-    async def _follow(self, attempt_id: AttemptId, from_seq: int) -> AsyncIterator[RunEvent]:
-        self._n_readers += 1
-        try:
-            async with aclosing(self._read_events(attempt_id, from_seq)) as events:
-                async for event in events:
-                    yield event
-        finally:
-            self._n_readers -= 1
-
-    async def _read_events(self, attempt_id: AttemptId, from_seq: int) -> AsyncIterator[RunEvent]:
-        seq = from_seq
-        while True:
-            buffer = self.answers.get(attempt_id)
-            if buffer is None:
-                yield self._make_unknown(attempt_id)
-                return
-            changed = self._changed.get(attempt_id)
-            try:
-                events = buffer.read(seq)
-            except CrocusvalveError as exc:
-                yield self._make_damaged(attempt_id, exc)
-                return
-            for event in events:
-                yield event
-                if not isinstance(event, Frame):
-                    self._note_end_read(event)
-                    return
-                seq = event.seq + 1
-                buffer.note_delivered(seq)
-            runner = self._runners.get(attempt_id)
-            if runner is not None:
-                runner.note_read()
-            if changed is not None:
-                await changed.wait()
-
-    def _note_end_read(self, event: RunEvent) -> None:
-        if isinstance(event, Final):
-            self.tables.bills.note_delivered(event.attempt_id)
-
-    def _make_unknown(self, attempt_id: AttemptId) -> Refused:
-        row = self.tables.guard.get(attempt_id)
-        ran = row.ran if row is not None and row.state is not AttemptState.STARTING else Ran.UNKNOWN
-        message = "the agent holds no answer of this attempt"
-        exc = RefusedError(ErrorCode.UNKNOWN_REQUEST, message, step="resume", ran=ran)
-        return make_refused(attempt_id, exc, peer=self.tables.upstream_id)
-
-    def _make_damaged(self, attempt_id: AttemptId, exc: CrocusvalveError) -> Refused:
-        row = self.tables.guard.get(attempt_id)
-        ran = row.ran if row is not None else Ran.UNKNOWN
-        refused = RefusedError(exc.code, exc.message, step="resume", ran=ran)
-        return make_refused(attempt_id, refused, peer=self.tables.upstream_id)
-
-    def _wake(self, attempt_id: AttemptId) -> None:
-        event = self._changed[attempt_id]
-        self._changed[attempt_id] = trio.Event()
-        event.set()
-
     def apply_view(self) -> None:
         """Put the keeper's newest revision in force."""
         if self.keeper.view is not None:
@@ -396,8 +313,5 @@
 
     def expire(self, now: float) -> None:
         """Forget what is too old to be asked for."""
-        self.answers.expire(now)
+        self.feed.expire(now)
         self.tables.guard.expire(now)
-        for attempt_id in list(self._changed):
-            if self.answers.get(attempt_id) is None:
-                del self._changed[attempt_id]
--- a/crocusvalve/answers/_buffer.py
+++ b/crocusvalve/answers/_buffer.py
@@ -1,5 +1,7 @@
 """Agent side of an answer: numbered frames kept for a resume, bounded in bytes and age."""
 
+from collections.abc import Callable
+
 import xxhash
 
 from crocusvalve.base import AttemptId
@@ -12,6 +14,10 @@
 STEP = "answer_buffer"
 
 
+def _ignore_read() -> None:
+    """Stand in where no writer waits for readers."""
+
+
 class AnswerBuffer:
     """Frames of one attempt from the oldest still held to the newest.
 
@@ -33,6 +39,8 @@
         self.n_delivered = 0
         self.end: Final | Refused | None = None
         self.ended_at = 0.0
+        #: Called after a reader has taken frames.
+        self.on_read: Callable[[], None] = _ignore_read
         self._frames: list[Frame] = []
         self._digest = xxhash.xxh3_128()
 
@@ -103,6 +111,7 @@
         while self.n_bytes >= self.max_bytes and self.first_seq < self.n_delivered:
             self.n_bytes -= len(self._frames.pop(0).data)
             self.first_seq += 1
+        self.on_read()
 
     def _check_open(self) -> None:
         if self.end is not None:
--- a/features/agent/steps/faults.py
+++ b/features/agent/steps/faults.py
@@ -102,7 +102,7 @@
 
 async def repeat_after_forgotten(agent, upstream, req):
     await collect(agent.run(req))
-    agent.answers.keep_s = 0.0
+    agent.feed.answers.keep_s = 0.0
     agent.expire(agent.clock.now())
     return await collect(agent.run(req))
 
@@ -166,7 +166,7 @@
 
 def refuse_by_notice(kind, subject):
     async def strike(agent, upstream, req):
-        assert (await agent.notify(make_notice(kind, subject))).is_new
+        assert (await agent.notify(make_notice(kind, subject, number=2))).is_new
         return await collect(agent.run(req))
 
     return strike
--- a/features/agent/steps/play_steps.py
+++ b/features/agent/steps/play_steps.py
@@ -38,13 +38,13 @@
 
 
 async def wait_for_reader(agent, upstream):
-    agent.answers = AnswerStore(buffer_max_bytes=5000)
+    agent.feed.answers = AnswerStore(buffer_max_bytes=5000)
     upstream.script = tuple(b"x" * 3000 for _ in range(20))
     req = make_request()
     events = agent.run(req)
     parts = [await anext(events)]
     await trio.sleep(5)
-    assert agent.answers.get(req.attempt_id).n_bytes < 10_000
+    assert agent.feed.answers.get(req.attempt_id).n_bytes < 10_000
     parts += await collect(events)
     assert len(join(parts)) == 60_000 and isinstance(parts[-1], Final)
 
