Split the wire format of an engine from the HTTP upstream

Change: _engine_stream holds the body of a completion and its stream of events. Conclusion: no change in what is done.

--- /dev/null
+++ b/crocusvalve/agent/_engine_stream.py
@@ -0,0 +1,99 @@
+"""Wire format of an engine: the body of a completion and its stream of events."""
+
+from typing import Any
+
+import httpx
+import msgspec
+from msgspec import Struct
+
+from crocusvalve.agent._upstream import OnData, UpstreamEnd, UpstreamError
+from crocusvalve.base import Ran
+from crocusvalve.exceptions import ErrorCode
+from crocusvalve.rpc import RunRequest, Usage
+
+__all__ = ["make_engine_body", "read_events"]
+
+SSE_PREFIX = "data:"
+SSE_DONE = "[DONE]"
+
+
+class _TokenDetails(Struct, frozen=True):
+    cached_tokens: int = 0
+
+
+class _ChunkUsage(Struct, frozen=True):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _TokenDetails | None = None
+
+
+class _Delta(Struct, frozen=True):
+    content: str | None = None
+
+
+class _Choice(Struct, frozen=True):
+    delta: _Delta = _Delta()
+    finish_reason: str | None = None
+
+
+class _Chunk(Struct, frozen=True):
+    choices: tuple[_Choice, ...] = ()
+    usage: _ChunkUsage | None = None
+    error: Any = None
+
+
+_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
+
+
+def make_engine_body(req: RunRequest) -> bytes:
+    """Set the checked version, streaming and priority in a caller's body."""
+    try:
+        body = msgspec.json.decode(req.body, type=dict[str, Any])
+    except msgspec.DecodeError as exc:
+        message = "the body is no JSON object"
+        raise UpstreamError(ErrorCode.BAD_JSON, message, ran=Ran.NOT_RUN) from exc
+    body["model"] = req.version
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    body["priority"] = int(req.priority)
+    return msgspec.json.encode(body)
+
+
+async def read_events(reply: httpx.Response, on_data: OnData) -> UpstreamEnd:
+    """Read an engine's stream to its end mark; raises ``UpstreamError`` where it is not whole."""
+    usage, finish_reason = Usage(), ""
+    async for line in reply.aiter_lines():
+        if not line.startswith(SSE_PREFIX):
+            continue
+        data = line[len(SSE_PREFIX) :].strip()
+        if data == SSE_DONE:
+            if finish_reason:
+                return UpstreamEnd(usage, finish_reason)
+            break
+        chunk = _decode_chunk(data)
+        if chunk.usage is not None:
+            usage = _make_usage(chunk.usage)
+        for choice in chunk.choices[:1]:
+            finish_reason = choice.finish_reason or finish_reason
+            if choice.delta.content:
+                await on_data(choice.delta.content.encode())
+    message = "the engine's stream ended before its end mark"
+    raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN, is_cut=True)
+
+
+def _decode_chunk(data: str) -> _Chunk:
+    try:
+        chunk = _CHUNK_DECODER.decode(data)
+    except msgspec.DecodeError as exc:
+        message = "the engine sent a damaged chunk"
+        raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN) from exc
+    if chunk.error is not None:
+        message = "the engine reported an error in its stream"
+        raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN)
+    return chunk
+
+
+def _make_usage(usage: _ChunkUsage) -> Usage:
+    details = usage.prompt_tokens_details
+    cached = details.cached_tokens if details else 0
+    return Usage(usage.prompt_tokens, usage.completion_tokens, cached)
--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -2,12 +2,12 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from typing import Any
 
 import httpx
 import msgspec
 from msgspec import Struct
 
+from crocusvalve.agent._engine_stream import make_engine_body, read_events
 from crocusvalve.agent._upstream import (
     HealthReport,
     OnData,
@@ -20,7 +20,7 @@
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
 
-__all__ = ["HttpUpstream", "make_engine_body", "make_http_client"]
+__all__ = ["HttpUpstream", "make_http_client"]
 
 CONNECT_TIMEOUT_S = 1.0
 KEEP_S = 2.0
@@ -28,8 +28,6 @@
 PROBE_TIMEOUT_S = 1.0
 ORDERS_PATH = "/orders"
 MAX_PART_BYTES = 64 * 1024
-SSE_PREFIX = "data:"
-SSE_DONE = "[DONE]"
 SEND_EVENTS = ("send_request_headers.started", "send_request_body.started")
 #: Statuses with which an engine refuses a request before it runs any of it.
 ENGINE_NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422, 429, 503})
@@ -44,31 +42,6 @@
     is_order: bool
 
 
-class _TokenDetails(Struct, frozen=True):
-    cached_tokens: int = 0
-
-
-class _ChunkUsage(Struct, frozen=True):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    prompt_tokens_details: _TokenDetails | None = None
-
-
-class _Delta(Struct, frozen=True):
-    content: str | None = None
-
-
-class _Choice(Struct, frozen=True):
-    delta: _Delta = _Delta()
-    finish_reason: str | None = None
-
-
-class _Chunk(Struct, frozen=True):
-    choices: tuple[_Choice, ...] = ()
-    usage: _ChunkUsage | None = None
-    error: Any = None
-
-
 class _OrderReply(Struct, frozen=True):
     accepted: bool = False
     number: int = 0
@@ -81,9 +54,6 @@
     uptime_s: float | None = None
 
 
-_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
-
-
 def make_http_client(*, keeps_connections: bool = True) -> httpx.AsyncClient:
     """Make a client of an agent; the attempt's deadline bounds each call as a whole.
 
@@ -225,7 +195,7 @@
         async with self._send(call, on_send) as reply:
             if reply.status_code != httpx.codes.OK:
                 raise _make_status_error(reply)
-            return await _read_events(reply, on_data)
+            return await read_events(reply, on_data)
 
     async def _call_service(self, req: RunRequest, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
         headers = {"X-Request-Id": req.attempt_id}
@@ -245,20 +215,6 @@
             return UpstreamEnd(Usage(), "stop", reply.status_code, content_type)
 
 
-def make_engine_body(req: RunRequest) -> bytes:
-    """Set the checked version, streaming and priority in a caller's body."""
-    try:
-        body = msgspec.json.decode(req.body, type=dict[str, Any])
-    except msgspec.DecodeError as exc:
-        message = "the body is no JSON object"
-        raise UpstreamError(ErrorCode.BAD_JSON, message, ran=Ran.NOT_RUN) from exc
-    body["model"] = req.version
-    body["stream"] = True
-    body["stream_options"] = {"include_usage": True}
-    body["priority"] = int(req.priority)
-    return msgspec.json.encode(body)
-
-
 def _is_order(req: RunRequest) -> bool:
     return req.kind is ClassKind.ORDER
 
@@ -292,42 +248,3 @@
     if status == httpx.codes.NOT_FOUND:
         return UpstreamError(ErrorCode.NO_UPSTREAM, message, ran=Ran.NOT_RUN)
     return UpstreamError(ErrorCode.BAD_REQUEST, message, ran=Ran.NOT_RUN)
-
-
-async def _read_events(reply: httpx.Response, on_data: OnData) -> UpstreamEnd:
-    usage, finish_reason = Usage(), ""
-    async for line in reply.aiter_lines():
-        if not line.startswith(SSE_PREFIX):
-            continue
-        data = line[len(SSE_PREFIX) :].strip()
-        if data == SSE_DONE:
-            if finish_reason:
-                return UpstreamEnd(usage, finish_reason)
-            break
-        chunk = _decode_chunk(data)
-        if chunk.usage is not None:
-            usage = _make_usage(chunk.usage)
-        for choice in chunk.choices[:1]:
-            finish_reason = choice.finish_reason or finish_reason
-            if choice.delta.content:
-                await on_data(choice.delta.content.encode())
-    message = "the engine's stream ended before its end mark"
-    raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN, is_cut=True)
-
-
-def _decode_chunk(data: str) -> _Chunk:
-    try:
-        chunk = _CHUNK_DECODER.decode(data)
-    except msgspec.DecodeError as exc:
-        message = "the engine sent a damaged chunk"
-        raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN) from exc
-    if chunk.error is not None:
-        message = "the engine reported an error in its stream"
-        raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=Ran.RAN)
-    return chunk
-
-
-def _make_usage(usage: _ChunkUsage) -> Usage:
-    details = usage.prompt_tokens_details
-    cached = details.cached_tokens if details else 0
-    return Usage(usage.prompt_tokens, usage.completion_tokens, cached)
