--- a/features/agent/steps/faults.py
+++ b/features/agent/steps/faults.py
@@ -102,7 +102,7 @@
 
 async def repeat_after_forgotten(agent, upstream, req):
     await collect(agent.run(req))
-    agent.answers.keep_s = 0.0
+    agent.feed.answers.keep_s = 0.0
     agent.expire(agent.clock.now())
     return await collect(agent.run(req))
 
