--- a/crocusvalve/bench/cli.py
+++ b/crocusvalve/bench/cli.py
@@ -8,6 +8,7 @@
 from crocusvalve.bench._domain import run_domain
 from crocusvalve.bench._exposure import run_exposure
 from crocusvalve.bench._latency import run_latency
+from crocusvalve.bench._overhead import run_overhead
 from crocusvalve.bench._report import BenchTable, format_table, write_tables
 from crocusvalve.bench._slopes import run_slopes
 
@@ -21,6 +22,7 @@
     "latency": run_latency,
     "cost": run_cost,
     "slopes": run_slopes,
+    "overhead": run_overhead,
 }
 
 
