Streams of answers are read to their own end

Cause: leaving a stream at the answer's end reset it, which the agent's server logged as a failed cancellation each time.

--- a/crocusvalve/entry/_attempts.py
+++ b/crocusvalve/entry/_attempts.py
@@ -102,9 +102,11 @@
 
     async def _feed_all(self, attempt_id: AttemptId, stream: AsyncIterator[RunEvent]) -> bool:
         """Feed events up to the attempt's end; tell whether the end was there."""
+        has_ended = False
         async with aclosing(stream) as events:
+            # Read to the stream's own end: leaving early would reset it at the agent.
             async for event in events:
-                self.feed(attempt_id, event)
-                if not isinstance(event, Frame):
-                    return True
-        return False
+                if not has_ended:
+                    has_ended = not isinstance(event, Frame)
+                    self.feed(attempt_id, event)
+        return has_ended
