--- a/crocusvalve/orders/__init__.py
+++ b/crocusvalve/orders/__init__.py
@@ -11,10 +11,11 @@
 )
 from crocusvalve.orders._events import OrderOutcome, OutcomeKind
 from crocusvalve.orders._fence import OrderFence
-from crocusvalve.orders._flow import OrderFlow, OrderSpec
+from crocusvalve.orders._flow import OrderFlow
 from crocusvalve.orders._guard import GuardRow, OrderGuard
 from crocusvalve.orders._runner import OrderRunner
 from crocusvalve.orders._settler import ClaimSettler
+from crocusvalve.orders._spec import OrderSpec
 
 __all__ = [
     "AttemptRecord",
--- a/crocusvalve/orders/_flow.py
+++ b/crocusvalve/orders/_flow.py
@@ -2,10 +2,9 @@
 
 from enum import Enum
 
-from msgspec import Struct
 from msgspec.structs import replace
 
-from crocusvalve.base import Command, CustomerId, NodeId, Ran, RequestId
+from crocusvalve.base import Command, Ran
 from crocusvalve.exceptions import ErrorCode, InvariantError
 from crocusvalve.orders import _events as ev
 from crocusvalve.orders._claim import (
@@ -26,16 +25,15 @@
     make_replay,
     make_unknown,
 )
+from crocusvalve.orders._spec import OrderSpec, make_open_claim, make_settled_claim
 from crocusvalve.rpc import Refused
 
-__all__ = ["FlowPhase", "OrderFlow", "OrderSpec"]
+__all__ = ["FlowPhase", "OrderFlow"]
 
 STEP = "order"
-TAKEOVER_AFTER_S = 5.0
 STORE_RETRY_S = 2.0
 FENCE_DELAY_S = 0.2
 MAX_FENCES = 5
-MAX_RECORDED_BYTES = 256 * 1024
 #: Refusals that hold on every upstream.
 FINAL_CODES = frozenset(
     code.name
@@ -52,18 +50,6 @@
 )
 
 
-class OrderSpec(Struct, frozen=True, kw_only=True):
-    """A non-idempotent request as its entry admits it."""
-
-    customer_id: CustomerId
-    key: str
-    body_digest: str
-    request_id: RequestId
-    entry_id: NodeId
-    deadline: float
-    max_attempts: int = 3
-
-
 class FlowPhase(Enum):
     """What the flow waits for."""
 
@@ -152,9 +138,9 @@
         self._attempt = attempt
         self.phase = FlowPhase.CLAIMING
         if self.stored is None:
-            return ev.InsertClaim(self._make_claim((attempt,), now))
+            return ev.InsertClaim(make_open_claim(self.spec, (attempt,), now))
         attempts = (*self.stored.claim.attempts, attempt)
-        return ev.UpdateClaim(self._make_claim(attempts, now), self.stored.version)
+        return ev.UpdateClaim(make_open_claim(self.spec, attempts, now), self.stored.version)
 
     def _on_found(self, stored: StoredClaim | None, now: float) -> Command:
         if stored is None:
@@ -198,13 +184,13 @@
         attempts = self.stored.claim.attempts if self.stored else ()
         if self._attempt not in attempts:
             attempts = (*attempts, self._attempt)
-        claim = self._make_claim(attempts, now)
+        claim = make_open_claim(self.spec, attempts, now)
         return self._reply(outcome, replace(claim, state=ClaimState.NOT_RUN, ran=Ran.NOT_RUN))
 
     def _on_settle_failed(self, now: float) -> Command:
         if self._outcome.kind is ev.OutcomeKind.NOT_RUN and self._is_taken_over:
             return self._reply(make_in_progress())
-        return self._reply(self._outcome, self._make_settled(now))
+        return self._reply(self._outcome, make_settled_claim(self.stored.claim, self._outcome, now))
 
     def _on_refused(self, refused: Refused, now: float) -> Command:
         self._last_refused = refused
@@ -284,7 +270,7 @@
             is_replay=not self._is_owner,
         )
         self._outcome = outcome
-        return self._reply(outcome, self._make_settled(now))
+        return self._reply(outcome, make_settled_claim(self.stored.claim, self._outcome, now))
 
     def _end_not_run(self, outcome: ev.OrderOutcome, now: float) -> Command:
         self._outcome = outcome
@@ -296,11 +282,13 @@
         self._outcome = make_unknown(message, ran, peer=self._attempt.upstream_id, crashed=crashed)
         if not self._is_owner and self.stored.claim.state is ClaimState.UNKNOWN:
             return self._reply(self._outcome)
-        return self._reply(self._outcome, self._make_settled(now))
+        return self._reply(self._outcome, make_settled_claim(self.stored.claim, self._outcome, now))
 
     def _settle(self, now: float) -> Command:
         self.phase = FlowPhase.SETTLING
-        return ev.UpdateClaim(self._make_settled(now), self.stored.version)
+        return ev.UpdateClaim(
+            make_settled_claim(self.stored.claim, self._outcome, now), self.stored.version
+        )
 
     def _reply(self, outcome: ev.OrderOutcome, settle: OrderClaim | None = None) -> Command:
         self.phase = FlowPhase.ENDED
@@ -321,37 +309,6 @@
         is_open = claim.state is ClaimState.OPEN and claim.request_id == self.spec.request_id
         return is_open and claim.attempts[-1] == self._attempt
 
-    def _make_claim(self, attempts: tuple[AttemptRecord, ...], now: float) -> OrderClaim:
-        spec = self.spec
-        return OrderClaim(
-            customer_id=spec.customer_id,
-            key=spec.key,
-            body_digest=spec.body_digest,
-            request_id=spec.request_id,
-            owner=spec.entry_id,
-            state=ClaimState.OPEN,
-            attempts=attempts,
-            takeover_at=now + TAKEOVER_AFTER_S,
-            at=now,
-        )
-
-    def _make_settled(self, now: float) -> OrderClaim:
-        states = {
-            ev.OutcomeKind.ANSWERED: ClaimState.DONE,
-            ev.OutcomeKind.NOT_RUN: ClaimState.NOT_RUN,
-            ev.OutcomeKind.UNKNOWN: ClaimState.UNKNOWN,
-        }
-        answer = self._outcome.answer
-        if answer is not None and len(answer.body or b"") > MAX_RECORDED_BYTES:
-            answer = replace(answer, body=None)
-        return replace(
-            self.stored.claim,
-            state=states[self._outcome.kind],
-            ran=self._outcome.ran,
-            answer=answer,
-            at=now,
-        )
-
     def _make_last_outcome(self, refused: Refused | None, now: float) -> ev.OrderOutcome:
         if refused is not None:
             return make_refused_outcome(refused)
--- a/crocusvalve/orders/_runner.py
+++ b/crocusvalve/orders/_runner.py
@@ -11,8 +11,9 @@
 from crocusvalve.exceptions import CrocusvalveError, InvariantError, PlatformError
 from crocusvalve.orders import _events as ev
 from crocusvalve.orders._claim import AttemptRecord, ClaimStore, OrderAnswer
-from crocusvalve.orders._flow import OrderFlow, OrderSpec
+from crocusvalve.orders._flow import OrderFlow
 from crocusvalve.orders._settler import ClaimSettler
+from crocusvalve.orders._spec import OrderSpec
 from crocusvalve.rpc import (
     AgentService,
     ConnectError,
