--- a/crocusvalve/bench/_entry.py
+++ b/crocusvalve/bench/_entry.py
@@ -17,7 +17,7 @@
 from crocusvalve.bench._loop import EventLoop
 from crocusvalve.bench._upstream import FAR_DELAY_S, NEAR_DELAY_S, Attempt, BenchUpstream
 from crocusvalve.config import DocumentView
-from crocusvalve.exceptions import ErrorCode
+from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.limits import FairQueue, check_quota, make_customer_row, should_refuse_early
 from crocusvalve.membership import MembershipSystem, take_report
 from crocusvalve.model import EntryTables, RequestRow, UpstreamRow
@@ -136,9 +136,13 @@
         if should_refuse_early(self.queue, req, self._expect_service_s(req), now) is not None:
             self._finish(req, ErrorCode.OVERLOADED.code, Ran.NOT_RUN)
             return
+        try:
+            dropped = self.queue.push(req)
+        except RefusedError as exc:
+            self._finish(req, exc.code.code, Ran.NOT_RUN)
+            return
         self.prompts[req.request_id] = (prompt, n_out)
         row.in_flight += 1
-        dropped = self.queue.push(req)
         if dropped is not None:
             self._finish(dropped, ErrorCode.OVERLOADED.code, Ran.NOT_RUN)
         self.pump()
