Split the types of the stand-in engine from its model; prove the stand-ins as processes

Change: _engine_types.py; three scenarios that start a stand-in as a process and stop it by SIGTERM.

--- a/crocusvalve/standin/__init__.py
+++ b/crocusvalve/standin/__init__.py
@@ -9,16 +9,16 @@
     FaultRequest,
     StandinEngine,
 )
-from crocusvalve.standin._engine_model import (
+from crocusvalve.standin._engine_model import EngineModel
+from crocusvalve.standin._engine_server import serve_app, serve_engine
+from crocusvalve.standin._engine_types import (
     EngineFaults,
-    EngineModel,
     EngineRefusedError,
     EngineRun,
     EngineRunState,
     EngineSpec,
     VersionSpec,
 )
-from crocusvalve.standin._engine_server import serve_app, serve_engine
 from crocusvalve.standin._plain import PlainCall, PlainFaults, StandinPlainService, serve_plain
 from crocusvalve.standin._platform import MemoryPlatform, PlatformCounters
 from crocusvalve.standin._platform_faults import ALL_CALLS, PlatformFaults, RatingFault
--- a/crocusvalve/standin/_engine.py
+++ b/crocusvalve/standin/_engine.py
@@ -6,16 +6,16 @@
 from msgspec import Struct, structs
 
 from crocusvalve.base import BootId, Priority, UpstreamState, VersionRef
-from crocusvalve.standin._engine_model import (
+from crocusvalve.standin._engine_model import EngineModel
+from crocusvalve.standin._engine_text import make_answer_words, make_quality_mark
+from crocusvalve.standin._engine_types import (
     EngineFaults,
-    EngineModel,
     EngineRefusedError,
     EngineRun,
     EngineRunState,
     EngineSpec,
     VersionSpec,
 )
-from crocusvalve.standin._engine_text import make_answer_words, make_quality_mark
 
 __all__ = [
     "EngineLoad",
--- a/crocusvalve/standin/_engine_server.py
+++ b/crocusvalve/standin/_engine_server.py
@@ -13,7 +13,7 @@
 
 from crocusvalve.base import Priority, UpstreamState, VersionRef
 from crocusvalve.standin._engine import EngineOrder, FaultRequest, StandinEngine
-from crocusvalve.standin._engine_model import EngineRefusedError, EngineRun, EngineRunState
+from crocusvalve.standin._engine_types import EngineRefusedError, EngineRun, EngineRunState
 from crocusvalve.utils import Clock, MonotonicClock
 
 __all__ = ["make_engine_app", "serve_app", "serve_engine"]
--- a/crocusvalve/standin/cli.py
+++ b/crocusvalve/standin/cli.py
@@ -8,8 +8,8 @@
 
 from crocusvalve.base import VersionRef
 from crocusvalve.standin._engine import StandinEngine
-from crocusvalve.standin._engine_model import EngineSpec, VersionSpec
 from crocusvalve.standin._engine_server import serve_engine
+from crocusvalve.standin._engine_types import EngineSpec, VersionSpec
 from crocusvalve.standin._plain import StandinPlainService, serve_plain
 from crocusvalve.utils import MonotonicClock, check_range
 
--- a/features/engine/http.feature
+++ b/features/engine/http.feature
@@ -35,3 +35,13 @@
     When the same order is posted twice with key "k1"
     Then the statuses are 502 and 200
     And key "k1" ran 2 times
+
+  Scenario Outline: A stand-in started as a process says where it listens and stops on SIGTERM
+    Given a process of the stand-in "<call>"
+    Then it prints its address, and SIGTERM ends it with status 0
+
+    Examples:
+      | call                                   |
+      | run_engine(versions=["delta/a@v1"])    |
+      | run_plain()                            |
+      | run_platform()                         |
--- a/features/engine/steps/http_steps.py
+++ b/features/engine/steps/http_steps.py
@@ -1,6 +1,8 @@
 """Steps about the HTTP servers of the stand-in engine and plain service."""
 
 import json
+import subprocess
+import sys
 
 import httpx
 import trio
@@ -134,3 +136,23 @@
 @then('key "{key}" ran {n:d} times')
 def then_ran(context, key, n):
     assert context.service.n_by_key[key] == n
+
+
+@given('a process of the stand-in "{call}"')
+def given_process(context, call):
+    code = f"from crocusvalve.standin.cli import *; {call}"
+    context.process = subprocess.Popen(
+        [sys.executable, "-c", code], stdout=subprocess.PIPE, text=True
+    )
+
+
+@then("it prints its address, and SIGTERM ends it with status {status:d}")
+def then_stops(context, status):
+    try:
+        line = context.process.stdout.readline()
+        assert "listens on http://127.0.0.1:" in line, line
+        context.process.terminate()
+        assert context.process.wait(FAILURE_GUARD_S) == status
+    finally:
+        context.process.kill()
+        context.process.stdout.close()
