Agents serve metrics and take TLS from their settings; one way to serve an application

Cause: an agent's settings named TLS files and a metrics port that its process did not use, and three places opened listeners by themselves. Change: ProcessTls and a metrics application in run_agent; utils.serve_app serves entry, agent and stand-ins.

--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -7,16 +7,21 @@
 
 import trio
 import trio_asyncio
+from prometheus_client import CollectorRegistry
 
 from crocusvalve.agent._http_upstream import HttpUpstream, make_http_client
+from crocusvalve.agent._metrics import make_metrics_app, sample_metrics
 from crocusvalve.agent._order_door import ReadNumber, read_no_number
 from crocusvalve.agent._revisions import RevisionKeeper
 from crocusvalve.agent._service import Agent
 from crocusvalve.answers import AnswerStore
 from crocusvalve.base import DomainId, NodeId, Revision, UpstreamId
 from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.metrics import AgentMetrics
 from crocusvalve.rpc import ConfigAck, Empty, PeerClient, serve_rpc
-from crocusvalve.utils import MonotonicClock
+from crocusvalve.security import RPC_ALPN, ProcessTls, watch_tls
+from crocusvalve.settings import ListenSettings
+from crocusvalve.utils import MonotonicClock, serve_app
 
 __all__ = ["EntryFollower", "run_agent", "serve_agent"]
 
@@ -174,7 +179,7 @@
     keeper : RevisionKeeper
         Holds the newest revision.
     server_tls, client_tls : ssl.SSLContext or None
-        Contexts of the internal connections.
+        Contexts of the internal connections; None takes those of the settings.
     stop : trio.Event or None
         Set by whoever handles the signals.
     read_number : callable
@@ -183,6 +188,10 @@
         Started with the agent and the port in use.
     """
     stop = stop if stop is not None else trio.Event()
+    clock = MonotonicClock()
+    tls = ProcessTls(settings.internal_tls, alpn=RPC_ALPN)
+    server_tls = server_tls or tls.server
+    client_tls = client_tls or tls.client
     follower = EntryFollower(keeper, settings.entries, token=settings.internal_key, tls=client_tls)
     async with (
         trio_asyncio.open_loop(),
@@ -195,13 +204,16 @@
             domain=DomainId(settings.domain),
             upstream=HttpUpstream(settings.upstream_url, http, order_http=order_http),
             keeper=keeper,
-            clock=MonotonicClock(),
+            clock=clock,
             learn_revision=follower.pull,
             read_number=read_number,
             answers=make_answer_store(settings.max_answer_bytes),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follower.follow, agent)
+            nursery.start_soon(watch_tls, (tls,), clock)
+            if settings.metrics.port:
+                await nursery.start(_serve_metrics, agent, settings.metrics)
             port = await nursery.start(
                 lambda task_status: serve_agent(
                     agent,
@@ -217,3 +229,19 @@
             await agent.drain(settings.drain_s)
             follower.close()
             nursery.cancel_scope.cancel()
+
+
+async def _serve_metrics(
+    agent: Agent,
+    listen: ListenSettings,
+    *,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    registry = CollectorRegistry()
+    metrics = AgentMetrics(registry)
+    app = make_metrics_app(
+        registry,
+        lambda: sample_metrics(metrics, agent.tables),
+        lambda: agent.tables.view is not None,
+    )
+    await serve_app(app, listen.host, listen.port, task_status=task_status)
--- a/crocusvalve/entry/__init__.py
+++ b/crocusvalve/entry/__init__.py
@@ -2,7 +2,7 @@
 
 from crocusvalve.entry._core import CoreLimits, EntryCore
 from crocusvalve.entry._policies import Policies
-from crocusvalve.entry._process import EntryPorts, run_entry, serve_http
+from crocusvalve.entry._process import EntryPorts, run_entry
 from crocusvalve.entry._service import Entry
 from crocusvalve.entry._tables import CoreTables
 
@@ -14,5 +14,4 @@
     "EntryPorts",
     "Policies",
     "run_entry",
-    "serve_http",
 ]
--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -3,12 +3,10 @@
 import logging
 import random
 import secrets
-import socket
 import ssl
 
 import trio
 import trio_asyncio
-from hypercorn.trio import serve
 from msgspec import Struct
 from msgspec.structs import replace
 from prometheus_client import CollectorRegistry
@@ -23,14 +21,13 @@
 from crocusvalve.platform import HttpPlatform
 from crocusvalve.rpc import serve_rpc
 from crocusvalve.security import RPC_ALPN, ProcessTls, TlsServerConfig, watch_tls
-from crocusvalve.settings import EntrySettings, ListenSettings
-from crocusvalve.utils import MonotonicClock
+from crocusvalve.settings import EntrySettings
+from crocusvalve.utils import MonotonicClock, serve_app
 
-__all__ = ["EntryPorts", "run_entry", "serve_http"]
+__all__ = ["EntryPorts", "run_entry"]
 
 logger = logging.getLogger(__name__)
 
-LISTEN_BACKLOG = 512
 DRAIN_POLL_S = 0.02
 
 
@@ -41,38 +38,6 @@
     rpc: int
 
 
-def open_listener(listen: ListenSettings) -> socket.socket:
-    """Open a listening socket; port 0 picks a free one."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((listen.host, listen.port))
-    sock.listen(LISTEN_BACKLOG)
-    return sock
-
-
-async def serve_http(
-    app: QuartTrio,
-    listen: ListenSettings,
-    shutdown: trio.Event,
-    *,
-    drain_s: float,
-    tls: ssl.SSLContext | None = None,
-    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve an application until the event is set; started with the port in use."""
-    sock = open_listener(listen)
-    port = sock.getsockname()[1]
-    cfg = TlsServerConfig(tls)
-    cfg.bind = [f"fd://{sock.detach()}"]
-    cfg.accesslog = None
-    cfg.errorlog = None
-    cfg.graceful_timeout = drain_s
-    cfg.keep_alive_timeout = 75
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(lambda: serve(app, cfg, shutdown_trigger=shutdown.wait))
-        task_status.started(port)
-
-
 async def run_entry(
     settings: EntrySettings,
     *,
@@ -136,12 +101,14 @@
     *,
     task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    await serve_http(
+    listen = settings.http
+    await serve_app(
         app,
-        settings.http,
-        closing,
+        listen.host,
+        listen.port,
+        cfg=TlsServerConfig(tls),
         drain_s=settings.drain_s,
-        tls=tls,
+        shutdown=closing,
         task_status=task_status,
     )
 
--- a/crocusvalve/standin/__init__.py
+++ b/crocusvalve/standin/__init__.py
@@ -10,7 +10,7 @@
     StandinEngine,
 )
 from crocusvalve.standin._engine_model import EngineModel
-from crocusvalve.standin._engine_server import serve_app, serve_engine
+from crocusvalve.standin._engine_server import serve_engine
 from crocusvalve.standin._engine_types import (
     EngineFaults,
     EngineRefusedError,
@@ -48,7 +48,6 @@
     "StandinPlainService",
     "VersionSpec",
     "make_platform_app",
-    "serve_app",
     "serve_engine",
     "serve_plain",
     "serve_platform",
--- a/crocusvalve/standin/_engine_server.py
+++ b/crocusvalve/standin/_engine_server.py
@@ -5,8 +5,6 @@
 
 import msgspec
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from msgspec import Struct
 from quart import Response, request
 from quart_trio import QuartTrio
@@ -14,9 +12,9 @@
 from crocusvalve.base import Priority, UpstreamState, VersionRef
 from crocusvalve.standin._engine import EngineOrder, FaultRequest, StandinEngine
 from crocusvalve.standin._engine_types import EngineRefusedError, EngineRun, EngineRunState
-from crocusvalve.utils import Clock, MonotonicClock
+from crocusvalve.utils import Clock, MonotonicClock, serve_app
 
-__all__ = ["make_engine_app", "serve_app", "serve_engine"]
+__all__ = ["make_engine_app", "serve_engine"]
 
 TICK_S = 0.01
 ENDED_STATES = (EngineRunState.DONE, EngineRunState.CANCELLED, EngineRunState.LOST)
@@ -222,23 +220,6 @@
     return app
 
 
-async def serve_app(
-    app: QuartTrio,
-    host: str,
-    port: int,
-    *,
-    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve a web application until cancelled; started with the port in use."""
-    cfg = Config()
-    cfg.bind = [f"{host}:{port}"]
-    cfg.errorlog = None
-    cfg.graceful_timeout = 1.0
-    async with trio.open_nursery() as nursery:
-        binds = await nursery.start(serve, app, cfg)
-        task_status.started(int(binds[0].rsplit(":", 1)[1].rstrip("/")))
-
-
 async def serve_engine(
     engine: StandinEngine,
     host: str = "127.0.0.1",
--- a/crocusvalve/standin/_platform_server.py
+++ b/crocusvalve/standin/_platform_server.py
@@ -1,13 +1,10 @@
 """HTTP server of the stand-in platform."""
 
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from quart import Response, request
 from quart_trio import QuartTrio
 
@@ -15,11 +12,12 @@
 from crocusvalve.platform import _messages as msg
 from crocusvalve.standin._platform import MemoryPlatform
 from crocusvalve.standin._platform_faults import PlatformFaults
+from crocusvalve.utils import serve_app
 
 __all__ = ["make_platform_app", "serve_platform"]
 
 MAX_BODY_BYTES = 64 * 2**20
-LISTEN_BACKLOG = 512
+DRAIN_S = 0.5
 
 
 def make_platform_app(platform: MemoryPlatform) -> QuartTrio:
@@ -52,22 +50,8 @@
     task_status : trio.TaskStatus
         Started with the port in use.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
-    sock.listen(LISTEN_BACKLOG)
-    cfg = Config()
-    cfg.bind = [f"fd://{sock.detach()}"]
-    cfg.loglevel = "WARNING"
-    cfg.accesslog = None
-    cfg.graceful_timeout = 0.5
-    async with trio.open_nursery() as nursery:
-        binds = await nursery.start(_serve_app, make_platform_app(platform), cfg)
-        task_status.started(int(binds[0].rpartition(":")[2]))
-
-
-async def _serve_app(app: QuartTrio, cfg: Config, *, task_status: trio.TaskStatus) -> None:
-    await serve(app, cfg, task_status=task_status)
+    app = make_platform_app(platform)
+    await serve_app(app, host, port, drain_s=DRAIN_S, task_status=task_status)
 
 
 def _make_handlers(
--- a/crocusvalve/utils/__init__.py
+++ b/crocusvalve/utils/__init__.py
@@ -2,6 +2,7 @@
 
 from crocusvalve.utils._clock import Clock, MonotonicClock
 from crocusvalve.utils._digest import compute_digest, hash_key, hash_to_unit
+from crocusvalve.utils._serving import open_listener, serve_app
 from crocusvalve.utils.validation import check_name, check_range, check_type
 
 __all__ = [
@@ -13,4 +14,6 @@
     "compute_digest",
     "hash_key",
     "hash_to_unit",
+    "open_listener",
+    "serve_app",
 ]
