--- a/crocusvalve/durable/__init__.py
+++ b/crocusvalve/durable/__init__.py
@@ -1,12 +1,5 @@
-"""Durable requests and claims of orders: rows, rules and the worker."""
+"""Durable requests: rows, rules and the worker."""
 
-from crocusvalve.durable._claims import (
-    CLAIM_TABLE,
-    Claim,
-    ClaimRecord,
-    ClaimState,
-    ClaimStore,
-)
 from crocusvalve.durable._records import (
     ClaimRow,
     DurableRecord,
@@ -25,15 +18,10 @@
 from crocusvalve.durable._worker import DurableWorker
 
 __all__ = [
-    "CLAIM_TABLE",
     "DURABLE_TABLE",
     "OPEN_TABLE",
     "AcceptedRequest",
-    "Claim",
-    "ClaimRecord",
     "ClaimRow",
-    "ClaimState",
-    "ClaimStore",
     "DurableCounters",
     "DurableRecord",
     "DurableRequest",
