Periodic work of an entry keeps its pace whatever the size

Change: intervals grow with the number of upstreams, entries and VMs; what silence means grows with them; an entry hands out its part of each quota; a rating that did not come is told to the judge.

--- a/crocusvalve/entry/_rollouts.py
+++ b/crocusvalve/entry/_rollouts.py
@@ -10,6 +10,7 @@
 from crocusvalve.config._view import model_of
 from crocusvalve.control import ControllerTask, LeaseKeeper
 from crocusvalve.entry._notice_desk import NoticeDesk
+from crocusvalve.entry._pace import compute_counts_interval_s
 from crocusvalve.entry._publisher import DocumentPublisher
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.exceptions import CrocusvalveError
@@ -34,7 +35,6 @@
 
 ROLLOUT_TABLE = "rollouts"
 COUNTS_TABLE = "rollout_counts"
-FOLLOW_INTERVAL_S = 1.0
 
 
 class RolloutFollower:
@@ -48,13 +48,18 @@
         Takes the rows.
     ledger : RolloutLedger
         This entry's counts.
+    n_entries : int
+        Entries that write counts.
     """
 
-    def __init__(self, store: TableService, tables: CoreTables, ledger: RolloutLedger):
+    def __init__(
+        self, store: TableService, tables: CoreTables, ledger: RolloutLedger, *, n_entries: int = 1
+    ):
         self.store = store
         self.tables = tables
         self.ledger = ledger
         self.write_ids = WriteIdMaker()
+        self.interval_s = compute_counts_interval_s(n_entries)
         self._written: dict[str, RolloutCounts] = {}
 
     async def run(self) -> None:
@@ -64,7 +69,7 @@
                 await self.follow_once()
             except CrocusvalveError as exc:
                 logger.info("roll-outs are not followed: %s", exc)
-            await trio.sleep(FOLLOW_INTERVAL_S)
+            await trio.sleep(self.interval_s)
 
     async def follow_once(self) -> None:
         """Read the rows and write the counts that have changed, where any roll-out is declared."""
--- a/crocusvalve/entry/_runtime.py
+++ b/crocusvalve/entry/_runtime.py
@@ -237,6 +237,7 @@
 
     async def _rate_and_feed(self, cmd: RateAnswer, req: RequestRow) -> None:
         score = await self.rater.rate(req, cmd.version, cmd.answer)
+        self._note_missing(score)
         await self._rate_control(req, cmd.version, cmd.answer)
         self.dispatch(self.core.take_rating(cmd.request_id, score, self.clock.now()))
 
@@ -245,10 +246,15 @@
 
     async def _sample_and_learn(self, cmd: SampleAnswer) -> None:
         score = await self.rater.rate(cmd.req, cmd.version, cmd.answer)
+        self._note_missing(score)
         await self._rate_control(cmd.req, cmd.version, cmd.answer)
         if score is not None:
             self.core.note_rating(cmd.req, cmd.version, score, self.clock.now())
 
+    def _note_missing(self, score: float | None) -> None:
+        if score is None:
+            self.core.policies.estimator.trust.note_missing()
+
     async def _rate_control(self, req: RequestRow, version: VersionRef, answer: bytes) -> None:
         estimator = self.core.policies.estimator
         if not estimator.trust.is_control_due():
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -25,7 +25,7 @@
 from crocusvalve.entry._agents import AgentPool
 from crocusvalve.entry._attempts import AttemptRunner
 from crocusvalve.entry._commands import ShareQuarantine
-from crocusvalve.entry._core import EntryCore
+from crocusvalve.entry._core import CoreLimits, EntryCore
 from crocusvalve.entry._durable_desk import DurableDesk
 from crocusvalve.entry._handle import RequestHandle
 from crocusvalve.entry._notice_desk import NoticeDesk
@@ -41,6 +41,7 @@
 from crocusvalve.entry._vm_list import VmListFollower
 from crocusvalve.entry.base import DurableStatus, EntryService
 from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.limits import compute_quota_share
 from crocusvalve.membership import MembershipSystem, NoticeTable
 from crocusvalve.metrics import EntryMetrics
 from crocusvalve.model import RequestRow
@@ -126,6 +127,7 @@
             boot_id=boot_id,
         )
         self.core = EntryCore(tables=self.tables, policies=policies, node_id=node_id)
+        self.core.limits = CoreLimits(quota_share=compute_quota_share(1 + len(settings.peers)))
         self.runner = AttemptRunner(pool=self.pool, feed=self._feed, clock=clock)
         self.runtime = EntryRuntime(
             core=self.core,
@@ -168,7 +170,9 @@
             clock=clock,
             random_state=random_state,
         )
-        self.rollouts = RolloutFollower(platform, self.tables, policies.ledger)
+        self.rollouts = RolloutFollower(
+            platform, self.tables, policies.ledger, n_entries=1 + len(settings.peers)
+        )
         self.vm_list = VmListFollower(platform, self.tables, clock=clock)
         self.controller = self._make_controller(node_id)
         self.admin = EntryAdmin(
--- a/crocusvalve/entry/_upstreams.py
+++ b/crocusvalve/entry/_upstreams.py
@@ -10,6 +10,7 @@
 from crocusvalve.control import ConfigKeeper
 from crocusvalve.entry._agents import AgentPool
 from crocusvalve.entry._config_sync import push_revision
+from crocusvalve.entry._pace import compute_report_interval_s, compute_silence_s
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.exceptions import CrocusvalveError
 from crocusvalve.membership import MembershipSystem, take_report
@@ -20,11 +21,11 @@
 
 logger = logging.getLogger(__name__)
 
-REPORT_INTERVAL_S = 0.5
+MATCH_INTERVAL_S = 0.5
 REPORT_TIMEOUT_S = 1.0
-#: Silence after which the streams of an agent are broken off.
-SILENCE_S = 2.5
 BILLS_INTERVAL_S = 5.0
+#: Silence after which an upstream counts as down, at least.
+EXPIRY_S = 5.0
 
 
 class UpstreamWatcher:
@@ -48,8 +49,6 @@
         Takes the crashes that an agent reports.
     greet_agent : callable
         Called with the address of an agent of which a new run is heard.
-    report_interval_s : float
-        Delay between two reports of one agent, in seconds.
     """
 
     def __init__(
@@ -63,7 +62,6 @@
         clock: Clock,
         note_crashes: Callable[[UpstreamId, Sequence[CrashRecord]], None],
         greet_agent: Callable[[str], None],
-        report_interval_s: float = REPORT_INTERVAL_S,
     ):
         self.tables = tables
         self.pool = pool
@@ -73,7 +71,7 @@
         self.clock = clock
         self.note_crashes = note_crashes
         self.greet_agent = greet_agent
-        self.report_interval_s = report_interval_s
+        self.report_interval_s = compute_report_interval_s(0)
         self._watched: dict[UpstreamId, trio.CancelScope] = {}
         self._heard_at: dict[UpstreamId, float] = {}
 
@@ -82,12 +80,13 @@
         async with trio.open_nursery() as nursery:
             while True:
                 self._match_watchers(nursery)
-                await trio.sleep(self.report_interval_s)
+                await trio.sleep(MATCH_INTERVAL_S)
 
     def _match_watchers(self, nursery: trio.Nursery) -> None:
         # Silent upstreams are asked by their own watcher, so that no other probe is needed.
         self.membership.run(self.tables, self.clock.now())
         wanted = {ref for ref, row in self.tables.upstreams.items() if row.in_subset}
+        self._pace(len(wanted))
         for upstream_id in wanted - self._watched.keys():
             scope = trio.CancelScope()
             self._watched[upstream_id] = scope
@@ -96,6 +95,11 @@
             self._watched.pop(upstream_id).cancel()
         self.pool.retain({row.agent for row in self.tables.upstreams.values()})
 
+    def _pace(self, n_upstreams: int) -> None:
+        self.report_interval_s = compute_report_interval_s(n_upstreams)
+        silence_s = compute_silence_s(self.report_interval_s)
+        self.membership.expiry_s = max(EXPIRY_S, silence_s)
+
     async def _watch(self, upstream_id: UpstreamId, scope: trio.CancelScope) -> None:
         bills_at = self.clock.now()
         self._heard_at[upstream_id] = self.clock.now()
@@ -138,7 +142,7 @@
     def _note_silence(self, upstream_id: UpstreamId, exc: Exception) -> None:
         row = self.tables.upstreams.get(upstream_id)
         silence_s = self.clock.now() - self._heard_at[upstream_id]
-        if row is not None and silence_s > SILENCE_S:
+        if row is not None and silence_s > compute_silence_s(self.report_interval_s):
             logger.info("agent of %s silent for %.1f s: %s", upstream_id, silence_s, exc)
             self.pool.break_streams(row.agent)
 
--- a/crocusvalve/entry/_vm_list.py
+++ b/crocusvalve/entry/_vm_list.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from crocusvalve.entry._pace import compute_list_interval_s
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.exceptions import CrocusvalveError
 from crocusvalve.membership import VmStatus, take_vm_list
@@ -14,8 +15,6 @@
 
 logger = logging.getLogger(__name__)
 
-LIST_INTERVAL_S = 5.0
-
 
 class VmListFollower:
     """Reads the list of VMs and merges it as a hint.
@@ -37,16 +36,18 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        n_vms = 0
         while True:
             try:
-                await self.follow_once()
+                n_vms = await self.follow_once()
             except CrocusvalveError as exc:
                 logger.info("list of VMs not read: %s", exc)
-            await trio.sleep(LIST_INTERVAL_S)
+            await trio.sleep(compute_list_interval_s(n_vms))
 
-    async def follow_once(self) -> None:
-        """Read the list once."""
+    async def follow_once(self) -> int:
+        """Read the list once; return the number of VMs in it."""
         listed_at = self.clock.now()
         vms = await self.directory.list_vms()
         statuses = [VmStatus(vm.address, vm.state is VmState.LEAVING) for vm in vms]
         take_vm_list(self.tables, statuses, listed_at, self.clock.now())
+        return len(vms)
--- a/crocusvalve/limits/__init__.py
+++ b/crocusvalve/limits/__init__.py
@@ -2,6 +2,12 @@
 
 from crocusvalve.limits._early import should_refuse_early
 from crocusvalve.limits._queue import FairQueue
-from crocusvalve.limits._quota import check_quota, make_customer_row
+from crocusvalve.limits._quota import check_quota, compute_quota_share, make_customer_row
 
-__all__ = ["FairQueue", "check_quota", "make_customer_row", "should_refuse_early"]
+__all__ = [
+    "FairQueue",
+    "check_quota",
+    "compute_quota_share",
+    "make_customer_row",
+    "should_refuse_early",
+]
--- a/crocusvalve/limits/_quota.py
+++ b/crocusvalve/limits/_quota.py
@@ -3,11 +3,21 @@
 from crocusvalve.config import CustomerConfig
 from crocusvalve.model import CustomerRow
 
-__all__ = ["check_quota", "make_customer_row"]
+__all__ = ["check_quota", "compute_quota_share", "make_customer_row"]
 
 #: When a customer at its bound on requests under way may come back.
 IN_FLIGHT_RETRY_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
+UNEVENNESS = 1.5
+
+
+def compute_quota_share(n_entries: int) -> float:
+    """Return the part of each quota that one of several equal entries hands out.
+
+    The balancer spreads a customer's requests unevenly, so each entry hands out more than its even
+    part; all together hand out at most ``UNEVENNESS`` quotas.
+    """
+    return min(1.0, UNEVENNESS / max(1, n_entries))
 
 
 def make_customer_row(customer_id: str, cfg: CustomerConfig, now: float) -> CustomerRow:
