News between entries goes to a few peers

Change: a revision and another's notice go to 4 random peers, an own notice to all; the head row is still polled, so a missed push costs a second.

--- a/crocusvalve/entry/_notice_desk.py
+++ b/crocusvalve/entry/_notice_desk.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from functools import partial
 
 import trio
 from msgspec import Struct
@@ -174,7 +175,8 @@
     def _spread(self, notice: Notice) -> None:
         if self._nursery is None:
             return
-        self._nursery.start_soon(self.peers.notify_all, notice)
+        is_own = notice.issuer == self.node_id
+        self._nursery.start_soon(partial(self.peers.notify, notice, is_own=is_own))
         for row in self.tables.upstreams.values():
             if row.in_subset:
                 self._nursery.start_soon(self._notify_agent, row.agent, notice)
--- a/crocusvalve/entry/_peers.py
+++ b/crocusvalve/entry/_peers.py
@@ -1,5 +1,6 @@
 """The other entries: clients, and what this entry tells them."""
 
+import random
 import ssl
 
 import trio
@@ -12,6 +13,9 @@
 
 __all__ = ["PeerGroup"]
 
+#: Peers that an entry passes news on to.
+FAN_OUT = 4
+
 
 class PeerGroup:
     """Clients of the other entries.
@@ -20,6 +24,8 @@
     ----------
     addresses : tuple of str
         Internal addresses, ``HOST:PORT``.
+    random_state : random.Random
+        Source of the choice of peers.
     token : str
         Internal key.
     tls : ssl.SSLContext or None
@@ -27,17 +33,23 @@
     """
 
     def __init__(
-        self, addresses: tuple[str, ...], *, token: str = "", tls: ssl.SSLContext | None = None
+        self,
+        addresses: tuple[str, ...],
+        *,
+        random_state: random.Random,
+        token: str = "",
+        tls: ssl.SSLContext | None = None,
     ):
         self.addresses = addresses
+        self.random_state = random_state
         self.token = token
         self.tls = tls
         self._clients: dict[str, PeerClient] = {}
         self._revisions: dict[str, Revision] = {}
 
     def list_clients(self) -> list[PeerClient]:
-        """Return a client for each peer; must be called inside ``trio_asyncio.open_loop()``."""
-        return [self._get(address) for address in self.addresses]
+        """Return clients of a few peers; must be called inside ``trio_asyncio.open_loop()``."""
+        return [self._get(address) for address in self._choose()]
 
     def _get(self, address: str) -> PeerClient:
         client = self._clients.get(address)
@@ -46,10 +58,15 @@
             self._clients[address] = client
         return client
 
-    async def push_to_all(self, keeper: ConfigKeeper) -> None:
-        """Pass the newest revision to all peers at once."""
+    def _choose(self) -> list[str]:
+        """Choose a few peers at random, so that what each passes on reaches all in a few steps."""
+        n_chosen = min(FAN_OUT, len(self.addresses))
+        return self.random_state.sample(self.addresses, n_chosen)
+
+    async def push_to_some(self, keeper: ConfigKeeper) -> None:
+        """Pass the newest revision to a few peers, which pass it on."""
         async with trio.open_nursery() as nursery:
-            for address in self.addresses:
+            for address in self._choose():
                 nursery.start_soon(self._push, keeper, address)
 
     async def _push(self, keeper: ConfigKeeper, address: str) -> None:
@@ -58,10 +75,10 @@
         base = have or Revision(keeper.revision - 1)
         self._revisions[address] = await push_revision(keeper, self._get(address), base)
 
-    async def notify_all(self, notice: Notice) -> None:
-        """Pass a notice to all peers at once."""
+    async def notify(self, notice: Notice, *, is_own: bool) -> None:
+        """Pass a notice on: an own one to all peers, another's to a few."""
         async with trio.open_nursery() as nursery:
-            for address in self.addresses:
+            for address in self.addresses if is_own else self._choose():
                 nursery.start_soon(self._notify, address, notice)
 
     async def _notify(self, address: str, notice: Notice) -> None:
@@ -72,10 +89,10 @@
             return
 
     async def fetch_notices(self) -> list[Notice]:
-        """Return what the peers that answer have in force."""
+        """Return what a few peers have in force."""
         notices: list[Notice] = []
         async with trio.open_nursery() as nursery:
-            for address in self.addresses:
+            for address in self._choose():
                 nursery.start_soon(self._fetch, address, notices)
         return notices
 
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -111,7 +111,12 @@
             platform, self.outbox, node_id=node_id, boot_id=boot_id, clock=clock
         )
         self.pool = AgentPool(token=settings.internal_key, tls=client_tls)
-        self.peers = PeerGroup(settings.peers, token=settings.internal_key, tls=client_tls)
+        self.peers = PeerGroup(
+            settings.peers,
+            random_state=random_state,
+            token=settings.internal_key,
+            tls=client_tls,
+        )
         self.follower = ConfigFollower(
             self.store,
             self.keeper,
@@ -243,7 +248,7 @@
         self.notices.supersede()
         if self._nursery is not None:
             self._nursery.start_soon(self.watcher.push_to_all)
-            self._nursery.start_soon(self.peers.push_to_all, self.keeper)
+            self._nursery.start_soon(self.peers.push_to_some, self.keeper)
 
     def _acknowledge_bills(self, bills: list[BillRecord]) -> None:
         if self._nursery is not None:
