--- a/features/processes/steps/_cluster.py
+++ b/features/processes/steps/_cluster.py
@@ -10,9 +10,9 @@
 from pathlib import Path
 
 import httpx
+import trustme
 
 from crocusvalve.config import parse_document
-from crocusvalve.control import fetch_from_peers  # noqa: F401  (checks that the package imports)
 from crocusvalve.utils import hash_key
 
 HOST = "127.0.0.1"
@@ -138,18 +138,40 @@
 class Cluster:
     """Platform, two engines, two plain services, their agents and two entries."""
 
-    def __init__(self):
+    def __init__(self, *, has_tls=False):
         self.dir = tempfile.TemporaryDirectory()
+        self.scheme = "https" if has_tls else "http"
+        self.tls = self._make_tls() if has_tls else None
         self.procs = {}
         self.urls = {}
         names = ["platform", "http-0", "rpc-0", "http-1", "rpc-1"]
         names += [f"{kind}-{i}{part}" for kind in ("engine", "plain") for i in (0, 1)
                   for part in ("", "-agent")]  # fmt: skip
         self.ports = dict(zip(names, find_ports(len(names)), strict=True))
-        self.client = httpx.Client(timeout=60.0, trust_env=False)
+        verify = self.tls["ca"] if has_tls else True
+        self.client = httpx.Client(timeout=60.0, trust_env=False, verify=verify)
+
+    def _make_tls(self):
+        """Write a private authority and one certificate; return their paths."""
+        authority = trustme.CA()
+        cert = authority.issue_cert(HOST)
+        paths = {name: str(Path(self.dir.name) / f"{name}.pem") for name in ("ca", "cert", "key")}
+        authority.cert_pem.write_to_path(paths["ca"])
+        cert.cert_chain_pems[0].write_to_path(paths["cert"])
+        cert.private_key_pem.write_to_path(paths["key"])
+        return paths
+
+    def _add_tls(self, text, *sections):
+        if self.tls is None:
+            return text
+        for section in sections:
+            names = ("cert", "key", "ca") if section == "internal_tls" else ("cert", "key")
+            text += f"\n[{section}]\n" + "".join(f'{n} = "{self.tls[n]}"\n' for n in names)
+        return text
 
     def url(self, name):
-        return f"http://{HOST}:{self.ports[name]}"
+        scheme = self.scheme if name.startswith("http-") else "http"
+        return f"{scheme}://{HOST}:{self.ports[name]}"
 
     def start(self):
         """Start everything and wait until both entries see all upstreams."""
@@ -184,7 +206,11 @@
             internal=INTERNAL_KEY,
             port=self.ports[f"{name}-agent"],
         )
-        self._run(f"agent-{name}", "agent", self._write(f"agent-{name}.toml", text))
+        self._run(
+            f"agent-{name}",
+            "agent",
+            self._write(f"agent-{name}.toml", self._add_tls(text, "internal_tls")),
+        )
 
     def start_entry(self, index):
         text = ENTRY.format(
@@ -196,6 +222,7 @@
             rpc=self.ports[f"rpc-{index}"],
             platform=self.url("platform"),
         )
+        text = self._add_tls(text, "tls", "internal_tls")
         self._run(f"entry-{index}", "entry", self._write(f"entry-{index}.toml", text))
 
     def _init_config(self):
--- a/features/processes/steps/process_steps.py
+++ b/features/processes/steps/process_steps.py
@@ -110,6 +110,32 @@
     context.responses = []
 
 
+@given("the same processes with TLS for callers and between them")
+def given_tls_cluster(context):
+    context.cluster = Cluster(has_tls=True)
+    context.add_cleanup(context.cluster.close)
+    context.cluster.start()
+    context.calls = Processes(context)
+    context.responses = []
+
+
+@then("a caller without TLS is not answered")
+def then_no_plain(context):
+    url = context.cluster.url("http-0").replace("https", "http") + "/healthz"
+    try:
+        response = httpx.get(url, trust_env=False)
+    except httpx.HTTPError:
+        return
+    assert response.status_code != 200, response.text
+
+
+@then("the metrics of entry {entry:d} count {n:d} answered request")
+def then_metrics(context, entry, n):
+    text = context.cluster.client.get(context.cluster.url(f"http-{entry}") + "/metrics").text
+    lines = [ln for ln in text.splitlines() if "request_seconds_count" in ln and "answer" in ln]
+    assert sum(float(line.rpartition(" ")[2]) for line in lines) == n, lines or text[:2000]
+
+
 @when("a chat request is sent to entry {entry:d}")
 def when_chat(context, entry):
     context.responses.append(context.calls.chat(entry))
--- /dev/null
+++ b/features/processes/tls.feature
@@ -0,0 +1,9 @@
+Feature: TLS for callers and between processes
+
+  Scenario: All connections of callers and processes run over TLS
+    Given the same processes with TLS for callers and between them
+    When a chat request is sent to entry 0
+    And a streamed chat request is sent to entry 1
+    Then all were answered whole
+    And a caller without TLS is not answered
+    And the metrics of entry 0 count 1 answered request
