Stand-in ratings follow the answer and its prompt; a bad version is withdrawn across a killed controller

Cause: the stand-in rated by version alone, so control answers scored like real ones and entries rightly stopped trusting the service; no process scenario held a roll-out. Change: the engine's mark names its prompt, the platform rates by the mark; a scenario kills the controller in the middle of a roll-out of a bad version.

--- a/crocusvalve/demo/_world.py
+++ b/crocusvalve/demo/_world.py
@@ -196,9 +196,6 @@
     async def _publish(self) -> None:
         store = ConfigStore(self.platform, self.platform)
         await store.publish(Revision(0), self.document, "demo", self.clock.now())
-        view = DocumentView(self.document, Revision(0))
-        for version, cfg in view.versions.items():
-            self.platform.ratings[version] = cfg.quality_prior
 
     async def _start_entry(self, entries: trio.Nursery, index: int) -> None:
         settings = self._make_entry_settings(index)
--- a/crocusvalve/standin/_engine.py
+++ b/crocusvalve/standin/_engine.py
@@ -186,7 +186,7 @@
         """Return the text of a run from a token on; token 0 is the quality mark."""
         if start >= run.n_out:
             return ""
-        mark = f"{make_quality_mark(run.version, run.quality)} " if start == 0 else ""
+        mark = f"{make_quality_mark(run.version, run.quality, run.prompt)} " if start == 0 else ""
         first = max(1, start)
         n_words = run.n_out - first
         return mark + make_answer_words(self.random_state, run.version, run.prompt, first, n_words)
--- a/crocusvalve/standin/_engine_text.py
+++ b/crocusvalve/standin/_engine_text.py
@@ -1,10 +1,21 @@
 """Deterministic answer text of the stand-in engine."""
 
+import re
+
 import xxhash
+from msgspec import Struct
 
 from crocusvalve.base import VersionRef
 
-__all__ = ["make_answer_words", "make_quality_mark"]
+__all__ = [
+    "QualityMark",
+    "compute_prompt_mark",
+    "make_answer_words",
+    "make_quality_mark",
+    "read_quality_mark",
+]
+
+MARK_PATTERN = re.compile(r"\[[^|\]]*\|q=([0-9.]+)\|p=([0-9a-f]{8})\]")
 
 WORDS = (
     "soil moisture probe canal sluice pump level reading field delta season rice district flow "
@@ -13,9 +24,27 @@
 ).split()
 
 
-def make_quality_mark(version: VersionRef, quality: float) -> str:
+class QualityMark(Struct, frozen=True):
+    """What the first word of an answer tells: its quality in [0, 1] and the mark of its prompt."""
+
+    quality: float
+    prompt_mark: str
+
+
+def compute_prompt_mark(prompt: str) -> str:
+    """Return eight hexadecimal digits that tell prompts apart."""
+    return f"{xxhash.xxh3_64_intdigest(prompt.encode()):016x}"[:8]
+
+
+def make_quality_mark(version: VersionRef, quality: float, prompt: str) -> str:
     """Return the first word of an answer; the stand-in rating service reads the quality from it."""
-    return f"[{version}|q={quality:.3f}]"
+    return f"[{version}|q={quality:.3f}|p={compute_prompt_mark(prompt)}]"
+
+
+def read_quality_mark(answer: str) -> QualityMark | None:
+    """Return the mark that an answer begins with, or None."""
+    match = MARK_PATTERN.match(answer)
+    return QualityMark(float(match[1]), match[2]) if match else None
 
 
 def make_answer_words(seed: int, version: VersionRef, prompt: str, start: int, n: int) -> str:
--- a/crocusvalve/standin/_platform.py
+++ b/crocusvalve/standin/_platform.py
@@ -25,6 +25,7 @@
     WriteState,
 )
 from crocusvalve.standin._platform_faults import PlatformFaults, RatingFault
+from crocusvalve.standin._rating import rate_answer
 from crocusvalve.utils import Clock, MonotonicClock
 
 __all__ = ["MemoryPlatform", "PlatformCounters"]
@@ -140,11 +141,13 @@
         return list(seen[-1].vms)
 
     async def rate(self, req: RatingRequest) -> Rating:
-        """Rate an answer by its version."""
+        """Rate an answer by its mark, else by its version."""
         await self._enter("rate")
         if self.faults.ratings is RatingFault.STOPPED:
             raise PlatformError("ratings stopped", step="rate")
-        score = self.ratings.get(req.version, DEFAULT_RATING)
+        score = rate_answer(req.prompt, req.answer)
+        if score is None:
+            score = self.ratings.get(req.version, DEFAULT_RATING)
         if self.faults.ratings is RatingFault.LYING:
             score = 1.0 - score
         return Rating(score)
--- a/features/processes/steps/_cluster.py
+++ b/features/processes/steps/_cluster.py
@@ -52,6 +52,9 @@
 key_sha256 = "{customer}"
 allowed = ["small"]
 classes = ["answer", "lookup", "durable", "order"]
+quality_target = 0.5
+rate_per_s = 500.0
+burst = 1000
 [members.delta.classes.answer]
 kind = "answer"
 deadline_s = 30.0
--- a/features/processes/steps/process_steps.py
+++ b/features/processes/steps/process_steps.py
@@ -7,9 +7,14 @@
 from pathlib import Path
 
 import httpx
+import msgspec
 import openai
+import trio
 from behave import given, then, when
 
+from crocusvalve.control import LeaseRecord
+from crocusvalve.platform import HttpPlatform
+
 sys.path.insert(0, str(Path(__file__).parent))
 
 from _cluster import (  # noqa: E402
@@ -694,3 +699,60 @@
         assert exc.code == "model_not_found", exc
     else:
         raise AssertionError("an unknown model was answered")
+
+
+@given('the engines answer badly with version "{version}"')
+def given_bad_version(context, version):
+    for name in ("engine-0", "engine-1"):
+        context.cluster.set_faults(name, bad_versions={f"delta/small@{version}": 0.1})
+
+
+@when('a roll-out of version "{version}" is started')
+def when_rollout(context, version):
+    body = {"model": "small", "version": version, "stages": [0.3, 1.0], "stage_s": 2.0}
+    reply = context.cluster.call_admin(0, "POST", "/rollouts", json=body)
+    assert reply.status_code == 200, reply.text
+
+
+def answer_version(context, entry):
+    response = context.calls.chat(entry, max_tokens=4)
+    assert response.status_code == 200, response.text
+    return response.headers["X-Crocusvalve-Version"].partition("@")[2]
+
+
+@when('chat requests are sent until version "{version}" has answered {n:d} of them')
+def when_contacts(context, version, n):
+    seen = []
+
+    def send():
+        seen.append(answer_version(context, 0) == version)
+        return sum(seen) >= n
+
+    wait_until(send, f"{n} answers of {version}")
+
+
+@when("the entry that holds the controller's lease is killed")
+def when_controller_killed(context):
+    async def read_holder():
+        async with HttpPlatform(context.cluster.url("platform")) as platform:
+            row = await platform.get("leases", "controller")
+            return msgspec.msgpack.decode(row.value, type=LeaseRecord).holder
+
+    holder = trio.run(read_holder).partition("/")[0]
+    context.cluster.kill(holder)
+    context.other = 1 - int(holder[-1])
+
+
+@then('chat requests are sent to the other entry until version "{version}" is withdrawn')
+def then_rollout_withdrawn(context, version):
+    def is_withdrawn():
+        answer_version(context, context.other)
+        reply = context.cluster.call_admin(context.other, "GET", "/rollouts").json()
+        return any(row.get("state") == "withdrawn" for row in reply["rollouts"])
+
+    wait_until(is_withdrawn, "the version is withdrawn")
+
+
+@then('from then on no chat request is answered by version "{version}"')
+def then_no_answers(context, version):
+    assert all(answer_version(context, context.other) != version for _ in range(20))
