--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -6,31 +6,25 @@
     Command,
     Ran,
     RequestId,
-    RequestState,
     VersionRef,
 )
 from crocusvalve.billing import add_usage, compute_cost
-from crocusvalve.config._view import model_of
 from crocusvalve.entry._commands import (
-    AnswerSummary,
-    CancelAttempt,
     Deliver,
-    Finish,
     RateAnswer,
-    Refuse,
     ResumeAttempt,
-    SampleAnswer,
     ShareQuarantine,
 )
+from crocusvalve.entry._endings import RequestEndings, combine_ran
 from crocusvalve.entry._policies import Policies
-from crocusvalve.entry._tables import CoreTables, HeldAnswer, ProgressRow
+from crocusvalve.entry._tables import CoreTables, HeldAnswer
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.model import AttemptRow, RequestRow
 from crocusvalve.retry import RetryAction, RetryDecision
-from crocusvalve.routing import note_end, note_failure, note_full, note_success
+from crocusvalve.routing import note_failure, note_full, note_success
 from crocusvalve.rpc import Final, Frame, Refused, RunEvent
 
-__all__ = ["OutcomeSystem", "combine_ran"]
+__all__ = ["OutcomeSystem"]
 
 #: Failures that tell nothing of the upstream's health.
 HEALTHY_CODES = frozenset(
@@ -47,12 +41,6 @@
         ErrorCode.CRASHES_UPSTREAMS.name,
     }
 )
-RAN_ORDER = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)
-
-
-def combine_ran(first: Ran, second: Ran) -> Ran:
-    """Combine what is known of two attempts: RAN goes before UNKNOWN before NOT_RUN."""
-    return max(first, second, key=RAN_ORDER.index)
 
 
 class OutcomeSystem:
@@ -62,10 +50,13 @@
     ----------
     policies : Policies
         Policies by subject.
+    endings : RequestEndings
+        Ends requests and attempts.
     """
 
-    def __init__(self, policies: Policies):
+    def __init__(self, policies: Policies, endings: RequestEndings):
         self.policies = policies
+        self.endings = endings
 
     def take_event(
         self, tables: CoreTables, attempt_id: AttemptId, event: RunEvent, now: float
@@ -99,7 +90,7 @@
         others = [
             ref for ref in tables.attempts_of[attempt.request_id] if ref != attempt.attempt_id
         ]
-        return [self._cancel(tables, ref, now) for ref in others]
+        return [self.endings.cancel(tables, ref, now) for ref in others]
 
     def _take_frame(
         self, tables: CoreTables, attempt: AttemptRow, frame: Frame, now: float
@@ -127,7 +118,7 @@
             return []
         req = tables.requests[attempt.request_id]
         progress = tables.progress[attempt.request_id]
-        self._end_attempt(tables, attempt, now, is_success=True)
+        self.endings.end_attempt(tables, attempt, now, is_success=True)
         row = tables.upstreams.get(attempt.upstream_id)
         if row is not None:
             note_success(row, final.service_s, now)
@@ -152,7 +143,7 @@
             answer = b"".join(progress.held.data)
             rate = RateAnswer(req.request_id, progress.held.attempt_id, attempt.version, answer)
             return [*commands, rate]
-        return commands + self.deliver_held(tables, req, now)
+        return commands + self.endings.deliver_held(tables, req, now)
 
     @staticmethod
     def _has_next_step(req: RequestRow) -> bool:
@@ -172,52 +163,12 @@
         if score is not None:
             self.policies.note_rating(tables, req, version, score, now)
         if not self.policies.should_escalate(tables, req, version, score, now):
-            return self.deliver_held(tables, req, now)
+            return self.endings.deliver_held(tables, req, now)
         req.step += 1
         req.avoid.clear()
-        self.requeue(tables, req, now)
+        self.endings.requeue(tables, req, now)
         return []
 
-    def deliver_held(self, tables: CoreTables, req: RequestRow, now: float) -> list[Command]:
-        """Deliver a whole answer and end the request; the bill is made by the shell."""
-        progress = tables.progress[req.request_id]
-        held = progress.held
-        commands = self.cancel_attempts(tables, req.request_id, now)
-        data = b"".join(held.data)
-        if data:
-            commands.append(
-                Deliver(req.request_id, VersionRef(held.version), held.upstream_id, data)
-            )
-        commands.append(Finish(req.request_id, self._make_summary(req, progress, held)))
-        commands += self._sample(tables, req, progress, data)
-        req.state = RequestState.DONE
-        self.forget(tables, req)
-        return commands
-
-    def _sample(
-        self, tables: CoreTables, req: RequestRow, progress: ProgressRow, data: bytes
-    ) -> list[Command]:
-        version = VersionRef(progress.held.version)
-        # An answer of a cascade's earlier step has been rated already.
-        if req.step or not self.policies.should_sample(tables, req, version):
-            return []
-        return [SampleAnswer(req, version, b"".join(progress.sample) + data)]
-
-    @staticmethod
-    def _make_summary(req: RequestRow, progress: ProgressRow, held: HeldAnswer) -> AnswerSummary:
-        return AnswerSummary(
-            request_id=req.request_id,
-            model=model_of(VersionRef(held.version)),
-            version=VersionRef(held.version),
-            upstream_id=held.upstream_id,
-            usage=progress.usage,
-            cost=req.cost,
-            n_attempts=req.n_attempts,
-            finish_reason=held.finish_reason,
-            status=held.status,
-            content_type=held.content_type,
-        )
-
     def _take_refused(
         self, tables: CoreTables, attempt: AttemptRow, refused: Refused, now: float
     ) -> list[Command]:
@@ -227,15 +178,15 @@
         progress.ran = combine_ran(progress.ran, refused.ran)
         others = [ref for ref in tables.attempts_of[req.request_id] if ref != attempt.attempt_id]
         if others and progress.leader != attempt.attempt_id:
-            self._end_attempt(tables, attempt, now, is_crash=refused.crashed)
+            self.endings.end_attempt(tables, attempt, now, is_crash=refused.crashed)
             return commands
         decision = self.policies.retry.decide(req, refused, now)
         if decision.action is RetryAction.RESUME:
             return [*commands, self._resume(tables, attempt, decision)]
         if refused.ran is Ran.UNKNOWN:
             # The agent may go on with an attempt whose stream broke, and bill it.
-            commands.append(self._make_cancel(tables, attempt))
-        self._end_attempt(tables, attempt, now, is_crash=refused.crashed)
+            commands.append(self.endings.make_cancel(tables, attempt))
+        self.endings.end_attempt(tables, attempt, now, is_crash=refused.crashed)
         progress.leader = None
         progress.buffer = []
         is_banned = self.policies.get_quarantine(tables).is_banned(req.digest)
@@ -290,26 +241,7 @@
         if not decision.is_redirect or refused.code == ErrorCode.UPSTREAM_DOWN.name:
             req.avoid.add(attempt.upstream_id)
         req.not_before = decision.not_before
-        self.requeue(tables, req, now)
-
-    def end_order_attempt(
-        self, tables: CoreTables, attempt_id: AttemptId, service_s: float | None, now: float
-    ) -> None:
-        """Count the end of an order's attempt; ``service_s`` is None where it failed."""
-        attempt = tables.attempts.get(attempt_id)
-        if attempt is None:
-            return
-        row = tables.upstreams.get(attempt.upstream_id)
-        if row is not None and service_s is not None:
-            note_success(row, service_s, now)
-        self._end_attempt(tables, attempt, now, is_success=service_s is not None)
-
-    def requeue(self, tables: CoreTables, req: RequestRow, now: float) -> None:
-        """Queue a request for its next attempt."""
-        cfg = tables.view.customers.get(req.customer_id)
-        req.state = RequestState.QUEUED
-        tables.progress[req.request_id].had_candidates_at = now
-        tables.queue.push(req, weight=cfg.cfg.weight if cfg else 1.0)
+        self.endings.requeue(tables, req, now)
 
     def _give_up(
         self,
@@ -330,79 +262,7 @@
             ran=decision.ran,
             retry_after_s=decision.retry_after_s,
         )
-        return self.give_up(tables, req, error, now)
-
-    def give_up(
-        self, tables: CoreTables, req: RequestRow, error: RefusedError, now: float
-    ) -> list[Command]:
-        """End a request with a cheaper model's whole answer where it is held, else refuse it."""
-        progress = tables.progress[req.request_id]
-        if progress.held is not None and req.n_frames_out == 0:
-            return self.deliver_held(tables, req, now)
-        return self.refuse(tables, req, error)
-
-    def refuse(self, tables: CoreTables, req: RequestRow, error: RefusedError) -> list[Command]:
-        """End a request without an answer; the caller is told at once.
-
-        Whatever the last error says, "not run" is told only where no attempt may have run.
-        """
-        progress = tables.progress[req.request_id]
-        error.ran = combine_ran(progress.ran, error.ran)
-        req.state = RequestState.REFUSED
-        self.forget(tables, req)
-        return [Refuse(req.request_id, error)]
-
-    def cancel_attempts(
-        self, tables: CoreTables, request_id: RequestId, now: float
-    ) -> list[Command]:
-        """Cancel all attempts of a request."""
-        attempts = list(tables.attempts_of.get(request_id, ()))
-        return [self._cancel(tables, ref, now) for ref in attempts]
-
-    def _cancel(self, tables: CoreTables, attempt_id: AttemptId, now: float) -> CancelAttempt:
-        attempt = tables.attempts[attempt_id]
-        command = self._make_cancel(tables, attempt)
-        self._end_attempt(tables, attempt, now)
-        return command
-
-    @staticmethod
-    def _make_cancel(tables: CoreTables, attempt: AttemptRow) -> CancelAttempt:
-        row = tables.upstreams.get(attempt.upstream_id)
-        return CancelAttempt(row.agent if row else "", attempt.attempt_id)
-
-    def _end_attempt(
-        self,
-        tables: CoreTables,
-        attempt: AttemptRow,
-        now: float,
-        *,
-        is_success: bool = False,
-        is_crash: bool = False,
-    ) -> None:
-        """Remove an attempt; a crash has been counted as its end already."""
-        if not is_crash:
-            digest = tables.requests[attempt.request_id].digest
-            quarantine = self.policies.get_quarantine(tables)
-            quarantine.note_end(digest, attempt.upstream_id, is_success=is_success)
-        row = tables.upstreams.get(attempt.upstream_id)
-        if row is not None:
-            note_end(row, now)
-        tables.assemblers.pop(attempt.attempt_id).close()
-        del tables.attempts[attempt.attempt_id]
-        refs = tables.attempts_of[attempt.request_id]
-        refs.remove(attempt.attempt_id)
-        if not refs:
-            del tables.attempts_of[attempt.request_id]
-
-    @staticmethod
-    def forget(tables: CoreTables, req: RequestRow) -> None:
-        """Remove a request that has ended."""
-        tables.queue.remove(req.request_id)
-        tables.requests.pop(req.request_id, None)
-        tables.progress.pop(req.request_id, None)
-        customer = tables.customers.get(req.customer_id)
-        if customer is not None:
-            customer.in_flight = max(0, customer.in_flight - 1)
+        return self.endings.give_up(tables, req, error, now)
 
 
 def _make_damaged(attempt: AttemptRow, exc: CrocusvalveError) -> Refused:
--- a/crocusvalve/entry/_timers.py
+++ b/crocusvalve/entry/_timers.py
@@ -1,7 +1,7 @@
 """Deadlines and hedges."""
 
 from crocusvalve.base import Command, Ran, RequestState, System
-from crocusvalve.entry._outcome import OutcomeSystem
+from crocusvalve.entry._endings import RequestEndings
 from crocusvalve.entry._placement import PlacementSystem
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.exceptions import ErrorCode, RefusedError
@@ -14,14 +14,14 @@
 
     Parameters
     ----------
-    outcome : OutcomeSystem
+    endings : RequestEndings
         Ends requests.
     placement : PlacementSystem
         Starts hedges.
     """
 
-    def __init__(self, outcome: OutcomeSystem, placement: PlacementSystem):
-        self.outcome = outcome
+    def __init__(self, endings: RequestEndings, placement: PlacementSystem):
+        self.endings = endings
         self.placement = placement
 
     def run(self, tables: CoreTables, now: float) -> list[Command]:
@@ -40,16 +40,16 @@
         req = tables.requests[request_id]
         progress = tables.progress[request_id]
         if progress.held is not None and req.n_frames_out == 0:
-            return self.outcome.deliver_held(tables, req, now)
+            return self.endings.deliver_held(tables, req, now)
         has_running = bool(tables.attempts_of.get(request_id))
         if has_running and not req.is_repeatable:
             # The order's flow keeps the deadline and tells what is known of the attempt.
             return []
         ran = Ran.UNKNOWN if has_running else progress.ran
-        commands = self.outcome.cancel_attempts(tables, request_id, now)
+        commands = self.endings.cancel_attempts(tables, request_id, now)
         message = "the deadline has passed"
         error = RefusedError(ErrorCode.DEADLINE_PASSED, message, step="deadline", ran=ran)
-        return commands + self.outcome.refuse(tables, req, error)
+        return commands + self.endings.refuse(tables, req, error)
 
     def _hedge(self, tables: CoreTables, request_id: str, now: float) -> list[Command]:
         req = tables.requests.get(request_id)
--- a/features/soak/steps/soak_steps.py
+++ b/features/soak/steps/soak_steps.py
@@ -92,7 +92,10 @@
 
     @staticmethod
     def _without_combination():
-        return [patch("crocusvalve.entry._outcome.combine_ran", lambda first, second: second)]
+        return [
+            patch(f"crocusvalve.entry.{name}.combine_ran", lambda first, second: second)
+            for name in ("_endings", "_outcome")
+        ]
 
     @staticmethod
     def _without_answer_check():
