--- a/crocusvalve/entry/_http.py
+++ b/crocusvalve/entry/_http.py
@@ -1,7 +1,6 @@
 """Callers' HTTP interface: chat, models, plain services, durable requests, health and metrics."""
 
 import secrets
-from collections.abc import AsyncIterator
 
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 from quart import Response, request
@@ -11,8 +10,16 @@
 from crocusvalve.config import CustomerView
 from crocusvalve.config._view import model_of
 from crocusvalve.entry import _openai
+from crocusvalve.entry._chat_stream import ChatStream
 from crocusvalve.entry._commands import AnswerSummary
-from crocusvalve.entry._handle import AnswerPart, RequestHandle
+from crocusvalve.entry._handle import RequestHandle
+from crocusvalve.entry._http_errors import (
+    answer_error,
+    answer_internal,
+    answer_method_not_allowed,
+    answer_not_found,
+    answer_too_large,
+)
 from crocusvalve.entry._parse import (
     MAX_BODY_BYTES,
     SESSION_HEADER,
@@ -33,16 +40,6 @@
 NEW_SESSION = "new"
 SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 JSON = "application/json"
-#: Refusals that may come before the body is read; the connection can't be used again then.
-UNREAD_CODES = frozenset(
-    {
-        ErrorCode.BAD_KEY,
-        ErrorCode.BODY_TOO_LARGE,
-        ErrorCode.METHOD_NOT_ALLOWED,
-        ErrorCode.NOT_FOUND,
-        ErrorCode.NOT_READY,
-    }
-)
 #: A longer body is not read to its end.
 MAX_DROPPED_BYTES = 64 << 20
 
@@ -71,11 +68,11 @@
     app.get("/v1/requests/<request_id>")(api.get_request)
     app.route("/services/<name>", methods=SERVICE_METHODS, defaults={"path": ""})(api.call_service)
     app.route("/services/<name>/<path:path>", methods=SERVICE_METHODS)(api.call_service)
-    app.register_error_handler(CrocusvalveError, _answer_error)
-    app.register_error_handler(404, _answer_not_found)
-    app.register_error_handler(405, _answer_method_not_allowed)
-    app.register_error_handler(413, _answer_too_large)
-    app.register_error_handler(Exception, _answer_internal)
+    app.register_error_handler(CrocusvalveError, answer_error)
+    app.register_error_handler(404, answer_not_found)
+    app.register_error_handler(405, answer_method_not_allowed)
+    app.register_error_handler(413, answer_too_large)
+    app.register_error_handler(Exception, answer_internal)
 
     @app.get("/metrics")
     async def get_metrics() -> Response:
@@ -94,40 +91,6 @@
     return app
 
 
-async def _answer_error(exc: CrocusvalveError) -> Response:
-    request_id = getattr(request, "crocusvalve_id", "")
-    response = Response(
-        _openai.make_error_body(exc, request_id), status=exc.code.http_status, content_type=JSON
-    )
-    if request_id:
-        response.headers["X-Request-Id"] = request_id
-    if exc.code in UNREAD_CODES and request.http_version.startswith("1"):
-        response.headers["Connection"] = "close"
-    retry_after_s = getattr(exc, "retry_after_s", None)
-    if retry_after_s is not None:
-        response.headers["Retry-After"] = str(max(1, round(retry_after_s)))
-    return response
-
-
-async def _answer_not_found(_exc: Exception) -> Response:
-    message = "there is nothing at this path"
-    return await _answer_error(RefusedError(ErrorCode.NOT_FOUND, message, step="parse"))
-
-
-async def _answer_method_not_allowed(_exc: Exception) -> Response:
-    return await _answer_error(_openai.make_method_error(request.method))
-
-
-async def _answer_too_large(_exc: Exception) -> Response:
-    message = f"the body is over {MAX_BODY_BYTES} bytes"
-    return await _answer_error(RefusedError(ErrorCode.BODY_TOO_LARGE, message, step="parse"))
-
-
-async def _answer_internal(exc: Exception) -> Response:
-    message = f"internal error ({type(exc).__name__})"
-    return await _answer_error(CrocusvalveError(ErrorCode.INTERNAL, message, step="entry"))
-
-
 async def read_body() -> bytes:
     """Read the body of the present request; one that is too long is read and dropped.
 
@@ -315,48 +278,6 @@
         return response
 
 
-class ChatStream:
-    """Events of one streamed answer."""
-
-    def __init__(
-        self,
-        service: EntryService,
-        req: RequestRow,
-        handle: RequestHandle,
-        body: ChatBody,
-        created: int,
-    ):
-        self.service = service
-        self.req = req
-        self.handle = handle
-        self.body = body
-        self.created = created
-
-    async def iterate(self, first: AnswerPart | AnswerSummary) -> AsyncIterator[bytes]:
-        """Yield the events; leaving early abandons the request."""
-        request_id = self.req.request_id
-        try:
-            yield _openai.make_first_chunk(request_id, first.version, self.created)
-            item = first
-            while isinstance(item, AnswerPart):
-                text = item.data.decode("utf-8", "replace")
-                yield _openai.make_chunk(request_id, item.version, self.created, text)
-                item = await self.handle.get()
-            yield self._make_end(item)
-        except RefusedError as exc:
-            yield _openai.make_error_event(exc, request_id)
-        finally:
-            self.service.abandon(request_id)
-
-    def _make_end(self, summary: AnswerSummary) -> bytes:
-        request_id, version = self.req.request_id, summary.version
-        end = _openai.make_last_chunk(request_id, version, self.created, summary.finish_reason)
-        options = self.body.stream_options
-        if options is not None and options.include_usage:
-            end += _openai.make_usage_chunk(request_id, version, self.created, summary.usage)
-        return end + _openai.SSE_DONE
-
-
 def _answer_accepted(status: DurableStatus) -> Response:
     response = Response(_openai.make_durable_body(status), status=202, content_type=JSON)
     response.headers["Location"] = f"/v1/requests/{status.request_id}"
