Agents price an attempt by its service, by the one rule of billing

Cause: an agent did not know the service of a call and took the first of its upstream's services, so that a bill recovered after an entry's death could carry another price. Change: RunRequest names the service; compute_cost stands once, in billing.

--- a/crocusvalve/agent/__init__.py
+++ b/crocusvalve/agent/__init__.py
@@ -1,7 +1,7 @@
 """The agent beside an upstream."""
 
 from crocusvalve.agent._admission import AdmissionSystem
-from crocusvalve.agent._bills import BillHolder, compute_cost
+from crocusvalve.agent._bills import BillHolder, compute_attempt_cost
 from crocusvalve.agent._coalesce import FrameCoalescer
 from crocusvalve.agent._http_upstream import HttpUpstream, make_http_client
 from crocusvalve.agent._notices import NoticeBoard
@@ -26,7 +26,7 @@
     "Upstream",
     "UpstreamEnd",
     "UpstreamError",
-    "compute_cost",
+    "compute_attempt_cost",
     "make_http_client",
     "run_agent",
     "serve_agent",
--- a/crocusvalve/agent/_bills.py
+++ b/crocusvalve/agent/_bills.py
@@ -5,48 +5,22 @@
 
 from msgspec import Struct
 
-from crocusvalve.base import AttemptId, CustomerId, RequestId, UpstreamKind, VersionRef
+from crocusvalve.base import AttemptId, CustomerId, RequestId, VersionRef
+from crocusvalve.billing import add_usage, compute_cost
 from crocusvalve.config import DocumentView
 from crocusvalve.rpc import BillRecord, RunRequest, Usage
 
-__all__ = ["BillHolder", "HeldBill", "add_usage", "compute_cost"]
+__all__ = ["BillHolder", "HeldBill", "compute_attempt_cost"]
 
-TOKENS_A_PRICE = 1000.0
 #: A step that may be replaced is offered after its successor's bill would have been.
 ESCALATION_FACTOR = 3.0
 
 
-def add_usage(first: Usage, second: Usage) -> Usage:
-    """Return the tokens of two attempts together."""
-    return Usage(
-        first.prompt_tokens + second.prompt_tokens,
-        first.completion_tokens + second.completion_tokens,
-        first.cached_tokens + second.cached_tokens,
-    )
-
-
-def compute_cost(view: DocumentView | None, req: RunRequest, usage: Usage) -> float:
+def compute_attempt_cost(view: DocumentView | None, req: RunRequest, usage: Usage) -> float:
     """Return the cost of one attempt by the document's prices, in currency units."""
     if view is None:
         return 0.0
-    if req.upstream_kind is UpstreamKind.PLAIN:
-        return _price_service(view, req)
-    cfg = view.versions.get(VersionRef(req.version))
-    if cfg is None:
-        return 0.0
-    prompt = usage.prompt_tokens * cfg.prompt_price
-    completion = usage.completion_tokens * cfg.completion_price
-    return (prompt + completion) / TOKENS_A_PRICE
-
-
-def _price_service(view: DocumentView, req: RunRequest) -> float:
-    member, _, local = req.upstream_id.partition("/")
-    section = view.document.members.get(member)
-    services = section.services.values() if section else ()
-    for service in services:
-        if local in service.upstreams or req.upstream_id in service.upstreams:
-            return service.price
-    return 0.0
+    return compute_cost(view, VersionRef(req.version), req.service, usage)
 
 
 class HeldBill(Struct, frozen=True):
--- a/crocusvalve/agent/_runner.py
+++ b/crocusvalve/agent/_runner.py
@@ -6,7 +6,7 @@
 import trio
 
 from crocusvalve.agent._admission import AdmissionSystem, make_refused
-from crocusvalve.agent._bills import compute_cost
+from crocusvalve.agent._bills import compute_attempt_cost
 from crocusvalve.agent._coalesce import FrameCoalescer
 from crocusvalve.agent._tables import AgentTables, RunRow
 from crocusvalve.agent._upstream import Upstream, UpstreamEnd, UpstreamError
@@ -178,7 +178,7 @@
             is_success=True,
             decode_s=now - self.row.first_at if self.row.first_at else None,
         )
-        cost = compute_cost(self.tables.view, req, end.usage)
+        cost = compute_attempt_cost(self.tables.view, req, end.usage)
         self.tables.bills.hold(req, end.usage, cost, now)
         self.buffer.finish(
             now,
--- a/crocusvalve/entry/_placement.py
+++ b/crocusvalve/entry/_placement.py
@@ -214,6 +214,7 @@
             boot_id=BootId("") if req.is_repeatable else row.boot_id,
             method=req.method,
             path=req.path or "/v1/chat/completions",
+            service=req.service,
             cost_before=req.cost,
             usage_before=tables.progress[req.request_id].usage,
             n_attempts=req.n_attempts,
--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -61,11 +61,11 @@
 class RunRequest(Struct, frozen=True, kw_only=True):
     """One attempt, from an entry to the agent of an upstream.
 
-    ``body`` is the JSON body for an engine, or the raw body for a plain service. ``boot_id`` is the
-    agent's run that must take the attempt, or empty where any may. ``deadline`` is Unix time in
-    seconds. ``cost_before``, ``usage_before`` and ``n_attempts`` tell what the request's earlier
-    cascade steps used, so that the agent of each step can hold the bill of the whole request;
-    ``may_escalate`` tells that a later step may replace this one's bill.
+    ``body`` is the JSON body for an engine, or the raw body for a plain service, which ``service``
+    names, qualified. ``boot_id`` is the agent's run that must take the attempt, or empty where any
+    may. ``deadline`` is Unix time in seconds. ``cost_before``, ``usage_before`` and ``n_attempts``
+    tell what the request's earlier cascade steps used, so that the agent of each step can hold the
+    bill of the whole request; ``may_escalate`` tells that a later step may replace this one's bill.
     """
 
     attempt_id: AttemptId
@@ -88,6 +88,7 @@
     method: str = "POST"
     path: str = "/v1/chat/completions"
     content_type: str = "application/json"
+    service: str = ""
     cost_before: float = 0.0
     usage_before: Usage = Usage()
     n_attempts: int = 1
--- a/crocusvalve/soak/_agent.py
+++ b/crocusvalve/soak/_agent.py
@@ -10,7 +10,7 @@
     AgentTables,
     HealthReport,
     RunRow,
-    compute_cost,
+    compute_attempt_cost,
 )
 from crocusvalve.agent._admission import make_refused
 from crocusvalve.answers import AnswerBuffer
@@ -214,7 +214,7 @@
             is_success=True,
         )
         usage = Usage(10, n_tokens, 0)
-        cost = compute_cost(self.tables.view, run, usage)
+        cost = compute_attempt_cost(self.tables.view, run, usage)
         self.tables.bills.hold(run, usage, cost, now)
         running.buffer.finish(now, usage=usage, finish_reason="stop", service_s=service_s)
 
