--- a/crocusvalve/entry/_config_sync.py
+++ b/crocusvalve/entry/_config_sync.py
@@ -8,7 +8,7 @@
 from crocusvalve.control import ConfigKeeper
 from crocusvalve.exceptions import CrocusvalveError
 from crocusvalve.rpc import ConfigAck, ConfigPush
-from crocusvalve.rpc.base import AgentService, PeerService
+from crocusvalve.rpc.base import NodeService
 
 __all__ = ["push_revision"]
 
@@ -17,9 +17,7 @@
 PUSH_TIMEOUT_S = 2.0
 
 
-async def push_revision(
-    keeper: ConfigKeeper, peer: AgentService | PeerService, have: Revision
-) -> Revision:
+async def push_revision(keeper: ConfigKeeper, peer: NodeService, have: Revision) -> Revision:
     """Bring a peer from a revision to the newest; return the revision that it then has.
 
     Parameters
@@ -42,9 +40,7 @@
         return have
 
 
-async def _push(
-    keeper: ConfigKeeper, peer: AgentService | PeerService, have: Revision
-) -> ConfigAck:
+async def _push(keeper: ConfigKeeper, peer: NodeService, have: Revision) -> ConfigAck:
     push: ConfigPush = keeper.make_push(have)
     if push.revision <= have:
         return ConfigAck(have)
--- a/crocusvalve/rpc/_client.py
+++ b/crocusvalve/rpc/_client.py
@@ -14,7 +14,7 @@
 from crocusvalve.rpc import _messages as msg
 from crocusvalve.rpc._codec import MessagePackCodec
 from crocusvalve.rpc._server import AGENT_METHODS, AUTH_HEADER, PEER_METHODS, RpcMethod
-from crocusvalve.rpc.base import AgentService, PeerService
+from crocusvalve.rpc.base import AgentService, NodeService, PeerService
 
 __all__ = ["AgentClient", "ConnectError", "PeerClient", "RpcError"]
 
@@ -79,13 +79,29 @@
             raise RpcError(f"stream failed: {exc!r}", step=name, peer=self.address) from exc
 
 
+class _NodeClient(_Client, NodeService):
+    """What clients of every process share."""
+
+    async def push_config(self, req: msg.ConfigPush) -> msg.ConfigAck:
+        """Push a revision."""
+        return await self._call("push_config", req)
+
+    async def pull_config(self, req: msg.ConfigAck) -> msg.ConfigPush:
+        """Pull the newest revision."""
+        return await self._call("pull_config", req)
+
+    async def notify(self, req: msg.Notice) -> msg.NoticeAck:
+        """Pass a notice."""
+        return await self._call("notify", req)
+
+
 @asynccontextmanager
 async def _open_stream(method: UnaryStreamMethod, metadata: dict) -> AsyncIterator[Any]:
     async with aio_as_trio(method.open(metadata=metadata)) as stream:
         yield stream
 
 
-class AgentClient(_Client, AgentService):
+class AgentClient(_NodeClient, AgentService):
     """Client of an agent."""
 
     methods = AGENT_METHODS
@@ -110,18 +126,6 @@
         """Return the present load."""
         return await self._call("report", req)
 
-    async def push_config(self, req: msg.ConfigPush) -> msg.ConfigAck:
-        """Push a revision."""
-        return await self._call("push_config", req)
-
-    async def pull_config(self, req: msg.ConfigAck) -> msg.ConfigPush:
-        """Pull the newest revision."""
-        return await self._call("pull_config", req)
-
-    async def notify(self, req: msg.Notice) -> msg.NoticeAck:
-        """Pass a notice."""
-        return await self._call("notify", req)
-
     async def list_bills(self, req: msg.Empty) -> msg.BillsReply:
         """List bills still held."""
         return await self._call("list_bills", req)
@@ -135,23 +139,11 @@
         return await self._call("order_upstream", req)
 
 
-class PeerClient(_Client, PeerService):
+class PeerClient(_NodeClient, PeerService):
     """Client of another entry."""
 
     methods = PEER_METHODS
 
-    async def push_config(self, req: msg.ConfigPush) -> msg.ConfigAck:
-        """Push a revision."""
-        return await self._call("push_config", req)
-
-    async def pull_config(self, req: msg.ConfigAck) -> msg.ConfigPush:
-        """Pull the newest revision."""
-        return await self._call("pull_config", req)
-
-    async def notify(self, req: msg.Notice) -> msg.NoticeAck:
-        """Pass a notice."""
-        return await self._call("notify", req)
-
     async def list_notices(self, req: msg.Empty) -> msg.NoticeList:
         """Return the notices in force."""
         return await self._call("list_notices", req)
--- a/crocusvalve/rpc/base.py
+++ b/crocusvalve/rpc/base.py
@@ -26,10 +26,26 @@
     UpstreamOrderReply,
 )
 
-__all__ = ["AgentService", "PeerService"]
+__all__ = ["AgentService", "NodeService", "PeerService"]
 
 
-class AgentService(ABC):
+class NodeService(ABC):
+    """What every process of the system offers."""
+
+    @abstractmethod
+    async def push_config(self, req: ConfigPush) -> ConfigAck:
+        """Take a revision; an older one is ignored and the newer number is returned."""
+
+    @abstractmethod
+    async def pull_config(self, req: ConfigAck) -> ConfigPush:
+        """Return the newest revision known, as a delta on the asker's where possible."""
+
+    @abstractmethod
+    async def notify(self, req: Notice) -> NoticeAck:
+        """Take a notice; an entry passes it on where it is new."""
+
+
+class AgentService(NodeService):
     """What an agent offers to entries."""
 
     @abstractmethod
@@ -55,18 +71,6 @@
     async def report(self, req: Empty) -> LoadReport:
         """Return the present load."""
 
-    @abstractmethod
-    async def push_config(self, req: ConfigPush) -> ConfigAck:
-        """Take a revision; an older one is ignored and the newer number is returned."""
-
-    @abstractmethod
-    async def pull_config(self, req: ConfigAck) -> ConfigPush:
-        """Return the newest revision known, for a process that started without the store."""
-
-    @abstractmethod
-    async def notify(self, req: Notice) -> NoticeAck:
-        """Take a notice."""
-
     @abstractmethod
     async def list_bills(self, req: Empty) -> BillsReply:
         """Return the bills not yet acknowledged."""
@@ -80,21 +84,9 @@
         """Pass an order to the engine; one with an older number than the newest is refused."""
 
 
-class PeerService(ABC):
+class PeerService(NodeService):
     """What an entry offers to the other entries."""
 
-    @abstractmethod
-    async def push_config(self, req: ConfigPush) -> ConfigAck:
-        """Take a revision."""
-
-    @abstractmethod
-    async def pull_config(self, req: ConfigAck) -> ConfigPush:
-        """Return the newest revision known, as a delta on the asker's where possible."""
-
-    @abstractmethod
-    async def notify(self, req: Notice) -> NoticeAck:
-        """Take a notice and pass it on where it is new."""
-
     @abstractmethod
     async def list_notices(self, req: Empty) -> NoticeList:
         """Return the notices in force and the digests that crashed upstreams."""
