contract: Load reports and rows of upstreams carry the loaded versions

Cause: a report of an engine with nothing loaded has empty `serves`, which entries took as not told and so kept the whole list of the document; the controller could not see what an engine holds. Ruled out: an extra flag beside `serves`, as the loader needs also the versions that the document no longer names. Change: `LoadReport.loaded` and `UpstreamRow.loaded` (None: not told); `take_report` takes an empty `serves` where `loaded` is told; `EntryTables.apply_view` keeps to what is loaded.

--- a/crocusvalve/membership/_reports.py
+++ b/crocusvalve/membership/_reports.py
@@ -62,10 +62,16 @@
         row.drained_boot = report.boot_id
     is_drained = row.drained_boot == report.boot_id
     row.state = UpstreamState.DRAINING if is_drained else report.state
-    if report.serves and report.serves != row.serves:
+    _take_versions(tables, row, report)
+    return True
+
+
+def _take_versions(tables: EntryTables, row: UpstreamRow, report: LoadReport) -> None:
+    row.loaded = report.loaded
+    is_told = bool(report.serves) or report.loaded is not None
+    if is_told and report.serves != row.serves:
         row.serves = report.serves
         tables.index_upstreams()
-    return True
 
 
 def _start_boot(row: UpstreamRow, report: LoadReport, now: float) -> None:
--- a/crocusvalve/model/__init__.py
+++ b/crocusvalve/model/__init__.py
@@ -9,7 +9,7 @@
     RolloutRow,
     UpstreamRow,
 )
-from crocusvalve.model._tables import EntryTables
+from crocusvalve.model._tables import EntryTables, keep_loaded
 
 __all__ = [
     "AttemptRow",
@@ -20,4 +20,5 @@
     "RequestRow",
     "RolloutRow",
     "UpstreamRow",
+    "keep_loaded",
 ]
--- a/crocusvalve/model/_rows.py
+++ b/crocusvalve/model/_rows.py
@@ -106,7 +106,8 @@
     load report, taken at ``reported_at`` by the agent's clock and heard at ``heard_at`` by the
     entry's. ``own_at_report`` is ``in_flight`` at the instant of the report, looked up in
     ``own_history``. ``failed_at`` is when the last attempt failed. ``full_until`` ends a short
-    pause after a refusal as full. ``drained_boot`` is the run of the agent that said it drains;
+    pause after a refusal as full. ``loaded`` are the versions in the engine's memory, None where
+    it does not tell them. ``drained_boot`` is the run of the agent that said it drains;
     ``past_boots`` are its former runs.
     """
 
@@ -116,6 +117,7 @@
     agent: str
     kind: UpstreamKind
     serves: tuple[VersionRef, ...] = ()
+    loaded: tuple[VersionRef, ...] | None = None
     in_flight: int = 0
     state: UpstreamState = UpstreamState.COLD
     boot_id: BootId = BootId("")
--- a/crocusvalve/model/_tables.py
+++ b/crocusvalve/model/_tables.py
@@ -18,7 +18,16 @@
     UpstreamRow,
 )
 
-__all__ = ["EntryTables"]
+__all__ = ["EntryTables", "keep_loaded"]
+
+
+def keep_loaded(
+    serves: tuple[VersionRef, ...], loaded: tuple[VersionRef, ...] | None
+) -> tuple[VersionRef, ...]:
+    """Return the declared versions that are loaded; all where ``loaded`` is None, as unknown."""
+    if loaded is None:
+        return serves
+    return tuple(version for version in serves if version in loaded)
 
 
 class EntryTables:
@@ -77,7 +86,7 @@
                 )
                 continue
             row.domain, row.region, row.agent = up.domain, up.region, up.cfg.agent
-            row.kind, row.serves = up.cfg.kind, up.serves
+            row.kind, row.serves = up.cfg.kind, keep_loaded(up.serves, row.loaded)
         self.index_upstreams()
 
     def index_upstreams(self) -> None:
--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -177,7 +177,8 @@
     """State of an upstream as its agent sees it; ``ewma_service_s`` in seconds a request.
 
     ``crashes`` are the last ones, so that entries learn of them even where the attempt's own
-    stream was cut.
+    stream was cut. ``loaded`` are the versions in the engine's memory, None where the upstream does
+    not tell them; ``serves`` are those of them that the document names.
     """
 
     upstream_id: UpstreamId
@@ -191,6 +192,7 @@
     at: float
     serves: tuple[VersionRef, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
+    loaded: tuple[VersionRef, ...] | None = None
 
 
 class Empty(Struct, frozen=True):
