thin: The controller orders engines to load and unload versions

Cause: `ModelLoader` planned orders that nobody gave, and agents reported the document's whole list. Change: `entry/_loads.py` `LoadTask` after the roll-outs' task; agents read `GET /load` of engines, report only what is loaded, refuse attempts for other versions as not run (NOT_READY), and refuse to unload a version that runs; `run_agent` reads the lease's number where the platform's URL is set.

--- a/crocusvalve/agent/_admission.py
+++ b/crocusvalve/agent/_admission.py
@@ -158,6 +158,9 @@
         if upstream is not None and version not in upstream.serves and not is_behind:
             message = f"{tables.upstream_id} does not serve {version}"
             raise RefusedError(ErrorCode.NO_UPSTREAM, message, step=STEP)
+        if tables.loaded is not None and version not in tables.loaded:
+            message = f"{tables.upstream_id} has not loaded {version}"
+            raise RefusedError(ErrorCode.NOT_READY, message, step=STEP, retry_after_s=RETRY_AFTER_S)
 
     @staticmethod
     def _make_stale(message: str) -> RefusedError:
--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -16,7 +16,7 @@
     UpstreamEnd,
     UpstreamError,
 )
-from crocusvalve.base import ClassKind, Ran, UpstreamKind, UpstreamState
+from crocusvalve.base import ClassKind, Ran, UpstreamKind, UpstreamState, VersionRef
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
 
@@ -54,6 +54,10 @@
     uptime_s: float | None = None
 
 
+class _Load(Struct, frozen=True):
+    loaded: tuple[VersionRef, ...] | None = None
+
+
 def make_http_client(*, keeps_connections: bool = True) -> httpx.AsyncClient:
     """Make a client of an agent; the attempt's deadline bounds each call as a whole.
 
@@ -136,6 +140,19 @@
         is_up = state is not UpstreamState.DOWN
         return HealthReport(is_up, state, health.boot_id, health.uptime_s)
 
+    async def list_loaded(self) -> tuple[VersionRef, ...] | None:
+        """Read ``loaded`` from ``GET /load``; an engine without it gives None."""
+        try:
+            reply = await self.http.get(f"{self.url}/load", timeout=PROBE_TIMEOUT_S)
+        except httpx.HTTPError as exc:
+            raise _make_send_error(exc, False) from exc
+        if reply.is_server_error:
+            raise _make_status_error(reply)
+        try:
+            return msgspec.json.decode(reply.content, type=_Load).loaded
+        except msgspec.DecodeError:
+            return None
+
     async def order(self, order: UpstreamOrder, *, on_send: OnSend) -> UpstreamOrderReply:
         """Post an order to the engine; 409 tells that it refused an older number."""
         headers = {"Content-Type": "application/json"}
--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -9,7 +9,8 @@
 import trio_asyncio
 
 from crocusvalve.agent._http_upstream import HttpUpstream, make_http_client
-from crocusvalve.agent._order_door import ReadNumber, read_no_number
+from crocusvalve.agent._numbers import choose_number_reader
+from crocusvalve.agent._order_door import ReadNumber
 from crocusvalve.agent._revisions import RevisionKeeper
 from crocusvalve.agent._service import Agent
 from crocusvalve.answers import AnswerStore
@@ -162,7 +163,7 @@
     server_tls: ssl.SSLContext | None = None,
     client_tls: ssl.SSLContext | None = None,
     stop: trio.Event | None = None,
-    read_number: ReadNumber = read_no_number,
+    read_number: ReadNumber | None = None,
     task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run an agent until it is told to stop, then drain it.
@@ -177,8 +178,8 @@
         Contexts of the internal connections.
     stop : trio.Event or None
         Set by whoever handles the signals.
-    read_number : callable
-        Reads the number of the controller's lease from the platform's service.
+    read_number : callable or None
+        Reads the number of the controller's lease; None reads it from the platform's service.
     task_status : trio.TaskStatus
         Started with the agent and the port in use.
     """
@@ -197,7 +198,7 @@
             keeper=keeper,
             clock=MonotonicClock(),
             learn_revision=follower.pull,
-            read_number=read_number,
+            read_number=read_number or choose_number_reader(settings.platform),
             answers=make_answer_store(settings.max_answer_bytes),
         )
         async with trio.open_nursery() as nursery:
--- a/crocusvalve/agent/_service.py
+++ b/crocusvalve/agent/_service.py
@@ -13,7 +13,7 @@
 from crocusvalve.agent._revisions import LearnRevision, RevisionKeeper, learn_nothing
 from crocusvalve.agent._runner import AttemptRunner
 from crocusvalve.agent._tables import AgentTables
-from crocusvalve.agent._upstream import Upstream
+from crocusvalve.agent._upstream import Upstream, UpstreamError
 from crocusvalve.answers import AnswerStore
 from crocusvalve.base import (
     AttemptId,
@@ -42,6 +42,7 @@
     RunEvent,
     RunRequest,
     UpstreamOrder,
+    UpstreamOrderAction,
     UpstreamOrderReply,
 )
 from crocusvalve.utils import Clock
@@ -166,7 +167,6 @@
         """Return the present load."""
         tables = self.tables
         view = tables.view
-        upstream = view.upstreams.get(tables.upstream_id) if view else None
         return LoadReport(
             upstream_id=tables.upstream_id,
             boot_id=tables.boot_id,
@@ -177,7 +177,8 @@
             ewma_service_s=tables.limiter.ewma_service_s,
             revision=view.revision if view else Revision(0),
             at=self.clock.now(),
-            serves=upstream.serves if upstream else (),
+            serves=tables.serves,
+            loaded=tables.loaded,
             crashes=tuple(tables.crashes),
         )
 
@@ -206,7 +207,12 @@
         return Empty()
 
     async def order_upstream(self, req: UpstreamOrder) -> UpstreamOrderReply:
-        """Pass an order to the engine; one with an older number than the newest is refused."""
+        """Pass an order to the engine; one with an older number than the newest is refused.
+
+        A version is not unloaded under the attempts that it runs.
+        """
+        if req.action is UpstreamOrderAction.UNLOAD and self.tables.is_running(req.version):
+            return UpstreamOrderReply(False, req.number, code=ErrorCode.NOT_READY.name)
         return await self._orders.pass_order(req)
 
     async def drain(self, limit_s: float) -> bool:
@@ -300,6 +306,16 @@
     async def _probe_once(self) -> None:
         report = await self.upstream.probe()
         self.tables.note_health(report, self.clock.now())
+        if report.is_up:
+            await self._read_loaded()
+
+    async def _read_loaded(self) -> None:
+        """Read which versions are loaded; what was known stands while the engine is silent."""
+        try:
+            is_engine = self.tables.is_engine
+            self.tables.loaded = await self.upstream.list_loaded() if is_engine else None
+        except UpstreamError as exc:
+            logger.info("loaded versions are not known: %s", exc)
 
     async def _probe_forever(self) -> None:
         while True:
--- a/crocusvalve/agent/_tables.py
+++ b/crocusvalve/agent/_tables.py
@@ -7,9 +7,20 @@
 from crocusvalve.agent._bills import BillHolder
 from crocusvalve.agent._notices import NoticeBoard
 from crocusvalve.agent._upstream import HealthReport
-from crocusvalve.base import AttemptId, BootId, DomainId, NodeId, Ran, UpstreamId, UpstreamState
+from crocusvalve.base import (
+    AttemptId,
+    BootId,
+    DomainId,
+    NodeId,
+    Ran,
+    UpstreamId,
+    UpstreamKind,
+    UpstreamState,
+    VersionRef,
+)
 from crocusvalve.config import DocumentView
 from crocusvalve.limits._warmup import WarmupLimiter
+from crocusvalve.model import keep_loaded
 from crocusvalve.orders import OrderGuard
 from crocusvalve.rpc import CrashRecord, Notice, RunRequest
 
@@ -65,6 +76,8 @@
         self.bills = BillHolder()
         self.health = HealthRow()
         self.runs: dict[AttemptId, RunRow] = {}
+        #: Versions in the engine's memory; None where the upstream does not tell them.
+        self.loaded: tuple[VersionRef, ...] | None = None
         self.crashes: deque[CrashRecord] = deque(maxlen=N_CRASHES_KEPT)
         self.is_draining = False
 
@@ -99,6 +112,22 @@
             state=report.state, engine_boot=report.engine_boot, uptime_s=report.uptime_s
         )
 
+    @property
+    def is_engine(self) -> bool:
+        """Tell whether the revision in force declares the upstream as an engine."""
+        upstream = self.view.upstreams.get(self.upstream_id) if self.view else None
+        return upstream is not None and upstream.cfg.kind is UpstreamKind.ENGINE
+
+    @property
+    def serves(self) -> tuple[VersionRef, ...]:
+        """Versions that the document names and, where it tells them, the engine has loaded."""
+        upstream = self.view.upstreams.get(self.upstream_id) if self.view else None
+        return keep_loaded(upstream.serves, self.loaded) if upstream else ()
+
+    def is_running(self, version: VersionRef) -> bool:
+        """Tell whether an attempt of a version is under way."""
+        return any(row.req.version == version for row in self.runs.values())
+
     def note_down(self) -> None:
         """Note that the upstream does not answer; it is cold when it comes back."""
         if self.health.state is not UpstreamState.DOWN:
--- a/crocusvalve/agent/_upstream.py
+++ b/crocusvalve/agent/_upstream.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from crocusvalve.base import Ran, UpstreamState
+from crocusvalve.base import Ran, UpstreamState, VersionRef
 from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
 
@@ -91,6 +91,16 @@
     async def probe(self) -> HealthReport:
         """Probe the health of the upstream."""
 
+    async def list_loaded(self) -> tuple[VersionRef, ...] | None:
+        """Return the versions in an engine's memory, None where it does not tell them.
+
+        Raises
+        ------
+        UpstreamError
+            The engine did not answer.
+        """
+        return None
+
     @abstractmethod
     async def order(self, order: UpstreamOrder, *, on_send: OnSend) -> UpstreamOrderReply:
         """Give an engine an order, such as to load a version.
--- a/crocusvalve/demo/_world.py
+++ b/crocusvalve/demo/_world.py
@@ -182,6 +182,7 @@
             rpc=ListenSettings(HOST, 0),
             entries=tuple(f"{HOST}:{port}" for port in self._entry_rpc_ports),
             internal_key=INTERNAL_KEY,
+            platform=PlatformAccess(url=f"http://{HOST}:{self.platform_port}"),
             drain_s=self.spec.drain_s,
         )
 
--- /dev/null
+++ b/crocusvalve/entry/_loads.py
@@ -0,0 +1,179 @@
+"""The controller's task that orders engines to load and unload versions."""
+
+import logging
+
+import trio
+
+from crocusvalve.base import Ran, UpstreamId, UpstreamKind, UpstreamState, VersionRef
+from crocusvalve.control import ControllerTask, LeaseKeeper
+from crocusvalve.engines import EngineRow, LoaderTables, ModelLoader, OrderLoad, OrderUnload
+from crocusvalve.entry._agents import AgentPool
+from crocusvalve.exceptions import CrocusvalveError, ErrorCode
+from crocusvalve.model import EntryTables, UpstreamRow
+from crocusvalve.platform import WeightStore
+from crocusvalve.rpc import UpstreamOrder, UpstreamOrderAction, UpstreamOrderReply
+from crocusvalve.utils import Clock
+
+__all__ = ["LoadTask"]
+
+logger = logging.getLogger(__name__)
+
+ORDER_TIMEOUT_S = 3.0
+RESERVE_TIMEOUT_S = 3.0
+#: Delay before the weight store is asked again after it failed.
+RESERVE_RETRY_S = 5.0
+#: Delay before an unload without effect is ordered again.
+UNLOAD_RETRY_S = 10.0
+MAX_UNLOADS_PER_RUN = 32
+N_PARALLEL_UNLOADS = 16
+#: Engines report no size of their memory; they refuse a load for which it does not suffice.
+UNKNOWN_MEMORY_GB = float("inf")
+OPEN_STATES = (UpstreamState.COLD, UpstreamState.WARM)
+
+
+class LoadTask(ControllerTask):
+    """Brings the engines' memory to what the document says, while this entry is the controller.
+
+    Only engines of the entry's own subset that tell what they have loaded are ordered.
+
+    Parameters
+    ----------
+    tables : EntryTables
+        Rows of upstreams with their load reports.
+    pool : AgentPool
+        Channels to the agents.
+    weights : WeightStore
+        Grants each load.
+    clock : Clock
+        Source of the present time.
+    """
+
+    name = "loads"
+
+    def __init__(self, *, tables: EntryTables, pool: AgentPool, weights: WeightStore, clock: Clock):
+        self.tables = tables
+        self.pool = pool
+        self.weights = weights
+        self.clock = clock
+        self.loader_tables = LoaderTables(tables.view)
+        self._unloading: dict[tuple[UpstreamId, VersionRef], float] = {}
+
+    async def run_once(self, lease: LeaseKeeper, now: float) -> None:
+        """Plan from the rows, then give the orders that are due."""
+        fill_loader_tables(self.loader_tables, self.tables)
+        commands = ModelLoader(number=lease.number).run(self.loader_tables, now)
+        loads = [command for command in commands if isinstance(command, OrderLoad)]
+        unloads = [command for command in commands if isinstance(command, OrderUnload)]
+        waits = [self._forget_load(load) for load in loads]
+        await self._give_unloads(lease, unloads, now)
+        for load, wait_until in zip(loads, waits, strict=True):
+            if not await self._give_load(lease, load, wait_until):
+                return
+
+    def _forget_load(self, load: OrderLoad) -> float:
+        """Take a planned load back until its engine has taken it; return its timeout's instant."""
+        return self.loader_tables.engines[load.upstream_id].loading.pop(load.version)
+
+    async def _give_load(self, lease: LeaseKeeper, load: OrderLoad, wait_until: float) -> bool:
+        """Reserve and order a load; tell whether further loads may follow."""
+        if not lease.is_held(self.clock.now()) or not await self._reserve(load.version):
+            return False
+        if not lease.is_held(self.clock.now()):
+            return False
+        reply = await self._order(load, UpstreamOrderAction.LOAD)
+        if reply is not None and (reply.accepted or is_refused_by_engine(reply)):
+            row = self.loader_tables.engines.get(load.upstream_id)
+            if row is not None:
+                row.loading[load.version] = wait_until
+        return True
+
+    async def _reserve(self, version: VersionRef) -> bool:
+        try:
+            with trio.fail_after(RESERVE_TIMEOUT_S):
+                reservation = await self.weights.reserve(version)
+        except (CrocusvalveError, trio.TooSlowError) as exc:
+            logger.info("weight store failed for %s: %r", version, exc)
+            self.loader_tables.note_refused(self.clock.now() + RESERVE_RETRY_S)
+            return False
+        if not reservation.is_granted:
+            self.loader_tables.note_refused(self.clock.now() + reservation.retry_after_s)
+        return reservation.is_granted
+
+    async def _give_unloads(
+        self, lease: LeaseKeeper, unloads: list[OrderUnload], now: float
+    ) -> None:
+        self._unloading = {key: until for key, until in self._unloading.items() if now < until}
+        due = [
+            unload
+            for unload in unloads
+            if (unload.upstream_id, unload.version) not in self._unloading
+        ]
+        limiter = trio.CapacityLimiter(N_PARALLEL_UNLOADS)
+        async with trio.open_nursery() as nursery:
+            for unload in due[:MAX_UNLOADS_PER_RUN]:
+                nursery.start_soon(self._give_unload, lease, unload, limiter)
+
+    async def _give_unload(
+        self, lease: LeaseKeeper, unload: OrderUnload, limiter: trio.CapacityLimiter
+    ) -> None:
+        async with limiter:
+            now = self.clock.now()
+            if not lease.is_held(now):
+                return
+            self._unloading[unload.upstream_id, unload.version] = now + UNLOAD_RETRY_S
+            await self._order(unload, UpstreamOrderAction.UNLOAD)
+
+    async def _order(
+        self, command: OrderLoad | OrderUnload, action: UpstreamOrderAction
+    ) -> UpstreamOrderReply | None:
+        """Send an order; None where no reply came, so that its effect is unknown."""
+        row = self.tables.upstreams.get(command.upstream_id)
+        if row is None:
+            return None
+        order = UpstreamOrder(action=action, number=command.number, version=command.version)
+        try:
+            with trio.fail_after(ORDER_TIMEOUT_S):
+                reply = await self.pool.get(row.agent).order_upstream(order)
+        except (CrocusvalveError, trio.TooSlowError) as exc:
+            logger.info("order to %s got no reply: %r", command.upstream_id, exc)
+            return None
+        log = logger.info if reply.accepted else logger.warning
+        log(
+            "order %d to %s: %s %s, %s",
+            command.number,
+            command.upstream_id,
+            action.value,
+            command.version,
+            "accepted" if reply.accepted else f"refused with {reply.code} at {reply.number}",
+        )
+        return reply
+
+
+def is_refused_by_engine(reply: UpstreamOrderReply) -> bool:
+    """Tell whether the engine itself turned an order down, such as for want of memory."""
+    return reply.code == ErrorCode.UPSTREAM_FAILED.name and reply.ran is Ran.NOT_RUN
+
+
+def fill_loader_tables(loader_tables: LoaderTables, tables: EntryTables) -> None:
+    """Bring the loader's rows up to date with an entry's rows of upstreams."""
+    loader_tables.view = tables.view
+    wanted = {row.upstream_id: row for row in tables.upstreams.values() if is_orderable(row)}
+    for upstream_id in list(loader_tables.engines):
+        if upstream_id not in wanted:
+            del loader_tables.engines[upstream_id]
+    for upstream_id, row in wanted.items():
+        engine = loader_tables.engines.get(upstream_id)
+        if engine is None:
+            engine = EngineRow(
+                upstream_id=upstream_id, domain=row.domain, memory_gb=UNKNOWN_MEMORY_GB
+            )
+            loader_tables.engines[upstream_id] = engine
+        engine.domain = row.domain
+        engine.is_open = tables.is_upstream_open(row)
+        loader_tables.note_loaded(upstream_id, set(row.loaded or ()))
+
+
+def is_orderable(row: UpstreamRow) -> bool:
+    """Tell whether an upstream is a reachable engine that tells what it has loaded."""
+    is_known = row.kind is UpstreamKind.ENGINE and row.loaded is not None
+    return is_known and row.in_subset and row.state in OPEN_STATES
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -28,6 +28,7 @@
 from crocusvalve.entry._core import EntryCore
 from crocusvalve.entry._durable_desk import DurableDesk
 from crocusvalve.entry._handle import RequestHandle
+from crocusvalve.entry._loads import LoadTask
 from crocusvalve.entry._notice_desk import NoticeDesk
 from crocusvalve.entry._observe import MetricsObserver
 from crocusvalve.entry._peers import PeerGroup
@@ -216,7 +217,7 @@
 
     def _make_controller(self, node_id: NodeId) -> Controller:
         lease = LeaseKeeper(self.platform, CONTROLLER_KEY, node_id, boot_id=self.boot_id)
-        task = RolloutTask(
+        rollouts = RolloutTask(
             store=self.platform,
             tables=self.tables,
             publisher=self.publisher,
@@ -224,7 +225,10 @@
             node_id=node_id,
             clock=self.clock,
         )
-        return Controller(lease, [task], clock=self.clock)
+        loads = LoadTask(
+            tables=self.tables, pool=self.pool, weights=self.platform, clock=self.clock
+        )
+        return Controller(lease, [rollouts, loads], clock=self.clock)
 
     async def _run_housekeeping(self) -> None:
         while True:
