Prove the controller's loads; retry failed loads ever less often

Cause: the loads had no tests of their own; an engine that never replies was ordered first each second and would have used up the weight store's rate (the loader prefers the same engine each time). Ruled out: the loader's own 0.1 loads a second as the rate: 3,500 engines would take hours, and the weight store grants each load anyway; no delay after a lost reply (starves the others, as above). Change: `LoadTask` plans up to 2 loads a second, and orders a load without a good reply again after 5 s, doubling to 120 s. Conclusion: an engine that starts with v1 of v1 and v2 is ordered v2 once and answers it.

--- a/crocusvalve/entry/_loads.py
+++ b/crocusvalve/entry/_loads.py
@@ -22,6 +22,14 @@
 RESERVE_TIMEOUT_S = 3.0
 #: Delay before the weight store is asked again after it failed.
 RESERVE_RETRY_S = 5.0
+#: Bounds of planned loads; the rate itself is the weight store's to grant.
+MAX_LOADS_PER_S = 2.0
+MAX_LOADS_AT_ONCE = 4
+#: Time after which an accepted load without effect is ordered again.
+LOAD_TIMEOUT_S = 120.0
+#: Delay before a load without a good reply is ordered again; doubles up to ``LOAD_TIMEOUT_S``.
+LOAD_RETRY_S = 5.0
+MAX_DOUBLINGS = 5
 #: Delay before an unload without effect is ordered again.
 UNLOAD_RETRY_S = 10.0
 MAX_UNLOADS_PER_RUN = 32
@@ -57,36 +65,52 @@
         self.clock = clock
         self.loader_tables = LoaderTables(tables.view)
         self._unloading: dict[tuple[UpstreamId, VersionRef], float] = {}
+        self._n_failed: dict[tuple[UpstreamId, VersionRef], int] = {}
 
     async def run_once(self, lease: LeaseKeeper, now: float) -> None:
         """Plan from the rows, then give the orders that are due."""
         fill_loader_tables(self.loader_tables, self.tables)
-        commands = ModelLoader(number=lease.number).run(self.loader_tables, now)
+        engines = self.loader_tables.engines
+        self._n_failed = {key: n for key, n in self._n_failed.items() if key[0] in engines}
+        loader = ModelLoader(
+            number=lease.number,
+            loads_per_s=MAX_LOADS_PER_S,
+            burst=MAX_LOADS_AT_ONCE,
+            timeout_s=LOAD_TIMEOUT_S,
+        )
+        commands = loader.run(self.loader_tables, now)
         loads = [command for command in commands if isinstance(command, OrderLoad)]
         unloads = [command for command in commands if isinstance(command, OrderUnload)]
-        waits = [self._forget_load(load) for load in loads]
+        for load in loads:
+            # Under way only once its engine has been asked.
+            del self.loader_tables.engines[load.upstream_id].loading[load.version]
         await self._give_unloads(lease, unloads, now)
-        for load, wait_until in zip(loads, waits, strict=True):
-            if not await self._give_load(lease, load, wait_until):
+        for load in loads:
+            if not await self._give_load(lease, load):
                 return
 
-    def _forget_load(self, load: OrderLoad) -> float:
-        """Take a planned load back until its engine has taken it; return its timeout's instant."""
-        return self.loader_tables.engines[load.upstream_id].loading.pop(load.version)
-
-    async def _give_load(self, lease: LeaseKeeper, load: OrderLoad, wait_until: float) -> bool:
+    async def _give_load(self, lease: LeaseKeeper, load: OrderLoad) -> bool:
         """Reserve and order a load; tell whether further loads may follow."""
         if not lease.is_held(self.clock.now()) or not await self._reserve(load.version):
             return False
         if not lease.is_held(self.clock.now()):
             return False
         reply = await self._order(load, UpstreamOrderAction.LOAD)
-        if reply is not None and (reply.accepted or is_refused_by_engine(reply)):
-            row = self.loader_tables.engines.get(load.upstream_id)
-            if row is not None:
-                row.loading[load.version] = wait_until
+        wait_s = self._note_reply(load, reply)
+        row = self.loader_tables.engines[load.upstream_id]
+        row.loading[load.version] = self.clock.now() + wait_s
         return True
 
+    def _note_reply(self, load: OrderLoad, reply: UpstreamOrderReply | None) -> float:
+        """Return the time in seconds after which a load is ordered again if it has no effect."""
+        key = (load.upstream_id, load.version)
+        if reply is not None and (reply.accepted or is_refused_by_engine(reply)):
+            self._n_failed.pop(key, None)
+            return LOAD_TIMEOUT_S
+        n_failed = self._n_failed.get(key, 0)
+        self._n_failed[key] = n_failed + 1
+        return min(LOAD_TIMEOUT_S, LOAD_RETRY_S * 2.0 ** min(n_failed, MAX_DOUBLINGS))
+
     async def _reserve(self, version: VersionRef) -> bool:
         try:
             with trio.fail_after(RESERVE_TIMEOUT_S):
--- a/features/agent/faults.feature
+++ b/features/agent/faults.feature
@@ -32,6 +32,8 @@
       | a withdrawal by document         | VERSION_WITHDRAWN   | not_run | 0 |
       | a withdrawal by notice           | VERSION_WITHDRAWN   | not_run | 0 |
       | a withdrawal before the send     | VERSION_WITHDRAWN   | not_run | 0 |
+      | a version not loaded             | NOT_READY           | not_run | 0 |
+      | an unload before the send        | NOT_READY           | not_run | 0 |
       | an allowed set narrowed          | MODEL_NOT_ALLOWED   | not_run | 0 |
       | a customer of a newer revision   | STALE_REVISION      | not_run | 0 |
       | a quarantine                     | CRASHES_UPSTREAMS   | not_run | 0 |
--- a/features/agent/order_door.feature
+++ b/features/agent/order_door.feature
@@ -25,3 +25,16 @@
       | 409 {"accepted":false,"number":7}     | UPSTREAM_FAILED | not_run |
       | 200 nonsense                          | UPSTREAM_FAILED | unknown |
       | 500 {}                                | UPSTREAM_FAILED | unknown |
+
+  Scenario Outline: an engine whose load is told as <answer>
+    When the loaded versions are read from an engine that answers <answer>
+    Then they are <loaded>
+
+    Examples:
+      | answer                              | loaded  |
+      | 200 {"loaded":["delta/assess@v1"]}  | 1       |
+      | 200 {"loaded":[]}                   | 0       |
+      | 200 {"queued":3}                    | unknown |
+      | 200 nonsense                        | unknown |
+      | 404 {}                              | unknown |
+      | 503 {"loaded":[]}                   | failed  |
--- a/features/agent/serve.feature
+++ b/features/agent/serve.feature
@@ -21,3 +21,5 @@
       | a notice wins over an older revision                   |
       | the report tells limit, state, boot and revision       |
       | tokens go out at once, then joined by the window       |
+      | a version is not unloaded under its attempt            |
+      | a silent engine's loaded versions stay as known        |
--- a/features/agent/steps/fakes.py
+++ b/features/agent/steps/fakes.py
@@ -116,6 +116,7 @@
     def __init__(self, script=(b"one ", b"two")):
         self.script = script
         self.health = HealthReport(True, UpstreamState.WARM, "engine-1")
+        self.loaded = None
         self.executed = []
         self.cancelled = []
         self.before_send = None
@@ -140,6 +141,11 @@
     async def probe(self):
         return self.health
 
+    async def list_loaded(self):
+        if isinstance(self.loaded, Exception):
+            raise self.loaded
+        return self.loaded
+
     async def order(self, order, *, on_send):
         on_send()
         self.executed.append(order.number)
--- a/features/agent/steps/faults.py
+++ b/features/agent/steps/faults.py
@@ -180,6 +180,21 @@
     return await collect(agent.run(req))
 
 
+async def unload_before_admission(agent, upstream, req):
+    upstream.loaded = ()
+    await trio.sleep(1)
+    return await collect(agent.run(req))
+
+
+async def unload_before_send(agent, upstream, req):
+    async def unload():
+        upstream.loaded = ()
+        await trio.sleep(1)
+
+    upstream.before_send = unload
+    return await collect(agent.run(req))
+
+
 async def copy_after_domain_in(agent, upstream, req):
     out = make_notice(NoticeKind.DOMAIN_OUT, "delta/can-tho", 1)
     await agent.notify(out)
@@ -238,6 +253,8 @@
     "a withdrawal by document": refuse_by_view(withdrawn=True),
     "a withdrawal by notice": refuse_by_notice(NoticeKind.WITHDRAWN, "delta/assess@v1"),
     "a withdrawal before the send": withdraw_before_send,
+    "a version not loaded": unload_before_admission,
+    "an unload before the send": unload_before_send,
     "an allowed set narrowed": refuse_by_view(allowed=("other",)),
     "a customer of a newer revision": newer_entry_unknown_customer,
     "a quarantine": refuse_by_notice(NoticeKind.QUARANTINE, "d1"),
--- a/features/agent/steps/order_door_steps.py
+++ b/features/agent/steps/order_door_steps.py
@@ -86,3 +86,24 @@
 @then("the order's end is {end} with ran {ran}")
 def then_order_ends(context, end, ran):
     assert (context.result[0], context.result[1].value) == (end, ran), context.result
+
+
+@when("the loaded versions are read from an engine that answers {answer}")
+def when_loaded_read(context, answer):
+    status, _, body = answer.partition(" ")
+
+    async def read():
+        transport = httpx.MockTransport(lambda request: httpx.Response(int(status), text=body))
+        async with httpx.AsyncClient(transport=transport) as http:
+            try:
+                loaded = await HttpUpstream("http://engine", http).list_loaded()
+            except UpstreamError:
+                return "failed"
+            return "unknown" if loaded is None else str(len(loaded))
+
+    context.loaded = trio.run(read)
+
+
+@then("they are {loaded}")
+def then_loaded(context, loaded):
+    assert context.loaded == loaded, context.loaded
--- a/features/agent/steps/play_steps.py
+++ b/features/agent/steps/play_steps.py
@@ -3,12 +3,21 @@
 import trio
 from behave import then, when
 from fakes import BOOT, NOW, FakeUpstream, make_request, make_view
-from faults import collect, make_notice
+from faults import REFUSED_CONNECTION, collect, make_notice
 from subject import AgentSubject
 
 from crocusvalve.answers import AnswerStore
 from crocusvalve.base import ClassKind, CustomerId, Ran, Revision, UpstreamState
-from crocusvalve.rpc import CancelRequest, Empty, Final, Frame, NoticeKind, ResumeRequest
+from crocusvalve.rpc import (
+    CancelRequest,
+    Empty,
+    Final,
+    Frame,
+    NoticeKind,
+    ResumeRequest,
+    UpstreamOrder,
+    UpstreamOrderAction,
+)
 
 
 def join(events):
@@ -120,6 +129,33 @@
     assert (await agent.report(Empty())).state is UpstreamState.DRAINING
 
 
+async def unload_under_attempt(agent, upstream):
+    async def learn():
+        return 1
+
+    agent._orders.read_number = learn
+    gate = trio.Event()
+    upstream.script = (b"one ", gate, b"two")
+    req = make_request()
+    order = UpstreamOrder(action=UpstreamOrderAction.UNLOAD, number=1, version=req.version)
+    events = agent.run(req)
+    await anext(events)
+    told = await agent.order_upstream(order)
+    assert (told.accepted, told.code, told.ran) == (False, "NOT_READY", Ran.NOT_RUN)
+    gate.set()
+    assert isinstance((await collect(events))[-1], Final)
+    assert (await agent.order_upstream(order)).accepted
+
+
+async def keep_loaded(agent, upstream):
+    upstream.loaded = ()
+    await trio.sleep(1)
+    upstream.loaded = REFUSED_CONNECTION
+    await trio.sleep(1)
+    told = await agent.report(Empty())
+    assert told.loaded == () and told.serves == ()
+
+
 class SteppedUpstream(FakeUpstream):
     async def call(self, req, *, on_send, on_data):
         async def take(data):
@@ -150,6 +186,8 @@
     "a notice wins over an older revision": obey_notice,
     "the report tells limit, state, boot and revision": report,
     "tokens go out at once, then joined by the window": coalesce,
+    "a version is not unloaded under its attempt": unload_under_attempt,
+    "a silent engine's loaded versions stay as known": keep_loaded,
 }
 
 
--- /dev/null
+++ b/features/entry_loads/steps/load_steps.py
@@ -0,0 +1,193 @@
+"""Steps about the controller's loads, with small fakes in virtual time."""
+
+import trio
+from behave import given, then, when
+
+from crocusvalve.agent._order_door import OrderDoor
+from crocusvalve.base import BootId, Revision, UpstreamId, UpstreamState, VersionRef
+from crocusvalve.config import DocumentView
+from crocusvalve.entry._loads import LoadTask
+from crocusvalve.exceptions import PlatformError
+from crocusvalve.membership import take_report
+from crocusvalve.model import EntryTables, keep_loaded
+from crocusvalve.platform import WeightReservation
+from crocusvalve.rpc import LoadReport, UpstreamOrderReply
+from crocusvalve.rpc._client import RpcError
+from features.core_builders import make_document
+from features.support.virtual_platform import TrioClock, run_virtual
+
+ENGINE = UpstreamId("d/u0")
+WAIT_S = 30.0
+
+
+def make_version(name):
+    return VersionRef(f"d/m@{name}")
+
+
+class LoadSubject:
+    """The task with a fake lease, weight store, agent and engine, all in this one object."""
+
+    def __init__(self, versions):
+        self.versions = versions
+        self.tables = EntryTables(self.make_view(1))
+        self.state = "wrong"
+        self.number = 7
+        self.orders, self.n_reserved = [], 0
+        self.loaded = [make_version("v1")]
+        self.told = None
+        self.is_lost = False
+
+    def make_view(self, revision, withdrawn=()):
+        document = make_document(1, versions=self.versions, withdrawn=withdrawn)
+        return DocumentView(document, Revision(revision))
+
+    def set_state(self, state):
+        self.state = state
+        self.is_lost = state in ("lost", "lost with a withdrawn")
+        if state.endswith("withdrawn"):
+            self.loaded.append(make_version("v2"))
+            self.tables.apply_view(self.make_view(2, withdrawn=("v1",)))
+
+    def report(self):
+        row = self.tables.upstreams[ENGINE]
+        loaded = None if self.state == "telling nothing" else tuple(self.loaded)
+        is_down = self.state == "down"
+        row.in_subset = self.state != "out of the subset"
+        report = LoadReport(
+            upstream_id=ENGINE,
+            boot_id=BootId("b"),
+            state=UpstreamState.DOWN if is_down else UpstreamState.WARM,
+            in_flight=0,
+            limit=1,
+            queued=0,
+            ewma_service_s=0.0,
+            revision=self.tables.view.revision,
+            at=trio.current_time(),
+            serves=keep_loaded(self.tables.view.upstreams[ENGINE].serves, loaded),
+            loaded=loaded,
+        )
+        take_report(self.tables, report, trio.current_time())
+
+    def is_held(self, now):
+        return not self.is_lost
+
+    async def reserve(self, version):
+        self.n_reserved += 1
+        if self.state == "lost in the store":
+            self.is_lost = True
+        if self.state == "failing":
+            raise PlatformError("down")
+        if self.state == "hanging":
+            await trio.sleep_forever()
+        if self.state == "refusing for 30 s" and trio.current_time() < WAIT_S:
+            return WeightReservation(False, WAIT_S - trio.current_time())
+        return WeightReservation(True)
+
+    def get(self, address):
+        return self
+
+    async def order_upstream(self, order):
+        self.orders.append(f"{order.action.value} {order.version.partition('@')[2]}")
+        is_silent = self.state == "silent at first" and len(self.orders) == 1
+        if is_silent or self.state == "silent":
+            raise RpcError("cut", step="order_upstream", peer="a")
+        if self.state == "hanging at first" and len(self.orders) == 1:
+            await trio.sleep_forever()
+        if self.state == "out of memory":
+            return UpstreamOrderReply(False, order.number, code="UPSTREAM_FAILED")
+        if self.state not in ("losing orders", "keeping a withdrawn"):
+            change = self.loaded.append if order.action.value == "load" else self.loaded.remove
+            change(order.version)
+        return UpstreamOrderReply(True, order.number)
+
+    def run(self, seconds, agent=None):
+        async def main():
+            task = LoadTask(tables=self.tables, pool=agent or self, weights=self, clock=TrioClock())
+            while trio.current_time() < seconds:
+                self.report()
+                await task.run_once(self, trio.current_time())
+                await trio.sleep(1.0)
+
+        run_virtual(main)
+
+
+class FencedAgent:
+    """An agent's door to an engine that counts its orders."""
+
+    def __init__(self, number):
+        self.number, self.orders = number, []
+        self.door = OrderDoor(self, self.read_number)
+
+    async def read_number(self):
+        return self.number
+
+    async def order(self, order, *, on_send):
+        on_send()
+        self.orders.append(order)
+        return UpstreamOrderReply(True, order.number)
+
+    def get(self, address):
+        return self
+
+    async def order_upstream(self, order):
+        return await self.door.pass_order(order)
+
+
+@given('an engine that has loaded "v1" and shall serve "{versions}"')
+def given_engine(context, versions):
+    context.subject = LoadSubject(tuple(versions.split()))
+
+
+@given("that the engine's agent has seen the number {number:d}")
+def given_fenced(context, number):
+    context.agent = FencedAgent(number)
+
+
+@given("that the {part} is {state}")
+def given_state(context, part, state):
+    context.subject.set_state(state)
+
+
+@when("the controller runs its loads for {seconds:d} s")
+def when_runs(context, seconds):
+    context.subject.run(seconds)
+
+
+@when("the controller with number 7 runs its loads for {seconds:d} s")
+def when_former_runs(context, seconds):
+    context.subject.run(seconds, context.agent)
+
+
+@then("the agent was given {orders} and {asked:d} loads were reserved")
+def then_given(context, orders, asked):
+    text, _, times = orders.partition("x")
+    expected = [] if orders == "none" else [text] * int(times or 1)
+    told = (context.subject.orders, context.subject.n_reserved)
+    assert told == (expected, asked), told
+
+
+@then("the engine was given no order")
+def then_no_order(context):
+    assert context.subject.n_reserved and not context.agent.orders
+
+
+@when('the agent reports that "{loaded}" is loaded and then the revision changes')
+def when_reported(context, loaded):
+    subject = context.subject
+    subject.loaded = [make_version(name) for name in loaded.split() if name != "nothing"]
+    subject.state = "telling nothing" if loaded == "unknown" else "wrong"
+
+    async def main():
+        subject.report()
+        context.serves = [subject.tables.upstreams[ENGINE].serves]
+        subject.tables.apply_view(subject.make_view(2))
+        context.serves.append(subject.tables.upstreams[ENGINE].serves)
+
+    run_virtual(main)
+
+
+@then('the entry\'s row serves "{serves}"')
+@then('the entry\'s row serves ""')
+def then_serves(context, serves=""):
+    expected = tuple(make_version(name) for name in serves.split())
+    assert context.serves == [expected, expected], context.serves
