A fault of one connection ends that connection alone

Cause: a caller without a key could end a whole entry: data on a closed HTTP/2 stream raises inside hypercorn, and its server passes the error to the nursery of all connections. Ruled out: turning HTTP/2 off by a setting (there is none for connections without TLS). Change: utils.serve_app serves hypercorn's connections one by one and logs their faults; HTTP/2 is not offered over TLS, where a fault would end the other streams of its connection.

--- a/crocusvalve/cli/_options.py
+++ b/crocusvalve/cli/_options.py
@@ -107,7 +107,7 @@
 
 def _make_tls(ca: str) -> ssl.SSLContext:
     try:
-        return make_client_tls(ca, alpn=HTTP_ALPN[1:])
+        return make_client_tls(ca, alpn=HTTP_ALPN)
     except OSError as exc:
         problem = Problem("--ca", repr(ca), "the path of a PEM file")
         raise OptionsError([str(problem)]) from exc
--- a/crocusvalve/entry/_durable_desk.py
+++ b/crocusvalve/entry/_durable_desk.py
@@ -19,6 +19,7 @@
 )
 from crocusvalve.entry import _openai
 from crocusvalve.entry._commands import AnswerSummary
+from crocusvalve.entry._digests import compute_request_digest
 from crocusvalve.entry._runtime import EntryRuntime
 from crocusvalve.entry.base import DurableStatus
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, PlatformError, RefusedError
@@ -105,7 +106,7 @@
                 class_name=req.class_name,
                 deadline=req.deadline,
                 body=msgspec.msgpack.encode(req),
-                digest=req.digest,
+                digest=compute_request_digest(req),
                 alarm_before_s=class_cfg.alarm_before_s if class_cfg else 0.0,
                 session_id=req.session_id,
             )
--- a/crocusvalve/entry/_order_desk.py
+++ b/crocusvalve/entry/_order_desk.py
@@ -11,12 +11,13 @@
 from crocusvalve.config._view import model_of
 from crocusvalve.entry._commands import AnswerSummary, StartAttempt
 from crocusvalve.entry._core import EntryCore
+from crocusvalve.entry._digests import compute_request_digest
 from crocusvalve.entry._handle import AnswerPart, RequestHandle
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, InvariantError, RefusedError
 from crocusvalve.model import RequestRow
 from crocusvalve.orders import AttemptRecord, OrderOutcome, OrderRunner, OrderSpec, OutcomeKind
 from crocusvalve.rpc import RunRequest
-from crocusvalve.utils import Clock, compute_digest
+from crocusvalve.utils import Clock
 
 __all__ = ["OrderCall", "OrderDesk"]
 
@@ -128,7 +129,7 @@
         spec = OrderSpec(
             customer_id=req.customer_id,
             key=req.idempotency_key,
-            body_digest=compute_digest(req.method.encode(), req.path.encode(), req.body),
+            body_digest=compute_request_digest(req),
             request_id=req.request_id,
             entry_id=NodeId(self.core.node_id),
             deadline=req.deadline,
--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -20,7 +20,7 @@
 from crocusvalve.metrics import EntryMetrics
 from crocusvalve.platform import HttpPlatform
 from crocusvalve.rpc import serve_rpc
-from crocusvalve.security import RPC_ALPN, ProcessTls, TlsServerConfig, watch_tls
+from crocusvalve.security import RPC_ALPN, ProcessTls, watch_tls
 from crocusvalve.settings import EntrySettings
 from crocusvalve.utils import MonotonicClock, serve_app
 
@@ -106,7 +106,7 @@
         app,
         listen.host,
         listen.port,
-        cfg=TlsServerConfig(tls),
+        tls=tls,
         drain_s=settings.drain_s,
         shutdown=closing,
         task_status=task_status,
--- a/crocusvalve/security/__init__.py
+++ b/crocusvalve/security/__init__.py
@@ -1,6 +1,5 @@
 """Keys and TLS contexts of a process."""
 
-from crocusvalve.security._hypercorn import TlsServerConfig
 from crocusvalve.security._keys import NewKey, is_internal_key, make_key, read_bearer
 from crocusvalve.security._process import ProcessTls, watch_tls
 from crocusvalve.security._tls import (
@@ -17,7 +16,6 @@
     "ProcessTls",
     "RPC_ALPN",
     "ReloadingTls",
-    "TlsServerConfig",
     "is_internal_key",
     "make_client_tls",
     "make_key",
--- a/crocusvalve/security/_tls.py
+++ b/crocusvalve/security/_tls.py
@@ -8,7 +8,8 @@
 
 __all__ = ["HTTP_ALPN", "RPC_ALPN", "ReloadingTls", "make_client_tls", "make_server_tls"]
 
-HTTP_ALPN = ("h2", "http/1.1")
+#: HTTP/2 is not offered: a fault of one stream would end all others of its connection.
+HTTP_ALPN = ("http/1.1",)
 RPC_ALPN = ("h2",)
 POLL_INTERVAL_S = 1.0
 
--- a/crocusvalve/utils/_serving.py
+++ b/crocusvalve/utils/_serving.py
@@ -1,17 +1,38 @@
-"""Serves a web application by hypercorn on trio."""
+"""Serves a web application by hypercorn on trio; a fault of one connection ends that one alone."""
 
+import logging
 import socket
+import ssl
+from functools import partial
 
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.lifespan import Lifespan
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
+from hypercorn.utils import wrap_app
 from quart_trio import QuartTrio
 
 __all__ = ["open_listener", "serve_app"]
 
+logger = logging.getLogger(__name__)
+
 LISTEN_BACKLOG = 512
 KEEP_ALIVE_S = 75
 DRAIN_S = 1.0
+ASGI_MODE = "asgi"
+
+
+class IsolatedConnection(TCPServer):
+    """A connection whose faults are logged and end it alone, not the process."""
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        try:
+            await super().run()
+        except* Exception as group:
+            logger.error("a connection ended by a fault of its protocol: %r", group.exceptions)
 
 
 def open_listener(host: str, port: int) -> socket.socket:
@@ -23,12 +44,30 @@
     return sock
 
 
+def _make_config(drain_s: float) -> Config:
+    cfg = Config()
+    cfg.accesslog = None
+    cfg.errorlog = None
+    cfg.graceful_timeout = drain_s
+    cfg.keep_alive_timeout = KEEP_ALIVE_S
+    return cfg
+
+
+def _wrap_listener(
+    sock: socket.socket, tls: ssl.SSLContext | None
+) -> trio.SocketListener | trio.SSLListener:
+    listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+    if tls is None:
+        return listener
+    return trio.SSLListener(listener, tls, https_compatible=True)
+
+
 async def serve_app(
     app: QuartTrio,
     host: str,
     port: int,
     *,
-    cfg: Config | None = None,
+    tls: ssl.SSLContext | None = None,
     drain_s: float = DRAIN_S,
     shutdown: trio.Event | None = None,
     task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
@@ -41,8 +80,8 @@
         The application.
     host, port : str, int
         Address to listen on; port 0 picks a free one.
-    cfg : Config or None
-        Configuration to start from, such as one with TLS.
+    tls : ssl.SSLContext or None
+        Live server context.
     drain_s : float
         Time that open requests have after the stop, in seconds.
     shutdown : trio.Event or None
@@ -52,13 +91,25 @@
     """
     sock = open_listener(host, port)
     bound = sock.getsockname()[1]
-    cfg = Config() if cfg is None else cfg
-    cfg.bind = [f"fd://{sock.detach()}"]
-    cfg.accesslog = None
-    cfg.errorlog = None
-    cfg.graceful_timeout = drain_s
-    cfg.keep_alive_timeout = KEEP_ALIVE_S
+    cfg = _make_config(drain_s)
+    wrapped = wrap_app(app, cfg.wsgi_max_body_size, ASGI_MODE)
+    context = WorkerContext(None)
+    lifespan = Lifespan(wrapped, cfg, {})
     stop = trio.Event() if shutdown is None else shutdown
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(lambda: serve(app, cfg, shutdown_trigger=stop.wait))
-        task_status.started(bound)
+    async with trio.open_nursery() as lifespan_nursery:
+        await lifespan_nursery.start(lifespan.handle_lifespan)
+        await lifespan.wait_for_startup()
+        handler = partial(IsolatedConnection, wrapped, cfg, context, ConnectionState({}))
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as listening:
+                listeners = [_wrap_listener(sock, tls)]
+                listening.start_soon(
+                    partial(trio.serve_listeners, handler, listeners, handler_nursery=connections)
+                )
+                task_status.started(bound)
+                await stop.wait()
+                listening.cancel_scope.cancel()
+            await context.terminated.set()
+            connections.cancel_scope.deadline = trio.current_time() + drain_s
+        await lifespan.wait_for_shutdown()
+        lifespan_nursery.cancel_scope.cancel()
--- a/features/processes/path.feature
+++ b/features/processes/path.feature
@@ -36,3 +36,8 @@
     And a new session is answered by version "v2" at entry 1
     When version "v1" is withdrawn
     Then the session is refused with code "version_withdrawn" and "not_run" at entry 1
+
+  Scenario: A caller that breaks the protocol ends its own connection alone
+    When a caller sends data on a closed stream of HTTP/2 to entry 0
+    Then a chat request is answered at entry 0
+    And entry 0 is still running
--- a/features/processes/steps/process_steps.py
+++ b/features/processes/steps/process_steps.py
@@ -2,10 +2,14 @@
 
 import json
 import signal
+import socket
 import sys
 import threading
 from pathlib import Path
 
+import h2.config
+import h2.connection
+import h2.events
 import httpx
 import msgspec
 import openai
@@ -19,6 +23,7 @@
 
 from _cluster import (  # noqa: E402
     CUSTOMER_KEY,
+    HOST,
     Cluster,
     make_chat,
     make_headers,
@@ -26,6 +31,8 @@
 )
 
 DONE = "data: [DONE]"
+#: Frame of 3 bytes on stream 1 that ends it, which the stream no longer takes.
+DATA_OF_STREAM_1 = b"\x00\x00\x03\x00\x01\x00\x00\x00\x01abc"
 
 
 class Processes:
@@ -756,3 +763,29 @@
 @then('from then on no chat request is answered by version "{version}"')
 def then_no_answers(context, version):
     assert all(answer_version(context, context.other) != version for _ in range(20))
+
+
+@when("a caller sends data on a closed stream of HTTP/2 to entry 0")
+def when_broken_stream(context):
+    conn = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+    with socket.create_connection((HOST, context.cluster.ports["http-0"]), timeout=60) as sock:
+        conn.initiate_connection()
+        headers = {":method": "POST", ":path": "/none", ":scheme": "http", ":authority": "x"}
+        conn.send_headers(1, list(headers.items()))
+        sock.sendall(conn.data_to_send())
+        ended = False
+        while not ended:
+            events = conn.receive_data(sock.recv(65536))
+            ended = any(isinstance(event, h2.events.StreamEnded) for event in events)
+        sock.sendall(DATA_OF_STREAM_1)
+        # The server closes the connection, in order or not.
+        try:
+            while sock.recv(65536):
+                pass
+        except OSError:
+            pass
+
+
+@then("entry 0 is still running")
+def then_running(context):
+    assert context.cluster.procs["entry-0"].poll() is None
--- a/features/security/steps/security_steps.py
+++ b/features/security/steps/security_steps.py
@@ -61,7 +61,7 @@
         if with_cert:
             cert = self.write("client.pem", self.client_cert.cert_chain_pems[0].bytes())
             key = self.write("client-key.pem", self.client_cert.private_key_pem.bytes())
-        context = make_client_tls(ca_file, cert, key, alpn=HTTP_ALPN[1:])
+        context = make_client_tls(ca_file, cert, key, alpn=HTTP_ALPN)
         return httpx.AsyncClient(verify=context, trust_env=False)
 
     async def is_answered(self, url, ca, with_cert=False):
--- a/features/served.py
+++ b/features/served.py
@@ -1,11 +1,11 @@
 """An application on a loopback port, served by a thread."""
 
 import threading
+from functools import partial
 
 import trio
-from hypercorn.trio import serve
 
-from crocusvalve.security import TlsServerConfig
+from crocusvalve.utils import serve_app
 
 GUARD_S = 60
 
@@ -31,17 +31,11 @@
         assert self._is_bound.wait(GUARD_S)
 
     async def _serve(self):
-        cfg = TlsServerConfig(self.tls)
-        cfg.bind = ["127.0.0.1:0"]
-        cfg.loglevel = "CRITICAL"
         self._token, self._stop = trio.lowlevel.current_trio_token(), trio.Event()
         async with trio.open_nursery() as nursery:
-            binds = await nursery.start(
-                lambda task_status: serve(
-                    self.app, cfg, shutdown_trigger=self._stop.wait, task_status=task_status
-                )
-            )
-            self.url = binds[0]
+            serve = partial(serve_app, self.app, "127.0.0.1", 0, tls=self.tls, shutdown=self._stop)
+            port = await nursery.start(serve)
+            self.url = f"{'https' if self.tls else 'http'}://127.0.0.1:{port}"
             self._is_bound.set()
 
     def close(self):
