--- a/features/processes/path.feature
+++ b/features/processes/path.feature
@@ -28,6 +28,12 @@
       | unknown path               | 404    | not_found               |
     And no upstream has done any work
 
+  Scenario: An idempotency key stands for one request
+    When a durable request with key "assess-3" is sent to entry 0
+    And the same durable request with key "assess-3" is sent to entry 1
+    Then both answers are of one request
+    And another durable request with key "assess-3" is refused with code "idempotency_key_reused"
+
   Scenario: A session keeps its version through the death of its entry
     Given a session that entry 0 opened with version "v1"
     When version "v2" becomes current
--- a/features/processes/steps/_cluster.py
+++ b/features/processes/steps/_cluster.py
@@ -1,6 +1,8 @@
 """Separate processes of the system and its stand-ins, started for one scenario."""
 
 import contextlib
+import itertools
+import os
 import signal
 import socket
 import subprocess
@@ -20,6 +22,10 @@
 SESSION_KEY = "session-key-of-the-test!"
 GUARD_S = 90.0
 POLL_S = 0.05
+FIRST_PORT = 15000
+LAST_PORT = 31000
+PORTS_A_SLOT = 40
+N_SLOTS = (LAST_PORT - FIRST_PORT) // PORTS_A_SLOT
 
 DOCUMENT = """
 environment = "trial"
@@ -118,12 +124,28 @@
 
 
 def find_ports(n):
-    """Return loopback ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(n)]
-        for sock in socks:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in socks]
+    """Return loopback ports that are free now, apart from those of other test processes.
+
+    They lie below the range of outgoing connections, so that none takes them before they are bound.
+    """
+    first = FIRST_PORT + os.getpid() % N_SLOTS * PORTS_A_SLOT
+    ports = []
+    for port in itertools.chain(range(first, LAST_PORT), range(FIRST_PORT, first)):
+        if len(ports) == n:
+            break
+        if is_free(port):
+            ports.append(port)
+    return ports
+
+
+def is_free(port):
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_until(check, what):
--- a/features/processes/steps/process_steps.py
+++ b/features/processes/steps/process_steps.py
@@ -172,6 +172,25 @@
     context.responses.append(wait_until(fetch, "the durable answer"))
 
 
+@when('the same durable request with key "{key}" is sent to entry {entry:d}')
+def when_durable_again(context, key, entry):
+    context.repeat = context.calls.durable(entry, key)
+
+
+@then("both answers are of one request")
+def then_one_request(context):
+    assert context.repeat.status_code == 202, context.repeat.text
+    assert context.repeat.json()["id"] == context.responses[0].json()["id"]
+
+
+@then('another durable request with key "{key}" is refused with code "{code}"')
+def then_key_reused(context, key, code):
+    headers = make_headers("durable", key)
+    body = make_chat("assess", model="small@v2")
+    response = context.calls.post(0, "/v1/chat/completions", json=body, headers=headers)
+    check_refused(response, code, "not_run")
+
+
 @then("all were answered whole")
 def then_all_whole(context):
     for response in context.responses:
