The roll-out scenario waits for one answer of the bad version, not five

Cause: the scenario failed once in 4 whole runs and once in 6 copies: the sequential test may withdraw the version before it has answered 5 requests, and the step then waits in vain. Ruled out: a stuck controller (the failing runs held no error; the version was out of force). Change: the step waits for the first answer; what is asserted after it is as strict as before.

--- a/features/processes/faults.feature
+++ b/features/processes/faults.feature
@@ -54,7 +54,7 @@
   Scenario: A bad version is withdrawn by itself though the controller is killed
     Given the engines answer badly with version "v2"
     When a roll-out of version "v2" is started
-    And chat requests are sent until version "v2" has answered 5 of them
+    And chat requests are sent until version "v2" has answered 1 of them
     And the entry that holds the controller's lease is killed
     Then chat requests are sent to the other entry until version "v2" is withdrawn
     And from then on no chat request is answered by version "v2"
