--- a/crocusvalve/entry/_runtime.py
+++ b/crocusvalve/entry/_runtime.py
@@ -1,7 +1,7 @@
 """Runtime of an entry: carries out the core's commands and feeds it events."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 from msgspec.structs import replace
@@ -23,6 +23,7 @@
     StartAttempt,
 )
 from crocusvalve.entry._core import EntryCore
+from crocusvalve.entry._guarded import run_once_guarded
 from crocusvalve.entry._handle import AnswerPart, RequestHandle
 from crocusvalve.entry._observe import RequestObserver
 from crocusvalve.entry._order_desk import OrderDesk
@@ -154,7 +155,7 @@
 
     def _submit_order(self, req: RequestRow) -> RequestHandle:
         call = self.desk.open(req)
-        self._nursery.start_soon(self.desk.run, call)
+        self._spawn(self.desk.run, call)
         return call.handle
 
     def abandon(self, request_id: RequestId) -> None:
@@ -174,19 +175,27 @@
         for command in commands:
             self._carry_out[type(command)](command)
 
+    def _spawn(self, task: Callable[..., Awaitable[None]], *args) -> None:
+        """Start a task whose fault ends it alone; a request then ends at its deadline."""
+        name = getattr(task, "__qualname__", repr(task))
+        self._nursery.start_soon(run_once_guarded, name, self._note_failure, task, *args)
+
+    def _note_failure(self, name: str) -> None:
+        self.observer.note_invariant(InvariantError(f"task {name} failed", step="runtime"))
+
     def _start(self, cmd: StartAttempt) -> None:
         call = self.desk.find(cmd.run.request_id)
         if call is not None:
             call.note_placed(cmd)
             return
-        self._nursery.start_soon(self.runner.start, cmd)
+        self._spawn(self.runner.start, cmd)
 
     def _resume(self, cmd: ResumeAttempt) -> None:
-        self._nursery.start_soon(self.runner.resume, cmd)
+        self._spawn(self.runner.resume, cmd)
 
     def _cancel(self, cmd: CancelAttempt) -> None:
         if cmd.address:
-            self._nursery.start_soon(self.runner.cancel, cmd)
+            self._spawn(self.runner.cancel, cmd)
 
     def _deliver(self, cmd: Deliver) -> None:
         handle = self._handles.get(cmd.request_id)
@@ -233,7 +242,7 @@
     def _rate(self, cmd: RateAnswer) -> None:
         req = self._rows.get(cmd.request_id)
         if req is not None:
-            self._nursery.start_soon(self._rate_and_feed, cmd, req)
+            self._spawn(self._rate_and_feed, cmd, req)
 
     async def _rate_and_feed(self, cmd: RateAnswer, req: RequestRow) -> None:
         score = await self.rater.rate(req, cmd.version, cmd.answer)
@@ -242,7 +251,7 @@
         self.dispatch(self.core.take_rating(cmd.request_id, score, self.clock.now()))
 
     def _sample(self, cmd: SampleAnswer) -> None:
-        self._nursery.start_soon(self._sample_and_learn, cmd)
+        self._spawn(self._sample_and_learn, cmd)
 
     async def _sample_and_learn(self, cmd: SampleAnswer) -> None:
         score = await self.rater.rate(cmd.req, cmd.version, cmd.answer)
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -27,6 +27,7 @@
 from crocusvalve.entry._commands import ShareQuarantine
 from crocusvalve.entry._core import CoreLimits, EntryCore
 from crocusvalve.entry._durable_desk import DurableDesk
+from crocusvalve.entry._guarded import run_guarded
 from crocusvalve.entry._handle import RequestHandle
 from crocusvalve.entry._loads import LoadTask
 from crocusvalve.entry._notice_desk import NoticeDesk
@@ -41,7 +42,7 @@
 from crocusvalve.entry._upstreams import UpstreamWatcher
 from crocusvalve.entry._vm_list import VmListFollower
 from crocusvalve.entry.base import DurableStatus, EntryService
-from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.exceptions import ErrorCode, InvariantError, RefusedError
 from crocusvalve.limits import compute_quota_share
 from crocusvalve.membership import MembershipSystem, NoticeTable
 from crocusvalve.metrics import EntryMetrics
@@ -202,14 +203,16 @@
             self._nursery = nursery
             await nursery.start(self.runtime.run)
             await nursery.start(self.durable.run)
-            nursery.start_soon(self._run_housekeeping)
-            nursery.start_soon(self.follower.run)
-            nursery.start_soon(self.flusher.run)
-            nursery.start_soon(self.watcher.run)
+            nursery.start_soon(
+                run_guarded, "run_housekeeping", self._note_failure, self._run_housekeeping
+            )
+            nursery.start_soon(run_guarded, "follower", self._note_failure, self.follower.run)
+            nursery.start_soon(run_guarded, "flusher", self._note_failure, self.flusher.run)
+            nursery.start_soon(run_guarded, "watcher", self._note_failure, self.watcher.run)
             await nursery.start(self.notices.run)
-            nursery.start_soon(self.rollouts.run)
-            nursery.start_soon(self.vm_list.run)
-            nursery.start_soon(self.controller.run)
+            nursery.start_soon(run_guarded, "rollouts", self._note_failure, self.rollouts.run)
+            nursery.start_soon(run_guarded, "vm_list", self._note_failure, self.vm_list.run)
+            nursery.start_soon(run_guarded, "controller", self._note_failure, self.controller.run)
             if self.keeper.view is not None:
                 self._apply_view(self.keeper.view)
             task_status.started()
@@ -239,6 +242,9 @@
         )
         return Controller(lease, [rollouts, loads], clock=self.clock)
 
+    def _note_failure(self, name: str) -> None:
+        self.observer.note_invariant(InvariantError(f"task {name} failed", step=name))
+
     async def _run_housekeeping(self) -> None:
         while True:
             await trio.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/crocusvalve/entry/_upstreams.py
+++ b/crocusvalve/entry/_upstreams.py
@@ -77,6 +77,7 @@
 
     async def run(self) -> None:
         """Watch the upstreams of the revision in force until cancelled."""
+        self._watched.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 self._match_watchers(nursery)
