retry: an end told without its upstream can't end another attempt

Cause: the entry tells a failed attempt's end twice, the first time without its upstream, which ended the attempt of the same digest on another upstream; as a suspect it could then run twice at a time.

--- a/crocusvalve/retry/_quarantine.py
+++ b/crocusvalve/retry/_quarantine.py
@@ -125,7 +125,7 @@
     ) -> None:
         """Count the end of an attempt that crashed nothing; a success clears a suspect.
 
-        Without an upstream the oldest attempt of the digest is the one that ends.
+        Without an upstream the digest's only attempt ends; where several run, none does.
         """
         self._end(digest, upstream_id)
         if is_success and self.is_suspect(digest):
@@ -148,8 +148,8 @@
         running = self.running_.get(digest)
         if running is None:
             return
-        if upstream_id is None:
-            running.pop(0)
+        if upstream_id is None and len(running) == 1:
+            running.clear()
         elif upstream_id in running:
             running.remove(upstream_id)
         if not running:
--- a/features/retry/quarantine.feature
+++ b/features/retry/quarantine.feature
@@ -33,6 +33,14 @@
     Then digest "x" may run on ""
     And starting "x" on "u2" breaks an invariant
 
+  Scenario: An end told twice, once without its upstream, ends one attempt
+    Given upstreams "u0 u1 u2"
+    When digest "x" starts on "u0"
+    And digest "x" starts on "u1"
+    And digest "x" ends on "u0" by a failure that is told twice
+    And digest "x" crashes upstream "u2" with incident "b1"
+    Then digest "x" may run on ""
+
   Scenario: A bystander is cleared by its next success, a banned one never
     Given upstreams "u0 u1 u2"
     And digests "x y" crashed upstream "u0" together
--- a/features/retry/steps/quarantine_steps.py
+++ b/features/retry/steps/quarantine_steps.py
@@ -67,6 +67,13 @@
     subject.quarantine.note_end(digest, f"d/{upstream}", is_success=False)
 
 
+@when('digest "{digest}" ends on "{upstream}" by a failure that is told twice')
+def when_end_twice(context, digest, upstream):
+    quarantine = get_subject(context).quarantine
+    quarantine.note_end(digest, is_success=False)
+    quarantine.note_end(digest, f"d/{upstream}", is_success=False)
+
+
 @when('digest "{digest}" ends on "{upstream}" with success')
 def when_end_success(context, digest, upstream):
     get_subject(context).quarantine.note_end(digest, f"d/{upstream}", is_success=True)
