--- a/crocusvalve/base.py
+++ b/crocusvalve/base.py
@@ -21,7 +21,6 @@
     "MemberId",
     "ModelRef",
     "NodeId",
-    "NodeRole",
     "Priority",
     "Ran",
     "RequestId",
@@ -146,13 +145,6 @@
     WITHDRAWN = "withdrawn"
 
 
-class NodeRole(Enum):
-    """Role of a process of the system."""
-
-    ENTRY = "entry"
-    AGENT = "agent"
-
-
 class Command:
     """Base of the commands that systems emit and the shell carries out."""
 
--- a/crocusvalve/config/_view.py
+++ b/crocusvalve/config/_view.py
@@ -12,7 +12,6 @@
     ModelRef,
     Revision,
     UpstreamId,
-    UpstreamKind,
     VersionRef,
     VersionState,
 )
@@ -147,8 +146,3 @@
         """Return a member's class of request, or None."""
         section = self.document.members.get(member)
         return section.classes.get(name) if section else None
-
-    def engines_of(self, version: VersionRef) -> list[UpstreamView]:
-        """Return the engines that serve a version, whatever their state."""
-        views = self.upstreams_by_version.get(version, [])
-        return [view for view in views if view.cfg.kind is UpstreamKind.ENGINE]
--- a/crocusvalve/utils/__init__.py
+++ b/crocusvalve/utils/__init__.py
@@ -3,14 +3,12 @@
 from crocusvalve.utils._clock import Clock, MonotonicClock
 from crocusvalve.utils._digest import compute_digest, hash_key, hash_to_unit
 from crocusvalve.utils._serving import open_listener, serve_app
-from crocusvalve.utils.validation import check_name, check_range, check_type
+from crocusvalve.utils.validation import check_range
 
 __all__ = [
     "Clock",
     "MonotonicClock",
-    "check_name",
     "check_range",
-    "check_type",
     "compute_digest",
     "hash_key",
     "hash_to_unit",
