--- a/crocusvalve/agent/_notices.py
+++ b/crocusvalve/agent/_notices.py
@@ -2,14 +2,13 @@
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId, VersionRef
 from crocusvalve.config import DocumentView
+from crocusvalve.model import BANNED_CRASHES
 from crocusvalve.rpc import Notice, NoticeKind
 
 __all__ = ["NoticeBoard"]
 
 DOMAIN_KINDS = (NoticeKind.DOMAIN_OUT, NoticeKind.DOMAIN_IN)
 MAX_NOTICES = 10_000
-#: The number of a QUARANTINE notice is that of the crashes.
-BANNED_CRASHES = 2
 
 
 class NoticeBoard:
@@ -55,6 +54,7 @@
 
     def is_quarantined(self, digest: str) -> bool:
         """Tell whether requests of a digest are refused for good, after their second crash."""
+        # The number of such a notice is that of the crashes.
         notice = self._find((NoticeKind.QUARANTINE.value, digest))
         return notice is not None and notice.number >= BANNED_CRASHES
 
--- a/crocusvalve/cli/_daemons.py
+++ b/crocusvalve/cli/_daemons.py
@@ -12,7 +12,6 @@
 from crocusvalve.cli._modules import load_module
 from crocusvalve.cli._options import JsonFlag
 from crocusvalve.cli._output import print_result
-from crocusvalve.cli._signals import run_until_signal
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode
 from crocusvalve.metrics import setup_logging
 from crocusvalve.settings import (
@@ -23,6 +22,7 @@
     ProcessSettings,
     load_settings,
 )
+from crocusvalve.utils import run_until_signal
 
 __all__ = ["make_standin_app", "run_agent", "run_bench", "run_demo", "run_entry", "run_soak"]
 
--- a/crocusvalve/demo/_run.py
+++ b/crocusvalve/demo/_run.py
@@ -1,7 +1,6 @@
 """The demo command: starts a world, makes the calls, prints the table."""
 
 import logging
-import signal
 import sys
 import time
 
@@ -15,6 +14,7 @@
 from crocusvalve.demo._keys import make_customer_key, make_operator_key
 from crocusvalve.demo._world import DemoSpec, DemoWorld, load_example
 from crocusvalve.rpc import BillRecord
+from crocusvalve.utils import run_until_signal
 
 __all__ = ["run_demo"]
 
@@ -50,40 +50,29 @@
         Exit code: 0 where every call was answered and billed once.
     """
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
-    return trio.run(_run, hold, port)
+    demo = _Demo(hold, port)
+    trio.run(run_until_signal, demo.run)
+    return demo.exit_code
 
 
-async def _run(hold: bool, port: int) -> int:
-    world = DemoWorld(load_example(), spec=DemoSpec(http_port=port))
-    stop = trio.Event()
-    code = 0
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+class _Demo:
+    """One run of the demo."""
+
+    def __init__(self, hold: bool, port: int):
+        self.hold = hold
+        self.world = DemoWorld(load_example(), spec=DemoSpec(http_port=port))
+        self.exit_code = 0
+
+    async def run(self, *, stop: trio.Event) -> None:
+        """Start the world and hold it or make the calls; returns when it has stopped."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_wait_for_signal, signals, stop)
-            await nursery.start(_run_world, world, stop, nursery)
-            if hold:
-                _print_access(world)
+            await nursery.start(self.world.run, stop)
+            if self.hold:
+                _print_access(self.world)
                 await stop.wait()
             else:
-                code = await _make_calls(world)
+                self.exit_code = await _make_calls(self.world)
             stop.set()
-    return code
-
-
-async def _run_world(
-    world: DemoWorld,
-    stop: trio.Event,
-    nursery: trio.Nursery,
-    *,
-    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
-) -> None:
-    await world.run(stop, task_status=task_status)
-    nursery.cancel_scope.cancel()
-
-
-async def _wait_for_signal(signals, stop: trio.Event) -> None:
-    async for _ in signals:
-        stop.set()
 
 
 def _print_access(world: DemoWorld) -> None:
--- a/crocusvalve/entry/_http.py
+++ b/crocusvalve/entry/_http.py
@@ -2,7 +2,7 @@
 
 import secrets
 
-from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from prometheus_client import CollectorRegistry
 from quart import Response, request
 from quart_trio import QuartTrio
 
@@ -31,6 +31,7 @@
 from crocusvalve.entry._resolve import list_models, make_chat_row, make_service_row
 from crocusvalve.entry.base import DurableStatus, EntryService
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
+from crocusvalve.metrics import render_metrics
 from crocusvalve.model import RequestRow
 from crocusvalve.sessions import SessionClaim
 
@@ -76,7 +77,8 @@
 
     @app.get("/metrics")
     async def get_metrics() -> Response:
-        return Response(generate_latest(registry), content_type=CONTENT_TYPE_LATEST)
+        rendered = render_metrics(registry)
+        return Response(rendered.body, content_type=rendered.content_type)
 
     @app.get("/healthz")
     async def get_health() -> Response:
--- a/crocusvalve/model/__init__.py
+++ b/crocusvalve/model/__init__.py
@@ -1,6 +1,7 @@
 """Tables of entities and their rows."""
 
 from crocusvalve.model._rows import (
+    BANNED_CRASHES,
     AttemptRow,
     CustomerRow,
     EstimateRow,
@@ -12,6 +13,7 @@
 from crocusvalve.model._tables import EntryTables, keep_loaded
 
 __all__ = [
+    "BANNED_CRASHES",
     "AttemptRow",
     "CustomerRow",
     "EntryTables",
--- a/crocusvalve/model/_rows.py
+++ b/crocusvalve/model/_rows.py
@@ -27,6 +27,7 @@
 )
 
 __all__ = [
+    "BANNED_CRASHES",
     "AttemptRow",
     "CustomerRow",
     "EstimateRow",
@@ -36,6 +37,9 @@
     "UpstreamRow",
 ]
 
+#: Crashes from which on a request digest is refused for good.
+BANNED_CRASHES = 2
+
 
 class RequestRow(Struct, kw_only=True):
     """A request at its entry; instants in Unix seconds, cost in currency units.
@@ -163,6 +167,11 @@
     crashed_at: float
     upstreams: set[UpstreamId] = field(default_factory=set)
 
+    @property
+    def is_banned(self) -> bool:
+        """Whether requests of the digest are refused for good."""
+        return self.n_crashes >= BANNED_CRASHES
+
 
 class EstimateRow(Struct, kw_only=True):
     """Quality of a version for a customer's class, as a Beta distribution."""
--- a/crocusvalve/retry/_quarantine.py
+++ b/crocusvalve/retry/_quarantine.py
@@ -10,8 +10,6 @@
 __all__ = ["Quarantine"]
 
 STEP = "quarantine"
-#: A digest is refused for good from this crash on.
-BANNED_CRASHES = 2
 MAX_ROWS = 10_000
 MAX_AGE_S = 7 * 86_400.0
 
@@ -71,12 +69,12 @@
         row.crashed_at = max(row.crashed_at, now)
         self._end(digest, upstream_id)
         self._evict(now)
-        return row.n_crashes >= BANNED_CRASHES
+        return row.is_banned
 
     def is_banned(self, digest: str) -> bool:
         """Tell whether a digest is refused for good; a repeat keeps its row from eviction."""
         row = self.rows.get(digest)
-        if row is None or row.n_crashes < BANNED_CRASHES:
+        if row is None or not row.is_banned:
             return False
         self.rows[digest] = self.rows.pop(digest)
         return True
@@ -84,7 +82,7 @@
     def is_suspect(self, digest: str) -> bool:
         """Tell whether a digest has crashed an upstream and isn't banned."""
         row = self.rows.get(digest)
-        return row is not None and row.n_crashes < BANNED_CRASHES
+        return row is not None and not row.is_banned
 
     def filter_candidates(
         self, digest: str, candidates: Sequence[UpstreamRow]
--- a/crocusvalve/routing/_placement.py
+++ b/crocusvalve/routing/_placement.py
@@ -9,7 +9,6 @@
 __all__ = ["check_placement"]
 
 STEP = "placement"
-BANNED_CRASHES = 2
 
 
 def check_placement(tables: EntryTables, req: RequestRow, row: UpstreamRow, now: float) -> None:
@@ -44,7 +43,7 @@
 
 def _find_request_fault(tables: EntryTables, req: RequestRow, now: float) -> str:
     banned = tables.quarantine.get(req.digest)
-    if banned is not None and banned.n_crashes >= BANNED_CRASHES:
+    if banned is not None and banned.is_banned:
         return "digest is banned"
     if now > req.deadline:
         return "deadline has passed"
--- a/crocusvalve/rpc/_server.py
+++ b/crocusvalve/rpc/_server.py
@@ -1,6 +1,5 @@
 """Servers: trio services behind grpclib handlers."""
 
-import hmac
 import ssl
 from collections.abc import Callable
 from contextlib import aclosing
@@ -17,6 +16,7 @@
 from crocusvalve.rpc import _messages as msg
 from crocusvalve.rpc._codec import MessagePackCodec
 from crocusvalve.rpc.base import AgentService, PeerService
+from crocusvalve.security import is_internal_key
 
 __all__ = ["AGENT_METHODS", "PEER_METHODS", "RpcMethod", "serve_rpc"]
 
@@ -97,8 +97,7 @@
         return handle
 
     def _is_authentic(self, token: Any) -> bool:
-        given = token if isinstance(token, bytes) else str(token).encode()
-        return hmac.compare_digest(given, self._token.encode())
+        return isinstance(token, str) and is_internal_key(token, self._token)
 
     @staticmethod
     async def _answer_unary(target: Callable, req: Any, stream: Any) -> None:
--- a/features/cli/steps/cli_steps.py
+++ b/features/cli/steps/cli_steps.py
@@ -30,7 +30,7 @@
 }
 ROLE = """
 import trio
-from crocusvalve.cli._signals import run_until_signal
+from crocusvalve.utils import run_until_signal
 
 async def role(*, stop):
     print("running", flush=True)
