--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -48,11 +48,18 @@
 
 
 class PromptWork:
-    """Prompt tokens that an upstream has to read before a request's first event."""
+    """Prompt tokens that an upstream has to read before a request's first event.
+
+    Attributes
+    ----------
+    queued_tokens : float
+        The request's and all that was queued before, weighted by the models' cost.
+    """
 
     def __init__(self, load: UpstreamLoad, weighted_tokens: float):
         self._load = load
         self._weighted_tokens = weighted_tokens
+        self.queued_tokens = load.pending_work + load.peer_pending_work + weighted_tokens
         load.pending_work += weighted_tokens
 
     def finish(self) -> None:
@@ -198,6 +205,7 @@
         work = self._take_prompt(req, upstream, load, model)
         if load.cold_until > now:
             note_cold_send(load, now)
+        req.model, req.upstream_id = model, upstream.upstream_id
         call = UpstreamCall(upstream.address, self.codec)
         try:
             left_s = req.compute_left_s(now)
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -132,6 +132,10 @@
                 "fields": {
                     "status": status,
                     "elapsed_ms": round(elapsed_s * 1000),
+                    "first_event_ms": _count_ms(req.arrived_at, req.first_event_at),
+                    "events": req.n_events,
+                    "model": req.model,
+                    "upstream": req.upstream_id,
                     "attempts": req.n_arrivals,
                     "runs": req.n_runs,
                     "notes": req.notes,
@@ -247,3 +251,7 @@
             self._customers.add(name)
             return name
         return "other"
+
+
+def _count_ms(since: float, until: float | None) -> int | None:
+    return None if until is None else round((until - since) * 1000)
--- a/crocusvalve/gateway/_request.py
+++ b/crocusvalve/gateway/_request.py
@@ -43,6 +43,12 @@
         Times that the request was sent, also where it was rejected.
     n_runs : int
         Times that it may have run.
+    model, upstream_id : str, UpstreamId or None
+        Model and upstream asked last.
+    first_event_at : float or None
+        Time of the first event that was passed on.
+    notes : list of str
+        What happened on the way, for the log.
     """
 
     caller: CallerRequest
@@ -59,6 +65,10 @@
     n_arrivals: int = 0
     n_runs: int = 0
     has_run: bool = False
+    model: str = ""
+    upstream_id: UpstreamId | None = None
+    first_event_at: float | None = None
+    n_events: int = 0
     notes: list[str] = field(default_factory=list)
 
     @property
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -22,6 +22,10 @@
 MAX_FAILURE_BYTES = 1024 * 1024
 #: Part of the goal after which a first event that hasn't come is asked for elsewhere.
 FIRST_EVENT_PART = 0.9
+#: Prompt tokens of the costliest model that an upstream reads in a second, from the users' sheet,
+#: and the multiple of the time for its work that is waited besides.
+READ_TOKENS_PER_S = 18_000.0
+PATIENCE = 3.0
 #: Part of the longest good pause after which the stream is resumed elsewhere.
 STALL_PART = 0.8
 #: Time between looks for an upstream, and the part of the goal that a request waits for one.
@@ -161,7 +165,7 @@
     ) -> _End:
         """Read one reply and pass its events on."""
         upstream = attempt.upstream
-        first_s = self._compute_first_event_s(req)
+        first_s = self._compute_first_event_s(req, attempt)
         reply: Reply | None = None
         with trio.move_on_after(first_s) as scope:
             reply = await attempt.read_head(req.caller.attempt_id)
@@ -179,7 +183,10 @@
                 )
             if larger is not None and self.desk.may_send_again(req, self.clock.now()):
                 self.desk.note(req, upstream, Outcome.SUCCESS)
-                req.notes.append(f"{progress.model}:confidence {reply.confidence}")
+                waited_s = self.clock.now() - started_at
+                req.notes.append(
+                    f"{progress.model}:confidence {reply.confidence:.0f} after {waited_s:.2f} s"
+                )
                 progress.model = larger
                 return _End.LARGER_MODEL
             splitter = EventSplitter()
@@ -192,7 +199,9 @@
         self.desk.note(req, upstream, Outcome.SUCCESS, first_s=self.clock.now() - started_at)
         stall_s = STALL_PART * req.route.gap_goal_s
         while True:
-            await self._pass_on(progress, reply, events, responder)
+            if events and req.first_event_at is None:
+                req.first_event_at = self.clock.now()
+            await self._pass_on(req, progress, reply, events, responder)
             if is_over:
                 return _End.WHOLE
             with trio.move_on_after(stall_s) as scope:
@@ -206,9 +215,14 @@
                 req.notes.append(f"{upstream.upstream_id}:stalled")
                 return _End.LOST
 
-    def _compute_first_event_s(self, req: GatewayRequest) -> float:
+    def _compute_first_event_s(self, req: GatewayRequest, attempt: Attempt) -> float:
+        """Return how long to wait for a first event; the longer, the more the upstream has to do.
+
+        A busy upstream is waited for, since asking a second one adds to the load of all.
+        """
         if req.n_attempts_left > 0 and req.route.is_repeatable:
-            return FIRST_EVENT_PART * req.route.goal_s
+            work_s = attempt.work.queued_tokens / READ_TOKENS_PER_S
+            return FIRST_EVENT_PART * req.route.goal_s + PATIENCE * work_s
         return float("inf")
 
     async def _take_failure(
@@ -251,7 +265,11 @@
 
     @staticmethod
     async def _pass_on(
-        progress: _Progress, reply: Reply, events: list[StreamEvent], responder: Responder
+        req: GatewayRequest,
+        progress: _Progress,
+        reply: Reply,
+        events: list[StreamEvent],
+        responder: Responder,
     ) -> None:
         data = b"".join(event.data for event in events)
         if not responder.has_started:
@@ -260,4 +278,5 @@
             await responder.send(data)
         for event in events:
             progress.n_events += 1
+            req.n_events += 1
             progress.last_event_id = event.event_id or progress.last_event_id
