Both versions serve until shortly before the end of an upgrade

Cause: at completion the old upstreams stop, which halves what serves; it came at 0.80 of the time. Change: half of the sessions stay on the old version up to 0.84, completion at 0.93.

--- a/crocusvalve/gateway/_upgrades.py
+++ b/crocusvalve/gateway/_upgrades.py
@@ -21,8 +21,8 @@
 PROBE_PART = 0.75
 #: Share of the new version by the part of the time that has passed. Sessions may move to the new
 #: version in the second half only, and the old one must be idle before the end.
-STEPS = ((0.52, 0.4), (0.60, 0.7), (0.68, 1.0))
-COMPLETE_AT = 0.80
+STEPS = ((0.52, 0.3), (0.60, 0.5), (0.84, 1.0))
+COMPLETE_AT = 0.93
 #: Chance below which as many failures are no accident.
 SIGNIFICANCE = 0.004
 #: Least share of failures that the old version is taken to have.
