A fair answer in time goes before a good one that is late

Change: where the largest model's first event is not expected within the goal, the smaller model's answer is passed on from a confidence of 30 instead of 55.

--- a/crocusvalve/gateway/_cascade.py
+++ b/crocusvalve/gateway/_cascade.py
@@ -6,10 +6,17 @@
 
 #: Confidence, of 100, from which a smaller model's answer is passed on.
 MIN_CONFIDENCE = 55.0
+#: The same where the larger model's answer would come late: a fair answer in time is worth more.
+MIN_CONFIDENCE_LATE = 30.0
 
 
 def choose_larger_model(
-    models: Sequence[str], model: str, confidence: float | None, n_attempts_left: int
+    models: Sequence[str],
+    model: str,
+    confidence: float | None,
+    n_attempts_left: int,
+    *,
+    is_in_time: bool = True,
 ) -> str | None:
     """Return the model to ask instead, or None where the answer is passed on.
 
@@ -23,9 +30,10 @@
         Its opinion of its answer, 0 to 100; None where it tells none.
     n_attempts_left : int
         Attempts that the request may still make.
+    is_in_time : bool
+        Whether the larger model's first event is expected within the goal.
     """
-    if confidence is None or n_attempts_left < 1 or model not in models:
+    if confidence is None or n_attempts_left < 1 or model not in models or model == models[-1]:
         return None
-    if confidence >= MIN_CONFIDENCE or model == models[-1]:
-        return None
-    return models[-1]
+    bound = MIN_CONFIDENCE if is_in_time else MIN_CONFIDENCE_LATE
+    return None if confidence >= bound else models[-1]
--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -22,7 +22,7 @@
 LIGHT_WEIGHT = 0.3
 LIGHT_SHARE = 0.34
 MIN_ROWS_TO_SPLIT = 4
-#: Work, in prompt tokens, for which a request goes to the others' upstreams: a heavy one, a light one.
+#: Work, in prompt tokens, for which a heavy (False) or light (True) request goes to the others'.
 MIX_WORK = {False: 40_000.0, True: 10_000.0}
 #: Weight of a prompt's unread tokens on the upstream that all gateways take first for it.
 HOME_FACTOR = 0.75
@@ -72,10 +72,15 @@
 
 
 class Placement(Struct, frozen=True):
-    """An upstream and the reason for it; None where there is none."""
+    """An upstream and the reason for it; None where there is none.
+
+    ``work`` is what it has to read before the first event, the request's prompt included, in
+    prompt tokens of the costliest model.
+    """
 
     upstream: Upstream | None
     reason: PlacementReason
+    work: float = 0.0
 
 
 def choose_upstream(tables: GatewayTables, query: PlacementQuery, now: float) -> Placement:
@@ -174,4 +179,4 @@
 
     best = min(rows, key=compute_work)
     reason = PlacementReason.AFFINITY if best is home else PlacementReason.LEAST_LOADED
-    return Placement(best, reason)
+    return Placement(best, reason, compute_work(best))
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -26,6 +26,8 @@
 #: and the multiple of the time for its work that is waited besides.
 READ_TOKENS_PER_S = 18_000.0
 PATIENCE = 3.0
+#: Time from the last prompt token to the first event, from the users' sheet.
+FIRST_EVENT_S = 0.12
 #: Part of the longest good pause after which the stream is resumed elsewhere.
 STALL_PART = 0.8
 #: Time between looks for an upstream, and the part of the goal that a request waits for one.
@@ -177,9 +179,13 @@
             if reply.status != 200:
                 return await self._take_failure(req, progress, attempt, reply)
             larger = None
-            if not progress.n_events:
+            if req.route.models and not progress.n_events:
                 larger = choose_larger_model(
-                    req.route.models, progress.model, reply.confidence, req.n_attempts_left
+                    req.route.models,
+                    progress.model,
+                    reply.confidence,
+                    req.n_attempts_left,
+                    is_in_time=self._is_in_time(req),
                 )
             if larger is not None and self.desk.may_send_again(req, self.clock.now()):
                 self.desk.note(req, upstream, Outcome.SUCCESS)
@@ -225,6 +231,13 @@
             return FIRST_EVENT_PART * req.route.goal_s + PATIENCE * work_s
         return float("inf")
 
+    def _is_in_time(self, req: GatewayRequest) -> bool:
+        """Tell whether the largest model's first event would come within the goal."""
+        now = self.clock.now()
+        placement = self.desk.place(req, now, req.route.models[-1])
+        expected_s = FIRST_EVENT_S + placement.work / READ_TOKENS_PER_S
+        return now + expected_s <= req.arrived_at + req.route.goal_s
+
     async def _take_failure(
         self, req: GatewayRequest, progress: _Progress, attempt: Attempt, reply: Reply
     ) -> _End:
