--- a/crocusvalve/cli/_main.py
+++ b/crocusvalve/cli/_main.py
@@ -11,6 +11,7 @@
 from crocusvalve.cli._commands import add_command
 from crocusvalve.cli._config import make_config_app
 from crocusvalve.cli._exit import ExitCode, find_exit_code
+from crocusvalve.cli._explain import explain
 from crocusvalve.cli._local import make_key_app, make_settings_app
 from crocusvalve.cli._output import print_error
 from crocusvalve.exceptions import CrocusvalveError
@@ -48,6 +49,7 @@
         app.command(group)
     add_command(app, _operate.status)
     add_command(app, _operate.usage)
+    add_command(app, explain)
     add_command(app, _daemons.run_entry, "entry")
     add_command(app, _daemons.run_agent, "agent")
     add_command(app, _daemons.run_demo, "demo")
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -41,8 +41,9 @@
 
 #: How long a call waits for changes of the operators' records; a dead connection shows after it.
 OPERATOR_WAIT_S = 2.0
-#: Upstreams refresh their entries all the time; changes are fetched this often.
-UPSTREAM_PAUSE_S = 0.4
+#: Upstreams refresh their entries all the time; changes are fetched each of these parts of the time
+#: within which a leaving one must get no more work.
+UPSTREAM_PAUSE_PART = 0.3
 UPSTREAM_WAIT_S = 2.0
 STATUS_WAIT_S = 2.0
 BACKOFF_BASE_S = 0.1
@@ -55,6 +56,8 @@
 ACCEPT_AFTER_STOP_S = 3.0
 #: Time kept at the end of the grace for the process to end.
 EXIT_MARGIN_S = 0.9
+#: The others' loads are summed at most this often, since the work grows with their number.
+SUM_INTERVAL_S = 0.1
 #: Prompts sent within this time are told, so that each is told about twice.
 TELL_PARTS_S = 1.0
 #: Most digests of crashes told in one message.
@@ -136,6 +139,7 @@
             random_state=random_state,
         )
         self._nursery: trio.Nursery | None = None
+        self._summed_at = float("-inf")
 
     def is_ready(self) -> bool:
         """Tell whether this gateway takes new connections."""
@@ -184,7 +188,9 @@
         return [
             self._make_follower(self.operator, wait_s=OPERATOR_WAIT_S).run,
             self._make_follower(
-                self.upstreams, wait_s=UPSTREAM_WAIT_S, pause_s=UPSTREAM_PAUSE_S
+                self.upstreams,
+                wait_s=UPSTREAM_WAIT_S,
+                pause_s=UPSTREAM_PAUSE_PART * self.settings.bounds.drain_s,
             ).run,
             self._make_follower(
                 self.statuses, wait_s=STATUS_WAIT_S, is_wanted=self.upgrades.is_active
@@ -245,7 +251,7 @@
             inflight={key: load.n_inflight for key, load in loads if load.n_inflight},
             pending_work={key: int(load.pending_work) for key, load in loads if load.n_inflight},
             parts=tuple(told for told in self.desk.told_parts if now - told.at < TELL_PARTS_S),
-            tallies=self.tallies.list_own(),
+            tallies=self.tallies.list_own() if self.upgrades.is_active() else (),
             crashes=self.crashes.list_newest(MAX_TOLD_DIGESTS),
             hosts=self.peers.list_alive_hosts(now),
             is_leaving=self.relay.is_draining,
@@ -257,7 +263,11 @@
         for digest, incidents in news.crashes.items():
             self.crashes.merge(digest, incidents)
         self._take_parts(news)
-        inflight, work = self.peers.sum_loads(self.clock.now())
+        now = self.clock.now()
+        if now - self._summed_at < SUM_INTERVAL_S:
+            return
+        self._summed_at = now
+        inflight, work = self.peers.sum_loads(now)
         for upstream_id, load in self.tables.loads.items():
             load.n_peer_inflight = inflight.get(upstream_id, 0)
             load.peer_pending_work = work.get(upstream_id, 0)
--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -71,6 +71,7 @@
       | settings check  | settings check entry.toml  |
       | entry           | entry entry.toml           |
       | standin engine  | standin engine delta       |
+      | explain         | explain 9f9bc7df040f74cc   |
 
   Scenario: What is shown is edited and applied, and an old copy is a conflict
     Given what "config show" prints for "delta" is kept in two files
--- /dev/null
+++ b/features/cli/steps/explain_steps.py
@@ -0,0 +1,77 @@
+"""Steps about the story of a request."""
+
+import json
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from crocusvalve.cli._explain import read_story
+from crocusvalve.exceptions import CrocusvalveError
+
+LINES = {
+    "one.log": [
+        (1, "upstream i-1: registered", "", {}),
+        (2, "upstream i-9: registered", "", {}),
+        (6, "request ended: failed", "r1", {"upstream": "i-1", "notes": ["i-1:broken"]}),
+        (7, "request ended: answered", "r2", {"upstream": "i-9"}),
+    ],
+    "two.log": [(4, "upstream i-1 suspended after outcome broken", "", {"span_s": 0.7})],
+}
+
+
+@given("logs of two gateways about some requests")
+def given_logs(context):
+    context.folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(context.folder.cleanup)
+    context.paths = []
+    for name, lines in LINES.items():
+        path = Path(context.folder.name) / name
+        rows = [
+            {
+                "time": f"2026-01-01T00:00:0{at}",
+                "message": text,
+                "request_id": req,
+                "fields": fields,
+            }
+            for at, text, req, fields in lines
+        ]
+        noise = ["no log line", "{torn", " 1.5 gateway-1 "]
+        path.write_text("\n".join([*noise, *map(json.dumps, rows)]) + "\n")
+        context.paths.append(path)
+
+
+@given("a log that does not exist")
+def given_missing(context):
+    context.paths = [Path("missing.log")]
+
+
+@when('the story of request "{request_id}" is read')
+def when_read(context, request_id):
+    context.error = None
+    try:
+        context.story = read_story(request_id, context.paths)
+    except CrocusvalveError as exc:
+        context.error = exc
+
+
+@then('it tells "{first}", "{second}", "{third}" in this order')
+def then_tells(context, first, second, third):
+    messages = [line.message for line in context.story]
+    places = [
+        next(i for i, message in enumerate(messages) if message.startswith(text))
+        for text in (first, second, third)
+    ]
+    assert places == sorted(places), messages
+
+
+@then('it tells nothing of request "{request_id}" and upstream "{upstream}"')
+def then_nothing(context, request_id, upstream):
+    assert not any(
+        line.request_id == request_id or upstream in line.message for line in context.story
+    )
+
+
+@then('the error is "{code}"')
+def then_error(context, code):
+    assert context.error is not None and context.error.code.code == code, context.error
