--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -25,7 +25,7 @@
 #: Work, in prompt tokens, for which a heavy (False) or light (True) request goes to the others'.
 MIX_WORK = {False: 40_000.0, True: 10_000.0}
 #: Weight of a prompt's unread tokens on the upstream that all gateways take first for it.
-HOME_FACTOR = 0.55
+HOME_FACTOR = 0.4
 
 
 class PlacementReason(Enum):
