A slow version is found by the pace of each model, at the start and between events

First events of a slow and a fast model shared one mean, and streams given up for lateness counted for neither version. Change: a pace for each model and for pauses; late streams count as failures of their version; 2.5 instead of 4 times the mean, the old version's own share of these being compared with. Test: 'A version is slow by its own model's pace ...'.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -257,20 +257,29 @@
         outcome: Outcome,
         *,
         first_s: float | None = None,
+        pause_s: float | None = None,
     ) -> None:
-        """Learn from the end of an attempt."""
+        """Learn from the end of an attempt.
+
+        Parameters
+        ----------
+        first_s, pause_s : float or None
+            Time to the first event or the whole answer, mean time between events, in seconds.
+        """
         now = self.clock.now()
         load = self.tables.get_load(upstream.upstream_id)
         if note_outcome(load, outcome, now):
             self.observer.note_suspended(upstream, outcome, load.suspended_until - now)
-        if outcome in (Outcome.SUCCESS, Outcome.FAILURE):
+        if outcome in (Outcome.SUCCESS, Outcome.FAILURE, Outcome.LATE):
             order = self.tables.orders.get(upstream.service)
             self.tallies.note(
                 upstream.service,
                 upstream.version,
                 req.route.name,
-                is_failure=outcome is Outcome.FAILURE,
+                is_failure=outcome is not Outcome.SUCCESS,
+                model=req.model,
                 first_s=first_s,
+                pause_s=pause_s,
                 is_reference=order is None or upstream.version != order.version,
             )
 
--- a/crocusvalve/gateway/_health.py
+++ b/crocusvalve/gateway/_health.py
@@ -27,7 +27,9 @@
     FULL = "full"
     #: The connection broke, or the reply was no reply.
     BROKEN = "broken"
-    #: No connection, or no answer in time.
+    #: It took the request and gave nothing in time, or went silent within an answer.
+    LATE = "late"
+    #: No connection.
     SILENT = "silent"
 
 
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -22,6 +22,8 @@
 MAX_FAILURE_BYTES = 1024 * 1024
 #: Part of the goal after which a first event that hasn't come is asked for elsewhere.
 FIRST_EVENT_PART = 0.9
+#: Events from which the pace of a stream is judged.
+MIN_PACED_EVENTS = 4
 #: Prompt tokens of the costliest model that an upstream reads in a second, from the users' sheet,
 #: and the multiple of the time for its work that is waited besides.
 READ_TOKENS_PER_S = 18_000.0
@@ -188,8 +190,8 @@
                     is_in_time=self._is_in_time(req),
                 )
             if larger is not None and self.desk.may_send_again(req, self.clock.now()):
-                self.desk.note(req, upstream, Outcome.SUCCESS)
                 waited_s = self.clock.now() - started_at
+                self.desk.note(req, upstream, Outcome.SUCCESS, first_s=waited_s)
                 req.notes.append(
                     f"{progress.model}:confidence {reply.confidence:.0f} after {waited_s:.2f} s"
                 )
@@ -198,17 +200,20 @@
             splitter = EventSplitter()
             events, is_over = await self._read_events(attempt, splitter)
         if scope.cancelled_caught:
-            self.desk.note(req, upstream, Outcome.BROKEN)
+            self.desk.note(req, upstream, Outcome.LATE)
             req.notes.append(f"{upstream.upstream_id}:no event in {first_s:.2f} s")
             return _End.LOST
         attempt.work.finish()
-        self.desk.note(req, upstream, Outcome.SUCCESS, first_s=self.clock.now() - started_at)
+        first_at = self.clock.now()
+        n_before = progress.n_events
+        self.desk.note(req, upstream, Outcome.SUCCESS, first_s=first_at - started_at)
         stall_s = STALL_PART * req.route.gap_goal_s
         while True:
             if events and req.first_event_at is None:
                 req.first_event_at = self.clock.now()
             await self._pass_on(req, progress, reply, events, responder)
             if is_over:
+                self._note_pause(req, upstream, progress.n_events - n_before, first_at)
                 return _End.WHOLE
             with trio.move_on_after(stall_s) as scope:
                 events, is_over = await self._read_events(attempt, splitter)
@@ -217,7 +222,7 @@
                     stall_s = float("inf")
                     events = []
                     continue
-                self.desk.note(req, upstream, Outcome.BROKEN)
+                self.desk.note(req, upstream, Outcome.LATE)
                 req.notes.append(f"{upstream.upstream_id}:stalled")
                 return _End.LOST
 
@@ -231,6 +236,13 @@
             return FIRST_EVENT_PART * req.route.goal_s + PATIENCE * work_s
         return float("inf")
 
+    def _note_pause(
+        self, req: GatewayRequest, upstream: Upstream, n_events: int, first_at: float
+    ) -> None:
+        if n_events >= MIN_PACED_EVENTS:
+            pause_s = (self.clock.now() - first_at) / n_events
+            self.desk.note(req, upstream, Outcome.SUCCESS, pause_s=pause_s)
+
     def _is_in_time(self, req: GatewayRequest) -> bool:
         """Tell whether the largest model's first event would come within the goal."""
         now = self.clock.now()
--- a/crocusvalve/gateway/_tallies.py
+++ b/crocusvalve/gateway/_tallies.py
@@ -7,9 +7,10 @@
 
 __all__ = ["TallyBook", "TallyRow"]
 
-#: A first event later than this many times the route's mean counts as a failure of its version.
-SLOW_FACTOR = 4.0
-SLOW_MARGIN_S = 0.3
+#: A first event, or a pause between events, longer than this many times the old version's mean
+#: counts as a failure of its version; the old version's own share of these is compared with.
+SLOW_FACTOR = 2.5
+SLOW_MARGINS_S = {"first": 0.15, "pause": 0.05}
 MEAN_WEIGHT = 0.1
 MIN_SAMPLES = 5
 
@@ -34,7 +35,7 @@
     def __init__(self) -> None:
         self._own: dict[tuple[str, str, str], Tally] = {}
         self._others: dict[str, tuple[TallyRow, ...]] = {}
-        self._paces: dict[tuple[str, str], _Pace] = {}
+        self._paces: dict[tuple[str, str, str, str], _Pace] = {}
 
     def note(
         self,
@@ -43,20 +44,28 @@
         route: str,
         *,
         is_failure: bool,
+        model: str = "",
         first_s: float | None = None,
+        pause_s: float | None = None,
         is_reference: bool = True,
     ) -> bool:
         """Count an answer; tell whether it counts as a failure.
 
         Parameters
         ----------
+        model : str
+            Model that answered; each has a pace of its own.
         first_s : float or None
             Time to the first event or the whole answer, in seconds.
+        pause_s : float or None
+            Mean time between events, in seconds.
         is_reference : bool
             Whether the time teaches the route's mean.
         """
-        if first_s is not None and not is_failure:
-            is_failure = self._is_slow(service, route, first_s, is_reference)
+        for part, time_s in (("first", first_s), ("pause", pause_s)):
+            if time_s is not None and not is_failure:
+                key = (service, route, model, part)
+                is_failure = self._is_slow(key, time_s, is_reference)
         tally = self._own.setdefault((service, version, route), Tally())
         tally.n_answers += 1
         tally.n_failures += is_failure
@@ -88,13 +97,12 @@
         for key in [key for key in self._own if key[0] == service]:
             del self._own[key]
 
-    def _is_slow(self, service: str, route: str, first_s: float, is_reference: bool) -> bool:
-        pace = self._paces.setdefault((service, route), _Pace())
-        is_slow = (
-            pace.n_samples >= MIN_SAMPLES and first_s > SLOW_FACTOR * pace.mean_s + SLOW_MARGIN_S
-        )
+    def _is_slow(self, key: tuple[str, str, str, str], time_s: float, is_reference: bool) -> bool:
+        pace = self._paces.setdefault(key, _Pace())
+        bound_s = SLOW_FACTOR * pace.mean_s + SLOW_MARGINS_S[key[-1]]
+        is_slow = pace.n_samples >= MIN_SAMPLES and time_s > bound_s
         if is_reference and not is_slow:
             weight = max(MEAN_WEIGHT, 1.0 / (pace.n_samples + 1))
-            pace.mean_s += weight * (first_s - pace.mean_s)
+            pace.mean_s += weight * (time_s - pace.mean_s)
             pace.n_samples += 1
         return is_slow
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -98,6 +98,18 @@
     When the new version answers in 0.9 s
     Then it counts as a failure
 
+  Scenario Outline: A version is slow by its own model's pace, at the start or between events
+    Given 10 answers of the old version by two models, one ten times as fast
+    When the new version's <model> model takes <first> s to begin and <pause> s between events
+    Then it <counts> as a failure
+
+    Examples:
+      | model | first | pause | counts       |
+      | fast  | 0.8   | 0.02  | counts       |
+      | fast  | 0.2   | 0.3   | counts       |
+      | slow  | 0.8   | 0.2   | doesn't count |
+      | fast  | 0.15  | 0.05  | doesn't count |
+
   Scenario: A request that crashes upstreams is refused after the third, wherever they crashed
     Given a gateway that saw a request crash 2 upstreams
     When another gateway tells of the same crashes and of one more
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -348,10 +348,42 @@
     )
 
 
-@then("it counts as a failure")
-def then_counts(context):
+@given("10 answers of the old version by two models, one ten times as fast")
+def given_models(context):
+    context.book = TallyBook()
+    for model, factor in (("fast", 0.1), ("slow", 1.0)):
+        for _ in range(10):
+            context.book.note(
+                SERVICE,
+                VersionName("v1"),
+                "a",
+                is_failure=False,
+                model=model,
+                first_s=1.0 * factor,
+                pause_s=0.2 * factor,
+            )
+
+
+@when("the new version's {model} model takes {first:g} s to begin and {pause:g} s between events")
+def when_model_answers(context, model, first, pause):
+    context.counted = context.book.note(
+        SERVICE,
+        VersionName("v2"),
+        "a",
+        is_failure=False,
+        model=model,
+        first_s=first,
+        pause_s=pause,
+        is_reference=False,
+    )
+
+
+@then("it {counts} as a failure")
+def then_counts(context, counts):
     new, old = context.book.sum_by_route(SERVICE, VersionName("v2"))
-    assert context.counted and new["a"].n_failures == 1 and old["a"].n_failures == 0
+    expected = int(counts == "counts")
+    assert context.counted == bool(expected), context.book
+    assert new["a"].n_failures == expected and old["a"].n_failures == 0
 
 
 @given("a gateway that saw a request crash 2 upstreams")
