--- a/crocusvalve/gateway/__init__.py
+++ b/crocusvalve/gateway/__init__.py
@@ -1,5 +1,6 @@
 """The gateway: an entry that passes requests through to upstreams without agents."""
 
+from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._process import Gateway
 
-__all__ = ["Gateway"]
+__all__ = ["Gateway", "GatewayObserver"]
--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -159,7 +159,9 @@
     def may_send_again(self, req: GatewayRequest, now: float) -> bool:
         """Tell whether the budget allows one more arrival of a request."""
         n_gateways = len(self.peers.list_nodes(now))
-        return self.get_budget(req.service.name).compute_left(n_gateways, now) >= 1.0
+        n_left = self.get_budget(req.service.name).compute_left(n_gateways, now)
+        self.observer.set_budget(req.service.name, n_left)
+        return n_left >= 1.0
 
     def place(self, req: GatewayRequest, now: float, model: str = "") -> Placement:
         """Choose an upstream for the next attempt."""
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -78,6 +78,39 @@
         self._attempts = Counter(
             "crocusvalve_gateway_attempts", "Requests sent to upstreams", labels, registry=registry
         )
+        self._first_event = Histogram(
+            "crocusvalve_gateway_first_event_seconds",
+            "Time from a request's arrival to its first event",
+            labels,
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self._escalations = Counter(
+            "crocusvalve_gateway_escalations",
+            "Answers of a smaller model that were dropped for a larger one's",
+            ("route",),
+            registry=registry,
+        )
+        self._resumes = Counter(
+            "crocusvalve_gateway_resumes",
+            "Streams resumed at another upstream",
+            ("route",),
+            registry=registry,
+        )
+        self._refusals = Counter(
+            "crocusvalve_gateway_refusals", "Refusals by code", ("code",), registry=registry
+        )
+        self._budget_left = Gauge(
+            "crocusvalve_gateway_budget_left",
+            "Extra attempts that this gateway may make now",
+            ("service",),
+            registry=registry,
+        )
+        self._config_age = Gauge(
+            "crocusvalve_gateway_store_age_seconds",
+            "Time since the store last answered",
+            registry=registry,
+        )
         self._suspensions = Counter(
             "crocusvalve_gateway_suspensions",
             "Suspensions of upstreams by outcome",
@@ -103,6 +136,22 @@
             lambda: count() + self._successes.n_left_out + self._failures.n_left_out
         )
 
+    def watch_store(self, compute_age_s: Callable[[], float]) -> None:
+        """Show how old what is known from the store may be."""
+        self._config_age.set_function(compute_age_s)
+
+    def note_escalation(self, route: str) -> None:
+        """Count an answer that is dropped for a larger model's."""
+        self._escalations.labels(route).inc()
+
+    def note_resume(self, route: str) -> None:
+        """Count a stream that goes on at another upstream."""
+        self._resumes.labels(route).inc()
+
+    def set_budget(self, service: ServiceName, n_left: float) -> None:
+        """Show how many extra attempts are left."""
+        self._budget_left.labels(service).set(n_left)
+
     def note_end(
         self,
         req: GatewayRequest,
@@ -118,6 +167,11 @@
         self._attempts.labels(customer, route).inc(req.n_arrivals)
         elapsed_s = now - req.arrived_at
         self._latency.labels(customer, route).observe(elapsed_s)
+        if req.first_event_at is not None:
+            first_s = req.first_event_at - req.arrived_at
+            self._first_event.labels(customer, route).observe(first_s)
+        if exc is not None:
+            self._refusals.labels(exc.code.code).inc()
         is_good = end is RequestEnd.ANSWERED
         if not (self._successes if is_good else self._failures).take(now):
             return
@@ -150,6 +204,7 @@
     ) -> None:
         """Tell of a request that was refused before it had a route."""
         self._requests.labels("", "", RequestEnd.REFUSED.value).inc()
+        self._refusals.labels(exc.code.code).inc()
         if self._failures.take(now):
             fields = {"code": exc.code.code, "config_version": config_version}
             logger.info(
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -101,6 +101,7 @@
         self.observer.watch_drops(count_dropped_lines)
         self.tables = GatewayTables()
         self.store = StoreState()
+        self.observer.watch_store(lambda: clock.now() - self.store.answered_at)
         self.tallies = TallyBook()
         self.crashes = CrashBook()
         self.peers = PeerTable(settings.node_id, settings.peer.host)
--- a/crocusvalve/standin/_page_upstream.py
+++ b/crocusvalve/standin/_page_upstream.py
@@ -46,6 +46,8 @@
         Requests that it ran.
     confidence : dict
         Confidence by model.
+    pause_s : float
+        Pause before each event, in seconds.
     n_cut : int
         Requests whose caller left before the end.
     """
@@ -57,6 +59,7 @@
         self.calls: list[PageCall] = []
         self.confidence: dict[str, int] = {}
         self.n_cut = 0
+        self.pause_s = 0.0
 
     def make_entry(self, service: str, domain: str, **changes: object) -> dict:
         """Return the entry with which it registers."""
@@ -122,6 +125,7 @@
             headers["X-Confidence"] = str(self.confidence[model])
         await stream.send_all(_make_head(200, headers))
         for number in range(int(call.headers.get("last-event-id", 0)) + 1, N_EVENTS + 1):
+            await trio.sleep(self.pause_s)
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if fault is UpstreamFault.BREAK_IN_EVENT and number == 3:
                 await stream.send_all(_make_chunk(event[:7]))
--- a/features/settings/docs.feature
+++ b/features/settings/docs.feature
@@ -9,6 +9,7 @@
       | API.md                    | operators' route   |
       | operations/settings.md    | key of settings    |
       | operations/alarms.md      | metric             |
+      | OPERATIONS.md             | metric of the gateway |
       | CLASSES.md                | class of the trial |
 
   Scenario: The command line has every command that the pages show
--- a/features/settings/steps/docs_steps.py
+++ b/features/settings/steps/docs_steps.py
@@ -11,6 +11,7 @@
 from crocusvalve.admin import make_admin_blueprint
 from crocusvalve.cli import make_app
 from crocusvalve.exceptions import ErrorCode
+from crocusvalve.gateway import GatewayObserver
 from crocusvalve.metrics import AgentMetrics, EntryMetrics
 from crocusvalve.settings import AgentSettings, EntrySettings, PlatformSettings
 from features.config.document_text import DocumentText
@@ -47,6 +48,12 @@
         EntryMetrics(registry), AgentMetrics(registry)
         return [f"`{metric.name}" for metric in registry.collect()]
 
+    @staticmethod
+    def list_gateway_metrics():
+        registry = CollectorRegistry()
+        GatewayObserver(registry)
+        return [f"`{metric.name}" for metric in registry.collect()]
+
     @staticmethod
     def list_classes():
         members = DocumentText("trial").parse().members.values()
@@ -58,6 +65,7 @@
     "operators' route": DocsSubject.list_routes,
     "key of settings": DocsSubject.list_settings,
     "metric": DocsSubject.list_metrics,
+    "metric of the gateway": DocsSubject.list_gateway_metrics,
     "class of the trial": DocsSubject.list_classes,
 }
 
