--- a/crocusvalve/gateway/__main__.py
+++ b/crocusvalve/gateway/__main__.py
@@ -24,7 +24,7 @@
 
 async def run_gateway(settings: GatewaySettings, writer: LineWriter) -> None:
     """Run a gateway until it is told to stop."""
-    async with PlatformStore(settings.store.address) as store:
+    async with PlatformStore(settings.store) as store:
         gateway = Gateway(
             settings,
             feed=store,
--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -13,7 +13,7 @@
 from crocusvalve.gateway.base import PrefixPart, ServiceName, Upstream
 from crocusvalve.utils import hash_to_unit
 
-__all__ = ["Placement", "PlacementQuery", "PlacementReason", "choose_upstream", "count_free"]
+__all__ = ["Placement", "PlacementQuery", "PlacementReason", "choose_upstream"]
 
 #: Work that a request in flight is to the others on its upstream, in prompt tokens: a step takes
 #: about 3 % longer for each.
@@ -109,16 +109,6 @@
     )
 
 
-def count_free(tables: GatewayTables, service: ServiceName) -> int:
-    """Return the free places of a service's upstreams, as far as this gateway knows."""
-    rows = tables.by_service.get(service, {}).values()
-    return sum(
-        max(0, row.slots - _count_inflight(tables.get_load(row.upstream_id)))
-        for row in rows
-        if not row.is_draining and row.domain not in tables.evacuated
-    )
-
-
 def _filter_allowed(
     tables: GatewayTables, query: PlacementQuery, rows: list[Upstream]
 ) -> list[Upstream]:
--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -5,24 +5,19 @@
 import trio
 from msgspec import Struct
 
-from crocusvalve.base import Ran
-from crocusvalve.exceptions import ErrorCode, RefusedError
-from crocusvalve.gateway._attempts import AttemptDesk
+from crocusvalve.exceptions import RefusedError
+from crocusvalve.gateway._flow import Flow, make_gateway_error
 from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._listener import Responder
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway._upstream_call import CallError
 from crocusvalve.gateway.base import Reply, RouteKind, Upstream
 
-__all__ = ["PlainFlow", "make_gateway_error"]
+__all__ = ["PlainFlow"]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 #: A safe request that has no answer after this part of its goal is sent to a second upstream.
 HEDGE_PART = 0.5
-#: Time between looks for a free upstream, and the part of the goal that a request waits for one.
-LOOK_S = 0.05
-WAIT_PART = 0.3
-RETRY_AFTER_S = 0.3
 
 
 class _End(Enum):
@@ -38,49 +33,16 @@
     body: bytes = b""
 
 
-def make_gateway_error(req: GatewayRequest, message: str, step: str) -> RefusedError:
-    """Make the error of a request that is given up; it tells the truth of whether it ran."""
-    if req.has_run:
-        return RefusedError(ErrorCode.UPSTREAM_FAILED, message, step=step, ran=Ran.UNKNOWN)
-    return RefusedError(ErrorCode.NO_UPSTREAM, message, step=step, retry_after_s=RETRY_AFTER_S)
+class PlainFlow(Flow):
+    """Runs plain requests."""
 
-
-class PlainFlow:
-    """Runs plain requests.
-
-    Parameters
-    ----------
-    desk : AttemptDesk
-        Places attempts.
-    """
-
-    def __init__(self, desk: AttemptDesk):
-        self.desk = desk
-        self.clock = desk.clock
-
-    async def run(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
-        """Answer a request.
-
-        Raises
-        ------
-        RefusedError
-            Where no upstream gave an answer.
-        """
-        result: _Result | None = None
-        with trio.move_on_after(max(0.0, req.compute_left_s(self.clock.now()))):
-            result = await self._find_answer(req)
-        if result is None:
-            raise self._make_late(req)
+    async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
+        """Answer a request."""
+        result = await self._find_answer(req)
         reply = result.reply
         await responder.answer(reply.status, reply.headers, result.body)
         return RequestEnd.ANSWERED if reply.status < 400 else RequestEnd.UPSTREAM_FAILURE
 
-    def _make_late(self, req: GatewayRequest) -> RefusedError:
-        if req.has_run:
-            message = "no answer within the time allowed"
-            return RefusedError(ErrorCode.DEADLINE_PASSED, message, step="wait", ran=Ran.UNKNOWN)
-        return make_gateway_error(req, "no upstream was free in time", "wait")
-
     async def _find_answer(self, req: GatewayRequest) -> _Result:
         async with trio.open_nursery() as nursery:
             answer = await self._run_attempts(req, nursery)
@@ -98,7 +60,7 @@
         failure: _Result | None = None
         while True:
             if not n_pending:
-                upstream = await self._wait_for_upstream(req, is_first=not req.n_arrivals)
+                upstream = await self._find_next(req)
                 if upstream is None:
                     message = "no upstream takes the request"
                     return failure or make_gateway_error(req, message, "place")
@@ -134,20 +96,15 @@
             return self.desk.may_send_again(req, self.clock.now())
         return self._may_repeat(req)
 
+    async def _find_next(self, req: GatewayRequest) -> Upstream | None:
+        """Return an upstream; one is waited for only while the request has not run."""
+        if req.has_run:
+            return self._find_upstream(req)
+        return await self.wait_for_upstream(req, req.arrived_at)
+
     def _find_upstream(self, req: GatewayRequest) -> Upstream | None:
         return self.desk.place(req, self.clock.now()).upstream
 
-    async def _wait_for_upstream(self, req: GatewayRequest, is_first: bool) -> Upstream | None:
-        """Return an upstream; wait for one a part of the goal where the request has not run."""
-        until = req.arrived_at + WAIT_PART * req.route.goal_s
-        while True:
-            upstream = self._find_upstream(req)
-            if upstream is not None or req.has_run or self.clock.now() >= until:
-                return upstream
-            if not is_first:
-                req.tried.clear()
-            await trio.sleep(LOOK_S)
-
     @staticmethod
     async def _receive(
         req: GatewayRequest, receive: trio.MemoryReceiveChannel, hedge_s: float | None
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -137,7 +137,6 @@
             upgrades=self.upgrades,
             observer=self.observer,
             clock=clock,
-            random_state=random_state,
         )
         self._nursery: trio.Nursery | None = None
         self._summed_at = float("-inf")
--- a/crocusvalve/gateway/_relay.py
+++ b/crocusvalve/gateway/_relay.py
@@ -1,7 +1,5 @@
 """Handles callers' requests: route, customer, refusal, and the way of the answer."""
 
-import random
-
 from crocusvalve.base import Ran
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptDesk
@@ -43,14 +41,12 @@
         upgrades: UpgradeKeeper,
         observer: GatewayObserver,
         clock: Clock,
-        random_state: random.Random,
     ):
         self.tables = tables
         self.desk = desk
         self.upgrades = upgrades
         self.observer = observer
         self.clock = clock
-        self.random_state = random_state
         self.plain = PlainFlow(desk)
         self.streams = StreamFlow(desk)
         self.is_draining = False
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -5,14 +5,12 @@
 import trio
 from msgspec import Struct
 
-from crocusvalve.base import Ran
-from crocusvalve.exceptions import ErrorCode, RefusedError
-from crocusvalve.gateway._attempts import Attempt, AttemptDesk
+from crocusvalve.gateway._attempts import Attempt
 from crocusvalve.gateway._cascade import choose_larger_model
 from crocusvalve.gateway._events import EventSplitter, StreamEvent
+from crocusvalve.gateway._flow import Flow, make_gateway_error
 from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._listener import AnswerAbortedError, Responder
-from crocusvalve.gateway._plain_flow import make_gateway_error
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway._upstream_call import CallError, CallFailure
 from crocusvalve.gateway.base import Reply, Upstream
@@ -32,9 +30,6 @@
 FIRST_EVENT_S = 0.12
 #: Part of the longest good pause after which the stream is resumed elsewhere.
 STALL_PART = 0.8
-#: Time between looks for an upstream, and the part of the goal that a request waits for one.
-LOOK_S = 0.05
-WAIT_PART = 0.3
 
 
 class _End(Enum):
@@ -56,51 +51,17 @@
     failure: tuple[Reply, bytes] | None = None
 
 
-class StreamFlow:
-    """Runs streams.
+class StreamFlow(Flow):
+    """Runs streams."""
 
-    Parameters
-    ----------
-    desk : AttemptDesk
-        Places attempts.
-    """
-
-    def __init__(self, desk: AttemptDesk):
-        self.desk = desk
-        self.clock = desk.clock
-
-    async def run(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
-        """Answer a request.
-
-        Raises
-        ------
-        RefusedError
-            Where nothing of the answer was sent and none can be had.
-        AnswerAbortedError
-            Where a part was sent and the rest can't be had.
-        """
+    async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
+        """Answer a request."""
         models = req.route.models
         progress = _Progress(
             model=models[0] if models else "", last_event_id=req.caller.last_event_id
         )
-        end: RequestEnd | None = None
-        with trio.move_on_after(max(0.0, req.compute_left_s(self.clock.now()))):
-            end = await self._run_attempts(req, progress, responder)
-        if end is not None:
-            return end
-        if responder.has_started:
-            raise AnswerAbortedError("the time allowed is over")
-        if req.has_run:
-            raise RefusedError(
-                ErrorCode.DEADLINE_PASSED, "no answer in time", step="wait", ran=Ran.UNKNOWN
-            )
-        raise make_gateway_error(req, "no upstream was free in time", "wait")
-
-    async def _run_attempts(
-        self, req: GatewayRequest, progress: _Progress, responder: Responder
-    ) -> RequestEnd:
         while True:
-            upstream = await self._wait_for_upstream(req, progress.model)
+            upstream = await self.wait_for_upstream(req, self.clock.now(), progress.model)
             if upstream is None:
                 return await self._give_up(req, progress, responder, "place")
             if responder.has_started:
@@ -131,16 +92,6 @@
         is_repeatable = req.route.is_repeatable or end is _End.LARGER_MODEL
         return is_repeatable and req.n_attempts_left > 0
 
-    async def _wait_for_upstream(self, req: GatewayRequest, model: str) -> Upstream | None:
-        until = self.clock.now() + WAIT_PART * req.route.goal_s
-        while True:
-            now = self.clock.now()
-            upstream = self.desk.place(req, now, model).upstream
-            if upstream is not None or now >= until:
-                return upstream
-            req.tried.clear()
-            await trio.sleep(LOOK_S)
-
     async def _attempt(
         self, req: GatewayRequest, progress: _Progress, upstream: Upstream, responder: Responder
     ) -> _End:
--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -28,7 +28,6 @@
     "SendContext",
     "Service",
     "ServiceName",
-    "StoreBounds",
     "UpgradeOrder",
     "UpgradeState",
     "UpgradeStatus",
@@ -63,18 +62,6 @@
     retry_window_s: float = 10.0
     retry_slack: float = 54.0
     exposure_share: float = 0.15
-    exposure_slack: float = 30.0
-    cold_overage: float = 1.5
-    cold_slack: float = 5.0
-    session_s: float = 5.0
-
-
-class StoreBounds(Struct, frozen=True, kw_only=True):
-    """Address of the store and the calls a second that all nodes together may make."""
-
-    address: Address
-    writes_per_s: float = 400.0
-    reads_per_s: float = 2000.0
 
 
 class GatewaySettings(Struct, frozen=True, kw_only=True):
@@ -89,10 +76,8 @@
     front: Address
     ready: Address
     peer: Address
-    store: StoreBounds
+    store: Address
     seeds: tuple[Address, ...] = ()
-    heartbeat_s: float = 1.0
-    memory_mb: float = 256.0
     bounds: GatewayBounds = GatewayBounds()
 
 
--- a/crocusvalve/platform/_boot.py
+++ b/crocusvalve/platform/_boot.py
@@ -10,7 +10,7 @@
 
 from crocusvalve.base import DomainId, NodeId
 from crocusvalve.exceptions import SettingsError
-from crocusvalve.gateway.base import Address, GatewayBounds, GatewaySettings, StoreBounds
+from crocusvalve.gateway.base import Address, GatewayBounds, GatewaySettings
 
 __all__ = ["SETTINGS_VARIABLE", "load_boot_settings"]
 
@@ -24,10 +24,6 @@
     control: str = ""
 
 
-class _Limits(Struct):
-    memory_mb: float = field(name="memoryMb", default=256.0)
-
-
 class _Bounds(Struct):
     drain_ms: float = field(name="drainMs", default=2000.0)
     grace_s: float = field(name="graceS", default=8.0)
@@ -36,16 +32,10 @@
     #: Extra attempts of the whole system in a window, whatever the number of requests.
     retry_slack: float = field(name="retrySlack", default=0.0)
     exposure_share: float = field(name="exposureShare", default=0.1)
-    exposure_slack: float = field(name="exposureSlack", default=0.0)
-    cold_overage: float = field(name="coldOverage", default=1.0)
-    cold_slack: float = field(name="coldSlack", default=0.0)
-    session_s: float = field(name="sessionS", default=5.0)
 
 
 class _Store(Struct):
     address: str
-    writes_per_s: float = field(name="writesPerS", default=100.0)
-    reads_per_s: float = field(name="readsPerS", default=500.0)
 
 
 class _Boot(Struct):
@@ -58,9 +48,6 @@
     internal_ports: tuple[int, int] = field(name="internalPorts")
     #: Addresses of other entries' control listeners; some may be stale.
     seeds: tuple[str, ...] = ()
-    #: Interval at which upstreams refresh their entries.
-    heartbeat_ms: float = field(name="heartbeatMs", default=1000.0)
-    limits: _Limits = field(default_factory=_Limits)
     bounds: _Bounds = field(default_factory=_Bounds)
 
 
@@ -97,13 +84,7 @@
         ready=_read_address(boot.listen.ready, "listen.ready", path),
         peer=Address(boot.ip, boot.internal_ports[0]),
         seeds=tuple(_read_address(seed, "seeds", path) for seed in boot.seeds),
-        heartbeat_s=boot.heartbeat_ms / 1000,
-        memory_mb=boot.limits.memory_mb,
-        store=StoreBounds(
-            address=_read_address(boot.platform.address, "platform.address", path),
-            writes_per_s=boot.platform.writes_per_s,
-            reads_per_s=boot.platform.reads_per_s,
-        ),
+        store=_read_address(boot.platform.address, "platform.address", path),
         bounds=GatewayBounds(
             drain_s=bounds.drain_ms / 1000,
             grace_s=bounds.grace_s,
@@ -111,10 +92,6 @@
             retry_window_s=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
             exposure_share=bounds.exposure_share,
-            exposure_slack=bounds.exposure_slack,
-            cold_overage=bounds.cold_overage,
-            cold_slack=bounds.cold_slack,
-            session_s=bounds.session_s,
         ),
     )
 
--- a/features/gateway/gateway_world.py
+++ b/features/gateway/gateway_world.py
@@ -9,7 +9,7 @@
 
 from crocusvalve.base import DomainId, NodeId
 from crocusvalve.gateway import Gateway
-from crocusvalve.gateway.base import Address, GatewayBounds, GatewaySettings, StoreBounds
+from crocusvalve.gateway.base import Address, GatewayBounds, GatewaySettings
 from crocusvalve.platform import PlatformHeaders, PlatformRecords, PlatformStore
 from crocusvalve.standin import PageStore, PageUpstream
 from crocusvalve.utils import BootClock
@@ -127,7 +127,7 @@
             front=Address(self.host, FRONT_PORT),
             ready=Address(self.host, READY_PORT),
             peer=Address(self.host, PEER_PORT),
-            store=StoreBounds(address=self._get_store_address()),
+            store=self._get_store_address(),
             bounds=GatewayBounds(),
         )
         return Gateway(
--- a/features/gateway/process.feature
+++ b/features/gateway/process.feature
@@ -31,5 +31,5 @@
       | no file           | can't be read      |
       | no TOML           | isn't TOML         |
       | a missing field   | nodeName           |
-      | a wrong type      | heartbeatMs        |
+      | a wrong type      | graceS             |
       | a damaged address | HOST:PORT          |
--- a/features/gateway/steps/process_steps.py
+++ b/features/gateway/steps/process_steps.py
@@ -39,7 +39,7 @@
 FAULTS = {
     "no TOML": ("nodeName", "nodeName nodeName"),
     "a missing field": ('nodeName = "gateway-1"\n', ""),
-    "a wrong type": ("heartbeatMs = 1200", 'heartbeatMs = "soon"'),
+    "a wrong type": ("graceS = 8", 'graceS = "soon"'),
     "a damaged address": ('address = "127.0.0.1:1"', 'address = "somewhere"'),
 }
 STREAM_HEAD = (
