A request whose time was over when the process woke up is not sent

Found on reading: after a suspension between the choice of an upstream and the send, a request went out with a deadline of one millisecond. The time left is looked at again after the connect and before each placement; the scenario fails without it. Loads of upstreams that have left are not kept.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -212,9 +212,14 @@
         try:
             left_s = req.compute_left_s(now)
             await call.open(min(CONNECT_TIMEOUT_S, max(0.01, left_s)))
+            # The process may have been suspended meanwhile.
+            left_s = req.compute_left_s(self.clock.now())
+            if left_s <= 0.0:
+                message = "the time allowed was over before the request was sent"
+                raise CallError(CallFailure.NOT_SENT, message, step="send", peer=call.peer)
             context = SendContext(
                 upstream_id=upstream.upstream_id,
-                deadline_s=req.compute_left_s(self.clock.now()),
+                deadline_s=left_s,
                 customer=req.customer.name if req.customer else "",
                 model=model,
                 priority=req.priority,
--- a/crocusvalve/gateway/_flow.py
+++ b/crocusvalve/gateway/_flow.py
@@ -79,6 +79,8 @@
         while True:
             now = self.clock.now()
             upstream = self.desk.place(req, now, model).upstream
+            if req.compute_left_s(now) <= 0.0:
+                return None
             if upstream is not None or now >= until:
                 return upstream
             req.tried.clear()
--- a/crocusvalve/gateway/_tables.py
+++ b/crocusvalve/gateway/_tables.py
@@ -84,10 +84,12 @@
         return True
 
     def get_load(self, upstream_id: UpstreamId) -> UpstreamLoad:
-        """Return the load of an upstream; made at first use."""
+        """Return the load of an upstream; that of one that has left is kept by nobody."""
         load = self.loads.get(upstream_id)
         if load is None:
-            load = self.loads[upstream_id] = UpstreamLoad()
+            load = UpstreamLoad()
+            if upstream_id in self.upstreams:
+                self.loads[upstream_id] = load
         return load
 
     def put_upstream(self, row: Upstream, now: float) -> Upstream | None:
--- a/features/gateway/gateway.feature
+++ b/features/gateway/gateway.feature
@@ -141,6 +141,11 @@
     When a caller sends /short/1 with POST
     Then the caller gets 504 after 1 runs
 
+  Scenario: A request whose time was over when the process woke up is not sent
+    Given a gateway with two upstreams
+    When the process is suspended for 60 s while it takes /unsafe/1
+    Then the caller gets 503 with code no_upstream and nothing ran
+
   Scenario: The upstream is told when the caller leaves
     Given a gateway with two upstreams
     And the first attempt meets hang
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -6,6 +6,7 @@
 
 from crocusvalve.base import DomainId, UpstreamId
 from crocusvalve.standin import StoreFault, UpstreamFault
+from crocusvalve.utils import Clock
 from features.gateway.gateway_world import ATTEMPT, KEY, READY_PORT, GatewayWorld, make_config
 
 BASE = f"Host: api.example\r\nX-Attempt-Id: {ATTEMPT}\r\nAuthorization: Bearer {KEY}\r\n"
@@ -46,6 +47,19 @@
         }[name].encode()
 
 
+class SuspendedClock(Clock):
+    """A clock that jumps once it has been read twice: at the admission and at the placement."""
+
+    def __init__(self, clock, jump_s):
+        self.clock = clock
+        self.jump_s = jump_s
+        self.n_reads = 0
+
+    def now(self):
+        self.n_reads += 1
+        return self.clock.now() + (self.jump_s if self.n_reads > 3 else 0.0)
+
+
 @given("a gateway with two upstreams")
 def given_gateway(context):
     context.world = GatewayWorld()
@@ -200,6 +214,18 @@
     context.world.run(act)
 
 
+@when("the process is suspended for {seconds:g} s while it takes {path}")
+def when_suspended(context, seconds, path):
+    async def act(world):
+        desk = world.gateway.desk
+        clock = SuspendedClock(desk.clock, seconds)
+        for part in (desk, world.gateway.relay.plain, world.gateway.relay.streams):
+            part.clock = clock
+        await world.call(path, method="POST", body=b"order")
+
+    context.world.run(act)
+
+
 @when("a newer configuration without the key is followed by an older one with it")
 def when_older(context):
     async def act(world):
