--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/_followers.py
@@ -51,8 +51,8 @@
         return was_away
 
     def note_failure(self, now: float) -> bool:
-        """Take a failed call; tell whether the store was up before."""
-        was_up = self.is_up
+        """Take a failed call; tell whether it is the first one, or the store was up before."""
+        was_up = self.is_up or self.failed_at == float("-inf")
         self.failed_at = now
         return was_up
 
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -159,8 +159,10 @@
         status: int,
         now: float,
         exc: CrocusvalveError | None = None,
+        *,
+        reason: str = "",
     ) -> None:
-        """Tell how a request ended."""
+        """Tell how a request ended, and the reason where it was given up or cut."""
         customer = self._label_customer(req.customer.name if req.customer else "")
         route = req.route.name
         self._requests.labels(customer, route, end.value).inc()
@@ -194,7 +196,7 @@
                     "runs": req.n_runs,
                     "notes": req.notes,
                     "code": exc.code.code if exc else "",
-                    "reason": exc.message if exc else "",
+                    "reason": exc.message if exc else reason,
                 },
             },
         )
--- a/crocusvalve/gateway/_relay.py
+++ b/crocusvalve/gateway/_relay.py
@@ -81,6 +81,7 @@
             return
         end = RequestEnd.LEFT
         error: CrocusvalveError | None = None
+        reason = ""
         try:
             flow = self.streams if req.is_stream else self.plain
             end = await flow.run(req, responder)
@@ -89,11 +90,13 @@
             is_safe_to_return = exc.ran is Ran.NOT_RUN
             end = RequestEnd.REFUSED if is_safe_to_return else RequestEnd.FAILED
             await responder.refuse(exc)
-        except AnswerAbortedError:
+        except AnswerAbortedError as exc:
             end = RequestEnd.CUT
+            reason = str(exc)
             raise
         finally:
-            self.observer.note_end(req, end, responder.status, self.clock.now(), error)
+            now = self.clock.now()
+            self.observer.note_end(req, end, responder.status, now, error, reason=reason)
 
     def _admit(self, caller: CallerRequest, now: float) -> GatewayRequest:
         """Find out what a request asks for.
--- a/features/gateway/gateway.feature
+++ b/features/gateway/gateway.feature
@@ -113,6 +113,7 @@
     And the first attempt meets break_in_event
     When a caller opens a stream at /once/1
     Then the caller gets a part that does not look complete, after 1 run
+    And the log says why it was cut
 
   Scenario Outline: The larger model is asked where the smaller one doubts its answer
     Given a gateway with two upstreams
@@ -162,6 +163,13 @@
     When the store falls silent and a caller asks for /safe/1
     Then the caller gets 200 and the upstream ran /safe/1 once
 
+  Scenario: A gateway that starts while the store is away says so
+    Given a gateway with two upstreams
+    And the store is busy from the start
+    When a caller asks for /safe/1
+    Then the caller gets 503 with code not_ready and nothing ran
+    And the log says that the store fails
+
   Scenario: The feed's history is dropped
     Given a gateway with two upstreams
     When the store drops its history and then a newer configuration arrives
--- a/features/gateway/gateway_world.py
+++ b/features/gateway/gateway_world.py
@@ -1,5 +1,6 @@
 """A gateway between stand-ins of the users' store and upstreams, all on loopback in one process."""
 
+import logging
 import os
 import random
 
@@ -83,10 +84,18 @@
         self.gateway = None
         self.answers = []
         self.probe = None
+        self.records = []
 
     def run(self, action):
-        """Start everything, play an action and stop."""
-        trio.run(self._run, action)
+        """Start everything, play an action and stop; log records are kept."""
+        handler = logging.Handler()
+        handler.emit = self.records.append
+        log = logging.getLogger("crocusvalve.gateway")
+        log.addHandler(handler)
+        try:
+            trio.run(self._run, action)
+        finally:
+            log.removeHandler(handler)
 
     async def _run(self, action):
         with trio.fail_after(3 * LIMIT_S):
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -70,6 +70,12 @@
     context.world.is_informed = False
 
 
+@given("the store is busy from the start")
+def given_busy(context):
+    context.world.is_informed = False
+    context.world.store.fault = StoreFault.BUSY
+
+
 @given("damaged entries of upstreams")
 def given_damaged(context):
     good = context.world.upstreams["one"].make_entry("ops", "domain-one")
@@ -102,8 +108,11 @@
 @when("a caller asks for {target}")
 def when_get(context, target):
     async def act(world):
+        store = world.gateway.store
         if not world.is_informed:
-            await world.wait_for(lambda: world.gateway.tables.has_upstreams)
+            await world.wait_for(
+                lambda: world.gateway.tables.has_upstreams or store.failed_at > 0.0
+            )
         await world.call(target)
         context.probe = await world.send(
             b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n", port=READY_PORT
@@ -382,6 +391,17 @@
     assert {answer.status for answer in context.world.answers} == {200}
 
 
+@then("the log says why it was cut")
+def then_reason(context):
+    (record,) = (r for r in context.world.records if r.getMessage() == "request ended: cut")
+    assert record.fields["reason"] == "the stream can't be resumed", record.fields
+
+
+@then("the log says that the store fails")
+def then_store_fails(context):
+    assert any(r.getMessage().startswith("the store fails") for r in context.world.records)
+
+
 @then("the upstream sees its connection end")
 def then_cut(context):
     assert sum(upstream.n_cut for upstream in context.world.upstreams.values()) == 1
