A caller that left before its request was read is seen before the request is sent; clean-up

Cause: the caller's close and its request lie in the socket together after a pause, and the scheduler's random order decided whether the handler or the watcher went first. The watcher now has three passes first. On the second reading also: whether a request may have run follows from its runs; events are counted once; the expected wait for the largest model is computed only where it decides; unused names go.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -228,7 +228,6 @@
             caller = req.caller
             headers = self.codec.make_request_headers(caller, context)
             req.n_runs += 1
-            req.has_run = True
             await call.send(self.spawn, caller.method, caller.target, headers, caller.body)
             yield Attempt(upstream, call, model, work)
         finally:
@@ -255,7 +254,6 @@
     def note_not_run(self, req: GatewayRequest) -> None:
         """Take back the count of a run that the upstream rejected."""
         req.n_runs -= 1
-        req.has_run = req.n_runs > 0
 
     def note(
         self,
--- a/crocusvalve/gateway/_cascade.py
+++ b/crocusvalve/gateway/_cascade.py
@@ -1,6 +1,6 @@
 """Choice of a model by cost, and of a larger one where the model doubts its answer."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 __all__ = ["choose_larger_model"]
 
@@ -16,7 +16,7 @@
     confidence: float | None,
     n_attempts_left: int,
     *,
-    is_in_time: bool = True,
+    is_in_time: Callable[[], bool],
 ) -> str | None:
     """Return the model to ask instead, or None where the answer is passed on.
 
@@ -30,10 +30,14 @@
         Its opinion of its answer, 0 to 100; None where it tells none.
     n_attempts_left : int
         Attempts that the request may still make.
-    is_in_time : bool
-        Whether the larger model's first event is expected within the goal.
+    is_in_time : callable
+        Tells whether the larger model's first event is expected within the goal; asked only where
+        the answer depends on it.
     """
     if confidence is None or n_attempts_left < 1 or model not in models or model == models[-1]:
         return None
-    bound = MIN_CONFIDENCE if is_in_time else MIN_CONFIDENCE_LATE
-    return None if confidence >= bound else models[-1]
+    if confidence >= MIN_CONFIDENCE:
+        return None
+    if confidence >= MIN_CONFIDENCE_LATE and not is_in_time():
+        return None
+    return models[-1]
--- a/crocusvalve/gateway/_listener.py
+++ b/crocusvalve/gateway/_listener.py
@@ -16,9 +16,11 @@
 READ_BYTES = 65536
 #: Bytes of later requests that are read while an answer is under way.
 MAX_AHEAD_BYTES = 65536
+#: Passes of the scheduler in which a caller that has already left is seen before its request is
+#: handled: the watcher reads in the first, cancels in the second, and the third is cancelled.
+WATCH_PASSES = 3
 #: Time that a caller has to read an error before its connection ends, in seconds.
 LINGER_S = 1.0
-TIMEOUT_STATUS = 408
 CRLF_SLACK = 4
 #: Bytes of a header field besides its name and its value.
 FIELD_OVERHEAD = 4
@@ -75,18 +77,16 @@
     async def refuse(self, exc: CrocusvalveError, status: int | None = None) -> None:
         """Send an error of the gateway's own."""
         status = exc.code.http_status if status is None else status
-        retry_after_s = exc.retry_after_s if isinstance(exc, RefusedError) else None
-        headers, body = make_error_answer(exc, retry_after_s)
+        headers, body = make_error_answer(exc)
         await self.answer(status, headers, body)
 
 
-def make_error_answer(
-    exc: CrocusvalveError, retry_after_s: float | None
-) -> tuple[list[tuple[bytes, bytes]], bytes]:
+def make_error_answer(exc: CrocusvalveError) -> tuple[list[tuple[bytes, bytes]], bytes]:
     """Return header fields and body of an error."""
     error = {"code": exc.code.code, "message": exc.message, "step": exc.step}
     body = msgspec.json.encode({"error": error})
     headers = [(b"content-type", b"application/json"), (b"content-length", b"%d" % len(body))]
+    retry_after_s = exc.retry_after_s if isinstance(exc, RefusedError) else None
     if retry_after_s is not None:
         headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
     return headers, body
@@ -163,6 +163,8 @@
         error: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, nursery.cancel_scope)
+            for _ in range(WATCH_PASSES):
+                await trio.lowlevel.checkpoint()
             try:
                 await self._handler.handle(req, responder)
             except Exception as exc:
@@ -271,7 +273,7 @@
         if not self._can_answer():
             return
         self._is_closing = True
-        headers, body = make_error_answer(exc, exc.retry_after_s)
+        headers, body = make_error_answer(exc)
         await self.send_whole(exc.code.http_status, headers, body)
 
     async def send_head(self, status: int, headers: Headers, data: bytes) -> None:
--- a/crocusvalve/gateway/_mirror.py
+++ b/crocusvalve/gateway/_mirror.py
@@ -30,14 +30,6 @@
         row = self._rows.get(key)
         return 0 if row is None or row.value is None else row.version
 
-    def list_rows(self) -> list[FeedRow]:
-        """Return the rows that stand."""
-        return [
-            FeedRow(key, row.value, row.version)
-            for key, row in self._rows.items()
-            if row.value is not None
-        ]
-
     def take_changes(self, page: FeedPage) -> list[FeedRow]:
         """Take changed rows; return those that are news."""
         self.version = page.version
--- a/crocusvalve/gateway/_relay.py
+++ b/crocusvalve/gateway/_relay.py
@@ -148,7 +148,6 @@
             versions=self.upgrades.choose_version(service.name, session),
             arrived_at=now,
             deadline=now + allowed_s - RETURN_S,
-            session=session,
             affinity=caller.prefix[-2:][0].part_id if caller.prefix else "",
             digest=digest,
         )
--- a/crocusvalve/gateway/_request.py
+++ b/crocusvalve/gateway/_request.py
@@ -12,7 +12,6 @@
 
 #: The rest of a caller's time that is kept for the way back, in seconds.
 RETURN_S = 0.02
-DEFAULT_PRIORITY = 5
 
 
 class RequestEnd(Enum):
@@ -33,8 +32,6 @@
     ----------
     arrived_at, deadline : float
         Times of the gateway's clock; at the deadline the answer is given up.
-    session : str
-        What requests share that keep to one version.
     affinity : str
         What requests share that have a cached prompt in common.
     tried : set of UpstreamId
@@ -58,19 +55,22 @@
     versions: VersionChoice
     arrived_at: float
     deadline: float
-    session: str
     affinity: str
     digest: str
     tried: set[UpstreamId] = field(default_factory=set)
     n_arrivals: int = 0
     n_runs: int = 0
-    has_run: bool = False
     model: str = ""
     upstream_id: UpstreamId | None = None
     first_event_at: float | None = None
     n_events: int = 0
     notes: list[str] = field(default_factory=list)
 
+    @property
+    def has_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return self.n_runs > 0
+
     @property
     def request_id(self) -> str:
         """Id of the caller's attempt, for logs."""
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -47,7 +47,6 @@
 
     model: str
     last_event_id: bytes
-    n_events: int = 0
     failure: tuple[Reply, bytes] | None = None
 
 
@@ -96,7 +95,7 @@
         self, req: GatewayRequest, progress: _Progress, upstream: Upstream, responder: Responder
     ) -> _End:
         started_at = self.clock.now()
-        n_before = progress.n_events
+        n_before = req.n_events
         try:
             async with self.desk.attempt(
                 req, upstream, model=progress.model, last_event_id=progress.last_event_id
@@ -108,8 +107,8 @@
             end = _End.NOT_RUN if exc.is_unsent else _End.LOST
         if end not in (_End.WHOLE, _End.LARGER_MODEL):
             req.tried.add(upstream.upstream_id)
-        if end is _End.LOST and progress.n_events > n_before:
-            req.notes.append(f"broke after {progress.n_events} events")
+        if end is _End.LOST and req.n_events > n_before:
+            req.notes.append(f"broke after {req.n_events} events")
         return end
 
     async def _follow(
@@ -134,13 +133,13 @@
             if reply.status != 200:
                 return await self._take_failure(req, progress, attempt, reply)
             larger = None
-            if req.route.models and not progress.n_events:
+            if req.route.models and not req.n_events:
                 larger = choose_larger_model(
                     req.route.models,
                     progress.model,
                     reply.confidence,
                     req.n_attempts_left,
-                    is_in_time=self._is_in_time(req),
+                    is_in_time=lambda: self._is_in_time(req),
                 )
             if larger is not None and self.desk.may_send_again(req, self.clock.now()):
                 waited_s = self.clock.now() - started_at
@@ -159,7 +158,7 @@
             return _End.LOST
         attempt.work.finish()
         first_at = self.clock.now()
-        n_before = progress.n_events
+        n_before = req.n_events
         self.desk.note(req, upstream, Outcome.SUCCESS, first_s=first_at - started_at)
         stall_s = STALL_PART * req.route.gap_goal_s
         while True:
@@ -167,7 +166,7 @@
                 req.first_event_at = self.clock.now()
             await self._pass_on(req, progress, reply, events, responder)
             if is_over:
-                self._note_pause(req, upstream, progress.n_events - n_before, first_at)
+                self._note_pause(req, upstream, req.n_events - n_before, first_at)
                 return _End.WHOLE
             with trio.move_on_after(stall_s) as scope:
                 events, is_over = await self._read_events(attempt, splitter)
@@ -256,6 +255,5 @@
         elif data:
             await responder.send(data)
         for event in events:
-            progress.n_events += 1
             req.n_events += 1
             progress.last_event_id = event.event_id or progress.last_event_id
--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -125,7 +125,6 @@
     name: ServiceName
     cold_s: float = 0.0
     cold_per_s: float = 0.0
-    slots: int = 0
     memory_tokens: int = 0
     model_costs: dict[str, float] = {}
 
@@ -261,7 +260,6 @@
     is_not_run: bool
     is_encoded: bool
     confidence: float | None
-    retry_after_s: float | None = None
 
 
 class HeaderCodec(ABC):
--- a/crocusvalve/platform/_headers.py
+++ b/crocusvalve/platform/_headers.py
@@ -29,7 +29,6 @@
 PRIORITY = b"x-request-priority"
 NOT_RUN = b"x-not-executed"
 CONFIDENCE = b"x-confidence"
-RETRY_AFTER = b"retry-after"
 
 #: Fields that concern one connection only.
 CONNECTION_FIELDS = frozenset(
@@ -136,7 +135,6 @@
             is_not_run=NOT_RUN in fields or status == 421,
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             confidence=_read_number(fields.get(CONFIDENCE)),
-            retry_after_s=_read_number(fields.get(RETRY_AFTER)),
         )
 
 
--- a/crocusvalve/platform/_records.py
+++ b/crocusvalve/platform/_records.py
@@ -73,7 +73,6 @@
 
 
 class _Engine(Struct):
-    slots: int = 0
     models: list[_Model] = []
     memory_tokens: int = field(name="kvCapacity", default=0)
 
@@ -278,7 +277,6 @@
         name=ServiceName(row.name),
         cold_s=row.cold_s,
         cold_per_s=row.cold_per_s,
-        slots=engine.slots,
         memory_tokens=engine.memory_tokens,
         model_costs={model.name: model.cost for model in engine.models},
     )
