A gateway that starts without the store asks another one; one that stops looks whether another takes requests

The log shows another cause: all gateways stopped within 3 s of each other, and each refused everything from 3 s after its signal on with a time to return of 0.05 s, at which callers met the next one that stopped.

Change: TableCopies gives and takes the store's tables between gateways over TCP on the peers' port; it never replaces what is known. StopPlan decides what a stopping gateway takes: with no other gateway open, plain requests as long as they can end before the process does; a refused caller is told when the process is back.

--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/_followers.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "OperatorRecords",
+    "Records",
     "StatusRecords",
     "StoreState",
     "TableFollower",
@@ -79,6 +80,24 @@
         self.store = store
         self.mirror = TableMirror()
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the table was read, and its changes are known up to a version."""
+        return self.mirror.version is not None
+
+    def take_table(self, page: FeedPage, now: float) -> None:
+        """Take the whole table."""
+        self._take_rows(self.mirror.take_table(page), now)
+
+    def take_changes(self, page: FeedPage, now: float) -> None:
+        """Take changed rows."""
+        self._take_rows(self.mirror.take_changes(page), now)
+
+    def _take_rows(self, rows: list[FeedRow], now: float) -> None:
+        for row in rows:
+            self.take(row, now)
+        self.settle(now)
+
     @abstractmethod
     def take(self, row: FeedRow, now: float) -> None:
         """Take a changed row."""
@@ -268,7 +287,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if self.records.mirror.version is not None and not self.is_wanted():
+            if self.records.is_known and not self.is_wanted():
                 await trio.sleep(0.2)
                 continue
             try:
@@ -282,19 +301,16 @@
                 await trio.sleep(0.05 + self.backoff.compute_delay_s(self._n_failures))
 
     async def _read_once(self) -> None:
-        mirror = self.records.mirror
-        if mirror.version is None:
-            page = await self.feed.read_table(self.records.table)
+        records = self.records
+        if records.is_known:
+            version = records.mirror.version
+            page = await self.feed.wait_for_changes(records.table, version, self.wait_s)
             self._note_answer(page)
-            rows = mirror.take_table(page)
+            records.take_changes(page, self.clock.now())
         else:
-            page = await self.feed.wait_for_changes(self.records.table, mirror.version, self.wait_s)
+            page = await self.feed.read_table(records.table)
             self._note_answer(page)
-            rows = mirror.take_changes(page)
-        now = self.clock.now()
-        for row in rows:
-            self.records.take(row, now)
-        self.records.settle(now)
+            records.take_table(page, self.clock.now())
 
     def _note_answer(self, page: FeedPage) -> None:
         if self.store.note_answer(page, self.clock.now()):
--- a/crocusvalve/gateway/_mirror.py
+++ b/crocusvalve/gateway/_mirror.py
@@ -30,6 +30,11 @@
         row = self._rows.get(key)
         return 0 if row is None or row.value is None else row.version
 
+    def make_page(self) -> FeedPage:
+        """Return the table as known; the time of the store isn't part of it."""
+        rows = (FeedRow(key, row.value, row.version) for key, row in self._rows.items())
+        return FeedPage(tuple(row for row in rows if row.value is not None), self.version, 0.0)
+
     def take_changes(self, page: FeedPage) -> list[FeedRow]:
         """Take changed rows; return those that are news."""
         self.version = page.version
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -287,6 +287,14 @@
         """Count a failed call to the store."""
         self._store_faults.inc()
 
+    def note_copy(self, host: str, versions: dict[str, int]) -> None:
+        """Tell of tables that were taken from another gateway."""
+        logger.info("tables taken from another gateway", extra={"peer": host, "fields": versions})
+
+    def note_copy_failure(self, host: str, reason: str) -> None:
+        """Tell that another gateway gave no tables."""
+        logger.warning("no tables from another gateway: %s", reason, extra={"peer": host})
+
     def note_peer(self, node_id: str, host: str) -> None:
         """Tell of a gateway that was heard for the first time, or again."""
         logger.info("gateway %s is alive", node_id, extra={"peer": host})
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -118,6 +118,15 @@
         """Return hosts of gateways that are alive, to be passed on."""
         return tuple(news.host for news in self.list_alive(now))[:MAX_HOSTS]
 
+    def list_informed_hosts(self, now: float) -> list[str]:
+        """Return hosts of gateways that reach the store, or of all where none does."""
+        alive = self.list_alive(now)
+        return [news.host for news in alive if news.has_store] or [news.host for news in alive]
+
+    def has_open_peer(self, now: float) -> bool:
+        """Tell whether another gateway is alive and doesn't stop."""
+        return any(not news.is_leaving for news in self.list_alive(now))
+
     def list_nodes(self, now: float) -> list[NodeId]:
         """Return the gateways that may send requests, this one included."""
         return sorted({self.node_id, *(news.node_id for news in self.list_alive(now))})
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -27,6 +27,8 @@
 from crocusvalve.gateway._ready import ReadyListener
 from crocusvalve.gateway._relay import Relay
 from crocusvalve.gateway._sockets import open_listeners
+from crocusvalve.gateway._stopping import StopPlan
+from crocusvalve.gateway._table_copies import TableCopies
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._tallies import TallyBook
 from crocusvalve.gateway._upgrade_keeper import UpgradeKeeper
@@ -52,10 +54,8 @@
 MEMBER_TABLE = "gateways"
 MEMBER_PAUSE_S = 15.0
 MEMBER_RETRY_S = 1.0
-#: After a signal to stop: the balancer needs two probes, a second apart, to notice.
-ACCEPT_AFTER_STOP_S = 3.0
-#: Time kept at the end of the grace for the process to end.
-EXIT_MARGIN_S = 0.9
+#: How often a gateway that stops looks whether requests are open.
+LOOK_S = 0.05
 #: The others' loads are summed at most this often, since the work grows with their number.
 SUM_INTERVAL_S = 0.1
 #: Prompts sent within this time are told, so that each is told about twice.
@@ -110,6 +110,14 @@
         self.operator = OperatorRecords(*parts)
         self.upstreams = UpstreamRecords(*parts)
         self.statuses = StatusRecords(*parts)
+        self.copies = TableCopies(
+            address=settings.peer,
+            records=(self.operator, self.upstreams, self.statuses),
+            peers=self.peers,
+            observer=self.observer,
+            clock=clock,
+            random_state=random_state,
+        )
         self.upgrades = UpgradeKeeper(
             settings=settings,
             tables=self.tables,
@@ -144,7 +152,7 @@
     def is_ready(self) -> bool:
         """Tell whether this gateway takes new connections."""
         is_informed = self.tables.directory is not None and self.tables.has_upstreams
-        return is_informed and not self.relay.is_draining
+        return is_informed and not self.relay.is_closing()
 
     async def run(
         self, stop: trio.Event, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
@@ -158,6 +166,7 @@
             for listeners, serve in (
                 (open_listeners(settings.ready), ready.serve),
                 (open_listeners(settings.front), self._serve_caller),
+                (open_listeners(settings.peer), self.copies.serve),
             ):
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
             for task in self._list_tasks():
@@ -197,6 +206,7 @@
             ).run,
             self.upgrades.run,
             link.run,
+            self.copies.run,
             self._find_members,
         ]
 
@@ -232,15 +242,18 @@
         await connection.run()
 
     async def _drain(self) -> None:
-        """Refuse no caller that the balancer still sends, then end what is open."""
-        started_at = trio.current_time()
-        self.relay.is_draining = True
+        """Serve callers that the balancer still sends, then end what is open."""
+        plan = StopPlan.make(self.clock.now(), self.settings.bounds.grace_s)
+        self.relay.stop_plan = plan
         self.observer.note_process("gateway drains", open=self.relay.n_open)
-        await trio.sleep(ACCEPT_AFTER_STOP_S)
-        self.relay.is_refusing = True
-        end_at = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
-        while self.relay.n_open and trio.current_time() < end_at:
-            await trio.sleep(0.05)
+        while self._is_needed(plan, self.clock.now()):
+            await trio.sleep(LOOK_S)
+
+    def _is_needed(self, plan: StopPlan, now: float) -> bool:
+        """Tell whether a gateway that stops has requests open, or may still get some."""
+        if now >= plan.ends_at:
+            return False
+        return now < plan.refuses_at or self.relay.n_open > 0
 
     def _make_news(self, now: float) -> PeerNews:
         loads = self.tables.loads.items()
@@ -254,7 +267,7 @@
             tallies=self.tallies.list_own() if self.upgrades.is_active() else (),
             crashes=self.crashes.list_newest(MAX_TOLD_DIGESTS),
             hosts=self.peers.list_alive_hosts(now),
-            is_leaving=self.relay.is_draining,
+            is_leaving=self.relay.is_closing(),
             has_store=self.store.is_up,
         )
 
--- a/crocusvalve/gateway/_relay.py
+++ b/crocusvalve/gateway/_relay.py
@@ -7,6 +7,7 @@
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._plain_flow import PlainFlow
 from crocusvalve.gateway._request import RETURN_S, GatewayRequest, RequestEnd
+from crocusvalve.gateway._stopping import StopPlan
 from crocusvalve.gateway._stream_flow import StreamFlow
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._upgrade_keeper import UpgradeKeeper
@@ -16,9 +17,8 @@
 __all__ = ["Relay"]
 
 STEP = "admission"
-#: When a caller may come back that met a gateway without configuration, or one that stops.
+#: When a caller may come back that met a gateway without configuration.
 NOT_READY_RETRY_S = 0.5
-DRAINING_RETRY_S = 0.05
 #: A request that crashes upstreams is not sent, which this status promises.
 STATUSES = {ErrorCode.CRASHES_UPSTREAMS: 503}
 DEFAULT_LIMITS = RequestLimits()
@@ -49,8 +49,7 @@
         self.clock = clock
         self.plain = PlainFlow(desk)
         self.streams = StreamFlow(desk)
-        self.is_draining = False
-        self.is_refusing = False
+        self.stop_plan: StopPlan | None = None
         self.n_open = 0
 
     def get_limits(self) -> RequestLimits:
@@ -59,7 +58,7 @@
 
     def is_closing(self) -> bool:
         """Tell whether connections are to end after the answer under way."""
-        return self.is_draining
+        return self.stop_plan is not None
 
     async def handle(self, req: CallerRequest, responder: Responder) -> None:
         """Answer a request."""
@@ -109,14 +108,13 @@
         directory = self.tables.directory
         if directory is None or not self.tables.has_upstreams:
             raise self._refuse(ErrorCode.NOT_READY, "no configuration yet", NOT_READY_RETRY_S)
-        if self.is_refusing:
-            raise self._refuse(ErrorCode.DRAINING, "this gateway stops", DRAINING_RETRY_S)
         route = directory.find_route(caller.host, caller.path)
         if route is None:
             raise RefusedError(ErrorCode.NOT_FOUND, "no route for this path", step=STEP)
         customer = directory.find_customer(caller)
         if not directory.is_allowed(route, customer):
             raise RefusedError(ErrorCode.BAD_KEY, "unknown key", step=STEP)
+        self._check_stopping(route, now)
         digest = compute_digest(
             caller.target, (customer.name if customer else "").encode(), caller.body
         )
@@ -126,6 +124,15 @@
             )
         return self._make_request(caller, route, customer, digest, now)
 
+    def _check_stopping(self, route: Route, now: float) -> None:
+        plan = self.stop_plan
+        if plan is None:
+            return
+        has_others = self.desk.peers.has_open_peer(now)
+        if not plan.is_accepted(route.kind, has_others, now):
+            retry_s = plan.compute_retry_s(has_others, now)
+            raise self._refuse(ErrorCode.DRAINING, "this gateway stops", retry_s)
+
     def _make_request(
         self,
         caller: CallerRequest,
@@ -139,6 +146,9 @@
         allowed_s = route.timeout_s
         if caller.deadline_s is not None:
             allowed_s = min(allowed_s, caller.deadline_s)
+        deadline = now + allowed_s - RETURN_S
+        if self.stop_plan is not None:
+            deadline = min(deadline, self.stop_plan.ends_at)
         self.desk.get_budget(service.name).note_request(now)
         return GatewayRequest(
             caller=caller,
@@ -147,7 +157,7 @@
             customer=customer,
             versions=self.upgrades.choose_version(service.name, session),
             arrived_at=now,
-            deadline=now + allowed_s - RETURN_S,
+            deadline=deadline,
             affinity=caller.prefix[-2:][0].part_id if caller.prefix else "",
             digest=digest,
         )
--- a/features/gateway/gateway.feature
+++ b/features/gateway/gateway.feature
@@ -170,6 +170,23 @@
     Then the caller gets 503 with code not_ready and nothing ran
     And the log says that the store fails
 
+  Scenario: A gateway that starts while the store is away learns the tables from another one
+    Given a gateway with two upstreams
+    When the store falls silent, a second gateway starts and a caller asks it for /safe/1
+    Then the caller gets 200 and the upstream ran /safe/1 once
+    And the log says that tables were taken from another gateway
+
+  Scenario: A gateway without a copy from another one learns the tables from the store
+    Given a gateway with two upstreams
+    When a second gateway meets damaged copies and a store that is silent at first
+    Then the second gateway has the configuration of the store
+    And the log says that there are no tables from another gateway
+
+  Scenario: A copy never replaces what is known
+    Given a gateway with two upstreams
+    When the gateway is given a copy with another configuration
+    Then the configuration of the store stays in force
+
   Scenario: The feed's history is dropped
     Given a gateway with two upstreams
     When the store drops its history and then a newer configuration arrives
@@ -182,6 +199,20 @@
     And the answer says that the connection ends
     And the balancer is told that the gateway is not ready
 
+  Scenario Outline: A gateway that stops refuses what another takes or what can't end in time
+    Given a gateway with two upstreams
+    And another gateway that is <other>
+    When the gateway stops since <since> s and a caller asks for <path> with <method>
+    Then the caller gets <status> and may come back after about <retry> s
+
+    Examples:
+      | other    | since | path      | method | status | retry |
+      | running  | 2     | /unsafe/1 | POST   | 200    | 0     |
+      | running  | 4     | /unsafe/1 | POST   | 503    | 0.05  |
+      | stopping | 4     | /unsafe/1 | POST   | 200    | 0     |
+      | stopping | 4     | /once/1   | POST   | 503    | 3.9   |
+      | stopping | 7     | /unsafe/1 | POST   | 503    | 0.9   |
+
   Scenario: Requests on one connection are answered in order
     Given a gateway with two upstreams
     When a caller sends three requests at once on one connection
--- a/features/gateway/gateway_world.py
+++ b/features/gateway/gateway_world.py
@@ -74,7 +74,7 @@
 
     def __init__(self):
         pid = os.getpid()
-        self.host = f"127.{1 + pid // 65536 % 200}.{pid // 256 % 256}.{pid % 256 or 1}"
+        self.host = f"127.{1 + pid // 65536 % 50}.{pid // 256 % 256}.{pid % 256 or 1}"
         self.store = PageStore()
         self.upstreams = {name: PageUpstream(name) for name in ("one", "two")}
         self.services = {"one": ("ops", "llm"), "two": ("ops", "llm")}
@@ -82,6 +82,9 @@
         self.rows = []
         self.is_informed = True
         self.gateway = None
+        self.other = None
+        self.other_news = None
+        self.front_host = None
         self.answers = []
         self.probe = None
         self.records = []
@@ -103,7 +106,7 @@
                 for server in (self.store, *self.upstreams.values()):
                     await nursery.start(server.serve)
                 self._register()
-                async with PlatformStore(self._get_store_address()) as feed:
+                async with PlatformStore(self.store_address) as feed:
                     self.gateway = self._make_gateway(feed)
                     await nursery.start(self.gateway.run, trio.Event())
                     if self.is_informed:
@@ -126,17 +129,27 @@
         for table, key, value in self.rows:
             self.store.put(table, key, value)
 
-    def _get_store_address(self):
+    @property
+    def store_address(self):
+        """Where the store listens."""
         return Address("127.0.0.1", self.store.port)
 
-    def _make_gateway(self, feed):
+    async def start_other(self, feed, nursery):
+        """Start a second gateway on a host of its own, which knows of the first one."""
+        host = self.host.replace("127.", "127.2", 1)
+        self.other = self._make_gateway(feed, "gateway-2", host, (Address(self.host, PEER_PORT),))
+        await nursery.start(self.other.run, trio.Event())
+
+    def _make_gateway(self, feed, node_id="gateway-1", host=None, seeds=()):
+        host = host or self.host
         settings = GatewaySettings(
-            node_id=NodeId("gateway-1"),
+            node_id=NodeId(node_id),
             domain=DomainId("domain-one"),
-            front=Address(self.host, FRONT_PORT),
-            ready=Address(self.host, READY_PORT),
-            peer=Address(self.host, PEER_PORT),
-            store=self._get_store_address(),
+            front=Address(host, FRONT_PORT),
+            ready=Address(host, READY_PORT),
+            peer=Address(host, PEER_PORT),
+            seeds=seeds,
+            store=self.store_address,
             bounds=GatewayBounds(),
         )
         return Gateway(
@@ -166,7 +179,7 @@
 
     async def send(self, data, method="GET", port=FRONT_PORT):
         """Send bytes on a connection of their own and read the answer."""
-        stream = await trio.open_tcp_stream(self.host, port)
+        stream = await trio.open_tcp_stream(self.front_host or self.host, port)
         async with stream:
             await stream.send_all(data)
             answer = await self.read(stream, method)
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -4,11 +4,16 @@
 import trio
 from behave import given, then, when
 
-from crocusvalve.base import DomainId, UpstreamId
+from crocusvalve.base import DomainId, NodeId, UpstreamId
+from crocusvalve.gateway._peers import PeerNews
+from crocusvalve.gateway._stopping import StopPlan
+from crocusvalve.platform import PlatformStore
 from crocusvalve.standin import StoreFault, UpstreamFault
+from crocusvalve.store.base import FeedPage, FeedRow
 from crocusvalve.utils import Clock
 from features.gateway.gateway_world import ATTEMPT, KEY, READY_PORT, GatewayWorld, make_config
 
+GRACE_S = 8.0
 BASE = f"Host: api.example\r\nX-Attempt-Id: {ATTEMPT}\r\nAuthorization: Bearer {KEY}\r\n"
 OWN_FIELDS = {
     "X_Tenant": "another",
@@ -76,6 +81,70 @@
     context.world.store.fault = StoreFault.BUSY
 
 
+@when("the store falls silent, a second gateway starts and a caller asks it for {path}")
+def when_second(context, path):
+    async def act(world):
+        world.store.fault = StoreFault.SILENT
+        async with PlatformStore(world.store_address) as feed, trio.open_nursery() as nursery:
+            await world.start_other(feed, nursery)
+            await world.wait_for(world.other.is_ready)
+            world.front_host = world.other.settings.front.host
+            await world.call(path)
+            nursery.cancel_scope.cancel()
+
+    context.world.run(act)
+
+
+@when("a second gateway meets damaged copies and a store that is silent at first")
+def when_damaged_copies(context):
+    async def act(world):
+        world.store.fault = StoreFault.SILENT
+        whole = world.gateway.copies.make_copy()
+        world.gateway.copies.make_copy = lambda: whole[:-1]
+        async with PlatformStore(world.store_address) as feed, trio.open_nursery() as nursery:
+            await world.start_other(feed, nursery)
+            await world.wait_for(lambda: has_logged(world, "no tables from another gateway"))
+            assert not world.other.is_ready()
+            world.store.fault = StoreFault.NONE
+            await world.wait_for(world.other.is_ready)
+            nursery.cancel_scope.cancel()
+
+    context.world.run(act)
+
+
+@then("the second gateway has the configuration of the store")
+def then_second_config(context):
+    assert context.world.other.tables.config.version == context.world.config["version"]
+
+
+@when("the gateway is given a copy with another configuration")
+def when_given_copy(context):
+    async def act(world):
+        row = FeedRow("config", msgspec.json.encode(make_config(99)), 10**6)
+        world.gateway.copies.take_copy("127.0.0.9", {"op": FeedPage((row,), 10**6, 0.0)})
+
+    context.world.run(act)
+
+
+@then("the configuration of the store stays in force")
+def then_config_stays(context):
+    assert context.world.gateway.tables.config.version == context.world.config["version"]
+
+
+@then("the log says that tables were taken from another gateway")
+def then_copy_logged(context):
+    assert has_logged(context.world, "tables taken from another gateway")
+
+
+@then("the log says that there are no tables from another gateway")
+def then_copy_failure_logged(context):
+    assert has_logged(context.world, "no tables from another gateway")
+
+
+def has_logged(world, start):
+    return any(record.getMessage().startswith(start) for record in world.records)
+
+
 @given("damaged entries of upstreams")
 def given_damaged(context):
     good = context.world.upstreams["one"].make_entry("ops", "domain-one")
@@ -273,7 +342,7 @@
 @when("the gateway is told to stop and a caller asks for {path}")
 def when_stop(context, path):
     async def act(world):
-        world.gateway.relay.is_draining = True
+        world.gateway.relay.stop_plan = StopPlan.make(world.gateway.clock.now(), GRACE_S)
         await world.call(path)
         context.probe = await world.send(
             b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n", port=READY_PORT
@@ -283,6 +352,33 @@
     context.world.run(act)
 
 
+@given("another gateway that is {state}")
+def given_other(context, state):
+    context.world.other_news = PeerNews(
+        node_id=NodeId("gateway-2"), boot="b", host="127.0.0.9", is_leaving=state == "stopping"
+    )
+
+
+@when("the gateway stops since {since_s:d} s and a caller asks for {path} with {method}")
+def when_stops_since(context, since_s, path, method):
+    async def act(world):
+        gateway = world.gateway
+        now = gateway.clock.now()
+        gateway.peers.take(world.other_news, now)
+        gateway.relay.stop_plan = StopPlan.make(now - since_s, GRACE_S)
+        await world.call(path, method=method)
+
+    context.world.run(act)
+
+
+@then("the caller gets {status:d} and may come back after about {retry_s:g} s")
+def then_retry(context, status, retry_s):
+    answer = context.world.answers[0]
+    assert answer.status == status, answer
+    told_s = float(answer.headers.get("retry-after", 0.0))
+    assert retry_s - 0.5 <= told_s <= retry_s, answer
+
+
 @then("the caller gets {status:d} and the upstream ran {target} once")
 def then_ran(context, status, target):
     world = context.world
