--- a/crocusvalve/cli/_daemons.py
+++ b/crocusvalve/cli/_daemons.py
@@ -196,25 +196,54 @@
         bench.run_bench(name, seed=seed, out=out, sizes=sizes)
 
 
-def run_soak(*, seed: int = 0, steps: int = 10000, json: JsonFlag = False) -> None:
-    """Run the core at random with faults injected, with its invariants asserted.
+def run_soak(
+    *,
+    seed: int = 0,
+    steps: int = 10000,
+    processes: bool = False,
+    gateways: int = 5,
+    seconds: float = 15.0,
+    out: str = "",
+    json: JsonFlag = False,
+) -> None:
+    """Run the core, or gateway processes, at random with faults injected and promises checked.
 
     Examples
     --------
     crocusvalve soak --seed 7 --steps 100000
 
+    crocusvalve soak --processes --seed 7 --out out/soak-7
+
     Parameters
     ----------
     seed
-        Seed of the run; the same seed gives the same run.
+        Seed of the run; the core repeats with it, processes get the same faults.
     steps
-        Events to run.
+        Events of a run of the core.
+    processes
+        Run gateways as processes between stand-ins and proxies.
+    gateways
+        Number of gateway processes.
+    seconds
+        How long faults are injected into processes.
+    out
+        Directory for the processes' logs and the report.
     """
-    report = load_module("crocusvalve.soak").run_soak(seed, steps)
+    if processes:
+        soak = load_module("crocusvalve.soak.processes")
+        settings = soak.ProcessSoakSettings(
+            seed=seed, n_gateways=gateways, seconds=seconds, folder=out
+        )
+        with code_errors("soak"):
+            report = soak.run_process_soak(settings)
+        failures = [f"{row.promise.value}: {row.what}" for row in report.violations]
+    else:
+        report = load_module("crocusvalve.soak").run_soak(seed, steps)
+        failures = [report.failure] if report.failure else []
     fields = to_builtins(report)
     print_result(fields, [f"{name}: {value}" for name, value in fields.items()], as_json=json)
-    if report.failure:
-        message = f"seed {seed} failed"
+    if failures:
+        message = f"seed {seed} failed: {failures[0]}"
         raise CrocusvalveError(ErrorCode.INTERNAL, message, step="soak")
 
 
--- a/crocusvalve/gateway/_flow.py
+++ b/crocusvalve/gateway/_flow.py
@@ -8,6 +8,7 @@
 from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptDesk
 from crocusvalve.gateway._listener import AnswerAbortedError, Responder
+from crocusvalve.gateway._placement import PlacementReason
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.base import Upstream
 
@@ -18,13 +19,18 @@
 WAIT_PART = 0.3
 #: When a caller may come back whose request no upstream took: suspended ones return by then.
 RETRY_AFTER_S = 0.3
+#: The same where no upstream is there or allowed: domains and upstreams are out for seconds.
+ABSENT_RETRY_AFTER_S = 2.0
+ABSENT = (PlacementReason.NONE_REGISTERED, PlacementReason.NONE_ALLOWED)
 
 
 def make_gateway_error(req: GatewayRequest, message: str, step: str) -> RefusedError:
     """Make the error of a request that is given up; it tells the truth of whether it ran."""
     if req.has_run:
         return RefusedError(ErrorCode.UPSTREAM_FAILED, message, step=step, ran=Ran.UNKNOWN)
-    return RefusedError(ErrorCode.NO_UPSTREAM, message, step=step, retry_after_s=RETRY_AFTER_S)
+    is_absent = req.placement is not None and req.placement.reason in ABSENT
+    retry_after_s = ABSENT_RETRY_AFTER_S if is_absent else RETRY_AFTER_S
+    return RefusedError(ErrorCode.NO_UPSTREAM, message, step=step, retry_after_s=retry_after_s)
 
 
 class Flow(ABC):
@@ -78,10 +84,16 @@
         until = since + WAIT_PART * req.route.goal_s
         while True:
             now = self.clock.now()
-            upstream = self.desk.place(req, now, model).upstream
+            upstream = self.find_upstream(req, now, model)
             if req.compute_left_s(now) <= 0.0:
                 return None
             if upstream is not None or now >= until:
                 return upstream
             req.tried.clear()
             await trio.sleep(LOOK_S)
+            req.waited_s += self.clock.now() - now
+
+    def find_upstream(self, req: GatewayRequest, now: float, model: str = "") -> Upstream | None:
+        """Return an upstream for the next attempt, or None; the request keeps the reason."""
+        req.placement = self.desk.place(req, now, model)
+        return req.placement.upstream
--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/_followers.py
@@ -180,7 +180,9 @@
             return
         known = self.tables.put_upstream(entry, now)
         if known is None:
-            self.observer.note_upstream("registered", entry)
+            # The first reading has an entry for each upstream; one line tells of all.
+            if self.tables.has_upstreams:
+                self.observer.note_upstream("registered", entry)
         elif known.born_ms != entry.born_ms:
             self.observer.note_upstream("started again", entry)
             self.tables.mark_cold(upstream_id, now + self.tables.get_cold_s(entry.service))
@@ -189,7 +191,10 @@
 
     def settle(self, now: float) -> None:
         """Drop entries that lapsed while the store was away and did not come back."""
-        self.tables.has_upstreams = True
+        if not self.tables.has_upstreams:
+            self.tables.has_upstreams = True
+            rows = self.tables.by_service.items()
+            self.observer.note_upstreams({service: len(known) for service, known in rows})
         self._learn_versions()
         for upstream_id, until in list(self._lapsed.items()):
             if now >= until:
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -7,7 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from crocusvalve.base import DomainId
-from crocusvalve.exceptions import CrocusvalveError
+from crocusvalve.exceptions import CrocusvalveError, RefusedError
 from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.base import (
@@ -85,6 +85,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self._wait = Histogram(
+            "crocusvalve_gateway_wait_seconds",
+            "Time for which requests waited for an upstream",
+            labels,
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
         self._escalations = Counter(
             "crocusvalve_gateway_escalations",
             "Answers of a smaller model that were dropped for a larger one's",
@@ -169,6 +176,7 @@
         self._attempts.labels(customer, route).inc(req.n_arrivals)
         elapsed_s = now - req.arrived_at
         self._latency.labels(customer, route).observe(elapsed_s)
+        self._wait.labels(customer, route).observe(req.waited_s)
         if req.first_event_at is not None:
             first_s = req.first_event_at - req.arrived_at
             self._first_event.labels(customer, route).observe(first_s)
@@ -194,9 +202,12 @@
                     "upstream": req.upstream_id,
                     "attempts": req.n_arrivals,
                     "runs": req.n_runs,
+                    **_describe_placement(req),
+                    "waited_ms": round(req.waited_s * 1000),
                     "notes": req.notes,
                     "code": exc.code.code if exc else "",
                     "reason": exc.message if exc else reason,
+                    "retry_after_s": exc.retry_after_s if isinstance(exc, RefusedError) else None,
                 },
             },
         )
@@ -225,6 +236,10 @@
         """Tell of a record that can't be read."""
         logger.warning("record %s/%s left out: %s", table, key, reason)
 
+    def note_upstreams(self, counts: dict[ServiceName, int]) -> None:
+        """Tell how many upstreams of each service the first reading of the table gave."""
+        logger.info("upstreams known", extra={"fields": dict(counts)})
+
     def note_upstream(self, change: str, row: Upstream) -> None:
         """Tell of an upstream that came, changed or left."""
         fields = {
@@ -318,5 +333,12 @@
         return "other"
 
 
+def _describe_placement(req: GatewayRequest) -> dict[str, str | int]:
+    placement = req.placement
+    if placement is None:
+        return {}
+    return {"placement": placement.reason.value, "queued_tokens": round(placement.work)}
+
+
 def _count_ms(since: float, until: float | None) -> int | None:
     return None if until is None else round((until - since) * 1000)
--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -70,7 +70,9 @@
             if result is None:
                 # Late: a second upstream is asked as well.
                 hedge_s = None
-                upstream = self._find_upstream(req) if self._may_repeat(req) else None
+                upstream = (
+                    self.find_upstream(req, self.clock.now()) if self._may_repeat(req) else None
+                )
                 if upstream is not None:
                     req.notes.append("hedge")
                     nursery.start_soon(self._attempt, req, upstream, send)
@@ -99,12 +101,9 @@
     async def _find_next(self, req: GatewayRequest) -> Upstream | None:
         """Return an upstream; one is waited for only while the request has not run."""
         if req.has_run:
-            return self._find_upstream(req)
+            return self.find_upstream(req, self.clock.now())
         return await self.wait_for_upstream(req, req.arrived_at)
 
-    def _find_upstream(self, req: GatewayRequest) -> Upstream | None:
-        return self.desk.place(req, self.clock.now()).upstream
-
     @staticmethod
     async def _receive(
         req: GatewayRequest, receive: trio.MemoryReceiveChannel, hedge_s: float | None
--- a/crocusvalve/gateway/_request.py
+++ b/crocusvalve/gateway/_request.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from crocusvalve.base import UpstreamId
+from crocusvalve.gateway._placement import Placement
 from crocusvalve.gateway._upgrades import VersionChoice
 from crocusvalve.gateway.base import CallerRequest, Customer, Route, RouteKind, Service
 
@@ -44,6 +45,10 @@
         Model and upstream asked last.
     first_event_at : float or None
         Time of the first event that was passed on.
+    placement : Placement or None
+        The last look for an upstream.
+    waited_s : float
+        Time for which an upstream was waited for.
     notes : list of str
         What happened on the way, for the log.
     """
@@ -64,6 +69,8 @@
     upstream_id: UpstreamId | None = None
     first_event_at: float | None = None
     n_events: int = 0
+    placement: Placement | None = None
+    waited_s: float = 0.0
     notes: list[str] = field(default_factory=list)
 
     @property
--- /dev/null
+++ b/crocusvalve/soak/processes/_callers.py
@@ -0,0 +1,106 @@
+"""Callers of a soak: they use connections until these are gone, and some leave early."""
+
+import random
+import uuid
+
+import trio
+
+from crocusvalve.soak.processes._judge import SoakJudge
+from crocusvalve.soak.processes._world import CUSTOMERS, SoakWorld
+from crocusvalve.soak.processes.base import Attempt, CallKind
+from crocusvalve.standin import PageCaller, PageRequest
+
+__all__ = ["SoakCaller"]
+
+DEADLINES_S = {True: 6.0, False: 4.0}
+THINK_S = 0.08
+#: Time until a caller tries another gateway after a connection that failed.
+RETRY_S = 0.05
+CONNECT_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 20_000
+MAX_REQUESTS = 40
+LEAVE_SHARE = 0.06
+MAX_STAY_S = 0.3
+#: A caller reads on for this long after its time, to see answers that come late.
+READ_ON_S = 1.0
+
+
+class SoakCaller:
+    """One caller.
+
+    Parameters
+    ----------
+    world : SoakWorld
+        Where it finds gateways.
+    judge : SoakJudge
+        Told of each request and answer.
+    """
+
+    def __init__(self, world: SoakWorld, judge: SoakJudge, random_state: random.Random):
+        self.world = world
+        self.judge = judge
+        self.random_state = random_state
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        while True:
+            gateway = self.world.choose_gateway()
+            caller = None
+            with trio.move_on_after(CONNECT_TIMEOUT_S):
+                try:
+                    caller = await PageCaller.connect(gateway.front.host, gateway.front.port)
+                except OSError:
+                    # Nothing listens; another gateway is tried.
+                    pass
+            if caller is None:
+                await trio.sleep(RETRY_S)
+                continue
+            try:
+                await self._use(caller, gateway.name)
+            finally:
+                await caller.close()
+
+    async def _use(self, caller: PageCaller, gateway: str) -> None:
+        """Send requests on a connection until it ends."""
+        for _ in range(self.random_state.randint(1, MAX_REQUESTS)):
+            attempt = self._make_attempt(gateway)
+            self.judge.note_sent(attempt)
+            is_open = False
+            with trio.move_on_after(attempt.req.deadline_s + READ_ON_S) as scope:
+                if self.random_state.random() < LEAVE_SHARE:
+                    scope.deadline = trio.current_time() + self.random_state.uniform(0, MAX_STAY_S)
+                try:
+                    await caller.send(attempt.req)
+                    is_open = await caller.read(attempt.answer)
+                except trio.BrokenResourceError:
+                    # The connection was closed before the request was sent whole.
+                    pass
+            if scope.cancelled_caught:
+                await caller.close()
+                attempt.left_at = self.judge.clock()
+            self.judge.note_end(attempt)
+            if not is_open or scope.cancelled_caught:
+                return
+            await trio.sleep(self.random_state.uniform(0.0, 2 * THINK_S))
+
+    def _make_attempt(self, gateway: str) -> Attempt:
+        kind = self.random_state.choice(list(CallKind))
+        key = self.random_state.choice(sorted(CUSTOMERS))
+        name = uuid.UUID(int=self.random_state.getrandbits(128)).hex[:16]
+        size = self.random_state.choice((0, 10, self.random_state.randint(0, MAX_BODY_BYTES)))
+        req = PageRequest(
+            method="GET" if kind is CallKind.SAFE else "POST",
+            path=f"/{kind.value}/{name}?a=1",
+            attempt_id=name,
+            key=key,
+            deadline_s=DEADLINES_S[kind.is_stream],
+            body=b"" if kind is CallKind.SAFE else self.random_state.randbytes(size),
+            is_stream=kind.is_stream,
+        )
+        return Attempt(
+            req=req,
+            kind=kind,
+            customer=CUSTOMERS[key],
+            gateway=gateway,
+            sent_at=self.judge.clock(),
+        )
--- /dev/null
+++ b/crocusvalve/soak/processes/_judge.py
@@ -0,0 +1,227 @@
+"""Compares what callers and upstreams see with what they are promised."""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from crocusvalve.soak.processes._calm import CalmTable
+from crocusvalve.soak.processes.base import (
+    Attempt,
+    CallKind,
+    Promise,
+    Run,
+    SoakBounds,
+    Violation,
+)
+from crocusvalve.standin import N_EVENTS, PageCall, UpstreamFault, make_event, split_events
+
+__all__ = ["ServiceHistory", "SoakJudge"]
+
+STORE = "store"
+#: Requests that may reach an upstream after their callers have left.
+MAX_GONE = 3
+
+
+class ServiceHistory(Struct):
+    """Services to which a route was ever sent, with the times of the changes' acknowledgements."""
+
+    changes: list[tuple[float, str]]
+
+    def list_allowed(self, sent_at: float, config_s: float) -> set[str]:
+        """Return the services that a request sent at a time may run on."""
+        allowed = set()
+        for place, (_, service) in enumerate(self.changes):
+            replaced_at = (
+                self.changes[place + 1][0] if place + 1 < len(self.changes) else float("inf")
+            )
+            if sent_at <= replaced_at + config_s:
+                allowed.add(service)
+        return allowed
+
+
+class SoakJudge:
+    """Keeps all attempts and what is forbidden at each moment.
+
+    Parameters
+    ----------
+    bounds : SoakBounds
+        The users' bounds.
+    clock : callable
+        Time of the soak in seconds.
+
+    Attributes
+    ----------
+    violations : list of Violation
+        Broken promises.
+    left : dict
+        Times at which upstreams' leaving was acknowledged, by upstream.
+    domains : dict
+        Failure domains by upstream.
+    evacuated : dict
+        Times at which domains were taken out, by domain.
+    routes : dict
+        Services by the first part of a path.
+    spoilt : dict
+        Faults of upstreams that attempts met, by attempt.
+    """
+
+    def __init__(self, bounds: SoakBounds, clock: Callable[[], float]):
+        self.bounds = bounds
+        self.clock = clock
+        self.calm = CalmTable(bounds.contact_s)
+        self.violations: list[Violation] = []
+        self.attempts: dict[str, Attempt] = {}
+        self.left: dict[str, float] = {}
+        self.domains: dict[str, str] = {}
+        self.evacuated: dict[str, float] = {}
+        self.routes: dict[str, ServiceHistory] = {}
+        self.spoilt: dict[str, set[UpstreamFault]] = {}
+        self.n_gone = 0
+
+    def report(self, promise: Promise, what: str) -> None:
+        """Take note of a broken promise."""
+        self.violations.append(Violation(promise, what, round(self.clock(), 3)))
+
+    def note_sent(self, attempt: Attempt) -> None:
+        """Take note of a request that a caller begins to send."""
+        self.attempts[attempt.req.attempt_id] = attempt
+
+    def note_run(
+        self, upstream: str, service: str, version: str, call: PageCall, fault: UpstreamFault
+    ) -> None:
+        """Check a request that an upstream begins to run."""
+        now = self.clock()
+        attempt = self.attempts.get(call.attempt_id)
+        if attempt is None:
+            self.report(Promise.UNASKED, f"{upstream} runs a request that nobody sent: {call}")
+            return
+        if fault is not UpstreamFault.NONE:
+            self.spoilt.setdefault(attempt.req.attempt_id, set()).add(fault)
+        self._check_unchanged(attempt, call)
+        self._check_repeat(attempt, upstream)
+        attempt.runs.append(Run(upstream, service, version, now))
+        self._check_route(attempt, service)
+        parts = (attempt.gateway, upstream)
+        if self.calm.is_calm(parts, now):
+            self._check_deadline(attempt, call, now)
+            self._check_gone(attempt, now)
+        if self.calm.is_calm((*parts, STORE), now):
+            self._check_placement(attempt, upstream, now)
+
+    def _check_unchanged(self, attempt: Attempt, call: PageCall) -> None:
+        req = attempt.req
+        sent = (req.method, req.path, req.body, attempt.customer)
+        came = (call.method, call.target, call.body, call.customer)
+        if sent != came:
+            self.report(Promise.UNASKED, f"sent {sent}, an upstream runs {came}")
+        leaked = call.list_leaked_fields()
+        if leaked:
+            self.report(Promise.UNASKED, f"an upstream gets the fields {leaked}")
+
+    def _check_repeat(self, attempt: Attempt, upstream: str) -> None:
+        name = attempt.req.attempt_id
+        if attempt.kind in (CallKind.UNSAFE, CallKind.ONCE) and attempt.runs:
+            self.report(Promise.TWICE, f"{name} runs on {attempt.runs[0].upstream}, {upstream}")
+        else:
+            calm_runs = [run for run in attempt.runs if self.calm.is_calm((run.upstream,), run.at)]
+            if len(calm_runs) >= attempt.kind.max_runs:
+                self.report(Promise.BUDGET, f"{name} runs on {len(calm_runs) + 1} upstreams")
+        if attempt.ended_at is not None and attempt.answer.is_promise:
+            self.report(Promise.REFUSED, f"{name} got {attempt.answer.status} and runs later")
+
+    def _check_route(self, attempt: Attempt, service: str) -> None:
+        history = self.routes[attempt.req.path.split("/")[1]]
+        config_s = float("inf")
+        if self.calm.is_calm((attempt.gateway, STORE), attempt.sent_at):
+            config_s = self.bounds.config_s
+        if service not in history.list_allowed(attempt.sent_at, config_s):
+            was_ever_allowed = service in {name for _, name in history.changes}
+            promise = Promise.CONFIG if was_ever_allowed else Promise.ROUTE
+            self.report(promise, f"{attempt.req.path} runs on {service}: {history.changes}")
+
+    def _check_deadline(self, attempt: Attempt, call: PageCall, now: float) -> None:
+        told_s = call.deadline_s
+        left_s = attempt.sent_at + attempt.req.deadline_s - now
+        if told_s > max(0.0, left_s) + self.bounds.deadline_slack_s:
+            name = attempt.req.attempt_id
+            self.report(Promise.BUDGET, f"{name} has {left_s:.2f} s, told {told_s:.2f} s")
+
+    def _check_gone(self, attempt: Attempt, now: float) -> None:
+        left_at = attempt.left_at
+        if left_at is not None and now - left_at > self.bounds.leave_slack_s:
+            self.n_gone += 1
+            if self.n_gone > MAX_GONE:
+                what = f"{attempt.req.attempt_id} runs {now - left_at:.2f} s after its caller left"
+                self.report(Promise.GONE, what)
+
+    def _check_placement(self, attempt: Attempt, upstream: str, now: float) -> None:
+        left_at = self.left.get(upstream)
+        if left_at is not None and now - left_at > self.bounds.drain_s:
+            what = f"{attempt.req.attempt_id} reaches {upstream} {now - left_at:.2f} s after"
+            self.report(Promise.DRAIN, what)
+        out_at = self.evacuated.get(self.domains[upstream])
+        if out_at is not None and now - out_at > self.bounds.evacuate_s:
+            what = f"{attempt.req.attempt_id} reaches {upstream} {now - out_at:.2f} s after"
+            self.report(Promise.EVACUATION, what)
+
+    def note_end(self, attempt: Attempt) -> None:
+        """Check what a caller got, after the answer has ended or the caller has given up."""
+        now = self.clock()
+        attempt.ended_at = now
+        answer = attempt.answer
+        if answer.status == 0 or not answer.is_whole:
+            self._check_unanswered(attempt, now)
+        elif answer.status < 300:
+            self._check_success(attempt)
+        else:
+            self._check_failure(attempt)
+
+    def _check_unanswered(self, attempt: Attempt, now: float) -> None:
+        """Nothing is owed where a part was disturbed since the request was sent."""
+        parts = (attempt.gateway, STORE, *(run.upstream for run in attempt.runs))
+        is_late = now >= attempt.sent_at + attempt.req.deadline_s + self.bounds.answer_slack_s
+        has_left = attempt.left_at is not None and not is_late
+        if has_left or not self.calm.is_calm(parts, attempt.sent_at):
+            return
+        if attempt.req.attempt_id in self.spoilt:
+            return
+        # A connection may be closed just when a request is sent on it, which then hasn't run.
+        if not is_late and not attempt.runs:
+            return
+        promise = Promise.CONFIG if is_late else Promise.LOST
+        self.report(promise, f"{attempt.req.attempt_id} has no whole answer: {attempt.answer}")
+
+    def _check_success(self, attempt: Attempt) -> None:
+        answer, req = attempt.answer, attempt.req
+        if answer.is_encoded or not answer.is_signed or answer.attempt_id != req.attempt_id:
+            self.report(Promise.MIXED, f"{req.attempt_id} got an answer of another: {answer}")
+            return
+        if attempt.kind.is_stream:
+            expected = [
+                (number, make_event(req.path, number).split(b"data: ")[1].strip())
+                for number in range(1, N_EVENTS + 1)
+            ]
+            if list(split_events(answer.body)) != expected:
+                self.report(Promise.ORDER, f"{req.attempt_id} got {answer.body!r}")
+            return
+        start = f"{req.method} {req.path} {len(req.body)} by ".encode()
+        runners = {run.upstream for run in attempt.runs}
+        if not answer.body.startswith(start) or answer.body[len(start) :].decode() not in runners:
+            self.report(Promise.MIXED, f"{req.attempt_id} got {answer.body!r}")
+
+    def _check_failure(self, attempt: Attempt) -> None:
+        answer, name = attempt.answer, attempt.req.attempt_id
+        if answer.is_signed:
+            faults = self.spoilt.get(name, set())
+            if UpstreamFault.FAILURE not in faults or answer.status != 500:
+                self.report(Promise.MIXED, f"{name} got {answer.status} with a signature")
+        elif answer.is_promise:
+            if attempt.runs:
+                self.report(Promise.REFUSED, f"{name} got {answer.status} and has run")
+        elif answer.status < 500:
+            self.report(Promise.DENIED, f"{name} got {answer.status} at {attempt.req.path}")
+
+    def check_version(self, service: str, version: str, is_good: bool, state: str) -> None:
+        """Check a status of an upgrade that the system has written."""
+        if not is_good and state == "complete":
+            self.report(Promise.UPGRADE, f"{service} moved to the bad version {version}")
--- /dev/null
+++ b/crocusvalve/soak/processes/_run.py
@@ -0,0 +1,200 @@
+"""A whole soak of processes by its seed."""
+
+import json
+import os
+import random
+import tempfile
+from collections import Counter
+from functools import partial
+from pathlib import Path
+
+import msgspec
+import trio
+from msgspec import Struct, field
+
+from crocusvalve.soak.processes._callers import DEADLINES_S, SoakCaller
+from crocusvalve.soak.processes._faults import draw_kinds, make_disruption
+from crocusvalve.soak.processes._judge import SoakJudge
+from crocusvalve.soak.processes._world import SoakWorld
+from crocusvalve.soak.processes.base import Promise, SoakBounds, Violation
+
+__all__ = ["ProcessSoakReport", "ProcessSoakSettings", "make_host", "run_process_soak"]
+
+START_TIMEOUT_S = 30.0
+LOOK_S = 0.1
+#: Requests that are looked at to tell whether service is back, and the part that has to be served,
+#: as the users' rules say.
+RECOVERY_REQUESTS = 24
+RECOVERY_SHARE = 0.25
+FAULT_LEVELS = ("error", "critical")
+
+
+class ProcessSoakSettings(Struct, frozen=True, kw_only=True):
+    """Settings of a soak.
+
+    Attributes
+    ----------
+    seed : int
+        Seed of the faults; the system's own timing still varies.
+    seconds : float
+        How long faults are injected.
+    n_gateways, n_callers : int
+        Sizes.
+    pause_s : float
+        Mean pause between two faults.
+    folder : str
+        Where settings, logs and the report are kept; empty for nowhere.
+    """
+
+    seed: int = 0
+    seconds: float = 15.0
+    n_gateways: int = 5
+    n_callers: int = 20
+    pause_s: float = 0.4
+    folder: str = ""
+
+
+class ProcessSoakReport(Struct, kw_only=True):
+    """What a soak did and found."""
+
+    seed: int
+    n_requests: int = 0
+    n_served: int = 0
+    n_refused: int = 0
+    recovered_s: float | None = None
+    disruptions: list[str] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
+
+
+def make_host(number: int) -> str:
+    """Return a host of loopback that no other process of this machine uses."""
+    pid = os.getpid() % 16384
+    return f"127.{64 + pid // 256}.{pid % 256}.{1 + number}"
+
+
+def run_process_soak(settings: ProcessSoakSettings) -> ProcessSoakReport:
+    """Run a soak; all processes that it starts have ended when it returns.
+
+    Raises
+    ------
+    ValueError
+        Where a size is out of its range.
+    """
+    check_settings(settings)
+    with tempfile.TemporaryDirectory() as spare:
+        folder = Path(settings.folder or spare)
+        folder.mkdir(parents=True, exist_ok=True)
+        report = trio.run(partial(ProcessSoak(settings, folder).run))
+        (folder / "report.json").write_bytes(msgspec.json.encode(report))
+    return report
+
+
+def check_settings(settings: ProcessSoakSettings) -> None:
+    """Check a soak's settings."""
+    for name, low, high in (
+        ("seconds", 1, 3600),
+        ("n_gateways", 1, 200),
+        ("n_callers", 1, 500),
+    ):
+        value = getattr(settings, name)
+        if not low <= value <= high:
+            raise ValueError(f"{name} must be from {low} to {high}, got {value}")
+
+
+class ProcessSoak:
+    """One soak.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs lie.
+    """
+
+    def __init__(self, settings: ProcessSoakSettings, folder: Path):
+        self.settings = settings
+        self.random_state = random.Random(settings.seed)
+        self.judge = SoakJudge(SoakBounds(), trio.current_time)
+        self.world = SoakWorld(
+            random.Random(settings.seed + 1), self.judge, folder, make_host, settings.n_gateways
+        )
+        self.folder = folder
+        self.report = ProcessSoakReport(seed=settings.seed)
+
+    async def run(self) -> ProcessSoakReport:
+        """Run and return what was found."""
+        try:
+            async with trio.open_nursery() as nursery:
+                await self.world.start(nursery)
+                await self._wait_until_ready()
+                for number in range(self.settings.n_callers):
+                    random_state = random.Random(f"{self.settings.seed}|{number}")
+                    nursery.start_soon(SoakCaller(self.world, self.judge, random_state).run)
+                await self._disturb()
+                self.world.heal()
+                await self._wait_for_recovery()
+                await self.world.stop()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.world.kill()
+        self._check_logs()
+        return self._finish()
+
+    async def _wait_until_ready(self) -> None:
+        with trio.move_on_after(START_TIMEOUT_S) as scope:
+            while any(gateway.n_missed_probes for gateway in self.world.gateways):
+                await trio.sleep(LOOK_S)
+        if scope.cancelled_caught:
+            self.judge.report(Promise.PROCESS, f"not all ready after {START_TIMEOUT_S} s")
+
+    async def _disturb(self) -> None:
+        """Inject faults and planned work in series that overlap."""
+        rng = self.random_state
+        kinds = draw_kinds(rng)
+        started_at = trio.current_time()
+        end_at = started_at + self.settings.seconds
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end_at:
+                disruption = make_disruption(self.world, kinds, rng)
+                at_s = trio.current_time() - started_at
+                self.report.disruptions.append(f"{at_s:.2f} s: {disruption.label}")
+                nursery.start_soon(disruption.run)
+                await trio.sleep(rng.expovariate(1.0 / self.settings.pause_s))
+
+    async def _wait_for_recovery(self) -> None:
+        """Wait until a run of requests is served, at most as long as the bound allows."""
+        healed_at = trio.current_time()
+        bound_s = self.judge.bounds.recover_s
+        while True:
+            sent = [row for row in self.judge.attempts.values() if row.sent_at >= healed_at]
+            ended = [row for row in sent if row.ended_at is not None][-RECOVERY_REQUESTS:]
+            n_served = sum(row.answer.status == 200 and row.answer.is_whole for row in ended)
+            now = trio.current_time()
+            if len(ended) == RECOVERY_REQUESTS and n_served >= RECOVERY_SHARE * len(ended):
+                self.report.recovered_s = round(now - healed_at, 2)
+                return
+            if now - healed_at > bound_s + max(DEADLINES_S.values()):
+                what = f"{n_served} of {len(ended)} served {bound_s} s after the last fault"
+                self.judge.report(Promise.RECOVERY, what)
+                return
+            await trio.sleep(LOOK_S)
+
+    def _check_logs(self) -> None:
+        """Report faults that gateways logged, and lines that are none."""
+        for gateway in self.world.gateways:
+            for line in gateway.log_path.read_text(errors="replace").splitlines():
+                try:
+                    level = json.loads(line)["level"].lower()
+                except (ValueError, KeyError):
+                    level = FAULT_LEVELS[0]
+                if level in FAULT_LEVELS:
+                    self.judge.report(Promise.PROCESS, f"{gateway.name} logs {line[:2000]}")
+
+    def _finish(self) -> ProcessSoakReport:
+        report = self.report
+        attempts = self.judge.attempts.values()
+        counts = Counter(attempt.answer.status for attempt in attempts)
+        report.n_requests = len(attempts)
+        report.n_served = counts[200]
+        report.n_refused = sum(attempt.answer.is_promise for attempt in attempts)
+        report.violations = self.judge.violations
+        return report
--- /dev/null
+++ b/crocusvalve/soak/processes/_world.py
@@ -0,0 +1,257 @@
+"""All parts of a soak, and what operators and the platform do with them."""
+
+import random
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import trio
+
+from crocusvalve.soak.processes._judge import STORE, ServiceHistory, SoakJudge
+from crocusvalve.soak.processes._parts import GatewayProcess, SoakUpstream
+from crocusvalve.soak.processes._proxy import LinkProxy
+from crocusvalve.soak.processes.base import Promise, SoakBounds
+from crocusvalve.standin import (
+    PageCaller,
+    PageOperator,
+    PageStore,
+    StoreFault,
+    make_config,
+    make_route,
+)
+
+__all__ = ["CUSTOMERS", "SoakWorld"]
+
+DOMAINS = ("domain-1", "domain-2", "domain-3")
+CUSTOMERS = {"key-of-first": "first", "key-of-second": "second"}
+MODELS = [{"name": "small", "cost": 0.1}, {"name": "large", "cost": 1.0}]
+SERVICES = ("ops", "spare", "llm")
+FIRST_PROXY_PORT = 20000
+PROBE_PAUSE_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+#: Time from the end of a process to the next start, as on the users' platform.
+RESTART_PAUSE_S = 0.3
+LATE_S = 0.3
+LOOK_S = 0.05
+
+
+class SoakWorld:
+    """Gateways, upstreams, the store and the links between them, on hosts of loopback.
+
+    Parameters
+    ----------
+    random_state : random.Random
+        Source of all choices.
+    judge : SoakJudge
+        Told what is disturbed and what operators were acknowledged.
+    folder : Path
+        Where settings and logs lie.
+    make_host : callable
+        Host of loopback for a number.
+    n_gateways : int
+        Number of gateway processes.
+    """
+
+    def __init__(
+        self,
+        random_state: random.Random,
+        judge: SoakJudge,
+        folder: Path,
+        make_host: Callable[[int], str],
+        n_gateways: int,
+    ):
+        self.random_state = random_state
+        self.judge = judge
+        self.folder = folder
+        self.make_host = make_host
+        self.bounds: SoakBounds = judge.bounds
+        self.store = PageStore()
+        self.operator = PageOperator(self.store)
+        self.version = 0
+        self.routes = {"safe": "ops", "unsafe": "ops", "stream": "llm", "once": "llm"}
+        self.n_proxies = 0
+        self.n_upgrades = 0
+        self.nursery: trio.Nursery | None = None
+        self.upstreams: dict[str, SoakUpstream] = {}
+        self.gateways = [self._make_gateway(number) for number in range(n_gateways)]
+        self.is_over = False
+
+    def _make_proxy(self, target_host: str, target_port: int) -> LinkProxy:
+        self.n_proxies += 1
+        port = FIRST_PROXY_PORT + self.n_proxies
+        return LinkProxy(self.make_host(0), port, target_host, target_port, self.random_state)
+
+    def _make_gateway(self, number: int) -> GatewayProcess:
+        host = self.make_host(1 + number)
+        return GatewayProcess(
+            f"gateway-{number + 1:03d}",
+            host,
+            DOMAINS[number % len(DOMAINS)],
+            self._make_proxy(host, GatewayProcess.ports.front),
+            self._make_proxy("127.0.0.1", 0),
+            self.folder,
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the stand-ins, register everything and start the gateways."""
+        self.nursery = nursery
+        await nursery.start(self.store.serve)
+        for service in SERVICES:
+            for domain in DOMAINS:
+                await self.add_upstream(service, domain, "v1")
+        self.put_config()
+        seeds = [gateway.host for gateway in self.gateways[:3]]
+        for gateway in self.gateways:
+            gateway.store.target_port = self.store.port
+            for proxy in (gateway.front, gateway.store):
+                nursery.start_soon(proxy.run)
+            gateway.write_settings(seeds, self.bounds.grace_s, self.bounds.drain_s)
+            self.judge.calm.touch(gateway.name, self.judge.clock())
+            nursery.start_soon(self._keep_gateway, gateway)
+            nursery.start_soon(self._probe, gateway)
+        nursery.start_soon(self._watch_lateness)
+
+    async def _keep_gateway(self, gateway: GatewayProcess) -> None:
+        """Start a gateway again whenever its process ends, as the platform does."""
+        while not self.is_over:
+            await gateway.start()
+            code = await gateway.process.wait()
+            self.judge.calm.touch(gateway.name, self.judge.clock())
+            if not gateway.is_told_to_end:
+                what = f"{gateway.name} ended by itself with {code}"
+                self.judge.report(Promise.PROCESS, what)
+            await trio.sleep(RESTART_PAUSE_S)
+
+    async def _probe(self, gateway: GatewayProcess) -> None:
+        """Ask a gateway each second whether it is ready, as the balancer does."""
+        while True:
+            is_ready = False
+            with trio.move_on_after(PROBE_TIMEOUT_S):
+                is_ready = await _ask_ready(gateway.host, gateway.ports.ready)
+            gateway.n_missed_probes = 0 if is_ready else gateway.n_missed_probes + 1
+            await trio.sleep(PROBE_PAUSE_S)
+
+    async def _watch_lateness(self) -> None:
+        """Count everything as disturbed where the soak itself was late: it can't judge then."""
+        while True:
+            due = trio.current_time() + LOOK_S
+            await trio.sleep_until(due)
+            if trio.current_time() - due > LATE_S:
+                for part in (STORE, *self.upstreams, *(row.name for row in self.gateways)):
+                    self.judge.calm.touch(part, self.judge.clock())
+
+    def choose_gateway(self) -> GatewayProcess:
+        """Return a gateway as the balancer does."""
+        ready = [gateway for gateway in self.gateways if gateway.n_missed_probes < 2]
+        return self.random_state.choice(ready or self.gateways)
+
+    async def add_upstream(self, service: str, domain: str, version: str) -> SoakUpstream:
+        """Start and register an upstream."""
+        name = f"{service}-{len(self.upstreams) + 1:03d}"
+        upstream = SoakUpstream(name, service, domain, version, self.judge, self.random_state)
+        self.upstreams[name] = upstream
+        await self.nursery.start(upstream.serve)
+        upstream.proxy = self._make_proxy("127.0.0.1", upstream.port)
+        self.nursery.start_soon(upstream.proxy.run)
+        self.register(upstream)
+        return upstream
+
+    def register(self, upstream: SoakUpstream) -> None:
+        """Write an upstream's entry."""
+        self.operator.register(upstream.upstream_id, upstream.make_current_entry())
+
+    def drain_upstream(self, upstream: SoakUpstream, is_told: bool) -> None:
+        """Take an upstream out, by its state or by dropping its entry."""
+        if is_told:
+            upstream.state = "draining"
+            self.register(upstream)
+        else:
+            self.operator.drop(upstream.upstream_id)
+        self.judge.left[upstream.upstream_id] = self.judge.clock()
+
+    def return_upstream(self, upstream: SoakUpstream) -> None:
+        """Bring an upstream back as a new run of it."""
+        upstream.state = "ready"
+        upstream.born_ms += 1
+        self.judge.left.pop(upstream.upstream_id, None)
+        self.register(upstream)
+
+    def put_config(self) -> None:
+        """Write a new version of the configuration and note its acknowledgement."""
+        self.version += self.random_state.randint(1, 4)
+        kinds = {
+            "safe": {"kind": "safe", "maxAttempts": 2, "goalMs": 1000},
+            "unsafe": {"kind": "unsafe", "goalMs": 1000},
+            "stream": {
+                "kind": "streaming",
+                "maxAttempts": 3,
+                "resumable": True,
+                "sizes": ["small", "large"],
+                "goalMs": 2000,
+            },
+            "once": {"kind": "streaming", "goalMs": 2000},
+        }
+        routes = [
+            make_route(name, f"/{name}/", **kind, service=self.routes[name])
+            for name, kind in kinds.items()
+        ]
+        services = [{"name": "ops"}, {"name": "spare"}]
+        services.append({"name": "llm", "engine": {"kvCapacity": 100000, "models": MODELS}})
+        customers = [{"name": name, "apiKeys": [key]} for key, name in CUSTOMERS.items()]
+        config = make_config(self.version, routes, services, tenants=customers)
+        self.operator.put_config(config)
+        now = self.judge.clock()
+        for name, service in self.routes.items():
+            history = self.judge.routes.setdefault(name, ServiceHistory([]))
+            if not history.changes or history.changes[-1][1] != service:
+                history.changes.append((now, service))
+
+    def evacuate(self, domain: str, is_out: bool) -> None:
+        """Take a failure domain out or back."""
+        if is_out:
+            self.operator.evacuate(domain, is_out)
+            self.judge.evacuated[domain] = self.judge.clock()
+        else:
+            self.judge.evacuated.pop(domain, None)
+            self.operator.evacuate(domain, is_out)
+
+    def heal(self) -> None:
+        """End what faults left behind."""
+        self.store.fault = StoreFault.NONE
+        for domain in list(self.judge.evacuated):
+            self.evacuate(domain, is_out=False)
+
+    async def stop(self) -> None:
+        """Tell all gateways to stop and check that they do in time."""
+        self.is_over = True
+        # One that starts has no handler of signals yet, and nothing to lose.
+        running = [row for row in self.gateways if row.is_running and not row.n_missed_probes]
+        for gateway in running:
+            gateway.send_signal(signal.SIGTERM)
+        with trio.move_on_after(self.bounds.grace_s + LATE_S):
+            for gateway in running:
+                await gateway.process.wait()
+        for gateway in running:
+            if gateway.process.returncode != 0:
+                what = f"{gateway.name} ended with {gateway.process.returncode} after a stop"
+                self.judge.report(Promise.PROCESS, what)
+        self.kill()
+
+    def kill(self) -> None:
+        """End all processes of the soak."""
+        self.is_over = True
+        for gateway in self.gateways:
+            gateway.send_signal(signal.SIGKILL)
+
+
+async def _ask_ready(host: str, port: int) -> bool:
+    try:
+        caller = await PageCaller.connect(host, port)
+    except OSError:
+        return False
+    try:
+        return await caller.is_ready()
+    except (OSError, trio.BrokenResourceError):
+        return False
+    finally:
+        await caller.close()
--- a/crocusvalve/standin/__init__.py
+++ b/crocusvalve/standin/__init__.py
@@ -19,9 +19,22 @@
     EngineSpec,
     VersionSpec,
 )
+from crocusvalve.standin._page_caller import PageAnswer, PageCaller, PageRequest, split_events
+from crocusvalve.standin._page_operator import (
+    PageOperator,
+    make_config,
+    make_order,
+    make_route,
+    make_settings,
+)
 from crocusvalve.standin._page_server import PageCall, PageServer
 from crocusvalve.standin._page_store import PageStore, StoreFault
-from crocusvalve.standin._page_upstream import PageUpstream, UpstreamFault
+from crocusvalve.standin._page_upstream import (
+    N_EVENTS,
+    PageUpstream,
+    UpstreamFault,
+    make_event,
+)
 from crocusvalve.standin._plain import PlainCall, PlainFaults, StandinPlainService, serve_plain
 from crocusvalve.standin._platform import MemoryPlatform, PlatformCounters
 from crocusvalve.standin._platform_faults import ALL_CALLS, PlatformFaults, RatingFault
@@ -42,7 +55,12 @@
     "EngineSpec",
     "FaultRequest",
     "MemoryPlatform",
+    "N_EVENTS",
+    "PageAnswer",
     "PageCall",
+    "PageCaller",
+    "PageOperator",
+    "PageRequest",
     "PageServer",
     "PageStore",
     "PageUpstream",
@@ -56,8 +74,14 @@
     "StoreFault",
     "UpstreamFault",
     "VersionSpec",
+    "make_config",
+    "make_event",
+    "make_order",
     "make_platform_app",
+    "make_route",
+    "make_settings",
     "serve_engine",
     "serve_plain",
     "serve_platform",
+    "split_events",
 ]
--- /dev/null
+++ b/crocusvalve/standin/_page_operator.py
@@ -0,0 +1,93 @@
+"""Stand-in for the users' operators and platform: records and settings in their words."""
+
+from collections.abc import Sequence
+
+from crocusvalve.standin._page_store import PageStore
+
+__all__ = ["PageOperator", "make_config", "make_order", "make_route", "make_settings"]
+
+SETTINGS = """
+nodeName = "{name}"
+ip = "{host}"
+zone = "{domain}"
+internalPorts = [{peer_port}, {peer_port}]
+heartbeatMs = 1200
+seeds = [{seeds}]
+[listen]
+front = "{host}:{front_port}"
+ready = "{host}:{ready_port}"
+[bounds]
+graceS = {grace_s:.0f}
+drainMs = {drain_ms:.0f}
+[platform]
+address = "{store}"
+"""
+
+
+def make_settings(*, seeds: Sequence[str], drain_s: float, **fields: str | float) -> str:
+    """Return the settings file of a gateway; ``seeds`` are HOST:PORT of others."""
+    quoted = ", ".join(f'"{seed}"' for seed in seeds)
+    return SETTINGS.format(seeds=quoted, drain_ms=drain_s * 1000, **fields)
+
+
+def make_route(name: str, prefix: str, kind: str, **changes: object) -> dict:
+    """Return a route of a configuration."""
+    return {
+        "name": name,
+        "host": "api.example",
+        "prefix": prefix,
+        "routeKind": kind,
+        "timeoutMs": 10000,
+        "goalMs": 10000,
+    } | changes
+
+
+def make_config(version: int, routes: list[dict], services: list[dict], **changes: object) -> dict:
+    """Return a configuration; ``changes`` are limits and customers."""
+    return {"version": version, "routes": routes, "services": services} | changes
+
+
+def make_order(service: str, version: str, duration_s: float) -> dict:
+    """Return an order to upgrade a service."""
+    return {"service": service, "target": version, "durationS": duration_s}
+
+
+class PageOperator:
+    """Writes operators' and upstreams' records to a store.
+
+    Parameters
+    ----------
+    store : PageStore
+        The store.
+    """
+
+    def __init__(self, store: PageStore):
+        self.store = store
+
+    def put_config(self, config: dict) -> None:
+        """Write a configuration."""
+        self.store.put("op", "config", config)
+
+    def evacuate(self, domain: str, is_out: bool) -> None:
+        """Take a failure domain out or back."""
+        if is_out:
+            self.store.put("op", f"evacuate/{domain}", {})
+        else:
+            self.store.drop("op", f"evacuate/{domain}")
+
+    def order_upgrade(self, service: str, version: str, duration_s: float) -> None:
+        """Order the upgrade of a service."""
+        self.store.put("op", f"rollout/{service}", make_order(service, version, duration_s))
+
+    def get_upgrade(self, service: str) -> tuple[str, str]:
+        """Return version and state of a service's upgrade as the system wrote them."""
+        status = self.store.get("status", f"rollout/{service}") or {}
+        return status.get("target", ""), status.get("state", "")
+
+    def register(self, upstream_id: str, entry: dict) -> None:
+        """Write an upstream's entry."""
+        self.store.put("servers", upstream_id, entry)
+
+    def drop(self, upstream_id: str) -> None:
+        """Drop an upstream's entry."""
+        self.store.drop("servers", upstream_id)
--- a/crocusvalve/standin/_page_server.py
+++ b/crocusvalve/standin/_page_server.py
@@ -9,6 +9,7 @@
 __all__ = ["PageCall", "PageServer"]
 
 READ_BYTES = 65536
+LEAKED_FIELDS = ("authorization", "x-hold", "x-pin-ms", "x-kv-backup", "kv-from")
 
 
 class PageCall(Struct):
@@ -19,6 +20,25 @@
     headers: dict[str, str]
     body: bytes
 
+    @property
+    def attempt_id(self) -> str:
+        """Id of the caller's attempt."""
+        return self.headers.get("x-attempt-id", "")
+
+    @property
+    def customer(self) -> str:
+        """Customer as whom the request is sent."""
+        return self.headers.get("x-tenant", "")
+
+    @property
+    def deadline_s(self) -> float:
+        """Time that the upstream has, in seconds; infinite where none is told."""
+        return float(self.headers.get("x-deadline-ms", "inf")) / 1000
+
+    def list_leaked_fields(self) -> list[str]:
+        """Return the fields that a caller may have sent and no upstream may see."""
+        return [name for name in LEAKED_FIELDS if name in self.headers]
+
 
 class PageServer(ABC):
     """Answers requests on loopback; subclasses write the replies' bytes."""
--- a/crocusvalve/standin/_page_upstream.py
+++ b/crocusvalve/standin/_page_upstream.py
@@ -6,7 +6,7 @@
 
 from crocusvalve.standin._page_server import PageCall, PageServer
 
-__all__ = ["PageUpstream", "UpstreamFault"]
+__all__ = ["N_EVENTS", "PageUpstream", "UpstreamFault", "make_event"]
 
 N_EVENTS = 6
 
@@ -75,15 +75,23 @@
             "born": 1_700_000_000_000,
         } | changes
 
+    def choose_fault(self) -> UpstreamFault:
+        """Choose what to do with the next request."""
+        return self.faults.pop(0) if self.faults else UpstreamFault.NONE
+
+    def note_run(self, call: PageCall, fault: UpstreamFault) -> None:
+        """Take note of a request that it begins to run."""
+        self.calls.append(call)
+
     async def answer(self, call: PageCall, stream: trio.SocketStream) -> bool:
         """Answer a request."""
         expected = call.headers.get("x-expect-instance", self.upstream_id)
         if not expected.startswith(self.upstream_id):
             return await self._send(stream, 421, {}, b"")
-        fault = self.faults.pop(0) if self.faults else UpstreamFault.NONE
+        fault = self.choose_fault()
         if fault is UpstreamFault.FULL:
             return await self._send(stream, 503, {"X-Not-Executed": "1"}, b"")
-        self.calls.append(call)
+        self.note_run(call, fault)
         headers = {
             "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
             "X-Response-Signature": f"signed-by-{self.upstream_id}",
@@ -126,7 +134,7 @@
         await stream.send_all(_make_head(200, headers))
         for number in range(int(call.headers.get("last-event-id", 0)) + 1, N_EVENTS + 1):
             await trio.sleep(self.pause_s)
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = make_event(call.target, number)
             if fault is UpstreamFault.BREAK_IN_EVENT and number == 3:
                 await stream.send_all(_make_chunk(event[:7]))
                 return False
@@ -141,6 +149,11 @@
         return True
 
 
+def make_event(target: str, number: int) -> bytes:
+    """Return an event of the stream of a target."""
+    return f"id: {number}\ndata: piece {number} of {target}\n\n".encode()
+
+
 def _make_head(status: int, headers: dict[str, str]) -> bytes:
     lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers.items())]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- a/features/gateway/gateway.feature
+++ b/features/gateway/gateway.feature
@@ -213,6 +213,19 @@
       | stopping | 4     | /once/1   | POST   | 503    | 3.9   |
       | stopping | 7     | /unsafe/1 | POST   | 503    | 0.9   |
 
+  Scenario Outline: The log and the metrics tell why a request went where it went
+    Given a gateway with two upstreams
+    And <state>
+    When a caller sends <path>, with a prompt where it is a stream
+    Then the log's line of the request has the reason <reason> and the wait is counted
+    And a refused caller may come back after <retry> s
+
+    Examples:
+      | state                   | path      | reason       | retry |
+      | all upstreams are there | /unsafe/1 | least_loaded | 0     |
+      | all upstreams are there | /stream/1 | affinity     | 0     |
+      | all domains are out     | /short/1  | none_allowed | 2     |
+
   Scenario: Requests on one connection are answered in order
     Given a gateway with two upstreams
     When a caller sends three requests at once on one connection
--- a/features/gateway/gateway_world.py
+++ b/features/gateway/gateway_world.py
@@ -12,7 +12,7 @@
 from crocusvalve.gateway import Gateway
 from crocusvalve.gateway.base import Address, GatewayBounds, GatewaySettings
 from crocusvalve.platform import PlatformHeaders, PlatformRecords, PlatformStore
-from crocusvalve.standin import PageStore, PageUpstream
+from crocusvalve.standin import PageStore, PageUpstream, make_config, make_route
 from crocusvalve.utils import BootClock
 
 FRONT_PORT, READY_PORT, PEER_PORT = 18080, 18081, 18082
@@ -32,7 +32,7 @@
     was_reset: bool = False
 
 
-def make_config(version, **changes):
+def make_gateway_config(version, **changes):
     """Return a configuration with a route of each kind and one customer."""
     routes = [
         make_route("safe", "/safe/", "safe", maxAttempts=2, service="ops"),
@@ -45,28 +45,15 @@
         make_route("short", "/short/", "unsafe", service="ops") | {"timeoutMs": 300},
     ]
     models = [{"name": "small", "cost": 0.1}, {"name": "large", "cost": 1.0}]
-    return {
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "ops"},
-            {"name": "llm", "engine": {"slots": 8, "kvCapacity": 100000, "models": models}},
-        ],
+    services = [
+        {"name": "ops"},
+        {"name": "llm", "engine": {"slots": 8, "kvCapacity": 100000, "models": models}},
+    ]
+    others = {
         "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 20000},
         "tenants": [{"name": "first", "apiKeys": [KEY]}],
-    } | changes
-
-
-def make_route(name, prefix, kind, **changes):
-    """Return a route of a configuration."""
-    return {
-        "name": name,
-        "host": "api.example",
-        "prefix": prefix,
-        "routeKind": kind,
-        "timeoutMs": 10000,
-        "goalMs": 10000,
-    } | changes
+    }
+    return make_config(version, routes, services, **others) | changes
 
 
 class GatewayWorld:
@@ -78,7 +65,7 @@
         self.store = PageStore()
         self.upstreams = {name: PageUpstream(name) for name in ("one", "two")}
         self.services = {"one": ("ops", "llm"), "two": ("ops", "llm")}
-        self.config = make_config(2)
+        self.config = make_gateway_config(2)
         self.rows = []
         self.is_informed = True
         self.gateway = None
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -6,12 +6,19 @@
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
 from crocusvalve.gateway._peers import PeerNews
+from crocusvalve.gateway._placement import PlacementReason
 from crocusvalve.gateway._stopping import StopPlan
 from crocusvalve.platform import PlatformStore
-from crocusvalve.standin import StoreFault, UpstreamFault
+from crocusvalve.standin import StoreFault, UpstreamFault, make_event
 from crocusvalve.store.base import FeedPage, FeedRow
 from crocusvalve.utils import Clock
-from features.gateway.gateway_world import ATTEMPT, KEY, READY_PORT, GatewayWorld, make_config
+from features.gateway.gateway_world import (
+    ATTEMPT,
+    KEY,
+    READY_PORT,
+    GatewayWorld,
+    make_gateway_config,
+)
 
 GRACE_S = 8.0
 BASE = f"Host: api.example\r\nX-Attempt-Id: {ATTEMPT}\r\nAuthorization: Bearer {KEY}\r\n"
@@ -120,7 +127,7 @@
 @when("the gateway is given a copy with another configuration")
 def when_given_copy(context):
     async def act(world):
-        row = FeedRow("config", msgspec.json.encode(make_config(99)), 10**6)
+        row = FeedRow("config", msgspec.json.encode(make_gateway_config(99)), 10**6)
         world.gateway.copies.take_copy("127.0.0.9", {"op": FeedPage((row,), 10**6, 0.0)})
 
     context.world.run(act)
@@ -191,6 +198,48 @@
     context.world.run(act)
 
 
+@given("all upstreams are there")
+def given_all(context):
+    context.world.rows = []
+
+
+@given("all domains are out")
+def given_all_out(context):
+    context.world.rows = [("op", f"evacuate/domain-{name}", {}) for name in ("one", "two")]
+
+
+@when("a caller sends {path}, with a prompt where it is a stream")
+def when_prompt(context, path):
+    fields = {}
+    if path.startswith("/stream"):
+        fields = {"X_Model": "*", "X_Prefix_Hash": "5c1e07a2:600,91bd3f06:200"}
+        fields["Accept"] = "text/event-stream"
+
+    async def act(world):
+        await world.call(path, method="POST", **fields)
+        context.metrics = (
+            await world.send(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", port=READY_PORT)
+        ).body.decode()
+
+    context.world.run(act)
+
+
+@then("the log's line of the request has the reason {reason} and the wait is counted")
+def then_reason(context, reason):
+    lines = [row for row in context.world.records if row.getMessage().startswith("request ended")]
+    assert [row.fields["placement"] for row in lines] == [PlacementReason(reason).value]
+    waited_ms = lines[0].fields["waited_ms"]
+    assert (waited_ms > 0) == (reason == "none_allowed"), waited_ms
+    counts = [row for row in context.metrics.splitlines() if "_wait_seconds_count{" in row]
+    assert len(counts) == 1 and counts[0].endswith(" 1.0"), counts
+
+
+@then("a refused caller may come back after {retry_s:g} s")
+def then_come_back(context, retry_s):
+    told_s = float(context.world.answers[0].headers.get("retry-after", 0.0))
+    assert told_s == retry_s, context.world.answers
+
+
 @when("a caller sends {path} with POST")
 def when_post(context, path):
     context.world.run(lambda world: world.call(path, method="POST", body=b"order"))
@@ -308,9 +357,9 @@
 def when_older(context):
     async def act(world):
         tables = world.gateway.tables
-        world.store.put("op", "config", make_config(7, tenants=[]))
+        world.store.put("op", "config", make_gateway_config(7, tenants=[]))
         await world.wait_for(lambda: tables.config.version == 7)
-        n_calls = world.store.put("op", "config", make_config(5))
+        n_calls = world.store.put("op", "config", make_gateway_config(5))
         await world.wait_for(lambda: world.gateway.operator.mirror.version >= n_calls)
         await world.call("/safe/1")
 
@@ -330,10 +379,10 @@
 @when("the store drops its history and then a newer configuration arrives")
 def when_history_lost(context):
     async def act(world):
-        world.store.put("op", "config", make_config(9))
+        world.store.put("op", "config", make_gateway_config(9))
         world.store.forget_history()
         await world.wait_for(lambda: world.gateway.tables.config.version == 9)
-        world.store.put("op", "config", make_config(10))
+        world.store.put("op", "config", make_gateway_config(10))
         await world.wait_for(lambda: world.gateway.tables.config.version == 10)
 
     context.world.run(act)
@@ -456,8 +505,8 @@
 )
 def then_events(context, first, last):
     answer = context.world.answers[0]
-    expected = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(first, last + 1))
-    assert answer.is_whole and answer.body.decode() == expected, answer
+    expected = b"".join(make_event("/stream/1", n) for n in range(first, last + 1))
+    assert answer.is_whole and answer.body == expected, answer
     models = {call.headers["x-model"] for call in context.world.calls}
     assert models == {"small"}, models
     first_call = min(context.world.calls, key=lambda call: call.headers.get("last-event-id", "0"))
@@ -468,7 +517,7 @@
 @then("the caller gets a part that does not look complete, after {n_runs:d} run")
 def then_part(context, n_runs):
     answer = context.world.answers[0]
-    assert answer.body == b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", answer
+    assert answer.body == b"".join(make_event("/once/1", n) for n in (1, 2)), answer
     assert not answer.is_whole
     assert len(context.world.calls) == n_runs
 
--- a/features/gateway/steps/process_steps.py
+++ b/features/gateway/steps/process_steps.py
@@ -16,7 +16,7 @@
     LIMIT_S,
     READY_PORT,
     GatewayWorld,
-    make_config,
+    make_gateway_config,
 )
 from features.gateway.steps.gateway_steps import BASE
 
@@ -173,7 +173,7 @@
         await world.call("/safe/1")
         world.process.kill()
         await world.process.wait()
-        world.store.put("op", "config", make_config(9, routes=[]))
+        world.store.put("op", "config", make_gateway_config(9, routes=[]))
         await world.start(subprocess.DEVNULL)
         await world.call("/safe/1")
 
