Calls that wait for changes of the store last as long as the operators' bounds allow

Ruled out: changes that come too often (entries of upstreams are told only when more than their sequence changes).

A gateway whose write of an upgrade's status fails counts the store as failed, so that another one leads.

Soak: planned work lasts up to 12 s, one domain is out at a time, and an upstream is found also where all are out.

--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -41,15 +41,15 @@
 
 logger = logging.getLogger(__name__)
 
-#: How long a call waits for changes of the operators' records; a dead connection shows after it.
-OPERATOR_WAIT_S = 2.0
+#: A connection to the store that has fallen silent shows when a call that waits for changes is over
+#: its time. Calls end this much before the time after which bounds hold again, to leave it for the
+#: timeout of the call and a new one.
+WAIT_MARGIN_S = 0.5
 #: Upstreams refresh their entries all the time; changes are fetched each of these parts of the time
 #: within which a leaving one must get no more work.
 UPSTREAM_PAUSE_PART = 0.3
-UPSTREAM_WAIT_S = 2.0
-STATUS_WAIT_S = 2.0
 BACKOFF_BASE_S = 0.1
-BACKOFF_MAX_S = 0.4
+BACKOFF_MAX_S = 1.0
 #: Table in which gateways find each other, and the pause between two looks.
 MEMBER_TABLE = "gateways"
 MEMBER_PAUSE_S = 15.0
@@ -195,15 +195,12 @@
             random_state=self.random_state,
         )
         return [
-            self._make_follower(self.operator, wait_s=OPERATOR_WAIT_S).run,
+            self._make_follower(self.operator).run,
             self._make_follower(
                 self.upstreams,
-                wait_s=UPSTREAM_WAIT_S,
                 pause_s=UPSTREAM_PAUSE_PART * self.settings.bounds.drain_s,
             ).run,
-            self._make_follower(
-                self.statuses, wait_s=STATUS_WAIT_S, is_wanted=self.upgrades.is_active
-            ).run,
+            self._make_follower(self.statuses, is_wanted=self.upgrades.is_active).run,
             self.upgrades.run,
             link.run,
             self.copies.run,
@@ -219,6 +216,7 @@
                 base_s=BACKOFF_BASE_S, max_s=BACKOFF_MAX_S, random_state=self.random_state
             ),
             clock=self.clock,
+            wait_s=self.settings.bounds.contact_s - WAIT_MARGIN_S,
             **kwargs,
         )
 
--- a/crocusvalve/gateway/_upgrade_keeper.py
+++ b/crocusvalve/gateway/_upgrade_keeper.py
@@ -132,6 +132,8 @@
         try:
             version = await self.feed.put_row(self.records.table, key, value, known)
         except PlatformError as exc:
+            # Another gateway that reaches the store takes over.
+            self.store.note_failure(self.clock.now())
             self.observer.note_store(self.records.table, exc)
             await trio.sleep(RETRY_S)
             return
--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -54,8 +54,12 @@
 
 
 class GatewayBounds(Struct, frozen=True, kw_only=True):
-    """Bounds that the operators set; durations in seconds, slacks in requests."""
+    """Bounds that the operators set; durations in seconds, slacks in requests.
 
+    ``contact_s`` is the time after a disturbance from which the other bounds hold again.
+    """
+
+    contact_s: float = 3.0
     drain_s: float = 2.0
     grace_s: float = 8.0
     retry_ratio: float = 0.9
--- a/crocusvalve/platform/_boot.py
+++ b/crocusvalve/platform/_boot.py
@@ -25,6 +25,7 @@
 
 
 class _Bounds(Struct):
+    contact_ms: float = field(name="contactMs", default=3000.0)
     drain_ms: float = field(name="drainMs", default=2000.0)
     grace_s: float = field(name="graceS", default=8.0)
     retry_ratio: float = field(name="retryRatio", default=0.1)
@@ -86,6 +87,7 @@
         seeds=tuple(_read_address(seed, "seeds", path) for seed in boot.seeds),
         store=_read_address(boot.platform.address, "platform.address", path),
         bounds=GatewayBounds(
+            contact_s=bounds.contact_ms / 1000,
             drain_s=bounds.drain_ms / 1000,
             grace_s=bounds.grace_s,
             retry_ratio=bounds.retry_ratio,
--- a/crocusvalve/soak/processes/_faults.py
+++ b/crocusvalve/soak/processes/_faults.py
@@ -22,7 +22,7 @@
 MAX_KINDS = 7
 #: Longest disruption, and longest planned work, which has to outlast the bounds that it starts.
 MAX_DISRUPTION_S = 4.0
-MAX_PLANNED_S = 9.0
+MAX_PLANNED_S = 12.0
 LOOK_S = 0.1
 
 
@@ -197,8 +197,9 @@
 
     def choose(self) -> None:
         """Choose the upstream."""
-        ready = [row for row in self.world.upstreams.values() if row.state == "ready"]
-        self.upstream: SoakUpstream = self.random_state.choice(ready)
+        rows = list(self.world.upstreams.values())
+        ready = [row for row in rows if row.state == "ready"]
+        self.upstream: SoakUpstream = self.random_state.choice(ready or rows)
         self.parts = [self.upstream.upstream_id]
 
 
@@ -261,16 +262,19 @@
 
     def choose(self) -> None:
         """Choose the domain."""
+        self.is_nested = bool(self.world.judge.evacuated)
         self.domain = self.random_state.choice(DOMAINS)
         self.parts = [self.domain]
 
     def begin(self) -> None:
-        """Take it out."""
-        self.world.evacuate(self.domain, is_out=True)
+        """Take it out, unless another one is out already."""
+        if not self.is_nested:
+            self.world.evacuate(self.domain, is_out=True)
 
     def end(self) -> None:
         """Take it back."""
-        self.world.evacuate(self.domain, is_out=False)
+        if not self.is_nested:
+            self.world.evacuate(self.domain, is_out=False)
 
 
 class ConfigurationMoved(Disruption):
