explain: lines of a minute, each once however many gateways wrote it, and what the request's own gateways believed

Change: lines within a minute before the request's end, about the upstreams that it names, each once with the number of other processes that wrote it, and the lines of its own gateways about themselves, the store, the configuration, domains and upgrades.

--- a/crocusvalve/cli/_explain.py
+++ b/crocusvalve/cli/_explain.py
@@ -2,10 +2,11 @@
 
 import re
 from collections.abc import Iterable, Iterator
+from datetime import datetime, timedelta
 from pathlib import Path
 
 import msgspec
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from crocusvalve.cli._options import JsonFlag
 from crocusvalve.cli._output import print_result
@@ -14,12 +15,17 @@
 __all__ = ["StoryLine", "explain", "read_story"]
 
 STEP = "explain"
+#: What happened this long before a request's end may tell its cause; requests last up to 30 s.
+WINDOW = timedelta(seconds=60)
 #: An upstream's name in the notes of a request: it has letters, digits and a dash or slash.
 NAME_PATTERN = re.compile(r"(?=[\w/-]*\d)(?=\w*[/-])[a-zA-Z][\w/-]+")
 
 
 class StoryLine(Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """A line of a log that belongs to a request's story."""
+    """A line of a log that belongs to a request's story.
+
+    ``n_others`` is the number of other processes that wrote the same.
+    """
 
     time: str
     file: str
@@ -29,6 +35,7 @@
     step: str = ""
     peer: str = ""
     fields: dict = {}
+    n_others: int = 0
 
 
 def explain(request_id: str, *files: str, json: JsonFlag = False) -> None:
@@ -50,7 +57,11 @@
 
 
 def read_story(request_id: str, paths: Iterable[Path]) -> list[StoryLine]:
-    """Return the lines about a request and those about the peers that it names.
+    """Return the lines about a request and those that may tell its cause.
+
+    These are, within a minute before its end, those about the upstreams that it names, each once
+    however many processes wrote it, and those of its own gateways about themselves, the store, the
+    configuration and the failure domains.
 
     Raises
     ------
@@ -64,19 +75,35 @@
         message = f"no line of the logs tells of request {request_id}"
         raise CrocusvalveError(ErrorCode.UNKNOWN_REQUEST, message, step=STEP)
     names = {name for line in own for name in _list_names(line)}
+    files = {line.file for line in own}
     ends_at = max(line.time for line in own)
-    around = [
-        line
-        for line in lines
-        if not line.request_id and line.time <= ends_at and names & set(_split(line.message))
-    ]
-    return sorted(own + around, key=lambda line: line.time)
+    since = (datetime.fromisoformat(ends_at) - WINDOW).isoformat(timespec="milliseconds")
+    around = []
+    for line in lines:
+        if line.request_id or not since <= line.time <= ends_at:
+            continue
+        named = set(_split(line.message))
+        if names & named or (line.file in files and not named):
+            around.append(line)
+    return sorted(own + _merge_equal(around, files), key=lambda line: line.time)
+
+
+def _merge_equal(lines: list[StoryLine], files: set[str]) -> list[StoryLine]:
+    """Keep one of the lines that several processes wrote, that of some files if there is one."""
+    merged: dict[str, StoryLine] = {}
+    for line in sorted(lines, key=lambda line: (line.file not in files, line.time)):
+        key = f"{line.message} {line.fields}"
+        first = merged.setdefault(key, line)
+        if first.file != line.file:
+            merged[key] = structs.replace(first, n_others=first.n_others + 1)
+    return list(merged.values())
 
 
 def format_line(line: StoryLine) -> str:
     """Return a line for a person."""
     fields = " ".join(f"{name}={value}" for name, value in line.fields.items() if value != "")
-    parts = [line.time, line.file, line.message, line.step, line.peer, fields]
+    file = f"{line.file} and {line.n_others} others" if line.n_others else line.file
+    parts = [line.time, file, line.message, line.step, line.peer, fields]
     return "  ".join(part for part in parts if part)
 
 
