--- a/features/cli/steps/explain_steps.py
+++ b/features/cli/steps/explain_steps.py
@@ -11,13 +11,20 @@
 
 LINES = {
     "one.log": [
+        (0, "the store fails", "", {}),
         (1, "upstream i-1: registered", "", {}),
         (2, "upstream i-9: registered", "", {}),
         (6, "request ended: failed", "r1", {"upstream": "i-1", "notes": ["i-1:broken"]}),
         (7, "request ended: answered", "r2", {"upstream": "i-9"}),
     ],
-    "two.log": [(4, "upstream i-1 suspended after outcome broken", "", {"span_s": 0.7})],
+    "two.log": [
+        (1, "upstream i-1: registered", "", {}),
+        (2, "the store answers again", "", {}),
+        (4, "upstream i-1 suspended after outcome broken", "", {"span_s": 0.7}),
+    ],
+    "old.log": [(9, "upstream i-1: registered long ago", "", {})],
 }
+OLD_MINUTE = "2025-12-31T23:58"
 
 
 @given("logs of two gateways about some requests")
@@ -29,7 +36,7 @@
         path = Path(context.folder.name) / name
         rows = [
             {
-                "time": f"2026-01-01T00:00:0{at}",
+                "time": f"{OLD_MINUTE if name == 'old.log' else '2026-01-01T00:00'}:0{at}",
                 "message": text,
                 "request_id": req,
                 "fields": fields,
@@ -72,6 +79,12 @@
     )
 
 
+@then('it tells "{message}" once, for 1 other process as well')
+def then_once(context, message):
+    found = [line.n_others for line in context.story if line.message == message]
+    assert found == [1], context.story
+
+
 @then('the error is "{code}"')
 def then_error(context, code):
     assert context.error is not None and context.error.code.code == code, context.error
