The log's writer holds no more lines in hand than its buffer

Cause: the scenario of a reader that stops failed beside load (3,039 of 5,000 lines dropped where over 4,000 must be): the thread took lines out of the buffer as long as there were any, so that a fast writer was never bounded.

Ruled out: the size of the pipe, which the scenario allows for.

Change: a batch is bounded like the buffer.

--- a/crocusvalve/metrics/_writer.py
+++ b/crocusvalve/metrics/_writer.py
@@ -67,7 +67,8 @@
     def _write_all(self) -> None:
         while (text := self._lines.get()) is not None:
             parts = [text]
-            while not self._lines.empty():
+            # Lines come as fast as they are taken out; what is in hand is bounded like the rest.
+            while len(parts) < self._lines.maxsize and not self._lines.empty():
                 more = self._lines.get_nowait()
                 if more is None:
                     self._lines.put(None)
