--- a/crocusvalve/cli/_explain.py
+++ b/crocusvalve/cli/_explain.py
@@ -89,14 +89,24 @@
 
 
 def _merge_equal(lines: list[StoryLine], files: set[str]) -> list[StoryLine]:
-    """Keep one of the lines that several processes wrote, that of some files if there is one."""
-    merged: dict[str, StoryLine] = {}
-    for line in sorted(lines, key=lambda line: (line.file not in files, line.time)):
-        key = f"{line.message} {line.fields}"
-        first = merged.setdefault(key, line)
-        if first.file != line.file:
-            merged[key] = structs.replace(first, n_others=first.n_others + 1)
-    return list(merged.values())
+    """Keep all lines of some files, and one of those that other processes wrote alike."""
+    kept = [line for line in lines if line.file in files]
+    writers: dict[str, set[str]] = {}
+    for line in lines:
+        if line.file not in files:
+            key = _make_key(line)
+            if key not in writers and all(key != _make_key(own) for own in kept):
+                kept.append(line)
+            writers.setdefault(key, set()).add(line.file)
+    merged = []
+    for line in kept:
+        others = writers.get(_make_key(line), set()) - {line.file}
+        merged.append(structs.replace(line, n_others=len(others)))
+    return merged
+
+
+def _make_key(line: StoryLine) -> str:
+    return f"{line.message} {line.fields}"
 
 
 def format_line(line: StoryLine) -> str:
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -41,10 +41,10 @@
 
 logger = logging.getLogger(__name__)
 
-#: A connection to the store that has fallen silent shows when a call that waits for changes is over
-#: its time. Calls end this much before the time after which bounds hold again, to leave it for the
-#: timeout of the call and a new one.
+#: Calls that wait for changes end this much before the time after which bounds hold again, so that
+#: a connection to the store that has fallen silent is replaced by then; and the shortest wait.
 WAIT_MARGIN_S = 0.5
+MIN_WAIT_S = 1.0
 #: Upstreams refresh their entries all the time; changes are fetched each of these parts of the time
 #: within which a leaving one must get no more work.
 UPSTREAM_PAUSE_PART = 0.3
@@ -216,7 +216,7 @@
                 base_s=BACKOFF_BASE_S, max_s=BACKOFF_MAX_S, random_state=self.random_state
             ),
             clock=self.clock,
-            wait_s=self.settings.bounds.contact_s - WAIT_MARGIN_S,
+            wait_s=max(MIN_WAIT_S, self.settings.bounds.contact_s - WAIT_MARGIN_S),
             **kwargs,
         )
 
