Ports that parts of a demo must know beforehand lie below those of connections

The port was found by binding to port 0 and closing again; before the entry listened, another process's connection had it. Traced by the log of the run (port 45919, from the kernel's range for connections).

Ruled out: two parts with one port (the log shows one).

Change: find_free_port looks below that range and returns another port at each call of a process.

--- a/crocusvalve/demo/_world.py
+++ b/crocusvalve/demo/_world.py
@@ -1,5 +1,7 @@
 """Starts the stand-ins, agents and entries of a document in one process."""
 
+import itertools
+import os
 import socket
 from pathlib import Path
 
@@ -45,6 +47,12 @@
 SESSION_KEY = "demo-session-key-of-loopback"
 DOCUMENTS = Path(__file__).resolve().parent
 READY_POLL_S = 0.02
+#: Ports below those that the kernel gives to connections; processes begin apart from each other.
+FIRST_PORT = 20_000
+N_PORTS = 12_000
+PORTS_PER_PROCESS = 16
+
+_port_numbers = itertools.count()
 
 
 class DemoSpec(Struct, frozen=True, kw_only=True):
@@ -68,10 +76,20 @@
 
 
 def find_free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port of loopback that is free and that the kernel gives to no connection.
+
+    Each call of a process returns another one, so that several may be found before they are used.
+    """
+    for _ in range(N_PORTS):
+        offset = os.getpid() * PORTS_PER_PROCESS + next(_port_numbers)
+        port = FIRST_PORT + offset % N_PORTS
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        return port
+    raise OSError("no port of loopback is free")
 
 
 def replace_upstream(document: Document, view: UpstreamView, *, agent: str, url: str) -> Document:
