Soak: the time told to an upstream is compared as the rule says

A gateway counts the time from its reading of a request; told were 5.98 s of the caller's 6 s, which the rule allows: it bounds the time by the caller's own, and a repeat's end by the first one's and the caller's. The judge does both now; before, it did not look at repeats' ends. Three scenarios.

--- a/crocusvalve/soak/processes/base.py
+++ b/crocusvalve/soak/processes/base.py
@@ -23,7 +23,7 @@
     outer_s: float = 5.0
     grace_s: float = 8.0
     recover_s: float = 12.0
-    #: A deadline told to an upstream may be longer than the caller's rest by this.
+    #: The time told to an upstream may be longer than the caller's by this.
     deadline_slack_s: float = 0.5
     #: An answer has to be there this long after the caller's time is over.
     answer_slack_s: float = 0.5
@@ -106,3 +106,5 @@
     ended_at: float | None = None
     answer: PageAnswer = field(default_factory=PageAnswer)
     runs: list[Run] = field(default_factory=list)
+    #: End of the time that the first upstream was told.
+    told_until: float | None = None
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -20,7 +20,8 @@
       | unsafe | a second run                                   | twice      |
       | once   | a second run                                   | twice      |
       | safe   | a third run                                    | budget     |
-      | unsafe | a run with 6 s where 4 s are left              | budget     |
+      | unsafe | a run with 6 s where the caller waits 4 s      | budget     |
+      | safe   | a second run 1 s later with the whole time     | budget     |
       | unsafe | a refusal after a run                          | refused    |
       | unsafe | a run after a refusal                          | refused    |
       | unsafe | 5 runs after callers have left                 | gone       |
@@ -47,6 +48,8 @@
     Examples:
       | kind   | sight                                               |
       | safe   | two runs and the answer of one                      |
+      | safe   | a second run 1 s later with the rest of the time    |
+      | safe   | a run 1 s late with the whole time                  |
       | stream | a whole stream                                      |
       | unsafe | no answer while its upstream was disturbed          |
       | unsafe | no answer before it ran                             |
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -138,6 +138,17 @@
     world.answer(*args, **kwargs)
 
 
+def see_second_late(world, left_ms):
+    world.run(x_deadline_ms="4000")
+    world.now += 1.0
+    world.run(upstream="ops-002", x_deadline_ms=left_ms)
+
+
+def see_late(world):
+    world.now += 1.0
+    world.run(x_deadline_ms="4000")
+
+
 def see_second_run(world):
     world.run()
     world.run(upstream="ops-002")
@@ -150,7 +161,12 @@
     "a run with the caller's key": lambda world: world.run(authorization="Bearer key"),
     "a second run": see_second_run,
     "a third run": see_third_run,
-    "a run with 6 s where 4 s are left": lambda world: world.run(x_deadline_ms="6000"),
+    "a second run 1 s later with the whole time": lambda world: see_second_late(world, "4000"),
+    "a second run 1 s later with the rest of the time": lambda world: see_second_late(
+        world, "3000"
+    ),
+    "a run 1 s late with the whole time": see_late,
+    "a run with 6 s where the caller waits 4 s": lambda world: world.run(x_deadline_ms="6000"),
     "a refusal after a run": see_refusal_after_run,
     "a run after a refusal": see_run_after_refusal,
     "5 runs after callers have left": lambda world: world.run_late(5),
