Use the one piece that stands for free ports, loopback hosts, callers' answers and the gateway's settings

Hosts of loopback by process id were made twice (soak, gateway scenarios), answers were read by two loops (PageCaller, GatewayWorld), and the settings file had two templates: one of each stays. The soak names the settings' variable by the adapter's constant. explain merges equal lines in one pass instead of comparing each with all. Dropped, since nothing read it: service and version of a soak's run, the soak's folder and pause setting, was_reset of the scenarios' answers.

Assertions are as they were. The gateway's code isn't touched.

--- a/crocusvalve/bench/_overhead.py
+++ b/crocusvalve/bench/_overhead.py
@@ -26,7 +26,7 @@
     VersionConfig,
 )
 from crocusvalve.control import ConfigKeeper, ConfigStore
-from crocusvalve.demo import find_free_port
+from crocusvalve.demo import find_free_ports
 from crocusvalve.entry import run_entry
 from crocusvalve.settings import (
     AgentSettings,
@@ -228,7 +228,7 @@
     """
     world = RoleThread("world", serve_world)
     platform, engine_port, platform_port = world.start()
-    rpc_port = find_free_port()
+    (rpc_port,) = find_free_ports(1)
     agent = RoleThread("agent", make_agent_role(engine_port, rpc_port))
     _, agent_port = agent.start()
     document = make_document(f"{HOST}:{agent_port}", f"http://{HOST}:{engine_port}")
--- a/crocusvalve/cli/_explain.py
+++ b/crocusvalve/cli/_explain.py
@@ -90,18 +90,17 @@
 
 def _merge_equal(lines: list[StoryLine], files: set[str]) -> list[StoryLine]:
     """Keep all lines of some files, and one of those that other processes wrote alike."""
-    kept = [line for line in lines if line.file in files]
-    writers: dict[str, set[str]] = {}
+    own = [line for line in lines if line.file in files]
+    others: dict[str, list[StoryLine]] = {}
     for line in lines:
         if line.file not in files:
-            key = _make_key(line)
-            if key not in writers and all(key != _make_key(own) for own in kept):
-                kept.append(line)
-            writers.setdefault(key, set()).add(line.file)
+            others.setdefault(_make_key(line), []).append(line)
+    told = {_make_key(line) for line in own}
+    kept = own + [alike[0] for key, alike in others.items() if key not in told]
     merged = []
     for line in kept:
-        others = writers.get(_make_key(line), set()) - {line.file}
-        merged.append(structs.replace(line, n_others=len(others)))
+        writers = {other.file for other in others.get(_make_key(line), ())} - {line.file}
+        merged.append(structs.replace(line, n_others=len(writers)))
     return merged
 
 
--- a/crocusvalve/demo/_world.py
+++ b/crocusvalve/demo/_world.py
@@ -47,12 +47,11 @@
 SESSION_KEY = "demo-session-key-of-loopback"
 DOCUMENTS = Path(__file__).resolve().parent
 READY_POLL_S = 0.02
-#: Ports below those that the kernel gives to connections; processes begin apart from each other.
-FIRST_PORT = 20_000
-N_PORTS = 12_000
-PORTS_PER_PROCESS = 16
-
-_port_numbers = itertools.count()
+#: Ports below those that the kernel gives to connections; each process begins at a slot of its own.
+FIRST_PORT = 15000
+LAST_PORT = 31000
+PORTS_A_SLOT = 40
+N_SLOTS = (LAST_PORT - FIRST_PORT) // PORTS_A_SLOT
 
 
 class DemoSpec(Struct, frozen=True, kw_only=True):
@@ -75,21 +74,27 @@
     return parse_document(text, source=name)
 
 
-def find_free_port() -> int:
-    """Return a port of loopback that is free and that the kernel gives to no connection.
+def find_free_ports(n: int) -> list[int]:
+    """Return ports of loopback that are free now, apart from those of other processes.
 
-    Each call of a process returns another one, so that several may be found before they are used.
+    They lie below the range of outgoing connections, so that none takes them before they are bound.
     """
-    for _ in range(N_PORTS):
-        offset = os.getpid() * PORTS_PER_PROCESS + next(_port_numbers)
-        port = FIRST_PORT + offset % N_PORTS
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-    raise OSError("no port of loopback is free")
+    first = FIRST_PORT + os.getpid() % N_SLOTS * PORTS_A_SLOT
+    candidates = itertools.chain(range(first, LAST_PORT), range(FIRST_PORT, first))
+    ports = list(itertools.islice(filter(_is_free, candidates), n))
+    if len(ports) < n:
+        raise OSError(f"{n} ports of loopback are wanted, {len(ports)} are free")
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def replace_upstream(document: Document, view: UpstreamView, *, agent: str, url: str) -> Document:
@@ -136,7 +141,7 @@
         self.ports: list[EntryPorts] = []
         self._stop_entries = trio.Event()
         self._stop_agents = trio.Event()
-        self._entry_rpc_ports = [find_free_port() for _ in range(self.spec.n_entries)]
+        self._entry_rpc_ports = find_free_ports(self.spec.n_entries)
 
     @property
     def url(self) -> str:
--- a/crocusvalve/soak/processes/_judge.py
+++ b/crocusvalve/soak/processes/_judge.py
@@ -41,14 +41,12 @@
 
     def list_allowed(self, sent_at: float, config_s: float) -> set[str]:
         """Return the services that a request sent at a time may run on."""
-        allowed = set()
-        for place, (_, service) in enumerate(self.changes):
-            replaced_at = (
-                self.changes[place + 1][0] if place + 1 < len(self.changes) else float("inf")
-            )
-            if sent_at <= replaced_at + config_s:
-                allowed.add(service)
-        return allowed
+        replaced_at = [*(at for at, _ in self.changes[1:]), float("inf")]
+        return {
+            service
+            for (_, service), until in zip(self.changes, replaced_at, strict=True)
+            if sent_at <= until + config_s
+        }
 
 
 class SoakJudge:
@@ -103,9 +101,7 @@
         """Take note of a request that a caller begins to send."""
         self.attempts[attempt.req.attempt_id] = attempt
 
-    def note_run(
-        self, upstream: str, service: str, version: str, call: PageCall, fault: UpstreamFault
-    ) -> None:
+    def note_run(self, upstream: str, service: str, call: PageCall, fault: UpstreamFault) -> None:
         """Check a request that an upstream begins to run."""
         now = self.clock()
         attempt = self.attempts.get(call.attempt_id)
@@ -116,7 +112,7 @@
             self.spoilt.setdefault(attempt.req.attempt_id, set()).add(fault)
         self._check_unchanged(attempt, call)
         self._check_repeat(attempt, upstream)
-        attempt.runs.append(Run(upstream, service, version, now))
+        attempt.runs.append(Run(upstream, now))
         self._check_route(attempt, service)
         parts = (attempt.gateway, upstream)
         if self.calm.is_calm(parts, now):
--- a/crocusvalve/soak/processes/_parts.py
+++ b/crocusvalve/soak/processes/_parts.py
@@ -10,6 +10,7 @@
 import trio
 from msgspec import Struct
 
+from crocusvalve.platform import SETTINGS_VARIABLE
 from crocusvalve.soak.processes._judge import SoakJudge
 from crocusvalve.soak.processes._proxy import LinkProxy
 from crocusvalve.standin import PageCall, PageUpstream, UpstreamFault, make_settings
@@ -85,7 +86,7 @@
                 [sys.executable, "-m", "crocusvalve.gateway"],
                 stdout=log,
                 stderr=log,
-                env=os.environ | {"CROCUSVALVE_BOOT": str(self.settings_path)},
+                env=os.environ | {SETTINGS_VARIABLE: str(self.settings_path)},
             )
 
     def send_signal(self, number: signal.Signals) -> None:
@@ -158,7 +159,7 @@
 
     def note_run(self, call: PageCall, fault: UpstreamFault) -> None:
         """Tell the judge of a request that it begins to run."""
-        self.judge.note_run(self.upstream_id, self.service, self.version, call, fault)
+        self.judge.note_run(self.upstream_id, self.service, call, fault)
 
     def make_current_entry(self) -> dict:
         """Return its entry for the store."""
--- a/crocusvalve/soak/processes/_run.py
+++ b/crocusvalve/soak/processes/_run.py
@@ -1,7 +1,6 @@
 """A whole soak of processes by its seed."""
 
 import json
-import os
 import random
 import tempfile
 from collections import Counter
@@ -18,7 +17,7 @@
 from crocusvalve.soak.processes._world import SoakWorld
 from crocusvalve.soak.processes.base import Promise, SoakBounds, Violation
 
-__all__ = ["ProcessSoakReport", "ProcessSoakSettings", "make_host", "run_process_soak"]
+__all__ = ["ProcessSoakReport", "ProcessSoakSettings", "run_process_soak"]
 
 START_TIMEOUT_S = 30.0
 LOOK_S = 0.1
@@ -42,8 +41,6 @@
         How long faults are injected.
     n_gateways, n_callers : int
         Sizes.
-    pause_s : float
-        Mean pause between two faults; 0 draws it.
     folder : str
         Where settings, logs and the report are kept; empty for nowhere.
     """
@@ -52,7 +49,6 @@
     seconds: float = 15.0
     n_gateways: int = 5
     n_callers: int = 20
-    pause_s: float = 0.0
     folder: str = ""
 
 
@@ -68,12 +64,6 @@
     violations: list[Violation] = field(default_factory=list)
 
 
-def make_host(number: int) -> str:
-    """Return a host of loopback that no other process of this machine uses."""
-    pid = os.getpid() % 16384
-    return f"127.{64 + pid // 256}.{pid % 256}.{1 + number}"
-
-
 def run_process_soak(settings: ProcessSoakSettings) -> ProcessSoakReport:
     """Run a soak; all processes that it starts have ended when it returns.
 
@@ -117,9 +107,8 @@
         self.random_state = random.Random(settings.seed)
         self.judge = SoakJudge(SoakBounds(), trio.current_time)
         self.world = SoakWorld(
-            random.Random(settings.seed + 1), self.judge, folder, make_host, settings.n_gateways
+            random.Random(settings.seed + 1), self.judge, folder, settings.n_gateways
         )
-        self.folder = folder
         self.report = ProcessSoakReport(seed=settings.seed)
 
     async def run(self) -> ProcessSoakReport:
@@ -152,7 +141,7 @@
         """Inject faults and planned work in series that overlap."""
         rng = self.random_state
         kinds = draw_kinds(rng)
-        pause_s = self.settings.pause_s or rng.uniform(*PAUSES_S)
+        pause_s = rng.uniform(*PAUSES_S)
         started_at = trio.current_time()
         end_at = started_at + self.settings.seconds
         async with trio.open_nursery() as nursery:
--- a/crocusvalve/soak/processes/_world.py
+++ b/crocusvalve/soak/processes/_world.py
@@ -2,7 +2,6 @@
 
 import random
 import signal
-from collections.abc import Callable
 from pathlib import Path
 
 import trio
@@ -17,6 +16,7 @@
     PageStore,
     StoreFault,
     make_config,
+    make_loopback_host,
     make_route,
 )
 
@@ -46,8 +46,6 @@
         Told what is disturbed and what operators were acknowledged.
     folder : Path
         Where settings and logs lie.
-    make_host : callable
-        Host of loopback for a number.
     n_gateways : int
         Number of gateway processes.
     """
@@ -57,13 +55,11 @@
         random_state: random.Random,
         judge: SoakJudge,
         folder: Path,
-        make_host: Callable[[int], str],
         n_gateways: int,
     ):
         self.random_state = random_state
         self.judge = judge
         self.folder = folder
-        self.make_host = make_host
         self.bounds: SoakBounds = judge.bounds
         self.store = PageStore()
         self.operator = PageOperator(self.store)
@@ -79,10 +75,10 @@
     def _make_proxy(self, target_host: str, target_port: int) -> LinkProxy:
         self.n_proxies += 1
         port = FIRST_PROXY_PORT + self.n_proxies
-        return LinkProxy(self.make_host(0), port, target_host, target_port, self.random_state)
+        return LinkProxy(make_loopback_host(0), port, target_host, target_port, self.random_state)
 
     def _make_gateway(self, number: int) -> GatewayProcess:
-        host = self.make_host(1 + number)
+        host = make_loopback_host(1 + number)
         return GatewayProcess(
             f"gateway-{number + 1:03d}",
             host,
--- a/crocusvalve/soak/processes/base.py
+++ b/crocusvalve/soak/processes/base.py
@@ -89,8 +89,6 @@
     """A request that an upstream began to run."""
 
     upstream: str
-    service: str
-    version: str
     at: float
 
 
--- a/crocusvalve/standin/__init__.py
+++ b/crocusvalve/standin/__init__.py
@@ -19,6 +19,7 @@
     EngineSpec,
     VersionSpec,
 )
+from crocusvalve.standin._loopback import make_loopback_host
 from crocusvalve.standin._page_caller import PageAnswer, PageCaller, PageRequest, split_events
 from crocusvalve.standin._page_operator import (
     PageOperator,
@@ -76,6 +77,7 @@
     "VersionSpec",
     "make_config",
     "make_event",
+    "make_loopback_host",
     "make_order",
     "make_platform_app",
     "make_route",
--- a/crocusvalve/standin/_page_caller.py
+++ b/crocusvalve/standin/_page_caller.py
@@ -104,6 +104,11 @@
             data += self._conn.send(h11.Data(req.body))
         await self._stream.send_all(data + self._conn.send(h11.EndOfMessage()))
 
+    def expect(self, method: str) -> None:
+        """Await the answer to a request that was sent as bytes."""
+        self._conn.send(h11.Request(method=method, target="/", headers=[("Host", "x")]))
+        self._conn.send(h11.EndOfMessage())
+
     async def is_ready(self) -> bool:
         """Ask the balancer's question; the connection ends."""
         head = b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
--- a/features/cli/steps/port_steps.py
+++ b/features/cli/steps/port_steps.py
@@ -4,14 +4,14 @@
 
 from behave import given, then, when
 
-from crocusvalve.demo import find_free_port
+from crocusvalve.demo import find_free_ports
 
 KERNEL_RANGE = "/proc/sys/net/ipv4/ip_local_port_range"
 
 
 @given("the next port is in use")
 def given_in_use(context):
-    context.used = find_free_port() + 1
+    (context.used,) = find_free_ports(1)
     sock = socket.socket()
     context.add_cleanup(sock.close)
     sock.bind(("127.0.0.1", context.used))
@@ -19,7 +19,7 @@
 
 @when("{n:d} free ports are found")
 def when_found(context, n):
-    context.ports = [find_free_port() for _ in range(n)]
+    context.ports = find_free_ports(n)
 
 
 @then("no two are equal and all are below those that the kernel gives to connections")
--- a/features/gateway/gateway_world.py
+++ b/features/gateway/gateway_world.py
@@ -1,18 +1,23 @@
 """A gateway between stand-ins of the users' store and upstreams, all on loopback in one process."""
 
 import logging
-import os
 import random
 
-import h11
 import trio
-from msgspec import Struct
 
 from crocusvalve.base import DomainId, NodeId
 from crocusvalve.gateway import Gateway
 from crocusvalve.gateway.base import Address, GatewayBounds, GatewaySettings
 from crocusvalve.platform import PlatformHeaders, PlatformRecords, PlatformStore
-from crocusvalve.standin import PageStore, PageUpstream, make_config, make_route
+from crocusvalve.standin import (
+    PageAnswer,
+    PageCaller,
+    PageStore,
+    PageUpstream,
+    make_config,
+    make_loopback_host,
+    make_route,
+)
 from crocusvalve.utils import BootClock
 
 FRONT_PORT, READY_PORT, PEER_PORT = 18080, 18081, 18082
@@ -22,16 +27,6 @@
 ATTEMPT = "a1"
 
 
-class Answer(Struct):
-    """What a caller got; ``is_whole`` tells whether the answer ended as complete."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    is_whole: bool
-    was_reset: bool = False
-
-
 def make_gateway_config(version, **changes):
     """Return a configuration with a route of each kind and one customer."""
     routes = [
@@ -60,8 +55,7 @@
     """Stand-ins and a gateway; ``run`` plays an action while all of them serve."""
 
     def __init__(self):
-        pid = os.getpid()
-        self.host = f"127.{1 + pid // 65536 % 50}.{pid // 256 % 256}.{pid % 256 or 1}"
+        self.host = make_loopback_host(0)
         self.store = PageStore()
         self.upstreams = {name: PageUpstream(name) for name in ("one", "two")}
         self.services = {"one": ("ops", "llm"), "two": ("ops", "llm")}
@@ -123,7 +117,7 @@
 
     async def start_other(self, feed, nursery):
         """Start a second gateway on a host of its own, which knows of the first one."""
-        host = self.host.replace("127.", "127.2", 1)
+        host = make_loopback_host(1)
         self.other = self._make_gateway(feed, "gateway-2", host, (Address(self.host, PEER_PORT),))
         await nursery.start(self.other.run, trio.Event())
 
@@ -175,32 +169,12 @@
 
     async def read(self, stream, method="GET"):
         """Read one answer."""
-        conn = h11.Connection(h11.CLIENT)
-        conn.send(h11.Request(method=method, target="/", headers=[("host", "x")]))
-        conn.send(h11.EndOfMessage())
-        answer = Answer(0, {}, b"", False)
+        caller = PageCaller(stream)
+        caller.expect(method)
+        answer = PageAnswer()
         with trio.fail_after(LIMIT_S):
-            while True:
-                try:
-                    event = conn.next_event()
-                    if event is h11.NEED_DATA:
-                        conn.receive_data(await stream.receive_some(65536))
-                        continue
-                except trio.BrokenResourceError:
-                    answer.was_reset = True
-                    return answer
-                except h11.RemoteProtocolError:
-                    return answer
-                if isinstance(event, h11.Response):
-                    answer.status = event.status_code
-                    answer.headers = {n.decode(): v.decode() for n, v in event.headers}
-                elif isinstance(event, h11.Data):
-                    answer.body += bytes(event.data)
-                elif isinstance(event, h11.EndOfMessage):
-                    answer.is_whole = True
-                    return answer
-                elif isinstance(event, h11.ConnectionClosed):
-                    return answer
+            await caller.read(answer)
+        return answer
 
     @property
     def calls(self):
--- a/features/gateway/steps/process_steps.py
+++ b/features/gateway/steps/process_steps.py
@@ -11,31 +11,18 @@
 import trio
 from behave import given, then, when
 
+from crocusvalve.standin import make_settings
 from features.gateway.gateway_world import (
     FRONT_PORT,
     LIMIT_S,
+    PEER_PORT,
     READY_PORT,
     GatewayWorld,
     make_gateway_config,
 )
 from features.gateway.steps.gateway_steps import BASE
 
-SETTINGS = """
-nodeName = "gateway-1"
-ip = "{host}"
-zone = "domain-one"
-internalPorts = [18082, 18090]
-heartbeatMs = 1200
-seeds = ["{host}:18083"]
-aFieldOfTheFuture = {{ a = 1 }}
-[listen]
-front = "{host}:18080"
-ready = "{host}:18081"
-[bounds]
-graceS = 8
-[platform]
-address = "127.0.0.1:{port}"
-"""
+UNKNOWN_FIELD = "aFieldOfTheFuture = { a = 1 }\n"
 FAULTS = {
     "no TOML": ("nodeName", "nodeName nodeName"),
     "a missing field": ('nodeName = "gateway-1"\n', ""),
@@ -61,7 +48,18 @@
         self.process = None
 
     def write_settings(self, port=1, fault=""):
-        text = SETTINGS.format(host=self.host, port=port)
+        text = UNKNOWN_FIELD + make_settings(
+            name="gateway-1",
+            host=self.host,
+            domain="domain-one",
+            peer_port=PEER_PORT,
+            front_port=FRONT_PORT,
+            ready_port=READY_PORT,
+            seeds=[f"{self.host}:18083"],
+            grace_s=8,
+            drain_s=2.0,
+            store=f"127.0.0.1:{port}",
+        )
         if fault in FAULTS:
             text = text.replace(*FAULTS[fault])
         path = self.folder / "settings.toml"
--- a/features/processes/steps/_cluster.py
+++ b/features/processes/steps/_cluster.py
@@ -1,10 +1,7 @@
 """Separate processes of the system and its stand-ins, started for one scenario."""
 
 import contextlib
-import itertools
-import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +12,7 @@
 import trustme
 
 from crocusvalve.config import parse_document
+from crocusvalve.demo import find_free_ports
 from crocusvalve.utils import hash_key
 
 HOST = "127.0.0.1"
@@ -22,10 +20,6 @@
 SESSION_KEY = "session-key-of-the-test!"
 GUARD_S = 90.0
 POLL_S = 0.05
-FIRST_PORT = 15000
-LAST_PORT = 31000
-PORTS_A_SLOT = 40
-N_SLOTS = (LAST_PORT - FIRST_PORT) // PORTS_A_SLOT
 
 DOCUMENT = """
 environment = "trial"
@@ -123,31 +117,6 @@
 OPERATOR_KEY = "operator-key-of-the-test"
 
 
-def find_ports(n):
-    """Return loopback ports that are free now, apart from those of other test processes.
-
-    They lie below the range of outgoing connections, so that none takes them before they are bound.
-    """
-    first = FIRST_PORT + os.getpid() % N_SLOTS * PORTS_A_SLOT
-    ports = []
-    for port in itertools.chain(range(first, LAST_PORT), range(FIRST_PORT, first)):
-        if len(ports) == n:
-            break
-        if is_free(port):
-            ports.append(port)
-    return ports
-
-
-def is_free(port):
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind((HOST, port))
-        except OSError:
-            return False
-    return True
-
-
 def wait_until(check, what):
     """Wait for an event; the time is only a guard against a hang."""
     give_up_at = time.monotonic() + GUARD_S
@@ -172,7 +141,7 @@
         names = ["platform", "http-0", "rpc-0", "http-1", "rpc-1"]
         names += [f"{kind}-{i}{part}" for kind in ("engine", "plain") for i in (0, 1)
                   for part in ("", "-agent")]  # fmt: skip
-        self.ports = dict(zip(names, find_ports(len(names)), strict=True))
+        self.ports = dict(zip(names, find_free_ports(len(names)), strict=True))
         verify = self.tls["ca"] if has_tls else True
         self.client = httpx.Client(timeout=60.0, trust_env=False, verify=verify)
 
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -59,7 +59,7 @@
             "x-deadline-ms": "3000",
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         call = PageCall(req.method, req.path, fields, req.body if body is None else body)
-        self.judge.note_run(upstream, service, "v1", call, UpstreamFault.NONE)
+        self.judge.note_run(upstream, service, call, UpstreamFault.NONE)
 
     def answer(self, status, body=b"", *, name="a1", is_signed=True, attempt=None):
         attempt = attempt or self.attempt
