--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -9,6 +9,7 @@
 
 from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.gateway._budget import AttemptBudget
+from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._cold_start import compute_cold_quota, record_cold_send
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._health import Outcome, update_health
@@ -43,6 +44,8 @@
 MAX_SENT_PROMPT_PARTS = 32
 #: Connecting normally takes about a millisecond; TCP retransmits a lost packet only after a second.
 CONNECT_TIMEOUT_S = 0.4
+#: Status of a reply from another upstream at the same address, whose statements are about itself.
+OTHER_INSTANCE_STATUS = 421
 #: Delays before each check whether an upstream whose connection broke has crashed; a crashed one
 #: refuses connections on its port.
 CRASH_CHECK_DELAYS_S = (0.03, 0.3)
@@ -80,7 +83,15 @@
         Head of the reply, once it has been read.
     """
 
-    def __init__(self, upstream: Upstream, call: UpstreamCall, model: str, work: "PromptWork"):
+    def __init__(
+        self,
+        upstream: Upstream,
+        call: UpstreamCall,
+        model: str,
+        work: PromptWork,
+        record_reply: Callable[[Upstream, Reply], None],
+    ):
+        self._record_reply = record_reply
         self.upstream = upstream
         self.work = work
         self.call = call
@@ -97,6 +108,7 @@
         """
         reply = await self.call.read_head()
         self.reply = reply
+        self._record_reply(self.upstream, reply)
         if reply.attempt_id and reply.attempt_id != attempt_id:
             raise CallError(
                 CallFailure.CORRUPT,
@@ -243,6 +255,9 @@
             if left_s <= 0.0:
                 message = "the deadline passed before the request was sent"
                 raise CallError(CallFailure.NOT_SENT, message, step="send", peer=call.peer)
+            if not self.tables.is_open(upstream, self.clock.now()):
+                message = "the upstream stopped accepting requests"
+                raise CallError(CallFailure.CLOSED, message, step="send", peer=call.peer)
             context = SendContext(
                 upstream_id=upstream.upstream_id,
                 deadline_s=left_s,
@@ -255,13 +270,24 @@
             headers = self.codec.make_request_headers(caller, context)
             req.n_runs += 1
             await call.send(self.spawn, caller.method, caller.target, headers, caller.body)
-            yield Attempt(upstream, call, model, work)
+            yield Attempt(upstream, call, model, work, self._record_reply)
         finally:
             load.n_inflight -= 1
             work.finish()
             with trio.CancelScope(shield=True):
                 await call.close()
 
+    def _record_reply(self, upstream: Upstream, reply: Reply) -> None:
+        """Record that an upstream says in a reply that it wants no more requests."""
+        closures = self.tables.closures
+        if reply.is_leaving and reply.status != OTHER_INSTANCE_STATUS:
+            if closures.mark_leaving(UpstreamRun.of(upstream)):
+                self.observer.record_upstream_leaving(upstream)
+        if reply.retry_after_s is not None:
+            now = self.clock.now()
+            if closures.close_until(upstream, now + reply.retry_after_s, now):
+                self.observer.record_upstream_closure(upstream, reply.retry_after_s)
+
     def _queue_prompt(
         self, req: GatewayRequest, upstream: Upstream, load: UpstreamLoad, model: str
     ) -> PromptWork:
@@ -317,6 +343,8 @@
 
     def record_call_error(self, req: GatewayRequest, upstream: Upstream, exc: CallError) -> None:
         """Record an attempt that failed without a valid reply; check for a crash."""
+        if exc.failure is CallFailure.CLOSED:
+            return
         if exc.is_unsent:
             self.record_outcome(req, upstream, Outcome.SILENT)
         else:
--- a/crocusvalve/gateway/_flow.py
+++ b/crocusvalve/gateway/_flow.py
@@ -8,11 +8,11 @@
 from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptManager
 from crocusvalve.gateway._listener import AnswerAbortedError, Responder
-from crocusvalve.gateway._placement import PlacementReason
+from crocusvalve.gateway._placement import Placement, PlacementReason
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.base import Upstream
 
-__all__ = ["Flow", "make_gateway_error"]
+__all__ = ["Flow", "compute_retry_after_s", "make_gateway_error"]
 
 #: Seconds between searches for an upstream, and the fraction of the route's goal for which a
 #: request waits for one.
@@ -24,20 +24,30 @@
 #: The same delay if no upstream is registered or allowed: failure domains and upstreams stay
 #: unavailable for seconds.
 ABSENT_RETRY_AFTER_S = 2.0
+#: Shortest such delay.
+MIN_RETRY_AFTER_S = 0.05
 ABSENT_REASONS = (PlacementReason.NONE_REGISTERED, PlacementReason.NONE_ALLOWED)
 
 
-def make_gateway_error(req: GatewayRequest, message: str, step: str) -> RefusedError:
+def make_gateway_error(req: GatewayRequest, message: str, step: str, now: float) -> RefusedError:
     """Make the error of an abandoned request; its ``ran`` says whether it may have run."""
     if req.has_run:
         return RefusedError(
             ErrorCode.UPSTREAM_FAILED, message, step=step, ran=ExecutionStatus.UNKNOWN
         )
-    is_absent = req.placement is not None and req.placement.reason in ABSENT_REASONS
-    retry_after_s = ABSENT_RETRY_AFTER_S if is_absent else RETRY_AFTER_S
+    retry_after_s = compute_retry_after_s(req.placement, now)
     return RefusedError(ErrorCode.NO_UPSTREAM, message, step=step, retry_after_s=retry_after_s)
 
 
+def compute_retry_after_s(placement: Placement | None, now: float) -> float:
+    """Return the seconds after which a caller may retry, by why there was no upstream."""
+    if placement is None:
+        return RETRY_AFTER_S
+    if placement.reopens_at is not None:
+        return max(MIN_RETRY_AFTER_S, placement.reopens_at - now)
+    return ABSENT_RETRY_AFTER_S if placement.reason in ABSENT_REASONS else RETRY_AFTER_S
+
+
 class Flow(ABC):
     """Life cycle of one kind of request, from its admission to the end of its answer.
 
@@ -70,7 +80,8 @@
             raise RefusedError(
                 ErrorCode.DEADLINE_PASSED, message, step="wait", ran=ExecutionStatus.UNKNOWN
             )
-        raise make_gateway_error(req, "no upstream was available before the deadline", "wait")
+        message = "no upstream was available before the deadline"
+        raise make_gateway_error(req, message, "wait", self.clock.now())
 
     @abstractmethod
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
@@ -94,7 +105,8 @@
             upstream = self.find_upstream(req, now, model)
             if req.compute_left_s(now) <= 0.0:
                 return None
-            if upstream is not None or now >= until:
+            reopens_at = req.placement.reopens_at
+            if upstream is not None or now >= until or (reopens_at or now) > until:
                 return upstream
             req.tried.clear()
             await trio.sleep(POLL_INTERVAL_S)
--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/_followers.py
@@ -3,14 +3,21 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+import msgspec
 import trio
 
-from crocusvalve.base import UpstreamId
+from crocusvalve.base import DomainId, UpstreamId
 from crocusvalve.exceptions import CrocusvalveError, PlatformError
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._replica import TableReplica
 from crocusvalve.gateway._tables import GatewayTables
-from crocusvalve.gateway.base import RecordCodec, UpgradeState
+from crocusvalve.gateway.base import (
+    RecordCodec,
+    ServiceName,
+    UpgradeOrder,
+    UpgradeState,
+    UpgradeStatus,
+)
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import ChangeFeed, FeedPage, FeedRow, HistoryLostError
 from crocusvalve.utils import Clock
@@ -30,6 +37,11 @@
 #: An upstream that has left permanently must be dropped within the operators' bound (``drain_s``);
 #: its entry is retained for at most this fraction of the bound.
 EXPIRY_GRACE_FRACTION = 0.85
+#: Seconds after a restore of the store within which operators write again what it has lost. Until
+#: then the gateway retains evacuations and upgrade orders that the restored tables lack.
+REWRITE_PERIOD_S = 15.0
+#: Former upgrade orders that are remembered for each service.
+MAX_PAST_ORDERS = 16
 #: Shortest store outage in which entries may expire. An entry expires after three missed
 #: heartbeats, so none expires in an outage of less than two heartbeat intervals of the users'
 #: platform.
@@ -44,11 +56,14 @@
     failed_at, answered_at : float
         Local times of the last failed and the last answered call, in seconds; ``-inf`` before the
         first one.
+    era : int
+        Latest era of the store.
     """
 
     def __init__(self) -> None:
         self.failed_at = float("-inf")
         self.answered_at = float("-inf")
+        self.era = 0
         self._offset_s = 0.0
 
     @property
@@ -60,6 +75,7 @@
         """Record an answered call; return whether the call before it had failed."""
         was_down = self.failed_at > self.answered_at
         self.answered_at = now
+        self.era = max(self.era, page.era)
         self._offset_s = page.time_s - now
         return was_down
 
@@ -107,6 +123,14 @@
 
     def merge_table(self, page: FeedPage, now: float) -> None:
         """Merge a complete table and apply the rows that are new."""
+        if page.era < self.replica.era:
+            return
+        if page.era > self.replica.era and not self.replica.is_empty:
+            self.observer.record_store_restore(self.table, page.era, page.version)
+            for row in self.replica.replace_table(page):
+                self.apply_restored_row(row, now)
+            self.finish_page(now)
+            return
         self._apply_rows(self.replica.merge_table(page), now)
 
     def merge_changes(self, page: FeedPage, now: float) -> None:
@@ -122,6 +146,14 @@
     def apply_row(self, row: FeedRow, now: float) -> None:
         """Apply a changed row to the gateway's tables."""
 
+    @abstractmethod
+    def apply_restored_row(self, row: FeedRow, now: float) -> None:
+        """Apply a row that differs from the last known one after a restore of the store.
+
+        The row may be older than what the gateway knows, or have been written since the restore; a
+        missing one (value None) may have been lost.
+        """
+
     def handle_store_recovery(self, outage_s: float, now: float) -> None:  # noqa: B027
         """Prepare for the next page, which is the first one after failed calls.
 
@@ -147,9 +179,47 @@
     def __init__(self, *args):
         super().__init__(*args)
         self.table = self.codec.operator_table
+        #: End of the period in which operators write lost rows again, as local time in seconds.
+        self._rewrite_until = float("-inf")
+        #: Keys of the rows that are retained, or not applied, until then.
+        self._held_keys: set[str] = set()
+        self._past_orders: dict[ServiceName, list[UpgradeOrder]] = {}
+        self._config_era = 0
+
+    def has_order(self, service: ServiceName) -> bool:
+        """Return whether the store has an upgrade order of a service."""
+        return self.replica.get_version(self.codec.make_status_key(service)) > 0
+
+    def apply_restored_row(self, row: FeedRow, now: float) -> None:
+        """Apply a row that may be older than what the gateway knows.
+
+        Configurations have versions of their own, and an evacuation takes effect in any case. An
+        order that the gateway knows to be replaced or withdrawn, and lost rows, are left until the
+        operators had the time to write them again.
+        """
+        self._rewrite_until = now + REWRITE_PERIOD_S
+        if row.key == self.codec.config_key:
+            self._apply_configuration(row)
+        elif row.value is None or self._is_past_order(row):
+            self._held_keys.add(row.key)
+        else:
+            self.apply_row(row, now)
+
+    def finish_page(self, now: float) -> None:
+        """Apply the rows that were held back, once operators had the time to write them again."""
+        if not self._held_keys or now < self._rewrite_until:
+            return
+        for key in sorted(self._held_keys):
+            value, version = self.replica.get_value(key), self.replica.get_version(key)
+            self.apply_row(FeedRow(key, value, version), now)
+
+    def limit_wait_s(self, wait_s: float, now: float) -> float:
+        """Return ``wait_s``, shortened so that rows held back are applied in time."""
+        return min(wait_s, self._rewrite_until - now) if self._held_keys else wait_s
 
     def apply_row(self, row: FeedRow, now: float) -> None:
         """Apply a changed row to the gateway's tables."""
+        self._held_keys.discard(row.key)
         if row.key == self.codec.config_key:
             self._apply_configuration(row)
             return
@@ -157,7 +227,7 @@
         if domain is not None:
             self._apply_domain(domain, row.value is not None, now)
             return
-        self._apply_order(row)
+        self._apply_order(row, now)
 
     def _apply_configuration(self, row: FeedRow) -> None:
         if row.value is None:
@@ -167,31 +237,66 @@
         except CrocusvalveError as exc:
             self.observer.record_decode_error(self.table, row.key, exc.message)
             return
-        if self.tables.apply_configuration(config):
+        is_rewritten = self.replica.era > self._config_era
+        if self.tables.apply_configuration(config, is_rewritten=is_rewritten):
+            self._config_era = self.replica.era
             self.observer.record_configuration(config)
 
-    def _apply_domain(self, domain: str, is_evacuated: bool, now: float) -> None:
+    def _apply_domain(self, domain: DomainId, is_evacuated: bool, now: float) -> None:
         tables = self.tables
+        if is_evacuated == (domain in tables.evacuated_domains):
+            return
         if is_evacuated:
             tables.evacuated_domains.add(domain)
-        elif domain in tables.evacuated_domains:
+        else:
             tables.evacuated_domains.discard(domain)
             for row in tables.upstreams.values():
                 if row.domain == domain:
                     tables.mark_cold(row.upstream_id, now + tables.get_cold_s(row.service))
         self.observer.record_domain_state(domain, is_evacuated)
 
-    def _apply_order(self, row: FeedRow) -> None:
+    def _apply_order(self, row: FeedRow, now: float) -> None:
         if row.value is None:
-            service = self.codec.find_status_service(row.key)
-            self.tables.orders.pop(service, None)
+            self._replace_order(self.codec.find_status_service(row.key), None)
             return
-        order = self.codec.read_order(row.key, row.value, row.version)
+        order = self._read_order(row)
         if order is None:
             self.observer.record_decode_error(self.table, row.key, "not a known kind of record")
             return
-        self.tables.orders[order.service] = order
-        self.observer.record_upgrade_order(order)
+        current = self.tables.orders.get(order.service)
+        is_written_again = now < self._rewrite_until and _are_same_orders(current, order)
+        if not is_written_again:
+            self._replace_order(order.service, order)
+            self.observer.record_upgrade_order(order)
+
+    def _read_order(self, row: FeedRow) -> UpgradeOrder | None:
+        order = self.codec.read_order(row.key, row.value, row.version)
+        return order and msgspec.structs.replace(order, era=self.replica.era)
+
+    def _replace_order(self, service: ServiceName | None, order: UpgradeOrder | None) -> None:
+        previous = self.tables.orders.pop(service, None)
+        if previous is not None:
+            past = self._past_orders.setdefault(service, [])
+            past.append(previous)
+            del past[:-MAX_PAST_ORDERS]
+        if order is not None:
+            self.tables.orders[service] = order
+
+    def _is_past_order(self, row: FeedRow) -> bool:
+        """Return whether a row is an order that was replaced or withdrawn before the restore."""
+        order = self._read_order(row)
+        if order is None:
+            return False
+        past = self._past_orders.get(order.service, ())
+        return any(_are_same_orders(previous, order) for previous in past)
+
+
+def _are_same_orders(left: UpgradeOrder | None, right: UpgradeOrder) -> bool:
+    """Return whether two orders are the same, wherever they stand in the store."""
+    return left is not None and (
+        (left.service, left.version, left.duration_s)
+        == (right.service, right.version, right.duration_s)
+    )
 
 
 class UpstreamTableHandler(TableHandler):
@@ -239,7 +344,24 @@
             self.observer.record_upstream_change("started again", entry)
             self.tables.mark_cold(upstream_id, now + self.tables.get_cold_s(entry.service))
         elif previous.is_draining != entry.is_draining:
-            self.observer.record_upstream_change("draining", entry)
+            change = "draining" if entry.is_draining else "in service again"
+            self.observer.record_upstream_change(change, entry)
+
+    def apply_restored_row(self, row: FeedRow, now: float) -> None:
+        """Apply an entry that may be older than what the gateway knows.
+
+        Running upstreams refresh their entries, so only a later run of a known upstream is applied
+        at once. A missing entry is retained until it should have been written again.
+        """
+        current = self.tables.upstreams.get(UpstreamId(row.key))
+        if current is None:
+            return
+        if row.value is None:
+            self._expired.setdefault(current.upstream_id, now + self.expiry_grace_s)
+            return
+        entry = self.codec.read_upstream(row.key, row.value)
+        if entry is not None and entry.started_ms > current.started_ms:
+            self.apply_row(row, now)
 
     def finish_page(self, now: float) -> None:
         """Allow the versions of new services; drop entries whose grace period is over.
@@ -299,14 +421,33 @@
         service = self.codec.find_status_service(row.key)
         if service is None:
             return
-        status = self.codec.read_status(row.value, row.version) if row.value else None
+        status = self._read_status(row)
         if status is None:
             self.tables.statuses.pop(service, None)
-            return
-        self.tables.statuses[service] = status
-        self.observer.record_upgrade_status(service, status, is_local=False)
-        if status.state is UpgradeState.COMPLETE:
-            self.tables.allowed_versions[service] = {status.version}
+        elif self.tables.apply_status(service, status):
+            self.observer.record_upgrade_status(service, status, is_local=False)
+            if status.state is UpgradeState.COMPLETE:
+                self.tables.allowed_versions[service] = {status.version}
+
+    def apply_restored_row(self, row: FeedRow, now: float) -> None:
+        """Apply a status that may be older than the known one; a lost one is written again."""
+        if row.value is not None:
+            self.apply_row(row, now)
+
+    def is_stored(self, service: ServiceName, status: UpgradeStatus) -> bool:
+        """Return whether the store has at least the progress of an upgrade's status."""
+        key = self.codec.make_status_key(service)
+        value = self.replica.get_value(key)
+        stored = self._read_status(FeedRow(key, value, self.replica.get_version(key)))
+        return (
+            stored is not None
+            and stored.version == status.version
+            and stored.progress >= status.progress
+        )
+
+    def _read_status(self, row: FeedRow) -> UpgradeStatus | None:
+        status = self.codec.read_status(row.value, row.version) if row.value else None
+        return status and msgspec.structs.replace(status, era=self.replica.era)
 
 
 class TableFollower:
@@ -383,6 +524,10 @@
                 wait_s = 0.0
             page = await self._wait_for_changes(version, wait_s)
             self._record_answer(page)
+            if page.era != handler.replica.era:
+                # The rows are changes after a version of another era; the table is read instead.
+                handler.replica.version = None
+                return
             handler.merge_changes(page, self.clock.now())
         else:
             page = await self.feed.read_table(handler.table)
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -325,6 +325,24 @@
         else:
             logger.warning("the store fails: %s", exc, extra={"fields": {"table": table}})
 
+    def record_store_restore(self, table: str, era: int, version: int) -> None:
+        """Log that a table was read again after a restore of the store from a backup."""
+        fields = {"table": table, "era": era, "version": version}
+        logger.warning("the store was restored from a backup", extra={"fields": fields})
+
+    def record_upstream_leaving(self, row: Upstream) -> None:
+        """Log that an upstream has said in an answer that it is about to stop."""
+        self.record_upstream_change("leaving, by its own answer", row)
+
+    def record_upstream_closure(self, row: Upstream, span_s: float) -> None:
+        """Log that an overloaded upstream wants no requests for ``span_s`` seconds."""
+        logger.info(
+            "upstream %s wants no requests for %.2f s",
+            row.upstream_id,
+            span_s,
+            extra={"peer": str(row.address)},
+        )
+
     def count_store_fault(self) -> None:
         """Count a failed call to the store."""
         self._store_faults.inc()
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -5,10 +5,11 @@
 from msgspec import Struct, field
 
 from crocusvalve.base import NodeId, UpstreamId
+from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._outcome_counts import OutcomeCountsRow
-from crocusvalve.gateway.base import PrefixPart
+from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
 
-__all__ = ["GossipMessage", "PeerTable", "SentPromptParts"]
+__all__ = ["GossipMessage", "PeerTable", "SentPromptParts", "UpgradeReport"]
 
 #: A gateway without a message for this long counts as unavailable; it sends several a second.
 PEER_TIMEOUT_S = 3.0
@@ -39,6 +40,16 @@
     parts: tuple[PrefixPart, ...]
 
 
+class UpgradeReport(Struct, frozen=True, kw_only=True, array_like=True):
+    """Status of a service's upgrade as a gateway knows it; see ``UpgradeStatus``."""
+
+    service: ServiceName
+    version: VersionName
+    state: str
+    share: float
+    started_s: float
+
+
 class GossipMessage(Struct, frozen=True, kw_only=True, array_like=True):
     """State of one gateway; each message is complete and replaces the one before.
 
@@ -66,6 +77,10 @@
         Whether the gateway is stopping.
     has_store : bool
         Whether the gateway reaches the store.
+    leaving : tuple of UpstreamRun
+        Upstreams that have said that they are about to stop.
+    upgrades : tuple of UpgradeReport
+        Status of the operators' current upgrade orders.
     """
 
     node_id: NodeId
@@ -79,6 +94,8 @@
     parts: tuple[SentPromptParts, ...] = ()
     is_leaving: bool = False
     has_store: bool = True
+    leaving: tuple[UpstreamRun, ...] = ()
+    upgrades: tuple[UpgradeReport, ...] = ()
 
 
 class _Peer(Struct):
--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -42,6 +42,8 @@
     LAST_RESORT = "last_resort"
     NONE_REGISTERED = "none_registered"
     NONE_ALLOWED = "none_allowed"
+    #: All allowed upstreams are overloaded and have set a time from which they accept requests.
+    ALL_CLOSED = "all_closed"
     ALL_TRIED = "all_tried"
     ALL_COLD = "all_cold"
 
@@ -80,12 +82,14 @@
     """The chosen upstream, or None, and the reason.
 
     ``work`` is what the upstream has to process before the first event, including the request's
-    prompt, in prompt tokens of the costliest model.
+    prompt, in prompt tokens of the costliest model. ``reopens_at`` is the local time in seconds at
+    which the first of the closed upstreams accepts requests again.
     """
 
     upstream: Upstream | None
     reason: PlacementReason
     work: float = 0.0
+    reopens_at: float | None = None
 
 
 def choose_upstream(tables: GatewayTables, query: PlacementQuery, now: float) -> Placement:
@@ -100,7 +104,12 @@
     allowed = _filter_allowed(tables, query, list(upstreams.values()))
     if not allowed:
         return Placement(None, PlacementReason.NONE_ALLOWED)
-    untried = [upstream for upstream in allowed if upstream.upstream_id not in query.tried]
+    get_reopens_at = tables.closures.get_reopens_at
+    opened = [upstream for upstream in allowed if get_reopens_at(upstream) <= now]
+    if not opened:
+        reopens_at = min(get_reopens_at(upstream) for upstream in allowed)
+        return Placement(None, PlacementReason.ALL_CLOSED, reopens_at=reopens_at)
+    untried = [upstream for upstream in opened if upstream.upstream_id not in query.tried]
     if not untried:
         return Placement(None, PlacementReason.ALL_TRIED)
     admitted = [upstream for upstream in untried if _is_admitted(tables, query, upstream, now)]
@@ -127,11 +136,7 @@
 def _filter_allowed(
     tables: GatewayTables, query: PlacementQuery, upstreams: list[Upstream]
 ) -> list[Upstream]:
-    open_upstreams = [
-        upstream
-        for upstream in upstreams
-        if not upstream.is_draining and upstream.domain not in tables.evacuated_domains
-    ]
+    open_upstreams = [upstream for upstream in upstreams if tables.accepts_work(upstream)]
     choice = query.versions
     if choice.required is not None:
         required = [upstream for upstream in open_upstreams if upstream.version == choice.required]
--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -66,7 +66,7 @@
                 upstream = await self._find_next(req)
                 if upstream is None:
                     message = "no upstream can accept the request"
-                    return failure or make_gateway_error(req, message, "place")
+                    return failure or make_gateway_error(req, message, "place", self.clock.now())
                 nursery.start_soon(self._attempt, req, upstream, send)
                 n_pending += 1
             result = await self._receive_result(req, receive, hedge_s if n_pending == 1 else None)
@@ -87,7 +87,8 @@
                     return result
                 failure = result
             if not n_pending and not self._may_continue(req, result):
-                return failure or make_gateway_error(req, "the upstream sent no answer", "attempt")
+                message = "the upstream sent no answer"
+                return failure or make_gateway_error(req, message, "attempt", self.clock.now())
 
     def _may_repeat(self, req: GatewayRequest) -> bool:
         return (
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -64,6 +64,12 @@
 SENT_PARTS_WINDOW_S = 1.0
 #: Maximum number of request digests with crashes in one message.
 MAX_GOSSIP_DIGESTS = 16
+#: Maximum number of leaving upstreams in one message.
+MAX_GOSSIP_LEAVING = 64
+#: Interval at which a gateway checks whether the store was restored, and the longest random delay
+#: until it registers again, so that not all gateways call the store at once.
+ERA_POLL_INTERVAL_S = 1.0
+MAX_REGISTER_DELAY_S = 3.0
 
 
 class Gateway:
@@ -132,6 +138,7 @@
             peers=self.peers,
             outcome_counts=self.outcome_counts,
             feed=feed,
+            operator_handler=self.operator_handler,
             status_handler=self.status_handler,
             store=self.store,
             observer=self.observer,
@@ -212,7 +219,7 @@
                 self.upstream_handler,
                 pause_s=UPSTREAM_PAUSE_FRACTION * self.settings.bounds.drain_s,
             ).run,
-            self._make_follower(self.status_handler, is_enabled=self.upgrades.is_active).run,
+            self._make_follower(self.status_handler, is_enabled=self._must_follow_status).run,
             self.upgrades.run,
             link.run,
             self.copy_exchange.run,
@@ -232,6 +239,10 @@
             **kwargs,
         )
 
+    def _must_follow_status(self) -> bool:
+        """Return whether an upgrade is in progress, or its status may have been lost."""
+        return self.upgrades.is_active() or self.status_handler.replica.era < self.store.era
+
     def _spawn(self, task: Callable, *args) -> None:
         """Start a task; an exception in it is logged and ends only this task."""
         self._nursery.start_soon(self._run_guarded, task, *args)
@@ -285,6 +296,8 @@
             hosts=self.peers.list_alive_hosts(now),
             is_leaving=self.request_handler.is_closing(),
             has_store=self.store.is_up,
+            leaving=self.tables.closures.list_leaving(MAX_GOSSIP_LEAVING),
+            upgrades=self.upgrades.list_reports(),
         )
 
     def _merge_gossip(self, message: GossipMessage) -> None:
@@ -294,7 +307,9 @@
         for digest, incidents in message.crashes.items():
             self.crashes.merge(digest, incidents)
         self._merge_sent_parts(message)
+        self._merge_leaving(message)
         now = self.clock.now()
+        self.upgrades.merge_reports(message.upgrades, now)
         if now - self._loads_summed_at < LOAD_SUM_INTERVAL_S:
             return
         self._loads_summed_at = now
@@ -303,6 +318,12 @@
             load.n_peer_inflight = n_inflight.get(upstream_id, 0)
             load.peer_pending_work = work.get(upstream_id, 0)
 
+    def _merge_leaving(self, message: GossipMessage) -> None:
+        for run in self.tables.closures.merge_leaving(message.leaving):
+            row = self.tables.upstreams.get(run.upstream_id)
+            if row is not None and row.started_ms == run.started_ms:
+                self.observer.record_upstream_leaving(row)
+
     def _merge_sent_parts(self, message: GossipMessage) -> None:
         """Record the prompt parts that a peer gateway sent to upstreams as cached there."""
         config = self.tables.config
@@ -326,7 +347,14 @@
                     await self.feed.put_row(MEMBER_TABLE, self.settings.node_id, host, version)
                 hosts = [row.value.decode("latin-1") for row in page.rows if row.value]
                 self.peers.add_hosts(hosts, self.clock.now())
-                await trio.sleep(MEMBER_PAUSE_S)
+                await self._wait_for_restore(page.era, MEMBER_PAUSE_S)
             except PlatformError:
                 self.observer.count_store_fault()
                 await trio.sleep(MEMBER_RETRY_S)
+
+    async def _wait_for_restore(self, era: int, timeout_s: float) -> None:
+        """Wait for a time, or until shortly after the store was restored to a later era."""
+        with trio.move_on_after(timeout_s):
+            while self.store.era <= era:
+                await trio.sleep(ERA_POLL_INTERVAL_S)
+            await trio.sleep(self.random_state.uniform(0.0, MAX_REGISTER_DELAY_S))
--- a/crocusvalve/gateway/_replica.py
+++ b/crocusvalve/gateway/_replica.py
@@ -1,4 +1,4 @@
-"""Replica of a table of the store; a row is never replaced by an older version."""
+"""Replica of a table of the store; a row is never replaced by an older version of the same era."""
 
 from msgspec import Struct
 
@@ -19,26 +19,40 @@
 
     Attributes
     ----------
+    era : int
+        Era of the store that all versions of the replica belong to.
     version : int or None
         Version of the store up to which changes are merged; None if the table must be read.
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.version: int | None = None
         self._rows: dict[str, _StoredRow] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no row was received yet."""
+        return not self._rows
+
     def get_version(self, key: str) -> int:
         """Return the version of a row, or 0 if it is absent."""
         row = self._rows.get(key)
         return 0 if row is None or row.value is None else row.version
 
+    def get_value(self, key: str) -> bytes | None:
+        """Return the value of a row, or None if it is absent."""
+        row = self._rows.get(key)
+        return None if row is None else row.value
+
     def make_page(self) -> FeedPage:
         """Return the rows that are not deleted as a page; its store time is 0."""
         rows = (FeedRow(key, row.value, row.version) for key, row in self._rows.items())
-        return FeedPage(tuple(row for row in rows if row.value is not None), self.version, 0.0)
+        present = tuple(row for row in rows if row.value is not None)
+        return FeedPage(present, self.version, 0.0, self.era)
 
     def merge_changes(self, page: FeedPage) -> list[FeedRow]:
-        """Merge changed rows; return those that are new."""
+        """Merge changed rows of the replica's era; return those that are new."""
         self.version = page.version
         return [row for row in page.rows if self.merge_row(row)]
 
@@ -47,6 +61,7 @@
 
         A missing row counts as deleted only if the page is not older than the row.
         """
+        self.era = page.era
         self.version = page.version
         new_rows = [row for row in page.rows if self.merge_row(row)]
         listed = {row.key for row in page.rows}
@@ -58,10 +73,35 @@
                 new_rows.append(deleted)
         return new_rows
 
+    def replace_table(self, page: FeedPage) -> list[FeedRow]:
+        """Replace all rows by a complete table of a later era.
+
+        Returns
+        -------
+        list of FeedRow
+            Rows with another value than in the replica; None as value for missing ones.
+        """
+        previous = self._rows
+        self.era = page.era
+        self.version = page.version
+        self._rows = {row.key: _StoredRow(row.value, row.version) for row in page.rows}
+        different = [row for row in page.rows if _get_value(previous, row.key) != row.value]
+        missing = [
+            FeedRow(key, None, page.version)
+            for key, stored in previous.items()
+            if stored.value is not None and key not in self._rows
+        ]
+        return different + missing
+
     def merge_row(self, row: FeedRow) -> bool:
-        """Merge one row; return whether it is newer than the stored one."""
+        """Merge one row of the replica's era; return whether it is newer than the stored one."""
         stored = self._rows.get(row.key)
         if stored is not None and stored.version >= row.version:
             return False
         self._rows[row.key] = _StoredRow(row.value, row.version)
         return True
+
+
+def _get_value(rows: dict[str, _StoredRow], key: str) -> bytes | None:
+    row = rows.get(key)
+    return None if row is None else row.value
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -87,7 +87,7 @@
             reply, body = progress.failure
             await responder.answer(reply.status, reply.headers, body)
             return RequestEnd.UPSTREAM_FAILURE
-        raise make_gateway_error(req, "no upstream sent an answer", step)
+        raise make_gateway_error(req, "no upstream sent an answer", step, self.clock.now())
 
     def _may_continue(self, req: GatewayRequest, end: _AttemptEnd) -> bool:
         if not self.attempt_manager.may_send_again(req, self.clock.now()):
--- a/crocusvalve/gateway/_table_copies.py
+++ b/crocusvalve/gateway/_table_copies.py
@@ -118,8 +118,9 @@
         now = self.clock.now()
         versions = {}
         for name, handler in self.handlers.items():
-            if name in pages and not handler.is_loaded:
-                handler.merge_table(pages[name], now)
-                versions[name] = pages[name].version
+            page = pages.get(name)
+            if page is not None and not handler.is_loaded and page.era >= handler.replica.era:
+                handler.merge_table(page, now)
+                versions[name] = page.version
         if versions:
             self.observer.record_table_copy(host, versions)
--- a/crocusvalve/gateway/_tables.py
+++ b/crocusvalve/gateway/_tables.py
@@ -3,6 +3,7 @@
 from msgspec import Struct, field
 
 from crocusvalve.base import DomainId, UpstreamId
+from crocusvalve.gateway._closures import ClosureTable
 from crocusvalve.gateway._directory import Directory
 from crocusvalve.gateway.base import (
     Configuration,
@@ -79,6 +80,8 @@
         Status of the upgrades by service.
     allowed_versions : dict
         Versions by service that may get requests outside an upgrade.
+    closures : ClosureTable
+        Upstreams that have asked for no more requests.
     has_upstreams : bool
         Whether the table of upstreams was read.
     """
@@ -92,6 +95,7 @@
         self.orders: dict[ServiceName, UpgradeOrder] = {}
         self.statuses: dict[ServiceName, UpgradeStatus] = {}
         self.allowed_versions: dict[ServiceName, set[VersionName]] = {}
+        self.closures = ClosureTable()
         self.has_upstreams = False
 
     @property
@@ -99,13 +103,55 @@
         """The configuration in force, or None before the first one."""
         return None if self.directory is None else self.directory.config
 
-    def apply_configuration(self, config: Configuration) -> bool:
-        """Put a configuration in force; return False if it isn't newer than the current one."""
-        if self.config is not None and config.version <= self.config.version:
-            return False
+    def apply_configuration(self, config: Configuration, *, is_rewritten: bool = False) -> bool:
+        """Put a configuration in force; return False if it isn't newer than the current one.
+
+        Parameters
+        ----------
+        is_rewritten : bool
+            Whether the operators wrote it after a restore of the store that may have lost the
+            current one, so that another one with the same version replaces it.
+        """
+        current = self.config
+        if current is not None and config.version <= current.version:
+            if config.version < current.version or not is_rewritten or config == current:
+                return False
         self.directory = Directory(config)
         return True
 
+    def apply_status(self, service: ServiceName, status: UpgradeStatus) -> bool:
+        """Store the status of an upgrade; return False if the upgrade has progressed further."""
+        current = self.get_status(service)
+        is_same = current is not None and current.version == status.version
+        if is_same and status.progress < current.progress:
+            return False
+        self.statuses[service] = status
+        return True
+
+    def get_status(self, service: ServiceName) -> UpgradeStatus | None:
+        """Return the status of a service's current order, or None if it has none yet."""
+        order = self.orders.get(service)
+        status = self.statuses.get(service)
+        if order is None or status is None or status.version != order.version:
+            return None
+        return status if status.position >= order.position else None
+
+    def is_open(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream may get new requests, as far as this gateway knows."""
+        return (
+            self.accepts_work(upstream)
+            and self.closures.get_reopens_at(upstream) <= now
+            and upstream.upstream_id in self.upstreams
+        )
+
+    def accepts_work(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is neither leaving nor in an evacuated failure domain."""
+        return (
+            not upstream.is_draining
+            and upstream.domain not in self.evacuated_domains
+            and not self.closures.is_leaving(upstream)
+        )
+
     def get_load(self, upstream_id: UpstreamId) -> UpstreamLoad:
         """Return the load of an upstream; for one that has left, a new object that isn't stored."""
         load = self.loads.get(upstream_id)
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -1,12 +1,18 @@
 """Execution of upgrades: every gateway checks versions, the leader writes the status."""
 
+from collections.abc import Iterable
+
 import trio
 
 from crocusvalve.exceptions import PlatformError
-from crocusvalve.gateway._followers import StatusTableHandler, StoreState
+from crocusvalve.gateway._followers import (
+    OperatorTableHandler,
+    StatusTableHandler,
+    StoreState,
+)
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import PeerTable
+from crocusvalve.gateway._peers import PeerTable, UpgradeReport
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._upgrades import (
     Verdict,
@@ -22,7 +28,7 @@
     UpgradeState,
     UpgradeStatus,
 )
-from crocusvalve.store.base import ChangeFeed, FeedRow
+from crocusvalve.store.base import ChangeFeed, FeedRow, StorePosition
 from crocusvalve.utils import Clock
 
 __all__ = ["UpgradeController"]
@@ -31,6 +37,9 @@
 CHECK_INTERVAL_S = 0.2
 #: Pause after a failed or rejected write of a status.
 RETRY_S = 0.4
+#: Seconds after its start in which a gateway learns the status of upgrades from its peers, and
+#: writes none; peers send gossip several times per second.
+LEARN_PERIOD_S = 2.0
 
 
 class UpgradeController:
@@ -38,6 +47,8 @@
 
     Parameters
     ----------
+    operator_handler : OperatorTableHandler
+        Handler of the operators' table, with the orders that the store has.
     status_handler : StatusTableHandler
         Handler of the status table, with the versions of its rows.
     """
@@ -50,6 +61,7 @@
         peers: PeerTable,
         outcome_counts: OutcomeCountsTable,
         feed: ChangeFeed,
+        operator_handler: OperatorTableHandler,
         status_handler: StatusTableHandler,
         store: StoreState,
         observer: GatewayObserver,
@@ -60,11 +72,13 @@
         self.peers = peers
         self.outcome_counts = outcome_counts
         self.feed = feed
+        self.operator_handler = operator_handler
         self.status_handler = status_handler
         self.store = store
         self.observer = observer
         self.clock = clock
-        self._bad_revisions: dict[ServiceName, int] = {}
+        self._bad_orders: dict[ServiceName, StorePosition] = {}
+        self._started_at = clock.now()
 
     def is_active(self) -> bool:
         """Return whether an upgrade is in progress."""
@@ -74,11 +88,8 @@
         )
 
     def get_status(self, order: UpgradeOrder) -> UpgradeStatus | None:
-        """Return the status of an order, or None if the stored one is of an earlier order."""
-        status = self.tables.statuses.get(order.service)
-        if status is None or status.revision < order.revision:
-            return None
-        return status if status.version == order.version else None
+        """Return the status of an order, or None if the known one is of an earlier order."""
+        return self.tables.get_status(order.service)
 
     def choose_version(self, service: ServiceName, session: str) -> VersionChoice:
         """Choose the version for the requests of a session."""
@@ -88,17 +99,68 @@
         return choose_version(order, self.get_status(order), session, self._is_bad(order))
 
     def _is_bad(self, order: UpgradeOrder) -> bool:
-        return self._bad_revisions.get(order.service) == order.revision
+        return self._bad_orders.get(order.service) == order.position
 
     async def run(self) -> None:
         """Check versions and advance upgrades until cancelled."""
         while True:
             for order in list(self.tables.orders.values()):
                 self._check_version(order)
-                if self.store.is_up and self.peers.is_leader(self.clock.now()):
+                if self._may_write(self.clock.now()):
                     await self._advance_status(order)
             await trio.sleep(CHECK_INTERVAL_S)
 
+    def _may_write(self, now: float) -> bool:
+        """Return whether this gateway leads, and knows the status table of the store's era.
+
+        A gateway that has just started doesn't lead: its peers may know a status that the store has
+        lost.
+        """
+        replica = self.status_handler.replica
+        return (
+            self.store.is_up
+            and replica.version is not None
+            and replica.era == self.store.era
+            and now - self._started_at >= LEARN_PERIOD_S
+            and self.peers.is_leader(now)
+        )
+
+    def list_reports(self) -> tuple[UpgradeReport, ...]:
+        """Return the status of each order, for the other gateways."""
+        statuses = ((order, self.get_status(order)) for order in self.tables.orders.values())
+        return tuple(
+            UpgradeReport(
+                service=order.service,
+                version=order.version,
+                state=status.state.value,
+                share=status.share,
+                started_s=status.started_s,
+            )
+            for order, status in statuses
+            if status is not None
+        )
+
+    def merge_reports(self, reports: Iterable[UpgradeReport], now: float) -> None:
+        """Take the status of an order from another gateway, if the store has lost it.
+
+        Only a gateway that has just started does so: all others know the status of an order, or
+        have received the order after their peer sent the report.
+        """
+        if now - self._started_at >= LEARN_PERIOD_S:
+            return
+        for report in reports:
+            order = self.tables.orders.get(report.service)
+            is_unknown = order is not None and self.get_status(order) is None
+            if is_unknown and order.version == report.version:
+                self.tables.statuses[order.service] = UpgradeStatus(
+                    version=order.version,
+                    state=UpgradeState(report.state),
+                    share=report.share,
+                    started_s=report.started_s,
+                    revision=order.revision,
+                    era=order.era,
+                )
+
     def _check_version(self, order: UpgradeOrder) -> None:
         status = self.get_status(order)
         is_running = status is not None and status.state is UpgradeState.RUNNING
@@ -106,7 +168,7 @@
             return
         new, old = self.outcome_counts.sum_by_route(order.service, order.version)
         if check_version(new, old) is Verdict.BAD:
-            self._bad_revisions[order.service] = order.revision
+            self._bad_orders[order.service] = order.position
             counts = "; ".join(
                 f"{route} {on_route.n_failures}/{on_route.n_answers}"
                 for route, on_route in new.items()
@@ -124,26 +186,39 @@
             has_upstreams=any(row.version == order.version and not row.is_draining for row in rows),
             now=self.store.compute_time_s(self.clock.now()),
         )
+        if target is None and self._is_lost(order, status):
+            target = status
         if target is not None:
             await self._write_status(order, target)
 
+    def _is_lost(self, order: UpgradeOrder, status: UpgradeStatus | None) -> bool:
+        """Return whether the store has lost a known status, and has the order that it belongs to.
+
+        A status that is older than its order would count as one of an earlier order.
+        """
+        return (
+            status is not None
+            and self.operator_handler.has_order(order.service)
+            and not self.status_handler.is_stored(order.service, status)
+        )
+
     async def _write_status(self, order: UpgradeOrder, target: UpgradeStatus) -> None:
         key = self.status_handler.codec.make_status_key(order.service)
         value = self.status_handler.codec.make_status(order.service, target)
         known_version = self.status_handler.replica.get_version(key)
         try:
-            version = await self.feed.put_row(self.status_handler.table, key, value, known_version)
+            position = await self.feed.put_row(self.status_handler.table, key, value, known_version)
         except PlatformError as exc:
             # A peer gateway that reaches the store continues as leader.
             self.store.record_failure(self.clock.now())
             self.observer.record_store_state(self.status_handler.table, exc)
             await trio.sleep(RETRY_S)
             return
-        if version is None:
-            # Another gateway wrote first; its row arrives with the next changes.
+        if position is None or position.era != self.status_handler.replica.era:
+            # Another gateway wrote first, or the store was restored; the follower reads the row.
             await trio.sleep(RETRY_S)
             return
         self.observer.record_upgrade_status(order.service, target, is_local=True)
-        row = FeedRow(key, value, version)
+        row = FeedRow(key, value, position.version)
         if self.status_handler.replica.merge_row(row):
             self.status_handler.apply_row(row, self.clock.now())
--- a/crocusvalve/gateway/_upstream_call.py
+++ b/crocusvalve/gateway/_upstream_call.py
@@ -15,8 +15,8 @@
 #: Longest head of a reply.
 MAX_HEAD_BYTES = 65536
 READ_BYTES = 65536
-#: Requests up to this size are written completely before the reply is read.
-INLINE_BODY_BYTES = 8192
+#: Requests up to this size, with their heads, are written completely before the reply is read.
+INLINE_REQUEST_BYTES = 8192
 
 
 class CallFailure(Enum):
@@ -24,6 +24,8 @@
 
     #: The request was not sent, for example because no connection could be opened.
     NOT_SENT = "not_sent"
+    #: The request was not sent, since the upstream stopped accepting requests meanwhile.
+    CLOSED = "closed"
     #: The upstream's port refused the connection.
     REFUSED = "connection_refused"
     #: The connection broke, or the reply was incomplete or malformed.
@@ -42,7 +44,7 @@
     @property
     def is_unsent(self) -> bool:
         """Whether the upstream can't have run the request."""
-        return self.failure in (CallFailure.NOT_SENT, CallFailure.REFUSED)
+        return self.failure in (CallFailure.NOT_SENT, CallFailure.CLOSED, CallFailure.REFUSED)
 
 
 class UpstreamCall:
@@ -89,7 +91,7 @@
             data = head + data + conn.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             raise self._make_error(CallFailure.NOT_SENT, str(exc), "send") from exc
-        if len(data) <= INLINE_BODY_BYTES:
+        if len(data) <= INLINE_REQUEST_BYTES:
             await self._write(data)
         else:
             spawn(self._write_ignoring_errors, self._stream, data)
--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
+from crocusvalve.store.base import StorePosition
 
 __all__ = [
     "Address",
@@ -269,19 +270,29 @@
 
 
 class UpgradeOrder(Struct, frozen=True):
-    """Operators' order to upgrade a service to a version within ``duration_s`` seconds."""
+    """Operators' order to upgrade a service to a version within ``duration_s`` seconds.
+
+    ``revision`` and ``era`` are those of the stored row when this gateway first read the order; the
+    same order that is written again after a restore of the store keeps them.
+    """
 
     service: ServiceName
     version: VersionName
     duration_s: float
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position of the order in the store, which identifies the order."""
+        return StorePosition(self.era, self.revision)
 
 
 class UpgradeStatus(Struct, frozen=True, kw_only=True):
     """Status of an upgrade as the gateways store it.
 
     ``share`` is the fraction of sessions that the new version gets, ``started_s`` the store's time
-    at the start in seconds, ``revision`` that of the stored row, 0 if none is written.
+    at the start in seconds, ``revision`` and ``era`` those of the stored row, 0 if none is written.
     """
 
     version: VersionName
@@ -289,6 +300,17 @@
     share: float = 0.0
     started_s: float = 0.0
     revision: int = 0
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position of the stored row in the store."""
+        return StorePosition(self.era, self.revision)
+
+    @property
+    def progress(self) -> tuple[bool, float]:
+        """Progress of the upgrade, which only increases until the next order."""
+        return self.state is not UpgradeState.RUNNING, self.share
 
 
 class PrefixPart(Struct, frozen=True):
@@ -362,6 +384,11 @@
         Whether the body has a content encoding.
     confidence : float or None
         The model's own estimate of the quality of its answer, 0 to 100.
+    is_leaving : bool
+        Whether the upstream declares that it is about to stop.
+    retry_after_s : float or None
+        Seconds for which an upstream that rejected the request wants no more requests; None if it
+        sets no time.
     """
 
     status: int
@@ -370,6 +397,8 @@
     is_not_run: bool
     is_encoded: bool
     confidence: float | None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class HeaderCodec(ABC):
--- a/crocusvalve/platform/_headers.py
+++ b/crocusvalve/platform/_headers.py
@@ -29,6 +29,13 @@
 PRIORITY = b"x-request-priority"
 NOT_EXECUTED = b"x-not-executed"
 CONFIDENCE = b"x-confidence"
+#: Set to 1 by an upstream that is about to stop.
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
+#: Status with which an upstream rejects a request for lack of capacity.
+OVERLOADED_STATUS = 503
+#: Longest time for which an upstream may ask for no requests, in seconds.
+MAX_RETRY_AFTER_S = 3600.0
 
 #: Fields that apply to a single connection and are not forwarded.
 CONNECTION_FIELDS = frozenset(
@@ -147,6 +154,8 @@
             is_not_run=NOT_EXECUTED in fields or status == 421,
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             confidence=_read_number(fields.get(CONFIDENCE)),
+            is_leaving=fields.get(SERVER_LEAVING, b"").strip() == b"1",
+            retry_after_s=_read_retry_after(status, fields.get(RETRY_AFTER)),
         )
 
 
@@ -170,6 +179,18 @@
         return None
 
 
+def _read_retry_after(status: int, value: bytes | None) -> float | None:
+    """Return the seconds of a rejection's ``Retry-After``.
+
+    Returns None for another status, and for a value that isn't a positive number. A longer time
+    than ``MAX_RETRY_AFTER_S`` is shortened to it.
+    """
+    number = _read_number(value)
+    if status != OVERLOADED_STATUS or number is None or not number > 0.0:
+        return None
+    return min(number, MAX_RETRY_AFTER_S)
+
+
 def _read_milliseconds(value: bytes | None) -> float | None:
     """Return a duration in seconds, or None if it is missing, malformed or out of range."""
     number = _read_number(value)
--- a/crocusvalve/platform/_store.py
+++ b/crocusvalve/platform/_store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's store."""
 
 import base64
+import logging
 from types import TracebackType
 from typing import Any, TypeVar
 
@@ -11,15 +12,27 @@
 
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway.base import Address
-from crocusvalve.store.base import ChangeFeed, FeedPage, FeedRow, HistoryLostError
+from crocusvalve.store.base import (
+    ChangeFeed,
+    FeedPage,
+    FeedRow,
+    HistoryLostError,
+    StorePosition,
+)
 
 __all__ = ["PlatformStore"]
 
+logger = logging.getLogger(__name__)
+
 #: Timeout of a call, in addition to the time for which it waits for changes; the store answers
 #: within 4 ms.
 CALL_TIMEOUT_S = 1.0
 #: Maximum number of rows per page when a table is read.
 PAGE_ROWS = 500
+#: Number of times that the store was restored from a backup, plus one.
+ERA = "store-era"
+#: A longer number is no era.
+MAX_ERA_DIGITS = 9
 
 Reply = TypeVar("Reply")
 
@@ -54,10 +67,16 @@
     ----------
     address : Address
         Address of the store.
+
+    Attributes
+    ----------
+    era : int
+        Latest era that the store has reported; 0 if it has reported none.
     """
 
     def __init__(self, address: Address):
         self.peer = str(address)
+        self.era = 0
         self._client = httpx.AsyncClient(
             base_url=f"http://{address}",
             timeout=CALL_TIMEOUT_S,
@@ -79,33 +98,48 @@
         await self._client.aclose()
 
     async def read_table(self, table: str) -> FeedPage:
-        """Return all rows of a table, read page by page; ``version`` is that of the first page."""
+        """Return all rows of a table, read page by page; ``version`` is that of the first page.
+
+        Raises
+        ------
+        PlatformError
+            If a call fails, or the store was restored from a backup between two pages.
+        """
         rows: list[FeedRow] = []
         params = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
         first: _Rows | None = None
         while True:
-            page = await self._call("read_table", _Rows, "GET", "/rows-get", params=params)
-            first = first or page
+            page, era = await self._call("read_table", _Rows, "GET", "/rows-get", params=params)
+            if first is None:
+                first, first_era = page, era
+            if era != first_era:
+                raise PlatformError(
+                    "the store was restored between two pages of the table",
+                    step="read_table",
+                    peer=self.peer,
+                )
             rows += _decode_rows(page)
             if not page.truncated or not page.rows:
-                return FeedPage(tuple(rows), first.ver, first.now_ms / 1000)
+                return FeedPage(tuple(rows), first.ver, first.now_ms / 1000, era)
             params["from"] = page.rows[-1].key + "\0"
 
     async def wait_for_changes(self, table: str, after: int, wait_s: float) -> FeedPage:
         """Return the rows changed after a version; wait up to ``wait_s`` seconds for changes."""
         params = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
-        page = await self._call(
+        page, era = await self._call(
             "wait_for_changes", _Rows, "GET", "/rows-feed", wait_s=wait_s, params=params
         )
-        return FeedPage(tuple(_decode_rows(page)), page.ver, page.now_ms / 1000)
+        return FeedPage(tuple(_decode_rows(page)), page.ver, page.now_ms / 1000, era)
 
-    async def put_row(self, table: str, key: str, value: bytes, if_version: int) -> int | None:
+    async def put_row(
+        self, table: str, key: str, value: bytes, if_version: int
+    ) -> StorePosition | None:
         """Write a row if it is at version ``if_version``.
 
         Returns
         -------
-        int or None
-            New version of the row, or None if the row is at another version.
+        StorePosition or None
+            Position of the written row, or None if the row is at another version.
         """
         name = {"table": table, "part": "", "key": key}
         body = {
@@ -113,8 +147,8 @@
             "setKeys": [name | {"value": base64.b64encode(value).decode()}],
             "remove": [],
         }
-        reply = await self._call("put_row", _Written, "POST", "/rows-tx", json=body)
-        return reply and reply.ver
+        reply, era = await self._call("put_row", _Written, "POST", "/rows-tx", json=body)
+        return reply and StorePosition(era, reply.ver)
 
     async def _call(
         self,
@@ -125,8 +159,14 @@
         *,
         wait_s: float = 0.0,
         **kwargs: Any,
-    ) -> Reply | None:
-        """Make one call; return None if the condition of a write did not hold."""
+    ) -> tuple[Reply | None, int]:
+        """Make one call; return its reply, None if a write's condition did not hold, and the era.
+
+        Raises
+        ------
+        PlatformError
+            If the call failed, or its answer is from an era before the latest one.
+        """
         try:
             with trio.fail_after(wait_s + CALL_TIMEOUT_S):
                 response = await self._client.request(
@@ -137,7 +177,26 @@
             raise PlatformError(message, step=step, peer=self.peer, maybe_applied=True) from exc
         except httpx.HTTPError as exc:
             raise PlatformError(repr(exc), step=step, peer=self.peer, maybe_applied=True) from exc
-        return self._decode(step, reply_type, response)
+        era = self._update_era(step, response)
+        return self._decode(step, reply_type, response), era
+
+    def _update_era(self, step: str, response: httpx.Response) -> int:
+        """Return the era of an answer; without a valid one, the latest known era."""
+        text = response.headers.get(ERA, "")
+        if not text.isascii() or not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+            if text:
+                logger.warning("the store's era %r is not a number", text[:MAX_ERA_DIGITS])
+            return self.era
+        era = int(text)
+        if era < self.era:
+            raise PlatformError(
+                f"the answer is from era {era}, before the store was restored to era {self.era}",
+                step=step,
+                peer=self.peer,
+                maybe_applied=True,
+            )
+        self.era = era
+        return era
 
     def _decode(self, step: str, reply_type: type[Reply], response: httpx.Response) -> Reply | None:
         status = response.status_code
--- a/crocusvalve/standin/_store.py
+++ b/crocusvalve/standin/_store.py
@@ -6,10 +6,11 @@
 
 import msgspec
 import trio
+from msgspec import Struct
 
 from crocusvalve.standin._http_server import ReceivedRequest, StandinServer
 
-__all__ = ["StandinStore", "StoreFault"]
+__all__ = ["StandinStore", "StoreBackup", "StoreFault"]
 
 
 class StoreFault(Enum):
@@ -22,6 +23,13 @@
     ANSWER_LOST = "answer_lost"
 
 
+class StoreBackup(Struct, frozen=True):
+    """Rows of the store at a version."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[bytes | None, int]]
+
+
 class StandinStore(StandinServer):
     """A store that holds the rows of its tables in memory.
 
@@ -35,6 +43,10 @@
         Version of the store, which every change increases.
     n_calls : int
         Number of calls received.
+    era : int
+        Number of restores from a backup, plus one.
+    era_text : str or None
+        Value of the header that reports the era, if it is to differ from the era; empty for none.
     """
 
     def __init__(self) -> None:
@@ -43,6 +55,8 @@
         self.oldest_version = 0
         self.version = 0
         self.n_calls = 0
+        self.era = 1
+        self.era_text: str | None = None
         self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
         self._changed = trio.Event()
 
@@ -60,11 +74,31 @@
         value, _ = self._rows.get((table, key), (None, 0))
         return None if value is None else msgspec.json.decode(value)
 
+    def get_version(self, table: str, key: str) -> int:
+        """Return the version of a row, or 0 if it does not exist."""
+        value, version = self._rows.get((table, key), (None, 0))
+        return 0 if value is None else version
+
     def discard_history(self) -> None:
         """Discard the history of changes, so that followers must read whole tables again."""
         self.oldest_version = self.version + 1
         self.version += 1
 
+    def make_backup(self) -> StoreBackup:
+        """Return a backup of the current rows."""
+        return StoreBackup(self.version, dict(self._rows))
+
+    def restore(self, backup: StoreBackup) -> None:
+        """Replace all rows by those of a backup, which begins a new era.
+
+        Changes since the backup are lost, and their versions are assigned again.
+        """
+        self.version = backup.version
+        self._rows = dict(backup.rows)
+        self.oldest_version = min(self.oldest_version, backup.version)
+        self.era += 1
+        self._notify()
+
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a read, a feed request or a transaction, subject to the fault."""
         self.n_calls += 1
@@ -87,9 +121,13 @@
     def _write(self, table: str, key: str, value: bytes | None) -> int:
         self.version += 1
         self._rows[table, key] = (value, self.version)
+        self._notify()
+        return self.version
+
+    def _notify(self) -> None:
+        """Wake the calls that wait for changes."""
         self._changed.set()
         self._changed = trio.Event()
-        return self.version
 
     def _list(self, table: str, after: int) -> dict:
         rows = [
@@ -103,13 +141,17 @@
 
     async def _feed(self, query: dict[str, str]) -> tuple[int, dict]:
         after = int(query["after"])
-        if after < self.oldest_version:
-            return 410, {}
         with trio.move_on_after(int(query["waitMs"]) / 1000):
-            while not self._list(query["table"], after)["rows"]:
+            while self._has_position(after) and not self._list(query["table"], after)["rows"]:
                 await self._changed.wait()
+        if not self._has_position(after):
+            return 410, {}
         return 200, self._list(query["table"], after)
 
+    def _has_position(self, after: int) -> bool:
+        """Return whether the changes after a version are stored."""
+        return self.oldest_version <= after <= self.version
+
     def _transact(self, call: dict) -> tuple[int, dict]:
         for row in call["expectedRev"]:
             value, version = self._rows.get((row["table"], row["key"]), (None, 0))
@@ -119,11 +161,12 @@
             self._write(row["table"], row["key"], base64.b64decode(row["value"]))
         return 200, {"ver": self.version, "nowMs": trio.current_time() * 1000}
 
-    @staticmethod
-    async def _reply(stream: trio.SocketStream, status: int, body: dict) -> bool:
+    async def _reply(self, stream: trio.SocketStream, status: int, body: dict) -> bool:
         data = msgspec.json.encode(body)
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode()
-        await stream.send_all(head + data)
+        era = str(self.era) if self.era_text is None else self.era_text
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(data)}"]
+        lines += [f"Store-Era: {era}"] if era else []
+        await stream.send_all("\r\n".join((*lines, "\r\n")).encode() + data)
         return True
 
 
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -18,6 +18,8 @@
     NONE = "none"
     #: Answers 503 and states that the request was not executed.
     FULL = "full"
+    #: The same, and wants no requests for ``retry_after``.
+    OVERLOADED = "overloaded"
     FAILURE = "failure"
     #: Runs the request and closes the connection without an answer.
     BREAK = "break"
@@ -52,6 +54,12 @@
         Pause before each event, in seconds.
     n_abandoned : int
         Requests with the fault ``HANG`` whose caller disconnected.
+    is_leaving : bool
+        Whether its answers say that it is about to stop.
+    retry_after : str
+        Value of ``Retry-After`` in rejections by the fault ``OVERLOADED``.
+    n_rejected : int
+        Requests that were rejected by the faults ``FULL`` and ``OVERLOADED``.
     """
 
     def __init__(self, upstream_id: str):
@@ -61,6 +69,9 @@
         self.calls: list[ReceivedRequest] = []
         self.confidence: dict[str, int] = {}
         self.n_abandoned = 0
+        self.n_rejected = 0
+        self.is_leaving = False
+        self.retry_after = "1"
         self.pause_s = 0.0
 
     def make_entry(self, service: str, domain: str, **changes: object) -> dict:
@@ -85,14 +96,22 @@
         """Record a request that the upstream starts to run."""
         self.calls.append(call)
 
+    def record_rejection(self, call: ReceivedRequest, fault: UpstreamFault) -> None:
+        """Record a request that the upstream rejects without running it."""
+        self.n_rejected += 1
+
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request, with a fault if one is due."""
         expected_instance = call.headers.get("x-expect-instance", self.upstream_id)
         if not expected_instance.startswith(self.upstream_id):
             return await self._send(stream, 421, {}, b"")
         fault = self.choose_fault()
-        if fault is UpstreamFault.FULL:
-            return await self._send(stream, 503, {"X-Not-Executed": "1"}, b"")
+        if fault in (UpstreamFault.FULL, UpstreamFault.OVERLOADED):
+            self.record_rejection(call, fault)
+            headers = {"X-Not-Executed": "1"}
+            if fault is UpstreamFault.OVERLOADED:
+                headers["Retry-After"] = self.retry_after
+            return await self._send(stream, 503, headers, b"")
         self.record_run(call, fault)
         headers = {
             "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
@@ -111,7 +130,8 @@
         if call.headers.get("accept") == "text/event-stream":
             return await self._stream(call, stream, headers, fault)
         if fault is UpstreamFault.SHORT:
-            await stream.send_all(_make_head(200, headers | {"Content-Length": "100"}) + b"short")
+            head = self._make_head(200, headers | {"Content-Length": "100"})
+            await stream.send_all(head + b"short")
             return False
         body = f"{call.method} {call.target} {len(call.body)} by {self.upstream_id}".encode()
         return await self._send(stream, 200, headers, body)
@@ -133,7 +153,7 @@
         model = call.headers.get("x-model", "")
         if model in self.confidence:
             headers["X-Confidence"] = str(self.confidence[model])
-        await stream.send_all(_make_head(200, headers))
+        await stream.send_all(self._make_head(200, headers))
         for number in range(int(call.headers.get("last-event-id", 0)) + 1, N_EVENTS + 1):
             await trio.sleep(self.pause_s)
             event = make_event(call.target, number)
@@ -144,22 +164,23 @@
         await stream.send_all(b"0\r\n\r\n")
         return True
 
-    @staticmethod
-    async def _send(stream: trio.SocketStream, status: int, headers: dict, body: bytes) -> bool:
+    async def _send(
+        self, stream: trio.SocketStream, status: int, headers: dict, body: bytes
+    ) -> bool:
         headers = headers | {"Content-Length": str(len(body))}
-        await stream.send_all(_make_head(status, headers) + body)
+        await stream.send_all(self._make_head(status, headers) + body)
         return True
 
+    def _make_head(self, status: int, headers: dict[str, str]) -> bytes:
+        fields = headers | ({"Server-Leaving": "1"} if self.is_leaving else {})
+        lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in fields.items())]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
 
 def make_event(target: str, number: int) -> bytes:
     """Return an event, as bytes, of the stream that answers a request for ``target``."""
     return f"id: {number}\ndata: piece {number} of {target}\n\n".encode()
 
 
-def _make_head(status: int, headers: dict[str, str]) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers.items())]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-
 def _make_chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- a/crocusvalve/store/base.py
+++ b/crocusvalve/store/base.py
@@ -20,6 +20,7 @@
     "RatingRequest",
     "RatingService",
     "Row",
+    "StorePosition",
     "TableService",
     "VmDirectory",
     "VmInfo",
@@ -217,6 +218,17 @@
     version: int
 
 
+class StorePosition(Struct, frozen=True, order=True):
+    """A version of the store, which is only comparable with versions of the same era.
+
+    A new era begins when the store is restored from a backup: changes since the backup are lost and
+    their versions are assigned a second time.
+    """
+
+    era: int = 0
+    version: int = 0
+
+
 class FeedPage(Struct, frozen=True):
     """Rows of a table up to a version of the store.
 
@@ -228,11 +240,14 @@
         Version of the store up to which the rows are complete.
     time_s : float
         Time of the store's monotonic clock, in seconds.
+    era : int
+        Era of the store that all versions of the page belong to.
     """
 
     rows: tuple[FeedRow, ...]
     version: int
     time_s: float
+    era: int = 0
 
 
 class HistoryLostError(PlatformError):
@@ -257,11 +272,14 @@
         """
 
     @abstractmethod
-    async def put_row(self, table: str, key: str, value: bytes, if_version: int) -> int | None:
+    async def put_row(
+        self, table: str, key: str, value: bytes, if_version: int
+    ) -> StorePosition | None:
         """Write a row if it has the version ``if_version``, where 0 means that it does not exist.
 
         Returns
         -------
-        int or None
-            New version of the row, or None if it had another version and was not written.
+        StorePosition or None
+            Position of the written row, or None if the row had another version and was not
+            written.
         """
--- a/features/gateway/gateway_harness.py
+++ b/features/gateway/gateway_harness.py
@@ -138,11 +138,11 @@
         """Address of the stand-in store."""
         return Address("127.0.0.1", self.store.port)
 
-    async def start_second_gateway(self, feed, nursery):
+    async def start_second_gateway(self, feed, nursery, node_id="gateway-2"):
         """Start a second gateway on another host, with the first one as a seed."""
         host = make_loopback_host(1)
         self.second_gateway = self._make_gateway(
-            feed, "gateway-2", host, (Address(self.host, PEER_PORT),)
+            feed, node_id, host, (Address(self.host, PEER_PORT),)
         )
         await nursery.start(self.second_gateway.run, trio.Event())
 
