Soak of processes: restores of the store, announced ends, times of overloaded upstreams

Cause: nothing outside the gateway's own tests judged the three new promises. Change: disruptions StoreRestore and UpstreamLeaving, fault profile OVERLOADED; the checker reports a request after an announced end, more than two within an overloaded upstream's time, and a gateway that returns to a replaced service; a soak can be limited to kinds (--kinds). Tests: examples of the checker, a seeded run in features/soak.

--- a/crocusvalve/cli/_daemons.py
+++ b/crocusvalve/cli/_daemons.py
@@ -203,6 +203,7 @@
     processes: bool = False,
     gateways: int = 5,
     seconds: float = 15.0,
+    kinds: str = "",
     out: str = "",
     json: JsonFlag = False,
 ) -> None:
@@ -227,13 +228,20 @@
         Number of gateway processes.
     seconds
         Time during which faults are injected into the processes, in seconds.
+    kinds
+        Comma-separated names of the kinds of disruption of the processes, such as
+        ``StoreRestore,UpstreamLeaving``; if empty, the seed selects some of them.
     out
         Directory for the processes' logs and the report.
     """
     if processes:
         soak = load_module("crocusvalve.soak.processes")
         settings = soak.ProcessSoakSettings(
-            seed=seed, n_gateways=gateways, seconds=seconds, folder=out
+            seed=seed,
+            n_gateways=gateways,
+            seconds=seconds,
+            kinds=tuple(name for name in kinds.split(",") if name),
+            folder=out,
         )
         with convert_value_errors("soak"):
             report = soak.run_process_soak(settings)
--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -19,6 +19,8 @@
 
 #: Name of the store as a component.
 STORE = "store"
+#: Requests that may reach an overloaded upstream from one gateway before the time that it has set.
+MAX_CLOSED_REQUESTS = 2
 #: Requests in one soak that may reach an upstream too long after their callers left.
 MAX_ABANDONED_RUNS = 3
 
@@ -38,6 +40,14 @@
         return now - self.acknowledged_at > bound_s + extra_s
 
 
+class _Closure(Struct):
+    """Span in which an overloaded upstream wants no requests, and those that it got."""
+
+    begins_at: float
+    ends_at: float
+    n_requests: int = 0
+
+
 class ServiceHistory(Struct):
     """All services that a route was configured for, each with the time of its acknowledgement."""
 
@@ -96,6 +106,9 @@
         self.routes: dict[str, ServiceHistory] = {}
         self.injected_faults: dict[str, set[UpstreamFault]] = {}
         self.n_abandoned_runs = 0
+        self._leaving_since: dict[tuple[str, str], float] = {}
+        self._closures: dict[tuple[str, str], _Closure] = {}
+        self._seen_changes: dict[tuple[str, str], tuple[int, float]] = {}
 
     def make_acknowledgement(self) -> Acknowledgement:
         """Return the acknowledgement of a change that the store has just accepted."""
@@ -125,6 +138,8 @@
         self._check_repeat(attempt, upstream)
         attempt.runs.append(UpstreamRun(upstream, now))
         self._check_route(attempt, service)
+        self._check_regress(attempt, service, now)
+        self._check_closures(attempt, upstream, now)
         components = (attempt.gateway, upstream)
         if self.disruption_table.is_quiet(components, now):
             self._check_deadline(attempt, call, now)
@@ -132,6 +147,69 @@
         if self.disruption_table.is_quiet((*components, STORE), now):
             self._check_placement(attempt, upstream, now)
 
+    def record_rejection(self, upstream: str, call: ReceivedRequest, span_s: float) -> None:
+        """Record a request that an upstream rejects; it wants no more for ``span_s`` seconds."""
+        now = self.clock()
+        attempt = self.attempts.get(call.attempt_id)
+        if attempt is None:
+            return
+        self._check_closures(attempt, upstream, now)
+        if span_s > 0.0 and self.disruption_table.is_quiet((upstream,), now):
+            self._closures[attempt.gateway, upstream] = _Closure(now, now + span_s)
+
+    def record_leaving(self, upstream: str, call: ReceivedRequest) -> None:
+        """Record that an upstream says in its answer to a request that it is about to stop."""
+        now = self.clock()
+        attempt = self.attempts.get(call.attempt_id)
+        # A disrupted link may not have delivered the answer.
+        if attempt is not None and self.disruption_table.is_quiet((upstream,), now):
+            self._leaving_since.setdefault((attempt.gateway, upstream), now)
+
+    def forget_leaving(self, upstream: str) -> None:
+        """Record that an upstream has started again."""
+        for key in [key for key in self._leaving_since if key[1] == upstream]:
+            del self._leaving_since[key]
+
+    def _check_closures(self, attempt: Attempt, upstream: str, now: float) -> None:
+        """Check that the upstream hasn't told this gateway to send no more requests.
+
+        A disruption of the gateway excuses it: a process that has started again knows nothing.
+        """
+        table, key = self.disruption_table, (attempt.gateway, upstream)
+        leaving_since = self._leaving_since.get(key)
+        if leaving_since is not None and not table.is_undisrupted(attempt.gateway, leaving_since):
+            del self._leaving_since[key]
+        elif leaving_since is not None and attempt.sent_at > leaving_since + self.bounds.drain_s:
+            description = f"reaches {upstream} {now - leaving_since:.2f} s after its announcement"
+            self.report(Guarantee.DRAIN, f"{attempt.req.attempt_id} {description}")
+        closure = self._closures.get(key)
+        if closure is None or not closure.begins_at + self.bounds.closure_s < now < closure.ends_at:
+            return
+        if table.is_undisrupted(attempt.gateway, closure.begins_at):
+            closure.n_requests += 1
+            if closure.n_requests > MAX_CLOSED_REQUESTS:
+                description = f"{closure.n_requests} requests reach {upstream} before its time"
+                self.report(Guarantee.BUDGET, description)
+
+    def _check_regress(self, attempt: Attempt, service: str, now: float) -> None:
+        """Check that a gateway does not return to a service that its route was moved away from.
+
+        Only requests sent after the gateway has used a newer service of the route are concerned.
+        """
+        route = attempt.req.path.split("/")[1]
+        key, changes = (attempt.gateway, route), self.routes[route].changes
+        index = max((i for i, change in enumerate(changes) if change[1] == service), default=0)
+        seen = self._seen_changes.get(key)
+        if seen is not None and not self.disruption_table.is_undisrupted(attempt.gateway, seen[1]):
+            seen = None
+        if seen is None or index > seen[0]:
+            self._seen_changes[key] = (index, now)
+        elif index < seen[0] and attempt.sent_at > seen[1] + self.bounds.revert_s:
+            name = attempt.req.attempt_id
+            self.report(
+                Guarantee.CONFIG, f"{name} runs on {service}, which was replaced: {changes}"
+            )
+
     def _check_unchanged(self, attempt: Attempt, call: ReceivedRequest) -> None:
         """Compare a request at an upstream with what its caller sent."""
         req = attempt.req
--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -60,6 +60,8 @@
         Service by route, as in the latest configuration.
     n_upgrades : int
         Upgrades that were ordered.
+    upgrade_order : tuple or None
+        Service, version and duration of the latest order to upgrade a service.
     upstreams : dict
         All upstreams that were ever started, by id.
     is_stopping : bool
@@ -83,6 +85,7 @@
         self.routes = {"safe": "ops", "unsafe": "ops", "stream": "llm", "once": "llm"}
         self.n_proxies = 0
         self.n_upgrades = 0
+        self.upgrade_order: tuple[str, str, float] | None = None
         self.nursery: trio.Nursery | None = None
         self.upstreams: dict[str, SoakUpstream] = {}
         self.gateways = [self._make_gateway(number) for number in range(n_gateways)]
@@ -177,6 +180,7 @@
 
     def register(self, upstream: SoakUpstream) -> None:
         """Write an upstream's current entry to the store."""
+        upstream.is_registered = True
         self.operator.register(upstream.upstream_id, upstream.make_current_entry())
 
     def drain_upstream(self, upstream: SoakUpstream, is_announced: bool) -> None:
@@ -185,16 +189,24 @@
             upstream.state = "draining"
             self.register(upstream)
         else:
+            upstream.is_registered = False
             self.operator.drop(upstream.upstream_id)
         self.checker.drained_upstreams[upstream.upstream_id] = self.checker.make_acknowledgement()
 
     def restore_upstream(self, upstream: SoakUpstream) -> None:
         """Register a drained or crashed upstream again, as a new run of it."""
         upstream.state = "ready"
+        upstream.is_leaving = False
+        self.checker.forget_leaving(upstream.upstream_id)
         upstream.started_ms += 1
         self.checker.drained_upstreams.pop(upstream.upstream_id, None)
         self.register(upstream)
 
+    def order_upgrade(self, service: str, version: str, duration_s: float) -> None:
+        """Order the upgrade of a service."""
+        self.upgrade_order = (service, version, duration_s)
+        self.operator.order_upgrade(service, version, duration_s)
+
     def put_config(self) -> None:
         """Write the routes as a new version of the configuration, and record changed routes."""
         self.config_version += self.random_state.randint(1, 4)
@@ -234,6 +246,20 @@
             self.checker.evacuated_domains.pop(domain, None)
             self.operator.evacuate(domain, is_out)
 
+    def write_again(self) -> None:
+        """Write again what the operators and the running upstreams have in the store."""
+        self.put_config()
+        for domain in DOMAINS:
+            is_out = domain in self.checker.evacuated_domains
+            self.operator.evacuate(domain, is_out)
+        for upstream in self.upstreams.values():
+            if upstream.is_registered:
+                self.register(upstream)
+            else:
+                self.operator.drop(upstream.upstream_id)
+        if self.upgrade_order is not None:
+            self.operator.order_upgrade(*self.upgrade_order)
+
     def end_faults(self) -> None:
         """End faults of the store and evacuations that are still in force."""
         self.store.fault = StoreFault.NONE
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -20,6 +20,8 @@
 
 #: Longest pause between two events of a stream.
 MAX_EVENT_PAUSE_S = 0.15
+#: Range of the times for which an overloaded upstream wants no requests.
+RETRY_AFTER_RANGE_S = (0.5, 4.0)
 
 
 class GatewayPorts(Struct, frozen=True):
@@ -117,6 +119,8 @@
     FULL = "full"
     #: Many answers are failures.
     FAILING = "failing"
+    #: Some requests are rejected with a time until which the upstream wants no more.
+    OVERLOADED = "overloaded"
 
 
 #: Probability of a fault per request, and the faults to choose from.
@@ -124,6 +128,7 @@
     UpstreamFaultProfile.ANY_FAULT: (0.4, tuple(set(UpstreamFault) - {UpstreamFault.NONE})),
     UpstreamFaultProfile.FULL: (0.8, (UpstreamFault.FULL,)),
     UpstreamFaultProfile.FAILING: (0.5, (UpstreamFault.FAILURE,)),
+    UpstreamFaultProfile.OVERLOADED: (0.3, (UpstreamFault.OVERLOADED,)),
 }
 
 
@@ -147,6 +152,8 @@
         State that it registers: "ready" or "draining".
     started_ms : int
         Start time that it registers, in milliseconds; a larger one marks a new run of it.
+    is_registered : bool
+        Whether the store has an entry of it.
     proxy : LinkProxy or None
         Link from the gateways, whose address it registers.
     """
@@ -168,6 +175,7 @@
         self.random_state = random_state
         self.fault_profile = UpstreamFaultProfile.HEALTHY
         self.state = "ready"
+        self.is_registered = False
         self.started_ms = 1
         self.pause_s = random_state.uniform(0.0, MAX_EVENT_PAUSE_S)
         self.proxy: LinkProxy | None = None
@@ -184,6 +192,22 @@
         """Report a request that it begins to run to the checker."""
         self.checker.record_run(self.upstream_id, self.service, call, fault)
 
+    def record_rejection(self, call: ReceivedRequest, fault: UpstreamFault) -> None:
+        """Report a request that it rejects to the checker; choose the time that it sets."""
+        span_s = 0.0
+        if fault is UpstreamFault.OVERLOADED:
+            span_s = round(self.random_state.uniform(*RETRY_AFTER_RANGE_S), 2)
+            self.retry_after = str(span_s)
+        self.checker.record_rejection(self.upstream_id, call, span_s)
+
+    async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
+        """Answer a request, and report to the checker if the answer announces the end."""
+        is_announced = self.is_leaving
+        is_sent = await super().answer(call, stream)
+        if is_announced and is_sent:
+            self.checker.record_leaving(self.upstream_id, call)
+        return is_sent
+
     def make_current_entry(self) -> dict:
         """Return its current entry for the store."""
         return self.make_entry(
--- a/crocusvalve/soak/processes/_disruption_table.py
+++ b/crocusvalve/soak/processes/_disruption_table.py
@@ -34,6 +34,13 @@
         """Record a disruption of a component without duration."""
         self._ended_at[component] = max(now, self._ended_at.get(component, now))
 
+    def is_undisrupted(self, component: str, since: float) -> bool:
+        """Return whether a component has had no disruption since a time on the soak's clock."""
+        return (
+            not self._n_open.get(component, 0)
+            and self._ended_at.get(component, float("-inf")) < since
+        )
+
     def is_quiet(self, components: Iterable[str], since: float) -> bool:
         """Return whether components are undisrupted, from the quiet period before a time until now.
 
--- a/crocusvalve/soak/processes/_disruptions.py
+++ b/crocusvalve/soak/processes/_disruptions.py
@@ -3,6 +3,7 @@
 import random
 import signal
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 
 import trio
 
@@ -16,7 +17,7 @@
 from crocusvalve.soak.processes._proxy import LinkFault
 from crocusvalve.standin import StoreFault
 
-__all__ = ["Disruption", "make_disruption", "sample_kinds"]
+__all__ = ["Disruption", "find_kinds", "make_disruption", "sample_kinds"]
 
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 STORE_FAULTS = (StoreFault.BUSY, StoreFault.SILENT, StoreFault.ANSWER_LOST)
@@ -25,6 +26,10 @@
 #: Smallest and largest number of kinds of disruption in one soak.
 MIN_KINDS = 2
 MAX_KINDS = 7
+#: Oldest backup that the store is restored from, and longest time from a restore until lost rows
+#: are written again.
+MAX_BACKUP_AGE_S = 6.0
+MAX_REWRITE_S = 1.5
 #: Longest duration of a fault.
 MAX_DISRUPTION_S = 4.0
 #: Longest duration of planned work, which has to outlast the time bounds that it starts.
@@ -213,6 +218,42 @@
         self.cluster.store.fault = StoreFault.NONE
 
 
+class StoreRestore(Disruption):
+    """The store is away for a moment, and comes back from a backup of some seconds ago."""
+
+    def choose_targets(self) -> None:
+        """Choose the age of the backup, and how long it takes until lost rows are written again."""
+        self.components = [STORE]
+        self.age_s = self.random_state.uniform(0.5, MAX_BACKUP_AGE_S)
+        self.rewrite_s = self.random_state.uniform(0.0, MAX_REWRITE_S)
+
+    def begin(self) -> None:
+        """Stop answering."""
+        self.cluster.store.fault = StoreFault.SILENT
+
+    def end(self) -> None:
+        """Answer again."""
+        self.cluster.store.fault = StoreFault.NONE
+
+    async def run(self) -> None:
+        """Take the backup, disrupt the store later, restore it and write lost rows again."""
+        store = self.cluster.store
+        backup = store.make_backup()
+        await trio.sleep(self.age_s)
+        disruption_table = self.cluster.checker.disruption_table
+        disruption_table.begin(STORE)
+        try:
+            self.begin()
+            await trio.sleep(self.random_state.uniform(0.1, 1.0))
+            if backup.version >= store.first_version_of_era:
+                store.restore(backup)
+            self.end()
+            await trio.sleep(self.rewrite_s)
+            self.cluster.write_again()
+        finally:
+            disruption_table.end(STORE, self.cluster.checker.clock())
+
+
 class UpstreamDisruption(Disruption):
     """A disruption of one upstream."""
 
@@ -276,6 +317,22 @@
         self.cluster.restore_upstream(self.upstream)
 
 
+class UpstreamLeaving(UpstreamDrain):
+    """An upstream says in its answers that it is about to stop, and drains some time later."""
+
+    def begin(self) -> None:
+        """Announce the end in all answers."""
+        self.upstream.is_leaving = True
+
+    async def run(self) -> None:
+        """Announce the end, drain later, and start again."""
+        self.begin()
+        await trio.sleep(self.sample_duration_s())
+        self.cluster.drain_upstream(self.upstream, is_announced=self.random_state.random() < 0.7)
+        await trio.sleep(self.sample_duration_s())
+        self.end()
+
+
 class DomainOut(Disruption):
     """A failure domain is evacuated and put back in service."""
 
@@ -347,7 +404,7 @@
         new = [await cluster.add_upstream("llm", domain, self.version) for domain in DOMAINS]
         for upstream in () if self.is_good else new:
             upstream.fault_profile = UpstreamFaultProfile.FAILING
-        cluster.operator.order_upgrade("llm", self.version, UPGRADE_ORDER_S)
+        cluster.order_upgrade("llm", self.version, UPGRADE_ORDER_S)
         with trio.move_on_after(UPGRADE_ORDER_S + self.sample_duration_s()):
             while cluster.operator.get_upgrade("llm") not in (
                 (self.version, "complete"),
@@ -379,6 +436,8 @@
     UpstreamLinkFault: 3,
     UpstreamSpoilt: 3,
     UpstreamDrain: 2,
+    UpstreamLeaving: 2,
+    StoreRestore: 2,
     DomainOut: 1,
     ConfigurationMoved: 2,
     Upgrade: 1,
@@ -395,6 +454,21 @@
     return {kind: KIND_WEIGHTS[kind] for kind in random_state.sample(kinds, n_kinds)}
 
 
+def find_kinds(names: Sequence[str]) -> dict[type[Disruption], float]:
+    """Return the kinds of disruption with the given names, with their weights.
+
+    Raises
+    ------
+    ValueError
+        If there is no such kind.
+    """
+    by_name = {kind.__name__: kind for kind in KIND_WEIGHTS}
+    unknown = sorted(set(names) - by_name.keys())
+    if unknown:
+        raise ValueError(f"kinds must be among {', '.join(sorted(by_name))}, got {unknown[0]}")
+    return {by_name[name]: KIND_WEIGHTS[by_name[name]] for name in names}
+
+
 def make_disruption(
     cluster: SoakCluster, kinds: dict[type[Disruption], float], random_state: random.Random
 ) -> Disruption:
--- a/crocusvalve/soak/processes/_run.py
+++ b/crocusvalve/soak/processes/_run.py
@@ -14,7 +14,7 @@
 from crocusvalve.soak.processes._callers import REQUEST_DEADLINES_S, SoakCaller
 from crocusvalve.soak.processes._checker import GuaranteeChecker
 from crocusvalve.soak.processes._cluster import SoakCluster
-from crocusvalve.soak.processes._disruptions import make_disruption, sample_kinds
+from crocusvalve.soak.processes._disruptions import find_kinds, make_disruption, sample_kinds
 from crocusvalve.soak.processes.base import Guarantee, SoakBounds, Violation
 
 __all__ = ["ProcessSoakReport", "ProcessSoakSettings", "run_process_soak"]
@@ -42,6 +42,8 @@
         How long faults are injected.
     n_gateways, n_callers : int
         Number of gateway processes and of concurrent callers.
+    kinds : tuple of str
+        Names of the kinds of disruption; if empty, the seed selects some of them.
     folder : str
         Directory for settings, logs and the report; if empty, they are discarded.
     """
@@ -50,6 +52,7 @@
     seconds: float = 15.0
     n_gateways: int = 5
     n_callers: int = 20
+    kinds: tuple[str, ...] = ()
     folder: str = ""
 
 
@@ -96,6 +99,7 @@
         value = getattr(settings, name)
         if not low <= value <= high:
             raise ValueError(f"{name} must be from {low} to {high}, got {value}")
+    find_kinds(settings.kinds)
 
 
 class ProcessSoak:
@@ -148,7 +152,7 @@
     async def _inject_disruptions(self) -> None:
         """Start disruptions at random intervals until the time is over; they may overlap."""
         rng = self.random_state
-        kinds = sample_kinds(rng)
+        kinds = find_kinds(self.settings.kinds) or sample_kinds(rng)
         pause_s = rng.uniform(*MEAN_PAUSE_RANGE_S)
         started_at = trio.current_time()
         end_at = started_at + self.settings.seconds
--- a/crocusvalve/soak/processes/base.py
+++ b/crocusvalve/soak/processes/base.py
@@ -32,6 +32,10 @@
     deadline_slack_s: float = 0.5
     #: The answer must be complete at most this long after the caller's deadline.
     answer_slack_s: float = 0.5
+    #: Time after which an upstream's wish for no more requests is followed.
+    closure_s: float = 0.5
+    #: Time after which a gateway that has used a change does not return to the state before.
+    revert_s: float = 0.25
     #: A request may reach an upstream up to this long after its caller left.
     leave_slack_s: float = 0.5
 
--- a/crocusvalve/standin/_store.py
+++ b/crocusvalve/standin/_store.py
@@ -45,6 +45,8 @@
         Number of calls received.
     era : int
         Number of restores from a backup, plus one.
+    first_version_of_era : int
+        Version of the backup that the present era began with.
     era_text : str or None
         Value of the header that reports the era, if it is to differ from the era; empty for none.
     """
@@ -56,6 +58,7 @@
         self.version = 0
         self.n_calls = 0
         self.era = 1
+        self.first_version_of_era = 0
         self.era_text: str | None = None
         self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
         self._changed = trio.Event()
@@ -97,6 +100,7 @@
         self._rows = dict(backup.rows)
         self.oldest_version = min(self.oldest_version, backup.version)
         self.era += 1
+        self.first_version_of_era = backup.version
         self._notify()
 
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -37,6 +37,10 @@
       | safe   | a run on an upstream drained too long ago                   | drain      |
       | safe   | a run on an upstream drained 8 s ago, during a store outage | drain      |
       | safe   | a run in a failure domain evacuated too long ago            | evacuation |
+      | safe   | a run 2.5 s after the upstream announced its end            | drain      |
+      | safe   | 3 runs at an upstream that wants none                       | budget     |
+      | safe   | 3 rejections by an upstream that wants no requests          | budget     |
+      | safe   | a return to a service that was replaced just now            | config     |
       | unsafe | no answer after a run                                       | lost       |
       | unsafe | no answer by the deadline                                   | config     |
 
@@ -57,6 +61,11 @@
       | safe   | a run on an upstream drained 6 s ago, during a store outage |
       | safe   | a run on a drained upstream by a paused gateway             |
       | unsafe | 3 runs too long after their callers left                    |
+      | safe   | a run 1.5 s after the upstream announced its end            |
+      | safe   | a run after a new start of an upstream that announced its end |
+      | safe   | a run by a gateway that was started again after the announcement |
+      | safe   | 2 runs at an upstream that wants none                       |
+      | safe   | 3 runs at an upstream whose time is over                    |
 
   Scenario: A completed upgrade to a bad version is reported
     Given a guarantee checker with a sent request of kind safe
@@ -72,3 +81,12 @@
       | n_gateways | 0     |
       | n_callers  | 501   |
       | seconds    | 0     |
+
+  Scenario: A run with the faults that close upstreams and restore the store
+    When gateway processes run with seed 5 for 6 s of StoreRestore,UpstreamLeaving,UpstreamSpoilt
+    Then no guarantee is broken
+    And service recovered and at least 100 requests were served
+
+  Scenario: An unknown kind of disruption is rejected
+    When a soak of processes is started with the kinds StoreRestore,Earthquake
+    Then the error names the kinds and the unknown Earthquake
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -67,6 +67,11 @@
         call = ReceivedRequest(req.method, req.path, fields, req.body if body is None else body)
         self.checker.record_run(upstream, service, call, UpstreamFault.NONE)
 
+    def make_call(self, attempt=None):
+        """Return a request as an upstream receives it."""
+        req = (attempt or self.attempt).req
+        return ReceivedRequest(req.method, req.path, {"x-attempt-id": req.attempt_id}, req.body)
+
     def answer(self, status, body=b"", *, name="a1", is_signed=True, attempt=None):
         """End a request with a complete answer that names the attempt ``name``."""
         attempt = attempt or self.attempt
@@ -164,7 +169,63 @@
     harness.run(upstream="ops-002")
 
 
+def observe_runs_after_announcement(harness, *, after_s, forget=lambda checker: None):
+    """Run a request, whose answer announces the upstream's end, and one more some time later."""
+    harness.checker.record_leaving(UPSTREAM, harness.make_call())
+    harness.now += after_s
+    forget(harness.checker)
+    harness.run(harness.send("a2"))
+
+
+def observe_runs_while_closed(harness, n, *, after_s=1.0, are_rejected=False):
+    """Reject a request for 2 s, and send some more to the upstream after a time."""
+    harness.checker.record_rejection(UPSTREAM, harness.make_call(), 2.0)
+    harness.now += after_s
+    for number in range(n):
+        attempt = harness.send(f"b{number}")
+        if are_rejected:
+            harness.checker.record_rejection(UPSTREAM, harness.make_call(attempt), 0.0)
+        else:
+            harness.run(attempt)
+
+
+def observe_return_to_replaced_service(harness):
+    """Run requests on the current service of a route and then on the replaced one."""
+    route = harness.kind.value
+    harness.checker.routes = {route: ServiceHistory([(0.0, "old"), (harness.now - 0.5, SERVICE)])}
+    harness.run()
+    harness.now += 0.5
+    harness.run(harness.send("a2"), service="old")
+
+
 OBSERVATIONS = {
+    "a run 2.5 s after the upstream announced its end": lambda harness: (
+        observe_runs_after_announcement(harness, after_s=2.5)
+    ),
+    "a run 1.5 s after the upstream announced its end": lambda harness: (
+        observe_runs_after_announcement(harness, after_s=1.5)
+    ),
+    "a run after a new start of an upstream that announced its end": lambda harness: (
+        observe_runs_after_announcement(
+            harness, after_s=2.5, forget=lambda checker: checker.forget_leaving(UPSTREAM)
+        )
+    ),
+    "a run by a gateway that was started again after the announcement": lambda harness: (
+        observe_runs_after_announcement(
+            harness,
+            after_s=2.5,
+            forget=lambda checker: checker.disruption_table.record(GATEWAY, harness.now - 1),
+        )
+    ),
+    "3 runs at an upstream that wants none": lambda harness: observe_runs_while_closed(harness, 3),
+    "3 rejections by an upstream that wants no requests": lambda harness: (
+        observe_runs_while_closed(harness, 3, are_rejected=True)
+    ),
+    "2 runs at an upstream that wants none": lambda harness: observe_runs_while_closed(harness, 2),
+    "3 runs at an upstream whose time is over": lambda harness: observe_runs_while_closed(
+        harness, 3, after_s=2.1
+    ),
+    "a return to a service that was replaced just now": observe_return_to_replaced_service,
     "a run of a request that no caller sent": lambda harness: harness.run(x_attempt_id="other"),
     "a run with a changed body": lambda harness: harness.run(body=b"other"),
     "a run as another customer": lambda harness: harness.run(x_tenant="second"),
@@ -265,9 +326,10 @@
     assert {row.promise.value for row in violations} == expected, violations
 
 
-@when("gateway processes run with seed {seed:d} for {seconds:g} s of faults")
-def when_gateways_run(context, seed, seconds):
-    context.report = run_process_soak(ProcessSoakSettings(seed=seed, seconds=seconds))
+@when("gateway processes run with seed {seed:d} for {seconds:g} s of {kinds}")
+def when_gateways_run_with(context, seed, seconds, kinds):
+    chosen = () if kinds == "faults" else tuple(kinds.split(","))
+    context.report = run_process_soak(ProcessSoakSettings(seed=seed, seconds=seconds, kinds=chosen))
 
 
 @then("no guarantee is broken")
@@ -288,6 +350,21 @@
         assert not file.read().strip()
 
 
+@when("a soak of processes is started with the kinds {kinds}")
+def when_unknown_kind(context, kinds):
+    context.error = None
+    try:
+        run_process_soak(ProcessSoakSettings(kinds=tuple(kinds.split(","))))
+    except ValueError as exc:
+        context.error = exc
+
+
+@then("the error names the kinds and the unknown {name}")
+def then_unknown_kind(context, name):
+    text = str(context.error)
+    assert "StoreRestore" in text and text.endswith(f"got {name}"), text
+
+
 @when("a soak of processes is started with {name} {value:d}")
 def when_wrong_size(context, name, value):
     context.error = None
