--- a/crocusvalve/soak/processes/__init__.py
+++ b/crocusvalve/soak/processes/__init__.py
@@ -1,6 +1,11 @@
 """Randomised runs of real gateway processes, with faults injected through signals and proxies."""
 
-from crocusvalve.soak.processes._checker import Acknowledgement, GuaranteeChecker, ServiceHistory
+from crocusvalve.soak.processes._checker import (
+    STORE,
+    Acknowledgement,
+    GuaranteeChecker,
+    ServiceHistory,
+)
 from crocusvalve.soak.processes._run import (
     ProcessSoakReport,
     ProcessSoakSettings,
@@ -14,6 +19,7 @@
     "CallKind",
     "ProcessSoakReport",
     "ProcessSoakSettings",
+    "STORE",
     "Guarantee",
     "ServiceHistory",
     "SoakBounds",
--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -15,7 +15,7 @@
 )
 from crocusvalve.standin import N_EVENTS, ReceivedRequest, UpstreamFault, make_event, split_events
 
-__all__ = ["Acknowledgement", "GuaranteeChecker", "ServiceHistory"]
+__all__ = ["STORE", "Acknowledgement", "GuaranteeChecker", "ServiceHistory"]
 
 #: Name of the store as a component.
 STORE = "store"
@@ -144,7 +144,7 @@
         if self.disruption_table.is_quiet(components, now):
             self._check_deadline(attempt, call, now)
             self._check_abandoned(attempt, now)
-        if self.disruption_table.is_quiet((*components, STORE), now):
+        if self.disruption_table.is_quiet(components, now):
             self._check_placement(attempt, upstream, now)
 
     def record_rejection(self, upstream: str, call: ReceivedRequest, span_s: float) -> None:
@@ -279,19 +279,37 @@
                 self.report(Guarantee.GONE, description)
 
     def _check_placement(self, attempt: Attempt, upstream: str, now: float) -> None:
-        """Check that the upstream is neither drained nor in an evacuated failure domain."""
+        """Check that the upstream is neither drained nor in an evacuated failure domain.
+
+        While the store is disrupted, a gateway is bound only by what it must have read before.
+        """
         name = attempt.req.attempt_id
         drained = self.drained_upstreams.get(upstream)
-        if drained is not None and drained.is_overdue(self.bounds.drain_s, self.bounds, now):
+        if self._is_bound(attempt.gateway, drained, self.bounds.drain_s, now):
             self.report(
                 Guarantee.DRAIN,
                 f"{name} reaches {upstream} {now - drained.acknowledged_at:.2f} s after",
             )
         evacuated = self.evacuated_domains.get(self.upstream_domains[upstream])
-        if evacuated is not None and evacuated.is_overdue(self.bounds.evacuate_s, self.bounds, now):
+        if self._is_bound(attempt.gateway, evacuated, self.bounds.evacuate_s, now):
             description = f"{name} reaches {upstream} {now - evacuated.acknowledged_at:.2f} s after"
             self.report(Guarantee.EVACUATION, description)
 
+    def _is_bound(
+        self, gateway: str, change: Acknowledgement | None, bound_s: float, now: float
+    ) -> bool:
+        """Return whether a gateway has to know a change by now."""
+        if change is None:
+            return False
+        table = self.disruption_table
+        if table.is_quiet((STORE,), now):
+            return change.is_overdue(bound_s, self.bounds, now)
+        return (
+            change.is_store_quiet
+            and table.get_began_at(STORE) - change.acknowledged_at > bound_s
+            and table.is_undisrupted(gateway, change.acknowledged_at - self.bounds.contact_s)
+        )
+
     def record_end(self, attempt: Attempt) -> None:
         """Record the end of a request, by its answer or by its caller, and check the outcome."""
         now = self.clock()
--- a/crocusvalve/soak/processes/_disruption_table.py
+++ b/crocusvalve/soak/processes/_disruption_table.py
@@ -20,18 +20,27 @@
         self.quiet_period_s = quiet_period_s
         self._ended_at: dict[str, float] = {}
         self._n_open: dict[str, int] = {}
+        self._began_at: dict[str, float] = {}
 
-    def begin(self, component: str) -> None:
+    def begin(self, component: str, now: float) -> None:
         """Record the beginning of a disruption of a component."""
+        if not self._n_open.get(component, 0):
+            self._began_at[component] = now
         self._n_open[component] = self._n_open.get(component, 0) + 1
 
+    def get_began_at(self, component: str) -> float:
+        """Return when the latest disruption began; infinite if there was none."""
+        return self._began_at.get(component, float("inf"))
+
     def end(self, component: str, now: float) -> None:
         """Record the end of a disruption of a component."""
+        self._ended_at[component] = max(now, self._ended_at.get(component, now))
         self._n_open[component] -= 1
-        self.record(component, now)
 
     def record(self, component: str, now: float) -> None:
         """Record a disruption of a component without duration."""
+        if not self._n_open.get(component, 0):
+            self._began_at[component] = now
         self._ended_at[component] = max(now, self._ended_at.get(component, now))
 
     def is_undisrupted(self, component: str, since: float) -> bool:
--- a/crocusvalve/soak/processes/_disruptions.py
+++ b/crocusvalve/soak/processes/_disruptions.py
@@ -91,7 +91,7 @@
         disruption_table = self.cluster.checker.disruption_table
         components = () if self.is_planned else self.components
         for component in components:
-            disruption_table.begin(component)
+            disruption_table.begin(component, self.cluster.checker.clock())
         try:
             self.begin()
             await trio.sleep(duration_s)
@@ -241,7 +241,7 @@
         backup = store.make_backup()
         await trio.sleep(self.age_s)
         disruption_table = self.cluster.checker.disruption_table
-        disruption_table.begin(STORE)
+        disruption_table.begin(STORE, self.cluster.checker.clock())
         try:
             self.begin()
             await trio.sleep(self.random_state.uniform(0.1, 1.0))
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -36,6 +36,7 @@
       | safe   | a run on a service that was replaced long ago               | config     |
       | safe   | a run on an upstream drained too long ago                   | drain      |
       | safe   | a run on an upstream drained 8 s ago, during a store outage | drain      |
+      | safe   | a run in a store outage on an upstream drained 4 s before it | drain      |
       | safe   | a run in a failure domain evacuated too long ago            | evacuation |
       | safe   | a run 2.5 s after the upstream announced its end            | drain      |
       | safe   | 3 runs at an upstream that wants none                       | budget     |
@@ -60,6 +61,7 @@
       | safe   | a run on an upstream drained just now                       |
       | safe   | a run on an upstream drained 6 s ago, during a store outage |
       | safe   | a run on a drained upstream by a paused gateway             |
+      | safe   | a run in a store outage on an upstream drained 1 s before it |
       | unsafe | 3 runs too long after their callers left                    |
       | safe   | a run 1.5 s after the upstream announced its end            |
       | safe   | a run after a new start of an upstream that announced its end |
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from crocusvalve.soak.processes import (
+    STORE,
     Acknowledgement,
     Attempt,
     CallKind,
@@ -132,8 +133,15 @@
     harness.checker.record_end(harness.attempt)
 
 
+def observe_drained_before_outage(harness, drained_ago_s):
+    """Run a request on an upstream drained some time before a store outage that began 1 s ago."""
+    harness.checker.disruption_table.begin(STORE, harness.now - 1.0)
+    harness.drain_upstream(drained_ago_s)
+    harness.run()
+
+
 def observe_drained_by_paused_gateway(harness):
-    harness.checker.disruption_table.begin(GATEWAY)
+    harness.checker.disruption_table.begin(GATEWAY, harness.now)
     harness.drain_upstream(100.0)
     harness.run()
 
@@ -294,6 +302,12 @@
         ),
         harness.run(),
     ),
+    "a run in a store outage on an upstream drained 4 s before it": lambda harness: (
+        observe_drained_before_outage(harness, 5.0)
+    ),
+    "a run in a store outage on an upstream drained 1 s before it": lambda harness: (
+        observe_drained_before_outage(harness, 2.0)
+    ),
     "no answer after a run": observe_no_answer,
     "no answer by the deadline": lambda harness: observe_no_answer(
         harness, after_s=4.6, has_run=False
