Expected times of answers are learned; slow upstreams get less work; a ready answer isn't given up for one that can't end

During an outage of the store three followers and the member loop each probed it.

Change: PaceTable learns time to the first event by model and duration by token; a larger model is asked only if its answer is expected to end before the deadline, else the middle one, else the ready answer is delivered. Slowness of each upstream against expectation, with a half-life, weighs on placement. Rendezvous hashing ranks three preferred upstreams. One follower probes an unavailable store.

Tests: features/gateway/pace.feature, decisions.feature.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -15,6 +15,7 @@
 from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
+from crocusvalve.gateway._pace import PaceTable
 from crocusvalve.gateway._peers import PeerTable, SentPromptParts
 from crocusvalve.gateway._placement import (
     Placement,
@@ -23,6 +24,7 @@
 )
 from crocusvalve.gateway._prompts import count_unread_tokens, get_shared_parts, record_parts
 from crocusvalve.gateway._request import GatewayRequest
+from crocusvalve.gateway._slowness import record_answer_time
 from crocusvalve.gateway._sockets import connect
 from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
 from crocusvalve.gateway._upstream_call import CallError, CallFailure, UpstreamCall
@@ -147,6 +149,8 @@
 
     Attributes
     ----------
+    pace : PaceTable
+        Expected times of answers.
     spawn : callable
         Starts a background task; set by the gateway's process.
     sent_prompt_parts : deque
@@ -173,6 +177,7 @@
         self.codec = codec
         self.observer = observer
         self.clock = clock
+        self.pace = PaceTable()
         self.spawn: Callable[..., None] = lambda *_: None
         self.sent_prompt_parts: deque[SentPromptParts] = deque(maxlen=MAX_SENT_PROMPT_PARTS)
         self._budgets: dict[ServiceName, AttemptBudget] = {}
@@ -341,6 +346,27 @@
                 is_reference=order is None or upstream.version != order.version,
             )
 
+    def record_first_event(self, req: GatewayRequest, attempt: Attempt, first_s: float) -> None:
+        """Record the time to a stream's first event, or for which none has arrived."""
+        now = self.clock.now()
+        queued_tokens = attempt.work.queued_tokens
+        service, model = req.service.name, attempt.model
+        expected_s = self.pace.compute_first_event_s(service, model, queued_tokens, now)
+        load = self.tables.get_load(attempt.upstream.upstream_id)
+        record_answer_time(load, first_s, expected_s, now)
+        self.pace.record_first_event(service, model, queued_tokens, first_s, now)
+
+    def record_plain_answer(
+        self, req: GatewayRequest, upstream: Upstream, elapsed_s: float
+    ) -> None:
+        """Record the time to a plain answer."""
+        now = self.clock.now()
+        expected_s = self.pace.compute_plain_s(req.service.name)
+        if expected_s is not None:
+            load = self.tables.get_load(upstream.upstream_id)
+            record_answer_time(load, elapsed_s, expected_s, now)
+        self.pace.record_plain_answer(req.service.name, elapsed_s, now)
+
     def record_call_error(self, req: GatewayRequest, upstream: Upstream, exc: CallError) -> None:
         """Record an attempt that failed without a valid reply; check for a crash."""
         if exc.failure is CallFailure.CLOSED:
--- a/crocusvalve/gateway/_flow.py
+++ b/crocusvalve/gateway/_flow.py
@@ -74,6 +74,7 @@
         with trio.move_on_after(max(0.0, req.compute_left_s(self.clock.now()))):
             return await self.answer(req, responder)
         if responder.has_started:
+            self.record_cut_answer(req)
             raise AnswerAbortedError("the deadline passed within the answer")
         if req.has_run:
             message = "no answer before the deadline"
@@ -87,6 +88,9 @@
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
         """Answer a request; cancelled at its deadline."""
 
+    def record_cut_answer(self, req: GatewayRequest) -> None:  # noqa: B027
+        """Record that the deadline passed within an answer."""
+
     async def wait_for_upstream(
         self, req: GatewayRequest, since: float, model: str = ""
     ) -> Upstream | None:
--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/_followers.py
@@ -48,6 +48,12 @@
 MIN_OUTAGE_S = 2.4
 
 
+#: Shortest delay after a failed call.
+MIN_RETRY_DELAY_S = 0.05
+#: Longest time for which a follower waits for another one to reach the store.
+MAX_RECOVERY_WAIT_S = 4.0
+
+
 class StoreState:
     """Availability of the store as seen by its followers, and an estimate of its clock.
 
@@ -65,6 +71,7 @@
         self.answered_at = float("-inf")
         self.era = 0
         self._offset_s = 0.0
+        self._recovered = trio.Event()
 
     @property
     def is_up(self) -> bool:
@@ -77,14 +84,22 @@
         self.answered_at = now
         self.era = max(self.era, page.era)
         self._offset_s = page.time_s - now
+        self._recovered.set()
         return was_down
 
     def record_failure(self, now: float) -> bool:
         """Record a failed call; return whether it is the first since the start or an answer."""
         was_up = self.is_up or self.failed_at == float("-inf")
         self.failed_at = now
+        if self._recovered.is_set():
+            self._recovered = trio.Event()
         return was_up
 
+    async def wait_until_up(self, timeout_s: float) -> None:
+        """Wait until a call is answered, at most for ``timeout_s`` seconds."""
+        with trio.move_on_after(timeout_s):
+            await self._recovered.wait()
+
     def compute_time_s(self, now: float) -> float:
         """Return the store's time in seconds at a local time."""
         return now + self._offset_s
@@ -471,6 +486,9 @@
         Pause in seconds after each call, so that frequent changes arrive in batches.
     is_enabled : callable
         Returns whether changes are to be followed now; the first read is made in any case.
+    is_probing : bool
+        Whether this follower finds out when an unavailable store answers again; the others wait
+        for it, since each call is charged, a refused one too.
     """
 
     def __init__(
@@ -484,6 +502,7 @@
         wait_s: float,
         pause_s: float = 0.0,
         is_enabled: Callable[[], bool] = lambda: True,
+        is_probing: bool = True,
     ):
         self.feed = feed
         self.handler = handler
@@ -493,6 +512,7 @@
         self.wait_s = wait_s
         self.pause_s = pause_s
         self.is_enabled = is_enabled
+        self.is_probing = is_probing
         self._n_failures = 0
         self._outage_since = 0.0
 
@@ -512,7 +532,11 @@
                 self.handler.replica.version = None
             except PlatformError as exc:
                 self._record_failure(exc)
-                await trio.sleep(0.05 + self.backoff.compute_delay_s(self._n_failures))
+                await trio.sleep(MIN_RETRY_DELAY_S)
+                if self.is_probing:
+                    await trio.sleep(self.backoff.compute_delay_s(self._n_failures))
+                else:
+                    await self.store.wait_until_up(MAX_RECOVERY_WAIT_S)
 
     async def _read_once(self) -> None:
         handler = self.handler
--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -1,5 +1,6 @@
 """Choice of an upstream for an attempt."""
 
+import heapq
 from collections.abc import Callable, Sequence
 from enum import Enum
 
@@ -8,6 +9,7 @@
 from crocusvalve.base import DomainId, UpstreamId
 from crocusvalve.gateway._cold_start import may_send_cold
 from crocusvalve.gateway._prompts import count_unread_tokens
+from crocusvalve.gateway._slowness import compute_slowness
 from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
 from crocusvalve.gateway._upgrades import VersionChoice
 from crocusvalve.gateway.base import PrefixPart, ServiceName, Upstream
@@ -28,9 +30,9 @@
 #: Extra work, in prompt tokens, that counts against sending a heavy (False) or light (True) request
 #: to an upstream of the other kind.
 MIXING_PENALTY = {False: 40_000.0, True: 10_000.0}
-#: Weight of a prompt's unprocessed tokens on its preferred upstream, which is the same on all
-#: gateways.
-PREFERRED_FACTOR = 0.4
+#: Weights of a prompt's unprocessed tokens on its preferred upstreams, which are the same on all
+#: gateways, from the first one on.
+PREFERRED_FACTORS = (0.4, 0.6, 0.8)
 
 
 class PlacementReason(Enum):
@@ -126,9 +128,9 @@
         )
         return Placement(best, PlacementReason.LAST_RESORT)
     if query.affinity:
-        return _choose_by_work(tables, query, healthy)
+        return _choose_by_work(tables, query, healthy, now)
     return Placement(
-        min(healthy, key=lambda upstream: _rank_by_requests(tables, query, upstream)),
+        min(healthy, key=lambda upstream: _rank_by_requests(tables, query, upstream, now)),
         PlacementReason.LEAST_LOADED,
     )
 
@@ -161,11 +163,16 @@
 
 
 def _rank_by_requests(
-    tables: GatewayTables, query: PlacementQuery, upstream: Upstream
+    tables: GatewayTables, query: PlacementQuery, upstream: Upstream, now: float
 ) -> tuple[float, int, float]:
     load = tables.get_load(upstream.upstream_id)
     is_far = int(upstream.domain != query.domain)
-    return (_count_inflight(load) / upstream.slots, is_far, load.failure_weight)
+    n_requests = _count_inflight(load)
+    slowness = compute_slowness(load, now)
+    if slowness > 1.0:
+        # Counts the request itself, so that an idle slow upstream ranks behind an idle fast one.
+        n_requests = (n_requests + 1) * slowness
+    return (n_requests / upstream.slots, is_far, load.failure_weight)
 
 
 def _choose_light_upstreams(query: PlacementQuery, upstreams: list[Upstream]) -> set[UpstreamId]:
@@ -179,28 +186,39 @@
 
 
 def _choose_by_work(
-    tables: GatewayTables, query: PlacementQuery, upstreams: list[Upstream]
+    tables: GatewayTables, query: PlacementQuery, upstreams: list[Upstream], now: float
 ) -> Placement:
-    """Choose the upstream on which the first event is expected soonest."""
+    """Choose the upstream on which the first event is expected soonest.
+
+    Every gateway ranks the upstreams for a prompt in the same order by rendezvous hashing, and
+    expects the first ones to have its shared parts cached. So the gateways that find the first one
+    busy agree on the next.
+    """
     light = _choose_light_upstreams(query, upstreams)
     is_light = query.model_weight < LIGHT_WEIGHT
     same_kind = [
         upstream for upstream in upstreams if (upstream.upstream_id in light) == is_light
     ] or upstreams
-    preferred = max(
-        same_kind, key=lambda upstream: hash_to_unit(f"{query.affinity}|{upstream.upstream_id}")
+    preferred = heapq.nlargest(
+        len(PREFERRED_FACTORS),
+        same_kind,
+        key=lambda upstream: hash_to_unit(f"{query.affinity}|{upstream.upstream_id}"),
     )
+    factors = {
+        upstream.upstream_id: factor
+        for upstream, factor in zip(preferred, PREFERRED_FACTORS, strict=False)
+    }
 
     def compute_work(upstream: Upstream) -> float:
         load = tables.get_load(upstream.upstream_id)
         unread = count_unread_tokens(load, query.model, query.parts) * query.model_weight
-        if upstream is preferred:
-            unread *= PREFERRED_FACTOR
+        unread *= factors.get(upstream.upstream_id, 1.0)
         if light and (upstream.upstream_id in light) != is_light:
             unread += MIXING_PENALTY[is_light]
         waiting = load.pending_work + load.peer_pending_work
-        return unread + waiting + INFLIGHT_WORK * _count_inflight(load)
+        work = unread + waiting + INFLIGHT_WORK * _count_inflight(load)
+        return work * compute_slowness(load, now)
 
     best = min(upstreams, key=compute_work)
-    reason = PlacementReason.AFFINITY if best is preferred else PlacementReason.LEAST_LOADED
+    reason = PlacementReason.AFFINITY if best is preferred[0] else PlacementReason.LEAST_LOADED
     return Placement(best, reason, compute_work(best))
--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -143,6 +143,7 @@
             req.notes.append(f"{upstream.upstream_id}:not_run")
             await send.send(_Result(_AttemptEnd.NOT_RUN, upstream))
             return
+        self.attempt_manager.record_plain_answer(req, upstream, elapsed_s)
         is_failure = reply.status >= 500
         outcome = Outcome.FAILURE if is_failure else Outcome.SUCCESS
         self.attempt_manager.record_outcome(req, upstream, outcome, first_s=elapsed_s)
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -52,9 +52,11 @@
 UPSTREAM_PAUSE_FRACTION = 0.3
 BACKOFF_BASE_S = 0.1
 BACKOFF_MAX_S = 1.0
-#: Table in which gateways register to find each other, and the pause between two reads of it.
+#: Table in which gateways register to find each other, the pause after the first read of it, in
+#: which the gateways that start at the same time register, and the pause between later reads.
 MEMBER_TABLE = "gateways"
-MEMBER_PAUSE_S = 15.0
+FIRST_MEMBER_PAUSE_S = 4.0
+MEMBER_PAUSE_S = 45.0
 MEMBER_RETRY_S = 1.0
 #: Interval at which a stopping gateway checks whether requests are open.
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -218,8 +220,11 @@
             self._make_follower(
                 self.upstream_handler,
                 pause_s=UPSTREAM_PAUSE_FRACTION * self.settings.bounds.drain_s,
+                is_probing=False,
+            ).run,
+            self._make_follower(
+                self.status_handler, is_enabled=self._must_follow_status, is_probing=False
             ).run,
-            self._make_follower(self.status_handler, is_enabled=self._must_follow_status).run,
             self.upgrades.run,
             link.run,
             self.copy_exchange.run,
@@ -337,6 +342,7 @@
     async def _discover_members(self) -> None:
         """Register this gateway in the store and read the hosts of the others from it."""
         host = self.settings.peer.host.encode()
+        pause_s = FIRST_MEMBER_PAUSE_S
         while True:
             try:
                 page = await self.feed.read_table(MEMBER_TABLE)
@@ -347,10 +353,12 @@
                     await self.feed.put_row(MEMBER_TABLE, self.settings.node_id, host, version)
                 hosts = [row.value.decode("latin-1") for row in page.rows if row.value]
                 self.peers.add_hosts(hosts, self.clock.now())
-                await self._wait_for_restore(page.era, MEMBER_PAUSE_S)
+                await self._wait_for_restore(page.era, pause_s)
+                pause_s = MEMBER_PAUSE_S
             except PlatformError:
                 self.observer.count_store_fault()
                 await trio.sleep(MEMBER_RETRY_S)
+                await self.store.wait_until_up(MEMBER_PAUSE_S)
 
     async def _wait_for_restore(self, era: int, timeout_s: float) -> None:
         """Wait for a time, or until shortly after the store was restored to a later era."""
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from crocusvalve.gateway._attempts import Attempt
-from crocusvalve.gateway._cascade import choose_larger_model
+from crocusvalve.gateway._cascade import AnswerEstimate, choose_larger_model
 from crocusvalve.gateway._events import EventSplitter, StreamEvent
 from crocusvalve.gateway._flow import Flow, make_gateway_error
 from crocusvalve.gateway._health import Outcome
@@ -23,12 +23,10 @@
 FIRST_EVENT_FRACTION = 0.9
 #: Minimum number of events of a stream at which the mean time between them is measured.
 MIN_PACED_EVENTS = 4
-#: Prompt tokens of the costliest model that an upstream processes in a second, from the users' data
-#: sheet, and the multiple of the time for its queued work that is waited in addition.
-READ_TOKENS_PER_S = 18_000.0
+#: Multiple of the expected time for an upstream's queued work that is waited in addition.
 WORK_TIME_FACTOR = 3.0
-#: Time from the last prompt token to the first event, from the users' data sheet.
-FIRST_EVENT_S = 0.12
+#: Multiple of the expected duration of a larger model's answer that must be left for it.
+DURATION_MARGIN = 1.25
 #: Fraction of the goal for pauses between events after which a stream is resumed elsewhere.
 STALL_FRACTION = 0.8
 
@@ -78,6 +76,15 @@
             if not self._may_continue(req, end):
                 return await self._give_up(req, progress, responder, "attempt")
 
+    def record_cut_answer(self, req: GatewayRequest) -> None:
+        """Record how long a stream took that the deadline has cut."""
+        now = self.clock.now()
+        if req.first_event_at is not None:
+            duration_s = now - req.first_event_at
+            self.attempt_manager.pace.record_cut_stream(
+                req.service.name, req.model, req.caller.max_output_tokens, duration_s, now
+            )
+
     async def _give_up(
         self, req: GatewayRequest, progress: _Progress, responder: Responder, step: str
     ) -> RequestEnd:
@@ -145,7 +152,7 @@
                     progress.model,
                     reply.confidence,
                     req.n_attempts_left,
-                    is_in_time=lambda: self._is_in_time(req),
+                    estimate=lambda model: self._estimate_larger_answer(req, model),
                 )
             if larger is not None and self.attempt_manager.may_send_again(req, self.clock.now()):
                 waited_s = self.clock.now() - started_at
@@ -162,12 +169,14 @@
             events, is_over = await self._read_events(attempt, splitter)
         if scope.cancelled_caught:
             self.attempt_manager.record_outcome(req, upstream, Outcome.LATE)
+            self.attempt_manager.record_first_event(req, attempt, self.clock.now() - started_at)
             req.notes.append(
                 f"{upstream.upstream_id}:no event within {first_event_timeout_s:.2f} s"
             )
             return _AttemptEnd.LOST
         attempt.work.finish()
         first_at = self.clock.now()
+        self.attempt_manager.record_first_event(req, attempt, first_at - started_at)
         n_before = req.n_events
         self.attempt_manager.record_outcome(
             req, upstream, Outcome.SUCCESS, first_s=first_at - started_at
@@ -179,6 +188,8 @@
             await self._forward_events(req, progress, reply, events, responder)
             if is_over:
                 self._record_pause(req, upstream, req.n_events - n_before, first_at)
+                if n_before == 0 and not req.caller.last_event_id:
+                    self._record_duration(req, progress.model, first_at)
                 return _AttemptEnd.COMPLETE
             with trio.move_on_after(stall_s) as scope:
                 events, is_over = await self._read_events(attempt, splitter)
@@ -197,7 +208,9 @@
         A busy upstream is given more time, since a second attempt would add to the total load.
         """
         if req.n_attempts_left > 0 and req.route.is_repeatable:
-            work_s = attempt.work.queued_tokens / READ_TOKENS_PER_S
+            work_s = self.attempt_manager.pace.compute_first_event_s(
+                req.service.name, attempt.model, attempt.work.queued_tokens, self.clock.now()
+            )
             return FIRST_EVENT_FRACTION * req.route.goal_s + WORK_TIME_FACTOR * work_s
         return float("inf")
 
@@ -208,12 +221,24 @@
             pause_s = (self.clock.now() - first_at) / n_events
             self.attempt_manager.record_outcome(req, upstream, Outcome.SUCCESS, pause_s=pause_s)
 
-    def _is_in_time(self, req: GatewayRequest) -> bool:
-        """Return whether the largest model's first event is expected within the goal."""
+    def _record_duration(self, req: GatewayRequest, model: str, first_at: float) -> None:
+        """Record the time from the first to the last event of a stream from one upstream."""
         now = self.clock.now()
-        placement = self.attempt_manager.place(req, now, req.route.models[-1])
-        expected_s = FIRST_EVENT_S + placement.work / READ_TOKENS_PER_S
-        return now + expected_s <= req.arrived_at + req.route.goal_s
+        self.attempt_manager.pace.record_stream(
+            req.service.name, model, req.caller.max_output_tokens, now - first_at, now
+        )
+
+    def _estimate_larger_answer(self, req: GatewayRequest, model: str) -> AnswerEstimate:
+        """Estimate whether a larger model's answer begins within the goal, and ends in time."""
+        now = self.clock.now()
+        pace, service = self.attempt_manager.pace, req.service.name
+        placement = self.attempt_manager.place(req, now, model)
+        first_s = pace.compute_first_event_s(service, model, placement.work, now)
+        stream_s = pace.compute_stream_s(service, model, req.caller.max_output_tokens)
+        return AnswerEstimate(
+            begins_in_goal=now + first_s <= req.arrived_at + req.route.goal_s,
+            ends_in_time=first_s + DURATION_MARGIN * stream_s <= req.compute_left_s(now),
+        )
 
     async def _record_failure(
         self, req: GatewayRequest, progress: _Progress, attempt: Attempt, reply: Reply
--- a/crocusvalve/gateway/_tables.py
+++ b/crocusvalve/gateway/_tables.py
@@ -44,6 +44,10 @@
         Until this time the upstream is cold and handles a light load only.
     cold_send_times : list of float
         Times of the requests sent to the cold upstream within the last second.
+    log_slowness : float
+        Moving mean of the logarithm of the ratio of actual to expected times of its answers.
+    slowness_at : float
+        Time of the last answer in this mean.
     """
 
     n_inflight: int = 0
@@ -59,6 +63,8 @@
     decayed_at: float = 0.0
     cold_until: float = 0.0
     cold_send_times: list[float] = field(default_factory=list)
+    log_slowness: float = 0.0
+    slowness_at: float = 0.0
 
 
 class GatewayTables:
@@ -177,6 +183,7 @@
         if previous is not None and previous.started_ms != row.started_ms:
             load.suspended_until = 0.0
             load.n_consecutive_suspensions = 0
+            load.log_slowness = 0.0
         return previous
 
     def drop_upstream(self, upstream_id: UpstreamId) -> Upstream | None:
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -140,3 +140,9 @@
     Given a follower of the upstream table that drops a leaving upstream within 2 s
     When the store is unavailable for 5 s, an entry is missing at its recovery and registered again 1 s later
     Then the entry is in use all the time
+
+  Scenario: While the store is unavailable one follower probes it and the others wait for that
+    Given a probing and a waiting follower of a store that is unavailable from 5 s to 15 s
+    When they run for 20 s
+    Then the waiting follower makes at most 4 calls while the store is unavailable
+    And it makes its next call within 0.1 s of the first answer
--- /dev/null
+++ b/features/gateway/pace.feature
@@ -0,0 +1,58 @@
+Feature: Expected times of answers decide where requests go and whether an answer is given up
+
+  Scenario Outline: A ready answer is given up only for one that ends in time
+    Given a route with the models small, middle and large
+    And the large model's answer would <large> and the middle model's would <middle>
+    When the small model answers with a confidence of <confidence>
+    Then <result>
+
+    Examples:
+      | confidence | large                  | middle                 | result                  |
+      | 60         | begin and end in time  | begin and end in time  | its answer is forwarded |
+      | 40         | begin and end in time  | begin and end in time  | the large model is asked |
+      | 40         | begin late             | begin and end in time  | its answer is forwarded |
+      | 40         | end too late           | begin and end in time  | the middle model is asked |
+      | 10         | begin late             | begin and end in time  | the large model is asked |
+      | 10         | end too late           | begin late             | the middle model is asked |
+      | 10         | end too late           | end too late           | its answer is forwarded |
+
+  Scenario: An answer that is too short of time is not given up, and the caller gets it
+    Given a gateway with two upstreams
+    And the smaller model's confidence is 10
+    When streams of the large model have taken 30 s, and a caller opens a stream at /stream/1
+    Then the answer comes from the model small after 1 runs
+
+  Scenario Outline: The rate at which prompts are processed is learned, within bounds, and forgotten
+    Given a service whose first events have come <first> s after 20000 queued tokens, 12 times
+    Then after <age> s a first event after 20000 queued tokens is expected within <low> s to <high> s
+
+    Examples:
+      | first | age | low | high |
+      | 0.52  | 0   | 0.5 | 0.6  |
+      | 3.12  | 0   | 3.0 | 3.2  |
+      | 90    | 0   | 4.9 | 5.0  |
+      | 0     | 0   | 0.1 | 0.2  |
+      | 3.12  | 60  | 1.2 | 1.4  |
+
+  Scenario: The duration of streams is learned by model, also from streams that were cut
+    Given a service whose streams of 100 tokens took 2 s with the model small and 8 s with large
+    Then a stream of 200 tokens is expected to take 4 s with small, 16 s with large and 0 s with another
+    And after 20 streams with large that were cut after 30 s it is expected to take more than 40 s
+    And after 20 streams with small that were cut after 1 s it is expected to take 4 s
+
+  Scenario: Gateways that know of each other's prompts late agree on the upstreams of a prompt
+    Given 12 upstreams of a service with a small and a large model
+    When two gateways place the same 40 prompts while the first upstream of each is busy
+    Then they choose the same upstream for at least 38 of them
+
+  Scenario: A slow upstream gets less work, not none, and more again once it is fast
+    Given 6 upstreams, of which u2 takes 4 times as long from 10 s to 30 s
+    When for 50 s 30 prompts of 6000 tokens arrive per second at one gateway
+    Then u2 gets between 2 in 100 and 60 in 100 of a fair share from 15 s to 30 s
+    And it gets at least 60 in 100 of a fair share from 42 s to 50 s
+    And with it the 99th percentile of the waits from 15 s to 30 s is shorter than without
+
+  Scenario: A slow upstream of plain requests gets fewer of them
+    Given 5 upstreams of a plain service, of which u2 takes 4 times as long
+    When for 20 s 60 plain requests of 20 ms arrive per second
+    Then u2 gets at most 12 in 100 of the requests, and some within each 10 s
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -633,3 +633,69 @@
     for model, waits in context.waits.items():
         share = sum(wait <= goal_s for wait in waits) / len(waits)
         assert share >= n / 100, (model, share)
+
+
+class CountingFeed(ScriptedFeed):
+    """A scripted feed that records the times of its calls."""
+
+    def __init__(self, outage_start_s, outage_end_s):
+        super().__init__(outage_start_s, outage_end_s, [])
+        self.called_at = []
+
+    async def wait_for_changes(self, table, after, wait_s):
+        self.called_at.append(trio.current_time())
+        return await super().wait_for_changes(table, after, min(wait_s, 1.0))
+
+
+@given(
+    "a probing and a waiting follower of a store that is unavailable from {low:d} s to {high:d} s"
+)
+def given_two_followers(context, low, high):
+    context.outage = (low, high)
+    context.feeds = [CountingFeed(low, high) for _ in range(2)]
+
+
+@when("they run for {span_s:d} s")
+def when_followers_run(context, span_s):
+    store = StoreState()
+    observer = GatewayObserver(CollectorRegistry())
+    followers = []
+    for feed, is_probing in zip(context.feeds, (True, False), strict=True):
+        handler = UpstreamTableHandler(
+            GatewayTables(), PlatformRecordCodec(), observer, store, drain_s=2.0
+        )
+        followers.append(
+            TableFollower(
+                feed=feed,
+                handler=handler,
+                store=store,
+                backoff=Backoff(base_s=0.1, max_s=1.0, random_state=random.Random(3)),
+                clock=FollowerClock(),
+                wait_s=2.5,
+                pause_s=0.5,
+                is_probing=is_probing,
+            )
+        )
+
+    async def run():
+        with trio.move_on_after(span_s):
+            async with trio.open_nursery() as nursery:
+                for follower in followers:
+                    nursery.start_soon(follower.run)
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("the waiting follower makes at most {n:d} calls while the store is unavailable")
+def then_few_calls(context, n):
+    low, high = context.outage
+    counts = [sum(low <= at < high for at in feed.called_at) for feed in context.feeds]
+    assert counts[1] <= n < counts[0], counts
+
+
+@then("it makes its next call within {bound_s:g} s of the first answer")
+def then_next_call(context, bound_s):
+    answered_at, called_at = (
+        min(at for at in feed.called_at if at >= context.outage[1]) for feed in context.feeds
+    )
+    assert 0.0 <= called_at - answered_at <= bound_s, (answered_at, called_at)
