Budget: refused connections cost nothing, retries before escalations; silent upstreams by gossip; callers' own errors

Each gateway found each dark upstream by itself, at 0.4 s a request. A caller's own 4xx counted against an upstream on streams, and for it on plain requests.

Ruled out: the bound itself (0.9 per request); placement, since the refused upstreams were the idle ones.

Change: an attempt counts once it is sent; 93 in 100 of the bound per request are used, and half of the constant part (a gateway that starts again has it twice); a tenth is kept for requests that have failed; with no budget left the largest model is asked first where it is in time. Two peers that report an upstream as silent suspend it. A 4xx is neither success nor failure.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -199,8 +199,18 @@
             )
         return budget
 
+    def may_escalate(self, req: GatewayRequest, now: float) -> bool:
+        """Return whether the budget allows a larger model for a request that has an answer."""
+        n_gateways = len(self.peers.list_active_nodes(now))
+        return self.get_budget(req.service.name).compute_left_for_choice(n_gateways, now) >= 1.0
+
     def may_send_again(self, req: GatewayRequest, now: float) -> bool:
-        """Return whether the budget allows sending a request once more."""
+        """Return whether the budget allows sending a request once more.
+
+        A request that has reached no upstream yet needs no budget.
+        """
+        if not req.n_arrivals:
+            return True
         n_gateways = len(self.peers.list_active_nodes(now))
         n_left = self.get_budget(req.service.name).compute_left(n_gateways, now)
         self.observer.set_budget(req.service.name, n_left)
@@ -242,9 +252,6 @@
         """
         now = self.clock.now()
         load = self.tables.get_load(upstream.upstream_id)
-        budget = self.get_budget(req.service.name)
-        if req.n_sends:
-            budget.count_extra_attempt(now)
         req.n_sends += 1
         load.n_inflight += 1
         work = self._queue_prompt(req, upstream, load, model)
@@ -273,6 +280,9 @@
             )
             caller = req.caller
             headers = self.codec.make_request_headers(caller, context)
+            if req.n_arrivals:
+                self.get_budget(req.service.name).count_extra_attempt(self.clock.now())
+            req.n_arrivals += 1
             req.n_runs += 1
             await call.send(self.spawn, caller.method, caller.target, headers, caller.body)
             yield Attempt(upstream, call, model, work, self._record_reply)
--- a/crocusvalve/gateway/_budget.py
+++ b/crocusvalve/gateway/_budget.py
@@ -4,9 +4,14 @@
 
 __all__ = ["AttemptBudget"]
 
-#: Fraction of the operators' bound that is used. The rest is a margin, since a window that starts
-#: at another time contains other requests.
-SAFETY_FACTOR = 0.8
+#: Fraction of the operators' bound per request that is used. The rest is a margin, since a window
+#: that starts at another time contains other requests.
+RATIO_FACTOR = 0.93
+#: Fraction of the constant bound that is used. A gateway that starts again within a window has it a
+#: second time.
+SLACK_FACTOR = 0.5
+#: Fraction of the budget that is reserved for requests that have failed.
+RETRY_RESERVE = 0.1
 
 
 class AttemptBudget:
@@ -36,9 +41,16 @@
 
     def compute_left(self, n_gateways: int, now: float) -> float:
         """Return how many extra attempts may be made now; negative if the budget is exceeded."""
+        return self._compute_bound(n_gateways, now) - len(self._extras)
+
+    def compute_left_for_choice(self, n_gateways: int, now: float) -> float:
+        """Return how many extra attempts may be made for requests that have not failed."""
+        return (1.0 - RETRY_RESERVE) * self._compute_bound(n_gateways, now) - len(self._extras)
+
+    def _compute_bound(self, n_gateways: int, now: float) -> float:
         self._expire(now)
-        bound = self.ratio * len(self._requests) + self.slack / max(1, n_gateways)
-        return SAFETY_FACTOR * bound - len(self._extras)
+        ratio = RATIO_FACTOR * self.ratio
+        return ratio * len(self._requests) + SLACK_FACTOR * self.slack / max(1, n_gateways)
 
     def count_extra_attempt(self, now: float) -> None:
         """Count an extra attempt."""
--- a/crocusvalve/gateway/_health.py
+++ b/crocusvalve/gateway/_health.py
@@ -4,7 +4,7 @@
 
 from crocusvalve.gateway._tables import UpstreamLoad
 
-__all__ = ["Outcome", "update_health"]
+__all__ = ["Outcome", "is_suspended", "update_health"]
 
 #: Seconds in which an outcome loses half its weight.
 HALF_LIFE_S = 4.0
@@ -19,6 +19,10 @@
 FAILURE_SHARE = 0.34
 
 
+#: Number of peers by whose word alone an upstream is suspended; a single one may be cut off itself.
+MIN_PEERS_SILENT = 2
+
+
 class Outcome(Enum):
     """Outcome of an attempt, as evidence of its upstream's health."""
 
@@ -35,6 +39,11 @@
     SILENT = "silent"
 
 
+def is_suspended(load: UpstreamLoad, now: float) -> bool:
+    """Return whether an upstream is suspended, by this gateway or as several peers report."""
+    return load.suspended_until > now or load.n_peers_silent >= MIN_PEERS_SILENT
+
+
 def update_health(load: UpstreamLoad, outcome: Outcome, now: float) -> bool:
     """Update an upstream's health by an attempt; return whether this suspends the upstream."""
     _decay(load, now)
@@ -43,7 +52,9 @@
         load.n_consecutive_suspensions = 0
         return False
     if outcome is Outcome.SILENT:
-        return _suspend(load, now)
+        _suspend(load, now)
+        load.silent_until = load.suspended_until
+        return True
     load.failure_weight += 1.0
     total = load.failure_weight + load.success_weight
     if load.failure_weight >= MIN_FAILURES and load.failure_weight / total >= FAILURE_SHARE:
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -13,6 +13,8 @@
 
 #: A gateway without a message for this long counts as unavailable; it sends several a second.
 PEER_TIMEOUT_S = 3.0
+#: A report of silent upstreams is used for this long.
+SILENCE_EXPIRY_S = 1.5
 #: A host without a message for this long is removed and gets no more gossip.
 HOST_EXPIRY_S = 30.0
 #: Maximum number of hosts listed in one message.
@@ -79,6 +81,8 @@
         Whether the gateway reaches the store.
     leaving : tuple of UpstreamRun
         Upstreams that have said that they are about to stop.
+    silent : tuple of UpstreamRun
+        Upstreams to which the gateway recently could open no connection, or that crashed.
     upgrades : tuple of UpgradeReport
         Status of the operators' current upgrade orders.
     """
@@ -96,6 +100,7 @@
     has_store: bool = True
     leaving: tuple[UpstreamRun, ...] = ()
     upgrades: tuple[UpgradeReport, ...] = ()
+    silent: tuple[UpstreamRun, ...] = ()
 
 
 class _Peer(Struct):
@@ -190,6 +195,15 @@
         )
         return all(self.node_id < message.node_id for message in remote)
 
+    def count_silent(self, now: float) -> dict[UpstreamRun, int]:
+        """Return by how many peers each upstream was recently reported as silent."""
+        counts: dict[UpstreamRun, int] = {}
+        for peer in self._peers.values():
+            if now - peer.received_at <= SILENCE_EXPIRY_S:
+                for run in peer.message.silent:
+                    counts[run] = counts.get(run, 0) + 1
+        return counts
+
     def sum_peer_loads(self, now: float) -> tuple[dict[str, int], dict[str, int]]:
         """Return the peers' total requests in flight and pending work, by upstream."""
         n_inflight: dict[str, int] = {}
--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -8,6 +8,7 @@
 
 from crocusvalve.base import DomainId, UpstreamId
 from crocusvalve.gateway._cold_start import may_send_cold
+from crocusvalve.gateway._health import is_suspended
 from crocusvalve.gateway._prompts import count_unread_tokens
 from crocusvalve.gateway._slowness import compute_slowness
 from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
@@ -120,7 +121,7 @@
     healthy = [
         upstream
         for upstream in admitted
-        if tables.get_load(upstream.upstream_id).suspended_until <= now
+        if not is_suspended(tables.get_load(upstream.upstream_id), now)
     ]
     if not healthy:
         best = min(
--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -144,7 +144,8 @@
             await send.send(_Result(_AttemptEnd.NOT_RUN, upstream))
             return
         self.attempt_manager.record_plain_answer(req, upstream, elapsed_s)
-        is_failure = reply.status >= 500
-        outcome = Outcome.FAILURE if is_failure else Outcome.SUCCESS
-        self.attempt_manager.record_outcome(req, upstream, outcome, first_s=elapsed_s)
+        if reply.status >= 500:
+            self.attempt_manager.record_outcome(req, upstream, Outcome.FAILURE, first_s=elapsed_s)
+        elif reply.status < 400:
+            self.attempt_manager.record_outcome(req, upstream, Outcome.SUCCESS, first_s=elapsed_s)
         await send.send(_Result(_AttemptEnd.REPLIED, upstream, reply, body))
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -11,6 +11,7 @@
 
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._attempts import AttemptManager
+from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._followers import (
     OperatorTableHandler,
@@ -68,6 +69,8 @@
 MAX_GOSSIP_DIGESTS = 16
 #: Maximum number of leaving upstreams in one message.
 MAX_GOSSIP_LEAVING = 64
+#: Maximum number of silent upstreams in one message.
+MAX_GOSSIP_SILENT = 32
 #: Interval at which a gateway checks whether the store was restored, and the longest random delay
 #: until it registers again, so that not all gateways call the store at once.
 ERA_POLL_INTERVAL_S = 1.0
@@ -303,6 +306,11 @@
             has_store=self.store.is_up,
             leaving=self.tables.closures.list_leaving(MAX_GOSSIP_LEAVING),
             upgrades=self.upgrades.list_reports(),
+            silent=tuple(
+                UpstreamRun.of(row)
+                for key, load in loads
+                if load.silent_until > now and (row := self.tables.upstreams.get(key))
+            )[:MAX_GOSSIP_SILENT],
         )
 
     def _merge_gossip(self, message: GossipMessage) -> None:
@@ -319,7 +327,10 @@
             return
         self._loads_summed_at = now
         n_inflight, work = self.peers.sum_peer_loads(now)
+        n_silent = self.peers.count_silent(now)
         for upstream_id, load in self.tables.loads.items():
+            row = self.tables.upstreams.get(upstream_id)
+            load.n_peers_silent = n_silent.get(UpstreamRun.of(row), 0) if n_silent and row else 0
             load.n_peer_inflight = n_inflight.get(upstream_id, 0)
             load.peer_pending_work = work.get(upstream_id, 0)
 
--- a/crocusvalve/gateway/_request.py
+++ b/crocusvalve/gateway/_request.py
@@ -44,6 +44,8 @@
         Upstreams to which the request is not sent again.
     n_sends : int
         Attempts to send the request, including those that were rejected or failed.
+    n_arrivals : int
+        Attempts that were sent on an open connection, so that they count against the budget.
     n_runs : int
         Attempts that may have run the request.
     model, upstream_id : str, UpstreamId or None
@@ -71,6 +73,7 @@
     digest: str
     tried: set[UpstreamId] = field(default_factory=set)
     n_sends: int = 0
+    n_arrivals: int = 0
     n_runs: int = 0
     model: str = ""
     upstream_id: UpstreamId | None = None
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -59,9 +59,8 @@
 
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
         """Forward the events of one or several attempts until the stream is complete."""
-        models = req.route.models
         progress = _Progress(
-            model=models[0] if models else "", last_event_id=req.caller.last_event_id
+            model=self._choose_first_model(req), last_event_id=req.caller.last_event_id
         )
         while True:
             upstream = await self.wait_for_upstream(req, self.clock.now(), progress.model)
@@ -76,6 +75,21 @@
             if not self._may_continue(req, end):
                 return await self._give_up(req, progress, responder, "attempt")
 
+    def _choose_first_model(self, req: GatewayRequest) -> str:
+        """Return the cheapest model, or the largest one if the budget allows no second attempt.
+
+        Load that it answers: most requests are too hard for the cheapest model, while the budget of
+        extra attempts is used up by faults.
+        """
+        models = req.route.models
+        if not models:
+            return ""
+        if len(models) > 1 and not self.attempt_manager.may_escalate(req, self.clock.now()):
+            expected = self._estimate_larger_answer(req, models[-1])
+            if expected.begins_in_goal and expected.ends_in_time:
+                return models[-1]
+        return models[0]
+
     def record_cut_answer(self, req: GatewayRequest) -> None:
         """Record how long a stream took that the deadline has cut."""
         now = self.clock.now()
@@ -154,7 +168,7 @@
                     req.n_attempts_left,
                     estimate=lambda model: self._estimate_larger_answer(req, model),
                 )
-            if larger is not None and self.attempt_manager.may_send_again(req, self.clock.now()):
+            if larger is not None and self.attempt_manager.may_escalate(req, self.clock.now()):
                 waited_s = self.clock.now() - started_at
                 self.attempt_manager.record_outcome(
                     req, upstream, Outcome.SUCCESS, first_s=waited_s
@@ -245,10 +259,12 @@
     ) -> _AttemptEnd:
         body = await attempt.read_body(MAX_FAILURE_BYTES)
         progress.failure = (reply, body)
-        self.attempt_manager.record_outcome(req, attempt.upstream, Outcome.FAILURE)
         req.notes.append(f"{attempt.upstream.upstream_id}:status {reply.status}")
         if reply.status < 500:
+            # An error of the caller, which every upstream would answer in the same way.
             req.n_runs = req.route.max_attempts
+        else:
+            self.attempt_manager.record_outcome(req, attempt.upstream, Outcome.FAILURE)
         return _AttemptEnd.FAILED
 
     @staticmethod
--- a/crocusvalve/gateway/_tables.py
+++ b/crocusvalve/gateway/_tables.py
@@ -32,6 +32,11 @@
         part, least recently used first.
     n_cached_part_tokens : int
         Total length of the cached parts in tokens.
+    silent_until : float
+        Until this time the upstream is suspended since no connection to it could be opened, or
+        since it crashed.
+    n_peers_silent : int
+        Peers that report the same, as last heard.
     suspended_until : float
         Until this time the upstream gets no request, unless no other upstream is available.
     n_consecutive_suspensions : int
@@ -56,6 +61,8 @@
     peer_pending_work: float = 0.0
     cached_parts: dict[tuple[str, str], int] = field(default_factory=dict)
     n_cached_part_tokens: int = 0
+    silent_until: float = 0.0
+    n_peers_silent: int = 0
     suspended_until: float = 0.0
     n_consecutive_suspensions: int = 0
     failure_weight: float = 0.0
@@ -182,6 +189,7 @@
             load.cold_until = max(load.cold_until, now + row.cold_left_s)
         if previous is not None and previous.started_ms != row.started_ms:
             load.suspended_until = 0.0
+            load.silent_until = 0.0
             load.n_consecutive_suspensions = 0
             load.log_slowness = 0.0
         return previous
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -125,7 +125,10 @@
 
 #: Probability of a fault per request, and the faults to choose from.
 PROFILE_FAULTS = {
-    UpstreamFaultProfile.ANY_FAULT: (0.4, tuple(set(UpstreamFault) - {UpstreamFault.NONE})),
+    UpstreamFaultProfile.ANY_FAULT: (
+        0.4,
+        tuple(set(UpstreamFault) - {UpstreamFault.NONE, UpstreamFault.CLIENT_ERROR}),
+    ),
     UpstreamFaultProfile.FULL: (0.8, (UpstreamFault.FULL,)),
     UpstreamFaultProfile.FAILING: (0.5, (UpstreamFault.FAILURE,)),
     UpstreamFaultProfile.OVERLOADED: (0.3, (UpstreamFault.OVERLOADED,)),
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -21,6 +21,8 @@
     #: The same, and wants no requests for ``retry_after``.
     OVERLOADED = "overloaded"
     FAILURE = "failure"
+    #: Answers 409, an error of the caller.
+    CLIENT_ERROR = "client_error"
     #: Runs the request and closes the connection without an answer.
     BREAK = "break"
     #: Closes the connection within the third event of a stream.
@@ -119,6 +121,8 @@
         }
         if fault is UpstreamFault.FAILURE:
             return await self._send(stream, 500, headers, b"failed")
+        if fault is UpstreamFault.CLIENT_ERROR:
+            return await self._send(stream, 409, headers, b"conflict")
         if fault is UpstreamFault.BREAK:
             return False
         if fault is UpstreamFault.HANG:
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -146,3 +146,25 @@
     When they run for 20 s
     Then the waiting follower makes at most 4 calls while the store is unavailable
     And it makes its next call within 0.1 s of the first answer
+
+  Scenario: A part of the budget is kept for requests that have failed
+    Given a budget of 0.5 per request and a slack of 8 shared by 4 gateways, over 10 s
+    When 100 requests arrive and extra attempts are made by choice while the budget allows
+    Then 42 extra attempts were made
+    And at least 5 further ones may be made for requests that have failed
+
+  Scenario Outline: An upstream that several peers report as silent gets requests only as a last resort
+    Given 2 upstreams of a service with a small and a large model
+    When <n> peers report the preferred upstream of a prompt as silent
+    Then the prompt is placed on the <which> upstream
+
+    Examples:
+      | n | which     |
+      | 0 | preferred |
+      | 1 | preferred |
+      | 2 | other     |
+
+  Scenario: Reports of silent upstreams expire, and count once for each peer
+    Given a table of peers
+    When three peers report an upstream as silent, one of them twice and one 2 s ago
+    Then 2 peers report it as silent
--- a/features/gateway/gateway.feature
+++ b/features/gateway/gateway.feature
@@ -230,3 +230,32 @@
     Given a gateway with two upstreams
     When a caller sends three requests at once on one connection
     Then their answers come in order
+
+  Scenario Outline: A request that has reached no upstream is sent again without any budget: <path>
+    Given a gateway with two upstreams
+    And upstream one refuses connections and the budget of extra attempts is used up
+    When callers send <path> 4 times, first to upstream one
+    Then every caller got 200
+
+    Examples:
+      | path      |
+      | /unsafe/1 |
+      | /stream/1 |
+
+  Scenario: With its budget used up a gateway asks the largest model first
+    Given a gateway with two upstreams
+    And the smaller model's confidence is 10
+    When the budget of extra attempts is used up and a caller opens a stream at /stream/1
+    Then the answer comes from the model large after 1 runs
+
+  Scenario Outline: A caller's own error says nothing about an upstream's health: <path>
+    Given a gateway with two upstreams
+    And every attempt encounters the fault client_error
+    When callers send <path> 4 times
+    Then every caller got 409
+    And no upstream is suspended and none of the 4 answers counts as a failure of its version
+
+    Examples:
+      | path      |
+      | /safe/1   |
+      | /stream/1 |
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -12,6 +12,7 @@
 from crocusvalve.base import DomainId, NodeId, UpstreamId
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._budget import AttemptBudget
+from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._cold_start import compute_cold_quota, may_send_cold, record_cold_send
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._events import EventSplitter
@@ -19,6 +20,7 @@
 from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
+from crocusvalve.gateway._peers import GossipMessage, PeerTable
 from crocusvalve.gateway._placement import PlacementQuery, PlacementReason, choose_upstream
 from crocusvalve.gateway._prompts import get_shared_parts, record_parts
 from crocusvalve.gateway._replica import TableReplica
@@ -699,3 +701,52 @@
         min(at for at in feed.called_at if at >= context.outage[1]) for feed in context.feeds
     )
     assert 0.0 <= called_at - answered_at <= bound_s, (answered_at, called_at)
+
+
+@when("{n:d} requests arrive and extra attempts are made by choice while the budget allows")
+def when_chosen_extras(context, n):
+    for _ in range(n):
+        context.budget.count_request(NOW)
+    context.n_extras = 0
+    while context.budget.compute_left_for_choice(4, NOW + 1) >= 1.0:
+        context.budget.count_extra_attempt(NOW + 1)
+        context.n_extras += 1
+
+
+@then("at least {n:d} further ones may be made for requests that have failed")
+def then_left_for_failed(context, n):
+    assert context.budget.compute_left(4, NOW + 1) >= n
+
+
+@when("{n:d} peers report the preferred upstream of a prompt as silent")
+def when_reported_silent(context, n):
+    subject = context.subject
+    context.parts = subject.make_parts("subject", "own")
+    context.preferred = subject.place(context.parts).upstream
+    subject.tables.get_load(context.preferred.upstream_id).n_peers_silent = n
+
+
+@then("the prompt is placed on the {which} upstream")
+def then_placed_on(context, which):
+    upstream = context.subject.place(context.parts).upstream
+    assert (upstream is context.preferred) == (which == "preferred")
+
+
+@given("a table of peers")
+def given_peer_table(context):
+    context.peers = PeerTable(NodeId("gateway-0"), "127.0.0.1")
+
+
+@when("three peers report an upstream as silent, one of them twice and one 2 s ago")
+def when_peers_report(context):
+    run = UpstreamRun(UpstreamId("u1"), 5)
+    for name, at in (("a", NOW - 2.0), ("b", NOW - 0.5), ("b", NOW - 0.1), ("c", NOW - 0.2)):
+        message = GossipMessage(
+            node_id=NodeId(name), boot_id="x", host=f"127.0.0.{ord(name)}", silent=(run,)
+        )
+        context.peers.update_peer(message, at)
+
+
+@then("{n:d} peers report it as silent")
+def then_n_silent(context, n):
+    assert context.peers.count_silent(NOW) == {UpstreamRun(UpstreamId("u1"), 5): n}
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -1,5 +1,7 @@
 """Steps for a gateway with a stand-in store and stand-in upstreams."""
 
+import socket
+
 import msgspec
 import trio
 from behave import given, then, when
@@ -588,3 +590,77 @@
 def then_in_order(context):
     positions = [context.data.index(f"GET /safe/{n} ".encode()) for n in (1, 2, 3)]
     assert positions == sorted(positions)
+
+
+def use_up_budgets(harness):
+    """Count so many extra attempts that the budgets allow no further ones."""
+    manager = harness.gateway.attempt_manager
+    for service in ("ops", "llm"):
+        for _ in range(1_000):
+            manager.get_budget(service).count_extra_attempt(manager.clock.now())
+
+
+@given("upstream one refuses connections and the budget of extra attempts is used up")
+def given_refusing_upstream(context):
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{unused.getsockname()[1]}"
+    upstream = context.harness.upstreams["one"]
+    context.refusing_entries = {
+        service: upstream.make_entry(service, "domain-one", address=address, sequence=2)
+        for service in ("ops", "llm")
+    }
+
+
+@when("callers send {path} {n:d} times, first to upstream one")
+def when_sent_to_refusing(context, path, n):
+    async def act(harness):
+        tables = harness.gateway.tables
+        for service, entry in context.refusing_entries.items():
+            harness.store.put("servers", f"one-{service}", entry)
+            key = UpstreamId(f"one-{service}")
+            await harness.wait_for(
+                lambda key=key, entry=entry: str(tables.upstreams[key].address) == entry["address"]
+            )
+        use_up_budgets(harness)
+        for _ in range(n):
+            for service in ("ops", "llm"):
+                one = tables.get_load(UpstreamId(f"one-{service}"))
+                one.suspended_until = 0.0
+                other = tables.get_load(UpstreamId(f"two-{service}"))
+                other.n_peer_inflight, other.peer_pending_work = 5, 90_000.0
+            await call_kind(harness, path)
+
+    context.harness.run(act)
+
+
+async def call_kind(harness, path):
+    """Send a request of the kind that a path needs."""
+    fields = {}
+    if path.startswith("/stream"):
+        fields = {"X_Model": "*", "X_Prefix_Hash": "aa:200,bb:100", "Accept": "text/event-stream"}
+    await harness.call(path, method="GET" if path.startswith("/safe") else "POST", **fields)
+
+
+@when("the budget of extra attempts is used up and a caller opens a stream at {path}")
+def when_budget_used_up(context, path):
+    async def act(harness):
+        use_up_budgets(harness)
+        await call_kind(harness, path)
+
+    context.harness.run(act)
+
+
+@given("every attempt encounters the fault {fault}")
+def given_every_fault(context, fault):
+    for upstream in context.harness.upstreams.values():
+        upstream.faults = [UpstreamFault(fault)] * 100
+
+
+@then("no upstream is suspended and none of the {n:d} answers counts as a failure of its version")
+def then_not_suspended(context, n):
+    gateway = context.harness.gateway
+    now = gateway.clock.now()
+    assert all(load.suspended_until <= now for load in gateway.tables.loads.values())
+    rows = gateway.outcome_counts.list_local()
+    assert not any(row.counts.n_failures for row in rows), rows
