--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -1,5 +1,6 @@
 """Gossip messages between gateways, and the table of gateways that are alive."""
 
+import random
 from collections.abc import Iterable
 
 from msgspec import Struct, field
@@ -9,16 +10,16 @@
 from crocusvalve.gateway._outcome_counts import OutcomeCountsRow
 from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
 
-__all__ = ["GossipMessage", "PeerTable", "SentPromptParts", "UpgradeReport"]
+__all__ = ["GossipMessage", "MemberReport", "PeerTable", "SentPromptParts", "UpgradeReport"]
 
-#: A gateway without a message for this long counts as unavailable; it sends several a second.
-PEER_TIMEOUT_S = 3.0
+#: A gateway without a message for this long, to any gateway as far as known, counts as unavailable.
+PEER_TIMEOUT_S = 4.0
 #: A report of silent upstreams is used for this long.
 SILENCE_EXPIRY_S = 1.5
 #: A host without a message for this long is removed and gets no more gossip.
 HOST_EXPIRY_S = 30.0
-#: Maximum number of hosts listed in one message.
-MAX_GOSSIP_HOSTS = 64
+#: The load that a gateway has reported is used for this long.
+LOAD_EXPIRY_S = 3.0
 
 
 class SentPromptParts(Struct, frozen=True, array_like=True):
@@ -52,6 +53,22 @@
     started_s: float
 
 
+class MemberReport(Struct, frozen=True, array_like=True):
+    """A gateway that is alive, as the sender of a message knows it.
+
+    Attributes
+    ----------
+    age_ms : int
+        Time since the gateway's last message to any gateway, as far as the sender knows.
+    """
+
+    node_id: NodeId
+    host: str
+    age_ms: int
+    is_leaving: bool
+    has_store: bool
+
+
 class GossipMessage(Struct, frozen=True, kw_only=True, array_like=True):
     """State of one gateway; each message is complete and replaces the one before.
 
@@ -70,7 +87,7 @@
     crashes : dict
         Crash incidents by digest of the request that caused them.
     hosts : tuple of str
-        Hosts of gateways from which the gateway recently received gossip.
+        Hosts of gateways; an earlier release reads them instead of ``members``.
     pending_work : dict
         Weighted prompt tokens not yet processed, by upstream.
     parts : tuple of SentPromptParts
@@ -83,6 +100,8 @@
         Upstreams that have said that they are about to stop.
     silent : tuple of UpstreamRun
         Upstreams to which the gateway recently could open no connection, or that crashed.
+    members : tuple of MemberReport
+        A random part of the gateways that are alive.
     upgrades : tuple of UpgradeReport
         Status of the operators' current upgrade orders.
     """
@@ -101,6 +120,7 @@
     leaving: tuple[UpstreamRun, ...] = ()
     upgrades: tuple[UpgradeReport, ...] = ()
     silent: tuple[UpstreamRun, ...] = ()
+    members: tuple[MemberReport, ...] = ()
 
 
 class _Peer(Struct):
@@ -110,8 +130,20 @@
     received_at: float
 
 
+class _Member(Struct, frozen=True):
+    """A gateway and the local time in seconds of its last message to any gateway."""
+
+    host: str
+    seen_at: float
+    is_leaving: bool
+    has_store: bool
+
+
 class PeerTable:
-    """Last gossip message of each peer gateway, and the hosts to send gossip to.
+    """Gateways that are alive, their last gossip messages, and the hosts to send gossip to.
+
+    Load that it answers: each gateway sends to a few others at a time, so with dozens of gateways
+    it hears from each one only every few seconds. Which gateways are alive is therefore passed on.
 
     Parameters
     ----------
@@ -125,19 +157,40 @@
         self.node_id = node_id
         self.host = host
         self._peers: dict[NodeId, _Peer] = {}
+        self._members: dict[NodeId, _Member] = {}
         self._hosts: dict[str, float] = {}
 
     def update_peer(self, message: GossipMessage, now: float) -> bool:
         """Store a gateway's message; return whether the gateway was unknown or had timed out."""
         if message.node_id == self.node_id:
             return False
-        previous = self._peers.get(message.node_id)
-        is_new = previous is None or now - previous.received_at > PEER_TIMEOUT_S
+        is_new = not self._is_alive(message.node_id, now)
         self._peers[message.node_id] = _Peer(message, now)
+        self._members[message.node_id] = _Member(
+            message.host, now, message.is_leaving, message.has_store
+        )
+        for report in message.members:
+            self._merge_member(report, now)
         self._hosts[message.host] = now
         self.add_hosts(message.hosts, now)
         return is_new
 
+    def _merge_member(self, report: MemberReport, now: float) -> None:
+        """Merge what a peer knows of a gateway, unless it is older than what is known here."""
+        seen_at = now - max(0, report.age_ms) / 1000
+        known = self._members.get(report.node_id)
+        if report.node_id == self.node_id or (known is not None and known.seen_at >= seen_at):
+            return
+        self._members[report.node_id] = _Member(
+            report.host, seen_at, report.is_leaving, report.has_store
+        )
+        if now - seen_at <= PEER_TIMEOUT_S:
+            self._hosts[report.host] = max(seen_at, self._hosts.get(report.host, seen_at))
+
+    def _is_alive(self, node_id: NodeId, now: float) -> bool:
+        member = self._members.get(node_id)
+        return member is not None and now - member.seen_at <= PEER_TIMEOUT_S
+
     def add_hosts(self, hosts: Iterable[str], now: float) -> None:
         """Add hosts on which gateways may run."""
         for host in hosts:
@@ -152,35 +205,51 @@
             del self._hosts[host]
         return list(self._hosts)
 
-    def list_alive(self, now: float) -> list[GossipMessage]:
-        """Return the last message of each peer gateway that is alive."""
-        return [
-            peer.message
-            for peer in self._peers.values()
-            if now - peer.received_at <= PEER_TIMEOUT_S
-        ]
-
-    def list_alive_hosts(self, now: float) -> tuple[str, ...]:
-        """Return the hosts of peers that are alive, for this gateway's own gossip."""
-        return tuple(message.host for message in self.list_alive(now))[:MAX_GOSSIP_HOSTS]
+    def list_alive(self, now: float) -> dict[NodeId, _Member]:
+        """Return the peer gateways that are alive; forgets those that have long been silent."""
+        for node_id, member in list(self._members.items()):
+            if now - member.seen_at > HOST_EXPIRY_S:
+                del self._members[node_id]
+                self._peers.pop(node_id, None)
+        return {
+            node_id: member
+            for node_id, member in self._members.items()
+            if now - member.seen_at <= PEER_TIMEOUT_S
+        }
+
+    def sample_members(
+        self, n_members: int, random_state: random.Random, now: float
+    ) -> tuple[MemberReport, ...]:
+        """Return a random part of the gateways that are alive, for this gateway's own gossip."""
+        alive = list(self.list_alive(now).items())
+        return tuple(
+            MemberReport(
+                node_id,
+                member.host,
+                round((now - member.seen_at) * 1000),
+                member.is_leaving,
+                member.has_store,
+            )
+            for node_id, member in random_state.sample(alive, min(n_members, len(alive)))
+        )
 
     def list_copy_sources(self, now: float) -> list[str]:
         """Return the hosts to ask for table copies.
 
         These are the hosts of peers that reach the store, or of all peers if none does.
         """
-        alive = self.list_alive(now)
-        return [message.host for message in alive if message.has_store] or [
-            message.host for message in alive
+        alive = self.list_alive(now).values()
+        return [member.host for member in alive if member.has_store] or [
+            member.host for member in alive
         ]
 
     def has_accepting_peer(self, now: float) -> bool:
         """Return whether a peer gateway is alive and not stopping."""
-        return any(not message.is_leaving for message in self.list_alive(now))
+        return any(not member.is_leaving for member in self.list_alive(now).values())
 
     def list_active_nodes(self, now: float) -> list[NodeId]:
         """Return the gateways that may send requests, including this one."""
-        return sorted({self.node_id, *(message.node_id for message in self.list_alive(now))})
+        return sorted({self.node_id, *self.list_alive(now)})
 
     def is_leader(self, now: float) -> bool:
         """Return whether this gateway has the lowest node id of those that reach the store.
@@ -188,12 +257,11 @@
         Two gateways may consider themselves leader at the same time, so a leader only makes
         conditional writes.
         """
-        remote = (
-            message
-            for message in self.list_alive(now)
-            if message.has_store and not message.is_leaving
+        return all(
+            self.node_id < node_id
+            for node_id, member in self.list_alive(now).items()
+            if member.has_store and not member.is_leaving
         )
-        return all(self.node_id < message.node_id for message in remote)
 
     def count_silent(self, now: float) -> dict[UpstreamRun, int]:
         """Return by how many peers each upstream was recently reported as silent."""
@@ -205,10 +273,16 @@
         return counts
 
     def sum_peer_loads(self, now: float) -> tuple[dict[str, int], dict[str, int]]:
-        """Return the peers' total requests in flight and pending work, by upstream."""
+        """Return the requests in flight and pending work, by upstream, that peers lately reported.
+
+        With dozens of gateways these are only a part of them.
+        """
         n_inflight: dict[str, int] = {}
         work: dict[str, int] = {}
-        for message in self.list_alive(now):
+        for peer in self._peers.values():
+            if now - peer.received_at > LOAD_EXPIRY_S:
+                continue
+            message = peer.message
             for total, reported in ((n_inflight, message.n_inflight), (work, message.pending_work)):
                 for upstream_id, n in reported.items():
                     total[upstream_id] = total.get(upstream_id, 0) + n
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -69,6 +69,8 @@
 MAX_GOSSIP_DIGESTS = 16
 #: Maximum number of leaving upstreams in one message.
 MAX_GOSSIP_LEAVING = 64
+#: Number of other gateways that one message reports as alive.
+MAX_GOSSIP_MEMBERS = 20
 #: Maximum number of silent upstreams in one message.
 MAX_GOSSIP_SILENT = 32
 #: Interval at which a gateway checks whether the store was restored, and the longest random delay
@@ -301,7 +303,7 @@
             ),
             outcome_counts=self.outcome_counts.list_local() if self.upgrades.is_active() else (),
             crashes=self.crashes.list_newest(MAX_GOSSIP_DIGESTS),
-            hosts=self.peers.list_alive_hosts(now),
+            members=self.peers.sample_members(MAX_GOSSIP_MEMBERS, self.random_state, now),
             is_leaving=self.request_handler.is_closing(),
             has_store=self.store.is_up,
             leaving=self.tables.closures.list_leaving(MAX_GOSSIP_LEAVING),
