--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -28,6 +28,8 @@
 MODELS = [{"name": "small", "cost": 0.1}, {"name": "large", "cost": 1.0}]
 SERVICES = ("ops", "spare", "llm")
 FIRST_PROXY_PORT = 20000
+#: Interval at which upstreams refresh their entries.
+HEARTBEAT_S = 1.2
 #: Pause between two readiness probes of a gateway.
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 1.0
@@ -125,6 +127,7 @@
             nursery.start_soon(self._keep_gateway_running, gateway)
             nursery.start_soon(self._probe, gateway)
         nursery.start_soon(self._monitor_wakeup_delay)
+        nursery.start_soon(self._refresh_entries)
 
     async def _keep_gateway_running(self, gateway: GatewayProcess) -> None:
         """Start a gateway, and again whenever its process ends, as the platform does."""
@@ -146,6 +149,15 @@
             gateway.n_missed_probes = 0 if is_ready else gateway.n_missed_probes + 1
             await trio.sleep(PROBE_INTERVAL_S)
 
+    async def _refresh_entries(self) -> None:
+        """Refresh the entries of registered upstreams, as upstreams of the platform do."""
+        while True:
+            await trio.sleep(HEARTBEAT_S)
+            if self.store.fault is StoreFault.NONE:
+                for upstream in self.upstreams.values():
+                    if upstream.is_registered:
+                        self.register(upstream)
+
     async def _monitor_wakeup_delay(self) -> None:
         """Record a disruption of all components whenever the soak's own tasks are delayed.
 
@@ -181,6 +193,7 @@
     def register(self, upstream: SoakUpstream) -> None:
         """Write an upstream's current entry to the store."""
         upstream.is_registered = True
+        upstream.sequence += 1
         self.operator.register(upstream.upstream_id, upstream.make_current_entry())
 
     def drain_upstream(self, upstream: SoakUpstream, is_announced: bool) -> None:
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -153,6 +153,8 @@
         Faults that it injects at present.
     state : str
         State that it registers: "ready" or "draining".
+    sequence : int
+        Number of times that it wrote its entry.
     started_ms : int
         Start time that it registers, in milliseconds; a larger one marks a new run of it.
     is_registered : bool
@@ -179,6 +181,7 @@
         self.fault_profile = UpstreamFaultProfile.HEALTHY
         self.state = "ready"
         self.is_registered = False
+        self.sequence = 0
         self.started_ms = 1
         self.pause_s = random_state.uniform(0.0, MAX_EVENT_PAUSE_S)
         self.proxy: LinkProxy | None = None
@@ -219,5 +222,6 @@
             address=self.proxy.address,
             version=self.version,
             state=self.state,
+            sequence=self.sequence,
             born=self.started_ms,
         )
--- a/crocusvalve/soak/processes/_disruptions.py
+++ b/crocusvalve/soak/processes/_disruptions.py
@@ -28,7 +28,7 @@
 MAX_KINDS = 7
 #: Oldest backup that the store is restored from, and longest time from a restore until lost rows
 #: are written again.
-MAX_BACKUP_AGE_S = 6.0
+MAX_BACKUP_AGE_S = 10.0
 MAX_REWRITE_S = 1.5
 #: Longest duration of a fault.
 MAX_DISRUPTION_S = 4.0
