summarize: how requests ended by route, from gateways' logs

Cause: where callers lose service was read from logs by throw-away scripts. Change: crocusvalve summarize FILE... [--since] [--until] [--json]; read_log is shared with explain. Tests: features/cli/explain.feature.

--- a/crocusvalve/cli/_explain.py
+++ b/crocusvalve/cli/_explain.py
@@ -6,13 +6,13 @@
 from pathlib import Path
 
 import msgspec
-from msgspec import Struct, structs
+from msgspec import Struct, field, structs
 
 from crocusvalve.cli._options import JsonFlag
 from crocusvalve.cli._output import print_result
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode
 
-__all__ = ["TimelineEntry", "explain", "read_timeline"]
+__all__ = ["TimelineEntry", "explain", "read_log", "read_timeline"]
 
 STEP = "explain"
 #: Events up to this long before a request's end may explain its outcome; requests take up to 30 s.
@@ -32,6 +32,7 @@
     level: str = ""
     message: str
     request_id: str = ""
+    class_name: str = field(default="", name="class")
     step: str = ""
     peer: str = ""
     fields: dict = {}
@@ -72,7 +73,7 @@
         ``BAD_REQUEST`` if a file can't be read, ``UNKNOWN_REQUEST`` if no line is about the
         request.
     """
-    lines = [line for path in paths for line in _read_lines(path)]
+    lines = [line for path in paths for line in read_log(path)]
     request_lines = [line for line in lines if line.request_id == request_id]
     if not request_lines:
         message = f"the logs contain no line about request {request_id}"
@@ -123,7 +124,14 @@
     return "  ".join(part for part in parts if part)
 
 
-def _read_lines(path: Path) -> Iterator[TimelineEntry]:
+def read_log(path: Path) -> Iterator[TimelineEntry]:
+    """Return the log lines of a file; other lines are skipped.
+
+    Raises
+    ------
+    CrocusvalveError
+        ``BAD_REQUEST`` if the file can't be read.
+    """
     try:
         text = path.read_text(encoding="utf-8", errors="replace")
     except OSError as exc:
@@ -140,7 +148,9 @@
         if isinstance(entry, dict) and "time" in entry and "message" in entry:
             prefix = line[:start].split()
             file = prefix[-1] if prefix else path.name
-            known = {key: entry[key] for key in TimelineEntry.__struct_fields__ if key in entry}
+            known = {
+                key: entry[key] for key in TimelineEntry.__struct_encode_fields__ if key in entry
+            }
             yield msgspec.convert(known | {"file": file}, TimelineEntry)
 
 
--- a/crocusvalve/cli/_main.py
+++ b/crocusvalve/cli/_main.py
@@ -14,6 +14,7 @@
 from crocusvalve.cli._explain import explain
 from crocusvalve.cli._local import make_key_app, make_settings_app
 from crocusvalve.cli._output import print_error
+from crocusvalve.cli._summarize import summarize
 from crocusvalve.exceptions import CrocusvalveError
 
 __all__ = ["main", "make_app"]
@@ -50,6 +51,7 @@
     add_command(app, _operate.status)
     add_command(app, _operate.usage)
     add_command(app, explain)
+    add_command(app, summarize)
     add_command(app, _daemons.run_entry, "entry")
     add_command(app, _daemons.run_agent, "agent")
     add_command(app, _daemons.run_demo, "demo")
--- a/features/cli/explain.feature
+++ b/features/cli/explain.feature
@@ -23,3 +23,16 @@
     Given a log that does not exist
     When the timeline of request "r1" is read
     Then the error is "bad_request"
+
+  Scenario: A summary of how requests ended, by route, with what happened to their attempts
+    Given a log with requests of two routes that ended in several ways
+    When the log is summarized
+    Then route "dossier" has 4 requests, 9 attempts and the ends "answered" 2, "failed deadline_passed" 1, "refused no_upstream" 1
+    And route "dossier" has the events "no event within N s" 2, "confidence N after N s" 1, "waited for an upstream" 1
+    And the times to the first event of route "dossier" are 400 ms and 400 ms
+    And route "-" has 1 requests, 0 attempts and the ends "refused not_found" 1
+
+  Scenario: A summary of a part of the time
+    Given a log with requests of two routes that ended in several ways
+    When the log is summarized from "2026-01-01T00:00:03" until "2026-01-01T00:00:05"
+    Then route "dossier" has 1 requests, 2 attempts and the ends "failed deadline_passed" 1
--- a/features/cli/steps/explain_steps.py
+++ b/features/cli/steps/explain_steps.py
@@ -1,12 +1,17 @@
 """Steps for the timeline of a request."""
 
+import contextlib
+import io
 import json
+import re
 import tempfile
 from pathlib import Path
 
+import msgspec
 from behave import given, then, when
 
-from crocusvalve.cli._explain import read_timeline
+from crocusvalve.cli._explain import read_log, read_timeline
+from crocusvalve.cli._summarize import RouteSummary, summarize, summarize_lines
 from crocusvalve.exceptions import CrocusvalveError
 
 #: Rows of each log file: second of the minute, message, request id and log fields.
@@ -90,3 +95,81 @@
 @then('the error is "{code}"')
 def then_error(context, code):
     assert context.error is not None and context.error.code.code == code, context.error
+
+
+def make_end(second, end, *, attempts, first_ms=None, notes=(), code="", waited_ms=0):
+    """Return a log line about the end of a request of the route "dossier"."""
+    fields = {
+        "elapsed_ms": 900,
+        "first_event_ms": first_ms,
+        "attempts": attempts,
+        "notes": list(notes),
+        "code": code,
+        "waited_ms": waited_ms,
+    }
+    message = f"request ended: {end}"
+    return {
+        "time": f"2026-01-01T00:00:0{second}.000",
+        "message": message,
+        "class": "dossier",
+        "fields": fields,
+    }
+
+
+@given("a log with requests of two routes that ended in several ways")
+def given_ends(context):
+    context.folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(context.folder.cleanup)
+    notes = ["small:confidence 12 after 0.31 s", "i-1:no event within 2.50 s"]
+    rows = [
+        make_end(1, "answered", attempts=3, first_ms=400, notes=notes),
+        make_end(2, "answered", attempts=1, first_ms=2000),
+        make_end(
+            4, "failed", attempts=2, notes=["i-2:no event within 3.10 s"], code="deadline_passed"
+        ),
+        make_end(6, "refused", attempts=3, code="no_upstream", waited_ms=300),
+        {
+            "time": "2026-01-01T00:00:07.000",
+            "message": "request refused: no route for this path",
+            "fields": {"code": "not_found"},
+        },
+        {"time": "2026-01-01T00:00:08.000", "message": "upstream i-1: registered"},
+    ]
+    context.log_path = Path(context.folder.name) / "gateway.log"
+    context.log_path.write_text("\n".join(map(json.dumps, rows)) + "\n")
+
+
+@when("the log is summarized")
+def when_summarized(context):
+    context.rows = {row.route: row for row in summarize_lines(read_log(context.log_path))}
+
+
+@when('the log is summarized from "{since}" until "{until}"')
+def when_part_summarized(context, since, until):
+    with contextlib.redirect_stdout(io.StringIO()) as output:
+        summarize(str(context.log_path), since=since, until=until, json=True)
+    rows = json.loads(output.getvalue())
+    context.rows = {row["route"]: msgspec.convert(row, RouteSummary) for row in rows}
+
+
+@then('route "{route}" has {n:d} requests, {attempts:d} attempts and the ends {ends}')
+def then_route(context, route, n, attempts, ends):
+    row = context.rows[route]
+    assert (row.n_requests, row.n_attempts) == (n, attempts), row
+    assert row.ends == read_counts(ends), row
+
+
+@then('route "{route}" has the events {events}')
+def then_route_events(context, route, events):
+    assert context.rows[route].events == read_counts(events), context.rows[route]
+
+
+@then('the times to the first event of route "{route}" are {p50:d} ms and {p90:d} ms')
+def then_times(context, route, p50, p90):
+    assert context.rows[route].first_event_ms == [p50, p90], context.rows[route]
+
+
+def read_counts(text):
+    """Return the counts that a step lists as "name" count, separated by commas."""
+    pairs = re.findall(r'"([^"]+)" (\d+)', text)
+    return {name: int(count) for name, count in pairs}
