--- a/crocusvalve/entry/_notice_distributor.py
+++ b/crocusvalve/entry/_notice_distributor.py
@@ -28,6 +28,8 @@
 MS_PER_S = 1000
 WRITE_INTERVAL_S = 1.0
 FETCH_INTERVAL_S = 30.0
+#: Delay after which a notice that could not be written is tried again.
+RETRY_DELAY_S = 5.0
 #: Quarantined request digests sent to a peer in one reply, at most; the most recent are sent.
 MAX_QUARANTINE_NOTICES = 1000
 #: Kinds of notices that must eventually be written to the document.
@@ -208,7 +210,8 @@
                 logger.info(
                     "failed to write the notice on %s to the document, will retry: %s", key[1], exc
                 )
-                return
+                item.write_at = self.clock.now() + RETRY_DELAY_S
+                continue
             self._pending.pop(key, None)
 
     async def _write(self, notice: Notice) -> None:
--- a/features/cli/ports.feature
+++ b/features/cli/ports.feature
@@ -8,3 +8,8 @@
     Given the next free port becomes used
     When 1 free ports are found
     Then it is a different port
+
+  Scenario: A port in use is recognized also while earlier connections of the port are in TIME_WAIT
+    Given a port whose last connection is in TIME_WAIT and that becomes used again
+    When a free port is searched from there
+    Then another port is found
