Cascade: the largest model gets only what it answers about in time

Ruled out: a limit above the goal (the queue then stays at the limit, and everybody is late).

Change: an answer without confidence is given up for a larger one only if that is expected to begin within 0.9 of the goal, one with some confidence within 0.7; before, an unconfident one always was.

Tests: pace.feature plays 80, 130 and 200 in 100 of the capacity, with and without the limit.

--- a/crocusvalve/gateway/_cascade.py
+++ b/crocusvalve/gateway/_cascade.py
@@ -1,7 +1,9 @@
 """Escalation to a larger model if a cheap model has little confidence in its answer.
 
 The load that it answers: most requests are too hard for the cheapest model, and the largest one is
-several times slower, so that its answers to long prompts may end after the caller's deadline.
+several times slower, so that its answers to long prompts may end after the caller's deadline. If
+more requests are escalated than the largest model can process, all of them become late; so it gets
+only those whose answers begin about in time.
 """
 
 from collections.abc import Callable, Sequence
@@ -12,9 +14,14 @@
 
 #: Confidence, from 0 to 100, at or above which a smaller model's answer is forwarded.
 MIN_CONFIDENCE = 55.0
-#: The same limit if the larger model's answer would miss the goal: a moderately confident answer
-#: in time is worth more than a better one that is late.
-MIN_CONFIDENCE_LATE = 30.0
+#: The same limit if the larger model has much to do: a moderately confident answer is more useful
+#: at once than a better one that is late.
+MIN_CONFIDENCE_BUSY = 30.0
+#: Expected times to the larger model's first event, as multiples of the route's goal, above which
+#: a moderately confident answer and an unconfident one are forwarded. Requests beyond them would
+#: be late, and make those that come after them late as well.
+MAX_LATENESS_MODERATE = 0.7
+MAX_LATENESS = 0.9
 
 
 class AnswerEstimate(Struct, frozen=True):
@@ -22,13 +29,13 @@
 
     Attributes
     ----------
-    begins_in_goal : bool
-        Whether its first event arrives within the route's goal.
+    lateness : float
+        Time from the request's arrival to the first event, as a multiple of the route's goal.
     ends_in_time : bool
         Whether its last event arrives before the caller's deadline.
     """
 
-    begins_in_goal: bool
+    lateness: float
     ends_in_time: bool
 
 
@@ -65,6 +72,7 @@
     for larger in reversed(models[models.index(model) + 1 :]):
         expected = estimate(larger)
         if expected.ends_in_time:
-            is_kept = confidence >= MIN_CONFIDENCE_LATE and not expected.begins_in_goal
-            return None if is_kept else larger
+            is_moderate = confidence >= MIN_CONFIDENCE_BUSY
+            max_lateness = MAX_LATENESS_MODERATE if is_moderate else MAX_LATENESS
+            return larger if expected.lateness <= max_lateness else None
     return None
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -86,7 +86,7 @@
             return ""
         if len(models) > 1 and not self.attempt_manager.may_escalate(req, self.clock.now()):
             expected = self._estimate_larger_answer(req, models[-1])
-            if expected.begins_in_goal and expected.ends_in_time:
+            if expected.lateness <= 1.0 and expected.ends_in_time:
                 return models[-1]
         return models[0]
 
@@ -250,7 +250,7 @@
         first_s = pace.compute_first_event_s(service, model, placement.work, now)
         stream_s = pace.compute_stream_s(service, model, req.caller.max_output_tokens)
         return AnswerEstimate(
-            begins_in_goal=now + first_s <= req.arrived_at + req.route.goal_s,
+            lateness=(now + first_s - req.arrived_at) / max(0.001, req.route.goal_s),
             ends_in_time=first_s + DURATION_MARGIN * stream_s <= req.compute_left_s(now),
         )
 
--- a/features/gateway/pace.feature
+++ b/features/gateway/pace.feature
@@ -7,14 +7,15 @@
     Then <result>
 
     Examples:
-      | confidence | large                  | middle                 | result                  |
-      | 60         | begin and end in time  | begin and end in time  | its answer is forwarded |
-      | 40         | begin and end in time  | begin and end in time  | the large model is asked |
-      | 40         | begin late             | begin and end in time  | its answer is forwarded |
-      | 40         | end too late           | begin and end in time  | the middle model is asked |
-      | 10         | begin late             | begin and end in time  | the large model is asked |
-      | 10         | end too late           | begin late             | the middle model is asked |
-      | 10         | end too late           | end too late           | its answer is forwarded |
+      | confidence | large                 | middle                | result                    |
+      | 60         | begin and end in time | begin and end in time | its answer is forwarded   |
+      | 40         | begin and end in time | begin and end in time | the large model is asked  |
+      | 40         | begin barely in time  | begin and end in time | its answer is forwarded   |
+      | 40         | end too late          | begin and end in time | the middle model is asked |
+      | 10         | begin barely in time  | begin and end in time | the large model is asked  |
+      | 10         | begin late            | begin and end in time | its answer is forwarded   |
+      | 10         | end too late          | begin barely in time  | the middle model is asked |
+      | 10         | end too late          | end too late          | its answer is forwarded   |
 
   Scenario: An answer that is too short of time is not given up, and the caller gets it
     Given a gateway with two upstreams
@@ -56,3 +57,15 @@
     Given 5 upstreams of a plain service, of which u2 takes 4 times as long
     When for 20 s 60 plain requests of 20 ms arrive per second
     Then u2 gets at most 12 in 100 of the requests, and some within each 10 s
+
+  Scenario Outline: An overloaded largest model gets only what it can answer about in time: <load> in 100 of its capacity
+    Given a large model whose upstreams can answer 10 requests per second within a goal of 3 s
+    When for 60 s requests that are too hard for the small model arrive at <load> in 100 of this rate
+    Then at least <share> in 100 of the callers get the large model's answer within the goal
+    And without the limit on lateness fewer than <without> in 100 do
+
+    Examples:
+      | load | share | without |
+      | 80   | 98    | 101     |
+      | 130  | 60    | 40      |
+      | 200  | 40    | 20      |
--- a/features/gateway/steps/pace_steps.py
+++ b/features/gateway/steps/pace_steps.py
@@ -22,9 +22,8 @@
 
 def make_estimate(text):
     """Return the estimate that a phrase of the feature file describes."""
-    return AnswerEstimate(
-        begins_in_goal=text == "begin and end in time", ends_in_time=text != "end too late"
-    )
+    lateness = {"begin and end in time": 0.6, "begin barely in time": 0.8, "begin late": 1.0}
+    return AnswerEstimate(lateness=lateness.get(text, 0.6), ends_in_time=text != "end too late")
 
 
 @given("a route with the models small, middle and large")
@@ -304,3 +303,77 @@
     assert 0 < len(times) <= high / 100 * len(placed), times
     gaps = [right - left for left, right in zip(times, times[1:], strict=False)]
     assert max(gaps) <= span_s, gaps
+
+
+class LargeModelLoad:
+    """Virtual time: one queue of requests for the large model, which the small one can't answer.
+
+    Parameters
+    ----------
+    max_lateness : float or None
+        Expected lateness above which a request is not sent to the large model; None for no limit.
+    """
+
+    confidence = 10.0
+
+    def __init__(self, n_per_s, goal_s, max_lateness):
+        self.service_s = 1.0 / n_per_s
+        self.goal_s = goal_s
+        self.max_lateness = max_lateness
+        self.free_at = 0.0
+        self.n_requests = 0
+        self.n_in_goal = 0
+
+    def send(self, now, size, estimate_error):
+        """Decide on a request of a relative size; the estimated wait is wrong by a factor."""
+        wait_s = max(0.0, self.free_at - now) + size * self.service_s
+        lateness = wait_s * estimate_error / self.goal_s
+        if self.max_lateness is None:
+            lateness = 0.0
+        chosen = choose_larger_model(
+            ("small", "large"),
+            "small",
+            self.confidence,
+            2,
+            estimate=lambda model: AnswerEstimate(lateness=lateness, ends_in_time=True),
+        )
+        self.n_requests += 1
+        if chosen == "large":
+            self.free_at = now + wait_s
+            self.n_in_goal += wait_s <= self.goal_s
+
+    def compute_share(self):
+        return self.n_in_goal / self.n_requests
+
+
+@given(
+    "a large model whose upstreams can answer {n:d} requests per second "
+    "within a goal of {goal_s:d} s"
+)
+def given_large_model(context, n, goal_s):
+    context.rate = n
+    context.loads = [LargeModelLoad(n, float(goal_s), limit) for limit in (0.9, None)]
+
+
+@when(
+    "for {span_s:d} s requests that are too hard for the small model arrive at {load:d} in 100 "
+    "of this rate"
+)
+def when_hard_requests(context, span_s, load):
+    for simulated in context.loads:
+        rng = random.Random(4)
+        n = int(span_s * context.rate * load / 100)
+        for at in sorted(rng.uniform(0.0, span_s) for _ in range(n)):
+            simulated.send(at, rng.expovariate(1.0), rng.lognormvariate(0.0, 0.3))
+
+
+@then("at least {share:d} in 100 of the callers get the large model's answer within the goal")
+def then_in_goal(context, share):
+    actual = context.loads[0].compute_share()
+    assert actual >= share / 100, actual
+
+
+@then("without the limit on lateness fewer than {share:d} in 100 do")
+def then_without_limit(context, share):
+    actual = context.loads[1].compute_share()
+    assert actual < share / 100, actual
