Gateway: modules parted by table, attempt and registration; the soak judges overloaded upstreams

Handlers of the store's tables, StoreState, Attempt and the registration of gateways have modules of their own; nothing decides differently. The soak's checker ignored the time that a spoilt upstream had set, since that is a disruption of the upstream itself; it now asks whether the link delivers its answers. A gateway's lost registration is written again: tested.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts to run requests on upstreams, and the feedback from their outcomes."""
+"""Sends requests to upstreams, and records what their outcomes say about the upstreams."""
 
 import logging
 from collections import deque
@@ -8,6 +8,7 @@
 import trio
 
 from crocusvalve.base import NodeId, UpstreamId
+from crocusvalve.gateway._attempt import Attempt, PromptWork
 from crocusvalve.gateway._budget import AttemptBudget
 from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._cold_start import compute_cold_quota, record_cold_send
@@ -38,7 +39,7 @@
 )
 from crocusvalve.utils import Clock
 
-__all__ = ["Attempt", "AttemptManager"]
+__all__ = ["AttemptManager"]
 
 logger = logging.getLogger(__name__)
 
@@ -53,97 +54,6 @@
 CRASH_CHECK_DELAYS_S = (0.03, 0.3)
 
 
-class PromptWork:
-    """Prompt tokens that an upstream has to process before a request's first event.
-
-    Attributes
-    ----------
-    queued_tokens : float
-        Tokens of the request and of all requests queued before it, weighted by model cost.
-    """
-
-    def __init__(self, load: UpstreamLoad, weighted_tokens: float):
-        self._load = load
-        self._weighted_tokens = weighted_tokens
-        self.queued_tokens = load.pending_work + load.peer_pending_work + weighted_tokens
-        load.pending_work += weighted_tokens
-
-    def finish(self) -> None:
-        """Remove the prompt from the upstream's pending work; later calls have no effect."""
-        self._load.pending_work -= self._weighted_tokens
-        self._weighted_tokens = 0.0
-
-
-class Attempt:
-    """A request that was sent to an upstream, and its reply.
-
-    Attributes
-    ----------
-    work : PromptWork
-        Prompt tokens that the upstream has to process first.
-    reply : Reply or None
-        Head of the reply, once it has been read.
-    """
-
-    def __init__(
-        self,
-        upstream: Upstream,
-        call: UpstreamCall,
-        model: str,
-        work: PromptWork,
-        record_reply: Callable[[Upstream, Reply], None],
-    ):
-        self._record_reply = record_reply
-        self.upstream = upstream
-        self.work = work
-        self.call = call
-        self.model = model
-        self.reply: Reply | None = None
-
-    async def read_head(self, attempt_id: bytes) -> Reply:
-        """Read the reply's head.
-
-        Raises
-        ------
-        CallError
-            If the reply belongs to another request or its body has a content encoding.
-        """
-        reply = await self.call.read_head()
-        self.reply = reply
-        self._record_reply(self.upstream, reply)
-        if reply.attempt_id and reply.attempt_id != attempt_id:
-            raise CallError(
-                CallFailure.CORRUPT,
-                "the reply belongs to another request",
-                step="read_head",
-                peer=self.call.peer,
-            )
-        if reply.is_encoded and not reply.is_not_run:
-            raise CallError(
-                CallFailure.CORRUPT,
-                "the reply's body was encoded between the upstream and the gateway",
-                step="read_head",
-                peer=self.call.peer,
-            )
-        return reply
-
-    async def read_body(self, max_bytes: int) -> bytes:
-        """Read the complete body; raises ``CallError`` if it is longer than ``max_bytes``."""
-        parts = []
-        size = 0
-        while (part := await self.call.read_part()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > max_bytes:
-                raise CallError(
-                    CallFailure.CORRUPT,
-                    f"the body is longer than {max_bytes} bytes",
-                    step="read_body",
-                    peer=self.call.peer,
-                )
-        return b"".join(parts)
-
-
 class AttemptManager:
     """Chooses upstreams for attempts, sends requests to them and records the outcomes.
 
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -9,19 +9,14 @@
 import trio
 from prometheus_client import CollectorRegistry
 
-from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._attempts import AttemptManager
 from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._crashes import CrashRegistry
-from crocusvalve.gateway._followers import (
-    OperatorTableHandler,
-    StatusTableHandler,
-    StoreState,
-    TableFollower,
-    UpstreamTableHandler,
-)
+from crocusvalve.gateway._followers import TableFollower
 from crocusvalve.gateway._listener import CallerConnection
+from crocusvalve.gateway._members import MemberRegistry
 from crocusvalve.gateway._observer import GatewayObserver
+from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway._peer_link import PeerLink
 from crocusvalve.gateway._peers import GossipMessage, PeerTable
@@ -29,10 +24,13 @@
 from crocusvalve.gateway._ready import ReadyListener
 from crocusvalve.gateway._request_handler import RequestHandler
 from crocusvalve.gateway._sockets import open_listeners
+from crocusvalve.gateway._status_table import StatusTableHandler
 from crocusvalve.gateway._stopping import StopPlan
+from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._table_copies import TableCopyExchange
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._upgrade_controller import UpgradeController
+from crocusvalve.gateway._upstream_table import UpstreamTableHandler
 from crocusvalve.gateway.base import GatewaySettings, HeaderCodec, RecordCodec
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import ChangeFeed
@@ -53,12 +51,6 @@
 UPSTREAM_PAUSE_FRACTION = 0.3
 BACKOFF_BASE_S = 0.1
 BACKOFF_MAX_S = 1.0
-#: Table in which gateways register to find each other, the pause after the first read of it, in
-#: which the gateways that start at the same time register, and the pause between later reads.
-MEMBER_TABLE = "gateways"
-FIRST_MEMBER_PAUSE_S = 4.0
-MEMBER_PAUSE_S = 45.0
-MEMBER_RETRY_S = 1.0
 #: Interval at which a stopping gateway checks whether requests are open.
 DRAIN_POLL_INTERVAL_S = 0.05
 #: The peers' loads are summed at most this often, since the cost grows with the number of peers.
@@ -73,10 +65,6 @@
 MAX_GOSSIP_MEMBERS = 20
 #: Maximum number of silent upstreams in one message.
 MAX_GOSSIP_SILENT = 32
-#: Interval at which a gateway checks whether the store was restored, and the longest random delay
-#: until it registers again, so that not all gateways call the store at once.
-ERA_POLL_INTERVAL_S = 1.0
-MAX_REGISTER_DELAY_S = 3.0
 
 
 class Gateway:
@@ -168,6 +156,16 @@
             observer=self.observer,
             clock=clock,
         )
+        self.members = MemberRegistry(
+            node_id=settings.node_id,
+            host=settings.peer.host,
+            feed=feed,
+            peers=self.peers,
+            store=self.store,
+            observer=self.observer,
+            clock=clock,
+            random_state=random_state,
+        )
         self._nursery: trio.Nursery | None = None
         self._loads_summed_at = float("-inf")
 
@@ -233,7 +231,7 @@
             self.upgrades.run,
             link.run,
             self.copy_exchange.run,
-            self._discover_members,
+            self.members.run,
         ]
 
     def _make_follower(self, handler, **kwargs) -> TableFollower:
@@ -351,31 +349,3 @@
             if service:
                 load = self.tables.get_load(sent.upstream_id)
                 record_parts(load, sent.model, sent.parts, service.memory_tokens)
-
-    async def _discover_members(self) -> None:
-        """Register this gateway in the store and read the hosts of the others from it."""
-        host = self.settings.peer.host.encode()
-        pause_s = FIRST_MEMBER_PAUSE_S
-        while True:
-            try:
-                page = await self.feed.read_table(MEMBER_TABLE)
-                rows = {row.key: row for row in page.rows}
-                stored = rows.get(self.settings.node_id)
-                if stored is None or stored.value != host:
-                    version = stored.version if stored else 0
-                    await self.feed.put_row(MEMBER_TABLE, self.settings.node_id, host, version)
-                hosts = [row.value.decode("latin-1") for row in page.rows if row.value]
-                self.peers.add_hosts(hosts, self.clock.now())
-                await self._wait_for_restore(page.era, pause_s)
-                pause_s = MEMBER_PAUSE_S
-            except PlatformError:
-                self.observer.count_store_fault()
-                await trio.sleep(MEMBER_RETRY_S)
-                await self.store.wait_until_up(MEMBER_PAUSE_S)
-
-    async def _wait_for_restore(self, era: int, timeout_s: float) -> None:
-        """Wait for a time, or until shortly after the store was restored to a later era."""
-        with trio.move_on_after(timeout_s):
-            while self.store.era <= era:
-                await trio.sleep(ERA_POLL_INTERVAL_S)
-            await trio.sleep(self.random_state.uniform(0.0, MAX_REGISTER_DELAY_S))
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -5,7 +5,7 @@
 import trio
 from msgspec import Struct
 
-from crocusvalve.gateway._attempts import Attempt
+from crocusvalve.gateway._attempt import Attempt
 from crocusvalve.gateway._cascade import AnswerEstimate, choose_larger_model
 from crocusvalve.gateway._events import EventSplitter, StreamEvent
 from crocusvalve.gateway._flow import Flow, make_gateway_error
--- a/crocusvalve/gateway/_table_copies.py
+++ b/crocusvalve/gateway/_table_copies.py
@@ -6,10 +6,10 @@
 import msgspec
 import trio
 
-from crocusvalve.gateway._followers import TableHandler
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway._sockets import connect
+from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.gateway.base import Address
 from crocusvalve.store.base import FeedPage
 from crocusvalve.utils import Clock
--- /dev/null
+++ b/crocusvalve/gateway/_table_handler.py
@@ -0,0 +1,95 @@
+"""Base of the handlers that apply the rows of the store's tables to the gateway's tables."""
+
+from abc import ABC, abstractmethod
+
+from crocusvalve.gateway._observer import GatewayObserver
+from crocusvalve.gateway._replica import TableReplica
+from crocusvalve.gateway._store_state import StoreState
+from crocusvalve.gateway._tables import GatewayTables
+from crocusvalve.gateway.base import RecordCodec
+from crocusvalve.store.base import FeedPage, FeedRow
+
+__all__ = ["TableHandler"]
+
+
+class TableHandler(ABC):
+    """Applies the rows of one table of the store to the gateway's tables.
+
+    Attributes
+    ----------
+    table : str
+        Name of the table in the store.
+    replica : TableReplica
+        Rows of the table as last received.
+    """
+
+    table: str
+
+    def __init__(
+        self,
+        tables: GatewayTables,
+        codec: RecordCodec,
+        observer: GatewayObserver,
+        store: StoreState,
+    ):
+        self.tables = tables
+        self.codec = codec
+        self.observer = observer
+        self.store = store
+        self.replica = TableReplica()
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the table was read, so that its changes can be followed from a version on."""
+        return self.replica.version is not None
+
+    def merge_table(self, page: FeedPage, now: float) -> None:
+        """Merge a complete table and apply the rows that are new."""
+        if page.era < self.replica.era:
+            return
+        if page.era > self.replica.era and not self.replica.is_empty:
+            self.observer.record_store_restore(self.table, page.era, page.version)
+            for row in self.replica.replace_table(page):
+                self.apply_restored_row(row, now)
+            self.finish_page(now)
+            return
+        self._apply_rows(self.replica.merge_table(page), now)
+
+    def merge_changes(self, page: FeedPage, now: float) -> None:
+        """Merge changed rows and apply those that are new."""
+        self._apply_rows(self.replica.merge_changes(page), now)
+
+    def _apply_rows(self, rows: list[FeedRow], now: float) -> None:
+        for row in rows:
+            self.apply_row(row, now)
+        self.finish_page(now)
+
+    @abstractmethod
+    def apply_row(self, row: FeedRow, now: float) -> None:
+        """Apply a changed row to the gateway's tables."""
+
+    @abstractmethod
+    def apply_restored_row(self, row: FeedRow, now: float) -> None:
+        """Apply a row that differs from the last known one after a restore of the store.
+
+        The row may be older than what the gateway knows, or have been written since the restore; a
+        missing one (value None) may have been lost.
+        """
+
+    def handle_store_recovery(self, outage_s: float, now: float) -> None:  # noqa: B027
+        """Prepare for the next page, which is the first one after failed calls.
+
+        Parameters
+        ----------
+        outage_s : float
+            Time for which changes of the table could not be fetched, in seconds.
+        now : float
+            Local time in seconds.
+        """
+
+    def finish_page(self, now: float) -> None:  # noqa: B027
+        """Run after the rows of each page; carries out changes whose delay has passed."""
+
+    def limit_wait_s(self, wait_s: float, now: float) -> float:
+        """Return ``wait_s``, shortened so that delayed changes are carried out in time."""
+        return wait_s
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -5,14 +5,12 @@
 import trio
 
 from crocusvalve.exceptions import PlatformError
-from crocusvalve.gateway._followers import (
-    OperatorTableHandler,
-    StatusTableHandler,
-    StoreState,
-)
 from crocusvalve.gateway._observer import GatewayObserver
+from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway._peers import PeerTable, UpgradeReport
+from crocusvalve.gateway._status_table import StatusTableHandler
+from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._upgrades import (
     Verdict,
--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -148,22 +148,23 @@
             self._check_placement(attempt, upstream, now)
 
     def record_rejection(self, upstream: str, call: ReceivedRequest, span_s: float) -> None:
-        """Record a request that an upstream rejects; it wants no more for ``span_s`` seconds."""
+        """Record a request that an upstream rejects; it wants no more for ``span_s`` seconds.
+
+        The caller must pass 0 if the answer may not reach the gateway.
+        """
         now = self.clock()
         attempt = self.attempts.get(call.attempt_id)
         if attempt is None:
             return
         self._check_closures(attempt, upstream, now)
-        if span_s > 0.0 and self.disruption_table.is_quiet((upstream,), now):
+        if span_s > 0.0:
             self._closures[attempt.gateway, upstream] = _Closure(now, now + span_s)
 
     def record_leaving(self, upstream: str, call: ReceivedRequest) -> None:
-        """Record that an upstream says in its answer to a request that it is about to stop."""
-        now = self.clock()
+        """Record that an upstream says in a delivered answer that it is about to stop."""
         attempt = self.attempts.get(call.attempt_id)
-        # A disrupted link may not have delivered the answer.
-        if attempt is not None and self.disruption_table.is_quiet((upstream,), now):
-            self._leaving_since.setdefault((attempt.gateway, upstream), now)
+        if attempt is not None:
+            self._leaving_since.setdefault((attempt.gateway, upstream), self.clock())
 
     def forget_leaving(self, upstream: str) -> None:
         """Record that an upstream has started again."""
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -12,7 +12,7 @@
 
 from crocusvalve.platform import SETTINGS_VARIABLE
 from crocusvalve.soak.processes._checker import GuaranteeChecker
-from crocusvalve.soak.processes._proxy import LinkProxy
+from crocusvalve.soak.processes._proxy import LinkFault, LinkProxy
 from crocusvalve.standin import ReceivedRequest, StandinUpstream, UpstreamFault, make_settings
 
 __all__ = ["GatewayPorts", "GatewayProcess", "SoakUpstream", "UpstreamFaultProfile"]
@@ -198,19 +198,24 @@
         """Report a request that it begins to run to the checker."""
         self.checker.record_run(self.upstream_id, self.service, call, fault)
 
+    @property
+    def is_link_sound(self) -> bool:
+        """Whether the link from the gateways delivers answers."""
+        return self.proxy is None or self.proxy.fault is LinkFault.NONE
+
     def record_rejection(self, call: ReceivedRequest, fault: UpstreamFault) -> None:
         """Report a request that it rejects to the checker; choose the time that it sets."""
         span_s = 0.0
         if fault is UpstreamFault.OVERLOADED:
             span_s = round(self.random_state.uniform(*RETRY_AFTER_RANGE_S), 2)
             self.retry_after = str(span_s)
-        self.checker.record_rejection(self.upstream_id, call, span_s)
+        self.checker.record_rejection(self.upstream_id, call, span_s if self.is_link_sound else 0.0)
 
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request, and report to the checker if the answer announces the end."""
         is_announced = self.is_leaving
         is_sent = await super().answer(call, stream)
-        if is_announced and is_sent:
+        if is_announced and is_sent and self.is_link_sound:
             self.checker.record_leaving(self.upstream_id, call)
         return is_sent
 
--- a/crocusvalve/soak/processes/_proxy.py
+++ b/crocusvalve/soak/processes/_proxy.py
@@ -75,6 +75,11 @@
         """Address on which it listens, as HOST:PORT."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def fault(self) -> LinkFault:
+        """The fault of the link at present."""
+        return self._fault
+
     def set_fault(self, fault: LinkFault) -> None:
         """Replace the fault of the link; ``LinkFault.NONE`` ends it."""
         self._fault = fault
--- a/features/gateway/restore.feature
+++ b/features/gateway/restore.feature
@@ -102,3 +102,8 @@
       | the era 4     | the client has a page of era 4    |
       | the era 9     | the client has a page of era 9    |
       | the era 2     | the client rejects the answer     |
+
+  Scenario: A gateway registers again after a restore that has lost its registration
+    Given a gateway with two upstreams
+    When a restore of the store loses the registration of the gateway
+    Then it is written again within 6 s
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -16,7 +16,7 @@
 from crocusvalve.gateway._cold_start import compute_cold_quota, may_send_cold, record_cold_send
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._events import EventSplitter
-from crocusvalve.gateway._followers import StoreState, TableFollower, UpstreamTableHandler
+from crocusvalve.gateway._followers import TableFollower
 from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
@@ -24,6 +24,7 @@
 from crocusvalve.gateway._placement import PlacementQuery, PlacementReason, choose_upstream
 from crocusvalve.gateway._prompts import get_shared_parts, record_parts
 from crocusvalve.gateway._replica import TableReplica
+from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
 from crocusvalve.gateway._upgrades import (
     OutcomeCounts,
@@ -32,6 +33,7 @@
     choose_version,
     compute_next_status,
 )
+from crocusvalve.gateway._upstream_table import UpstreamTableHandler
 from crocusvalve.gateway.base import (
     Address,
     PrefixPart,
--- a/features/gateway/steps/restore_steps.py
+++ b/features/gateway/steps/restore_steps.py
@@ -7,8 +7,9 @@
 
 from crocusvalve.base import DomainId, UpstreamId
 from crocusvalve.exceptions import PlatformError
-from crocusvalve.gateway._followers import OperatorTableHandler, StoreState
 from crocusvalve.gateway._observer import GatewayObserver
+from crocusvalve.gateway._operator_table import OperatorTableHandler
+from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway.base import Address, ServiceName
 from crocusvalve.platform import PlatformRecordCodec, PlatformStore
@@ -400,3 +401,25 @@
 @then("the client rejects the answer")
 def then_rejected(context):
     assert isinstance(context.page, PlatformError), context.page
+
+
+@when("a restore of the store loses the registration of the gateway")
+def when_registration_lost(context):
+    async def act(harness):
+        store, row = harness.store, ("gateways", "gateway-1")
+        await harness.wait_for(lambda: store.get_version(*row))
+        value = harness.host.encode()
+        store.drop(*row)
+        backup = store.make_backup()
+        store.put(*row, value)
+        store.restore(backup)
+        restored_at = trio.current_time()
+        await harness.wait_for(lambda: store.get_version(*row))
+        context.registered_after_s = trio.current_time() - restored_at
+
+    context.harness.run(act)
+
+
+@then("it is written again within {bound_s:d} s")
+def then_registered(context, bound_s):
+    assert context.registered_after_s <= bound_s, context.registered_after_s
