--- a/features/gateway/restore.feature
+++ b/features/gateway/restore.feature
@@ -106,4 +106,4 @@
   Scenario: A gateway registers again after a restore that has lost its registration
     Given a gateway with two upstreams
     When a restore of the store loses the registration of the gateway
-    Then it is written again within 6 s
+    Then the registration is written again within 6 s
--- a/features/gateway/steps/restore_steps.py
+++ b/features/gateway/steps/restore_steps.py
@@ -420,6 +420,6 @@
     context.harness.run(act)
 
 
-@then("it is written again within {bound_s:d} s")
+@then("the registration is written again within {bound_s:d} s")
 def then_registered(context, bound_s):
     assert context.registered_after_s <= bound_s, context.registered_after_s
