An upgrade order that a backup has, and that is written again, is not a new one

Cause: the period for rows that are written again began only if the restored table differed. An order that the backup had, written again by the operators, counted as a new one, and a completed or reverted upgrade started again. Change: the period begins with each restore. Test: restore.feature (failed first).

--- a/crocusvalve/gateway/_operator_table.py
+++ b/crocusvalve/gateway/_operator_table.py
@@ -34,6 +34,10 @@
         """Return whether the store has an upgrade order of a service."""
         return self.replica.get_version(self.codec.make_status_key(service)) > 0
 
+    def begin_restore(self, now: float) -> None:
+        """Start the period in which operators write lost rows again, and maybe others as well."""
+        self._rewrite_until = now + REWRITE_PERIOD_S
+
     def apply_restored_row(self, row: FeedRow, now: float) -> None:
         """Apply a row that may be older than what the gateway knows.
 
@@ -41,7 +45,6 @@
         order that the gateway knows to be replaced or withdrawn, and lost rows, are left until the
         operators had the time to write them again.
         """
-        self._rewrite_until = now + REWRITE_PERIOD_S
         if row.key == self.codec.config_key:
             self._apply_configuration(row)
         elif row.value is None or self._is_past_order(row):
--- a/crocusvalve/gateway/_table_handler.py
+++ b/crocusvalve/gateway/_table_handler.py
@@ -49,6 +49,7 @@
             return
         if page.era > self.replica.era and not self.replica.is_empty:
             self.observer.record_store_restore(self.table, page.era, page.version)
+            self.begin_restore(now)
             for row in self.replica.replace_table(page):
                 self.apply_restored_row(row, now)
             self.finish_page(now)
@@ -68,6 +69,9 @@
     def apply_row(self, row: FeedRow, now: float) -> None:
         """Apply a changed row to the gateway's tables."""
 
+    def begin_restore(self, now: float) -> None:  # noqa: B027
+        """Prepare for the rows of the table after a restore of the store."""
+
     @abstractmethod
     def apply_restored_row(self, row: FeedRow, now: float) -> None:
         """Apply a row that differs from the last known one after a restore of the store.
--- a/features/gateway/restore.feature
+++ b/features/gateway/restore.feature
@@ -67,6 +67,11 @@
       | 5     | the same |
       | 20    | a new one |
 
+  Scenario: An order that the backup has, and that is written again, is not a new one
+    Given a follower of the operators' table with an upgrade order
+    When the store is restored to a backup with the order, which is written again 5 s later
+    Then the second order counts as the same
+
   Scenario Outline: The status of an upgrade that the store has lost is written again, once
     Given a gateway with two upstreams
     And an upgrade that is <state>
--- a/features/gateway/steps/restore_steps.py
+++ b/features/gateway/steps/restore_steps.py
@@ -336,6 +336,16 @@
     subject.change([(STATUS_KEY, ORDER, 4)], 4, 2, NOW + delay_s)
 
 
+@when(
+    "the store is restored to a backup with the order, which is written again {delay_s:g} s later"
+)
+def when_equal_order_written(context, delay_s):
+    subject = context.subject
+    context.order = subject.tables.orders[ServiceName("llm")]
+    subject.read([("other", {}, 1), (STATUS_KEY, ORDER, 5)], 5, 2, NOW)
+    subject.change([(STATUS_KEY, ORDER, 6)], 6, 2, NOW + delay_s)
+
+
 @then("the second order counts as {count}")
 def then_order_counts(context, count):
     order = context.subject.tables.orders[ServiceName("llm")]
