Store client: log the size and duration of slow and failed answers

Logs said only that the store did not answer in time; whether an answer had begun, how large it was and how fast it came could not be told apart from a silent store. Time limits are as before.

--- a/crocusvalve/platform/_store.py
+++ b/crocusvalve/platform/_store.py
@@ -27,6 +27,8 @@
 #: Timeout of a call, in addition to the time for which it waits for changes; the store answers
 #: within 4 ms.
 CALL_TIMEOUT_S = 1.0
+#: Answers whose body takes longer than this to arrive are logged.
+SLOW_TRANSFER_S = 0.5
 #: Maximum number of rows per page when a table is read.
 PAGE_ROWS = 500
 #: Number of times that the store was restored from a backup, plus one.
@@ -60,6 +62,30 @@
     ver: int
 
 
+class _Transfer:
+    """Size of an answer's body, and how long it took to arrive."""
+
+    def __init__(self) -> None:
+        self.n_bytes = 0
+        self.elapsed_s = 0.0
+        self._started_at: float | None = None
+
+    async def receive(self, response: httpx.Response) -> bytes:
+        """Return the body of a response."""
+        self._started_at = trio.current_time()
+        parts = []
+        async for part in response.aiter_bytes():
+            parts.append(part)
+            self.n_bytes += len(part)
+            self.elapsed_s = trio.current_time() - self._started_at
+        return b"".join(parts)
+
+    def __str__(self) -> str:
+        if self._started_at is None:
+            return "no answer had begun"
+        return f"{self.n_bytes} bytes in {self.elapsed_s:.2f} s"
+
+
 class PlatformStore(ChangeFeed):
     """Client of the store; use it as an asynchronous context manager.
 
@@ -167,18 +193,23 @@
         PlatformError
             If the call failed, or its answer is from an era before the latest one.
         """
+        transfer = _Transfer()
         try:
             with trio.fail_after(wait_s + CALL_TIMEOUT_S):
-                response = await self._client.request(
+                async with self._client.stream(
                     method, path, timeout=wait_s + CALL_TIMEOUT_S, **kwargs
-                )
+                ) as response:
+                    content = await transfer.receive(response)
         except trio.TooSlowError as exc:
-            message = "the store did not answer in time"
+            message = f"the store did not answer in time ({transfer})"
             raise PlatformError(message, step=step, peer=self.peer, maybe_applied=True) from exc
         except httpx.HTTPError as exc:
-            raise PlatformError(repr(exc), step=step, peer=self.peer, maybe_applied=True) from exc
+            message = f"{exc!r} ({transfer})"
+            raise PlatformError(message, step=step, peer=self.peer, maybe_applied=True) from exc
+        if transfer.elapsed_s > SLOW_TRANSFER_S:
+            logger.info("slow answer of the store: %s", transfer, extra={"step": step})
         era = self._update_era(step, response)
-        return self._decode(step, reply_type, response), era
+        return self._decode(step, reply_type, response.status_code, content), era
 
     def _update_era(self, step: str, response: httpx.Response) -> int:
         """Return the era of an answer; without a valid one, the latest known era."""
@@ -198,8 +229,9 @@
         self.era = era
         return era
 
-    def _decode(self, step: str, reply_type: type[Reply], response: httpx.Response) -> Reply | None:
-        status = response.status_code
+    def _decode(
+        self, step: str, reply_type: type[Reply], status: int, content: bytes
+    ) -> Reply | None:
         if status == 412:
             return None
         if status == 410:
@@ -214,7 +246,7 @@
                 f"status {status}", step=step, peer=self.peer, maybe_applied=may_be_applied
             )
         try:
-            return msgspec.json.decode(response.content, type=reply_type)
+            return msgspec.json.decode(content, type=reply_type)
         except msgspec.MsgspecError as exc:
             raise PlatformError(str(exc), step=step, peer=self.peer, maybe_applied=True) from exc
 
