--- a/crocusvalve/standin/_store.py
+++ b/crocusvalve/standin/_store.py
@@ -1,7 +1,10 @@
 """Stand-in for the store: rows with versions, a feed of changes, and fault switches."""
 
 import base64
+from collections import deque
+from collections.abc import Iterable
 from enum import Enum
+from itertools import takewhile
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -12,6 +15,11 @@
 
 __all__ = ["StandinStore", "StoreBackup", "StoreFault"]
 
+#: Changes that the feed can return; older positions get 410.
+MAX_CHANGES = 20_000
+#: Pause between two parts of an answer over a slow link.
+SLOW_SEND_INTERVAL_S = 0.05
+
 
 class StoreFault(Enum):
     """Fault that the store simulates; ``BUSY`` answers 503 and ``SILENT`` never answers."""
@@ -30,6 +38,15 @@
     rows: dict[tuple[str, str], tuple[bytes | None, int]]
 
 
+class _Change(Struct, frozen=True):
+    """A written row; ``value`` is None for a deletion."""
+
+    table: str
+    key: str
+    value: bytes | None
+    version: int
+
+
 class StandinStore(StandinServer):
     """A store that holds the rows of its tables in memory.
 
@@ -49,6 +66,8 @@
         Version of the backup that the present era began with.
     era_text : str or None
         Value of the header that reports the era, if it is to differ from the era; empty for none.
+    bytes_per_s : float
+        Rate at which each answer is sent, as over a slow link.
     """
 
     def __init__(self) -> None:
@@ -60,7 +79,10 @@
         self.era = 1
         self.first_version_of_era = 0
         self.era_text: str | None = None
+        self.bytes_per_s = float("inf")
         self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
+        #: Changes of the present era in the order of their versions; the feed returns all of them.
+        self._changes: deque[_Change] = deque(maxlen=MAX_CHANGES)
         self._changed = trio.Event()
 
     def put(self, table: str, key: str, value: object) -> int:
@@ -98,6 +120,10 @@
         """
         self.version = backup.version
         self._rows = dict(backup.rows)
+        self._changes = deque(
+            (change for change in self._changes if change.version <= backup.version),
+            maxlen=MAX_CHANGES,
+        )
         self.oldest_version = min(self.oldest_version, backup.version)
         self.era += 1
         self.first_version_of_era = backup.version
@@ -113,7 +139,7 @@
         url = urlsplit(call.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/rows-get":
-            return await self._reply(stream, 200, self._list(query["table"], 0))
+            return await self._reply(stream, 200, self._list(query["table"]))
         if url.path == "/rows-feed":
             status, body = await self._feed(query)
             return await self._reply(stream, status, body)
@@ -125,6 +151,9 @@
     def _write(self, table: str, key: str, value: bytes | None) -> int:
         self.version += 1
         self._rows[table, key] = (value, self.version)
+        if len(self._changes) == MAX_CHANGES:
+            self.oldest_version = max(self.oldest_version, self._changes[0].version)
+        self._changes.append(_Change(table, key, value, self.version))
         self._notify()
         return self.version
 
@@ -133,24 +162,34 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    def _list(self, table: str, after: int) -> dict:
-        rows = [
-            {"table": table, "part": "", "key": key, "ver": version}
-            | ({"tombstone": True} if value is None else {"value": _encode(value)})
+    def _list(self, table: str) -> dict:
+        changes = (
+            _Change(table, key, value, version)
             for (name, key), (value, version) in sorted(self._rows.items())
-            if name == table and version > after and (after or value is not None)
+            if name == table and value is not None
+        )
+        return self._make_body(changes)
+
+    def _list_changes(self, table: str, after: int) -> list["_Change"]:
+        changes = takewhile(lambda change: change.version > after, reversed(self._changes))
+        return [change for change in changes if change.table == table][::-1]
+
+    def _make_body(self, changes: Iterable["_Change"]) -> dict:
+        rows = [
+            {"table": change.table, "part": "", "key": change.key, "ver": change.version}
+            | ({"tombstone": True} if change.value is None else {"value": _encode(change.value)})
+            for change in changes
         ]
-        rows.sort(key=lambda row: row["ver"])
         return {"rows": rows, "ver": self.version, "nowMs": trio.current_time() * 1000}
 
     async def _feed(self, query: dict[str, str]) -> tuple[int, dict]:
-        after = int(query["after"])
+        table, after = query["table"], int(query["after"])
         with trio.move_on_after(int(query["waitMs"]) / 1000):
-            while self._has_position(after) and not self._list(query["table"], after)["rows"]:
+            while self._has_position(after) and not self._list_changes(table, after):
                 await self._changed.wait()
         if not self._has_position(after):
             return 410, {}
-        return 200, self._list(query["table"], after)
+        return 200, self._make_body(self._list_changes(table, after))
 
     def _has_position(self, after: int) -> bool:
         """Return whether the changes after a version are stored."""
@@ -170,9 +209,18 @@
         era = str(self.era) if self.era_text is None else self.era_text
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(data)}"]
         lines += [f"Store-Era: {era}"] if era else []
-        await stream.send_all("\r\n".join((*lines, "\r\n")).encode() + data)
+        await self._send("\r\n".join((*lines, "\r\n")).encode() + data, stream)
         return True
 
+    async def _send(self, data: bytes, stream: trio.SocketStream) -> None:
+        if self.bytes_per_s == float("inf"):
+            await stream.send_all(data)
+            return
+        size = max(1, int(self.bytes_per_s * SLOW_SEND_INTERVAL_S))
+        for start in range(0, len(data), size):
+            await stream.send_all(data[start : start + size])
+            await trio.sleep(SLOW_SEND_INTERVAL_S)
+
 
 def _encode(value: bytes) -> str:
     return base64.b64encode(value).decode()
--- a/features/gateway/steps/restore_steps.py
+++ b/features/gateway/steps/restore_steps.py
@@ -72,9 +72,9 @@
             entry = harness.upstreams["two"].make_entry("ops", "domain-two")
             store.put("servers", NEW_UPSTREAM, entry)
 
-    def is_in_force(self, harness):
-        """Return whether the gateway knows the change."""
-        tables = harness.gateway.tables
+    def is_in_force(self, gateway):
+        """Return whether a gateway knows the change."""
+        tables = gateway.tables
         row = tables.upstreams.get(UPSTREAM)
         return {
             "a newer configuration": lambda: tables.config.version == 7,
@@ -91,7 +91,7 @@
     """Write a change, and restore the store to a backup from before it."""
     backup = harness.store.make_backup()
     change.write(harness)
-    await harness.wait_for(lambda: change.is_in_force(harness))
+    await harness.wait_for(lambda: change.is_in_force(harness.gateway))
     harness.store.restore(backup)
 
 
@@ -108,12 +108,12 @@
     async def act(harness):
         await lose_change(harness, context.change)
         await harness.wait_for(lambda: has_read_restored_tables(harness.gateway, harness.store))
-        context.was_in_force = context.change.is_in_force(harness)
+        context.was_in_force = context.change.is_in_force(harness.gateway)
         context.change.undo(harness)
         with trio.move_on_after(2.0):
-            while context.change.is_in_force(harness):
+            while context.change.is_in_force(harness.gateway):
                 await trio.sleep(0.01)
-        context.is_in_force = context.change.is_in_force(harness)
+        context.is_in_force = context.change.is_in_force(harness.gateway)
 
     context.harness.run(act)
 
@@ -193,10 +193,10 @@
         await lose_change(harness, context.change)
         restored_at = trio.current_time()
         await harness.wait_for(lambda: has_read_restored_tables(harness.gateway, harness.store))
-        context.is_in_force = context.change.is_in_force(harness)
+        context.is_in_force = context.change.is_in_force(harness.gateway)
         context.dropped_after_s = None
         if change == "a new upstream":
-            await harness.wait_for(lambda: not context.change.is_in_force(harness))
+            await harness.wait_for(lambda: not context.change.is_in_force(harness.gateway))
             context.dropped_after_s = trio.current_time() - restored_at
 
     context.harness.run(act)
