Operators' table: read the table instead of a backlog of changes that is longer

Cause: the feed returns every version of the configuration, so a gateway on a slow link receives the whole document once for each change and falls further behind. Change: an answer whose length is announced as more than 1.5 times the table is not received; the table is read. The upstreams' table keeps its changes, which tell a drained upstream from an expired one.

--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/_followers.py
@@ -8,7 +8,12 @@
 from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.store import Backoff
-from crocusvalve.store.base import ChangeFeed, FeedPage, HistoryLostError
+from crocusvalve.store.base import (
+    BacklogTooLongError,
+    ChangeFeed,
+    FeedPage,
+    HistoryLostError,
+)
 from crocusvalve.utils import Clock
 
 __all__ = ["TableFollower"]
@@ -80,9 +85,9 @@
                 await self._read_once()
                 pause_s = self.handler.limit_wait_s(self.pause_s, self.clock.now())
                 await trio.sleep(max(0.0, pause_s))
-            except HistoryLostError:
-                # The store is available but has lost its change history, so the complete table is
-                # read again.
+            except (HistoryLostError, BacklogTooLongError) as exc:
+                # The store is available, but the whole table must be read, or takes less time.
+                self.handler.observer.record_table_reread(self.handler.table, exc)
                 self.handler.replica.version = None
             except PlatformError as exc:
                 self._record_failure(exc)
@@ -115,7 +120,9 @@
     async def _wait_for_changes(self, version: int, wait_s: float) -> FeedPage:
         started_at = self.clock.now()
         try:
-            return await self.feed.wait_for_changes(self.handler.table, version, wait_s)
+            return await self.feed.wait_for_changes(
+                self.handler.table, version, wait_s, max_bytes=self.handler.compute_max_backlog()
+            )
         except PlatformError:
             if not self._n_failures:
                 # A call that timed out may have been disconnected since its start.
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -325,6 +325,10 @@
         else:
             logger.warning("the store fails: %s", exc, extra={"fields": {"table": table}})
 
+    def record_table_reread(self, table: str, exc: CrocusvalveError) -> None:
+        """Log why a whole table is read instead of its changes."""
+        logger.info("whole table is read: %s", exc.message, extra={"fields": {"table": table}})
+
     def record_store_restore(self, table: str, era: int, version: int) -> None:
         """Log that a table was read again after a restore of the store from a backup."""
         fields = {"table": table, "era": era, "version": version}
--- a/crocusvalve/gateway/_operator_table.py
+++ b/crocusvalve/gateway/_operator_table.py
@@ -13,6 +13,12 @@
 #: Seconds after a restore of the store within which operators write again what it has lost. Until
 #: then the gateway retains evacuations and upgrade orders that the restored tables lack.
 REWRITE_PERIOD_S = 15.0
+#: Size of a backlog of changes, relative to that of the whole table, above which the table is read.
+#: Each change of the configuration repeats it, so a backlog may be many times as long as the table.
+#: In the store's encoding a value takes a third more bytes.
+MAX_BACKLOG_FACTOR = 1.5 * 4 / 3
+#: A shorter backlog is received in any case.
+MIN_BACKLOG_BYTES = 65536
 #: Former upgrade orders that are remembered for each service.
 MAX_PAST_ORDERS = 16
 
@@ -34,6 +40,10 @@
         """Return whether the store has an upgrade order of a service."""
         return self.replica.get_version(self.codec.make_status_key(service)) > 0
 
+    def compute_max_backlog(self) -> int | None:
+        """Return the longest backlog of changes to receive, in bytes."""
+        return max(MIN_BACKLOG_BYTES, int(MAX_BACKLOG_FACTOR * self.replica.count_bytes()))
+
     def begin_restore(self, now: float) -> None:
         """Start the period in which operators write lost rows again, and maybe others as well."""
         self._rewrite_until = now + REWRITE_PERIOD_S
--- a/crocusvalve/gateway/_replica.py
+++ b/crocusvalve/gateway/_replica.py
@@ -35,6 +35,10 @@
         """Whether no row was received yet."""
         return not self._rows
 
+    def count_bytes(self) -> int:
+        """Return the total size of the rows' values in bytes."""
+        return sum(len(row.value) for row in self._rows.values() if row.value is not None)
+
     def get_version(self, key: str) -> int:
         """Return the version of a row, or 0 if it is absent."""
         row = self._rows.get(key)
--- a/crocusvalve/gateway/_table_handler.py
+++ b/crocusvalve/gateway/_table_handler.py
@@ -65,6 +65,13 @@
             self.apply_row(row, now)
         self.finish_page(now)
 
+    def compute_max_backlog(self) -> int | None:
+        """Return the longest backlog of changes to receive, in bytes; None for any.
+
+        If there is more, the whole table is read.
+        """
+        return None
+
     @abstractmethod
     def apply_row(self, row: FeedRow, now: float) -> None:
         """Apply a changed row to the gateway's tables."""
--- a/crocusvalve/platform/_store.py
+++ b/crocusvalve/platform/_store.py
@@ -13,6 +13,7 @@
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway.base import Address
 from crocusvalve.store.base import (
+    BacklogTooLongError,
     ChangeFeed,
     FeedPage,
     FeedRow,
@@ -160,11 +161,19 @@
                 return FeedPage(tuple(rows), first.ver, first.now_ms / 1000, era)
             params["from"] = page.rows[-1].key + "\0"
 
-    async def wait_for_changes(self, table: str, after: int, wait_s: float) -> FeedPage:
+    async def wait_for_changes(
+        self, table: str, after: int, wait_s: float, *, max_bytes: int | None = None
+    ) -> FeedPage:
         """Return the rows changed after a version; wait up to ``wait_s`` seconds for changes."""
         params = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
         page, era = await self._call(
-            "wait_for_changes", _Rows, "GET", "/rows-feed", wait_s=wait_s, params=params
+            "wait_for_changes",
+            _Rows,
+            "GET",
+            "/rows-feed",
+            wait_s=wait_s,
+            max_bytes=max_bytes,
+            params=params,
         )
         return FeedPage(tuple(_decode_rows(page)), page.ver, page.now_ms / 1000, era)
 
@@ -195,6 +204,7 @@
         path: str,
         *,
         wait_s: float = 0.0,
+        max_bytes: int | None = None,
         **kwargs: Any,
     ) -> tuple[Reply | None, int]:
         """Make one call; return its reply, None if a write's condition did not hold, and the era.
@@ -211,6 +221,7 @@
         with trio.CancelScope(deadline=trio.current_time() + limit_s) as scope:
             try:
                 async with self._client.stream(method, path, timeout=timeout, **kwargs) as response:
+                    self._check_length(step, response, max_bytes)
                     content = await transfer.receive(response, scope)
             except httpx.HTTPError as exc:
                 message = f"{exc!r} ({transfer})"
@@ -224,6 +235,14 @@
         era = self._update_era(step, response)
         return self._decode(step, reply_type, response.status_code, content), era
 
+    def _check_length(self, step: str, response: httpx.Response, max_bytes: int | None) -> None:
+        """Raise ``BacklogTooLongError`` if an answer announces a longer body than wanted."""
+        text = response.headers.get("content-length", "")
+        if max_bytes is None or not text.isdigit() or int(text) <= max_bytes:
+            return
+        message = f"the changes have {text} bytes, more than {max_bytes}"
+        raise BacklogTooLongError(message, step=step, peer=self.peer)
+
     def _update_era(self, step: str, response: httpx.Response) -> int:
         """Return the era of an answer; without a valid one, the latest known era."""
         text = response.headers.get(ERA, "")
--- a/crocusvalve/store/base.py
+++ b/crocusvalve/store/base.py
@@ -254,6 +254,10 @@
     """The requested changes are no longer stored; the whole table must be read again."""
 
 
+class BacklogTooLongError(PlatformError):
+    """The changes are longer than the caller wants them; it may read the whole table instead."""
+
+
 class ChangeFeed(ABC):
     """Tables with a feed of changes; every method raises ``PlatformError`` on a failure."""
 
@@ -262,13 +266,22 @@
         """Return all rows of a table."""
 
     @abstractmethod
-    async def wait_for_changes(self, table: str, after: int, wait_s: float) -> FeedPage:
+    async def wait_for_changes(
+        self, table: str, after: int, wait_s: float, *, max_bytes: int | None = None
+    ) -> FeedPage:
         """Return the rows changed after a version, waiting up to ``wait_s`` for the first change.
 
+        Parameters
+        ----------
+        max_bytes : int or None
+            Longest answer that is received; None for any.
+
         Raises
         ------
         HistoryLostError
             The changes are no longer stored.
+        BacklogTooLongError
+            The answer is longer than ``max_bytes``.
         """
 
     @abstractmethod
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -473,7 +473,7 @@
     async def read_table(self, table):
         return await self.wait_for_changes(table, 0, 0.0)
 
-    async def wait_for_changes(self, table, after, wait_s):
+    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None):
         end = trio.current_time() + wait_s
         while True:
             now = trio.current_time()
@@ -646,7 +646,7 @@
         super().__init__(outage_start_s, outage_end_s, [])
         self.called_at = []
 
-    async def wait_for_changes(self, table, after, wait_s):
+    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None):
         self.called_at.append(trio.current_time())
         return await super().wait_for_changes(table, after, min(wait_s, 1.0))
 
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -62,9 +62,9 @@
         await self._check()
         return await self.feed.read_table(table)
 
-    async def wait_for_changes(self, table, after, wait_s):
+    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None):
         await self._check()
-        page = await self.feed.wait_for_changes(table, after, wait_s)
+        page = await self.feed.wait_for_changes(table, after, wait_s, max_bytes=max_bytes)
         await self._check()
         return page
 
