Store state: availability for each table

Change: the state is kept by table. The store is up if no followed table fails; a follower waits for the probing one only if another table fails too. Test: 'A table whose calls fail isn't hidden by another table's answers'. The scenario of a waiting follower now follows two tables, as a gateway does; both of its followers had the same one. Its bounds are the same.

--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/_followers.py
@@ -46,8 +46,8 @@
     is_enabled : callable
         Returns whether changes are to be followed now; the first read is made in any case.
     is_probing : bool
-        Whether this follower finds out when an unavailable store answers again; the others wait
-        for it, since each call is charged, a refused one too.
+        Whether this follower finds out when a store that fails for several tables answers again;
+        the others wait for it, since each call is charged, a refused one too.
     """
 
     def __init__(
@@ -79,6 +79,7 @@
         """Follow until cancelled."""
         while True:
             if self.handler.is_loaded and not self.is_enabled():
+                self.store.forget(self.handler.table)
                 await trio.sleep(0.2)
                 continue
             try:
@@ -92,7 +93,7 @@
             except PlatformError as exc:
                 self._record_failure(exc)
                 await trio.sleep(MIN_RETRY_DELAY_S)
-                if self.is_probing:
+                if self.is_probing or not self.store.has_other_failures(self.handler.table):
                     await trio.sleep(self.backoff.compute_delay_s(self._n_failures))
                 else:
                     await self.store.wait_until_up(MAX_RECOVERY_WAIT_S)
@@ -135,11 +136,11 @@
         if self._n_failures:
             self.handler.handle_store_recovery(now - self._outage_since, now)
         self._n_failures = 0
-        if self.store.record_answer(page, now):
+        if self.store.record_answer(self.handler.table, page, now):
             self.handler.observer.record_store_state(self.handler.table, None)
 
     def _record_failure(self, exc: PlatformError) -> None:
         self._n_failures += 1
         self.handler.observer.count_store_fault()
-        if self.store.record_failure(self.clock.now()):
+        if self.store.record_failure(self.handler.table):
             self.handler.observer.record_store_state(self.handler.table, exc)
--- a/crocusvalve/gateway/_store_state.py
+++ b/crocusvalve/gateway/_store_state.py
@@ -8,45 +8,60 @@
 
 
 class StoreState:
-    """Availability of the store as seen by its followers, and an estimate of its clock.
+    """Availability of the store for each followed table, and an estimate of its clock.
+
+    The tables are kept apart, since the store may answer for one of them while calls for another
+    one fail.
 
     Attributes
     ----------
-    failed_at, answered_at : float
-        Local times of the last failed and the last answered call, in seconds; ``-inf`` before the
-        first one.
+    answered_at : float
+        Local time of the last answered call, in seconds; ``-inf`` before the first one.
     era : int
         Latest era of the store.
     """
 
     def __init__(self) -> None:
-        self.failed_at = float("-inf")
         self.answered_at = float("-inf")
         self.era = 0
+        self._failing: set[str] = set()
         self._offset_s = 0.0
         self._recovered = trio.Event()
 
     @property
     def is_up(self) -> bool:
-        """Whether the last call was answered."""
-        return self.answered_at > self.failed_at
+        """Whether a call was answered, and for each table the last call was."""
+        return self.answered_at > float("-inf") and not self._failing
+
+    def is_failing(self, table: str) -> bool:
+        """Return whether the last call for a table failed."""
+        return table in self._failing
+
+    def has_other_failures(self, table: str) -> bool:
+        """Return whether the last call for another table failed."""
+        return bool(self._failing - {table})
+
+    def forget(self, table: str) -> None:
+        """Forget the last call for a table that is no longer followed."""
+        self._failing.discard(table)
 
-    def record_answer(self, page: FeedPage, now: float) -> bool:
-        """Record an answered call; return whether the call before it had failed."""
-        was_down = self.failed_at > self.answered_at
+    def record_answer(self, table: str, page: FeedPage, now: float) -> bool:
+        """Record an answered call; return whether the table's call before it had failed."""
+        was_failing = table in self._failing
+        self._failing.discard(table)
         self.answered_at = now
         self.era = max(self.era, page.era)
         self._offset_s = page.time_s - now
         self._recovered.set()
-        return was_down
+        return was_failing
 
-    def record_failure(self, now: float) -> bool:
-        """Record a failed call; return whether it is the first since the start or an answer."""
-        was_up = self.is_up or self.failed_at == float("-inf")
-        self.failed_at = now
+    def record_failure(self, table: str) -> bool:
+        """Record a failed call; return whether it is the table's first one since an answer."""
+        is_first = table not in self._failing
+        self._failing.add(table)
         if self._recovered.is_set():
             self._recovered = trio.Event()
-        return was_up
+        return is_first
 
     async def wait_until_up(self, timeout_s: float) -> None:
         """Wait until a call is answered, at most for ``timeout_s`` seconds."""
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -208,7 +208,7 @@
             position = await self.feed.put_row(self.status_handler.table, key, value, known_version)
         except PlatformError as exc:
             # A peer gateway that reaches the store continues as leader.
-            self.store.record_failure(self.clock.now())
+            self.store.record_failure(self.status_handler.table)
             self.observer.record_store_state(self.status_handler.table, exc)
             await trio.sleep(RETRY_S)
             return
--- a/features/gateway/followers.feature
+++ b/features/gateway/followers.feature
@@ -54,3 +54,7 @@
       | request                       | status |
       | an unknown path               | 404    |
       | an unknown API key            | 401    |
+
+  Scenario: A table whose calls fail isn't hidden by another table's answers
+    Given a store that answers for table "servers" and fails for table "op"
+    Then the store counts as failing, and one failure and one recovery of "op" are reported
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -19,6 +19,7 @@
 from crocusvalve.gateway._followers import TableFollower
 from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
+from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway._peers import GossipMessage, PeerTable
 from crocusvalve.gateway._placement import PlacementQuery, PlacementReason, choose_upstream
@@ -664,10 +665,9 @@
     store = StoreState()
     observer = GatewayObserver(CollectorRegistry())
     followers = []
-    for feed, is_probing in zip(context.feeds, (True, False), strict=True):
-        handler = UpstreamTableHandler(
-            GatewayTables(), PlatformRecordCodec(), observer, store, drain_s=2.0
-        )
+    shared = (GatewayTables(), PlatformRecordCodec(), observer, store)
+    handlers = (OperatorTableHandler(*shared), UpstreamTableHandler(*shared, drain_s=2.0))
+    for feed, is_probing, handler in zip(context.feeds, (True, False), handlers, strict=True):
         followers.append(
             TableFollower(
                 feed=feed,
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -20,7 +20,7 @@
 from crocusvalve.platform import PlatformRecordCodec, PlatformStore
 from crocusvalve.standin import StandinStore, StandinUpstream, StoreFault, make_route
 from crocusvalve.store import Backoff
-from crocusvalve.store.base import ChangeFeed
+from crocusvalve.store.base import ChangeFeed, FeedPage
 from crocusvalve.utils import BootClock
 from features.gateway.gateway_harness import make_gateway_config
 from features.gateway.steps.restore_steps import StoredChange
@@ -370,3 +370,21 @@
         assert float(answer.headers["retry-after"]) > 0
     assert context.known.status == 200
     assert context.afterwards.status == status, context.afterwards.status
+
+
+@given('a store that answers for table "{answered}" and fails for table "{failing}"')
+def given_failing_table(context, answered, failing):
+    context.store = StoreState()
+    page = FeedPage((), 1, 0.0)
+    context.reports = []
+    for now in range(5):
+        context.reports.append(context.store.record_answer(answered, page, now))
+        context.reports.append(context.store.record_failure(failing))
+    context.was_up = context.store.is_up
+    context.reports.append(context.store.record_answer(failing, page, 5.0))
+
+
+@then('the store counts as failing, and one failure and one recovery of "op" are reported')
+def then_one_report(context):
+    assert not context.was_up and context.store.is_up
+    assert context.reports.count(True) == 2, context.reports
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -201,7 +201,7 @@
         store = harness.gateway.store
         if not harness.has_configuration:
             await harness.wait_for(
-                lambda: harness.gateway.tables.has_upstreams or store.failed_at > 0.0
+                lambda: harness.gateway.tables.has_upstreams or store.is_failing("op")
             )
         await harness.call(target)
         context.probe = await harness.send(
