Gateways copy missing changes of the store's tables from each other at any time

Cause: a gateway took copies from its peers only at its start, and a copy had 2 s for any size. Change: gossip reports the last change of each table. A gateway that has lacked one for 0.8 s requests the changes after its own position from a peer that has them, compressed; the pauses within a copy are limited, not its time. Rows that a peer only retains aren't copied from it. The step for corrupt copies replaces the new encoding method.

--- /dev/null
+++ b/crocusvalve/gateway/_lag.py
@@ -0,0 +1,61 @@
+"""How far the tables of a gateway are behind those of its peers."""
+
+from collections.abc import Sequence
+
+from crocusvalve.gateway._peers import PeerTable
+from crocusvalve.gateway._replica import TablePosition
+from crocusvalve.gateway._table_handler import TableHandler
+
+__all__ = ["LagTracker", "TableLag"]
+
+
+class TableLag:
+    """For how long a peer has had a change of a table that this gateway lacks.
+
+    Load that it answers: while the store turns one gateway away, or its link is slow, the others
+    have changes that it can only get from them.
+    """
+
+    def __init__(self) -> None:
+        self._missing: TablePosition | None = None
+        self._since = 0.0
+
+    def update(self, own: TablePosition, newest: TablePosition | None, now: float) -> float:
+        """Return the seconds for which the oldest missing change is known to be missing.
+
+        Parameters
+        ----------
+        own : TablePosition
+            Position up to which this gateway has merged all changes.
+        newest : TablePosition or None
+            Last change that a peer has merged; None if no peer reports one.
+        now : float
+            Local time in seconds.
+        """
+        if self._missing is None or own >= self._missing:
+            is_missing = newest is not None and newest > own
+            self._missing = newest if is_missing else None
+            self._since = now
+        return 0.0 if self._missing is None else now - self._since
+
+
+class LagTracker:
+    """Lags of all followed tables.
+
+    Parameters
+    ----------
+    handlers : sequence of TableHandler
+        Handlers of the tables.
+    peers : PeerTable
+        Peers with their reported positions.
+    """
+
+    def __init__(self, handlers: Sequence[TableHandler], peers: PeerTable):
+        self.peers = peers
+        self._handlers = {handler.table: handler for handler in handlers}
+        self._lags = {table: TableLag() for table in self._handlers}
+
+    def compute_lag_s(self, table: str, now: float) -> float:
+        """Return for how many seconds a table is known to lack a change that a peer has."""
+        own = self._handlers[table].replica.position
+        return self._lags[table].update(own, self.peers.find_last_change(table, now), now)
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -359,6 +359,10 @@
         """Log that no tables could be copied from a peer gateway."""
         logger.warning("no tables copied from another gateway: %s", reason, extra={"peer": host})
 
+    def record_copy_not_served(self, reason: str) -> None:
+        """Log that a peer gateway has requested a copy and not received it."""
+        logger.info("table copy not served: %s", reason)
+
     def record_peer(self, node_id: str, host: str) -> None:
         """Log that a peer gateway is alive, for the first time or after a timeout."""
         logger.info("gateway %s is alive", node_id, extra={"peer": host})
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -8,6 +8,7 @@
 from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._outcome_counts import OutcomeCountsRow
+from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
 
 __all__ = ["GossipMessage", "MemberReport", "PeerTable", "SentPromptParts", "UpgradeReport"]
@@ -104,6 +105,8 @@
         A random part of the gateways that are alive.
     upgrades : tuple of UpgradeReport
         Status of the operators' current upgrade orders.
+    positions : dict of str to TablePosition
+        Last change that the gateway has merged, by table of the store.
     """
 
     node_id: NodeId
@@ -121,6 +124,7 @@
     upgrades: tuple[UpgradeReport, ...] = ()
     silent: tuple[UpstreamRun, ...] = ()
     members: tuple[MemberReport, ...] = ()
+    positions: dict[str, TablePosition] = field(default_factory=dict)
 
 
 class _Peer(Struct):
@@ -243,6 +247,22 @@
             member.host for member in alive
         ]
 
+    def find_last_change(self, table: str, now: float) -> TablePosition | None:
+        """Return the last change of a table that a peer has reported lately; None without one."""
+        positions = (peer.message.positions.get(table) for peer in self._list_recent(now))
+        return max((position for position in positions if position is not None), default=None)
+
+    def list_hosts_ahead(self, table: str, own: TablePosition, now: float) -> list[str]:
+        """Return the hosts of peers that have lately reported a change after a position."""
+        return [
+            peer.message.host
+            for peer in self._list_recent(now)
+            if table in peer.message.positions and peer.message.positions[table] > own
+        ]
+
+    def _list_recent(self, now: float) -> list[_Peer]:
+        return [peer for peer in self._peers.values() if now - peer.received_at <= PEER_TIMEOUT_S]
+
     def has_accepting_peer(self, now: float) -> bool:
         """Return whether a peer gateway is alive and not stopping."""
         return any(not member.is_leaving for member in self.list_alive(now).values())
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -13,6 +13,7 @@
 from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._followers import TableFollower
+from crocusvalve.gateway._lag import LagTracker
 from crocusvalve.gateway._listener import CallerConnection
 from crocusvalve.gateway._members import MemberRegistry
 from crocusvalve.gateway._observer import GatewayObserver
@@ -119,10 +120,13 @@
         self.operator_handler = OperatorTableHandler(*shared)
         self.upstream_handler = UpstreamTableHandler(*shared, drain_s=settings.bounds.drain_s)
         self.status_handler = StatusTableHandler(*shared)
+        handlers = (self.operator_handler, self.upstream_handler, self.status_handler)
+        self.lags = LagTracker(handlers, self.peers)
         self.copy_exchange = TableCopyExchange(
             address=settings.peer,
-            handlers=(self.operator_handler, self.upstream_handler, self.status_handler),
+            handlers=handlers,
             peers=self.peers,
+            lags=self.lags,
             observer=self.observer,
             clock=clock,
             random_state=random_state,
@@ -306,6 +310,11 @@
             has_store=self.store.is_up,
             leaving=self.tables.closures.list_leaving(MAX_GOSSIP_LEAVING),
             upgrades=self.upgrades.list_reports(),
+            positions={
+                handler.table: handler.replica.last_change
+                for handler in (self.operator_handler, self.upstream_handler)
+                if handler.is_loaded
+            },
             silent=tuple(
                 UpstreamRun.of(row)
                 for key, load in loads
--- a/crocusvalve/gateway/_replica.py
+++ b/crocusvalve/gateway/_replica.py
@@ -4,7 +4,14 @@
 
 from crocusvalve.store.base import FeedPage, FeedRow
 
-__all__ = ["TableReplica"]
+__all__ = ["TablePosition", "TableReplica"]
+
+
+class TablePosition(Struct, frozen=True, order=True, array_like=True):
+    """Version of the store within an era; a position of a later era is the larger one."""
+
+    era: int
+    version: int
 
 
 class _StoredRow(Struct, frozen=True):
@@ -22,14 +29,26 @@
     era : int
         Era of the store that all versions of the replica belong to.
     version : int or None
-        Version of the store up to which changes are merged; None if the table must be read.
+        Version of the store from which changes can be followed; None if the table must be read.
     """
 
     def __init__(self) -> None:
         self.era = 0
         self.version: int | None = None
+        self._merged_version = 0
+        self._last_change = 0
         self._rows: dict[str, _StoredRow] = {}
 
+    @property
+    def position(self) -> TablePosition:
+        """Position up to which all changes are merged."""
+        return TablePosition(self.era, self._merged_version)
+
+    @property
+    def last_change(self) -> TablePosition:
+        """Position of the last change that is merged."""
+        return TablePosition(self.era, self._last_change)
+
     @property
     def is_empty(self) -> bool:
         """Whether no row was received yet."""
@@ -55,9 +74,18 @@
         present = tuple(row for row in rows if row.value is not None)
         return FeedPage(present, self.version, 0.0, self.era)
 
+    def make_changes_page(self, after: int) -> FeedPage:
+        """Return the rows changed after a version of the replica's era, with deleted ones."""
+        rows = (FeedRow(key, row.value, row.version) for key, row in self._rows.items())
+        changed = tuple(row for row in rows if row.version > after)
+        return FeedPage(changed, self._merged_version, 0.0, self.era)
+
     def merge_changes(self, page: FeedPage) -> list[FeedRow]:
-        """Merge changed rows of the replica's era; return those that are new."""
-        self.version = page.version
+        """Merge changed rows of the replica's era; return those that are new.
+
+        The page may be older than the replica, if two sources of changes are used.
+        """
+        self._advance(page)
         return [row for row in page.rows if self.merge_row(row)]
 
     def merge_table(self, page: FeedPage) -> list[FeedRow]:
@@ -66,14 +94,14 @@
         A missing row counts as deleted only if the page is not older than the row.
         """
         self.era = page.era
-        self.version = page.version
+        self._advance(page)
         new_rows = [row for row in page.rows if self.merge_row(row)]
         listed = {row.key for row in page.rows}
         for key, stored in list(self._rows.items()):
             is_missing = stored.value is not None and key not in listed
             if is_missing and stored.version <= page.version:
                 deleted = FeedRow(key, None, page.version)
-                self.merge_row(deleted)
+                self._rows[key] = _StoredRow(None, page.version)
                 new_rows.append(deleted)
         return new_rows
 
@@ -87,7 +115,8 @@
         """
         previous = self._rows
         self.era = page.era
-        self.version = page.version
+        self.version = self._merged_version = page.version
+        self._last_change = max((row.version for row in page.rows), default=0)
         self._rows = {row.key: _StoredRow(row.value, row.version) for row in page.rows}
         different = [row for row in page.rows if _get_value(previous, row.key) != row.value]
         missing = [
@@ -103,8 +132,13 @@
         if stored is not None and stored.version >= row.version:
             return False
         self._rows[row.key] = _StoredRow(row.value, row.version)
+        self._last_change = max(self._last_change, row.version)
         return True
 
+    def _advance(self, page: FeedPage) -> None:
+        self._merged_version = max(self._merged_version, page.version)
+        self.version = self._merged_version
+
 
 def _get_value(rows: dict[str, _StoredRow], key: str) -> bytes | None:
     row = rows.get(key)
--- a/crocusvalve/gateway/_table_copies.py
+++ b/crocusvalve/gateway/_table_copies.py
@@ -1,34 +1,72 @@
-"""Copies of the store's tables, served to gateways that start while it is unavailable."""
+"""Copies of the store's tables, exchanged between gateways.
+
+A gateway that starts while the store is unavailable copies whole tables. One that lacks changes
+that a peer has, since the store turns it away or its link is slow, copies these changes.
+"""
 
 import random
+import zlib
 from collections.abc import Sequence
 
 import msgspec
 import trio
+from msgspec import Struct
 
+from crocusvalve.gateway._lag import LagTracker
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._peers import PeerTable
+from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway._sockets import connect
 from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.gateway.base import Address
 from crocusvalve.store.base import FeedPage
 from crocusvalve.utils import Clock
 
-__all__ = ["TableCopyExchange"]
+__all__ = ["CopyRequest", "TableCopy", "TableCopyExchange"]
 
 #: The store answers a read within 4 ms; a gateway without tables after this time asks a peer.
 ASK_AFTER_S = 0.5
 ASK_PAUSE_S = 0.25
+#: Time for which a change is known to be missing before a peer is asked for it. The store's feed
+#: normally delivers it before then.
+CATCH_UP_AFTER_S = 0.8
 CONNECT_TIMEOUT_S = 0.4
-#: Timeout of a complete copy, which takes a few ms on the slowest link that the users specify.
-COPY_TIMEOUT_S = 2.0
-#: Maximum size of a copy: fits 3,500 upstreams' entries of about 250 bytes and a configuration.
-MAX_COPY_BYTES = 4 * 1024 * 1024
+#: Longest pause within a copy. Its total time is not limited, since it depends on size and link.
+STALL_TIMEOUT_S = 1.5
+#: Maximum size of the tables in a copy: fits 3,500 upstreams' entries of about 250 bytes and a
+#: configuration of 10,000 routes.
+MAX_COPY_BYTES = 8 * 1024 * 1024
+MAX_REQUEST_BYTES = 4096
 READ_BYTES = 65536
+#: A part of a copy that the peer must read within the longest pause.
+SEND_BYTES = 4096
+#: Fastest level: a configuration becomes about a tenth as long, so that it takes a fraction of a
+#: second on the slowest links.
+COMPRESSION_LEVEL = 1
+
+
+class CopyRequest(Struct, frozen=True, array_like=True):
+    """Request of a copy.
+
+    Attributes
+    ----------
+    positions : dict of str to TablePosition
+        Requested tables, and the position after which changes are wanted; a table is copied whole
+        if the position is of another era or its version is 0.
+    """
+
+    positions: dict[str, TablePosition]
+
+
+class TableCopy(Struct, frozen=True, array_like=True):
+    """Rows of a table: all of it, or the changes after the requested position."""
+
+    page: FeedPage
+    is_complete: bool
 
 
 class TableCopyExchange:
-    """Serves copies of this gateway's tables, and fetches the missing ones from a peer.
+    """Serves copies of this gateway's tables, and fetches from a peer what this gateway lacks.
 
     Parameters
     ----------
@@ -38,6 +76,8 @@
         Handlers of the tables that are copied.
     peers : PeerTable
         Peers that may be asked for a copy.
+    lags : LagTracker
+        Tables that are behind those of a peer.
     observer : GatewayObserver
         Records copies and failures to get one.
     clock : Clock
@@ -52,6 +92,7 @@
         address: Address,
         handlers: Sequence[TableHandler],
         peers: PeerTable,
+        lags: LagTracker,
         observer: GatewayObserver,
         clock: Clock,
         random_state: random.Random,
@@ -59,68 +100,132 @@
         self.address = address
         self.handlers = {handler.table: handler for handler in handlers}
         self.peers = peers
+        self.lags = lags
         self.observer = observer
         self.clock = clock
         self.random_state = random_state
-        self._decoder = msgspec.msgpack.Decoder(dict[str, FeedPage])
+        self._request_decoder = msgspec.msgpack.Decoder(CopyRequest)
+        self._decoder = msgspec.msgpack.Decoder(dict[str, TableCopy])
 
-    def make_copy(self) -> bytes:
-        """Return the tables that are loaded, encoded."""
-        replicas = {
-            name: handler.replica for name, handler in self.handlers.items() if handler.is_loaded
-        }
-        return msgspec.msgpack.encode(
-            {name: replica.make_page() for name, replica in replicas.items()}
-        )
+    def make_copies(self, req: CopyRequest) -> dict[str, TableCopy]:
+        """Return copies of the requested tables that are loaded and settled."""
+        copies = {}
+        for table, after in req.positions.items():
+            handler = self.handlers.get(table)
+            if handler is None or not handler.is_loaded or not handler.is_settled:
+                continue
+            replica = handler.replica
+            is_complete = after.version == 0 or after.era != replica.era
+            page = replica.make_page() if is_complete else replica.make_changes_page(after.version)
+            copies[table] = TableCopy(page, is_complete)
+        return copies
+
+    def encode_copies(self, req: CopyRequest) -> bytes:
+        """Return the requested copies as they are sent."""
+        return zlib.compress(msgspec.msgpack.encode(self.make_copies(req)), COMPRESSION_LEVEL)
 
     async def serve(self, stream: trio.SocketStream) -> None:
-        """Send one copy to the gateway that has connected."""
+        """Send the requested copies to the gateway that has connected."""
         async with stream:
             try:
-                with trio.move_on_after(COPY_TIMEOUT_S):
-                    await stream.send_all(self.make_copy())
-            except (trio.BrokenResourceError, OSError):
+                req = self._request_decoder.decode(await _receive(stream, MAX_REQUEST_BYTES))
+                await _send(stream, self.encode_copies(req))
+            except (trio.BrokenResourceError, OSError, msgspec.MsgspecError) as exc:
                 # The peer asks again, this gateway or another one.
-                return
+                self.observer.record_copy_not_served(repr(exc))
 
     async def run(self) -> None:
-        """Ask peers for copies until every table is loaded, from a peer or from the store."""
+        """Ask peers for the tables and changes that this gateway lacks, until cancelled."""
         await trio.sleep(ASK_AFTER_S)
-        while not all(handler.is_loaded for handler in self.handlers.values()):
-            hosts = self.peers.list_copy_sources(self.clock.now())
+        while True:
+            now = self.clock.now()
+            req, hosts = self._make_request(now)
             if hosts:
-                await self._request_copy(self.random_state.choice(hosts))
+                await self._request_copies(self.random_state.choice(hosts), req)
             await trio.sleep(ASK_PAUSE_S)
 
-    async def _request_copy(self, host: str) -> None:
+    def _make_request(self, now: float) -> tuple[CopyRequest, list[str]]:
+        """Return what to request, and the hosts that have it."""
+        positions = {}
+        hosts: list[str] = []
+        for table, handler in self.handlers.items():
+            lag_s = self.lags.compute_lag_s(table, now)
+            if not handler.is_loaded and handler.replica.is_empty:
+                positions[table] = TablePosition(handler.replica.era, 0)
+                hosts = hosts or self.peers.list_copy_sources(now)
+            elif lag_s > CATCH_UP_AFTER_S:
+                positions[table] = handler.replica.position
+                position = handler.replica.position
+                hosts = hosts or self.peers.list_hosts_ahead(table, position, now)
+        return CopyRequest(positions), hosts
+
+    async def _request_copies(self, host: str, req: CopyRequest) -> None:
         try:
-            pages = self._decoder.decode(await self._fetch(host))
-        except (trio.BrokenResourceError, OSError, msgspec.MsgspecError) as exc:
+            copies = self._decoder.decode(await self._fetch(host, req))
+        except (trio.BrokenResourceError, OSError, zlib.error, msgspec.MsgspecError) as exc:
             self.observer.record_table_copy_failure(host, repr(exc))
             return
-        self.merge_copy(host, pages)
+        self.merge_copies(host, copies)
 
-    async def _fetch(self, host: str) -> bytes:
+    async def _fetch(self, host: str, req: CopyRequest) -> bytes:
         stream = await connect(Address(host, self.address.port), CONNECT_TIMEOUT_S)
-        data = bytearray()
         async with stream:
-            with trio.move_on_after(COPY_TIMEOUT_S) as scope:
-                while part := await stream.receive_some(READ_BYTES):
-                    data += part
-                    if len(data) > MAX_COPY_BYTES:
-                        raise OSError(f"the copy is longer than {MAX_COPY_BYTES} bytes")
-        if scope.cancelled_caught:
-            raise TimeoutError(f"no complete copy within {COPY_TIMEOUT_S} s")
-        return bytes(data)
+            await _send(stream, msgspec.msgpack.encode(req))
+            await stream.send_eof()
+            data = await _receive(stream, MAX_COPY_BYTES)
+        decompressor = zlib.decompressobj()
+        copy = decompressor.decompress(data, MAX_COPY_BYTES)
+        if not decompressor.eof:
+            raise OSError(f"the copy is incomplete or longer than {MAX_COPY_BYTES} bytes")
+        return copy
 
-    def merge_copy(self, host: str, pages: dict[str, FeedPage]) -> None:
-        """Load the tables of a copy that are not loaded yet."""
+    def merge_copies(self, host: str, copies: dict[str, TableCopy]) -> None:
+        """Merge copies from a peer; a whole one replaces no table of its era that is loaded.
+
+        Parameters
+        ----------
+        host : str
+            Host of the peer, for the log.
+        copies : dict of str to TableCopy
+            Copies by table.
+        """
         now = self.clock.now()
         versions = {}
-        for name, handler in self.handlers.items():
-            page = pages.get(name)
-            if page is not None and not handler.is_loaded and page.era >= handler.replica.era:
-                handler.merge_table(page, now)
-                versions[name] = page.version
+        for table, copy in copies.items():
+            handler = self.handlers.get(table)
+            if handler is None or copy.page.era < handler.replica.era:
+                continue
+            is_later_era = copy.page.era > handler.replica.era
+            if copy.is_complete and (is_later_era or not handler.is_loaded):
+                handler.merge_table(copy.page, now)
+            elif not (copy.is_complete or is_later_era or handler.replica.is_empty):
+                handler.merge_changes(copy.page, now)
+            else:
+                continue
+            versions[table] = copy.page.version
         if versions:
             self.observer.record_table_copy(host, versions)
+
+
+async def _send(stream: trio.SocketStream, data: bytes) -> None:
+    """Send data; raises ``TimeoutError`` if the peer reads nothing for too long."""
+    for start in range(0, len(data), SEND_BYTES):
+        with trio.move_on_after(STALL_TIMEOUT_S) as scope:
+            await stream.send_all(data[start : start + SEND_BYTES])
+        if scope.cancelled_caught:
+            raise TimeoutError(f"the peer read nothing for {STALL_TIMEOUT_S} s")
+
+
+async def _receive(stream: trio.SocketStream, max_bytes: int) -> bytes:
+    """Receive until the peer closes its side; raises ``OSError`` if it stalls or sends too much."""
+    data = bytearray()
+    while True:
+        with trio.move_on_after(STALL_TIMEOUT_S) as scope:
+            part = await stream.receive_some(READ_BYTES)
+        if scope.cancelled_caught:
+            raise TimeoutError(f"the peer sent nothing for {STALL_TIMEOUT_S} s")
+        if not part:
+            return bytes(data)
+        data += part
+        if len(data) > max_bytes:
+            raise OSError(f"the message is longer than {max_bytes} bytes")
--- a/crocusvalve/gateway/_table_handler.py
+++ b/crocusvalve/gateway/_table_handler.py
@@ -43,6 +43,11 @@
         """Whether the table was read, so that its changes can be followed from a version on."""
         return self.replica.version is not None
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether no deleted row is retained, so that peers may copy the table."""
+        return True
+
     def merge_table(self, page: FeedPage, now: float) -> None:
         """Merge a complete table and apply the rows that are new."""
         if page.era < self.replica.era:
--- a/crocusvalve/gateway/_upstream_table.py
+++ b/crocusvalve/gateway/_upstream_table.py
@@ -38,6 +38,11 @@
         self._expired: dict[UpstreamId, float] = {}
         self._expiry_grace_until: float | None = None
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether no missing entry is retained, so that peers may copy the table."""
+        return not self._expired
+
     def handle_store_recovery(self, outage_s: float, now: float) -> None:
         """Start the grace period for entries that may have expired in an outage."""
         if outage_s >= MIN_OUTAGE_S:
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -13,16 +13,24 @@
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._process import BACKOFF_BASE_S, BACKOFF_MAX_S, WAIT_MARGIN_S
+from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway._store_state import StoreState
+from crocusvalve.gateway._table_copies import CopyRequest
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._upstream_table import UpstreamTableHandler
 from crocusvalve.gateway.base import Address, GatewayBounds
 from crocusvalve.platform import PlatformRecordCodec, PlatformStore
-from crocusvalve.standin import StandinStore, StandinUpstream, StoreFault, make_route
+from crocusvalve.standin import (
+    StandinStore,
+    StandinUpstream,
+    StoreFault,
+    make_loopback_host,
+    make_route,
+)
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import ChangeFeed, FeedPage
 from crocusvalve.utils import BootClock
-from features.gateway.gateway_harness import make_gateway_config
+from features.gateway.gateway_harness import PEER_PORT, make_gateway_config
 from features.gateway.steps.restore_steps import StoredChange
 
 BOUNDS = GatewayBounds()
@@ -144,27 +152,20 @@
         store.put("op", "config", make_large_config(6))
         await harness.wait_for(lambda: gateway.tables.config.version == 6)
         store.fault = StoreFault.SILENT
-        exchange = gateway.copy_exchange
-        serve = exchange.serve
+        tables = {name: TablePosition(0, 0) for name in ("op", "servers", "status")}
+        n_bytes = len(gateway.copy_exchange.encode_copies(CopyRequest(tables)))
+        host = make_loopback_host(2)
 
         async def serve_slowly(stream):
-            await serve(SlowStream(stream, len(exchange.make_copy()) / transfer_s))
+            await gateway.copy_exchange.serve(SlowStream(stream, n_bytes / transfer_s))
 
-        exchange.serve = serve_slowly
         async with PlatformStore(harness.store_address) as feed, trio.open_nursery() as nursery:
-            # The first gateway's listener keeps the method that it was started with.
-            async def accept():
-                listeners = await trio.open_tcp_listeners(0, host=harness.host)
-                context.copy_port = listeners[0].socket.getsockname()[1]
-                await trio.serve_listeners(serve_slowly, listeners)
-
-            nursery.start_soon(accept)
-            await harness.wait_for(lambda: hasattr(context, "copy_port"))
+            listeners = await trio.open_tcp_listeners(PEER_PORT, host=host)
+            nursery.start_soon(trio.serve_listeners, serve_slowly, listeners)
             await harness.start_second_gateway(feed, nursery)
             second = harness.second_gateway
-            second.copy_exchange.address = Address(
-                second.copy_exchange.address.host, context.copy_port
-            )
+            # The slow listener is on another host than the gateway that it serves copies of.
+            second.peers.list_copy_sources = lambda now: [host]
             context.elapsed_s = await measure_until(second.is_ready, 8.0)
             nursery.cancel_scope.cancel()
 
@@ -184,6 +185,9 @@
     async def __aexit__(self, *exc_info):
         await self.stream.aclose()
 
+    async def send_eof(self):
+        await self.stream.send_eof()
+
     async def receive_some(self, max_bytes=None):
         return await self.stream.receive_some(max_bytes)
 
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -10,6 +10,7 @@
 from crocusvalve.gateway._peers import GossipMessage
 from crocusvalve.gateway._placement import PlacementReason
 from crocusvalve.gateway._stopping import StopPlan
+from crocusvalve.gateway._table_copies import TableCopy
 from crocusvalve.platform import PlatformStore
 from crocusvalve.standin import StoreFault, UpstreamFault, make_event
 from crocusvalve.store.base import FeedPage, FeedRow
@@ -117,8 +118,9 @@
 def when_corrupt_copies(context):
     async def act(harness):
         harness.store.fault = StoreFault.SILENT
-        complete_copy = harness.gateway.copy_exchange.make_copy()
-        harness.gateway.copy_exchange.make_copy = lambda: complete_copy[:-1]
+        exchange = harness.gateway.copy_exchange
+        encode_copies = exchange.encode_copies
+        exchange.encode_copies = lambda req: encode_copies(req)[:-1]
         async with PlatformStore(harness.store_address) as feed, trio.open_nursery() as nursery:
             await harness.start_second_gateway(feed, nursery)
             await harness.wait_for(
@@ -141,7 +143,9 @@
 def when_given_copy(context):
     async def act(harness):
         row = FeedRow("config", msgspec.json.encode(make_gateway_config(99)), 10**6)
-        harness.gateway.copy_exchange.merge_copy("127.0.0.9", {"op": FeedPage((row,), 10**6, 0.0)})
+        harness.gateway.copy_exchange.merge_copies(
+            "127.0.0.9", {"op": TableCopy(FeedPage((row,), 10**6, 0.0), True)}
+        )
 
     context.harness.run(act)
 
