A gateway that may lack a later configuration answers 503 instead of 401 and 404, and isn't ready while it stays behind

Cause: what a gateway's configuration doesn't allow was refused for good, however old the configuration. Change: while the operators' table fails, or a peer reports a later change of it, such requests get 503 not_ready with 1 s to return; a gateway that has lacked a peer's change for 3 s isn't ready. Known routes and keys are served as before, since a stale answer serves more callers than none.

--- a/crocusvalve/gateway/_lag.py
+++ b/crocusvalve/gateway/_lag.py
@@ -8,6 +8,9 @@
 
 __all__ = ["LagTracker", "TableLag"]
 
+#: Lag that is reported at the moment at which a change is first known to be missing, in seconds.
+MIN_LAG_S = 0.001
+
 
 class TableLag:
     """For how long a peer has had a change of a table that this gateway lacks.
@@ -36,7 +39,7 @@
             is_missing = newest is not None and newest > own
             self._missing = newest if is_missing else None
             self._since = now
-        return 0.0 if self._missing is None else now - self._since
+        return 0.0 if self._missing is None else max(now - self._since, MIN_LAG_S)
 
 
 class LagTracker:
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -64,6 +64,9 @@
 MAX_GOSSIP_LEAVING = 64
 #: Number of other gateways that one message reports as alive.
 MAX_GOSSIP_MEMBERS = 20
+#: A gateway that has lacked a change of the operators' table for longer, which a peer has, isn't
+#: ready; otherwise its connections would get answers of an old configuration.
+MAX_READY_LAG_S = 3.0
 #: Maximum number of silent upstreams in one message.
 MAX_GOSSIP_SILENT = 32
 
@@ -159,6 +162,7 @@
             upgrades=self.upgrades,
             observer=self.observer,
             clock=clock,
+            may_lack_configuration=self.may_lack_configuration,
         )
         self.members = MemberRegistry(
             node_id=settings.node_id,
@@ -176,7 +180,17 @@
     def is_ready(self) -> bool:
         """Return whether this gateway accepts new connections."""
         has_tables = self.tables.directory is not None and self.tables.has_upstreams
-        return has_tables and not self.request_handler.is_closing()
+        lag_s = self.lags.compute_lag_s(self.operator_handler.table, self.clock.now())
+        is_behind = lag_s > MAX_READY_LAG_S
+        return has_tables and not is_behind and not self.request_handler.is_closing()
+
+    def may_lack_configuration(self, now: float) -> bool:
+        """Return whether there may be a later configuration than the one in force.
+
+        That is so while the store fails, and while a peer reports a later change of its table.
+        """
+        table = self.operator_handler.table
+        return self.store.is_failing(table) or self.lags.compute_lag_s(table, now) > 0.0
 
     async def run(
         self, stop: trio.Event, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/_request_handler.py
@@ -1,5 +1,7 @@
 """Handles callers' requests: finds route and customer, and refuses or answers them."""
 
+from collections.abc import Callable
+
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptManager
@@ -19,6 +21,9 @@
 STEP = "admission"
 #: Retry delay in seconds for a caller that has reached a gateway without a configuration.
 NOT_READY_RETRY_S = 0.5
+#: The same for one that has reached a gateway whose configuration may be out of date; changes are
+#: copied from another gateway within about this time.
+OUTDATED_RETRY_S = 1.0
 #: HTTP statuses that differ from the error code's default. 503 states that the request was not sent
 #: to an upstream, which is true of a request refused because it crashes upstreams.
 HTTP_STATUSES = {ErrorCode.CRASHES_UPSTREAMS: 503}
@@ -32,6 +37,8 @@
     ----------
     upgrades : UpgradeController
         Chooses the version of a service for each session.
+    may_lack_configuration : callable
+        Returns whether there may be a later configuration than the one in force, at a local time.
     """
 
     def __init__(
@@ -42,7 +49,9 @@
         upgrades: UpgradeController,
         observer: GatewayObserver,
         clock: Clock,
+        may_lack_configuration: Callable[[float], bool],
     ):
+        self.may_lack_configuration = may_lack_configuration
         self.tables = tables
         self.attempt_manager = attempt_manager
         self.upgrades = upgrades
@@ -113,10 +122,10 @@
             )
         route = directory.find_route(caller.host, caller.path)
         if route is None:
-            raise RefusedError(ErrorCode.NOT_FOUND, "no route for this path", step=STEP)
+            raise self._make_unknown_error(ErrorCode.NOT_FOUND, "no route for this path", now)
         customer = directory.find_customer(caller)
         if not directory.is_allowed(route, customer):
-            raise RefusedError(ErrorCode.BAD_KEY, "unknown key", step=STEP)
+            raise self._make_unknown_error(ErrorCode.BAD_KEY, "unknown key", now)
         self._check_stopping(route, now)
         digest = compute_digest(
             caller.target, (customer.name if customer else "").encode(), caller.body
@@ -127,6 +136,16 @@
             )
         return self._make_request(caller, route, customer, digest, now)
 
+    def _make_unknown_error(self, code: ErrorCode, message: str, now: float) -> RefusedError:
+        """Return the error for a request that the configuration in force doesn't allow.
+
+        It is final only if no later configuration may allow the request.
+        """
+        if self.may_lack_configuration(now):
+            message = f"{message} in a configuration that may be out of date"
+            return self._refuse(ErrorCode.NOT_READY, message, OUTDATED_RETRY_S)
+        return RefusedError(code, message, step=STEP)
+
     def _check_stopping(self, route: Route, now: float) -> None:
         plan = self.stop_plan
         if plan is None:
--- a/features/gateway/followers.feature
+++ b/features/gateway/followers.feature
@@ -55,6 +55,11 @@
       | an unknown path               | 404    |
       | an unknown API key            | 401    |
 
+  Scenario: A gateway that stays behind another one is not ready
+    Given a gateway with two upstreams
+    When a peer has a later configuration that the gateway can't get
+    Then the gateway is not ready within 5 s, and ready again once it has the configuration
+
   Scenario: A table whose calls fail isn't hidden by another table's answers
     Given a store that answers for table "servers" and fails for table "op"
     Then the store counts as failing, and one failure and one recovery of "op" are reported
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -7,11 +7,12 @@
 from behave import given, then, when
 from prometheus_client import CollectorRegistry
 
-from crocusvalve.base import UpstreamId
+from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._followers import TableFollower
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._operator_table import OperatorTableHandler
+from crocusvalve.gateway._peers import GossipMessage
 from crocusvalve.gateway._process import BACKOFF_BASE_S, BACKOFF_MAX_S, WAIT_MARGIN_S
 from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway._store_state import StoreState
@@ -376,6 +377,46 @@
     assert context.afterwards.status == status, context.afterwards.status
 
 
+@when("a peer has a later configuration that the gateway can't get")
+def when_peer_ahead(context):
+    async def act(harness):
+        gateway, store = harness.gateway, harness.store
+        store.fault = StoreFault.SILENT
+        position = gateway.operator_handler.replica.position
+        missing = TablePosition(position.era, position.version + 20)
+
+        async def gossip():
+            while True:
+                message = GossipMessage(
+                    node_id=NodeId("gateway-9"),
+                    boot_id="b",
+                    host="127.0.0.9",
+                    positions={"op": missing},
+                )
+                gateway.peers.update_peer(message, gateway.clock.now())
+                await trio.sleep(0.4)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(gossip)
+            context.unready_s = await measure_until(lambda: not gateway.is_ready(), 8.0)
+            while store.version < missing.version:
+                store.put("op", "config", make_gateway_config(7))
+            store.fault = StoreFault.NONE
+            context.ready_s = await measure_until(gateway.is_ready, 8.0)
+            context.version = gateway.tables.config.version
+            nursery.cancel_scope.cancel()
+
+    context.harness.run(act)
+
+
+@then(
+    "the gateway is not ready within {bound_s:d} s, and ready again once it has the configuration"
+)
+def then_not_ready(context, bound_s):
+    assert context.unready_s <= bound_s, context.unready_s
+    assert context.ready_s <= 8.0 and context.version == 7, (context.ready_s, context.version)
+
+
 @given('a store that answers for table "{answered}" and fails for table "{failing}"')
 def given_failing_table(context, answered, failing):
     context.store = StoreState()
