An upstream that left in a store outage is dropped before the operators' bounds hold again

Cause: an entry missing after an outage is retained for 1.7 s from the first answer, since it may have expired. The answer comes late: a silent call lasts 1 s, and up to 1 s passes until the next one, so that the entry is dropped up to 3.8 s after the store's return; the bound is 3 s. Change: the time counts from the start of the last call that failed, the earliest time at which the store may have returned, and ends 0.3 s before the bounds hold; while the store fails, two calls in three are given up after 0.5 s and pauses last 0.4 s at most; an outage in which a peer's copies kept the table up to date is none. The cap of 0.85 of the drain bound stays. Test: 'An upstream that leaves in a store outage gets no request once the bounds hold again' failed before, passes now; entries that are back 1.2 s after the return are retained by all 40.

--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/_followers.py
@@ -9,6 +9,7 @@
 from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import (
+    DEFAULT_TIMEOUT_S,
     BacklogTooLongError,
     ChangeFeed,
     FeedPage,
@@ -20,6 +21,10 @@
 
 #: Shortest delay after a failed call.
 MIN_RETRY_DELAY_S = 0.05
+#: Time within which the store must begin to answer most calls while it fails, and the number of
+#: calls of which one has the usual time.
+PROBE_TIMEOUT_S = 0.5
+PROBES_PER_LONG_CALL = 3
 #: Longest time for which a follower waits for another one to reach the store.
 MAX_RECOVERY_WAIT_S = 4.0
 
@@ -74,6 +79,7 @@
         self.is_probing = is_probing
         self._n_failures = 0
         self._outage_since = 0.0
+        self._call_started_at = 0.0
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -100,6 +106,7 @@
 
     async def _read_once(self) -> None:
         handler = self.handler
+        self._call_started_at = self.clock.now()
         if handler.is_loaded:
             version = handler.replica.version
             wait_s = max(0.0, handler.limit_wait_s(self.wait_s, self.clock.now()))
@@ -114,7 +121,7 @@
                 return
             handler.merge_changes(page, self.clock.now())
         else:
-            page = await self.feed.read_table(handler.table)
+            page = await self.feed.read_table(handler.table, timeout_s=self._choose_timeout_s())
             self._record_answer(page)
             handler.merge_table(page, self.clock.now())
 
@@ -122,7 +129,11 @@
         started_at = self.clock.now()
         try:
             return await self.feed.wait_for_changes(
-                self.handler.table, version, wait_s, max_bytes=self.handler.compute_max_backlog()
+                self.handler.table,
+                version,
+                wait_s,
+                max_bytes=self.handler.compute_max_backlog(),
+                timeout_s=self._choose_timeout_s(),
             )
         except PlatformError:
             if not self._n_failures:
@@ -131,10 +142,21 @@
                 self._outage_since = started_at if now - started_at > wait_s else now
             raise
 
+    def _choose_timeout_s(self) -> float:
+        """Return for how long the store may take to begin an answer.
+
+        While it fails, most calls are given up sooner, so that its return is noticed sooner; the
+        others allow for a slow store.
+        """
+        is_short = self._n_failures % PROBES_PER_LONG_CALL != 0
+        return PROBE_TIMEOUT_S if is_short else DEFAULT_TIMEOUT_S
+
     def _record_answer(self, page: FeedPage) -> None:
         now = self.clock.now()
         if self._n_failures:
-            self.handler.handle_store_recovery(now - self._outage_since, now)
+            # Changes that were copied from a peer meanwhile shorten the outage.
+            outage_s = now - max(self._outage_since, self.handler.merged_at)
+            self.handler.handle_store_recovery(outage_s, now)
         self._n_failures = 0
         if self.store.record_answer(self.handler.table, page, now):
             self.handler.observer.record_store_state(self.handler.table, None)
@@ -142,5 +164,5 @@
     def _record_failure(self, exc: PlatformError) -> None:
         self._n_failures += 1
         self.handler.observer.count_store_fault()
-        if self.store.record_failure(self.handler.table):
+        if self.store.record_failure(self.handler.table, self._call_started_at):
             self.handler.observer.record_store_state(self.handler.table, exc)
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -51,7 +51,7 @@
 #: time, so without a pause each call would return at once.
 UPSTREAM_PAUSE_FRACTION = 0.3
 BACKOFF_BASE_S = 0.1
-BACKOFF_MAX_S = 1.0
+BACKOFF_MAX_S = 0.4
 #: Interval at which a stopping gateway checks whether requests are open.
 DRAIN_POLL_INTERVAL_S = 0.05
 #: The peers' loads are summed at most this often, since the cost grows with the number of peers.
@@ -121,7 +121,7 @@
         self.peers.add_hosts((seed.host for seed in settings.seeds), clock.now())
         shared = (self.tables, record_codec, self.observer, self.store)
         self.operator_handler = OperatorTableHandler(*shared)
-        self.upstream_handler = UpstreamTableHandler(*shared, drain_s=settings.bounds.drain_s)
+        self.upstream_handler = UpstreamTableHandler(*shared, bounds=settings.bounds)
         self.status_handler = StatusTableHandler(*shared)
         handlers = (self.operator_handler, self.upstream_handler, self.status_handler)
         self.lags = LagTracker(handlers, self.peers)
--- a/crocusvalve/gateway/_store_state.py
+++ b/crocusvalve/gateway/_store_state.py
@@ -17,12 +17,16 @@
     ----------
     answered_at : float
         Local time of the last answered call, in seconds; ``-inf`` before the first one.
+    returned_after : float
+        Local time in seconds after which the store has become available again: the start of the
+        last call that failed. ``-inf`` if none did.
     era : int
         Latest era of the store.
     """
 
     def __init__(self) -> None:
         self.answered_at = float("-inf")
+        self.returned_after = float("-inf")
         self.era = 0
         self._failing: set[str] = set()
         self._offset_s = 0.0
@@ -55,8 +59,15 @@
         self._recovered.set()
         return was_failing
 
-    def record_failure(self, table: str) -> bool:
-        """Record a failed call; return whether it is the table's first one since an answer."""
+    def record_failure(self, table: str, started_at: float) -> bool:
+        """Record a failed call; return whether it is the table's first one since an answer.
+
+        Parameters
+        ----------
+        started_at : float
+            Local time of the call's start in seconds.
+        """
+        self.returned_after = max(self.returned_after, started_at)
         is_first = table not in self._failing
         self._failing.add(table)
         if self._recovered.is_set():
--- a/crocusvalve/gateway/_table_handler.py
+++ b/crocusvalve/gateway/_table_handler.py
@@ -21,6 +21,8 @@
         Name of the table in the store.
     replica : TableReplica
         Rows of the table as last received.
+    merged_at : float
+        Local time in seconds at which rows were last received, from the store or from a peer.
     """
 
     table: str
@@ -37,6 +39,7 @@
         self.observer = observer
         self.store = store
         self.replica = TableReplica()
+        self.merged_at = float("-inf")
 
     @property
     def is_loaded(self) -> bool:
@@ -52,6 +55,7 @@
         """Merge a complete table and apply the rows that are new."""
         if page.era < self.replica.era:
             return
+        self.merged_at = now
         if page.era > self.replica.era and not self.replica.is_empty:
             self.observer.record_store_restore(self.table, page.era, page.version)
             self.begin_restore(now)
@@ -63,6 +67,7 @@
 
     def merge_changes(self, page: FeedPage, now: float) -> None:
         """Merge changed rows and apply those that are new."""
+        self.merged_at = now
         self._apply_rows(self.replica.merge_changes(page), now)
 
     def _apply_rows(self, rows: list[FeedRow], now: float) -> None:
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -204,11 +204,12 @@
         key = self.status_handler.codec.make_status_key(order.service)
         value = self.status_handler.codec.make_status(order.service, target)
         known_version = self.status_handler.replica.get_version(key)
+        started_at = self.clock.now()
         try:
             position = await self.feed.put_row(self.status_handler.table, key, value, known_version)
         except PlatformError as exc:
             # A peer gateway that reaches the store continues as leader.
-            self.store.record_failure(self.status_handler.table)
+            self.store.record_failure(self.status_handler.table, started_at)
             self.observer.record_store_state(self.status_handler.table, exc)
             await trio.sleep(RETRY_S)
             return
--- a/crocusvalve/gateway/_upstream_table.py
+++ b/crocusvalve/gateway/_upstream_table.py
@@ -2,6 +2,7 @@
 
 from crocusvalve.base import UpstreamId
 from crocusvalve.gateway._table_handler import TableHandler
+from crocusvalve.gateway.base import GatewayBounds
 from crocusvalve.store.base import FeedRow
 
 __all__ = ["UpstreamTableHandler"]
@@ -9,8 +10,11 @@
 #: Time for which missing entries are retained after the store's recovery: those that expired while
 #: it was unavailable are registered again within about two seconds.
 EXPIRY_GRACE_S = 2.2
-#: An upstream that has left permanently must be dropped within the operators' bound (``drain_s``);
-#: its entry is retained for at most this fraction of the bound.
+#: Time before the operators' bounds hold again after an outage (``contact_s``) by which an upstream
+#: that has left in the outage must be dropped.
+CONTACT_MARGIN_S = 0.3
+#: An entry is retained for at most this fraction of the operators' bound for upstreams that leave
+#: (``drain_s``).
 EXPIRY_GRACE_FRACTION = 0.85
 #: Shortest store outage in which entries may expire. An entry expires after three missed
 #: heartbeats, so none expires in an outage of less than two heartbeat intervals of the users'
@@ -26,14 +30,15 @@
 
     Parameters
     ----------
-    drain_s : float
-        Time in seconds within which a leaving upstream must get no more requests.
+    bounds : GatewayBounds
+        Bounds that the operators set.
     """
 
-    def __init__(self, *args, drain_s: float):
+    def __init__(self, *args, bounds: GatewayBounds):
         super().__init__(*args)
         self.table = self.codec.upstream_table
-        self.expiry_grace_s = min(EXPIRY_GRACE_S, EXPIRY_GRACE_FRACTION * drain_s)
+        self.contact_s = bounds.contact_s
+        self.expiry_grace_s = min(EXPIRY_GRACE_S, EXPIRY_GRACE_FRACTION * bounds.drain_s)
         #: End of the grace period of missing entries, as local time in seconds.
         self._expired: dict[UpstreamId, float] = {}
         self._expiry_grace_until: float | None = None
@@ -44,9 +49,14 @@
         return not self._expired
 
     def handle_store_recovery(self, outage_s: float, now: float) -> None:
-        """Start the grace period for entries that may have expired in an outage."""
+        """Start the grace period for entries that may have expired in an outage.
+
+        It ends before the operators' bounds hold again, counted from the earliest time at which the
+        store may have returned, which is before it has answered this gateway.
+        """
         if outage_s >= MIN_OUTAGE_S:
-            self._expiry_grace_until = now + self.expiry_grace_s
+            bound_at = self.store.returned_after + self.contact_s - CONTACT_MARGIN_S
+            self._expiry_grace_until = min(now + self.expiry_grace_s, bound_at)
 
     def apply_row(self, row: FeedRow, now: float) -> None:
         """Apply a changed row to the gateway's tables."""
--- a/crocusvalve/platform/_store.py
+++ b/crocusvalve/platform/_store.py
@@ -13,6 +13,7 @@
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway.base import Address
 from crocusvalve.store.base import (
+    DEFAULT_TIMEOUT_S,
     BacklogTooLongError,
     ChangeFeed,
     FeedPage,
@@ -25,9 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: Time within which the store must begin to answer, in addition to the time for which a call waits
-#: for changes; it normally takes 4 ms.
-CALL_TIMEOUT_S = 1.0
 #: Longest pause within an answer. An answer of several MB takes seconds on the slowest links, so
 #: its total time is not limited like that of a call without an answer.
 STALL_TIMEOUT_S = 1.5
@@ -117,7 +115,7 @@
         self.era = 0
         self._client = httpx.AsyncClient(
             base_url=f"http://{address}",
-            timeout=CALL_TIMEOUT_S,
+            timeout=DEFAULT_TIMEOUT_S,
             limits=httpx.Limits(max_connections=8, max_keepalive_connections=4),
             trust_env=False,
         )
@@ -135,7 +133,7 @@
         """Close the connections."""
         await self._client.aclose()
 
-    async def read_table(self, table: str) -> FeedPage:
+    async def read_table(self, table: str, *, timeout_s: float = DEFAULT_TIMEOUT_S) -> FeedPage:
         """Return all rows of a table, read page by page; ``version`` is that of the first page.
 
         Raises
@@ -147,7 +145,9 @@
         params = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
         first: _Rows | None = None
         while True:
-            page, era = await self._call("read_table", _Rows, "GET", "/rows-get", params=params)
+            page, era = await self._call(
+                "read_table", _Rows, "GET", "/rows-get", limit_s=timeout_s, params=params
+            )
             if first is None:
                 first, first_era = page, era
             if era != first_era:
@@ -162,7 +162,13 @@
             params["from"] = page.rows[-1].key + "\0"
 
     async def wait_for_changes(
-        self, table: str, after: int, wait_s: float, *, max_bytes: int | None = None
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        *,
+        max_bytes: int | None = None,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> FeedPage:
         """Return the rows changed after a version; wait up to ``wait_s`` seconds for changes."""
         params = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
@@ -171,7 +177,7 @@
             _Rows,
             "GET",
             "/rows-feed",
-            wait_s=wait_s,
+            limit_s=wait_s + timeout_s,
             max_bytes=max_bytes,
             params=params,
         )
@@ -203,7 +209,7 @@
         method: str,
         path: str,
         *,
-        wait_s: float = 0.0,
+        limit_s: float = DEFAULT_TIMEOUT_S,
         max_bytes: int | None = None,
         **kwargs: Any,
     ) -> tuple[Reply | None, int]:
@@ -216,7 +222,6 @@
         """
         transfer = _Transfer()
         content = b""
-        limit_s = wait_s + CALL_TIMEOUT_S
         timeout = httpx.Timeout(max(limit_s, STALL_TIMEOUT_S))
         with trio.CancelScope(deadline=trio.current_time() + limit_s) as scope:
             try:
--- a/crocusvalve/store/base.py
+++ b/crocusvalve/store/base.py
@@ -258,16 +258,32 @@
     """The changes are longer than the caller wants them; it may read the whole table instead."""
 
 
+#: Time within which a call's answer must begin.
+DEFAULT_TIMEOUT_S = 1.0
+
+
 class ChangeFeed(ABC):
     """Tables with a feed of changes; every method raises ``PlatformError`` on a failure."""
 
     @abstractmethod
-    async def read_table(self, table: str) -> FeedPage:
-        """Return all rows of a table."""
+    async def read_table(self, table: str, *, timeout_s: float = DEFAULT_TIMEOUT_S) -> FeedPage:
+        """Return all rows of a table.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time in seconds within which each answer must begin.
+        """
 
     @abstractmethod
     async def wait_for_changes(
-        self, table: str, after: int, wait_s: float, *, max_bytes: int | None = None
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        *,
+        max_bytes: int | None = None,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> FeedPage:
         """Return the rows changed after a version, waiting up to ``wait_s`` for the first change.
 
@@ -275,6 +291,8 @@
         ----------
         max_bytes : int or None
             Longest answer that is received; None for any.
+        timeout_s : float
+            Time in seconds within which the answer must begin, in addition to ``wait_s``.
 
         Raises
         ------
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -37,6 +37,7 @@
 from crocusvalve.gateway._upstream_table import UpstreamTableHandler
 from crocusvalve.gateway.base import (
     Address,
+    GatewayBounds,
     PrefixPart,
     ServiceName,
     UpgradeOrder,
@@ -471,10 +472,10 @@
         self.outage_end_s = outage_end_s
         self.changes = sorted(changes, key=lambda change: change[0])
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, timeout_s=1.0):
         return await self.wait_for_changes(table, 0, 0.0)
 
-    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None):
+    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None, timeout_s=1.0):
         end = trio.current_time() + wait_s
         while True:
             now = trio.current_time()
@@ -520,7 +521,9 @@
     tables = GatewayTables()
     observer = GatewayObserver(CollectorRegistry())
     store = StoreState()
-    handler = UpstreamTableHandler(tables, PlatformRecordCodec(), observer, store, drain_s=2.0)
+    handler = UpstreamTableHandler(
+        tables, PlatformRecordCodec(), observer, store, bounds=GatewayBounds()
+    )
     follower = TableFollower(
         feed=feed,
         handler=handler,
@@ -647,7 +650,7 @@
         super().__init__(outage_start_s, outage_end_s, [])
         self.called_at = []
 
-    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None):
+    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None, timeout_s=1.0):
         self.called_at.append(trio.current_time())
         return await super().wait_for_changes(table, after, min(wait_s, 1.0))
 
@@ -666,7 +669,10 @@
     observer = GatewayObserver(CollectorRegistry())
     followers = []
     shared = (GatewayTables(), PlatformRecordCodec(), observer, store)
-    handlers = (OperatorTableHandler(*shared), UpstreamTableHandler(*shared, drain_s=2.0))
+    handlers = (
+        OperatorTableHandler(*shared),
+        UpstreamTableHandler(*shared, bounds=GatewayBounds()),
+    )
     for feed, is_probing, handler in zip(context.feeds, (True, False), handlers, strict=True):
         followers.append(
             TableFollower(
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -67,11 +67,11 @@
             await trio.sleep(CUT_OFF_CALL_S)
             raise PlatformError("cut off", step="test", peer="store")
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, timeout_s=1.0):
         await self._check()
         return await self.feed.read_table(table)
 
-    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None):
+    async def wait_for_changes(self, table, after, wait_s, *, max_bytes=None, timeout_s=1.0):
         await self._check()
         page = await self.feed.wait_for_changes(table, after, wait_s, max_bytes=max_bytes)
         await self._check()
@@ -237,7 +237,7 @@
         observer = GatewayObserver(CollectorRegistry())
         store = StoreState()
         shared = (self.tables, PlatformRecordCodec(), observer, store)
-        self.upstream_handler = UpstreamTableHandler(*shared, drain_s=BOUNDS.drain_s)
+        self.upstream_handler = UpstreamTableHandler(*shared, bounds=BOUNDS)
         settings = {
             "feed": feed,
             "store": store,
@@ -424,7 +424,7 @@
     context.reports = []
     for now in range(5):
         context.reports.append(context.store.record_answer(answered, page, now))
-        context.reports.append(context.store.record_failure(failing))
+        context.reports.append(context.store.record_failure(failing, now))
     context.was_up = context.store.is_up
     context.reports.append(context.store.record_answer(failing, page, 5.0))
 
