A configuration may be out of date while the store fails for any table

Found by the test 'A gateway that may be behind refuses for a while what its tables don't allow', which failed in about half of its runs: the upstreams' table fails first, while a call that waits for changes of the operators' table is still open; the answers were 404 and 401 until it failed. Change: what isn't allowed is refused for a while as soon as a call for any table has failed.

--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -187,10 +187,11 @@
     def may_lack_configuration(self, now: float) -> bool:
         """Return whether there may be a later configuration than the one in force.
 
-        That is so while the store fails, and while a peer reports a later change of its table.
+        That is so while the store fails for any table, since a call for the operators' table may
+        not have failed yet, and while a peer reports a later change of that table.
         """
-        table = self.operator_handler.table
-        return self.store.is_failing(table) or self.lags.compute_lag_s(table, now) > 0.0
+        lag_s = self.lags.compute_lag_s(self.operator_handler.table, now)
+        return not self.store.is_up or lag_s > 0.0
 
     async def run(
         self, stop: trio.Event, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
