--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -1,5 +1,6 @@
 """Stand-in for an upstream of a gateway: plain answers, event streams, and faults per request."""
 
+from collections.abc import Callable
 from enum import Enum
 
 import trio
@@ -10,6 +11,8 @@
 
 #: Number of events of a complete stream.
 N_EVENTS = 6
+#: Time from the head of an answer to the crash that its prompt causes.
+CRASH_DELAY_S = 0.04
 
 
 class UpstreamFault(Enum):
@@ -62,6 +65,15 @@
         Value of ``Retry-After`` in rejections by the fault ``OVERLOADED``.
     n_rejected : int
         Requests that were rejected by the faults ``FULL`` and ``OVERLOADED``.
+    crash_part : str
+        Id of a prompt part; the upstream crashes shortly after it has begun to answer a prompt with
+        it. Empty for none.
+    restart_s : float
+        Time from a crash to the next start, in seconds.
+    n_starts : int
+        Starts of the upstream.
+    on_start : callable
+        Called at each start after a crash.
     """
 
     def __init__(self, upstream_id: str):
@@ -75,6 +87,30 @@
         self.is_leaving = False
         self.retry_after = "1"
         self.pause_s = 0.0
+        self.crash_part = ""
+        self.restart_s = 0.3
+        self.n_starts = 0
+        self.on_start: Callable[[], None] = lambda: None
+        self._run_scope = trio.CancelScope()
+
+    async def serve(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled, and start again after each crash."""
+        while True:
+            self.n_starts += 1
+            with trio.CancelScope() as self._run_scope:
+                await super().serve(task_status=task_status)
+            task_status = trio.TASK_STATUS_IGNORED
+            await trio.sleep(self.restart_s)
+            self.on_start()
+
+    def crash(self) -> None:
+        """Close the listener and all connections."""
+        self._run_scope.cancel()
+
+    def has_crash_part(self, call: ReceivedRequest) -> bool:
+        """Return whether a request's prompt has the part that crashes the upstream."""
+        parts = call.headers.get("x-prefix-hash", "").split(",")
+        return bool(self.crash_part) and self.crash_part in (part.split(":")[0] for part in parts)
 
     def make_entry(self, service: str, domain: str, **changes: object) -> dict:
         """Return the entry with which the upstream registers; ``changes`` replace or add fields."""
@@ -87,7 +123,7 @@
             "state": "ready",
             "coldLeftMs": 0,
             "sequence": 1,
-            "born": 1_700_000_000_000,
+            "born": 1_700_000_000_000 + 1000 * (max(1, self.n_starts) - 1),
         } | changes
 
     def choose_fault(self) -> UpstreamFault:
@@ -158,6 +194,9 @@
         if model in self.confidence:
             headers["X-Confidence"] = str(self.confidence[model])
         await stream.send_all(self._make_head(200, headers))
+        if self.has_crash_part(call):
+            await trio.sleep(CRASH_DELAY_S)
+            self.crash()
         for number in range(int(call.headers.get("last-event-id", 0)) + 1, N_EVENTS + 1):
             await trio.sleep(self.pause_s)
             event = make_event(call.target, number)
