Prompt parts that crash upstreams are recognised, told to all gateways and refused

Cause: crashes were counted by a digest of path, caller and body, so that no count reached three before a request had used its attempts; and a lost request was sent again before its crash was known. Ruled out: missing gossip (repeats of a banned digest were refused by other gateways). Change: a registry of the parts that prompts share. A crash counts against the parts of each request that was lost in it, unless its answer had gone on for 0.5 s (a crash comes 30 to 80 ms after the answer's begin); such an answer clears its parts. A part with three crashes of two requests is banned, the fewest parts that explain all crashes first, so that others are released. Reports of both kinds are in gossip and passed on. A lost request waits up to 0.15 s for the check of its upstream before it is sent again.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -13,6 +13,7 @@
 from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._cold_start import compute_cold_quota, record_cold_send
 from crocusvalve.gateway._crashes import CrashRegistry
+from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, get_suspect_ids
 from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
@@ -59,6 +60,8 @@
 
     Attributes
     ----------
+    crashing_parts : CrashingPartRegistry
+        Parts of prompts that crash upstreams.
     pace : PaceTable
         Expected times of answers.
     spawn : callable
@@ -87,6 +90,7 @@
         self.codec = codec
         self.observer = observer
         self.clock = clock
+        self.crashing_parts = CrashingPartRegistry()
         self.pace = PaceTable()
         self.spawn: Callable[..., None] = lambda *_: None
         self.sent_prompt_parts: deque[SentPromptParts] = deque(maxlen=MAX_SENT_PROMPT_PARTS)
@@ -287,36 +291,80 @@
             record_answer_time(load, elapsed_s, expected_s, now)
         self.pace.record_plain_answer(req.service.name, elapsed_s, now)
 
-    def record_call_error(self, req: GatewayRequest, upstream: Upstream, exc: CallError) -> None:
-        """Record an attempt that failed without a valid reply; check for a crash."""
-        if exc.failure is CallFailure.CLOSED:
-            return
-        if exc.is_unsent:
-            self.record_outcome(req, upstream, Outcome.SILENT)
+    def find_banned_part(self, req: GatewayRequest) -> str | None:
+        """Return a part of a request's prompt that crashes upstreams, or None."""
+        return self.crashing_parts.find_banned(get_suspect_ids(req.caller.prefix))
+
+    def record_answer_progress(self, req: GatewayRequest) -> None:
+        """Record that an answer went on beyond the time at which its prompt would crash."""
+        self.crashing_parts.record_answer(get_suspect_ids(req.caller.prefix), self.clock.now())
+
+    def record_call_error(
+        self,
+        req: GatewayRequest,
+        upstream: Upstream,
+        exc: CallError,
+        *,
+        has_progressed: bool = False,
+    ) -> trio.Event:
+        """Record an attempt that failed without a valid reply; check for a crash.
+
+        Parameters
+        ----------
+        has_progressed : bool
+            Whether the answer went on beyond the time at which its prompt would crash.
+
+        Returns
+        -------
+        trio.Event
+            Set once the check for a crash has ended.
+        """
+        checked = trio.Event()
+        if exc.is_unsent or exc.failure is CallFailure.CLOSED:
+            checked.set()
+            if exc.failure is not CallFailure.CLOSED:
+                self.record_outcome(req, upstream, Outcome.SILENT)
         else:
             self.record_outcome(req, upstream, Outcome.BROKEN)
-            self.spawn(self._check_crash, upstream, req.digest)
+            self.spawn(self._check_crash, req, upstream, has_progressed, checked)
+        return checked
+
+    async def _check_crash(
+        self, req: GatewayRequest, upstream: Upstream, has_progressed: bool, checked: trio.Event
+    ) -> None:
+        try:
+            if await self._has_crashed(upstream):
+                self._record_crash(req, upstream, has_progressed)
+        finally:
+            checked.set()
 
-    async def _check_crash(self, upstream: Upstream, digest: str) -> None:
-        """Record a crash if an upstream has started again or refuses connections."""
+    async def _has_crashed(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has started again or refuses connections."""
         for delay_s in CRASH_CHECK_DELAYS_S:
             await trio.sleep(delay_s)
             current = self.tables.upstreams.get(upstream.upstream_id)
             if current is not None and current.started_ms != upstream.started_ms:
-                break
+                return True
             try:
                 stream = await connect(upstream.address, CONNECT_TIMEOUT_S)
             except ConnectionRefusedError:
-                break
+                return True
             except OSError:
-                return
+                return False
             await trio.aclose_forcefully(stream)
-        else:
-            return
+        return False
+
+    def _record_crash(self, req: GatewayRequest, upstream: Upstream, has_progressed: bool) -> None:
         now = self.clock.now()
+        incident = make_incident_id(upstream)
         update_health(self.tables.get_load(upstream.upstream_id), Outcome.SILENT, now)
-        n_crashes = self.crashes.record_crash(digest, make_incident_id(upstream))
-        self.observer.record_crash(upstream, digest, n_crashes)
+        if has_progressed:
+            return
+        n_crashes = self.crashes.record_crash(req.digest, incident)
+        self.observer.record_crash(upstream, req.digest, n_crashes)
+        part_ids = get_suspect_ids(req.caller.prefix)
+        banned = self.crashing_parts.record_crash(part_ids, incident, req.digest, now)
+        self.observer.record_banned_parts(banned)
 
 
 def make_incident_id(upstream: Upstream) -> str:
--- /dev/null
+++ b/crocusvalve/gateway/_crashing_parts.py
@@ -0,0 +1,207 @@
+"""Parts of prompts that crash the upstreams that begin to answer them."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+from msgspec import Struct, field
+
+from crocusvalve.gateway.base import PrefixPart
+
+__all__ = ["CrashingPartRegistry", "SoundPart", "SuspectPart", "get_suspect_ids"]
+
+#: Distinct crashes, and distinct requests lost in them, after which a part is banned. A single
+#: request may have been open on several upstreams that crashed under another one.
+MIN_CRASHES = 3
+MIN_REQUESTS = 2
+#: A crash within this time after an answer went on isn't held against the parts of its prompt.
+SOUND_PERIOD_S = 10.0
+#: A crash is held against a part for this long. Without a crash the part may be tried again then.
+CRASH_EXPIRY_S = 600.0
+#: Parts that are remembered, and crashes and requests that are remembered for each.
+MAX_PARTS = 4096
+MAX_CRASHES = 16
+MAX_REQUESTS = 4
+
+
+class SuspectPart(Struct, frozen=True, array_like=True):
+    """Report of a part: age of each crash in milliseconds by incident, and some lost requests."""
+
+    part_id: str
+    crash_ages_ms: dict[str, int]
+    requests: tuple[str, ...]
+
+
+class SoundPart(Struct, frozen=True, array_like=True):
+    """Report of a part whose prompts are answered, and the time since then in milliseconds."""
+
+    part_id: str
+    age_ms: int
+
+
+class _Evidence(Struct):
+    """Crashes in which requests with a part were lost: local time by incident; and the requests."""
+
+    crashed_at: dict[str, float] = field(default_factory=dict)
+    requests: set[str] = field(default_factory=set)
+
+
+def get_suspect_ids(parts: Sequence[PrefixPart]) -> list[str]:
+    """Return the ids of the parts that other prompts may share, which are all but the last."""
+    return [part.part_id for part in parts[:-1]]
+
+
+class CrashingPartRegistry:
+    """Evidence of which parts of prompts crash upstreams.
+
+    Load that it answers: requests with one part come at all gateways, no two alike, and each one
+    crashes every upstream that begins to answer it. A crash also loses the sound requests that were
+    open there. A part is banned if enough crashes are left for it after those that another banned
+    part explains; a part with an answer that went on recently isn't suspected.
+
+    An incident identifies one crash: the upstream and the start of the process that crashed.
+    """
+
+    def __init__(self) -> None:
+        self._evidence: OrderedDict[str, _Evidence] = OrderedDict()
+        self._sound_at: OrderedDict[str, float] = OrderedDict()
+        #: Parts that were in a crash, as far as any gateway has reported.
+        self._questioned: OrderedDict[str, None] = OrderedDict()
+        self._banned: frozenset[str] = frozenset()
+
+    def record_crash(
+        self, part_ids: Iterable[str], incident: str, request_id: str, now: float
+    ) -> frozenset[str]:
+        """Record that a request was lost in a crash before its answer went on.
+
+        Returns
+        -------
+        frozenset of str
+            Parts that are newly banned.
+        """
+        for part_id in part_ids:
+            self._add_crash(part_id, incident, (request_id,), now)
+        return self._update_banned(now)
+
+    def record_answer(self, part_ids: Iterable[str], now: float) -> None:
+        """Record that an answer went on, so that none of the parts of its prompt causes crashes."""
+        is_changed = False
+        for part_id in part_ids:
+            self._sound_at[part_id] = now
+            self._sound_at.move_to_end(part_id)
+            is_changed |= self._evidence.pop(part_id, None) is not None
+        _evict(self._sound_at)
+        if is_changed:
+            self._update_banned(now)
+
+    def find_banned(self, part_ids: Iterable[str]) -> str | None:
+        """Return a banned part of a prompt, or None."""
+        if not self._banned:
+            return None
+        return next((part_id for part_id in part_ids if part_id in self._banned), None)
+
+    def list_suspects(self, n_parts: int, now: float) -> tuple[SuspectPart, ...]:
+        """Return the parts with the most recent crashes, for gossip."""
+        newest = list(self._evidence.items())[-n_parts:]
+        return tuple(
+            SuspectPart(
+                part_id,
+                {key: _compute_age_ms(at, now) for key, at in evidence.crashed_at.items()},
+                tuple(evidence.requests),
+            )
+            for part_id, evidence in newest
+        )
+
+    def list_sound(self, n_parts: int, now: float) -> tuple[SoundPart, ...]:
+        """Return the parts that were in a crash and in an answer that went on, for gossip."""
+        sound = [
+            SoundPart(part_id, _compute_age_ms(at, now))
+            for part_id, at in self._sound_at.items()
+            if part_id in self._questioned and now - at <= SOUND_PERIOD_S
+        ]
+        return tuple(sound[-n_parts:])
+
+    def merge(
+        self, suspects: Iterable[SuspectPart], sound: Iterable[SoundPart], now: float
+    ) -> frozenset[str]:
+        """Merge the reports of a peer; return the parts that are newly banned."""
+        for report in sound:
+            sound_at = now - max(0, report.age_ms) / 1000
+            if sound_at > self._sound_at.get(report.part_id, float("-inf")):
+                self._sound_at[report.part_id] = sound_at
+                self._question(report.part_id)
+                self._drop_refuted(report.part_id)
+        _evict(self._sound_at)
+        for report in suspects:
+            for incident, age_ms in report.crash_ages_ms.items():
+                crashed_at = now - max(0, age_ms) / 1000
+                self._add_crash(report.part_id, incident, report.requests, crashed_at)
+        return self._update_banned(now)
+
+    def _add_crash(
+        self, part_id: str, incident: str, requests: Iterable[str], crashed_at: float
+    ) -> None:
+        self._question(part_id)
+        if crashed_at <= self._sound_at.get(part_id, float("-inf")) + SOUND_PERIOD_S:
+            return
+        evidence = self._evidence.setdefault(part_id, _Evidence())
+        if incident not in evidence.crashed_at:
+            self._evidence.move_to_end(part_id)
+            if len(evidence.crashed_at) < MAX_CRASHES:
+                evidence.crashed_at[incident] = crashed_at
+        for request_id in requests:
+            if len(evidence.requests) < MAX_REQUESTS:
+                evidence.requests.add(request_id)
+        _evict(self._evidence)
+
+    def _question(self, part_id: str) -> None:
+        self._questioned[part_id] = None
+        self._questioned.move_to_end(part_id)
+        _evict(self._questioned)
+
+    def _drop_refuted(self, part_id: str) -> None:
+        """Drop the crashes of a part that happened before, or shortly after, it was sound."""
+        evidence = self._evidence.get(part_id)
+        if evidence is None:
+            return
+        until = self._sound_at[part_id] + SOUND_PERIOD_S
+        evidence.crashed_at = {key: at for key, at in evidence.crashed_at.items() if at > until}
+        if not evidence.crashed_at:
+            del self._evidence[part_id]
+
+    def _update_banned(self, now: float) -> frozenset[str]:
+        """Choose the fewest parts that explain the crashes; return those that are new."""
+        since = now - CRASH_EXPIRY_S
+        open_crashes = {
+            part_id: {key for key, at in evidence.crashed_at.items() if at >= since}
+            for part_id, evidence in self._evidence.items()
+            if len(evidence.crashed_at) >= MIN_CRASHES and len(evidence.requests) >= MIN_REQUESTS
+        }
+        banned = set()
+        while open_crashes:
+            worst = max(
+                open_crashes,
+                key=lambda part_id: (
+                    len(open_crashes[part_id]),
+                    len(self._evidence[part_id].requests),
+                    part_id,
+                ),
+            )
+            explained = open_crashes.pop(worst)
+            if len(explained) < MIN_CRASHES:
+                break
+            banned.add(worst)
+            open_crashes = {
+                part_id: crashes - explained for part_id, crashes in open_crashes.items()
+            }
+        new = frozenset(banned - self._banned)
+        self._banned = frozenset(banned)
+        return new
+
+
+def _compute_age_ms(at: float, now: float) -> int:
+    return round((now - at) * 1000)
+
+
+def _evict(parts: OrderedDict) -> None:
+    while len(parts) > MAX_PARTS:
+        parts.popitem(last=False)
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -1,7 +1,7 @@
 """Log lines and metrics of a gateway."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from msgspec import Struct
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -291,6 +291,11 @@
         fields = {"digest": digest, "crashes": n_crashes}
         logger.warning("upstream %s crashed", row.upstream_id, extra={"fields": fields})
 
+    def record_banned_parts(self, part_ids: Iterable[str]) -> None:
+        """Log parts of prompts that crash upstreams, so that prompts with them are refused."""
+        for part_id in part_ids:
+            logger.warning("prompts with part %s crash upstreams and are refused", part_id)
+
     def record_domain_state(self, domain: DomainId, is_evacuated: bool) -> None:
         """Log that a failure domain has been evacuated, or is in service again."""
         logger.info("failure domain %s: %s", domain, "out" if is_evacuated else "in")
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -7,6 +7,7 @@
 
 from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.gateway._closures import UpstreamRun
+from crocusvalve.gateway._crashing_parts import SoundPart, SuspectPart
 from crocusvalve.gateway._outcome_counts import OutcomeCountsRow
 from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
@@ -107,6 +108,10 @@
         Status of the operators' current upgrade orders.
     positions : dict of str to TablePosition
         Last change that the gateway has merged, by table of the store.
+    suspect_parts : tuple of SuspectPart
+        Parts of prompts that may crash upstreams.
+    sound_parts : tuple of SoundPart
+        Parts that were in a crash, and that are known not to cause it.
     """
 
     node_id: NodeId
@@ -125,6 +130,8 @@
     silent: tuple[UpstreamRun, ...] = ()
     members: tuple[MemberReport, ...] = ()
     positions: dict[str, TablePosition] = field(default_factory=dict)
+    suspect_parts: tuple[SuspectPart, ...] = ()
+    sound_parts: tuple[SoundPart, ...] = ()
 
 
 class _Peer(Struct):
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -60,6 +60,10 @@
 SENT_PARTS_WINDOW_S = 1.0
 #: Maximum number of request digests with crashes in one message.
 MAX_GOSSIP_DIGESTS = 16
+#: Maximum numbers of parts of prompts in one message that may crash upstreams, and of those that
+#: don't.
+MAX_GOSSIP_SUSPECT_PARTS = 16
+MAX_GOSSIP_SOUND_PARTS = 32
 #: Maximum number of leaving upstreams in one message.
 MAX_GOSSIP_LEAVING = 64
 #: Number of other gateways that one message reports as alive.
@@ -325,6 +329,10 @@
             has_store=self.store.is_up,
             leaving=self.tables.closures.list_leaving(MAX_GOSSIP_LEAVING),
             upgrades=self.upgrades.list_reports(),
+            suspect_parts=self.attempt_manager.crashing_parts.list_suspects(
+                MAX_GOSSIP_SUSPECT_PARTS, now
+            ),
+            sound_parts=self.attempt_manager.crashing_parts.list_sound(MAX_GOSSIP_SOUND_PARTS, now),
             positions={
                 handler.table: handler.replica.last_change
                 for handler in (self.operator_handler, self.upstream_handler)
@@ -346,6 +354,10 @@
         self._merge_sent_parts(message)
         self._merge_leaving(message)
         now = self.clock.now()
+        banned = self.attempt_manager.crashing_parts.merge(
+            message.suspect_parts, message.sound_parts, now
+        )
+        self.observer.record_banned_parts(banned)
         self.upgrades.merge_reports(message.upgrades, now)
         if now - self._loads_summed_at < LOAD_SUM_INTERVAL_S:
             return
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/_request_handler.py
@@ -5,6 +5,7 @@
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptManager
+from crocusvalve.gateway._crashing_parts import get_suspect_ids
 from crocusvalve.gateway._listener import AnswerAbortedError, Handler, Responder
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._plain_flow import PlainFlow
@@ -98,7 +99,7 @@
             error = exc
             is_known_not_run = exc.ran is ExecutionStatus.NOT_RUN
             end = RequestEnd.REFUSED if is_known_not_run else RequestEnd.FAILED
-            await responder.refuse(exc)
+            await responder.refuse(exc, HTTP_STATUSES.get(exc.code))
         except AnswerAbortedError as exc:
             end = RequestEnd.ABORTED
             reason = str(exc)
@@ -134,6 +135,11 @@
             raise RefusedError(
                 ErrorCode.CRASHES_UPSTREAMS, "the request crashes upstreams", step=STEP
             )
+        suspect_ids = get_suspect_ids(caller.prefix)
+        if self.attempt_manager.crashing_parts.find_banned(suspect_ids) is not None:
+            raise RefusedError(
+                ErrorCode.CRASHES_UPSTREAMS, "a part of the prompt crashes upstreams", step=STEP
+            )
         return self._make_request(caller, route, customer, digest, now)
 
     def _make_unknown_error(self, code: ErrorCode, message: str, now: float) -> RefusedError:
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -5,6 +5,7 @@
 import trio
 from msgspec import Struct
 
+from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.gateway._attempt import Attempt
 from crocusvalve.gateway._cascade import AnswerEstimate, choose_larger_model
 from crocusvalve.gateway._events import EventSplitter, StreamEvent
@@ -21,6 +22,12 @@
 MAX_FAILURE_BYTES = 1024 * 1024
 #: Fraction of the goal after which a request without a first event is sent to another upstream.
 FIRST_EVENT_FRACTION = 0.9
+#: Time after the first event from which an answer shows that its prompt doesn't crash upstreams,
+#: which takes less than 0.1 s.
+PROGRESS_S = 0.5
+#: Longest time for which a lost request waits for the check whether its upstream has crashed, so
+#: that it isn't sent on if its prompt is known to crash upstreams by then.
+CRASH_CHECK_WAIT_S = 0.15
 #: Minimum number of events of a stream at which the mean time between them is measured.
 MIN_PACED_EVENTS = 4
 #: Multiple of the expected time for an upstream's queued work that is waited in addition.
@@ -47,11 +54,14 @@
     """Progress of an answer over its attempts.
 
     ``failure`` is the last failure of an upstream, forwarded if no attempt succeeds.
+    ``has_progressed`` is whether the present attempt's answer shows that the prompt doesn't crash
+    upstreams.
     """
 
     model: str
     last_event_id: bytes
     failure: tuple[Reply, bytes] | None = None
+    has_progressed: bool = False
 
 
 class StreamFlow(Flow):
@@ -66,6 +76,8 @@
             upstream = await self.wait_for_upstream(req, self.clock.now(), progress.model)
             if upstream is None:
                 return await self._give_up(req, progress, responder, "place")
+            if self.attempt_manager.find_banned_part(req) is not None:
+                return await self._refuse_banned(req, progress, responder)
             if responder.has_started:
                 self.attempt_manager.observer.count_resume(req.route.name)
             end = await self._attempt(req, progress, upstream, responder)
@@ -110,6 +122,15 @@
             return RequestEnd.UPSTREAM_FAILURE
         raise make_gateway_error(req, "no upstream sent an answer", step, self.clock.now())
 
+    async def _refuse_banned(
+        self, req: GatewayRequest, progress: _Progress, responder: Responder
+    ) -> RequestEnd:
+        """Give up a request whose prompt has become known to crash upstreams while it waited."""
+        if req.has_run:
+            return await self._give_up(req, progress, responder, "place")
+        message = "a part of the prompt crashes upstreams"
+        raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step="place")
+
     def _may_continue(self, req: GatewayRequest, end: _AttemptEnd) -> bool:
         if not self.attempt_manager.may_send_again(req, self.clock.now()):
             return False
@@ -123,13 +144,19 @@
     ) -> _AttemptEnd:
         started_at = self.clock.now()
         n_before = req.n_events
+        progress.has_progressed = False
         try:
             async with self.attempt_manager.start_attempt(
                 req, upstream, model=progress.model, last_event_id=progress.last_event_id
             ) as attempt:
                 end = await self._process_reply(req, progress, attempt, responder, started_at)
         except CallError as exc:
-            self.attempt_manager.record_call_error(req, upstream, exc)
+            checked = self.attempt_manager.record_call_error(
+                req, upstream, exc, has_progressed=progress.has_progressed
+            )
+            if req.caller.prefix:
+                with trio.move_on_after(CRASH_CHECK_WAIT_S):
+                    await checked.wait()
             req.notes.append(f"{upstream.upstream_id}:{exc.failure.value}")
             end = _AttemptEnd.NOT_RUN if exc.is_unsent else _AttemptEnd.LOST
         if end not in (_AttemptEnd.COMPLETE, _AttemptEnd.LARGER_MODEL):
@@ -200,6 +227,9 @@
             if events and req.first_event_at is None:
                 req.first_event_at = self.clock.now()
             await self._forward_events(req, progress, reply, events, responder)
+            is_whole = is_over and attempt.call.is_delimited
+            if is_whole or (events and self.clock.now() - first_at >= PROGRESS_S):
+                self._record_progress(req, progress)
             if is_over:
                 self._record_pause(req, upstream, req.n_events - n_before, first_at)
                 if n_before == 0 and not req.caller.last_event_id:
@@ -216,6 +246,11 @@
                 req.notes.append(f"{upstream.upstream_id}:stalled")
                 return _AttemptEnd.LOST
 
+    def _record_progress(self, req: GatewayRequest, progress: _Progress) -> None:
+        if not progress.has_progressed:
+            progress.has_progressed = True
+            self.attempt_manager.record_answer_progress(req)
+
     def _compute_first_event_s(self, req: GatewayRequest, attempt: Attempt) -> float:
         """Return how many seconds to wait for a first event; more for an upstream with more work.
 
--- a/crocusvalve/gateway/_upstream_call.py
+++ b/crocusvalve/gateway/_upstream_call.py
@@ -56,6 +56,12 @@
         The upstream.
     codec : HeaderCodec
         Decodes the head of the reply.
+
+    Attributes
+    ----------
+    is_delimited : bool
+        Whether the reply's body has a length or is chunked, so that its end can be told from that
+        of the connection.
     """
 
     def __init__(self, address: Address, codec: HeaderCodec):
@@ -65,6 +71,7 @@
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._stream: trio.SocketStream | None = None
         self._is_complete = False
+        self.is_delimited = False
 
     async def open(self, timeout_s: float) -> None:
         """Open the connection; raises ``CallError`` if that fails."""
@@ -101,6 +108,8 @@
         while True:
             event = await self._next_event("read_head")
             if isinstance(event, h11.Response):
+                names = {name.lower() for name, _ in event.headers}
+                self.is_delimited = bool(names & {b"content-length", b"transfer-encoding"})
                 return self.codec.read_reply(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise self._make_error(
--- a/features/gateway/crashes.feature
+++ b/features/gateway/crashes.feature
@@ -10,3 +10,40 @@
       | place                           |
       | in the middle of their prompts  |
       | at the beginning of the prompts |
+
+  Scenario: A part is banned by crashes that different gateways have seen
+    Given the registries of 3 gateways
+    When each of them records one crash of a different request with part "bad"
+    Then none of them has banned it before they exchange reports, and each one after
+
+  Scenario: The attempts of a single request don't ban the parts of its prompt
+    Given the registries of 1 gateways
+    When one request is lost in 3 crashes
+    Then no part is banned
+
+  Scenario: A part whose prompts are answered isn't banned, however many crashes it is in
+    Given the registries of 2 gateways
+    When part "common" is in 6 crashes with part "bad", and an answer with "common" goes on at the other gateway
+    Then after they have exchanged reports only "bad" is banned
+
+  Scenario: A part that another one explains is released
+    Given the registries of 1 gateways
+    When parts "bad" and "rare" are in the same 3 crashes, and "bad" is in 2 more
+    Then after they have exchanged reports only "bad" is banned
+
+  Scenario: A ban ends when there has been no crash for a long time
+    Given the registries of 1 gateways
+    When part "bad" is banned and 11 minutes pass without a crash
+    Then the first new crash doesn't ban it again
+
+  Scenario Outline: Few requests with the part are sent once it is known, and sound ones aren't refused: <n> gateways
+    Given <n> gateways before <upstreams> upstreams, which exchange gossip with 6 others every 0.4 s
+    When for 30 s <bad> requests per second with a crashing part and <sound> sound ones arrive
+    Then at most 3 requests with the part are sent later than <contact> s after the fifth crash
+    And at most 2 in 100 sound requests are refused for a part of their prompts
+
+    Examples:
+      | n  | upstreams | bad | sound | contact |
+      | 4  | 6         | 3   | 13    | 3       |
+      | 24 | 23        | 4   | 52    | 4       |
+      | 68 | 39        | 6   | 97    | 5       |
--- a/features/gateway/steps/crash_steps.py
+++ b/features/gateway/steps/crash_steps.py
@@ -1,8 +1,11 @@
 """Steps for requests whose prompts have a part that crashes upstreams."""
 
+import random
+
 import trio
 from behave import given, then, when
 
+from crocusvalve.gateway._crashing_parts import CrashingPartRegistry
 from crocusvalve.standin import CallerAnswer, StandinCaller
 from features.gateway.gateway_harness import API_KEY, FRONT_PORT, GatewayHarness
 
@@ -123,7 +126,8 @@
 
 
 @then(
-    "at most {n:d} requests with the part reach upstreams later than {after_s:d} s after the fifth crash"
+    "at most {n:d} requests with the part reach upstreams later than {after_s:d} s after the "
+    "fifth crash"
 )
 def then_few_reach(context, n, after_s):
     day = context.day
@@ -144,3 +148,217 @@
     since = min(since, max(sent_at for sent_at, _ in day.began) - 1.0)
     began = [is_begun for sent_at, is_begun in day.began if sent_at >= since]
     assert len(began) >= 10 and sum(began) >= len(began) / 2, (sum(began), len(began))
+
+
+def exchange(registries, now):
+    """Pass the reports of each registry to all others."""
+    for sender in registries:
+        for receiver in registries:
+            if receiver is not sender:
+                receiver.merge(sender.list_suspects(16, now), sender.list_sound(32, now), now)
+
+
+@given("the registries of {n:d} gateways")
+def given_registries(context, n):
+    context.registries = [CrashingPartRegistry() for _ in range(n)]
+
+
+@when('each of them records one crash of a different request with part "{part}"')
+def when_each_records(context, part):
+    for number, registry in enumerate(context.registries):
+        registry.record_crash([f"doc{number}", part], f"up{number}#1", f"req{number}", 1.0)
+    context.banned_before = [registry.find_banned([part]) for registry in context.registries]
+    exchange(context.registries, 2.0)
+
+
+@then("none of them has banned it before they exchange reports, and each one after")
+def then_banned_after(context):
+    assert not any(context.banned_before)
+    for registry in context.registries:
+        assert registry.find_banned(["bad"]) == "bad"
+        assert not registry.find_banned(["doc0", "doc1", "doc2"])
+
+
+@when("one request is lost in {n:d} crashes")
+def when_one_request(context, n):
+    for number in range(n):
+        context.registries[0].record_crash(["a", "b"], f"up{number}#1", "req", float(number))
+
+
+@then("no part is banned")
+def then_none_banned(context):
+    assert context.registries[0].find_banned(["a", "b"]) is None
+
+
+@when(
+    'part "common" is in {n:d} crashes with part "bad", and an answer with "common" goes on at the '
+    "other gateway"
+)
+def when_common(context, n):
+    first, second = context.registries
+    second.record_answer(["common"], 0.5)
+    for number in range(n):
+        first.record_crash(["common", "bad"], f"up{number}#1", f"req{number}", 1.0 + number / 4)
+
+
+@when('parts "bad" and "rare" are in the same {n:d} crashes, and "bad" is in {more:d} more')
+def when_explained(context, n, more):
+    registry = context.registries[0]
+    for number in range(n):
+        registry.record_crash(["rare", "bad"], f"up{number}#1", f"req{number}", 1.0)
+    for number in range(n, n + more):
+        registry.record_crash(["other", "bad"], f"up{number}#1", f"req{number}", 2.0)
+
+
+@then('after they have exchanged reports only "bad" is banned')
+def then_only_bad(context):
+    exchange(context.registries, 4.0)
+    exchange(context.registries, 4.1)
+    for registry in context.registries:
+        assert registry.find_banned(["bad"]) == "bad"
+        assert registry.find_banned(["common", "rare", "other"]) is None
+
+
+@when('part "bad" is banned and {minutes:d} minutes pass without a crash')
+def when_minutes_pass(context, minutes):
+    registry = context.registries[0]
+    for number in range(3):
+        registry.record_crash(["bad"], f"up{number}#1", f"req{number}", 1.0)
+    context.was_banned = registry.find_banned(["bad"])
+    registry.record_crash(["bad"], "up9#1", "req9", 1.0 + 60 * minutes)
+
+
+@then("the first new crash doesn't ban it again")
+def then_not_again(context):
+    assert context.was_banned == "bad"
+    assert context.registries[0].find_banned(["bad"]) is None
+
+
+class CrashSimulation:
+    """Gateways and upstreams in virtual time: crashes lose all open requests of an upstream."""
+
+    ROUND_S = 0.4
+    STEP_S = 0.05
+    BEGIN_S, CRASH_S, PROGRESS_S, END_S = 0.4, 0.05, 0.5, 1.5
+    RESTART_S = 4.0
+    LOSS = 0.02
+
+    def __init__(self, n_gateways, n_upstreams):
+        self.rng = random.Random(5)
+        self.registries = [CrashingPartRegistry() for _ in range(n_gateways)]
+        self.up_at = [0.0] * n_upstreams
+        self.n_starts = [0] * n_upstreams
+        self.open = [[] for _ in range(n_upstreams)]
+        self.crashed_at = []
+        self.bad_sent_at = []
+        self.n_sound = self.n_refused = self.n_requests = 0
+        self.now = 0.0
+
+    def run(self, span_s, bad_per_s, sound_per_s):
+        """Let requests arrive, upstreams work and crash, and gateways gossip."""
+        next_round = 0.0
+        while self.now < span_s:
+            for is_bad, rate in ((True, bad_per_s), (False, sound_per_s)):
+                for _ in range(self._count_arrivals(rate)):
+                    self._arrive(is_bad)
+            for number in range(len(self.up_at)):
+                self._work(number)
+            if self.now >= next_round:
+                self._gossip()
+                next_round += self.ROUND_S
+            self.now += self.STEP_S
+
+    def _count_arrivals(self, rate):
+        expected = rate * self.STEP_S
+        return int(expected) + (self.rng.random() < expected % 1)
+
+    def _arrive(self, is_bad):
+        self.n_requests += 1
+        registry = self.rng.choice(self.registries)
+        kind = self.rng.randrange(3)
+        document = "bad" if is_bad else f"doc-{kind}-{self.rng.randrange(90)}"
+        parts = [f"kind-{kind}", document]
+        self.n_sound += not is_bad
+        if registry.find_banned(parts):
+            self.n_refused += not is_bad
+            return
+        self._send(registry, parts, f"req{self.n_requests}", is_bad, 3)
+
+    def _send(self, registry, parts, request_id, is_bad, n_left):
+        alive = [number for number, up_at in enumerate(self.up_at) if up_at <= self.now]
+        if not alive or registry.find_banned(parts):
+            return
+        if is_bad:
+            self.bad_sent_at.append(self.now)
+        entry = [registry, parts, request_id, is_bad, n_left, self.now, False]
+        self.open[self.rng.choice(alive)].append(entry)
+
+    def _work(self, number):
+        crashing = False
+        for entry in list(self.open[number]):
+            registry, parts, _, is_bad, _, sent_at, has_progressed = entry
+            age_s = self.now - sent_at
+            if is_bad and age_s >= self.BEGIN_S + self.CRASH_S:
+                crashing = True
+            elif age_s >= self.BEGIN_S + self.PROGRESS_S and not has_progressed:
+                registry.record_answer(parts, self.now)
+                entry[-1] = True
+            if age_s >= self.END_S:
+                self.open[number].remove(entry)
+        if crashing:
+            self._crash(number)
+
+    def _crash(self, number):
+        incident = f"up{number}#{self.n_starts[number]}"
+        self.n_starts[number] += 1
+        self.up_at[number] = self.now + self.RESTART_S
+        self.crashed_at.append(self.now)
+        lost, self.open[number] = self.open[number], []
+        for registry, parts, request_id, is_bad, n_left, _, has_progressed in lost:
+            if not has_progressed:
+                registry.record_crash(parts, incident, request_id, self.now)
+            if n_left > 1:
+                self._send(registry, parts, request_id, is_bad, n_left - 1)
+
+    def _gossip(self):
+        for sender in self.registries:
+            reports = sender.list_suspects(16, self.now), sender.list_sound(32, self.now)
+            others = [registry for registry in self.registries if registry is not sender]
+            for receiver in self.rng.sample(others, min(6, len(others))):
+                if self.rng.random() >= self.LOSS:
+                    receiver.merge(*reports, self.now)
+
+
+@given(
+    "{n:d} gateways before {n_upstreams:d} upstreams, which exchange gossip with 6 others every "
+    "0.4 s"
+)
+def given_crash_simulation(context, n, n_upstreams):
+    context.simulation = CrashSimulation(n, n_upstreams)
+
+
+@when(
+    "for {span_s:d} s {bad:d} requests per second with a crashing part and {sound:d} sound ones "
+    "arrive"
+)
+def when_simulated(context, span_s, bad, sound):
+    context.simulation.run(span_s, bad, sound)
+
+
+@then(
+    "at most {n:d} requests with the part are sent later than {contact_s:d} s after the fifth crash"
+)
+def then_few_sent(context, n, contact_s):
+    simulation = context.simulation
+    assert len(simulation.crashed_at) >= 3
+    if len(simulation.crashed_at) >= 5:
+        bound_at = simulation.crashed_at[4] + contact_s
+        n_late = sum(sent_at > bound_at for sent_at in simulation.bad_sent_at)
+        assert n_late <= n, (n_late, simulation.crashed_at)
+
+
+@then("at most {n:d} in 100 sound requests are refused for a part of their prompts")
+def then_few_refused(context, n):
+    simulation = context.simulation
+    n_refused, n_sound = simulation.n_refused, simulation.n_sound
+    assert n_refused <= n / 100 * n_sound, (n_refused, n_sound, len(simulation.crashed_at))
