Crashes of several upstreams at one moment count once against the parts of lost prompts

Found by reading: a failure domain that goes down loses requests on several upstreams at once, so that a new part with many requests could have been banned although a request with a crashing part ends one upstream after the other. Change: crashes within 0.25 s of each other count once. Test: 'A failure domain that goes down doesn't ban the parts of the prompts that are lost with it' failed before, passes now.

--- a/crocusvalve/gateway/_crashing_parts.py
+++ b/crocusvalve/gateway/_crashing_parts.py
@@ -13,6 +13,9 @@
 #: request may have been open on several upstreams that crashed under another one.
 MIN_CRASHES = 3
 MIN_REQUESTS = 2
+#: Crashes within this time of each other count once: a failure domain that goes down ends several
+#: upstreams at the same moment, while each request with a crashing part ends one after the other.
+MIN_SPACING_S = 0.25
 #: A crash within this time after an answer went on isn't held against the parts of its prompt.
 SOUND_PERIOD_S = 10.0
 #: A crash is held against a part for this long. Without a crash the part may be tried again then.
@@ -172,7 +175,7 @@
         """Choose the fewest parts that explain the crashes; return those that are new."""
         since = now - CRASH_EXPIRY_S
         open_crashes = {
-            part_id: {key for key, at in evidence.crashed_at.items() if at >= since}
+            part_id: {key: at for key, at in evidence.crashed_at.items() if at >= since}
             for part_id, evidence in self._evidence.items()
             if len(evidence.crashed_at) >= MIN_CRASHES and len(evidence.requests) >= MIN_REQUESTS
         }
@@ -181,23 +184,35 @@
             worst = max(
                 open_crashes,
                 key=lambda part_id: (
+                    _count_separate(open_crashes[part_id]),
                     len(open_crashes[part_id]),
-                    len(self._evidence[part_id].requests),
                     part_id,
                 ),
             )
             explained = open_crashes.pop(worst)
-            if len(explained) < MIN_CRASHES:
+            if _count_separate(explained) < MIN_CRASHES:
                 break
             banned.add(worst)
             open_crashes = {
-                part_id: crashes - explained for part_id, crashes in open_crashes.items()
+                part_id: {key: at for key, at in crashes.items() if key not in explained}
+                for part_id, crashes in open_crashes.items()
             }
         new = frozenset(banned - self._banned)
         self._banned = frozenset(banned)
         return new
 
 
+def _count_separate(crashed_at: dict[str, float]) -> int:
+    """Return the number of crashes, counting those close to each other once."""
+    n_separate = 0
+    last_at = float("-inf")
+    for at in sorted(crashed_at.values()):
+        if at >= last_at + MIN_SPACING_S:
+            n_separate += 1
+            last_at = at
+    return n_separate
+
+
 def _compute_age_ms(at: float, now: float) -> int:
     return round((now - at) * 1000)
 
--- a/features/gateway/crashes.feature
+++ b/features/gateway/crashes.feature
@@ -21,6 +21,11 @@
     When one request is lost in 3 crashes
     Then no part is banned
 
+  Scenario: A failure domain that goes down doesn't ban the parts of the prompts that are lost with it
+    Given the registries of 1 gateways
+    When 8 upstreams crash at the same moment under different requests with the same part
+    Then no part is banned
+
   Scenario: A part whose prompts are answered isn't banned, however many crashes it is in
     Given the registries of 2 gateways
     When part "common" is in 6 crashes with part "bad", and an answer with "common" goes on at the other gateway
--- a/features/gateway/steps/crash_steps.py
+++ b/features/gateway/steps/crash_steps.py
@@ -166,7 +166,9 @@
 @when('each of them records one crash of a different request with part "{part}"')
 def when_each_records(context, part):
     for number, registry in enumerate(context.registries):
-        registry.record_crash([f"doc{number}", part], f"up{number}#1", f"req{number}", 1.0)
+        registry.record_crash(
+            [f"doc{number}", part], f"up{number}#1", f"req{number}", 1.0 + number / 2
+        )
     context.banned_before = [registry.find_banned([part]) for registry in context.registries]
     exchange(context.registries, 2.0)
 
@@ -185,6 +187,13 @@
         context.registries[0].record_crash(["a", "b"], f"up{number}#1", "req", float(number))
 
 
+@when("{n:d} upstreams crash at the same moment under different requests with the same part")
+def when_domain_down(context, n):
+    for number in range(n):
+        at = 1.0 + number / 100
+        context.registries[0].record_crash(["a", "b"], f"up{number}#1", f"req{number}", at)
+
+
 @then("no part is banned")
 def then_none_banned(context):
     assert context.registries[0].find_banned(["a", "b"]) is None
@@ -205,9 +214,9 @@
 def when_explained(context, n, more):
     registry = context.registries[0]
     for number in range(n):
-        registry.record_crash(["rare", "bad"], f"up{number}#1", f"req{number}", 1.0)
+        registry.record_crash(["rare", "bad"], f"up{number}#1", f"req{number}", 1.0 + number / 2)
     for number in range(n, n + more):
-        registry.record_crash(["other", "bad"], f"up{number}#1", f"req{number}", 2.0)
+        registry.record_crash(["other", "bad"], f"up{number}#1", f"req{number}", 1.0 + number / 2)
 
 
 @then('after they have exchanged reports only "bad" is banned')
@@ -223,7 +232,7 @@
 def when_minutes_pass(context, minutes):
     registry = context.registries[0]
     for number in range(3):
-        registry.record_crash(["bad"], f"up{number}#1", f"req{number}", 1.0)
+        registry.record_crash(["bad"], f"up{number}#1", f"req{number}", 1.0 + number / 2)
     context.was_banned = registry.find_banned(["bad"])
     registry.record_crash(["bad"], "up9#1", "req9", 1.0 + 60 * minutes)
 
