Platform service's client: limit the pauses within an answer, not its whole time

Change: each part that arrives extends the attempt's limit, up to 30 s; an answer that doesn't begin, or stops, ends as before. Test: 'An object whose transfer takes longer than the time limits is received while its bytes arrive' failed before, passes now; 'An answer that stops within its body is given up' guards the limit. features/store: 36 passed.

--- a/crocusvalve/store/_guard.py
+++ b/crocusvalve/store/_guard.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from contextvars import ContextVar
 from typing import TypeVar
 
 import trio
@@ -11,7 +12,7 @@
 from crocusvalve.store._limits import Backoff, CircuitBreaker, CircuitState, TokenBucket
 from crocusvalve.utils import Clock, MonotonicClock
 
-__all__ = ["CallGuard", "GuardCounters", "GuardSettings", "GuardedReply"]
+__all__ = ["AttemptLimit", "CallGuard", "GuardCounters", "GuardSettings", "GuardedReply"]
 
 T = TypeVar("T")
 
@@ -25,9 +26,12 @@
     Attributes
     ----------
     attempt_timeout_s : float
-        Longest wait for one answer, in seconds.
+        Longest wait for one answer, and longest pause within it, in seconds.
     call_timeout_s : float
-        Longest wait for a call with all its retries, in seconds.
+        Longest wait for a call with all its retries, in seconds; an answer whose bytes arrive may
+        take longer.
+    max_transfer_s : float
+        Longest time for an answer whose bytes arrive, in seconds.
     backoff_base_s, backoff_max_s : float
         Upper bounds of the first delay and of any delay between retries, in seconds.
     n_failures_to_open : int
@@ -41,6 +45,7 @@
 
     attempt_timeout_s: float = 1.0
     call_timeout_s: float = 3.0
+    max_transfer_s: float = 30.0
     backoff_base_s: float = 0.05
     backoff_max_s: float = 1.0
     n_failures_to_open: int = 5
@@ -67,10 +72,44 @@
     n_unknown: int
 
 
+class AttemptLimit:
+    """Time limit of one attempt, which is extended while its answer arrives.
+
+    Parameters
+    ----------
+    scope : trio.CancelScope
+        Ends the attempt.
+    timeout_s : float
+        Longest pause within the answer, in seconds.
+    max_transfer_s : float
+        Longest time for the answer, in seconds.
+    """
+
+    _current: ContextVar["AttemptLimit | None"] = ContextVar("attempt_limit", default=None)
+
+    def __init__(self, scope: trio.CancelScope, timeout_s: float, max_transfer_s: float):
+        self._scope = scope
+        self._timeout_s = timeout_s
+        self._ends_at = trio.current_time() + max_transfer_s
+
+    @classmethod
+    def extend_current(cls) -> None:
+        """Extend the limit of the running attempt, since a part of its answer has arrived."""
+        limit = cls._current.get()
+        if limit is not None:
+            next_due = trio.current_time() + limit._timeout_s
+            limit._scope.deadline = max(limit._scope.deadline, min(limit._ends_at, next_due))
+
+    def activate(self) -> None:
+        """Make this the limit of the task's running attempt."""
+        self._current.set(self)
+
+
 class CallGuard:
     """Runs calls with timeouts, backoff, a write budget and a circuit breaker.
 
-    A caller waits at most ``call_timeout_s``; while the circuit is open, calls fail at once.
+    A caller waits at most ``call_timeout_s`` for an answer to begin; while the circuit is open, calls
+    fail at once.
 
     Parameters
     ----------
@@ -172,7 +211,9 @@
     async def _attempt(self, step: str, call: Callable[[], Awaitable[T]], deadline_at: float) -> T:
         self.counters.n_attempts += 1
         remaining_s = max(0.0, deadline_at - self.clock.now())
-        with trio.move_on_after(min(self.settings.attempt_timeout_s, remaining_s)):
+        timeout_s = self.settings.attempt_timeout_s
+        with trio.move_on_after(min(timeout_s, remaining_s)) as scope:
+            AttemptLimit(scope, timeout_s, self.settings.max_transfer_s).activate()
             return await call()
         raise PlatformError("no answer in time", step=step, peer=self.peer, maybe_applied=True)
 
--- a/crocusvalve/store/_http.py
+++ b/crocusvalve/store/_http.py
@@ -12,7 +12,7 @@
 from crocusvalve.base import VersionRef
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, PlatformError
 from crocusvalve.store import _messages as msg
-from crocusvalve.store._guard import CallGuard, GuardSettings
+from crocusvalve.store._guard import AttemptLimit, CallGuard, GuardSettings
 from crocusvalve.store._reliable import ReliableObjects, ReliableTables
 from crocusvalve.store.base import (
     ObjectStore,
@@ -50,30 +50,33 @@
         """Make one attempt of a call and return the decoded reply."""
         step = call.value[0]
         try:
-            response = await self._client.post(
+            async with self._client.stream(
+                "POST",
                 self._url + call.path,
                 content=msg.encode_message(message, self._content_type),
                 headers=self._headers,
-            )
+            ) as response:
+                content = await _receive(response)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
             raise PlatformError(repr(exc), step=step, peer=self._url) from exc
         except httpx.HTTPError as exc:
             raise PlatformError(repr(exc), step=step, peer=self._url, maybe_applied=True) from exc
-        return self._decode(call, response)
+        return self._decode(call, response.status_code, content)
 
-    def _decode(self, call: msg.PlatformCall, response: httpx.Response) -> Any:
+    def _decode(self, call: msg.PlatformCall, status: int, content: bytes) -> Any:
         step = call.value[0]
-        if response.status_code == 400:
-            raise CrocusvalveError(ErrorCode.BAD_REQUEST, response.text, step=step, peer=self._url)
-        if response.status_code != 200:
+        text = content.decode(errors="replace")
+        if status == 400:
+            raise CrocusvalveError(ErrorCode.BAD_REQUEST, text, step=step, peer=self._url)
+        if status != 200:
             raise PlatformError(
-                f"status {response.status_code}: {response.text}",
+                f"status {status}: {text}",
                 step=step,
                 peer=self._url,
-                maybe_applied=response.status_code != 503,
+                maybe_applied=status != 503,
             )
         try:
-            return msg.decode_message(response.content, call.reply_type, self._content_type)
+            return msg.decode_message(content, call.reply_type, self._content_type)
         except msgspec.DecodeError as exc:
             raise PlatformError(repr(exc), step=step, peer=self._url, maybe_applied=True) from exc
 
@@ -101,6 +104,15 @@
         return reply.data
 
 
+async def _receive(response: httpx.Response) -> bytes:
+    """Return the body of a response; each part extends the time limit of the attempt."""
+    parts = []
+    async for part in response.aiter_bytes():
+        AttemptLimit.extend_current()
+        parts.append(part)
+    return b"".join(parts)
+
+
 class HttpPlatform(TableService, ObjectStore, VmDirectory, RatingService, WeightStore):
     """Client of the platform's service; use it as an asynchronous context manager.
 
--- a/features/store/http.feature
+++ b/features/store/http.feature
@@ -25,3 +25,13 @@
   Scenario: Unknown faults are refused by the test endpoint
     Given a platform served over HTTP
     Then the fault {"is_downn":true} is refused by the test endpoint
+
+  Scenario: An object whose transfer takes longer than the time limits is received while its bytes arrive
+    Given a client with a limit of 0.4 s for an answer and of 1 s for a call
+    When it reads an object whose answer takes 2 s and never pauses for longer than 0.1 s
+    Then the object is received with one call
+
+  Scenario: An answer that stops within its body is given up
+    Given a client with a limit of 0.4 s for an answer and of 1 s for a call
+    When it reads an object whose answer stops after its first bytes
+    Then the call fails within 1.5 s
--- a/features/store/steps/http_steps.py
+++ b/features/store/steps/http_steps.py
@@ -8,8 +8,11 @@
 from behave import given, then, when
 
 from crocusvalve.base import CustomerId, DomainId, VersionRef, WriteId
+from crocusvalve.exceptions import PlatformError
 from crocusvalve.standin import MemoryPlatform, serve_platform
+from crocusvalve.standin._http_server import StandinServer
 from crocusvalve.store import GuardSettings, HttpPlatform, RatingRequest, VmInfo, Write
+from crocusvalve.store._messages import MSGPACK_TYPE, ObjectReply, encode_message
 
 SETTINGS = GuardSettings(attempt_timeout_s=5.0, call_timeout_s=20.0, backoff_max_s=0.05)
 
@@ -122,3 +125,77 @@
 @then("the fault {faults} is refused by the test endpoint")
 def then_refused(context, faults):
     assert context.http.run(lambda url: HttpSubject.set_faults(url, faults)) == 400
+
+
+class SlowObjectServer(StandinServer):
+    """Answers each read of an object in parts, with pauses between them."""
+
+    def __init__(self, n_parts, pause_s, stops_after=None):
+        super().__init__()
+        reply = encode_message(ObjectReply(b"x" * 1000), MSGPACK_TYPE)
+        size = -(-len(reply) // n_parts)
+        self.parts = [reply[start : start + size] for start in range(0, len(reply), size)]
+        self.n_bytes = len(reply)
+        self.pause_s = pause_s
+        self.stops_after = stops_after
+        self.n_calls = 0
+
+    async def answer(self, call, stream):
+        self.n_calls += 1
+        head = f"HTTP/1.1 200 X\r\nContent-Length: {self.n_bytes}\r\n\r\n"
+        await stream.send_all(head.encode())
+        for number, part in enumerate(self.parts):
+            if number == self.stops_after:
+                await trio.sleep_forever()
+            await stream.send_all(part)
+            await trio.sleep(self.pause_s)
+        return True
+
+
+def read_slow_object(context, server):
+    """Read an object from a server; keep the object or the error, and the time."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve)
+            async with HttpPlatform(f"http://{server.address}", settings=context.limits) as client:
+                started_at = trio.current_time()
+                try:
+                    context.result = await client.get_object("o")
+                except PlatformError as exc:
+                    context.result = exc
+                context.elapsed_s = trio.current_time() - started_at
+            nursery.cancel_scope.cancel()
+
+    context.server = server
+    trio.run(main)
+
+
+@given("a client with a limit of {answer_s:g} s for an answer and of {call_s:g} s for a call")
+def given_limits(context, answer_s, call_s):
+    context.limits = GuardSettings(attempt_timeout_s=answer_s, call_timeout_s=call_s)
+
+
+@when(
+    "it reads an object whose answer takes {seconds:g} s and never pauses for longer than "
+    "{pause_s:g} s"
+)
+def when_slow_object(context, seconds, pause_s):
+    read_slow_object(context, SlowObjectServer(int(seconds / pause_s), pause_s))
+
+
+@when("it reads an object whose answer stops after its first bytes")
+def when_stopped_object(context):
+    read_slow_object(context, SlowObjectServer(10, 0.01, stops_after=2))
+
+
+@then("the object is received with one call")
+def then_object_received(context):
+    assert context.result == b"x" * 1000, context.result
+    assert context.server.n_calls == 1
+
+
+@then("the call fails within {bound_s:g} s")
+def then_call_fails(context, bound_s):
+    assert isinstance(context.result, PlatformError), context.result
+    assert context.elapsed_s <= bound_s, context.elapsed_s
