--- a/crocusvalve/soak/processes/_callers.py
+++ b/crocusvalve/soak/processes/_callers.py
@@ -24,6 +24,8 @@
 #: Probability that a caller leaves early, and the longest time that it then waits.
 LEAVE_PROBABILITY = 0.06
 MAX_WAIT_BEFORE_LEAVING_S = 0.3
+#: Probability that a stream's prompt has the part that crashes upstreams, while there is one.
+CRASH_PART_PROBABILITY = 0.2
 #: A caller continues to read for this long after its deadline, to detect late answers.
 EXTRA_READ_S = 1.0
 
@@ -92,6 +94,14 @@
                 return
             await trio.sleep(self.random_state.uniform(0.0, 2 * MEAN_PAUSE_S))
 
+    def _choose_prompt_parts(self, attempt_id: str) -> tuple[str, ...]:
+        """Return the parts of a prompt: a shared one, one of a few documents, and its own."""
+        document = f"d0c{self.random_state.randrange(4)}"
+        crash_part = self.cluster.crash_part
+        if crash_part and self.random_state.random() < CRASH_PART_PROBABILITY:
+            document = crash_part
+        return ("5c1e07a2", document, attempt_id[:8])
+
     def _make_attempt(self, gateway: str) -> Attempt:
         """Return a request of random kind, customer and body size, not sent yet."""
         kind = self.random_state.choice(list(CallKind))
@@ -106,6 +116,7 @@
             deadline_s=REQUEST_DEADLINES_S[kind.is_stream],
             body=b"" if kind is CallKind.SAFE else self.random_state.randbytes(size),
             is_stream=kind.is_stream,
+            prompt_parts=self._choose_prompt_parts(attempt_id),
         )
         return Attempt(
             req=req,
--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -24,6 +24,11 @@
 #: Requests in one soak that may reach an upstream too long after their callers left.
 MAX_ABANDONED_RUNS = 3
 
+#: Crashes under one part of prompts from which, after the bound, requests with it are counted, and
+#: the number that may still reach upstreams.
+N_PART_CRASHES = 5
+MAX_LATE_PARTS = 3
+
 
 class Acknowledgement(Struct, frozen=True):
     """The store's acknowledgement of a change.
@@ -109,6 +114,8 @@
         self._leaving_since: dict[tuple[str, str], float] = {}
         self._closures: dict[tuple[str, str], _Closure] = {}
         self._seen_changes: dict[tuple[str, str], tuple[int, float]] = {}
+        self._part_crashes: dict[str, list[float]] = {}
+        self._n_late_parts: dict[str, int] = {}
 
     def make_acknowledgement(self) -> Acknowledgement:
         """Return the acknowledgement of a change that the store has just accepted."""
@@ -135,6 +142,7 @@
         if fault is not UpstreamFault.NONE:
             self.injected_faults.setdefault(attempt.req.attempt_id, set()).add(fault)
         self._check_unchanged(attempt, call)
+        self._check_crash_parts(attempt)
         self._check_repeat(attempt, upstream)
         attempt.runs.append(UpstreamRun(upstream, now))
         self._check_route(attempt, service)
@@ -147,6 +155,25 @@
         if self.disruption_table.is_quiet(components, now):
             self._check_placement(attempt, upstream, now)
 
+    def record_crash(self, part_id: str) -> None:
+        """Record that a prompt with a part has crashed an upstream."""
+        self._part_crashes.setdefault(part_id, []).append(self.clock())
+
+    def _check_crash_parts(self, attempt: Attempt) -> None:
+        """Check that a prompt has no part that is known to crash upstreams."""
+        gateway, bounds = attempt.gateway, self.bounds
+        for part_id in attempt.req.prompt_parts[:-1] if attempt.kind.is_stream else ():
+            crashed_at = self._part_crashes.get(part_id, ())
+            if len(crashed_at) < N_PART_CRASHES:
+                continue
+            known_at = crashed_at[N_PART_CRASHES - 1] + bounds.contact_s
+            is_late = attempt.sent_at > known_at
+            if is_late and self.disruption_table.is_quiet((gateway,), attempt.sent_at):
+                self._n_late_parts[part_id] = self._n_late_parts.get(part_id, 0) + 1
+                if self._n_late_parts[part_id] > MAX_LATE_PARTS:
+                    description = f"{self._n_late_parts[part_id]} requests with part {part_id}"
+                    self.report(Guarantee.BUDGET, f"{description}, which crashes upstreams")
+
     def record_rejection(self, upstream: str, call: ReceivedRequest, span_s: float) -> None:
         """Record a request that an upstream rejects; it wants no more for ``span_s`` seconds.
 
--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -2,13 +2,14 @@
 
 import random
 import signal
+from functools import partial
 from pathlib import Path
 
 import trio
 
 from crocusvalve.soak.processes._checker import STORE, GuaranteeChecker, ServiceHistory
 from crocusvalve.soak.processes._components import GatewayProcess, SoakUpstream
-from crocusvalve.soak.processes._proxy import LinkProxy
+from crocusvalve.soak.processes._proxy import LinkFault, LinkProxy
 from crocusvalve.soak.processes.base import Guarantee, SoakBounds
 from crocusvalve.standin import (
     StandinCaller,
@@ -66,6 +67,10 @@
         Service, version and duration of the latest order to upgrade a service.
     upstreams : dict
         All upstreams that were ever started, by id.
+    n_extra_routes : int
+        Routes that make the configuration longer and get no requests.
+    crash_part : str
+        Part of prompts that crashes upstreams at present; empty for none.
     is_stopping : bool
         Whether gateways are no longer started again.
     """
@@ -88,6 +93,8 @@
         self.n_proxies = 0
         self.n_upgrades = 0
         self.upgrade_order: tuple[str, str, float] | None = None
+        self.n_extra_routes = 0
+        self.crash_part = ""
         self.nursery: trio.Nursery | None = None
         self.upstreams: dict[str, SoakUpstream] = {}
         self.gateways = [self._make_gateway(number) for number in range(n_gateways)]
@@ -187,9 +194,24 @@
         await self.nursery.start(upstream.serve)
         upstream.proxy = self._make_proxy("127.0.0.1", upstream.port)
         self.nursery.start_soon(upstream.proxy.run)
+        upstream.crash_part = self.crash_part
+        upstream.on_start = partial(self._restart_upstream, upstream)
         self.register(upstream)
         return upstream
 
+    def set_crash_part(self, part_id: str) -> None:
+        """Let prompts with a part crash the upstreams that begin to answer them; none if empty."""
+        self.crash_part = part_id
+        for upstream in self.upstreams.values():
+            upstream.crash_part = part_id
+
+    def _restart_upstream(self, upstream: SoakUpstream) -> None:
+        """Accept connections again after a crash, and register as a new run unless draining."""
+        upstream.proxy.set_fault(LinkFault.NONE)
+        self.checker.disruption_table.end(upstream.upstream_id, self.checker.clock())
+        if upstream.state == "ready" and upstream.is_registered:
+            self.restore_upstream(upstream)
+
     def register(self, upstream: SoakUpstream) -> None:
         """Write an upstream's current entry to the store."""
         upstream.is_registered = True
@@ -239,6 +261,10 @@
             make_route(name, f"/{name}/", **kind, service=self.routes[name])
             for name, kind in kinds.items()
         ]
+        routes += [
+            make_route(f"extra-{number}", f"/extra/{number}/", "safe", service="spare")
+            for number in range(self.n_extra_routes)
+        ]
         services = [{"name": "ops"}, {"name": "spare"}]
         services.append({"name": "llm", "engine": {"kvCapacity": 100000, "models": MODELS}})
         customers = [{"name": name, "apiKeys": [key]} for key, name in CUSTOMERS.items()]
@@ -276,6 +302,8 @@
     def end_faults(self) -> None:
         """End faults of the store and evacuations that are still in force."""
         self.store.fault = StoreFault.NONE
+        self.store.bytes_per_s = float("inf")
+        self.set_crash_part("")
         for domain in list(self.checker.evacuated_domains):
             self.evacuate(domain, is_out=False)
 
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -187,6 +187,15 @@
         self.proxy: LinkProxy | None = None
         checker.upstream_domains[name] = domain
 
+    def crash(self) -> None:
+        """Reset all connections and accept none until the next start."""
+        if self.proxy.fault is LinkFault.DOWN:
+            return
+        self.checker.record_crash(self.crash_part)
+        self.checker.disruption_table.begin(self.upstream_id, self.checker.clock())
+        self.proxy.set_fault(LinkFault.DOWN)
+        super().crash()
+
     def choose_fault(self) -> UpstreamFault:
         """Choose the fault for the next request, according to the fault profile."""
         probability, faults = PROFILE_FAULTS.get(self.fault_profile, (0.0, ()))
--- a/crocusvalve/soak/processes/_disruptions.py
+++ b/crocusvalve/soak/processes/_disruptions.py
@@ -35,6 +35,11 @@
 #: Longest duration of planned work, which has to outlast the time bounds that it starts.
 MAX_PLANNED_S = 12.0
 POLL_INTERVAL_S = 0.1
+#: Largest number of routes that a configuration grows by, the size of a route in an answer, and the
+#: time that a transfer takes, which is within the bound for a configuration to be in force.
+MAX_EXTRA_ROUTES = 1500
+ROUTE_BYTES = 180
+TRANSFER_RANGE_S = (1.4, 1.7)
 
 
 class Disruption(ABC):
@@ -361,21 +366,78 @@
     is_planned = True
 
     def choose_targets(self) -> None:
-        """Choose the route."""
+        """Choose the route; nothing happens while the transfer of a configuration takes long.
+
+        Otherwise a change could take the time of two transfers, which is beyond its bound.
+        """
+        self.is_skipped = self.cluster.n_extra_routes > 0
         self.route = self.random_state.choice(("safe", "unsafe"))
         self.components = [self.route]
 
     def begin(self) -> None:
         """Move the route to the spare service."""
-        self.cluster.routes[self.route] = "spare"
-        self.cluster.put_config()
+        if not self.is_skipped:
+            self._move("spare")
 
     def end(self) -> None:
         """Move the route back."""
-        self.cluster.routes[self.route] = "ops"
+        if not self.is_skipped:
+            self._move("ops")
+
+    def _move(self, service: str) -> None:
+        self.cluster.routes[self.route] = service
         self.cluster.put_config()
 
 
+class ConfigurationGrown(ConfigurationMoved):
+    """A new version of the configuration moves a route, and is long for the store's links."""
+
+    def choose_targets(self) -> None:
+        """Choose the route, the number of further routes and the time of a transfer."""
+        super().choose_targets()
+        self.n_routes = self.random_state.randint(300, MAX_EXTRA_ROUTES)
+        self.transfer_s = self.random_state.uniform(*TRANSFER_RANGE_S)
+        self.components += [f"{self.n_routes} routes", f"{self.transfer_s:.1f} s"]
+
+    def begin(self) -> None:
+        """Slow the store's answers, and write the long configuration."""
+        if self.is_skipped:
+            return
+        cluster = self.cluster
+        cluster.n_extra_routes = self.n_routes
+        cluster.store.bytes_per_s = ROUTE_BYTES * self.n_routes / self.transfer_s
+        super().begin()
+
+    def end(self) -> None:
+        """Answer at the usual speed, and write a short configuration."""
+        if self.is_skipped:
+            return
+        self.cluster.n_extra_routes = 0
+        self.cluster.store.bytes_per_s = float("inf")
+        super().end()
+
+
+class PromptPartCrash(Disruption):
+    """Prompts with one part crash each upstream that begins to answer them."""
+
+    is_planned = True
+
+    def choose_targets(self) -> None:
+        """Choose the part."""
+        self.part_id = f"bad{self.random_state.randrange(1 << 20):05x}"
+        self.components = [self.part_id]
+
+    def begin(self) -> None:
+        """Let the part crash upstreams, and callers send it, unless there is another such part."""
+        if not self.cluster.crash_part:
+            self.cluster.set_crash_part(self.part_id)
+
+    def end(self) -> None:
+        """Let no part crash upstreams."""
+        if self.cluster.crash_part == self.part_id:
+            self.cluster.set_crash_part("")
+
+
 class Upgrade(Disruption):
     """The service of the models is upgraded to a good or a bad version."""
 
@@ -440,6 +502,8 @@
     StoreRestore: 2,
     DomainOut: 1,
     ConfigurationMoved: 2,
+    ConfigurationGrown: 2,
+    PromptPartCrash: 2,
     Upgrade: 1,
 }
 
--- a/crocusvalve/standin/_caller.py
+++ b/crocusvalve/standin/_caller.py
@@ -25,6 +25,8 @@
         Time that the caller waits, in seconds.
     is_stream : bool
         Whether the answer is to be a stream of events.
+    prompt_parts : tuple of str
+        Ids of the parts of a stream's prompt, in order; the last one is the request's own.
     """
 
     method: str
@@ -35,6 +37,7 @@
     body: bytes = b""
     is_stream: bool = False
     host: str = "api.example"
+    prompt_parts: tuple[str, ...] = ("5c1e07a2", "91bd3f06")
 
     def list_headers(self) -> list[tuple[str, str]]:
         """Return the names and values of the headers."""
@@ -50,7 +53,7 @@
                 ("Accept", "text/event-stream"),
                 ("X-Model", "*"),
                 ("X-Token-Usage", "800,40"),
-                ("X-Prefix-Hash", "5c1e07a2:600,91bd3f06:200"),
+                ("X-Prefix-Hash", ",".join(f"{part}:400" for part in self.prompt_parts)),
             ]
         return headers
 
--- a/crocusvalve/standin/_store.py
+++ b/crocusvalve/standin/_store.py
@@ -104,6 +104,11 @@
         value, version = self._rows.get((table, key), (None, 0))
         return 0 if value is None else version
 
+    def count_bytes(self, table: str) -> int:
+        """Return the size of a table in its encoding for answers, in bytes."""
+        values = (value for (name, _), (value, _) in self._rows.items() if name == table)
+        return sum(len(value) for value in values if value is not None) * 4 // 3
+
     def discard_history(self) -> None:
         """Discard the history of changes, so that followers must read whole tables again."""
         self.oldest_version = self.version + 1
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -2,7 +2,6 @@
 
 import random
 
-import msgspec
 import trio
 from behave import given, then, when
 from prometheus_client import CollectorRegistry
@@ -49,10 +48,9 @@
     return config | {"routes": config["routes"] + routes}
 
 
-def limit_rate(store, key, transfer_s):
-    """Slow the store's answers so that a row of the operators' table takes a time to transfer."""
-    size = len(msgspec.json.encode(store.get("op", key)))
-    store.bytes_per_s = size * 4 / 3 / transfer_s
+def limit_rate(store, transfer_s):
+    """Slow the store's answers so that the operators' table takes a time to transfer."""
+    store.bytes_per_s = store.count_bytes("op") / transfer_s
 
 
 class CutOffFeed(ChangeFeed):
@@ -101,7 +99,7 @@
         store.put("op", "other", {})
         await trio.sleep(0.5)
         store.put("op", "config", make_large_config(7))
-        limit_rate(store, "config", transfer_s)
+        limit_rate(store, transfer_s)
         store.fault = StoreFault.NONE
         tables = harness.gateway.tables
         context.elapsed_s = await measure_until(lambda: tables.config.version == 7, 8.0)
@@ -115,7 +113,7 @@
         store, tables = harness.store, harness.gateway.tables
         store.put("op", "config", make_large_config(6))
         await harness.wait_for(lambda: tables.config.version == 6)
-        limit_rate(store, "config", transfer_s)
+        limit_rate(store, transfer_s)
         for version in range(7, 7 + n):
             store.put("op", "config", make_large_config(version))
             await trio.sleep(span_s / n)
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -42,6 +42,7 @@
       | safe   | 3 runs at an upstream that wants none                       | budget     |
       | safe   | 3 rejections by an upstream that wants no requests          | budget     |
       | safe   | a return to a service that was replaced just now            | config     |
+      | once   | 4 runs with a part known to crash upstreams                 | budget     |
       | unsafe | no answer after a run                                       | lost       |
       | unsafe | no answer by the deadline                                   | config     |
 
@@ -67,6 +68,8 @@
       | safe   | a run after a new start of an upstream that announced its end |
       | safe   | a run by a gateway that was started again after the announcement |
       | safe   | 2 runs at an upstream that wants none                       |
+      | once   | 3 runs with a part known to crash upstreams                 |
+      | once   | 4 runs with a part that has just crashed upstreams          |
       | safe   | 3 runs at an upstream whose time is over                    |
 
   Scenario: A completed upgrade to a bad version is reported
@@ -89,6 +92,11 @@
     Then no guarantee is broken
     And service recovered and at least 100 requests were served
 
+  Scenario: A run with long configurations and prompts that crash upstreams
+    When gateway processes run with seed 4 for 12 s of ConfigurationGrown,PromptPartCrash,GatewayKill
+    Then no guarantee is broken
+    And service recovered and at least 100 requests were served
+
   Scenario: An unknown kind of disruption is rejected
     When a soak of processes is started with the kinds StoreRestore,Earthquake
     Then the error names the kinds and the unknown Earthquake
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -119,6 +119,17 @@
         harness.run(upstream=f"ops-00{number}")
 
 
+def observe_crashing_part(harness, n, *, after_s):
+    """Run requests with a part that has crashed five upstreams some seconds before."""
+    for _ in range(5):
+        harness.checker.record_crash("bad")
+    harness.now += after_s
+    for number in range(n):
+        attempt = harness.send(f"b{number}")
+        attempt.req.prompt_parts = ("shared", "bad", "own")
+        harness.run(attempt=attempt, upstream=f"llm-00{number}", x_deadline_ms="1000")
+
+
 def observe_no_answer(harness, *, after_s=0.1, has_run=True):
     if has_run:
         harness.run()
@@ -314,6 +325,15 @@
     ),
     "no answer without a run": lambda harness: observe_no_answer(harness, has_run=False),
     "no answer while the upstream was disrupted": observe_no_answer_while_disrupted,
+    "4 runs with a part known to crash upstreams": lambda harness: (
+        observe_crashing_part(harness, 4, after_s=3.1)
+    ),
+    "3 runs with a part known to crash upstreams": lambda harness: (
+        observe_crashing_part(harness, 3, after_s=3.1)
+    ),
+    "4 runs with a part that has just crashed upstreams": lambda harness: (
+        observe_crashing_part(harness, 4, after_s=2.9)
+    ),
     "two runs and the answer of one of them": observe_answer_of_second_run,
 }
 
