--- a/crocusvalve/store/_guard.py
+++ b/crocusvalve/store/_guard.py
@@ -108,8 +108,8 @@
 class CallGuard:
     """Runs calls with timeouts, backoff, a write budget and a circuit breaker.
 
-    A caller waits at most ``call_timeout_s`` for an answer to begin; while the circuit is open, calls
-    fail at once.
+    A caller waits at most ``call_timeout_s`` for an answer to begin; while the circuit is open,
+    calls fail at once.
 
     Parameters
     ----------
