--- a/crocusvalve/gateway/_crashing_parts.py
+++ b/crocusvalve/gateway/_crashing_parts.py
@@ -23,7 +23,11 @@
 #: Parts that are remembered, and crashes and requests that are remembered for each.
 MAX_PARTS = 4096
 MAX_CRASHES = 16
-MAX_REQUESTS = 4
+MAX_REQUESTS = MIN_REQUESTS
+#: Crashes of a part in one report; enough for a ban though some are close to each other.
+MAX_REPORTED_CRASHES = 8
+#: Length of a request's digest in the registry, which only has to tell a few requests apart.
+REQUEST_ID_LENGTH = 8
 
 
 class SuspectPart(Struct, frozen=True, array_like=True):
@@ -82,7 +86,7 @@
             Parts that are newly banned.
         """
         for part_id in part_ids:
-            self._add_crash(part_id, incident, (request_id,), now)
+            self._add_crash(part_id, incident, (request_id[:REQUEST_ID_LENGTH],), now)
         return self._update_banned(now)
 
     def record_answer(self, part_ids: Iterable[str], now: float) -> None:
@@ -103,16 +107,16 @@
         return next((part_id for part_id in part_ids if part_id in self._banned), None)
 
     def list_suspects(self, n_parts: int, now: float) -> tuple[SuspectPart, ...]:
-        """Return the parts with the most recent crashes, for gossip."""
-        newest = list(self._evidence.items())[-n_parts:]
-        return tuple(
-            SuspectPart(
-                part_id,
-                {key: _compute_age_ms(at, now) for key, at in evidence.crashed_at.items()},
-                tuple(evidence.requests),
-            )
-            for part_id, evidence in newest
-        )
+        """Return the banned parts and those with the most recent crashes, for gossip."""
+        newest = [part_id for part_id in reversed(self._evidence) if part_id not in self._banned]
+        chosen = [*(part_id for part_id in self._banned if part_id in self._evidence), *newest]
+        return tuple(self._make_report(part_id, now) for part_id in chosen[:n_parts])
+
+    def _make_report(self, part_id: str, now: float) -> SuspectPart:
+        evidence = self._evidence[part_id]
+        newest = list(evidence.crashed_at.items())[-MAX_REPORTED_CRASHES:]
+        ages_ms = {incident: _compute_age_ms(at, now) for incident, at in newest}
+        return SuspectPart(part_id, ages_ms, tuple(evidence.requests))
 
     def list_sound(self, n_parts: int, now: float) -> tuple[SoundPart, ...]:
         """Return the parts that were in a crash and in an answer that went on, for gossip."""
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -10,9 +10,9 @@
 from prometheus_client import CollectorRegistry
 
 from crocusvalve.gateway._attempts import AttemptManager
-from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._followers import TableFollower
+from crocusvalve.gateway._gossip import GossipState
 from crocusvalve.gateway._lag import LagTracker
 from crocusvalve.gateway._listener import CallerConnection
 from crocusvalve.gateway._members import MemberRegistry
@@ -20,8 +20,7 @@
 from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway._peer_link import PeerLink
-from crocusvalve.gateway._peers import GossipMessage, PeerTable
-from crocusvalve.gateway._prompts import record_parts
+from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway._ready import ReadyListener
 from crocusvalve.gateway._request_handler import RequestHandler
 from crocusvalve.gateway._sockets import open_listeners
@@ -54,25 +53,9 @@
 BACKOFF_MAX_S = 0.4
 #: Interval at which a stopping gateway checks whether requests are open.
 DRAIN_POLL_INTERVAL_S = 0.05
-#: The peers' loads are summed at most this often, since the cost grows with the number of peers.
-LOAD_SUM_INTERVAL_S = 0.1
-#: A message includes the prompts sent within this time, so that each is included about twice.
-SENT_PARTS_WINDOW_S = 1.0
-#: Maximum number of request digests with crashes in one message.
-MAX_GOSSIP_DIGESTS = 16
-#: Maximum numbers of parts of prompts in one message that may crash upstreams, and of those that
-#: don't.
-MAX_GOSSIP_SUSPECT_PARTS = 16
-MAX_GOSSIP_SOUND_PARTS = 32
-#: Maximum number of leaving upstreams in one message.
-MAX_GOSSIP_LEAVING = 64
-#: Number of other gateways that one message reports as alive.
-MAX_GOSSIP_MEMBERS = 20
 #: A gateway that has lacked a change of the operators' table for longer, which a peer has, isn't
 #: ready; otherwise its connections would get answers of an old configuration.
 MAX_READY_LAG_S = 3.0
-#: Maximum number of silent upstreams in one message.
-MAX_GOSSIP_SILENT = 32
 
 
 class Gateway:
@@ -178,8 +161,21 @@
             clock=clock,
             random_state=random_state,
         )
+        self.gossip = GossipState(
+            settings=settings,
+            boot_id=self.boot_id,
+            tables=self.tables,
+            store=self.store,
+            peers=self.peers,
+            attempt_manager=self.attempt_manager,
+            outcome_counts=self.outcome_counts,
+            upgrades=self.upgrades,
+            handlers=(self.operator_handler, self.upstream_handler),
+            observer=self.observer,
+            is_leaving=self.request_handler.is_closing,
+            random_state=random_state,
+        )
         self._nursery: trio.Nursery | None = None
-        self._loads_summed_at = float("-inf")
 
     def is_ready(self) -> bool:
         """Return whether this gateway accepts new connections."""
@@ -235,8 +231,8 @@
         link = PeerLink(
             address=self.settings.peer,
             table=self.peers,
-            make_gossip=self._make_gossip,
-            merge_gossip=self._merge_gossip,
+            make_gossip=self.gossip.make_message,
+            merge_gossip=lambda message: self.gossip.merge(message, self.clock.now()),
             observer=self.observer,
             clock=self.clock,
             random_state=self.random_state,
@@ -308,80 +304,3 @@
         if now >= plan.ends_at:
             return False
         return now < plan.refuses_at or self.request_handler.n_open_requests > 0
-
-    def _make_gossip(self, now: float) -> GossipMessage:
-        loads = self.tables.loads.items()
-        return GossipMessage(
-            node_id=self.settings.node_id,
-            boot_id=self.boot_id,
-            host=self.settings.peer.host,
-            n_inflight={key: load.n_inflight for key, load in loads if load.n_inflight},
-            pending_work={key: int(load.pending_work) for key, load in loads if load.n_inflight},
-            parts=tuple(
-                sent
-                for sent in self.attempt_manager.sent_prompt_parts
-                if now - sent.sent_at < SENT_PARTS_WINDOW_S
-            ),
-            outcome_counts=self.outcome_counts.list_local() if self.upgrades.is_active() else (),
-            crashes=self.crashes.list_newest(MAX_GOSSIP_DIGESTS),
-            members=self.peers.sample_members(MAX_GOSSIP_MEMBERS, self.random_state, now),
-            is_leaving=self.request_handler.is_closing(),
-            has_store=self.store.is_up,
-            leaving=self.tables.closures.list_leaving(MAX_GOSSIP_LEAVING),
-            upgrades=self.upgrades.list_reports(),
-            suspect_parts=self.attempt_manager.crashing_parts.list_suspects(
-                MAX_GOSSIP_SUSPECT_PARTS, now
-            ),
-            sound_parts=self.attempt_manager.crashing_parts.list_sound(MAX_GOSSIP_SOUND_PARTS, now),
-            positions={
-                handler.table: handler.replica.last_change
-                for handler in (self.operator_handler, self.upstream_handler)
-                if handler.is_loaded
-            },
-            silent=tuple(
-                UpstreamRun.of(row)
-                for key, load in loads
-                if load.silent_until > now and (row := self.tables.upstreams.get(key))
-            )[:MAX_GOSSIP_SILENT],
-        )
-
-    def _merge_gossip(self, message: GossipMessage) -> None:
-        self.outcome_counts.merge_remote(
-            f"{message.node_id}#{message.boot_id}", message.outcome_counts
-        )
-        for digest, incidents in message.crashes.items():
-            self.crashes.merge(digest, incidents)
-        self._merge_sent_parts(message)
-        self._merge_leaving(message)
-        now = self.clock.now()
-        banned = self.attempt_manager.crashing_parts.merge(
-            message.suspect_parts, message.sound_parts, now
-        )
-        self.observer.record_banned_parts(banned)
-        self.upgrades.merge_reports(message.upgrades, now)
-        if now - self._loads_summed_at < LOAD_SUM_INTERVAL_S:
-            return
-        self._loads_summed_at = now
-        n_inflight, work = self.peers.sum_peer_loads(now)
-        n_silent = self.peers.count_silent(now)
-        for upstream_id, load in self.tables.loads.items():
-            row = self.tables.upstreams.get(upstream_id)
-            load.n_peers_silent = n_silent.get(UpstreamRun.of(row), 0) if n_silent and row else 0
-            load.n_peer_inflight = n_inflight.get(upstream_id, 0)
-            load.peer_pending_work = work.get(upstream_id, 0)
-
-    def _merge_leaving(self, message: GossipMessage) -> None:
-        for run in self.tables.closures.merge_leaving(message.leaving):
-            row = self.tables.upstreams.get(run.upstream_id)
-            if row is not None and row.started_ms == run.started_ms:
-                self.observer.record_upstream_leaving(row)
-
-    def _merge_sent_parts(self, message: GossipMessage) -> None:
-        """Record the prompt parts that a peer gateway sent to upstreams as cached there."""
-        config = self.tables.config
-        for sent in message.parts:
-            row = self.tables.upstreams.get(sent.upstream_id)
-            service = config and row and config.services.get(row.service)
-            if service:
-                load = self.tables.get_load(sent.upstream_id)
-                record_parts(load, sent.model, sent.parts, service.memory_tokens)
--- a/features/gateway/steps/closure_steps.py
+++ b/features/gateway/steps/closure_steps.py
@@ -94,7 +94,7 @@
         message = GossipMessage(
             node_id=NodeId("gateway-2"), boot_id="b", host="127.0.0.9", leaving=context.reports
         )
-        harness.gateway._merge_gossip(message)
+        harness.gateway.gossip.merge(message, harness.gateway.clock.now())
         await harness.call(path, method="POST")
 
     context.harness.run(act)
