--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -7,11 +7,12 @@
 
 import trio
 
-from crocusvalve.base import NodeId, UpstreamId
+from crocusvalve.base import NodeId
 from crocusvalve.gateway._attempt import Attempt, PromptWork
 from crocusvalve.gateway._budget import AttemptBudget
 from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._cold_start import compute_cold_quota, record_cold_send
+from crocusvalve.gateway._crash_detector import CrashDetector
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, get_suspect_ids
 from crocusvalve.gateway._health import Outcome, update_health
@@ -27,7 +28,7 @@
 from crocusvalve.gateway._prompts import count_unread_tokens, get_shared_parts, record_parts
 from crocusvalve.gateway._request import GatewayRequest
 from crocusvalve.gateway._slowness import record_answer_time
-from crocusvalve.gateway._sockets import connect
+from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S
 from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
 from crocusvalve.gateway._upstream_call import CallError, CallFailure, UpstreamCall
 from crocusvalve.gateway.base import (
@@ -46,13 +47,8 @@
 
 #: Maximum number of recently sent prompts whose parts are reported to the other gateways.
 MAX_SENT_PROMPT_PARTS = 32
-#: Connecting normally takes about a millisecond; TCP retransmits a lost packet only after a second.
-CONNECT_TIMEOUT_S = 0.4
 #: Status of a reply from another upstream at the same address, whose statements are about itself.
 OTHER_INSTANCE_STATUS = 421
-#: Delays before each check whether an upstream whose connection broke has crashed; a crashed one
-#: refuses connections on its port.
-CRASH_CHECK_DELAYS_S = (0.03, 0.3)
 
 
 class AttemptManager:
@@ -92,6 +88,13 @@
         self.clock = clock
         self.crashing_parts = CrashingPartRegistry()
         self.pace = PaceTable()
+        self.crash_detector = CrashDetector(
+            tables=tables,
+            crashes=crashes,
+            crashing_parts=self.crashing_parts,
+            observer=observer,
+            clock=clock,
+        )
         self.spawn: Callable[..., None] = lambda *_: None
         self.sent_prompt_parts: deque[SentPromptParts] = deque(maxlen=MAX_SENT_PROMPT_PARTS)
         self._budgets: dict[ServiceName, AttemptBudget] = {}
@@ -326,47 +329,5 @@
                 self.record_outcome(req, upstream, Outcome.SILENT)
         else:
             self.record_outcome(req, upstream, Outcome.BROKEN)
-            self.spawn(self._check_crash, req, upstream, has_progressed, checked)
+            self.spawn(self.crash_detector.check, req, upstream, has_progressed, checked)
         return checked
-
-    async def _check_crash(
-        self, req: GatewayRequest, upstream: Upstream, has_progressed: bool, checked: trio.Event
-    ) -> None:
-        try:
-            if await self._has_crashed(upstream):
-                self._record_crash(req, upstream, has_progressed)
-        finally:
-            checked.set()
-
-    async def _has_crashed(self, upstream: Upstream) -> bool:
-        """Return whether an upstream has started again or refuses connections."""
-        for delay_s in CRASH_CHECK_DELAYS_S:
-            await trio.sleep(delay_s)
-            current = self.tables.upstreams.get(upstream.upstream_id)
-            if current is not None and current.started_ms != upstream.started_ms:
-                return True
-            try:
-                stream = await connect(upstream.address, CONNECT_TIMEOUT_S)
-            except ConnectionRefusedError:
-                return True
-            except OSError:
-                return False
-            await trio.aclose_forcefully(stream)
-        return False
-
-    def _record_crash(self, req: GatewayRequest, upstream: Upstream, has_progressed: bool) -> None:
-        now = self.clock.now()
-        incident = make_incident_id(upstream)
-        update_health(self.tables.get_load(upstream.upstream_id), Outcome.SILENT, now)
-        if has_progressed:
-            return
-        n_crashes = self.crashes.record_crash(req.digest, incident)
-        self.observer.record_crash(upstream, req.digest, n_crashes)
-        part_ids = get_suspect_ids(req.caller.prefix)
-        banned = self.crashing_parts.record_crash(part_ids, incident, req.digest, now)
-        self.observer.record_banned_parts(banned)
-
-
-def make_incident_id(upstream: Upstream) -> str:
-    """Return the incident id of a crash: the upstream's id and its start time."""
-    return f"{UpstreamId(upstream.upstream_id)}#{upstream.started_ms}"
--- /dev/null
+++ b/crocusvalve/gateway/_crash_detector.py
@@ -0,0 +1,96 @@
+"""Finds out whether an upstream whose connection broke has crashed, and records what it ran."""
+
+import trio
+
+from crocusvalve.gateway._crashes import CrashRegistry
+from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, get_suspect_ids
+from crocusvalve.gateway._health import Outcome, update_health
+from crocusvalve.gateway._observer import GatewayObserver
+from crocusvalve.gateway._request import GatewayRequest
+from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S, connect
+from crocusvalve.gateway._tables import GatewayTables
+from crocusvalve.gateway.base import Upstream
+from crocusvalve.utils import Clock
+
+__all__ = ["CrashDetector"]
+
+#: Delays before each check whether an upstream whose connection broke has crashed; a crashed one
+#: refuses connections on its port.
+CRASH_CHECK_DELAYS_S = (0.03, 0.3)
+
+
+class CrashDetector:
+    """Checks upstreams whose connections broke, and records crashes with the requests lost in them.
+
+    Parameters
+    ----------
+    tables : GatewayTables
+        Upstreams' entries and loads.
+    crashes : CrashRegistry
+        Crashes by digest of the request.
+    crashing_parts : CrashingPartRegistry
+        Crashes by part of the prompt.
+    observer : GatewayObserver
+        Records crashes and banned parts.
+    clock : Clock
+        Clock of this gateway.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: GatewayTables,
+        crashes: CrashRegistry,
+        crashing_parts: CrashingPartRegistry,
+        observer: GatewayObserver,
+        clock: Clock,
+    ):
+        self.tables = tables
+        self.crashes = crashes
+        self.crashing_parts = crashing_parts
+        self.observer = observer
+        self.clock = clock
+
+    async def check(
+        self, req: GatewayRequest, upstream: Upstream, has_progressed: bool, checked: trio.Event
+    ) -> None:
+        """Record a crash if an upstream has crashed; set ``checked`` at the end.
+
+        Parameters
+        ----------
+        has_progressed : bool
+            Whether the answer went on beyond the time at which its prompt would crash.
+        """
+        try:
+            if await self._has_crashed(upstream):
+                self._record_crash(req, upstream, has_progressed)
+        finally:
+            checked.set()
+
+    async def _has_crashed(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has started again or refuses connections."""
+        for delay_s in CRASH_CHECK_DELAYS_S:
+            await trio.sleep(delay_s)
+            current = self.tables.upstreams.get(upstream.upstream_id)
+            if current is not None and current.started_ms != upstream.started_ms:
+                return True
+            try:
+                stream = await connect(upstream.address, CONNECT_TIMEOUT_S)
+            except ConnectionRefusedError:
+                return True
+            except OSError:
+                return False
+            await trio.aclose_forcefully(stream)
+        return False
+
+    def _record_crash(self, req: GatewayRequest, upstream: Upstream, has_progressed: bool) -> None:
+        now = self.clock.now()
+        update_health(self.tables.get_load(upstream.upstream_id), Outcome.SILENT, now)
+        if has_progressed:
+            return
+        incident = f"{upstream.upstream_id}#{upstream.started_ms}"
+        n_crashes = self.crashes.record_crash(req.digest, incident)
+        self.observer.record_crash(upstream, req.digest, n_crashes)
+        part_ids = get_suspect_ids(req.caller.prefix)
+        banned = self.crashing_parts.record_crash(part_ids, incident, req.digest, now)
+        self.observer.record_banned_parts(banned)
--- a/crocusvalve/gateway/_sockets.py
+++ b/crocusvalve/gateway/_sockets.py
@@ -7,8 +7,10 @@
 
 from crocusvalve.gateway.base import Address
 
-__all__ = ["connect", "open_listeners", "reset", "tune_socket"]
+__all__ = ["CONNECT_TIMEOUT_S", "connect", "open_listeners", "reset", "tune_socket"]
 
+#: Connecting normally takes about a millisecond; TCP retransmits a lost packet only after a second.
+CONNECT_TIMEOUT_S = 0.4
 #: Sent bytes that are not acknowledged within this time end a connection.
 USER_TIMEOUT_MS = 4000
 #: TCP keepalive of an idle connection: time before the first probe, time between probes, and number
--- a/crocusvalve/gateway/_table_copies.py
+++ b/crocusvalve/gateway/_table_copies.py
@@ -16,7 +16,7 @@
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway._replica import TablePosition
-from crocusvalve.gateway._sockets import connect
+from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S, connect
 from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.gateway.base import Address
 from crocusvalve.store.base import FeedPage
@@ -30,7 +30,6 @@
 #: Time for which a change is known to be missing before a peer is asked for it. The store's feed
 #: normally delivers it before then.
 CATCH_UP_AFTER_S = 0.8
-CONNECT_TIMEOUT_S = 0.4
 #: Longest pause within a copy. Its total time is not limited, since it depends on size and link.
 STALL_TIMEOUT_S = 1.5
 #: Maximum size of the tables in a copy: fits 3,500 upstreams' entries of about 250 bytes and a
