--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -127,7 +127,7 @@
     for number in range(n):
         attempt = harness.send(f"b{number}")
         attempt.req.prompt_parts = ("shared", "bad", "own")
-        harness.run(attempt=attempt, upstream=f"llm-00{number}", x_deadline_ms="1000")
+        harness.run(attempt, x_deadline_ms="1000")
 
 
 def observe_no_answer(harness, *, after_s=0.1, has_run=True):
