--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -22,8 +22,8 @@
 MAX_FAILURE_BYTES = 1024 * 1024
 #: Fraction of the goal after which a request without a first event is sent to another upstream.
 FIRST_EVENT_FRACTION = 0.9
-#: Time after the first event from which an answer shows that its prompt doesn't crash upstreams,
-#: which takes less than 0.1 s.
+#: An answer that goes on for this long after its first event shows that its prompt doesn't crash
+#: upstreams; a crash comes within 0.1 s.
 PROGRESS_S = 0.5
 #: Longest time for which a lost request waits for the check whether its upstream has crashed, so
 #: that it isn't sent on if its prompt is known to crash upstreams by then.
