--- a/crocusvalve/soak/processes/_disruptions.py
+++ b/crocusvalve/soak/processes/_disruptions.py
@@ -482,6 +482,8 @@
             # announce that they drain.
             cluster.drain_upstream(upstream, is_announced=not is_upgraded)
             if is_upgraded:
+                now = cluster.checker.clock()
+                cluster.checker.disruption_table.record(upstream.upstream_id, now)
                 upstream.proxy.set_fault(LinkFault.DOWN)
 
 
