Log why a stream can't be resumed, and how long its upstream was silent

"The stream can't be resumed" didn't tell apart an upstream that is missing, attempts that are used up and a budget that is empty, and the note "stalled" had no length. The test of the reason now expects the whole new text.

--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -115,13 +115,25 @@
         self, req: GatewayRequest, progress: _Progress, responder: Responder, step: str
     ) -> RequestEnd:
         if responder.has_started:
-            raise AnswerAbortedError("the stream can't be resumed")
+            reason = self._describe_obstacle(req, self.clock.now())
+            raise AnswerAbortedError(f"the stream can't be resumed: {reason}")
         if progress.failure is not None:
             reply, body = progress.failure
             await responder.answer(reply.status, reply.headers, body)
             return RequestEnd.UPSTREAM_FAILURE
         raise make_gateway_error(req, "no upstream sent an answer", step, self.clock.now())
 
+    def _describe_obstacle(self, req: GatewayRequest, now: float) -> str:
+        """Return why a request that has run is not sent to another upstream."""
+        if not req.route.is_repeatable:
+            return "it may run only once"
+        if req.n_attempts_left <= 0:
+            return f"it has run {req.n_runs} times"
+        if not self.attempt_manager.may_send_again(req, now):
+            return "no budget for extra attempts"
+        placement = req.placement
+        return f"no upstream, {placement.reason.value}" if placement else "no upstream"
+
     async def _refuse_banned(
         self, req: GatewayRequest, progress: _Progress, responder: Responder
     ) -> RequestEnd:
@@ -243,7 +255,7 @@
                     events = []
                     continue
                 self.attempt_manager.record_outcome(req, upstream, Outcome.LATE)
-                req.notes.append(f"{upstream.upstream_id}:stalled")
+                req.notes.append(f"{upstream.upstream_id}:stalled for {stall_s:.2f} s")
                 return _AttemptEnd.LOST
 
     def _record_progress(self, req: GatewayRequest, progress: _Progress) -> None:
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -567,7 +567,8 @@
 @then("the log gives the reason for the interruption")
 def then_interruption_logged(context):
     (record,) = (r for r in context.harness.log_records if r.getMessage() == "request ended: cut")
-    assert record.fields["reason"] == "the stream can't be resumed", record.fields
+    expected = "the stream can't be resumed: it may run only once"
+    assert record.fields["reason"] == expected, record.fields
 
 
 @then("the log says that the store fails")
