Failing test: an upstream that falls silent and goes on loses its caller's answer

What callers see: a resumable stream is reset after two of six events, or answered with an error before its first event, although its upstream is sound and goes on. The stand-in upstream gains two silences, within a stream and before an answer. run_features.py compares names of scenarios without the space that behave puts behind the names of outlines; without it no outline could be listed.

--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -11,6 +11,8 @@
 
 #: Number of events of a complete stream.
 N_EVENTS = 6
+#: Number of the event before which a stream with the fault ``SILENT`` falls silent.
+FIRST_EVENT_AFTER_SILENCE = 3
 #: Time from the head of an answer to the crash that its prompt causes.
 CRASH_DELAY_S = 0.04
 
@@ -36,6 +38,11 @@
     SHORT = "short"
     ENCODED = "encoded"
     HANG = "hang"
+    #: Falls silent for ``silence_s`` after the second event of a stream, or before the head of a
+    #: plain answer, and then goes on. This is no fault of the answer, which is complete.
+    SILENT = "silent"
+    #: Falls silent for ``silence_s`` before the head of an answer, and then goes on.
+    SILENT_FIRST = "silent_first"
 
 
 class StandinUpstream(StandinServer):
@@ -57,6 +64,8 @@
         Value of the header ``X-Confidence`` of streams, by model.
     pause_s : float
         Pause before each event, in seconds.
+    silence_s : float
+        Length of the silence of the faults ``SILENT`` and ``SILENT_FIRST``, in seconds.
     n_abandoned : int
         Requests with the fault ``HANG`` whose caller disconnected.
     is_leaving : bool
@@ -87,6 +96,7 @@
         self.is_leaving = False
         self.retry_after = "1"
         self.pause_s = 0.0
+        self.silence_s = 1.2
         self.crash_part = ""
         self.restart_s = 0.3
         self.n_starts = 0
@@ -167,7 +177,10 @@
             headers["X-Attempt-Id"] = "another"
         if fault is UpstreamFault.ENCODED:
             headers["Content-Encoding"] = "gzip"
-        if call.headers.get("accept") == "text/event-stream":
+        is_stream = call.headers.get("accept") == "text/event-stream"
+        if fault is UpstreamFault.SILENT_FIRST or (fault is UpstreamFault.SILENT and not is_stream):
+            await trio.sleep(self.silence_s)
+        if is_stream:
             return await self._stream(call, stream, headers, fault)
         if fault is UpstreamFault.SHORT:
             head = self._make_head(200, headers | {"Content-Length": "100"})
@@ -199,6 +212,8 @@
             self.crash()
         for number in range(int(call.headers.get("last-event-id", 0)) + 1, N_EVENTS + 1):
             await trio.sleep(self.pause_s)
+            if fault is UpstreamFault.SILENT and number == FIRST_EVENT_AFTER_SILENCE:
+                await trio.sleep(self.silence_s)
             event = make_event(call.target, number)
             if fault is UpstreamFault.BREAK_IN_EVENT and number == 3:
                 await stream.send_all(_make_chunk(event[:7]))
--- /dev/null
+++ b/features/gateway/silence.feature
@@ -0,0 +1,32 @@
+Feature: An upstream that falls silent for a second or so keeps its callers' answers
+
+  Scenario Outline: A stream isn't cut because its upstream is silent and no other can take it over
+    Given a gateway with two upstreams
+    And the first attempt is silent for <silence> s within the stream, and each further one meets <fault>
+    When a caller opens a stream at /stream/1
+    Then the caller gets events 1 to 6, each once, with the first upstream's signature
+
+    Examples:
+      | silence | fault          |
+      | 1.1     | none           |
+      | 1.1     | full           |
+      | 1.1     | failure        |
+      | 1.1     | break          |
+      | 1.1     | break_in_event |
+      | 1.1     | crossed        |
+      | 1.5     | silent_first   |
+      | 1.5     | full           |
+      | 1.5     | failure        |
+      | 1.5     | break          |
+
+  Scenario Outline: A request isn't failed because its upstream's first event is late and no other can take it over
+    Given a gateway with two upstreams
+    And the first attempt is silent for <silence> s before its answer, and each further one meets <fault>
+    When a caller opens a stream at /stream/1
+    Then the caller gets events 1 to 6, each once, with the first upstream's signature
+
+    Examples:
+      | silence | fault   |
+      | 3.3     | full    |
+      | 3.3     | failure |
+      | 3.3     | break   |
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -45,7 +45,7 @@
         text = report.read_text() if report.exists() else "[]"
         features = json.loads(text) if text.strip() else []
     results = [
-        (element["name"], element.get("status", "error"))
+        (element["name"].strip(), element.get("status", "error"))
         for feature in features
         for element in feature.get("elements", [])
         if element["type"] != "background"
