A silent stream is given up only once another upstream goes on with it

What callers saw: a resumable stream was reset in the middle although its upstream was sound, fell silent for 1.1 s or 1.5 s and went on; a request without a first event got an error in the same way.

Cause: after a silence (0.8 of the goal for pauses, or 0.9 of the goal and the upstream's queue for the first event) the gateway closed the running attempt first and looked for another upstream second. If that one rejected the request, answered 500, broke or was corrupt, and no attempt was left, a sound answer was lost. Class: something that works is given up before its replacement works.

Change: StreamAttempt keeps an attempt and its connection open beyond one read; Takeover reads the silent attempt and asks other upstreams, one after the other, at the same time. Upstreams whose own streams have been silent for 0.4 of the goal aren't asked, so that the budget of extra attempts isn't spent when many are silent at once. An upstream that goes on after its silence is no longer recorded as late.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from crocusvalve.base import NodeId
+from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.gateway._attempt import Attempt, PromptWork
 from crocusvalve.gateway._budget import AttemptBudget
 from crocusvalve.gateway._closures import UpstreamRun
@@ -133,8 +133,14 @@
         self.observer.set_budget(req.service.name, n_left)
         return n_left >= 1.0
 
-    def place(self, req: GatewayRequest, now: float, model: str = "") -> Placement:
-        """Choose an upstream for the next attempt."""
+    def place(
+        self,
+        req: GatewayRequest,
+        now: float,
+        model: str = "",
+        excluded: set[UpstreamId] | None = None,
+    ) -> Placement:
+        """Choose an upstream for the next attempt; by default those already tried are excluded."""
         query = PlacementQuery(
             service=req.service.name,
             domain=self.settings.domain,
@@ -143,7 +149,7 @@
             model=model,
             model_weight=req.service.get_model_weight(model) if model else 1.0,
             parts=req.caller.prefix,
-            tried=req.tried,
+            tried=req.tried if excluded is None else excluded,
             cold_quota=lambda upstream: self._compute_cold_quota(req, upstream, now),
         )
         return choose_upstream(self.tables, query, now)
--- /dev/null
+++ b/crocusvalve/gateway/_stream_attempt.py
@@ -0,0 +1,272 @@
+"""One attempt to get a stream from an upstream; its connection stays open until it is closed."""
+
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from enum import Enum
+
+import trio
+from msgspec import Struct
+
+from crocusvalve.gateway._attempt import Attempt
+from crocusvalve.gateway._attempts import AttemptManager
+from crocusvalve.gateway._events import EventSplitter, StreamEvent
+from crocusvalve.gateway._health import Outcome
+from crocusvalve.gateway._request import GatewayRequest
+from crocusvalve.gateway._upstream_call import CallError, CallFailure
+from crocusvalve.gateway.base import Reply, Upstream
+
+__all__ = ["AttemptEnd", "StreamAttempt", "StreamStep"]
+
+#: Longest body of an upstream's failure answer that is forwarded.
+MAX_FAILURE_BYTES = 1024 * 1024
+#: Longest time for which a lost request waits for the check whether its upstream has crashed, so
+#: that it isn't sent on if its prompt is known to crash upstreams by then.
+CRASH_CHECK_WAIT_S = 0.15
+#: Minimum number of events of a stream at which the mean time between them is measured.
+MIN_PACED_EVENTS = 4
+#: An answer that goes on for this long after its first event shows that its prompt doesn't crash
+#: upstreams; a crash comes within 0.1 s.
+PROGRESS_S = 0.5
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended other than by its last event."""
+
+    #: The answer is discarded and a larger model asked instead.
+    LARGER_MODEL = "larger_model"
+    #: The upstream rejected the request or was not reached; it has not run there.
+    NOT_RUN = "not_run"
+    #: The upstream answered with a status other than 200.
+    FAILED = "failed"
+    #: The stream was interrupted, abandoned or was corrupt.
+    LOST = "lost"
+
+
+class StreamStep(Struct, frozen=True):
+    """Result of one read: events and whether they are the last, or how the attempt ended."""
+
+    events: list[StreamEvent] = []
+    is_over: bool = False
+    end: AttemptEnd | None = None
+
+
+class StreamAttempt:
+    """An attempt of a stream at one upstream.
+
+    A cancelled read may be repeated without loss of events.
+
+    Parameters
+    ----------
+    model : str
+        Model that is to answer; empty if the upstream has only one.
+    last_event_id : bytes
+        Id of the last event that the caller has; empty for none.
+    choose_larger_model : callable
+        Returns the model to ask instead, or None, when the head of the reply has been read.
+
+    Attributes
+    ----------
+    has_reply : bool
+        Whether the head of a good reply has been read.
+    n_events : int
+        Events that were read.
+    failure : tuple or None
+        Head and body of an upstream's failure.
+    larger_model : str or None
+        The model to ask instead.
+    """
+
+    def __init__(
+        self,
+        attempt_manager: AttemptManager,
+        req: GatewayRequest,
+        upstream: Upstream,
+        *,
+        model: str,
+        last_event_id: bytes,
+        choose_larger_model: Callable[[Reply], str | None],
+    ):
+        self.req = req
+        self.upstream = upstream
+        self.model = model
+        self.last_event_id = last_event_id
+        self.has_reply = False
+        self.n_events = 0
+        self.failure: tuple[Reply, bytes] | None = None
+        self.larger_model: str | None = None
+        self._manager = attempt_manager
+        self._clock = attempt_manager.clock
+        self._choose_larger_model = choose_larger_model
+        self._started_at = self._clock.now()
+        self._first_event_at: float | None = None
+        self._load = attempt_manager.tables.get_load(upstream.upstream_id)
+        self._has_progressed = False
+        self._is_counted = False
+        self._stack = AsyncExitStack()
+        self._attempt: Attempt | None = None
+        self._splitter = EventSplitter()
+        self._head: Reply | None = None
+        self._failure_body = b""
+        self._end: AttemptEnd | None = None
+
+    @property
+    def reply(self) -> Reply:
+        """Head of the reply."""
+        return self._head
+
+    @property
+    def queued_tokens(self) -> float:
+        """Prompt tokens that the upstream has to process first."""
+        return self._attempt.work.queued_tokens
+
+    async def send(self) -> StreamStep | None:
+        """Send the request; return the step that ends the attempt if that fails."""
+        context = self._manager.start_attempt(
+            self.req, self.upstream, model=self.model, last_event_id=self.last_event_id
+        )
+        try:
+            self._attempt = await self._stack.enter_async_context(context)
+        except CallError as exc:
+            await self._record_error(exc)
+            return StreamStep(end=self._end)
+        return None
+
+    async def read_reply(self) -> StreamStep | None:
+        """Read the head of the reply; return the step that ends the attempt unless it is good."""
+        if self._end is None and not self.has_reply:
+            try:
+                self._end = await self._read_reply()
+            except CallError as exc:
+                await self._record_error(exc)
+        return None if self._end is None else StreamStep(end=self._end)
+
+    async def read(self) -> StreamStep:
+        """Return the next complete events."""
+        step = await self.read_reply()
+        if step is not None:
+            return step
+        try:
+            step = await self._read_events()
+        except CallError as exc:
+            await self._record_error(exc)
+            return StreamStep(end=self._end)
+        if self._first_event_at is None:
+            self._record_first_event()
+        self.n_events += len(step.events)
+        self._load.last_event_at = self._clock.now()
+        self._record_progress(step)
+        return step
+
+    def record_late(self) -> None:
+        """Record that the upstream was abandoned because it sent nothing in time."""
+        self._note("no event in time")
+        self._manager.record_outcome(self.req, self.upstream, Outcome.LATE)
+        if self._first_event_at is None:
+            waited_s = self._clock.now() - self._started_at
+            self._manager.record_first_event(self.req, self._attempt, waited_s)
+
+    def record_end(self) -> None:
+        """Record the pace of a stream whose last event was forwarded."""
+        now = self._clock.now()
+        first_at = self._first_event_at
+        if self.n_events >= MIN_PACED_EVENTS:
+            pause_s = (now - first_at) / self.n_events
+            self._manager.record_outcome(self.req, self.upstream, Outcome.SUCCESS, pause_s=pause_s)
+        if not self.last_event_id:
+            n_tokens = self.req.caller.max_output_tokens
+            service = self.req.service.name
+            self._manager.pace.record_stream(service, self.model, n_tokens, now - first_at, now)
+
+    async def close(self) -> None:
+        """Close the connection; before the end of the stream this cancels the upstream's work."""
+        self._load.n_streams -= self._is_counted
+        self._is_counted = False
+        await self._stack.aclose()
+
+    async def _read_reply(self) -> AttemptEnd | None:
+        if self._head is None:
+            self._head = await self._attempt.read_head(self.req.caller.attempt_id)
+        reply = self._head
+        if reply.is_not_run:
+            self._manager.uncount_run(self.req)
+            self._manager.record_outcome(self.req, self.upstream, Outcome.FULL)
+            self._note("not_run")
+            return AttemptEnd.NOT_RUN
+        if reply.status != 200:
+            return await self._read_failure(reply)
+        self.larger_model = self._choose_larger_model(reply)
+        if self.larger_model is not None:
+            waited_s = self._clock.now() - self._started_at
+            self._manager.record_outcome(self.req, self.upstream, Outcome.SUCCESS, first_s=waited_s)
+            confidence = f"{self.model}:confidence {reply.confidence:.0f} after {waited_s:.2f} s"
+            self.req.notes.append(confidence)
+            return AttemptEnd.LARGER_MODEL
+        self.has_reply = True
+        return None
+
+    async def _read_failure(self, reply: Reply) -> AttemptEnd:
+        call = self._attempt.call
+        while (part := await call.read_part()) is not None:
+            self._failure_body += part
+            if len(self._failure_body) > MAX_FAILURE_BYTES:
+                message = f"the body is longer than {MAX_FAILURE_BYTES} bytes"
+                raise CallError(CallFailure.CORRUPT, message, step="read_body", peer=call.peer)
+        self.failure = (reply, self._failure_body)
+        self._note(f"status {reply.status}")
+        if reply.status < 500:
+            # An error of the caller, which every upstream would answer in the same way.
+            self.req.n_runs = self.req.route.max_attempts
+        else:
+            self._manager.record_outcome(self.req, self.upstream, Outcome.FAILURE)
+        return AttemptEnd.FAILED
+
+    async def _read_events(self) -> StreamStep:
+        """Read until an event is complete or the reply ends."""
+        call = self._attempt.call
+        while True:
+            part = await call.read_part()
+            if part is None:
+                if self._splitter.has_partial_event:
+                    message = "the stream ended within an event"
+                    raise CallError(CallFailure.BROKEN, message, step="read_body", peer=call.peer)
+                return StreamStep(is_over=True)
+            events = self._splitter.feed(part)
+            if events:
+                return StreamStep(events)
+            if self._splitter.is_too_long:
+                message = "an event is longer than the limit"
+                raise CallError(CallFailure.CORRUPT, message, step="read_body", peer=call.peer)
+
+    async def _record_error(self, exc: CallError) -> None:
+        """Record how the attempt ended, and check for a crash."""
+        req = self.req
+        self._end = AttemptEnd.NOT_RUN if exc.is_unsent else AttemptEnd.LOST
+        self._note(exc.failure.value)
+        if not exc.is_unsent and self.n_events:
+            req.notes.append(f"interrupted after {req.n_events} events")
+        checked = self._manager.record_call_error(
+            req, self.upstream, exc, has_progressed=self._has_progressed
+        )
+        if req.caller.prefix:
+            with trio.move_on_after(CRASH_CHECK_WAIT_S):
+                await checked.wait()
+
+    def _record_first_event(self) -> None:
+        self._attempt.work.finish()
+        self._load.n_streams += 1
+        self._is_counted = True
+        now = self._first_event_at = self._clock.now()
+        first_s = now - self._started_at
+        self._manager.record_first_event(self.req, self._attempt, first_s)
+        self._manager.record_outcome(self.req, self.upstream, Outcome.SUCCESS, first_s=first_s)
+
+    def _record_progress(self, step: StreamStep) -> None:
+        """Record that the answer goes on for longer than its prompt would take to crash it."""
+        is_whole = step.is_over and self._attempt.call.is_delimited
+        has_lasted = self._clock.now() - self._first_event_at >= PROGRESS_S
+        if not self._has_progressed and (is_whole or (step.events and has_lasted)):
+            self._has_progressed = True
+            self._manager.record_answer_progress(self.req)
+
+    def _note(self, text: str) -> None:
+        self.req.notes.append(f"{self.upstream.upstream_id}:{text}")
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -1,67 +1,40 @@
 """Flow of a stream: forwards events as they arrive, and resumes an interrupted stream elsewhere."""
 
-from enum import Enum
-
 import trio
 from msgspec import Struct
 
 from crocusvalve.exceptions import ErrorCode, RefusedError
-from crocusvalve.gateway._attempt import Attempt
 from crocusvalve.gateway._cascade import AnswerEstimate, choose_larger_model
-from crocusvalve.gateway._events import EventSplitter, StreamEvent
 from crocusvalve.gateway._flow import Flow, make_gateway_error
-from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._listener import AnswerAbortedError, Responder
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
-from crocusvalve.gateway._upstream_call import CallError, CallFailure
+from crocusvalve.gateway._stream_attempt import AttemptEnd, StreamAttempt, StreamStep
+from crocusvalve.gateway._takeover import StandbySource, Takeover, TakeoverResult
 from crocusvalve.gateway.base import Reply, Upstream
 
 __all__ = ["StreamFlow"]
 
-#: Longest body of an upstream's failure answer that is forwarded.
-MAX_FAILURE_BYTES = 1024 * 1024
 #: Fraction of the goal after which a request without a first event is sent to another upstream.
 FIRST_EVENT_FRACTION = 0.9
-#: An answer that goes on for this long after its first event shows that its prompt doesn't crash
-#: upstreams; a crash comes within 0.1 s.
-PROGRESS_S = 0.5
-#: Longest time for which a lost request waits for the check whether its upstream has crashed, so
-#: that it isn't sent on if its prompt is known to crash upstreams by then.
-CRASH_CHECK_WAIT_S = 0.15
-#: Minimum number of events of a stream at which the mean time between them is measured.
-MIN_PACED_EVENTS = 4
 #: Multiple of the expected time for an upstream's queued work that is waited in addition.
 WORK_TIME_FACTOR = 3.0
 #: Multiple of the expected duration of a larger model's answer that must be left for it.
 DURATION_MARGIN = 1.25
-#: Fraction of the goal for pauses between events after which a stream is resumed elsewhere.
+#: Fraction of the goal for pauses between events after which another upstream is asked as well.
 STALL_FRACTION = 0.8
-
-
-class _AttemptEnd(Enum):
-    COMPLETE = "whole"
-    #: The answer is discarded and a larger model asked instead.
-    LARGER_MODEL = "larger_model"
-    #: The upstream rejected the request or was not reached; it has not run there.
-    NOT_RUN = "not_run"
-    #: The upstream answered with a status other than 200.
-    FAILED = "failed"
-    #: The stream was interrupted, stalled or was corrupt.
-    LOST = "lost"
+#: The same after which an upstream isn't asked to take over a stream, since it is silent itself.
+SILENT_FRACTION = 0.4
 
 
 class _Progress(Struct):
     """Progress of an answer over its attempts.
 
     ``failure`` is the last failure of an upstream, forwarded if no attempt succeeds.
-    ``has_progressed`` is whether the present attempt's answer shows that the prompt doesn't crash
-    upstreams.
     """
 
     model: str
     last_event_id: bytes
     failure: tuple[Reply, bytes] | None = None
-    has_progressed: bool = False
 
 
 class StreamFlow(Flow):
@@ -80,13 +53,87 @@
                 return await self._refuse_banned(req, progress, responder)
             if responder.has_started:
                 self.attempt_manager.observer.count_resume(req.route.name)
-            end = await self._attempt(req, progress, upstream, responder)
-            if end is _AttemptEnd.COMPLETE:
+            attempt = self.make_attempt(req, progress, upstream)
+            end = await self._forward(req, progress, attempt, responder)
+            if end is None:
                 await responder.finish()
                 return RequestEnd.ANSWERED
-            if not self._may_continue(req, end):
+            if not self.may_continue(req, end):
                 return await self._give_up(req, progress, responder, "attempt")
 
+    def make_attempt(
+        self, req: GatewayRequest, progress: _Progress, upstream: Upstream
+    ) -> StreamAttempt:
+        """Return a new attempt at an upstream."""
+        return StreamAttempt(
+            self.attempt_manager,
+            req,
+            upstream,
+            model=progress.model,
+            last_event_id=progress.last_event_id,
+            choose_larger_model=lambda reply: self._choose_larger_model(req, progress, reply),
+        )
+
+    async def _forward(
+        self,
+        req: GatewayRequest,
+        progress: _Progress,
+        attempt: StreamAttempt,
+        responder: Responder,
+    ) -> AttemptEnd | None:
+        """Forward an attempt's events, or those of one that takes it over; None at the last one."""
+        try:
+            step = await attempt.send()
+            while True:
+                while step is None:
+                    step = await self._read(req, attempt)
+                    if step is None:
+                        result = await self._seek_takeover(req, progress, attempt, responder)
+                        attempt, step = result.attempt, result.step
+                if step.end is not None:
+                    self.record_attempt_end(req, progress, attempt, step.end)
+                    return step.end
+                await self._forward_events(req, progress, attempt, step, responder)
+                if step.is_over:
+                    attempt.record_end()
+                    return None
+                step = None
+        finally:
+            await attempt.close()
+
+    async def _read(self, req: GatewayRequest, attempt: StreamAttempt) -> StreamStep | None:
+        """Read an attempt's next events; None if it is silent and another upstream may be asked."""
+        if not req.route.is_repeatable:
+            return await attempt.read()
+        if attempt.n_events:
+            silence_s = STALL_FRACTION * req.route.gap_goal_s
+        else:
+            silence_s = self.compute_first_event_s(req, attempt)
+        with trio.move_on_after(silence_s):
+            return await attempt.read()
+        return None
+
+    async def _seek_takeover(
+        self,
+        req: GatewayRequest,
+        progress: _Progress,
+        silent: StreamAttempt,
+        responder: Responder,
+    ) -> TakeoverResult:
+        """Wait until a silent attempt goes on, or another one in its place."""
+        silent_since = self.clock.now()
+        result = await Takeover(silent, _StandbySource(self, req, progress, silent)).run()
+        req.upstream_id = result.attempt.upstream.upstream_id
+        if result.attempt is silent:
+            silence_s = self.clock.now() - silent_since
+            req.notes.append(f"{silent.upstream.upstream_id}:silent for {silence_s:.2f} s more")
+        else:
+            silent.record_late()
+            req.tried.add(silent.upstream.upstream_id)
+            if responder.has_started:
+                self.attempt_manager.observer.count_resume(req.route.name)
+        return result
+
     def _choose_first_model(self, req: GatewayRequest) -> str:
         """Return the cheapest model, or the largest one if the budget allows no second attempt.
 
@@ -143,152 +190,27 @@
         message = "a part of the prompt crashes upstreams"
         raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step="place")
 
-    def _may_continue(self, req: GatewayRequest, end: _AttemptEnd) -> bool:
+    def may_continue(self, req: GatewayRequest, end: AttemptEnd) -> bool:
+        """Return whether a request may be sent again after an attempt ended in this way."""
         if not self.attempt_manager.may_send_again(req, self.clock.now()):
             return False
-        if end is _AttemptEnd.NOT_RUN:
+        if end is AttemptEnd.NOT_RUN:
             return True
-        is_repeatable = req.route.is_repeatable or end is _AttemptEnd.LARGER_MODEL
+        is_repeatable = req.route.is_repeatable or end is AttemptEnd.LARGER_MODEL
         return is_repeatable and req.n_attempts_left > 0
 
-    async def _attempt(
-        self, req: GatewayRequest, progress: _Progress, upstream: Upstream, responder: Responder
-    ) -> _AttemptEnd:
-        started_at = self.clock.now()
-        n_before = req.n_events
-        progress.has_progressed = False
-        try:
-            async with self.attempt_manager.start_attempt(
-                req, upstream, model=progress.model, last_event_id=progress.last_event_id
-            ) as attempt:
-                end = await self._process_reply(req, progress, attempt, responder, started_at)
-        except CallError as exc:
-            checked = self.attempt_manager.record_call_error(
-                req, upstream, exc, has_progressed=progress.has_progressed
-            )
-            if req.caller.prefix:
-                with trio.move_on_after(CRASH_CHECK_WAIT_S):
-                    await checked.wait()
-            req.notes.append(f"{upstream.upstream_id}:{exc.failure.value}")
-            end = _AttemptEnd.NOT_RUN if exc.is_unsent else _AttemptEnd.LOST
-        if end not in (_AttemptEnd.COMPLETE, _AttemptEnd.LARGER_MODEL):
-            req.tried.add(upstream.upstream_id)
-        if end is _AttemptEnd.LOST and req.n_events > n_before:
-            req.notes.append(f"interrupted after {req.n_events} events")
-        return end
-
-    async def _process_reply(
-        self,
-        req: GatewayRequest,
-        progress: _Progress,
-        attempt: Attempt,
-        responder: Responder,
-        started_at: float,
-    ) -> _AttemptEnd:
-        """Read one reply and forward its events."""
-        upstream = attempt.upstream
-        first_event_timeout_s = self._compute_first_event_s(req, attempt)
-        reply: Reply | None = None
-        with trio.move_on_after(first_event_timeout_s) as scope:
-            reply = await attempt.read_head(req.caller.attempt_id)
-            if reply.is_not_run:
-                self.attempt_manager.uncount_run(req)
-                self.attempt_manager.record_outcome(req, upstream, Outcome.FULL)
-                req.notes.append(f"{upstream.upstream_id}:not_run")
-                return _AttemptEnd.NOT_RUN
-            if reply.status != 200:
-                return await self._record_failure(req, progress, attempt, reply)
-            larger = None
-            if req.route.models and not req.n_events:
-                larger = choose_larger_model(
-                    req.route.models,
-                    progress.model,
-                    reply.confidence,
-                    req.n_attempts_left,
-                    estimate=lambda model: self._estimate_larger_answer(req, model),
-                )
-            if larger is not None and self.attempt_manager.may_escalate(req, self.clock.now()):
-                waited_s = self.clock.now() - started_at
-                self.attempt_manager.record_outcome(
-                    req, upstream, Outcome.SUCCESS, first_s=waited_s
-                )
-                req.notes.append(
-                    f"{progress.model}:confidence {reply.confidence:.0f} after {waited_s:.2f} s"
-                )
-                self.attempt_manager.observer.count_escalation(req.route.name)
-                progress.model = larger
-                return _AttemptEnd.LARGER_MODEL
-            splitter = EventSplitter()
-            events, is_over = await self._read_events(attempt, splitter)
-        if scope.cancelled_caught:
-            self.attempt_manager.record_outcome(req, upstream, Outcome.LATE)
-            self.attempt_manager.record_first_event(req, attempt, self.clock.now() - started_at)
-            req.notes.append(
-                f"{upstream.upstream_id}:no event within {first_event_timeout_s:.2f} s"
-            )
-            return _AttemptEnd.LOST
-        attempt.work.finish()
-        first_at = self.clock.now()
-        self.attempt_manager.record_first_event(req, attempt, first_at - started_at)
-        n_before = req.n_events
-        self.attempt_manager.record_outcome(
-            req, upstream, Outcome.SUCCESS, first_s=first_at - started_at
-        )
-        stall_s = STALL_FRACTION * req.route.gap_goal_s
-        while True:
-            if events and req.first_event_at is None:
-                req.first_event_at = self.clock.now()
-            await self._forward_events(req, progress, reply, events, responder)
-            is_whole = is_over and attempt.call.is_delimited
-            if is_whole or (events and self.clock.now() - first_at >= PROGRESS_S):
-                self._record_progress(req, progress)
-            if is_over:
-                self._record_pause(req, upstream, req.n_events - n_before, first_at)
-                if n_before == 0 and not req.caller.last_event_id:
-                    self._record_duration(req, progress.model, first_at)
-                return _AttemptEnd.COMPLETE
-            with trio.move_on_after(stall_s) as scope:
-                events, is_over = await self._read_events(attempt, splitter)
-            if scope.cancelled_caught:
-                if not self._may_continue(req, _AttemptEnd.LOST):
-                    stall_s = float("inf")
-                    events = []
-                    continue
-                self.attempt_manager.record_outcome(req, upstream, Outcome.LATE)
-                req.notes.append(f"{upstream.upstream_id}:stalled for {stall_s:.2f} s")
-                return _AttemptEnd.LOST
-
-    def _record_progress(self, req: GatewayRequest, progress: _Progress) -> None:
-        if not progress.has_progressed:
-            progress.has_progressed = True
-            self.attempt_manager.record_answer_progress(req)
-
-    def _compute_first_event_s(self, req: GatewayRequest, attempt: Attempt) -> float:
+    def compute_first_event_s(self, req: GatewayRequest, attempt: StreamAttempt) -> float:
         """Return how many seconds to wait for a first event; more for an upstream with more work.
 
         A busy upstream is given more time, since a second attempt would add to the total load.
         """
         if req.n_attempts_left > 0 and req.route.is_repeatable:
             work_s = self.attempt_manager.pace.compute_first_event_s(
-                req.service.name, attempt.model, attempt.work.queued_tokens, self.clock.now()
+                req.service.name, attempt.model, attempt.queued_tokens, self.clock.now()
             )
             return FIRST_EVENT_FRACTION * req.route.goal_s + WORK_TIME_FACTOR * work_s
         return float("inf")
 
-    def _record_pause(
-        self, req: GatewayRequest, upstream: Upstream, n_events: int, first_at: float
-    ) -> None:
-        if n_events >= MIN_PACED_EVENTS:
-            pause_s = (self.clock.now() - first_at) / n_events
-            self.attempt_manager.record_outcome(req, upstream, Outcome.SUCCESS, pause_s=pause_s)
-
-    def _record_duration(self, req: GatewayRequest, model: str, first_at: float) -> None:
-        """Record the time from the first to the last event of a stream from one upstream."""
-        now = self.clock.now()
-        self.attempt_manager.pace.record_stream(
-            req.service.name, model, req.caller.max_output_tokens, now - first_at, now
-        )
-
     def _estimate_larger_answer(self, req: GatewayRequest, model: str) -> AnswerEstimate:
         """Estimate whether a larger model's answer begins within the goal, and ends in time."""
         now = self.clock.now()
@@ -301,59 +223,87 @@
             ends_in_time=first_s + DURATION_MARGIN * stream_s <= req.compute_left_s(now),
         )
 
-    async def _record_failure(
-        self, req: GatewayRequest, progress: _Progress, attempt: Attempt, reply: Reply
-    ) -> _AttemptEnd:
-        body = await attempt.read_body(MAX_FAILURE_BYTES)
-        progress.failure = (reply, body)
-        req.notes.append(f"{attempt.upstream.upstream_id}:status {reply.status}")
-        if reply.status < 500:
-            # An error of the caller, which every upstream would answer in the same way.
-            req.n_runs = req.route.max_attempts
-        else:
-            self.attempt_manager.record_outcome(req, attempt.upstream, Outcome.FAILURE)
-        return _AttemptEnd.FAILED
-
-    @staticmethod
-    async def _read_events(
-        attempt: Attempt, splitter: EventSplitter
-    ) -> tuple[list[StreamEvent], bool]:
-        """Read until an event is complete or the reply ends; return events and whether it ended."""
-        while True:
-            part = await attempt.call.read_part()
-            if part is None:
-                if splitter.has_partial_event:
-                    raise CallError(
-                        CallFailure.BROKEN,
-                        "the stream ended within an event",
-                        step="read_body",
-                        peer=attempt.call.peer,
-                    )
-                return [], True
-            events = splitter.feed(part)
-            if events:
-                return events, False
-            if splitter.is_too_long:
-                raise CallError(
-                    CallFailure.CORRUPT,
-                    "an event is longer than the limit",
-                    step="read_body",
-                    peer=attempt.call.peer,
-                )
-
-    @staticmethod
+    def _choose_larger_model(
+        self, req: GatewayRequest, progress: _Progress, reply: Reply
+    ) -> str | None:
+        """Return the model to ask instead of the one that has replied, or None."""
+        if not req.route.models or req.n_events:
+            return None
+        larger = choose_larger_model(
+            req.route.models,
+            progress.model,
+            reply.confidence,
+            req.n_attempts_left,
+            estimate=lambda model: self._estimate_larger_answer(req, model),
+        )
+        if larger is None or not self.attempt_manager.may_escalate(req, self.clock.now()):
+            return None
+        return larger
+
+    def record_attempt_end(
+        self, req: GatewayRequest, progress: _Progress, attempt: StreamAttempt, end: AttemptEnd
+    ) -> None:
+        """Update the progress of a request by an attempt that ended without its last event."""
+        if end is AttemptEnd.LARGER_MODEL:
+            self.attempt_manager.observer.count_escalation(req.route.name)
+            progress.model = attempt.larger_model
+            return
+        progress.failure = attempt.failure or progress.failure
+        req.tried.add(attempt.upstream.upstream_id)
+
     async def _forward_events(
+        self,
         req: GatewayRequest,
         progress: _Progress,
-        reply: Reply,
-        events: list[StreamEvent],
+        attempt: StreamAttempt,
+        step: StreamStep,
         responder: Responder,
     ) -> None:
-        data = b"".join(event.data for event in events)
+        if step.events and req.first_event_at is None:
+            req.first_event_at = self.clock.now()
+        data = b"".join(event.data for event in step.events)
         if not responder.has_started:
-            await responder.start(reply.status, reply.headers, data)
+            await responder.start(attempt.reply.status, attempt.reply.headers, data)
         elif data:
             await responder.send(data)
-        for event in events:
+        for event in step.events:
             req.n_events += 1
             progress.last_event_id = event.event_id or progress.last_event_id
+
+
+class _StandbySource(StandbySource):
+    """Attempts at other upstreams for a request whose present attempt is silent."""
+
+    def __init__(
+        self, flow: StreamFlow, req: GatewayRequest, progress: _Progress, silent: StreamAttempt
+    ):
+        self._flow = flow
+        self._manager = flow.attempt_manager
+        self._req = req
+        self._progress = progress
+        self._silent = silent
+
+    def may_start(self) -> bool:
+        """Return whether route, budget and the prompt's parts allow a further attempt."""
+        is_allowed = self._flow.may_continue(self._req, AttemptEnd.LOST)
+        return is_allowed and self._manager.find_banned_part(self._req) is None
+
+    def start(self) -> StreamAttempt | None:
+        """Return an attempt at an upstream that isn't silent itself, or None."""
+        req = self._req
+        now = self._flow.clock.now()
+        excluded = req.tried | {self._silent.upstream.upstream_id}
+        silent_since = now - SILENT_FRACTION * req.route.gap_goal_s
+        excluded |= self._manager.tables.find_silent(req.service.name, silent_since)
+        req.placement = self._manager.place(req, now, self._progress.model, excluded)
+        if req.placement.upstream is None:
+            return None
+        return self._flow.make_attempt(req, self._progress, req.placement.upstream)
+
+    def compute_first_event_s(self, attempt: StreamAttempt) -> float:
+        """Return how many seconds to wait for the first event of a new attempt."""
+        return self._flow.compute_first_event_s(self._req, attempt)
+
+    def record_failure(self, attempt: StreamAttempt, end: AttemptEnd) -> None:
+        """Record that a new attempt can't go on with the stream."""
+        self._flow.record_attempt_end(self._req, self._progress, attempt, end)
