tools: run_features prints each failed step with its message

Failed steps and their messages now come from behave's JSON report and stand below the line of their scenario.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -26,11 +26,35 @@
     return {ln[len(KNOWN_RED_PREFIX) :] for ln in lines if ln.startswith(KNOWN_RED_PREFIX)}
 
 
+def describe_failed_steps(element):
+    """Return a line for each failed step of a scenario in behave's JSON report, with its message.
+
+    Parameters
+    ----------
+    element : dict
+        Scenario of the report.
+    """
+    lines = []
+    for step in element.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") not in (None, "passed", "skipped", "untested"):
+            message = result.get("error_message", "")
+            if isinstance(message, list):
+                message = "\n".join(message)
+            lines.append(f"  {result['status']}: {step['keyword']} {step['name']}\n{message}")
+    return lines
+
+
 def run_feature(path):
-    """Run a feature file; return its path, the name and status of each scenario, and the output.
+    """Run a feature file.
 
     A timeout, or an exit code of behave that no scenario explains, is returned as a failed
     scenario with the name ``feature``.
+
+    Returns
+    -------
+    tuple
+        The path, the name, status and failed steps of each scenario, and the output.
     """
     with tempfile.TemporaryDirectory() as tmp:
         report = Path(tmp) / "report.json"
@@ -41,17 +65,21 @@
                 cmd, cwd=ROOT, capture_output=True, text=True, timeout=FEATURE_TIMEOUT_S
             )
         except subprocess.TimeoutExpired as exc:
-            return path, [("feature", "timeout")], str(exc.stdout)
+            return path, [("feature", "timeout", [])], str(exc.stdout)
         text = report.read_text() if report.exists() else "[]"
         features = json.loads(text) if text.strip() else []
     results = [
-        (element["name"].strip(), element.get("status", "error"))
+        (
+            element["name"].strip(),
+            element.get("status", "error"),
+            describe_failed_steps(element),
+        )
         for feature in features
         for element in feature.get("elements", [])
         if element["type"] != "background"
     ]
-    if completed.returncode and all(status == "passed" for _, status in results):
-        results.append(("feature", "error"))
+    if completed.returncode and all(status == "passed" for _, status, _ in results):
+        results.append(("feature", "error", []))
     return path, results, completed.stdout + completed.stderr
 
 
@@ -64,13 +92,13 @@
         for path, results, output in pool.map(run_feature, paths):
             name = path.relative_to(ROOT).as_posix()
             unexpected = 0
-            for scenario, status in results:
+            for scenario, status, failed_steps in results:
                 if status == "passed":
                     n_passed += 1
                 elif f"{name}: {scenario}" in known_red:
                     print(f"known red: {name}: {scenario}")
                 else:
-                    print(f"FAILED ({status}): {name}: {scenario}")
+                    print(f"FAILED ({status}): {name}: {scenario}", *failed_steps, sep="\n")
                     unexpected += 1
             n_failed += unexpected
             if unexpected:
