A part that all prompts share isn't banned in place of the one that crashes upstreams

What callers saw: when prompts with a crashing part arrive before any answer has gone on, all sound requests with a shared part (a system prompt) could be refused with crashes_upstreams from then on, for ten minutes.

Cause: of the parts in the crashes the one with the most crashes was banned, ties by id. A part that all prompts share is in every crash of the crashing part, and in one more when the check of an upstream misses the request with the crashing part. Once it is banned no answer with it can refute the ban.

A part is now banned in place of another one if it is nested in it: its lost requests are mostly a part of the other one's, and it is in nearly as many crashes.

--- a/crocusvalve/gateway/_crashing_parts.py
+++ b/crocusvalve/gateway/_crashing_parts.py
@@ -23,9 +23,15 @@
 #: Parts that are remembered, and crashes and requests that are remembered for each.
 MAX_PARTS = 4096
 MAX_CRASHES = 16
-MAX_REQUESTS = MIN_REQUESTS
+MAX_REQUESTS = 32
 #: Crashes of a part in one report; enough for a ban though some are close to each other.
 MAX_REPORTED_CRASHES = 8
+#: A part that other prompts share is in at least as many crashes as the part that causes them. So a
+#: part is banned in place of another one if at least ``NESTED_FRACTION`` of its lost requests have
+#: the other one too, it has fewer of them, and it is in at least ``NEAR_FRACTION`` of the other
+#: one's crashes.
+NESTED_FRACTION = 0.5
+NEAR_FRACTION = 0.7
 #: Length of a request's digest in the registry, which only has to tell a few requests apart.
 REQUEST_ID_LENGTH = 8
 
@@ -185,17 +191,10 @@
         }
         banned = set()
         while open_crashes:
-            worst = max(
-                open_crashes,
-                key=lambda part_id: (
-                    _count_separate(open_crashes[part_id]),
-                    len(open_crashes[part_id]),
-                    part_id,
-                ),
-            )
-            explained = open_crashes.pop(worst)
-            if _count_separate(explained) < MIN_CRASHES:
+            worst = self._choose_worst(open_crashes)
+            if _count_separate(open_crashes[worst]) < MIN_CRASHES:
                 break
+            explained = open_crashes.pop(worst)
             banned.add(worst)
             open_crashes = {
                 part_id: {key: at for key, at in crashes.items() if key not in explained}
@@ -205,6 +204,28 @@
         self._banned = frozenset(banned)
         return new
 
+    def _choose_worst(self, open_crashes: dict[str, dict[str, float]]) -> str:
+        """Return the part with the most crashes, or a nested one with nearly as many."""
+
+        def rank(part_id: str) -> tuple[int, int, int, str]:
+            crashes, requests = open_crashes[part_id], self._evidence[part_id].requests
+            return _count_separate(crashes), len(crashes), len(requests), part_id
+
+        worst = max(open_crashes, key=rank)
+        n_near = NEAR_FRACTION * len(open_crashes[worst])
+        nested = [
+            part_id
+            for part_id, crashes in open_crashes.items()
+            if len(crashes) >= n_near and self._is_nested(part_id, worst)
+        ]
+        return max(nested, key=rank, default=worst)
+
+    def _is_nested(self, part_id: str, other_id: str) -> bool:
+        """Return whether a part's lost requests are mostly a part of those with another part."""
+        requests, others = self._evidence[part_id].requests, self._evidence[other_id].requests
+        n_common = len(requests & others)
+        return len(requests) < len(others) and n_common >= NESTED_FRACTION * len(requests)
+
 
 def _count_separate(crashed_at: dict[str, float]) -> int:
     """Return the number of crashes, counting those close to each other once."""
--- a/features/gateway/crashes.feature
+++ b/features/gateway/crashes.feature
@@ -36,6 +36,20 @@
     When parts "bad" and "rare" are in the same 3 crashes, and "bad" is in 2 more
     Then after they have exchanged reports only "bad" is banned
 
+  Scenario Outline: A part that all prompts share isn't banned in place of the one that crashes upstreams: <bad>, every <pause> s, <missed> missed
+    Given the registries of 1 gateways
+    When part "<bad>" crashes upstreams 7 times, every <pause> s, each crash loses 3 sound requests as well, all have part "common", and the last <missed> times the check misses its request
+    Then "<bad>" is banned and "common" is not
+
+    Examples:
+      | bad   | pause | missed |
+      | a-bad | 0.5   | 0      |
+      | z-bad | 0.5   | 0      |
+      | a-bad | 0.5   | 1      |
+      | z-bad | 0.5   | 1      |
+      | a-bad | 0.18  | 1      |
+      | z-bad | 0.18  | 1      |
+
   Scenario: A ban ends when there has been no crash for a long time
     Given the registries of 1 gateways
     When part "bad" is banned and 11 minutes pass without a crash
--- a/features/gateway/steps/crash_steps.py
+++ b/features/gateway/steps/crash_steps.py
@@ -228,6 +228,28 @@
         assert registry.find_banned(["common", "rare", "other"]) is None
 
 
+@when(
+    'part "{bad}" crashes upstreams {n:d} times, every {pause_s:g} s, each crash loses {n_sound:d} '
+    'sound requests as well, all have part "common", and the last {missed:d} times the check '
+    "misses its request"
+)
+def when_shared(context, bad, n, pause_s, n_sound, missed):
+    registry = context.registries[0]
+    for number in range(n):
+        incident, at = f"up{number % 2}#{number}", 1.0 + number * pause_s
+        lost = [(f"doc{number}-{k}", f"sound{number}-{k}") for k in range(n_sound)]
+        if number < n - missed:
+            lost.append((bad, f"req{number}"))
+        for part, request_id in lost:
+            registry.record_crash(["common", part], incident, request_id, at)
+
+
+@then('"{bad}" is banned and "common" is not')
+def then_bad_not_common(context, bad):
+    assert context.registries[0].find_banned([bad]) == bad
+    assert context.registries[0].find_banned(["common"]) is None
+
+
 @when('part "bad" is banned and {minutes:d} minutes pass without a crash')
 def when_minutes_pass(context, minutes):
     registry = context.registries[0]
