A version whose events come several times slower is found bad by few answers

None counted as slow: the margin of 0.05 s is twice the mean itself, and each gateway needs five answers of the same route and model for a mean.

The margin of pauses is 0.01 s now, and their mean is by model and not by route, since the pace of a model's events doesn't depend on the route. The old version is counted by the same rule, so that a service with uneven pauses raises its own baseline.

The new scenario failed before in its three examples.

--- a/crocusvalve/gateway/_outcome_counts.py
+++ b/crocusvalve/gateway/_outcome_counts.py
@@ -11,7 +11,7 @@
 #: plus the margin counts as a failure. The old version's times are counted by the same rule, so its
 #: share of such failures is the baseline for the check of the new version.
 SLOW_FACTOR = 2.5
-SLOW_MARGINS_S = {"first": 0.15, "pause": 0.05}
+SLOW_MARGINS_S = {"first": 0.15, "pause": 0.01}
 #: Minimum weight of a new sample in the mean time; the first ten samples count equally.
 MIN_MEAN_WEIGHT = 0.1
 #: Number of samples of the mean time that are needed before an answer can count as slow.
@@ -67,11 +67,12 @@
         pause_s : float or None
             Mean time between events, in seconds.
         is_reference : bool
-            Whether the times update the route's mean times.
+            Whether the times update the mean times.
         """
         for interval, time_s in (("first", first_s), ("pause", pause_s)):
             if time_s is not None and not is_failure:
-                key = (service, route, model, interval)
+                # The pace of a model's events doesn't depend on the route.
+                key = (service, route if interval == "first" else "", model, interval)
                 is_failure = self._is_slow(key, time_s, is_reference)
         counts = self._local.setdefault((service, version, route), OutcomeCounts())
         counts.n_answers += 1
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -115,6 +115,17 @@
       | slow  | 0.8   | 0.2   | doesn't count |
       | fast  | 0.15  | 0.05  | doesn't count |
 
+  Scenario Outline: A version whose events come several times slower is found bad though few answers show it, <n_old> on each route
+    Given <n_old> answers of the old version on each of 3 routes, with <pause> s between events
+    When the new version answers 4 streams, 3 of them with <slow> s between events
+    Then the counts show that the new version is bad
+
+    Examples:
+      | n_old | pause | slow |
+      | 10    | 0.02  | 0.08 |
+      | 2     | 0.02  | 0.16 |
+      | 2     | 0.02  | 0.08 |
+
   Scenario: A request that crashes upstreams is refused after the third crash, whichever gateway saw it
     Given a gateway that recorded 2 upstream crashes caused by one request
     When another gateway reports the same crashes and one more
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -409,6 +409,43 @@
     assert new["a"].n_failures == expected and old["a"].n_failures == 0
 
 
+@given(
+    "{n:d} answers of the old version on each of {n_routes:d} routes, with {pause_s:g} s between "
+    "events"
+)
+def given_paced_answers(context, n, n_routes, pause_s):
+    context.outcome_counts = OutcomeCountsTable()
+    for number in range(n * n_routes):
+        context.outcome_counts.record_outcome(
+            SERVICE,
+            VersionName("v1"),
+            f"r{number % n_routes}",
+            is_failure=False,
+            model="m",
+            pause_s=pause_s,
+        )
+
+
+@when("the new version answers {n:d} streams, {n_slow:d} of them with {pause_s:g} s between events")
+def when_paced_answers(context, n, n_slow, pause_s):
+    for number in range(n):
+        context.outcome_counts.record_outcome(
+            SERVICE,
+            VersionName("v2"),
+            f"r{number % 3}",
+            is_failure=False,
+            model="m",
+            pause_s=pause_s if number < n_slow else 0.02,
+            is_reference=False,
+        )
+
+
+@then("the counts show that the new version is bad")
+def then_bad_by_counts(context):
+    new, old = context.outcome_counts.sum_by_route(SERVICE, VersionName("v2"))
+    assert check_version(new, old) is Verdict.BAD, (new, old)
+
+
 @given("a gateway that recorded 2 upstream crashes caused by one request")
 def given_crashes(context):
     context.crashes = CrashRegistry()
