The check of a version doesn't overflow with some thousand answers

What callers would see: once a new version has about a thousand answers with some hundreds of failures, or some thousands at a tenth, computing the significance raises OverflowError (a binomial coefficient exceeds a float). The exception ends the task that checks and advances upgrades on that gateway until its next start, so that no bad version is found or reverted there any more.

The tail is computed with logarithms and from the failures upward.

The three new examples of 'A version is found bad ...' failed before (OverflowError).

--- a/crocusvalve/gateway/_upgrades.py
+++ b/crocusvalve/gateway/_upgrades.py
@@ -29,6 +29,8 @@
 #: A new version is bad if the probability of at least as many failures as observed, at the old
 #: version's failure rate, is below this.
 SIGNIFICANCE_LEVEL = 0.004
+#: Relative size of the terms of a tail probability that are neglected.
+TAIL_PRECISION = 1e-9
 #: Lower limit of the old version's assumed failure rate.
 MIN_BASE_FAILURE_RATE = 0.03
 #: Minimum number of failures for a version to be bad.
@@ -117,12 +119,27 @@
 
 
 def _compute_tail_probability(n_failures: int, n_answers: int, rate: float) -> float:
-    """Return the binomial probability of at least ``n_failures`` among ``n_answers``."""
-    below = sum(
-        math.comb(n_answers, k) * rate**k * (1.0 - rate) ** (n_answers - k)
-        for k in range(min(n_failures, n_answers + 1))
+    """Return the binomial probability of at least ``n_failures`` among ``n_answers``.
+
+    It is returned as 1 if there are no more failures than expected.
+    """
+    if n_failures <= n_answers * rate:
+        return 1.0
+    # Logarithms, since binomial coefficients of some thousand answers exceed a float.
+    log_term = (
+        math.lgamma(n_answers + 1)
+        - math.lgamma(n_failures + 1)
+        - math.lgamma(n_answers - n_failures + 1)
+        + n_failures * math.log(rate)
+        + (n_answers - n_failures) * math.log1p(-rate)
     )
-    return max(0.0, 1.0 - below)
+    term = total = math.exp(log_term)
+    for k in range(n_failures, n_answers):
+        term *= (n_answers - k) / (k + 1) * rate / (1.0 - rate)
+        total += term
+        if term < TAIL_PRECISION * total:
+            break
+    return min(1.0, total)
 
 
 def compute_next_status(
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -14,6 +14,9 @@
       | 5            | 30          | a     | 30           | 200         | unsure  |
       | 18           | 30          | a     | 30           | 200         | bad     |
       | 4            | 6           | b     | 0            | 200         | bad     |
+      | 300          | 3000        | a     | 700          | 7000        | unsure  |
+      | 900          | 3000        | a     | 700          | 7000        | bad     |
+      | 9000         | 300000      | a     | 0            | 900000      | unsure  |
 
   Scenario Outline: An upgrade proceeds step by step
     Given an upgrade of 20 s whose new version has <share> of the sessions
