A version that one gateway has found bad is avoided by all at once

Cause: each gateway sums up the counts that it has received from its peers; at 28 gateways and six messages a round it lacks some, so that the verdict comes late where the counts do.

Gossip carries the verdict with the status of the upgrade. A gateway takes it over if its own status is of the same run (same start) and still in progress.

The new scenario failed before (the example of the same upgrade).

--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -46,13 +46,17 @@
 
 
 class UpgradeReport(Struct, frozen=True, kw_only=True, array_like=True):
-    """Status of a service's upgrade as a gateway knows it; see ``UpgradeStatus``."""
+    """Status of a service's upgrade as a gateway knows it; see ``UpgradeStatus``.
+
+    ``is_bad`` is whether the gateway knows that the new version is bad.
+    """
 
     service: ServiceName
     version: VersionName
     state: str
     share: float
     started_s: float
+    is_bad: bool = False
 
 
 class MemberReport(Struct, frozen=True, array_like=True):
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -38,6 +38,8 @@
 #: Seconds after its start in which a gateway learns the status of upgrades from its peers, and
 #: writes none; peers send gossip several times per second.
 LEARN_PERIOD_S = 2.0
+#: Two reports whose starts differ by less are of the same upgrade.
+SAME_START_S = 0.01
 
 
 class UpgradeController:
@@ -133,23 +135,24 @@
                 state=status.state.value,
                 share=status.share,
                 started_s=status.started_s,
+                is_bad=self._is_bad(order),
             )
             for order, status in statuses
             if status is not None
         )
 
     def merge_reports(self, reports: Iterable[UpgradeReport], now: float) -> None:
-        """Take the status of an order from another gateway, if the store has lost it.
+        """Take the verdict on a version from another gateway, and a status that the store has lost.
 
-        Only a gateway that has just started does so: all others know the status of an order, or
-        have received the order after their peer sent the report.
+        Only a gateway that has just started takes a status: all others know the status of an order,
+        or have received the order after their peer sent the report.
         """
-        if now - self._started_at >= LEARN_PERIOD_S:
-            return
+        may_learn = now - self._started_at < LEARN_PERIOD_S
         for report in reports:
             order = self.tables.orders.get(report.service)
-            is_unknown = order is not None and self.get_status(order) is None
-            if is_unknown and order.version == report.version:
+            if order is None or order.version != report.version:
+                continue
+            if may_learn and self.get_status(order) is None:
                 self.tables.statuses[order.service] = UpgradeStatus(
                     version=order.version,
                     state=UpgradeState(report.state),
@@ -158,6 +161,16 @@
                     revision=order.revision,
                     era=order.era,
                 )
+            if report.is_bad and not self._is_bad(order):
+                self._merge_verdict(order, report)
+
+    def _merge_verdict(self, order: UpgradeOrder, report: UpgradeReport) -> None:
+        """Mark a version as bad that a peer has found bad in the same upgrade."""
+        status = self.get_status(order)
+        is_running = status is not None and status.state is UpgradeState.RUNNING
+        if is_running and abs(status.started_s - report.started_s) < SAME_START_S:
+            self._bad_orders[order.service] = order.position
+            self.observer.record_bad_version(order.service, order.version, "reported by a peer")
 
     def _check_version(self, order: UpgradeOrder) -> None:
         status = self.get_status(order)
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -18,6 +18,16 @@
       | 900          | 3000        | a     | 700          | 7000        | bad     |
       | 9000         | 300000      | a     | 0            | 900000      | unsure  |
 
+  Scenario Outline: A version that one gateway has found bad isn't kept in use by those that lack its counts, <started> s
+    Given a gateway with an upgrade that began at 100 s, and counts that show nothing
+    When a peer reports that the new version is bad, in an upgrade that began at <started> s
+    Then the gateway sends sessions to the <side> version
+
+    Examples:
+      | started | side |
+      | 100     | old  |
+      | 50      | new  |
+
   Scenario Outline: An upgrade proceeds step by step
     Given an upgrade of 20 s whose new version has <share> of the sessions
     When <passed> s have passed and the verdict is <verdict>
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -21,15 +21,17 @@
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import GossipMessage, PeerTable
+from crocusvalve.gateway._peers import GossipMessage, PeerTable, UpgradeReport
 from crocusvalve.gateway._placement import PlacementQuery, PlacementReason, choose_upstream
 from crocusvalve.gateway._prompts import get_shared_parts, record_parts
 from crocusvalve.gateway._replica import TableReplica
 from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
+from crocusvalve.gateway._upgrade_controller import UpgradeController
 from crocusvalve.gateway._upgrades import (
     OutcomeCounts,
     Verdict,
+    VersionChoice,
     check_version,
     choose_version,
     compute_next_status,
@@ -51,7 +53,7 @@
 from crocusvalve.standin import StandinUpstream
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import ChangeFeed, FeedPage, FeedRow
-from crocusvalve.utils import Clock
+from crocusvalve.utils import Clock, MonotonicClock
 
 NOW = 1_000.0
 SERVICE = ServiceName("llm")
@@ -368,6 +370,52 @@
     )
 
 
+@given("a gateway with an upgrade that began at {started_s:g} s, and counts that show nothing")
+def given_upgrading_gateway(context, started_s):
+    tables = GatewayTables()
+    tables.orders[SERVICE] = UpgradeOrder(SERVICE, VersionName("v2"), 20.0, revision=1)
+    tables.statuses[SERVICE] = UpgradeStatus(
+        version=VersionName("v2"),
+        state=UpgradeState.RUNNING,
+        share=1.0,
+        started_s=started_s,
+        revision=2,
+    )
+    context.upgrades = UpgradeController(
+        settings=None,
+        tables=tables,
+        peers=None,
+        outcome_counts=OutcomeCountsTable(),
+        feed=None,
+        operator_handler=None,
+        status_handler=None,
+        store=None,
+        observer=GatewayObserver(CollectorRegistry()),
+        clock=MonotonicClock(),
+    )
+    assert context.upgrades.choose_version(SERVICE, "s").required == "v2"
+
+
+@when("a peer reports that the new version is bad, in an upgrade that began at {started_s:g} s")
+def when_reported_bad(context, started_s):
+    report = UpgradeReport(
+        service=SERVICE,
+        version=VersionName("v2"),
+        state="running",
+        share=1.0,
+        started_s=started_s,
+        is_bad=True,
+    )
+    context.upgrades.merge_reports([report], 1000.0)
+
+
+@then("the gateway sends sessions to the {side} version")
+def then_sessions_sent(context, side):
+    choice = context.upgrades.choose_version(SERVICE, "s")
+    expected = VersionChoice(avoid="v2") if side == "old" else VersionChoice(required="v2")
+    assert choice == expected, choice
+
+
 @given("10 answers of the old version by two models, one ten times as fast as the other")
 def given_models(context):
     context.outcome_counts = OutcomeCountsTable()
