--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -14,6 +14,25 @@
       | 5            | 30          | a     | 30           | 200         | unsure  |
       | 18           | 30          | a     | 30           | 200         | bad     |
       | 4            | 6           | b     | 0            | 200         | bad     |
+      | 300          | 3000        | a     | 700          | 7000        | unsure  |
+      | 900          | 3000        | a     | 700          | 7000        | bad     |
+      | 9000         | 300000      | a     | 0            | 900000      | unsure  |
+
+  Scenario Outline: A version that one gateway has found bad isn't kept in use by those that lack its counts, <started> s
+    Given a gateway with an upgrade that began at 100 s, and counts that show nothing
+    When a peer reports that the new version is bad, in an upgrade that began at <started> s
+    Then the gateway sends sessions to the <side> version
+
+    Examples:
+      | started | side |
+      | 100     | old  |
+      | 50      | new  |
+
+  Scenario: A gateway whose check fails as the upgrade is completed doesn't refuse requests once the old upstreams have left
+    Given a gateway with an upgrade that began at 100 s, and counts that show nothing
+    When a peer reports that the new version is bad, in an upgrade that began at 100 s
+    And another gateway completes the upgrade
+    Then the gateway sends sessions to the new version
 
   Scenario Outline: An upgrade proceeds step by step
     Given an upgrade of 20 s whose new version has <share> of the sessions
@@ -115,6 +134,17 @@
       | slow  | 0.8   | 0.2   | doesn't count |
       | fast  | 0.15  | 0.05  | doesn't count |
 
+  Scenario Outline: A version whose events come several times slower is found bad though few answers show it, <n_old> on each route
+    Given <n_old> answers of the old version on each of 3 routes, with <pause> s between events
+    When the new version answers 4 streams, 3 of them with <slow> s between events
+    Then the counts show that the new version is bad
+
+    Examples:
+      | n_old | pause | slow |
+      | 10    | 0.02  | 0.08 |
+      | 2     | 0.02  | 0.16 |
+      | 2     | 0.02  | 0.08 |
+
   Scenario: A request that crashes upstreams is refused after the third crash, whichever gateway saw it
     Given a gateway that recorded 2 upstream crashes caused by one request
     When another gateway reports the same crashes and one more
