Callers' connections: read nothing that may be dropped, and count why they end

Callers saw: after a change that raises idleTimeoutMs, waiting connections were closed by the old limit; a request that crossed the idle close was read for up to 1 s and dropped, with neither answer nor refusal; a request read in the same segment as one before was dropped if a stopping gateway had said Connection: close with the first answer; one whose first half arrived before the idle limit was answered 408 after a pause of the process; a head that a raised maxHeaderBytes allows got 431 on a connection that was already open; a request read in part at the end of a drain was cut.

Cause: limits were read once, when a connection began to wait; the close of an idle connection was the same as that after a last answer, which reads on; the watcher for the caller's close read further requests; a request counted as open only after it was read.

An idle connection is closed without reading on, unless bytes have arrived. The watcher peeks, and polls for the peer's close if bytes are unread. Requests count as open from their first byte.

Ends of connections are counted by reason; a lost request and an unexpected error get a log line with the request's id. Ruled out: telling a half-closed caller from one that has left; without writing to it they look the same, and the work of one that has left must end.

--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -8,6 +8,7 @@
 
 from crocusvalve.base import DomainId
 from crocusvalve.exceptions import CrocusvalveError, RefusedError
+from crocusvalve.gateway._connection_end import ConnectionEnd
 from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.base import (
@@ -120,6 +121,12 @@
         self._refusals = Counter(
             "crocusvalve_gateway_refusals", "Refusals by code", ("code",), registry=registry
         )
+        self._connections_closed = Counter(
+            "crocusvalve_gateway_connections_closed",
+            "Callers' connections that ended, by reason",
+            ("reason",),
+            registry=registry,
+        )
         self._budget_left = Gauge(
             "crocusvalve_gateway_budget_left",
             "Extra attempts that this gateway may make now",
@@ -251,6 +258,18 @@
                 extra={"request_id": request_id, "step": exc.step, "fields": fields},
             )
 
+    def record_connection_end(self, end: ConnectionEnd, now: float) -> None:
+        """Record the end of a caller's connection; log a lost request or an unexpected error."""
+        self._connections_closed.labels(end.reason.value).inc()
+        if not (end.is_loss or end.error) or not self._failures.acquire(now):
+            return
+        logger.warning(
+            "caller's connection closed: %s",
+            end.reason.value,
+            exc_info=end.error,
+            extra={"request_id": end.request_id, "fields": {"request": end.progress.value}},
+        )
+
     def record_configuration(self, config: Configuration) -> None:
         """Record a configuration that has been put in force."""
         self._config_version.set(config.version)
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -10,11 +10,11 @@
 from prometheus_client import CollectorRegistry
 
 from crocusvalve.gateway._attempts import AttemptManager
+from crocusvalve.gateway._caller_connection import CallerConnection
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._followers import TableFollower
 from crocusvalve.gateway._gossip import GossipState
 from crocusvalve.gateway._lag import LagTracker
-from crocusvalve.gateway._listener import CallerConnection
 from crocusvalve.gateway._members import MemberRegistry
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._operator_table import OperatorTableHandler
@@ -285,7 +285,7 @@
             stream,
             self.header_codec,
             self.request_handler,
-            lambda exc: self.observer.record_task_failure("connection", exc),
+            lambda end: self.observer.record_connection_end(end, self.clock.now()),
         )
         await connection.run()
 
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/_request_handler.py
@@ -1,6 +1,7 @@
 """Handles callers' requests: finds route and customer, and refuses or answers them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
@@ -71,24 +72,28 @@
         """Return whether connections are to be closed after the answer in progress."""
         return self.stop_plan is not None
 
-    async def handle(self, req: CallerRequest, responder: Responder) -> None:
-        """Answer a request, and count it as open meanwhile."""
+    @contextmanager
+    def count_open_request(self) -> Iterator[None]:
+        """Count a request as open, from its first byte to the end of its answer."""
         self.n_open_requests += 1
         try:
-            await self._handle(req, responder)
+            yield
         finally:
             self.n_open_requests -= 1
 
-    async def _handle(self, caller: CallerRequest, responder: Responder) -> None:
+    async def handle(self, req: CallerRequest, responder: Responder) -> None:
+        """Answer a request."""
         now = self.clock.now()
         try:
-            req = self._admit(caller, now)
+            admitted = self._admit(req, now)
         except RefusedError as exc:
             version = self.tables.config.version if self.tables.config else 0
-            request_id = caller.attempt_id.decode("latin-1")
-            self.observer.record_early_refusal(request_id, exc, version, now)
+            self.observer.record_early_refusal(_get_request_id(req), exc, version, now)
             await responder.refuse(exc, HTTP_STATUSES.get(exc.code))
-            return
+        else:
+            await self._run(admitted, responder)
+
+    async def _run(self, req: GatewayRequest, responder: Responder) -> None:
         end = RequestEnd.CALLER_LEFT
         error: CrocusvalveError | None = None
         reason = ""
@@ -197,7 +202,7 @@
             return caller.session
         if caller.prefix:
             return caller.prefix[-1].part_id
-        return caller.attempt_id.decode("latin-1")
+        return _get_request_id(caller)
 
     def _choose_service(self, route: Route, session: str) -> Service:
         targets = route.targets
@@ -217,3 +222,7 @@
     @staticmethod
     def _refuse(code: ErrorCode, message: str, retry_after_s: float) -> RefusedError:
         return RefusedError(code, message, step=STEP, retry_after_s=retry_after_s)
+
+
+def _get_request_id(caller: CallerRequest) -> str:
+    return caller.attempt_id.decode("latin-1")
--- a/crocusvalve/gateway/_sockets.py
+++ b/crocusvalve/gateway/_sockets.py
@@ -1,5 +1,6 @@
 """Sockets of callers and upstreams: options, connecting with a timeout, resets."""
 
+import select
 import socket
 import struct
 
@@ -7,7 +8,15 @@
 
 from crocusvalve.gateway.base import Address
 
-__all__ = ["CONNECT_TIMEOUT_S", "connect", "open_listeners", "reset", "tune_socket"]
+__all__ = [
+    "CONNECT_TIMEOUT_S",
+    "connect",
+    "is_readable",
+    "open_listeners",
+    "reset",
+    "tune_socket",
+    "wait_until_closed",
+]
 
 #: Connecting normally takes about a millisecond; TCP retransmits a lost packet only after a second.
 CONNECT_TIMEOUT_S = 0.4
@@ -20,6 +29,8 @@
 KEEPALIVE_PROBES = 3
 #: Connections that may wait to be accepted.
 BACKLOG = 1024
+#: Interval at which a connection with unread bytes is checked for its close.
+CLOSE_POLL_INTERVAL_S = 0.1
 
 
 def tune_socket(sock: trio.socket.SocketType) -> None:
@@ -70,3 +81,29 @@
     except OSError:
         pass
     await trio.aclose_forcefully(stream)
+
+
+def is_readable(sock: trio.socket.SocketType) -> bool:
+    """Return whether bytes, the peer's close or an error have arrived."""
+    return bool(_poll(sock, select.POLLIN))
+
+
+async def wait_until_closed(sock: trio.socket.SocketType) -> None:
+    """Wait until the peer closes its sending side or the connection breaks, reading no bytes."""
+    try:
+        if not await sock.recv(1, socket.MSG_PEEK):
+            return
+    except OSError:
+        # A broken connection is closed as well.
+        return
+    # The socket stays readable, so that only the state of the connection shows its close.
+    while not _poll(sock, select.POLLRDHUP):
+        await trio.sleep(CLOSE_POLL_INTERVAL_S)
+
+
+def _poll(sock: trio.socket.SocketType, events: int) -> int:
+    """Return those of some events that have occurred, errors included."""
+    poller = select.poll()
+    poller.register(sock.fileno(), events)
+    occurred = poller.poll(0)
+    return occurred[0][1] if occurred else 0
