An unexpected error within a request is answered with 500

Callers saw a reset connection, with no answer and no refusal, and the log named no request: the line was "task connection failed", the request's own line said caller_left.

Cause: only refusals and aborted answers were handled; any other exception went up to the connection. Now it is answered 500 if nothing of the answer was sent, and resets the connection otherwise. 500 and not 503, since the request may have run. A caller that has left is an exception of its own (CallerLeftError), so that it isn't taken for an error.

--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -270,6 +270,12 @@
             extra={"request_id": end.request_id, "fields": {"request": end.progress.value}},
         )
 
+    def record_unexpected_error(self, request_id: str, exc: Exception, now: float) -> None:
+        """Log an unexpected exception that failed a request."""
+        if self._failures.acquire(now):
+            extra = {"request_id": request_id}
+            logger.error("unexpected error within a request", exc_info=exc, extra=extra)
+
     def record_configuration(self, config: Configuration) -> None:
         """Record a configuration that has been put in force."""
         self._config_version.set(config.version)
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/_request_handler.py
@@ -7,7 +7,12 @@
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptManager
 from crocusvalve.gateway._crashing_parts import get_suspect_ids
-from crocusvalve.gateway._listener import AnswerAbortedError, Handler, Responder
+from crocusvalve.gateway._listener import (
+    AnswerAbortedError,
+    CallerLeftError,
+    Handler,
+    Responder,
+)
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._plain_flow import PlainFlow
 from crocusvalve.gateway._request import RETURN_MARGIN_S, GatewayRequest, RequestEnd
@@ -90,6 +95,8 @@
             version = self.tables.config.version if self.tables.config else 0
             self.observer.record_early_refusal(_get_request_id(req), exc, version, now)
             await responder.refuse(exc, HTTP_STATUSES.get(exc.code))
+        except Exception as exc:
+            await self._answer_unexpected(_get_request_id(req), exc, responder)
         else:
             await self._run(admitted, responder)
 
@@ -109,10 +116,29 @@
             end = RequestEnd.ABORTED
             reason = str(exc)
             raise
+        except CallerLeftError:
+            raise
+        except Exception as exc:
+            end = RequestEnd.ABORTED if responder.has_started else RequestEnd.FAILED
+            reason = f"unexpected {type(exc).__name__}"
+            await self._answer_unexpected(req.request_id, exc, responder)
         finally:
             now = self.clock.now()
             self.observer.record_request_end(req, end, responder.status, now, error, reason=reason)
 
+    async def _answer_unexpected(
+        self, request_id: str, exc: Exception, responder: Responder
+    ) -> None:
+        """Answer a request that failed by an unexpected exception; raise it within an answer.
+
+        The answer does not say whether the request has run.
+        """
+        if responder.has_started:
+            raise exc
+        self.observer.record_unexpected_error(request_id, exc, self.clock.now())
+        message = "the gateway had an unexpected error"
+        await responder.refuse(CrocusvalveError(ErrorCode.INTERNAL, message, step="handle"))
+
     def _admit(self, caller: CallerRequest, now: float) -> GatewayRequest:
         """Find the route, customer and service of a request.
 
--- a/features/gateway/caller_connection.feature
+++ b/features/gateway/caller_connection.feature
@@ -59,6 +59,25 @@
     When a connection sends /unsafe/1 and ends its sending side
     Then the upstream sees its connection closed within 0.5 s
 
+  Scenario Outline: An unexpected error of the gateway is answered, without a promise
+    Given a gateway with two upstreams
+    When the gateway has an unexpected error <when> and a caller requests <path>
+    Then the caller gets 500 with code internal, after <runs> runs
+    And the log names the request and the error
+
+    Examples:
+      | when                   | path      | runs |
+      | at the admission       | /safe/1   | 0    |
+      | before an attempt      | /unsafe/1 | 0    |
+      | after the upstream ran | /unsafe/1 | 1    |
+      | before an attempt      | /once/1   | 0    |
+
+  Scenario: An unexpected error within an answer resets the connection
+    Given a gateway with two upstreams
+    When the gateway has an unexpected error within a stream's answer
+    Then the caller gets an incomplete answer
+    And the gateway counted 1 connection closed for unexpected_error, with a log line
+
   Scenario: A stopping process answers a request that was read in part as the last others ended
     Given a gateway process with a stand-in store and stand-in upstreams
     When the first half of a request arrives 2.8 s after the stop signal, and the rest 0.8 s later
--- a/features/gateway/steps/kept_connection_steps.py
+++ b/features/gateway/steps/kept_connection_steps.py
@@ -5,6 +5,7 @@
 import subprocess
 import time
 
+import msgspec
 import trio
 from behave import given, then, when
 
@@ -265,6 +266,64 @@
     assert context.abandoned_after_s <= limit_s, context.abandoned_after_s
 
 
+class UnexpectedError(Exception):
+    """An error that the gateway doesn't know."""
+
+
+def raise_unexpected(*args, **kwargs):
+    """Raise an error that the gateway doesn't know."""
+    raise UnexpectedError("of the test")
+
+
+@when("the gateway has an unexpected error {when_} and a caller requests {path}")
+def when_unexpected_error(context, when_, path):
+    async def act(harness):
+        handler = harness.gateway.request_handler
+        if when_ == "at the admission":
+            handler.upgrades.choose_version = raise_unexpected
+        elif when_ == "before an attempt":
+            handler.attempt_manager.place = raise_unexpected
+        else:
+            handler.attempt_manager.record_plain_answer = raise_unexpected
+        method = "GET" if path.startswith("/safe") else "POST"
+        await harness.call(path, method=method)
+
+    context.harness.run(act)
+
+
+@then("the caller gets {status:d} with code {code}, after {runs:d} runs")
+def then_error_after_runs(context, status, code, runs):
+    answer = context.harness.answers[0]
+    assert answer.status == status and answer.is_complete, answer
+    assert msgspec.json.decode(answer.body)["error"]["code"] == code, answer
+    assert answer.retry_after_s is None, answer
+    assert len(context.harness.calls) == runs
+
+
+@then("the log names the request and the error")
+def then_log_names(context):
+    records = [r for r in context.harness.log_records if r.exc_info]
+    assert len(records) == 1 and records[0].request_id == "a1", records
+
+
+@when("the gateway has an unexpected error within a stream's answer")
+def when_error_within(context):
+    async def act(harness):
+        handler = harness.gateway.request_handler
+        handler.streams._record_pause = raise_unexpected
+        for upstream in harness.upstreams.values():
+            upstream.pause_s = 0.05
+        await harness.call("/once/1", method="POST", X_Model="*", Accept="text/event-stream")
+
+    context.harness.run(act)
+
+
+@then("the caller gets an incomplete answer")
+def then_incomplete(context):
+    answer = context.harness.answers[0]
+    assert answer.status == 200 and not answer.is_complete, answer
+
+
 @when(
     "the first half of a request arrives {after_s:g} s after the stop signal, "
     "and the rest {gap_s:g} s later"
