A stopping gateway answers the requests that can't end before it

Callers saw: a request that was admitted before the stop signal and still ran 0.9 s before the end of the grace got the end of its connection, without an answer; one admitted during the drain had the end of the process as its deadline, and lost the race against it.

Cause: only requests admitted after the signal got the stop plan's end as a deadline, and that was the time at which all connections are cut. Now the stop limits the deadlines of running requests as well, and open requests are answered 0.1 s before the process ends: 504, or 503 if they have not run; a stream within its answer is reset.

A request keeps the route timeout of its admission otherwise. A shorter one does not cut it; a scenario guards that.

--- a/crocusvalve/gateway/_flow.py
+++ b/crocusvalve/gateway/_flow.py
@@ -60,6 +60,14 @@
     def __init__(self, attempt_manager: AttemptManager):
         self.attempt_manager = attempt_manager
         self.clock = attempt_manager.clock
+        self._running: dict[trio.CancelScope, GatewayRequest] = {}
+
+    def limit_deadlines(self, until: float, now: float) -> None:
+        """End all running requests at a local time in seconds, unless they end earlier."""
+        for scope, req in self._running.items():
+            req.deadline = min(req.deadline, until)
+            left_s = max(0.0, req.compute_left_s(now))
+            scope.deadline = min(scope.deadline, trio.current_time() + left_s)
 
     async def run(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
         """Answer a request before its deadline.
@@ -71,8 +79,12 @@
         AnswerAbortedError
             If a part was sent and the rest can't be obtained.
         """
-        with trio.move_on_after(max(0.0, req.compute_left_s(self.clock.now()))):
-            return await self.answer(req, responder)
+        with trio.move_on_after(max(0.0, req.compute_left_s(self.clock.now()))) as scope:
+            self._running[scope] = req
+            try:
+                return await self.answer(req, responder)
+            finally:
+                del self._running[scope]
         if responder.has_started:
             self.record_cut_answer(req)
             raise AnswerAbortedError("the deadline passed within the answer")
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -291,8 +291,9 @@
 
     async def _drain(self) -> None:
         """Serve requests that the balancer still sends, then wait for open ones to end."""
-        plan = StopPlan.make(self.clock.now(), self.settings.bounds.grace_s)
-        self.request_handler.stop_plan = plan
+        now = self.clock.now()
+        plan = StopPlan.make(now, self.settings.bounds.grace_s)
+        self.request_handler.begin_stop(plan, now)
         self.observer.record_process_event(
             "gateway drains", open=self.request_handler.n_open_requests
         )
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/_request_handler.py
@@ -77,6 +77,12 @@
         """Return whether connections are to be closed after the answer in progress."""
         return self.stop_plan is not None
 
+    def begin_stop(self, plan: StopPlan, now: float) -> None:
+        """Follow a stop plan from now on."""
+        self.stop_plan = plan
+        for flow in (self.plain, self.streams):
+            flow.limit_deadlines(plan.answers_until, now)
+
     @contextmanager
     def count_open_request(self) -> Iterator[None]:
         """Count a request as open, from its first byte to the end of its answer."""
@@ -207,7 +213,7 @@
             allowed_s = min(allowed_s, caller.deadline_s)
         deadline = now + allowed_s - RETURN_MARGIN_S
         if self.stop_plan is not None:
-            deadline = min(deadline, self.stop_plan.ends_at)
+            deadline = min(deadline, self.stop_plan.answers_until)
         self.attempt_manager.get_budget(service.name).count_request(now)
         return GatewayRequest(
             caller=caller,
--- a/crocusvalve/gateway/_stopping.py
+++ b/crocusvalve/gateway/_stopping.py
@@ -11,6 +11,8 @@
 ACCEPT_ALL_S = 3.0
 #: Seconds reserved at the end of the grace period for the process to exit.
 EXIT_MARGIN_S = 0.9
+#: Seconds reserved before that for the answers to requests that can't end in time.
+ANSWER_MARGIN_S = 0.1
 #: Minimum time left, in seconds, at which a plain request is accepted; such a request takes about a
 #: tenth of a second.
 MIN_PLAIN_S = 0.5
@@ -35,6 +37,11 @@
     refuses_at: float
     ends_at: float
 
+    @property
+    def answers_until(self) -> float:
+        """Time at which all open requests are answered, if only by an error."""
+        return self.ends_at - ANSWER_MARGIN_S
+
     @classmethod
     def make(cls, now: float, grace_s: float) -> "StopPlan":
         """Plan a stop that begins now and must be complete within ``grace_s`` seconds."""
--- a/features/gateway/caller_connection.feature
+++ b/features/gateway/caller_connection.feature
@@ -82,3 +82,16 @@
     Given a gateway process with a stand-in store and stand-in upstreams
     When the first half of a request arrives 2.8 s after the stop signal, and the rest 0.8 s later
     Then its next request is answered with 200
+
+  Scenario: A stopping process answers requests that can't end before it
+    Given a gateway process with a stand-in store and stand-in upstreams
+    And a route timeout of 20 s
+    And every attempt encounters the fault hang
+    When the process gets a stop signal while requests for /safe/1 and /unsafe/1 run
+    Then each of them is answered with 504
+
+  Scenario: A shorter route timeout does not cut requests that run
+    Given a gateway with two upstreams
+    And every attempt encounters the fault silent_first
+    When the route timeouts become 0.5 s while a kept connection waits for an answer
+    Then its next request is answered with 200
--- a/features/gateway/steps/kept_connection_steps.py
+++ b/features/gateway/steps/kept_connection_steps.py
@@ -73,6 +73,12 @@
     context.harness.config = make_config_with_idle_limit(idle_s)
 
 
+@given("a route timeout of {timeout_s:g} s")
+def given_route_timeout(context, timeout_s):
+    for route in context.harness.config["routes"]:
+        route["timeoutMs"] = timeout_s * 1000
+
+
 @when(
     "a kept connection waits {wait_s:g} s, and the idle limit becomes {idle_s:g} s "
     "after {after_s:g} s"
@@ -155,6 +161,20 @@
     assert last.headers["connection"] == "close" and "keep-alive" not in last.headers, last
 
 
+@when("the route timeouts become {timeout_s:g} s while a kept connection waits for an answer")
+def when_timeouts_change(context, timeout_s):
+    async def act(harness):
+        conn = await KeptConnection.open(harness)
+        await conn.stream.send_all(conn.make_request())
+        await harness.wait_for(lambda: harness.calls)
+        routes = [r | {"timeoutMs": timeout_s * 1000} for r in harness.config["routes"]]
+        harness.store.put("op", "config", make_gateway_config(3, routes=routes))
+        await harness.wait_for(lambda: harness.gateway.tables.config.version == 3)
+        context.answer = await conn.read()
+
+    context.harness.run(act)
+
+
 @when("a kept connection sends a request just after the gateway closed it as idle")
 def when_request_crosses_close(context):
     async def act(harness):
@@ -342,3 +362,26 @@
         context.answer = await conn.read()
 
     context.harness.run(act)
+
+
+@when("the process gets a stop signal while requests for {first} and {second} run")
+def when_stop_while_running(context, first, second):
+    async def act(harness):
+        await harness.start(subprocess.DEVNULL)
+        conns = []
+        for path in (first, second):
+            conn = await KeptConnection.open(harness)
+            await conn.stream.send_all(conn.make_request(path))
+            conns.append((conn, path))
+        await harness.wait_for(lambda: len(harness.calls) >= 2)
+        harness.process.send_signal(signal.SIGTERM)
+        context.kept_answers = [await conn.read(path) for conn, path in conns]
+
+    context.harness.run(act)
+
+
+@then("each of them is answered with {status:d}")
+def then_each_answered(context, status):
+    answers = context.kept_answers
+    assert [a.status for a in answers] == [status] * len(answers), answers
+    assert all(a.is_complete for a in answers), answers
