Gateway: bound the interim answers before a reply's head

What callers saw: an upstream that sends interim answers (102) without end kept a safe request until its hedge, 5.1 s at a goal of 10 s, and an unsafe request until its deadline, 10 s (504).

Cause: the head of a reply is bounded, but each interim answer is a head of its own, and read_head read any number of them.

Ruled out by the same tests, which passed before: a head without end, bytes that are no HTTP, a chunk extension without end, a body and an event at full speed.

The faults are new members of UpstreamFault, so that the soak's profile ANY_FAULT injects them too.

--- a/crocusvalve/gateway/_upstream_call.py
+++ b/crocusvalve/gateway/_upstream_call.py
@@ -12,8 +12,10 @@
 
 __all__ = ["CallError", "CallFailure", "UpstreamCall"]
 
-#: Longest head of a reply.
+#: Longest head of a reply, including the interim answers before it.
 MAX_HEAD_BYTES = 65536
+#: Maximum number of interim answers (status 1xx) before a reply's head.
+MAX_INTERIM_REPLIES = 16
 READ_BYTES = 65536
 #: Requests up to this size, with their heads, are written completely before the reply is read.
 INLINE_REQUEST_BYTES = 8192
@@ -71,6 +73,7 @@
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._stream: trio.SocketStream | None = None
         self._is_complete = False
+        self._n_received = 0
         self.is_delimited = False
 
     async def open(self, timeout_s: float) -> None:
@@ -104,8 +107,8 @@
             spawn(self._write_ignoring_errors, self._stream, data)
 
     async def read_head(self) -> Reply:
-        """Read the head of the reply."""
-        while True:
+        """Read the head of the reply; raises ``CallError`` if too much precedes it."""
+        for _ in range(MAX_INTERIM_REPLIES + 1):
             event = await self._next_event("read_head")
             if isinstance(event, h11.Response):
                 names = {name.lower() for name, _ in event.headers}
@@ -115,6 +118,11 @@
                 raise self._make_error(
                     CallFailure.BROKEN, "the connection ended before the reply's head", "read_head"
                 )
+            if self._n_received - len(self._conn.trailing_data[0]) > MAX_HEAD_BYTES:
+                message = f"the interim answers are longer than {MAX_HEAD_BYTES} bytes"
+                raise self._make_error(CallFailure.CORRUPT, message, "read_head")
+        message = f"more than {MAX_INTERIM_REPLIES} interim answers"
+        raise self._make_error(CallFailure.CORRUPT, message, "read_head")
 
     async def read_part(self) -> bytes | None:
         """Return further bytes of the body, or None at its end as marked by HTTP."""
@@ -142,7 +150,9 @@
                 event = self._conn.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._conn.receive_data(await self._stream.receive_some(READ_BYTES))
+                data = await self._stream.receive_some(READ_BYTES)
+                self._n_received += len(data)
+                self._conn.receive_data(data)
             except h11.RemoteProtocolError as exc:
                 raise self._make_error(CallFailure.BROKEN, str(exc), step) from exc
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as exc:
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from crocusvalve.standin._endless import EndlessReply, send_endlessly
 from crocusvalve.standin._http_server import ReceivedRequest, StandinServer
 
 __all__ = ["N_EVENTS", "StandinUpstream", "UpstreamFault", "make_event"]
@@ -43,6 +44,25 @@
     SILENT = "silent"
     #: Falls silent for ``silence_s`` before the head of an answer, and then goes on.
     SILENT_FIRST = "silent_first"
+    #: Replies that never end; what they consist of is described at ``EndlessReply``.
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_GARBAGE = "endless_garbage"
+    ENDLESS_INTERIM = "endless_interim"
+    ENDLESS_SLOW_INTERIM = "endless_slow_interim"
+    ENDLESS_CHUNK_EXTENSION = "endless_chunk_extension"
+    ENDLESS_BODY = "endless_body"
+    ENDLESS_TINY_CHUNKS = "endless_tiny_chunks"
+    ENDLESS_SLOW_BODY = "endless_slow_body"
+    ENDLESS_LONG_BODY = "endless_long_body"
+    ENDLESS_COMMENTS = "endless_comments"
+    ENDLESS_FAST_COMMENTS = "endless_fast_comments"
+    ENDLESS_EVENT = "endless_event"
+
+    @property
+    def endless_reply(self) -> EndlessReply | None:
+        """The endless reply of a fault; None for any other fault."""
+        prefix, _, name = self.name.partition("ENDLESS_")
+        return None if prefix else EndlessReply[name]
 
 
 class StandinUpstream(StandinServer):
@@ -173,6 +193,9 @@
             return False
         if fault is UpstreamFault.HANG:
             return await self._hang(stream)
+        if fault.endless_reply is not None:
+            head = self._make_head(200, headers).removesuffix(b"\r\n")
+            await send_endlessly(stream, fault.endless_reply, head)
         if fault is UpstreamFault.CROSSED:
             headers["X-Attempt-Id"] = "another"
         if fault is UpstreamFault.ENCODED:
--- /dev/null
+++ b/features/gateway/endless.feature
@@ -0,0 +1,71 @@
+Feature: An upstream whose bytes never end costs neither its caller the answer nor the gateway its memory
+
+  Scenario Outline: A safe request is sent to another upstream at once when the reply can't be an answer
+    Given a gateway with two upstreams
+    And the first attempt meets <fault>
+    When a caller sends GET /safe/1 and times the answer
+    Then it gets a whole answer within 1.5 s
+    And the upstreams ran 2 request(s) in total
+    And the endless reply's connection is closed
+
+    Examples:
+      | fault                   |
+      | endless_head            |
+      | endless_garbage         |
+      | endless_interim         |
+      | endless_slow_interim    |
+      | endless_chunk_extension |
+      | endless_body            |
+
+  Scenario Outline: An unsafe request fails at once when the reply can't be an answer, and is not repeated
+    Given a gateway with two upstreams
+    And the first attempt meets <fault>
+    When a caller sends POST /unsafe/1 and times the answer
+    Then it gets status 502 within 1.5 s
+    And the upstreams ran 1 request(s) in total
+    And the endless reply's connection is closed
+
+    Examples:
+      | fault                   |
+      | endless_head            |
+      | endless_garbage         |
+      | endless_interim         |
+      | endless_slow_interim    |
+      | endless_chunk_extension |
+      | endless_body            |
+
+  Scenario Outline: A stream that may run only once fails at once when the reply can't be an answer
+    Given a gateway with two upstreams
+    And the first attempt meets <fault>
+    When a caller opens a stream at /once/1 and times the answer
+    Then it gets status 502 within 1.5 s
+    And the upstreams ran 1 request(s) in total
+    And the endless reply's connection is closed
+
+    Examples:
+      | fault                   |
+      | endless_head            |
+      | endless_garbage         |
+      | endless_interim         |
+      | endless_slow_interim    |
+      | endless_chunk_extension |
+      | endless_body            |
+      | endless_event           |
+
+  Scenario Outline: A stream begins at another upstream when the reply can't be an answer
+    Given a gateway with two upstreams
+    And the first attempt meets <fault>
+    When a caller opens a stream at /stream/1 and times the answer
+    Then it gets a whole answer within 1.5 s
+    And the upstreams ran 2 request(s) in total
+    And the endless reply's connection is closed
+
+    Examples:
+      | fault                   |
+      | endless_head            |
+      | endless_garbage         |
+      | endless_interim         |
+      | endless_slow_interim    |
+      | endless_chunk_extension |
+      | endless_body            |
+      | endless_event           |
