Gateway: detect bodies that can't be answers by their framing and declared length

What callers saw: an upstream that sends a chunked body of two-byte chunks without end kept a safe request until its hedge (5.2 s at a goal of 10 s) and an unsafe one until its deadline (504 after 10 s); so did one that declares a length of 10^12 bytes and sends a few.

Cause: the limit on a body counted only the bytes between the chunks' framing, which is 5 of 7 bytes here, and parsing them took the processor for the rest of the time. Each small part was also kept as an object of its own, about 50 bytes for 2. A declared length wasn't looked at.

Now a body with more framing than body, beyond 128 KiB, is corrupt; so is a declared length over the limit, except in answers that have no body (HEAD, 204, 304). Parts are collected in one buffer, and other tasks run after each 64 parsed events.

Evidence: features/gateway/endless.feature, the examples endless_tiny_chunks and endless_long_body failed on (5.2 and 5.0 s for safe requests, 504 for unsafe ones). New guards that passed before: a HEAD answer with a long declared length, an answer of 8 MB. All 32 scenarios pass.

--- a/crocusvalve/gateway/_attempt.py
+++ b/crocusvalve/gateway/_attempt.py
@@ -85,16 +85,19 @@
 
     async def read_body(self, max_bytes: int) -> bytes:
         """Read the complete body; raises ``CallError`` if it is longer than ``max_bytes``."""
-        parts = []
-        size = 0
+        if (self.call.body_length or 0) > max_bytes:
+            raise self._make_length_error(max_bytes)
+        body = bytearray()
         while (part := await self.call.read_part()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > max_bytes:
-                raise CallError(
-                    CallFailure.CORRUPT,
-                    f"the body is longer than {max_bytes} bytes",
-                    step="read_body",
-                    peer=self.call.peer,
-                )
-        return b"".join(parts)
+            body += part
+            if len(body) > max_bytes:
+                raise self._make_length_error(max_bytes)
+        return bytes(body)
+
+    def _make_length_error(self, max_bytes: int) -> CallError:
+        return CallError(
+            CallFailure.CORRUPT,
+            f"the body is longer than {max_bytes} bytes",
+            step="read_body",
+            peer=self.call.peer,
+        )
--- a/crocusvalve/gateway/_upstream_call.py
+++ b/crocusvalve/gateway/_upstream_call.py
@@ -16,7 +16,12 @@
 MAX_HEAD_BYTES = 65536
 #: Maximum number of interim answers (status 1xx) before a reply's head.
 MAX_INTERIM_REPLIES = 16
+#: Maximum number of events that are parsed from received bytes before other tasks may run; 64 KiB
+#: of tiny chunks are 9,000 events.
+MAX_EVENTS_PER_TURN = 64
 READ_BYTES = 65536
+#: Statuses of replies without a body, whatever length their head declares.
+BODILESS_STATUSES = (204, 304)
 #: Requests up to this size, with their heads, are written completely before the reply is read.
 INLINE_REQUEST_BYTES = 8192
 
@@ -64,6 +69,8 @@
     is_delimited : bool
         Whether the reply's body has a length or is chunked, so that its end can be told from that
         of the connection.
+    body_length : int or None
+        Length of the body that the reply's head declares; None if it declares none.
     """
 
     def __init__(self, address: Address, codec: HeaderCodec):
@@ -74,7 +81,11 @@
         self._stream: trio.SocketStream | None = None
         self._is_complete = False
         self._n_received = 0
+        self._n_events_in_turn = 0
+        self._n_body = 0
+        self._method = b""
         self.is_delimited = False
+        self.body_length: int | None = None
 
     async def open(self, timeout_s: float) -> None:
         """Open the connection; raises ``CallError`` if that fails."""
@@ -95,6 +106,7 @@
     ) -> None:
         """Send the request; a long one is sent in a background task while the reply is read."""
         conn = self._conn
+        self._method = method
         try:
             head = conn.send(h11.Request(method=method, target=target, headers=list(headers)))
             data = conn.send(h11.Data(body)) if body else b""
@@ -111,8 +123,10 @@
         for _ in range(MAX_INTERIM_REPLIES + 1):
             event = await self._next_event("read_head")
             if isinstance(event, h11.Response):
-                names = {name.lower() for name, _ in event.headers}
-                self.is_delimited = bool(names & {b"content-length", b"transfer-encoding"})
+                fields = dict(event.headers)
+                self.is_delimited = bool(fields.keys() & {b"content-length", b"transfer-encoding"})
+                if self.is_delimited and event.status_code not in BODILESS_STATUSES:
+                    self.body_length = self._read_length(fields)
                 return self.codec.read_reply(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise self._make_error(
@@ -131,6 +145,7 @@
             self._is_complete = True
             return None
         if isinstance(event, h11.Data):
+            self._n_body += len(event.data)
             return bytes(event.data)
         raise self._make_error(CallFailure.BROKEN, "the reply ended early", "read_body")
 
@@ -146,11 +161,17 @@
 
     async def _next_event(self, step: str) -> h11.Event | type[h11.PAUSED]:
         while True:
+            if self._n_events_in_turn >= MAX_EVENTS_PER_TURN:
+                self._n_events_in_turn = 0
+                await trio.lowlevel.checkpoint()
             try:
                 event = self._conn.next_event()
                 if event is not h11.NEED_DATA:
+                    self._n_events_in_turn += 1
                     return event
+                self._check_framing(step)
                 data = await self._stream.receive_some(READ_BYTES)
+                self._n_events_in_turn = 0
                 self._n_received += len(data)
                 self._conn.receive_data(data)
             except h11.RemoteProtocolError as exc:
@@ -158,6 +179,18 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as exc:
                 raise self._make_error(CallFailure.BROKEN, "connection lost", step) from exc
 
+    def _read_length(self, fields: dict[bytes, bytes]) -> int | None:
+        if self._method == b"HEAD" or b"transfer-encoding" in fields:
+            return None
+        return int(fields[b"content-length"])
+
+    def _check_framing(self, step: str) -> None:
+        """Raise ``CallError`` if a body comes in so many chunks that it is mostly framing."""
+        n_framing = self._n_received - self._n_body
+        if n_framing > self._n_body + 2 * MAX_HEAD_BYTES:
+            message = f"{n_framing} bytes of framing for {self._n_body} bytes of the body"
+            raise self._make_error(CallFailure.CORRUPT, message, step)
+
     async def _write(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -86,6 +86,8 @@
         Pause before each event, in seconds.
     silence_s : float
         Length of the silence of the faults ``SILENT`` and ``SILENT_FIRST``, in seconds.
+    n_padding_bytes : int
+        Number of bytes that are appended to the body of a plain answer.
     n_abandoned : int
         Requests with the fault ``HANG`` whose caller disconnected.
     is_leaving : bool
@@ -117,6 +119,7 @@
         self.retry_after = "1"
         self.pause_s = 0.0
         self.silence_s = 1.2
+        self.n_padding_bytes = 0
         self.crash_part = ""
         self.restart_s = 0.3
         self.n_starts = 0
@@ -210,6 +213,7 @@
             await stream.send_all(head + b"short")
             return False
         body = f"{call.method} {call.target} {len(call.body)} by {self.upstream_id}".encode()
+        body += b"x" * self.n_padding_bytes
         return await self._send(stream, 200, headers, body)
 
     async def _hang(self, stream: trio.SocketStream) -> bool:
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -16,6 +16,8 @@
       | endless_slow_interim    |
       | endless_chunk_extension |
       | endless_body            |
+      | endless_tiny_chunks     |
+      | endless_long_body       |
 
   Scenario Outline: An unsafe request fails at once when the reply can't be an answer, and is not repeated
     Given a gateway with two upstreams
@@ -33,6 +35,8 @@
       | endless_slow_interim    |
       | endless_chunk_extension |
       | endless_body            |
+      | endless_tiny_chunks     |
+      | endless_long_body       |
 
   Scenario Outline: A stream that may run only once fails at once when the reply can't be an answer
     Given a gateway with two upstreams
@@ -69,3 +73,18 @@
       | endless_chunk_extension |
       | endless_body            |
       | endless_event           |
+
+  Scenario: An answer to HEAD may declare a length that is longer than any answer
+    Given a gateway with two upstreams
+    And the first attempt meets endless_long_body
+    When a caller sends HEAD /safe/1 and times the answer
+    Then it gets a whole answer within 1.5 s
+    And the upstreams ran 1 request(s) in total
+
+  Scenario: A large answer passes
+    Given a gateway with two upstreams
+    And the upstreams' plain answers are 8000000 bytes longer
+    When a caller sends GET /safe/1 and times the answer
+    Then it gets a whole answer within 5 s
+    And the upstreams ran 1 request(s) in total
+    And its body is as long as the upstream's
--- a/features/gateway/steps/endless_steps.py
+++ b/features/gateway/steps/endless_steps.py
@@ -45,6 +45,12 @@
     EndlessReplySubject.set_faults(context.harness, fault)
 
 
+@given("the upstreams' plain answers are {n_bytes:d} bytes longer")
+def given_long_answers(context, n_bytes):
+    for upstream in context.harness.upstreams.values():
+        upstream.n_padding_bytes = n_bytes
+
+
 @when("a caller sends {method} {path} and times the answer")
 def when_sent(context, method, path):
     EndlessReplySubject.call(context, path, method=method)
@@ -76,6 +82,13 @@
     assert len(context.harness.calls) == n_runs, context.harness.calls
 
 
+@then("its body is as long as the upstream's")
+def then_long(context):
+    answer = context.harness.answers[0]
+    n_padding_bytes = context.harness.upstreams["one"].n_padding_bytes
+    assert answer.body.endswith(b"x" * n_padding_bytes), len(answer.body)
+
+
 @then("the endless reply's connection is closed")
 def then_closed(context):
     assert context.n_open == 0, context.n_open
