Gateway: bound the memory of all plain answers that are held at once

What an operator would have seen: a gateway held up to 8 MiB of each plain answer, and copies of it, so that a few upstreams whose bodies never end take more memory than a VM of 88 MB has; the process would be ended, and with it all its answers.

Cause: a limit for each answer and none on their sum. An answer was also copied three times to be sent (parts joined, framed, head added).

Now the sum is bounded (16 MiB: 88 MB less the 52 MB of a process with all libraries, less as much again for tables and buffers). Weighed: - Forwarding large answers as they arrive needs no memory, but an answer without end then reaches the caller and can't be retried. Holding them keeps the retry. - Refusing the newest answer lets endless ones that came first fail all others. The largest incomplete one is dropped instead: sound answers have some KB, so that one is the most likely to have no end. Answers of up to 16 KiB are never dropped. - If complete answers take the room, since their callers read slowly, the largest incomplete one waits until they are sent; it isn't failed. - A smaller limit for each answer would fail sound ones that pass today; 8 MiB stays. Long answers are sent in parts of 64 KiB, without copies of the whole. The notes of a request give the reason for which a reply was corrupt.

AnswerMemory has scenarios without a network.

--- a/crocusvalve/gateway/_attempt.py
+++ b/crocusvalve/gateway/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt to run a request on an upstream: the reply, and the work queued there."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from crocusvalve.gateway._tables import UpstreamLoad
 from crocusvalve.gateway._upstream_call import CallError, CallFailure, UpstreamCall
@@ -68,36 +68,41 @@
         self.reply = reply
         self._record_reply(self.upstream, reply)
         if reply.attempt_id and reply.attempt_id != attempt_id:
-            raise CallError(
-                CallFailure.CORRUPT,
-                "the reply belongs to another request",
-                step="read_head",
-                peer=self.call.peer,
-            )
+            raise self.make_error("the reply belongs to another request", "read_head")
         if reply.is_encoded and not reply.is_not_run:
-            raise CallError(
-                CallFailure.CORRUPT,
-                "the reply's body was encoded between the upstream and the gateway",
-                step="read_head",
-                peer=self.call.peer,
-            )
+            message = "the reply's body was encoded between the upstream and the gateway"
+            raise self.make_error(message, "read_head")
         return reply
 
-    async def read_body(self, max_bytes: int) -> bytes:
-        """Read the complete body; raises ``CallError`` if it is longer than ``max_bytes``."""
+    async def read_body(
+        self, max_bytes: int, grow: Callable[[int], Awaitable[None]] | None = None
+    ) -> bytearray:
+        """Read the complete body.
+
+        Parameters
+        ----------
+        grow : callable or None
+            Called with the number of further bytes before they are kept.
+
+        Raises
+        ------
+        CallError
+            If the body is longer than ``max_bytes``, or not complete.
+        """
         if (self.call.body_length or 0) > max_bytes:
             raise self._make_length_error(max_bytes)
         body = bytearray()
         while (part := await self.call.read_part()) is not None:
+            if grow is not None:
+                await grow(len(part))
             body += part
             if len(body) > max_bytes:
                 raise self._make_length_error(max_bytes)
-        return bytes(body)
+        return body
 
     def _make_length_error(self, max_bytes: int) -> CallError:
-        return CallError(
-            CallFailure.CORRUPT,
-            f"the body is longer than {max_bytes} bytes",
-            step="read_body",
-            peer=self.call.peer,
-        )
+        return self.make_error(f"the body is longer than {max_bytes} bytes", "read_body")
+
+    def make_error(self, message: str, step: str) -> CallError:
+        """Return the error of a reply that can't be an answer to the request."""
+        return CallError(CallFailure.CORRUPT, message, step=step, peer=self.call.peer)
--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -1,22 +1,32 @@
 """Flow of a plain request: a single answer, read completely before it is forwarded."""
 
+from contextlib import ExitStack
 from enum import Enum
+from functools import partial
 
 import trio
 from msgspec import Struct
 
 from crocusvalve.exceptions import RefusedError
+from crocusvalve.gateway._answer_memory import AnswerMemory
+from crocusvalve.gateway._attempt import Attempt
+from crocusvalve.gateway._attempts import AttemptManager
 from crocusvalve.gateway._flow import Flow, make_gateway_error
 from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._listener import Responder
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
-from crocusvalve.gateway._upstream_call import CallError
+from crocusvalve.gateway._upstream_call import CallError, CallFailure
 from crocusvalve.gateway.base import Reply, RouteKind, Upstream
 
 __all__ = ["PlainFlow"]
 
 #: Longest body of an answer.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+#: Maximum size of all plain answers that a gateway holds: the smallest VMs have 88 MB, and the
+#: process takes 52 MB of them.
+MAX_HELD_BYTES = 16 * 1024 * 1024
+#: Longer bodies are sent in parts of this size, so that they aren't copied as a whole.
+SEND_BYTES = 65536
 #: A safe request without an answer after this fraction of its goal is sent to a second upstream.
 HEDGE_FRACTION = 0.5
 
@@ -33,29 +43,40 @@
     end: _AttemptEnd
     upstream: Upstream
     reply: Reply | None = None
-    body: bytes = b""
+    body: bytes | bytearray = b""
 
 
 class PlainFlow(Flow):
-    """Answers plain requests, with retries and a hedged attempt if the route allows them."""
+    """Answers plain requests, with retries and a hedged attempt if the route allows them.
+
+    Attributes
+    ----------
+    memory : AnswerMemory
+        Answers that are held until they are complete and have been sent.
+    """
+
+    def __init__(self, attempt_manager: AttemptManager):
+        super().__init__(attempt_manager)
+        self.memory = AnswerMemory(MAX_HELD_BYTES)
 
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
         """Forward the first good answer of an upstream, or the last failure."""
-        result = await self._find_answer(req)
-        reply = result.reply
-        await responder.answer(reply.status, reply.headers, result.body)
-        return RequestEnd.ANSWERED if reply.status < 400 else RequestEnd.UPSTREAM_FAILURE
+        with ExitStack() as held:
+            result = await self._find_answer(req, held)
+            await _send(responder, result)
+        status = result.reply.status
+        return RequestEnd.ANSWERED if status < 400 else RequestEnd.UPSTREAM_FAILURE
 
-    async def _find_answer(self, req: GatewayRequest) -> _Result:
+    async def _find_answer(self, req: GatewayRequest, held: ExitStack) -> _Result:
         async with trio.open_nursery() as nursery:
-            answer = await self._run_attempts(req, nursery)
+            answer = await self._run_attempts(req, nursery, held)
             nursery.cancel_scope.cancel()
         if isinstance(answer, RefusedError):
             raise answer
         return answer
 
     async def _run_attempts(
-        self, req: GatewayRequest, nursery: trio.Nursery
+        self, req: GatewayRequest, nursery: trio.Nursery, held: ExitStack
     ) -> _Result | RefusedError:
         send, receive = trio.open_memory_channel[_Result](req.route.max_attempts + 8)
         hedge_s: float | None = HEDGE_FRACTION * req.route.goal_s
@@ -67,7 +88,7 @@
                 if upstream is None:
                     message = "no upstream can accept the request"
                     return failure or make_gateway_error(req, message, "place", self.clock.now())
-                nursery.start_soon(self._attempt, req, upstream, send)
+                nursery.start_soon(self._attempt, req, upstream, send, held)
                 n_pending += 1
             result = await self._receive_result(req, receive, hedge_s if n_pending == 1 else None)
             if result is None:
@@ -78,7 +99,7 @@
                 )
                 if upstream is not None:
                     req.notes.append("hedge")
-                    nursery.start_soon(self._attempt, req, upstream, send)
+                    nursery.start_soon(self._attempt, req, upstream, send, held)
                     n_pending += 1
                 continue
             n_pending -= 1
@@ -119,7 +140,11 @@
         return None
 
     async def _attempt(
-        self, req: GatewayRequest, upstream: Upstream, send: trio.MemorySendChannel
+        self,
+        req: GatewayRequest,
+        upstream: Upstream,
+        send: trio.MemorySendChannel,
+        held: ExitStack,
     ) -> None:
         req.tried.add(upstream.upstream_id)
         started_at = self.clock.now()
@@ -128,10 +153,11 @@
                 req, upstream, model="", last_event_id=b""
             ) as attempt:
                 reply = await attempt.read_head(req.caller.attempt_id)
-                body = await attempt.read_body(MAX_BODY_BYTES)
+                body = await self._read_body(attempt, held)
         except CallError as exc:
             self.attempt_manager.record_call_error(req, upstream, exc)
-            req.notes.append(f"{upstream.upstream_id}:{exc.failure.value}")
+            reason = f", {exc.message}" if exc.failure is CallFailure.CORRUPT else ""
+            req.notes.append(f"{upstream.upstream_id}:{exc.failure.value}{reason}")
             await send.send(
                 _Result(_AttemptEnd.NOT_RUN if exc.is_unsent else _AttemptEnd.LOST, upstream)
             )
@@ -149,3 +175,32 @@
         elif reply.status < 400:
             self.attempt_manager.record_outcome(req, upstream, Outcome.SUCCESS, first_s=elapsed_s)
         await send.send(_Result(_AttemptEnd.REPLIED, upstream, reply, body))
+
+    async def _read_body(self, attempt: Attempt, held: ExitStack) -> bytearray:
+        """Read a body within the bound on memory; it is held until ``held`` is closed."""
+        answer = held.enter_context(self.memory.hold())
+        body = bytearray()
+        try:
+            with answer.scope:
+                grow = partial(self.memory.grow, answer)
+                body = await attempt.read_body(MAX_BODY_BYTES, grow)
+                answer.is_complete = True
+        finally:
+            if not answer.is_complete:
+                self.memory.release(answer)
+        if not answer.is_complete:
+            message = f"dropped at {answer.size} bytes, since no memory was left for answers"
+            raise attempt.make_error(message, "read_body")
+        return body
+
+
+async def _send(responder: Responder, result: _Result) -> None:
+    """Send an answer; a long one in parts."""
+    reply, body = result.reply, result.body
+    if len(body) <= SEND_BYTES:
+        await responder.answer(reply.status, reply.headers, bytes(body))
+        return
+    await responder.start(reply.status, reply.headers)
+    for start in range(0, len(body), SEND_BYTES):
+        await responder.send(bytes(body[start : start + SEND_BYTES]))
+    await responder.finish()
--- a/crocusvalve/gateway/_upstream_call.py
+++ b/crocusvalve/gateway/_upstream_call.py
@@ -20,6 +20,8 @@
 #: of tiny chunks are 9,000 events.
 MAX_EVENTS_PER_TURN = 64
 READ_BYTES = 65536
+#: Messages of protocol errors quote the bytes that they are about, up to a whole head.
+MAX_MESSAGE_CHARS = 200
 #: Statuses of replies without a body, whatever length their head declares.
 BODILESS_STATUSES = (204, 304)
 #: Requests up to this size, with their heads, are written completely before the reply is read.
@@ -175,7 +177,8 @@
                 self._n_received += len(data)
                 self._conn.receive_data(data)
             except h11.RemoteProtocolError as exc:
-                raise self._make_error(CallFailure.BROKEN, str(exc), step) from exc
+                message = str(exc)[:MAX_MESSAGE_CHARS]
+                raise self._make_error(CallFailure.BROKEN, message, step) from exc
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as exc:
                 raise self._make_error(CallFailure.BROKEN, "connection lost", step) from exc
 
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -88,3 +88,38 @@
     Then it gets a whole answer within 5 s
     And the upstreams ran 1 request(s) in total
     And its body is as long as the upstream's
+
+  Scenario: Many endless answers at once fit into the memory of the smallest machine
+    Given a gateway with two upstreams
+    And the first 16 attempts meet endless_body
+    When 16 callers send GET /safe/1 at once
+    Then all get whole answers
+    And the process has held at most 36 MB more than before
+
+  Scenario Outline: The answer that has grown beyond all others is dropped when no memory is left
+    Given memory for answers of 1000000 bytes
+    And answers with <sizes> bytes, of which <complete> are complete
+    When answer <growing> grows by 200000 bytes
+    Then it <outcome>
+    And the dropped answers are <dropped>
+
+    Examples:
+      | sizes                  | complete | growing | outcome | dropped |
+      | 100000, 600000         | none     | 1       | grows   | none    |
+      | 100000, 600000, 200000 | none     | 1       | grows   | 2       |
+      | 300000, 300000, 300000 | none     | 2       | stops   | 2       |
+      | 100000, 800000, 50000  | 2        | 3       | waits   | none    |
+      | 50000, 600000, 340000  | 2        | 1       | grows   | 3       |
+
+  Scenario: A small answer passes while no memory is left
+    Given memory for answers of 1000000 bytes
+    And answers with 1000000, 0 bytes, of which 1 are complete
+    When answer 2 grows by 16000 bytes
+    Then it grows
+
+  Scenario: A large answer goes on once another has been sent
+    Given memory for answers of 1000000 bytes
+    And answers with 900000, 0 bytes, of which 1 are complete
+    When answer 2 grows by 200000 bytes and answer 1 is sent
+    Then it grows
+    And the dropped answers are none
