EventSplitter: mark events without content, bound them, and search each byte once

What callers saw: a stream whose upstream sends comments (": ping") without end is never resumed at another upstream and is cut at its deadline, since each comment counts as an event.

This commit is the part without a network: an event states whether it has content (an id or data), and is_too_long also covers comments and other empty events of more than 64 KiB in a row. The stream flow has to use both; it doesn't yet.

--- a/crocusvalve/gateway/_events.py
+++ b/crocusvalve/gateway/_events.py
@@ -1,18 +1,37 @@
 """Splits a byte stream into server-sent events."""
 
+import re
+
 from msgspec import Struct
 
 __all__ = ["EventSplitter", "StreamEvent"]
 
 #: A longer event is treated as a corrupt stream.
 MAX_EVENT_BYTES = 1024 * 1024
+#: Maximum size of comments and other events without content between two events with content.
+MAX_EMPTY_BYTES = 64 * 1024
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+#: Number of bytes at the end of a buffer that may be the beginning of an event's end.
+MAX_PARTIAL_END = 3
+#: Fields with which an event has content. Comments and fields without a value have none.
+CONTENT_FIELDS = (b"data", b"id")
 
 
 class StreamEvent(Struct, frozen=True):
-    """A complete event with its terminator; ``event_id`` is empty if it has none."""
+    """A complete event with its terminator.
+
+    Attributes
+    ----------
+    event_id : bytes
+        Id of the event; empty if it has none.
+    has_content : bool
+        Whether it has an id or data. Comments, with which servers keep a connection open, have
+        none: they are no progress of the answer.
+    """
 
     data: bytes
     event_id: bytes
+    has_content: bool
 
 
 class EventSplitter:
@@ -20,6 +39,8 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._n_searched = 0
+        self._n_empty_bytes = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -28,33 +49,33 @@
 
     @property
     def is_too_long(self) -> bool:
-        """Whether the incomplete event is longer than ``MAX_EVENT_BYTES``."""
-        return len(self._buffer) > MAX_EVENT_BYTES
+        """Whether the incomplete event, or the events without content, exceed their limits."""
+        return len(self._buffer) > MAX_EVENT_BYTES or self._n_empty_bytes > MAX_EMPTY_BYTES
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes; return the events that they complete."""
         self._buffer += data
         events = []
-        while True:
-            end = _find_end(self._buffer)
-            if end < 0:
-                return events
-            event = bytes(self._buffer[:end])
-            del self._buffer[:end]
-            events.append(StreamEvent(event, _read_id(event)))
-
-
-def _find_end(buffer: bytearray) -> int:
-    ends = [
-        start + len(terminator)
-        for terminator in (b"\n\n", b"\r\n\r\n")
-        if (start := buffer.find(terminator)) >= 0
-    ]
-    return min(ends, default=-1)
-
-
-def _read_id(event: bytes) -> bytes:
-    for line in event.splitlines():
-        if line.startswith(b"id:"):
-            return line[3:].strip()
-    return b""
+        start = 0
+        while (found := EVENT_END.search(self._buffer, max(start, self._n_searched))) is not None:
+            end = found.end()
+            events.append(self._make_event(bytes(self._buffer[start:end])))
+            start = self._n_searched = end
+        # A match refers to the buffer, which can't be resized meanwhile.
+        found = None
+        del self._buffer[:start]
+        self._n_searched = max(0, len(self._buffer) - MAX_PARTIAL_END)
+        return events
+
+    def _make_event(self, data: bytes) -> StreamEvent:
+        event_id = b""
+        has_content = False
+        for line in data.splitlines():
+            name, _, value = line.partition(b":")
+            value = value.strip()
+            if name in CONTENT_FIELDS and value:
+                has_content = True
+                if name == b"id":
+                    event_id = event_id or value
+        self._n_empty_bytes = 0 if has_content else self._n_empty_bytes + len(data)
+        return StreamEvent(data, event_id, has_content)
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -98,6 +98,31 @@
     When it arrives in chunks of every size from 1 to 40 bytes
     Then the same 20 events are returned each time
 
+  Scenario Outline: An event without content isn't taken for progress of the answer
+    Given an event of the lines <lines>
+    Then it has <content>
+
+    Examples:
+      | lines                | content        |
+      | : ping               | no content     |
+      | event: token         | no content     |
+      | data:                | no content     |
+      | id: , data           | no content     |
+      | data: x              | content        |
+      | id: 7                | content and id |
+      | : ping, id: 7, data: | content and id |
+      | data:, data: x       | content        |
+
+  Scenario: Comments without end are found to be too long, and events with content are not
+    Given a stream of 20000 comments
+    Then the last one makes the stream too long
+    And it isn't if each tenth one is followed by an event with content
+
+  Scenario: An event that arrives byte by byte takes time in proportion to its length
+    Given an event of 400000 bytes that never ends
+    When it arrives byte by byte
+    Then at most 3 s of the processor's time have passed
+
   Scenario: A slow answer counts as a failure of its version
     Given 10 answers of the old version in 0.1 s each
     When the new version answers in 0.9 s
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import time
 
 import msgspec
 import trio
@@ -351,6 +352,58 @@
         assert [event.event_id.decode() for event in events] == [str(i) for i in range(n)]
 
 
+@given("an event of the lines {lines}")
+def given_event_lines(context, lines):
+    data = "".join(f"{line.strip()}\n" for line in lines.split(",")) + "\n"
+    (context.event,) = EventSplitter().feed(data.encode())
+    assert context.event.data == data.encode()
+
+
+@then("it has {content}")
+def then_content(context, content):
+    assert context.event.has_content == content.startswith("content"), context.event
+    assert context.event.event_id == (b"7" if content.endswith("id") else b""), context.event
+
+
+@given("a stream of {n:d} comments")
+def given_comments(context, n):
+    context.comments = [b": ping\n\n"] * n
+
+
+@then("the last one makes the stream too long")
+def then_too_long(context):
+    splitter = EventSplitter()
+    assert len(splitter.feed(b"".join(context.comments))) == len(context.comments)
+    assert splitter.is_too_long
+
+
+@then("it isn't if each tenth one is followed by an event with content")
+def then_not_too_long(context):
+    splitter = EventSplitter()
+    for number, comment in enumerate(context.comments):
+        splitter.feed(comment + (b"data: x\n\n" if number % 10 == 0 else b""))
+        assert not splitter.is_too_long
+
+
+@given("an event of {n_bytes:d} bytes that never ends")
+def given_endless_event(context, n_bytes):
+    context.endless_event = b"x" * n_bytes
+
+
+@when("it arrives byte by byte")
+def when_byte_by_byte(context):
+    splitter = EventSplitter()
+    started_at = time.process_time()
+    for start in range(len(context.endless_event)):
+        assert not splitter.feed(context.endless_event[start : start + 1])
+    context.processor_s = time.process_time() - started_at
+
+
+@then("at most {limit_s:g} s of the processor's time have passed")
+def then_processor_time(context, limit_s):
+    assert context.processor_s <= limit_s, context.processor_s
+
+
 @given("{n:d} answers of the old version in {first_s:g} s each")
 def given_answers(context, n, first_s):
     context.outcome_counts = OutcomeCountsTable()
