Gateway: hedge a plain request again if the hedged attempt was rejected or failed

What callers saw: a safe request whose first upstream sends a byte each 50 ms, or nothing, and whose hedged attempt met a full, failing or broken upstream, waited for the first one until its deadline (504 after 10 s at a goal of 1 s), with attempts and budget left and a sound upstream beside.

Cause: the one hedged attempt was the only one; its failure, like there being no upstream at that moment, disarmed the timer, and the upstream counted as tried for good.

Now the timer is armed again with the same time as long as one attempt is pending. Upstreams that rejected or failed the request are considered again, those still at work on it aren't. The bounds on attempts of the route and on extra attempts of the service hold as before.

--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -7,6 +7,7 @@
 import trio
 from msgspec import Struct
 
+from crocusvalve.base import UpstreamId
 from crocusvalve.exceptions import RefusedError
 from crocusvalve.gateway._answer_memory import AnswerMemory
 from crocusvalve.gateway._attempt import Attempt
@@ -27,8 +28,10 @@
 MAX_HELD_BYTES = 16 * 1024 * 1024
 #: Longer bodies are sent in parts of this size, so that they aren't copied as a whole.
 SEND_BYTES = 65536
-#: A safe request without an answer after this fraction of its goal is sent to a second upstream.
+#: A safe request without an answer after this fraction of its goal is sent to a second upstream;
+#: again so after the same time if that upstream has rejected or failed it.
 HEDGE_FRACTION = 0.5
+MIN_HEDGE_S = 0.05
 
 
 class _AttemptEnd(Enum):
@@ -79,38 +82,47 @@
         self, req: GatewayRequest, nursery: trio.Nursery, held: ExitStack
     ) -> _Result | RefusedError:
         send, receive = trio.open_memory_channel[_Result](req.route.max_attempts + 8)
-        hedge_s: float | None = HEDGE_FRACTION * req.route.goal_s
-        n_pending = 0
+        pending: set[UpstreamId] = set()
         failure: _Result | None = None
         while True:
-            if not n_pending:
+            if not pending:
                 upstream = await self._find_next(req)
                 if upstream is None:
                     message = "no upstream can accept the request"
                     return failure or make_gateway_error(req, message, "place", self.clock.now())
                 nursery.start_soon(self._attempt, req, upstream, send, held)
-                n_pending += 1
-            result = await self._receive_result(req, receive, hedge_s if n_pending == 1 else None)
+                pending.add(upstream.upstream_id)
+            result = await self._receive_result(req, receive, may_hedge=len(pending) == 1)
             if result is None:
                 # The answer is late: sends the request to a second upstream as well.
-                hedge_s = None
-                upstream = (
-                    self.find_upstream(req, self.clock.now()) if self._may_repeat(req) else None
-                )
+                upstream = self._find_hedge(req, pending)
                 if upstream is not None:
                     req.notes.append("hedge")
                     nursery.start_soon(self._attempt, req, upstream, send, held)
-                    n_pending += 1
+                    pending.add(upstream.upstream_id)
                 continue
-            n_pending -= 1
+            pending.discard(result.upstream.upstream_id)
             if result.end is _AttemptEnd.REPLIED:
                 if result.reply.status < 500:
                     return result
                 failure = result
-            if not n_pending and not self._may_continue(req, result):
+            if not pending and not self._may_continue(req, result):
                 message = "the upstream sent no answer"
                 return failure or make_gateway_error(req, message, "attempt", self.clock.now())
 
+    def _find_hedge(self, req: GatewayRequest, pending: set[UpstreamId]) -> Upstream | None:
+        """Return an upstream for a hedged attempt, or None.
+
+        Without another one, upstreams that have rejected or failed the request may get it again.
+        """
+        if not self._may_repeat(req):
+            return None
+        upstream = self.find_upstream(req, self.clock.now())
+        if upstream is None:
+            req.tried.intersection_update(pending)
+            upstream = self.find_upstream(req, self.clock.now())
+        return upstream
+
     def _may_repeat(self, req: GatewayRequest) -> bool:
         return (
             req.route.kind is RouteKind.SAFE
@@ -131,11 +143,12 @@
 
     @staticmethod
     async def _receive_result(
-        req: GatewayRequest, receive: trio.MemoryReceiveChannel, hedge_s: float | None
+        req: GatewayRequest, receive: trio.MemoryReceiveChannel, *, may_hedge: bool
     ) -> _Result | None:
-        if hedge_s is None or req.route.kind is not RouteKind.SAFE:
+        """Return the next result, or None if it is time for a hedged attempt."""
+        if not may_hedge or req.route.kind is not RouteKind.SAFE:
             return await receive.receive()
-        with trio.move_on_after(hedge_s):
+        with trio.move_on_after(max(MIN_HEDGE_S, HEDGE_FRACTION * req.route.goal_s)):
             return await receive.receive()
         return None
 
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -123,3 +123,18 @@
     When answer 2 grows by 200000 bytes and answer 1 is sent
     Then it grows
     And the dropped answers are none
+
+  Scenario Outline: A request isn't left to an answer that trickles because its second attempt failed
+    Given a gateway with two upstreams
+    And the goal of /safe/ is 1000 ms, with up to 3 attempts
+    And the first attempt meets endless_slow_body, and the second <fault>
+    When a caller sends GET /safe/1 and times the answer
+    Then it gets a whole answer within 3 s
+    And the endless reply's connection is closed
+
+    Examples:
+      | fault   |
+      | none    |
+      | full    |
+      | failure |
+      | break   |
--- a/features/gateway/steps/endless_steps.py
+++ b/features/gateway/steps/endless_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from crocusvalve.standin import UpstreamFault
-from features.gateway.steps.closure_steps import STREAM_FIELDS
+from features.gateway.steps.closure_steps import STREAM_FIELDS, RepeatedFault
 
 #: Time within which the connection of an endless reply is closed after the caller's answer.
 CLOSE_WITHIN_S = 0.5
@@ -40,7 +40,7 @@
         return sum(upstream.n_open for upstream in harness.upstreams.values())
 
 
-@given("the first attempt meets {fault}")
+@given("the first attempt meets {fault:w}")
 def given_first_fault(context, fault):
     EndlessReplySubject.set_faults(context.harness, fault)
 
@@ -92,3 +92,40 @@
 @then("the endless reply's connection is closed")
 def then_closed(context):
     assert context.n_open == 0, context.n_open
+
+
+@given("the goal of {prefix} is {goal_ms:d} ms, with up to {n_attempts:d} attempts")
+def given_goal(context, prefix, goal_ms, n_attempts):
+    for route in context.harness.config["routes"]:
+        if route["prefix"] == prefix:
+            route.update(goalMs=goal_ms, maxAttempts=n_attempts)
+
+
+@given("the first attempt meets {first}, and the second {second}")
+def given_two_faults(context, first, second):
+    EndlessReplySubject.set_faults(context.harness, first, second)
+
+
+@given("upstream one always meets {fault}")
+def given_repeated_fault(context, fault):
+    context.harness.upstreams["one"].faults = RepeatedFault([UpstreamFault(fault)])
+
+
+@when("a caller sends {n:d} requests {method} {path} in turn")
+def when_sent_in_turn(context, n, method, path):
+    async def act(harness):
+        load = harness.gateway.tables.get_load("one-ops")
+        context.n_until_suspended = None
+        for _ in range(n):
+            await harness.call(path, method=method)
+            if load.n_consecutive_suspensions:
+                context.n_until_suspended = len(harness.upstreams["one"].calls)
+                return
+
+    context.harness.run(act)
+
+
+@then("upstream one is suspended after at most {limit:d} of them")
+def then_suspended(context, limit):
+    n_requests = context.n_until_suspended
+    assert n_requests is not None and n_requests <= limit, n_requests
