Gateway: record upstreams whose plain answers trickle without end

What callers saw: an upstream that sends a byte of each answer each 50 ms was asked again and again. Each safe request waited for its hedge and each unsafe one until its deadline.

Cause: such an attempt ends by being cancelled, since another answer was used or the deadline has passed, and a cancelled attempt recorded nothing about its upstream.

Now it is recorded as late, as for a stream that stalls, if its answer has begun and isn't complete after the time at which it is hedged or at the deadline. An attempt that the caller has left before then says nothing about the upstream, as before.

Evidence: features/gateway/endless.feature, "An upstream whose answers trickle without end is suspended": of 30 requests in turn none led to a suspension before, neither safe nor unsafe ones; now it is suspended after at most 6 (the limit of the test).

--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -161,12 +161,18 @@
     ) -> None:
         req.tried.add(upstream.upstream_id)
         started_at = self.clock.now()
+        reply: Reply | None = None
         try:
             async with self.attempt_manager.start_attempt(
                 req, upstream, model="", last_event_id=b""
             ) as attempt:
                 reply = await attempt.read_head(req.caller.attempt_id)
                 body = await self._read_body(attempt, held)
+        except trio.Cancelled:
+            if reply is not None and self._is_late(req, started_at):
+                # Its answer has begun and doesn't end.
+                self.attempt_manager.record_outcome(req, upstream, Outcome.LATE)
+            raise
         except CallError as exc:
             self.attempt_manager.record_call_error(req, upstream, exc)
             reason = f", {exc.message}" if exc.failure is CallFailure.CORRUPT else ""
@@ -189,6 +195,12 @@
             self.attempt_manager.record_outcome(req, upstream, Outcome.SUCCESS, first_s=elapsed_s)
         await send.send(_Result(_AttemptEnd.REPLIED, upstream, reply, body))
 
+    def _is_late(self, req: GatewayRequest, started_at: float) -> bool:
+        """Return whether an attempt has taken so long that it is hedged, or all of its time."""
+        now = self.clock.now()
+        is_hedged = now - started_at >= HEDGE_FRACTION * req.route.goal_s
+        return is_hedged or req.compute_left_s(now) <= 0.0
+
     async def _read_body(self, attempt: Attempt, held: ExitStack) -> bytearray:
         """Read a body within the bound on memory; it is held until ``held`` is closed."""
         answer = held.enter_context(self.memory.hold())
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -138,3 +138,15 @@
       | full    |
       | failure |
       | break   |
+
+  Scenario Outline: An upstream whose answers trickle without end is suspended
+    Given a gateway with two upstreams
+    And the goal of /safe/ is 200 ms, with up to 3 attempts
+    And upstream one always meets endless_slow_body
+    When a caller sends <n> requests <method> <path> in turn
+    Then upstream one is suspended after at most <limit> of them
+
+    Examples:
+      | n  | method | path     | limit |
+      | 30 | GET    | /safe/1  | 6     |
+      | 30 | POST   | /short/1 | 6     |
