Gateway: don't read the body of a rejection

What callers saw: an upstream that rejects a request as not run (503 with X-Not-Executed) and sends a body without end kept a safe request until its hedge (5.0 s) and an unsafe one until its deadline (504), though the request had not run and may be sent elsewhere.

Cause: a plain flow read the body before it looked at the head's statement. The head says all that counts, as it did for streams already.

Evidence: features/gateway/endless.feature, "A rejection counts as one whatever its body is": both examples failed before by these figures. The scenario for streams passed before.

--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -167,7 +167,7 @@
                 req, upstream, model="", last_event_id=b""
             ) as attempt:
                 reply = await attempt.read_head(req.caller.attempt_id)
-                body = await self._read_body(attempt, held)
+                body = b"" if reply.is_not_run else await self._read_body(attempt, held)
         except trio.Cancelled:
             if reply is not None and self._is_late(req, started_at):
                 # Its answer has begun and doesn't end.
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -57,10 +57,14 @@
     ENDLESS_COMMENTS = "endless_comments"
     ENDLESS_FAST_COMMENTS = "endless_fast_comments"
     ENDLESS_EVENT = "endless_event"
+    #: Answers 503, states that the request was not executed, and sends a body without end.
+    ENDLESS_REJECTION = "endless_rejection"
 
     @property
     def endless_reply(self) -> EndlessReply | None:
         """The endless reply of a fault; None for any other fault."""
+        if self is UpstreamFault.ENDLESS_REJECTION:
+            return EndlessReply.SLOW_BODY
         prefix, _, name = self.name.partition("ENDLESS_")
         return None if prefix else EndlessReply[name]
 
@@ -183,6 +187,10 @@
             if fault is UpstreamFault.OVERLOADED:
                 headers["Retry-After"] = self.retry_after
             return await self._send(stream, 503, headers, b"")
+        if fault is UpstreamFault.ENDLESS_REJECTION:
+            self.record_rejection(call, fault)
+            head = self._make_head(503, {"X-Not-Executed": "1"}).removesuffix(b"\r\n")
+            await send_endlessly(stream, fault.endless_reply, head)
         self.record_run(call, fault)
         headers = {
             "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -150,3 +150,23 @@
       | n  | method | path     | limit |
       | 30 | GET    | /safe/1  | 6     |
       | 30 | POST   | /short/1 | 6     |
+
+  Scenario Outline: A rejection counts as one whatever its body is
+    Given a gateway with two upstreams
+    And the first attempt meets endless_rejection
+    When a caller sends <method> <path> and times the answer
+    Then it gets a whole answer within 1.5 s
+    And the upstreams ran 1 request(s) in total
+    And the endless reply's connection is closed
+
+    Examples:
+      | method | path      |
+      | GET    | /safe/1   |
+      | POST   | /unsafe/1 |
+
+  Scenario: A stream that may run only once goes on elsewhere after a rejection, whatever its body is
+    Given a gateway with two upstreams
+    And the first attempt meets endless_rejection
+    When a caller opens a stream at /once/1 and times the answer
+    Then it gets a whole answer within 1.5 s
+    And the upstreams ran 1 request(s) in total
