Client of the store: bound the size of an answer and its slowest progress

What would have been seen: a store whose answer has no end took memory at the rate of the link for 30 s, the limit on the whole transfer, and all that time the gateway followed no changes. The same for a body of a byte each 50 ms, which extended the time limit with each byte.

Nothing limited the size, and any byte counted as progress.

Now an answer has at most 8 MiB (a declared length is checked before the body is read; for changes the whole table is then read in pages, as for a long backlog), each further 4 KiB of it have to arrive within 3 s beside the limit of 1.5 s on pauses, and one in a thousand parts of under 64 bytes in the mean is corrupt. There is still no limit on the whole but 30 s: a link of 5 Mbit/s needs 7 ms for 4 KiB.

--- a/crocusvalve/platform/_store.py
+++ b/crocusvalve/platform/_store.py
@@ -31,6 +31,16 @@
 STALL_TIMEOUT_S = 1.5
 #: Longest time for the body of an answer, so that a store that only trickles is given up as well.
 MAX_TRANSFER_S = 30.0
+#: Time within which each further ``MIN_PROGRESS_BYTES`` of an answer have to arrive, so that one
+#: that only trickles is given up before the gateway is out of date. The slowest links take 7 ms.
+PROGRESS_TIMEOUT_S = 3.0
+MIN_PROGRESS_BYTES = 4096
+#: Longest answer; pages of a table have about 1.4 MB, and the changes since a version are replaced
+#: by the whole table if they are longer.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+#: An answer in more parts than this whose mean size is smaller than the second number is corrupt.
+MAX_SMALL_PARTS = 1000
+SMALL_PART_BYTES = 64
 #: Answers whose body takes longer than this to arrive are logged.
 SLOW_TRANSFER_S = 0.5
 #: Maximum number of rows per page when a table is read.
@@ -67,28 +77,53 @@
 
 
 class _Transfer:
-    """Size of an answer's body, and how long it took to arrive."""
+    """Receives an answer's body; its size, and how long it took to arrive."""
 
-    def __init__(self) -> None:
+    def __init__(self, step: str, peer: str) -> None:
+        self.step = step
+        self.peer = peer
         self.n_bytes = 0
         self.elapsed_s = 0.0
         self._started_at: float | None = None
+        self._progress_at = 0.0
+        self._n_bytes_at_progress = 0
 
-    async def receive(self, response: httpx.Response, scope: trio.CancelScope) -> bytes:
-        """Return the body of a response; the scope's deadline is extended by each part."""
-        self._started_at = trio.current_time()
-        parts = []
+    async def receive(self, response: httpx.Response, scope: trio.CancelScope) -> bytearray:
+        """Return the body of a response; the scope's deadline is extended while it progresses.
+
+        Raises
+        ------
+        PlatformError
+            If the body can't be that of an answer.
+        """
+        self._started_at = self._progress_at = trio.current_time()
+        body = bytearray()
+        n_parts = 0
         self._extend(scope)
         async for part in response.aiter_bytes():
-            parts.append(part)
-            self.n_bytes += len(part)
+            body += part
+            n_parts += 1
+            self.n_bytes = len(body)
             self.elapsed_s = trio.current_time() - self._started_at
+            if self.n_bytes > MAX_ANSWER_BYTES:
+                raise self._make_error(f"the answer is longer than {MAX_ANSWER_BYTES} bytes")
+            if n_parts > MAX_SMALL_PARTS and self.n_bytes < SMALL_PART_BYTES * n_parts:
+                raise self._make_error(f"{n_parts} parts of {self.n_bytes} bytes in all")
             self._extend(scope)
-        return b"".join(parts)
+        return body
 
     def _extend(self, scope: trio.CancelScope) -> None:
-        ends_at = self._started_at + MAX_TRANSFER_S
-        scope.deadline = min(ends_at, trio.current_time() + STALL_TIMEOUT_S)
+        now = trio.current_time()
+        if self.n_bytes - self._n_bytes_at_progress >= MIN_PROGRESS_BYTES:
+            self._progress_at, self._n_bytes_at_progress = now, self.n_bytes
+        scope.deadline = min(
+            self._started_at + MAX_TRANSFER_S,
+            self._progress_at + PROGRESS_TIMEOUT_S,
+            now + STALL_TIMEOUT_S,
+        )
+
+    def _make_error(self, message: str) -> PlatformError:
+        return PlatformError(message, step=self.step, peer=self.peer, maybe_applied=True)
 
     def __str__(self) -> str:
         if self._started_at is None:
@@ -220,8 +255,8 @@
         PlatformError
             If the call failed, or its answer is from an era before the latest one.
         """
-        transfer = _Transfer()
-        content = b""
+        transfer = _Transfer(step, self.peer)
+        content = bytearray()
         timeout = httpx.Timeout(max(limit_s, STALL_TIMEOUT_S))
         with trio.CancelScope(deadline=trio.current_time() + limit_s) as scope:
             try:
@@ -243,10 +278,13 @@
     def _check_length(self, step: str, response: httpx.Response, max_bytes: int | None) -> None:
         """Raise ``BacklogTooLongError`` if an answer announces a longer body than wanted."""
         text = response.headers.get("content-length", "")
-        if max_bytes is None or not text.isdigit() or int(text) <= max_bytes:
+        limit = min(max_bytes or MAX_ANSWER_BYTES, MAX_ANSWER_BYTES)
+        if not text.isdigit() or int(text) <= limit:
             return
-        message = f"the changes have {text} bytes, more than {max_bytes}"
-        raise BacklogTooLongError(message, step=step, peer=self.peer)
+        message = f"the answer has {text} bytes, more than {limit}"
+        if step == "wait_for_changes":
+            raise BacklogTooLongError(message, step=step, peer=self.peer)
+        raise PlatformError(message, step=step, peer=self.peer, maybe_applied=True)
 
     def _update_era(self, step: str, response: httpx.Response) -> int:
         """Return the era of an answer; without a valid one, the latest known era."""
@@ -267,7 +305,7 @@
         return era
 
     def _decode(
-        self, step: str, reply_type: type[Reply], status: int, content: bytes
+        self, step: str, reply_type: type[Reply], status: int, content: bytearray
     ) -> Reply | None:
         if status == 412:
             return None
--- a/crocusvalve/standin/_store.py
+++ b/crocusvalve/standin/_store.py
@@ -11,6 +11,7 @@
 import trio
 from msgspec import Struct
 
+from crocusvalve.standin._endless import EndlessReply, send_endlessly
 from crocusvalve.standin._http_server import ReceivedRequest, StandinServer
 
 __all__ = ["StandinStore", "StoreBackup", "StoreFault"]
@@ -66,6 +67,8 @@
         Version of the backup that the present era began with.
     era_text : str or None
         Value of the header that reports the era, if it is to differ from the era; empty for none.
+    endless_reply : EndlessReply or None
+        Reply without end that answers each call; None for sound answers.
     bytes_per_s : float
         Rate at which each answer is sent, as over a slow link.
     """
@@ -79,6 +82,7 @@
         self.era = 1
         self.first_version_of_era = 0
         self.era_text: str | None = None
+        self.endless_reply: EndlessReply | None = None
         self.bytes_per_s = float("inf")
         self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
         #: Changes of the present era in the order of their versions; the feed returns all of them.
@@ -137,6 +141,8 @@
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a read, a feed request or a transaction, subject to the fault."""
         self.n_calls += 1
+        if self.endless_reply is not None:
+            await send_endlessly(stream, self.endless_reply, b"HTTP/1.1 200 X\r\n")
         if self.fault is StoreFault.SILENT:
             await trio.sleep_forever()
         if self.fault is StoreFault.BUSY:
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -170,3 +170,22 @@
     When a caller opens a stream at /once/1 and times the answer
     Then it gets a whole answer within 1.5 s
     And the upstreams ran 1 request(s) in total
+
+  Scenario Outline: A call to the store whose answer never ends fails in time and within bounded memory
+    Given a store whose answers are the endless reply <reply>
+    When a table is read, and then changes are waited for
+    Then each call fails as one to the platform within 5 s
+    And the process has held at most 24 MB more than before
+    And no other task has been kept waiting for more than 0.5 s
+
+    Examples:
+      | reply           |
+      | HEAD            |
+      | GARBAGE         |
+      | INTERIM         |
+      | SLOW_INTERIM    |
+      | CHUNK_EXTENSION |
+      | BODY            |
+      | TINY_CHUNKS     |
+      | SLOW_BODY       |
+      | LONG_BODY       |
