--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from crocusvalve.standin._endless import EndlessReply, send_endlessly
 from crocusvalve.standin._http_server import ReceivedRequest, StandinServer
 
 __all__ = ["N_EVENTS", "StandinUpstream", "UpstreamFault", "make_event"]
@@ -43,6 +44,29 @@
     SILENT = "silent"
     #: Falls silent for ``silence_s`` before the head of an answer, and then goes on.
     SILENT_FIRST = "silent_first"
+    #: Replies that never end; what they consist of is described at ``EndlessReply``.
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_GARBAGE = "endless_garbage"
+    ENDLESS_INTERIM = "endless_interim"
+    ENDLESS_SLOW_INTERIM = "endless_slow_interim"
+    ENDLESS_CHUNK_EXTENSION = "endless_chunk_extension"
+    ENDLESS_BODY = "endless_body"
+    ENDLESS_TINY_CHUNKS = "endless_tiny_chunks"
+    ENDLESS_SLOW_BODY = "endless_slow_body"
+    ENDLESS_LONG_BODY = "endless_long_body"
+    ENDLESS_COMMENTS = "endless_comments"
+    ENDLESS_FAST_COMMENTS = "endless_fast_comments"
+    ENDLESS_EVENT = "endless_event"
+    #: Answers 503, states that the request was not executed, and sends a body without end.
+    ENDLESS_REJECTION = "endless_rejection"
+
+    @property
+    def endless_reply(self) -> EndlessReply | None:
+        """The endless reply of a fault; None for any other fault."""
+        if self is UpstreamFault.ENDLESS_REJECTION:
+            return EndlessReply.SLOW_BODY
+        prefix, _, name = self.name.partition("ENDLESS_")
+        return None if prefix else EndlessReply[name]
 
 
 class StandinUpstream(StandinServer):
@@ -66,6 +90,8 @@
         Pause before each event, in seconds.
     silence_s : float
         Length of the silence of the faults ``SILENT`` and ``SILENT_FIRST``, in seconds.
+    n_padding_bytes : int
+        Number of bytes that are appended to the body of a plain answer.
     n_abandoned : int
         Requests with the fault ``HANG`` whose caller disconnected.
     is_leaving : bool
@@ -97,6 +123,7 @@
         self.retry_after = "1"
         self.pause_s = 0.0
         self.silence_s = 1.2
+        self.n_padding_bytes = 0
         self.crash_part = ""
         self.restart_s = 0.3
         self.n_starts = 0
@@ -160,6 +187,10 @@
             if fault is UpstreamFault.OVERLOADED:
                 headers["Retry-After"] = self.retry_after
             return await self._send(stream, 503, headers, b"")
+        if fault is UpstreamFault.ENDLESS_REJECTION:
+            self.record_rejection(call, fault)
+            head = self._make_head(503, {"X-Not-Executed": "1"}).removesuffix(b"\r\n")
+            await send_endlessly(stream, fault.endless_reply, head)
         self.record_run(call, fault)
         headers = {
             "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
@@ -173,6 +204,9 @@
             return False
         if fault is UpstreamFault.HANG:
             return await self._hang(stream)
+        if fault.endless_reply is not None:
+            head = self._make_head(200, headers).removesuffix(b"\r\n")
+            await send_endlessly(stream, fault.endless_reply, head)
         if fault is UpstreamFault.CROSSED:
             headers["X-Attempt-Id"] = "another"
         if fault is UpstreamFault.ENCODED:
@@ -187,6 +221,7 @@
             await stream.send_all(head + b"short")
             return False
         body = f"{call.method} {call.target} {len(call.body)} by {self.upstream_id}".encode()
+        body += b"x" * self.n_padding_bytes
         return await self._send(stream, 200, headers, body)
 
     async def _hang(self, stream: trio.SocketStream) -> bool:
