--- a/crocusvalve/soak/processes/_callers.py
+++ b/crocusvalve/soak/processes/_callers.py
@@ -26,6 +26,16 @@
 MAX_WAIT_BEFORE_LEAVING_S = 0.3
 #: Probability that a stream's prompt has the part that crashes upstreams, while there is one.
 CRASH_PART_PROBABILITY = 0.2
+#: Probability that a caller waits longer between two requests, and that it then waits for as long
+#: as the gateway does, so that its request crosses the close of the connection.
+WAIT_PROBABILITY = 0.04
+CROSS_PROBABILITY = 0.3
+#: Longest wait between two requests, as a fraction of the gateways' limit, and the range around the
+#: limit for a request that crosses the close.
+IDLE_FRACTION = 0.8
+CROSS_RANGE_S = (-0.02, 0.02)
+#: Probability that a caller keeps its connection until the gateway closes it.
+KEEP_PROBABILITY = 0.5
 #: A caller continues to read for this long after its deadline, to detect late answers.
 EXTRA_READ_S = 1.0
 
@@ -70,8 +80,11 @@
                 await caller.close()
 
     async def _send_requests(self, caller: StandinCaller, gateway: str) -> None:
-        """Send up to a random number of requests on a connection, until it ends."""
-        for _ in range(self.random_state.randint(1, MAX_REQUESTS_PER_CONNECTION)):
+        """Send requests on a connection until it ends, or up to a random number of them."""
+        n_requests = self.random_state.randint(1, MAX_REQUESTS_PER_CONNECTION)
+        is_kept = self.random_state.random() < KEEP_PROBABILITY
+        while is_kept or n_requests > 0:
+            n_requests -= 1
             attempt = self._make_attempt(gateway)
             self.checker.record_request(attempt)
             is_open = False
@@ -82,6 +95,7 @@
                     )
                 try:
                     await caller.send(attempt.req)
+                    attempt.whole_at = self.checker.clock()
                     is_open = await caller.read(attempt.answer)
                 except trio.BrokenResourceError:
                     # The connection was closed before the complete request was sent.
@@ -92,7 +106,19 @@
             self.checker.record_end(attempt)
             if not is_open or scope.cancelled_caught:
                 return
-            await trio.sleep(self.random_state.uniform(0.0, 2 * MEAN_PAUSE_S))
+            await trio.sleep(self._sample_pause_s())
+
+    def _sample_pause_s(self) -> float:
+        """Return the time until the next request on the connection.
+
+        A long wait goes by the limit in force at its beginning, which may change meanwhile.
+        """
+        rng, limit_s = self.random_state, self.cluster.idle_timeout_s
+        if rng.random() >= WAIT_PROBABILITY:
+            return rng.uniform(0.0, 2 * MEAN_PAUSE_S)
+        if rng.random() < CROSS_PROBABILITY:
+            return limit_s + rng.uniform(*CROSS_RANGE_S)
+        return rng.uniform(0.0, IDLE_FRACTION * limit_s)
 
     def _choose_prompt_parts(self, attempt_id: str) -> tuple[str, ...]:
         """Return the parts of a prompt: a shared one, one of a few documents, and its own."""
--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -5,7 +5,9 @@
 from msgspec import Struct
 
 from crocusvalve.soak.processes._disruption_table import DisruptionTable
+from crocusvalve.soak.processes._loss import LossJudge
 from crocusvalve.soak.processes.base import (
+    SOUND_FAULTS,
     Attempt,
     CallKind,
     Guarantee,
@@ -97,12 +99,15 @@
         Histories of services, by the first segment of a path.
     injected_faults : dict
         Faults that upstreams injected into attempts, by attempt id.
+    loss_judge : LossJudge
+        Decides whether a missing answer was due.
     """
 
     def __init__(self, bounds: SoakBounds, clock: Callable[[], float]):
         self.bounds = bounds
         self.clock = clock
         self.disruption_table = DisruptionTable(bounds.contact_s)
+        self.loss_judge = LossJudge(bounds, self.disruption_table, STORE)
         self.violations: list[Violation] = []
         self.attempts: dict[str, Attempt] = {}
         self.drained_upstreams: dict[str, Acknowledgement] = {}
@@ -139,12 +144,12 @@
         if attempt is None:
             self.report(Guarantee.UNASKED, f"{upstream} runs a request that nobody sent: {call}")
             return
-        if fault is not UpstreamFault.NONE:
+        if fault not in SOUND_FAULTS:
             self.injected_faults.setdefault(attempt.req.attempt_id, set()).add(fault)
         self._check_unchanged(attempt, call)
         self._check_crash_parts(attempt)
         self._check_repeat(attempt, upstream)
-        attempt.runs.append(UpstreamRun(upstream, now))
+        attempt.runs.append(UpstreamRun(upstream, now, fault in SOUND_FAULTS))
         self._check_route(attempt, service)
         self._check_regress(attempt, service, now)
         self._check_closures(attempt, upstream, now)
@@ -352,23 +357,21 @@
             self._check_failure(attempt)
 
     def _check_unanswered(self, attempt: Attempt, now: float) -> None:
-        """Report a missing or incomplete answer.
+        """Report a missing or incomplete answer, unless the caller left before its deadline.
 
-        No answer is guaranteed if a component was disrupted since the request was sent, if the
-        caller left early, or if the upstream injected a fault.
+        A request without an end half a second after its deadline is excused by a disrupted
+        component or an injected fault; ``LossJudge`` decides about one that has ended earlier.
         """
-        components = (attempt.gateway, STORE, *(run.upstream for run in attempt.runs))
-        is_late = now >= attempt.sent_at + attempt.req.deadline_s + self.bounds.answer_slack_s
-        has_left = attempt.left_at is not None and not is_late
-        if has_left or not self.disruption_table.is_quiet(components, attempt.sent_at):
+        description = f"{attempt.req.attempt_id} has no whole answer: {attempt}"
+        if now < attempt.sent_at + attempt.req.deadline_s + self.bounds.answer_slack_s:
+            if attempt.left_at is None and self.loss_judge.is_answer_due(attempt, now):
+                self.report(Guarantee.LOST, description)
             return
+        components = (attempt.gateway, STORE, *(run.upstream for run in attempt.runs))
         if attempt.req.attempt_id in self.injected_faults:
             return
-        # The gateway may close a connection just as a request is sent on it, which then isn't run.
-        if not is_late and not attempt.runs:
-            return
-        guarantee = Guarantee.CONFIG if is_late else Guarantee.LOST
-        self.report(guarantee, f"{attempt.req.attempt_id} has no whole answer: {attempt.answer}")
+        if self.disruption_table.is_quiet(components, attempt.sent_at):
+            self.report(Guarantee.CONFIG, description)
 
     def _check_success(self, attempt: Attempt) -> None:
         """Check that a successful answer is complete and belongs to the request."""
@@ -401,6 +404,11 @@
                 self.report(Guarantee.REFUSED, f"{name} got {answer.status} and has run")
         elif answer.status < 500:
             self.report(Guarantee.DENIED, f"{name} got {answer.status} at {attempt.req.path}")
+        if answer.is_not_executed or not attempt.runs:
+            return
+        if self.loss_judge.is_answer_due(attempt, self.clock()):
+            description = f"{name} got {answer.status} though a sound upstream ran it: {attempt}"
+            self.report(Guarantee.LOST, description)
 
     def check_version(self, service: str, version: str, is_good: bool, state: str) -> None:
         """Check the status of an upgrade, as the system has written it to the store."""
--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -21,7 +21,7 @@
     make_route,
 )
 
-__all__ = ["CUSTOMERS", "SoakCluster"]
+__all__ = ["CUSTOMERS", "DEFAULT_IDLE_TIMEOUT_S", "DEFAULT_TIMEOUT_S", "SoakCluster"]
 
 DOMAINS = ("domain-1", "domain-2", "domain-3")
 #: Customers by API key.
@@ -39,6 +39,9 @@
 #: Delay of the soak's own tasks above which bounds on time can't be checked.
 MAX_WAKEUP_DELAY_S = 0.3
 POLL_INTERVAL_S = 0.05
+#: Timeout of all routes, and time after which gateways close an idle connection, at first.
+DEFAULT_TIMEOUT_S = 10.0
+DEFAULT_IDLE_TIMEOUT_S = 3.0
 
 
 class SoakCluster:
@@ -71,6 +74,8 @@
         Routes that make the configuration longer and get no requests.
     crash_part : str
         Part of prompts that crashes upstreams at present; empty for none.
+    timeout_s, idle_timeout_s : float
+        Timeout of all routes and limit for idle connections, as in the latest configuration.
     is_stopping : bool
         Whether gateways are no longer started again.
     """
@@ -95,6 +100,8 @@
         self.upgrade_order: tuple[str, str, float] | None = None
         self.n_extra_routes = 0
         self.crash_part = ""
+        self.timeout_s = DEFAULT_TIMEOUT_S
+        self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.nursery: trio.Nursery | None = None
         self.upstreams: dict[str, SoakUpstream] = {}
         self.gateways = [self._make_gateway(number) for number in range(n_gateways)]
@@ -141,7 +148,11 @@
         while not self.is_stopping:
             await gateway.start()
             code = await gateway.process.wait()
-            self.checker.disruption_table.record(gateway.name, self.checker.clock())
+            table, now = self.checker.disruption_table, self.checker.clock()
+            if code == 0 and gateway.is_stop_requested:
+                table.record_restart(gateway.name, now)
+            else:
+                table.record(gateway.name, now)
             if not gateway.is_stop_requested:
                 description = f"{gateway.name} ended by itself with {code}"
                 self.checker.report(Guarantee.PROCESS, description)
@@ -173,6 +184,7 @@
         while True:
             due = trio.current_time() + POLL_INTERVAL_S
             await trio.sleep_until(due)
+            self.checker.loss_judge.record_delay(due, trio.current_time())
             if trio.current_time() - due > MAX_WAKEUP_DELAY_S:
                 for component in (
                     STORE,
@@ -258,7 +270,13 @@
             "once": {"kind": "streaming", "goalMs": 2000},
         }
         routes = [
-            make_route(name, f"/{name}/", **kind, service=self.routes[name])
+            make_route(
+                name,
+                f"/{name}/",
+                **kind,
+                service=self.routes[name],
+                timeoutMs=int(1000 * self.timeout_s),
+            )
             for name, kind in kinds.items()
         ]
         routes += [
@@ -268,14 +286,24 @@
         services = [{"name": "ops"}, {"name": "spare"}]
         services.append({"name": "llm", "engine": {"kvCapacity": 100000, "models": MODELS}})
         customers = [{"name": name, "apiKeys": [key]} for key, name in CUSTOMERS.items()]
-        config = make_config(self.config_version, routes, services, tenants=customers)
+        limits = {"idleTimeoutMs": int(1000 * self.idle_timeout_s)}
+        config = make_config(
+            self.config_version, routes, services, tenants=customers, limits=limits
+        )
         self.operator.put_config(config)
         now = self.checker.clock()
+        self.checker.loss_judge.record_timeout(self.timeout_s, now)
         for name, service in self.routes.items():
             history = self.checker.routes.setdefault(name, ServiceHistory([]))
             if not history.changes or history.changes[-1][1] != service:
                 history.changes.append((now, service))
 
+    def set_limits(self, timeout_s: float, idle_timeout_s: float) -> None:
+        """Write a configuration with another timeout of routes and limit for idle connections."""
+        self.timeout_s = timeout_s
+        self.idle_timeout_s = idle_timeout_s
+        self.put_config()
+
     def evacuate(self, domain: str, is_out: bool) -> None:
         """Evacuate a failure domain, or end its evacuation."""
         if is_out:
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -13,6 +13,7 @@
 from crocusvalve.platform import SETTINGS_VARIABLE
 from crocusvalve.soak.processes._checker import GuaranteeChecker
 from crocusvalve.soak.processes._proxy import LinkFault, LinkProxy
+from crocusvalve.soak.processes._silent_stream import SilentStream
 from crocusvalve.standin import ReceivedRequest, StandinUpstream, UpstreamFault, make_settings
 
 __all__ = ["GatewayPorts", "GatewayProcess", "SoakUpstream", "UpstreamFaultProfile"]
@@ -161,6 +162,8 @@
         Whether the store has an entry of it.
     proxy : LinkProxy or None
         Link from the gateways, whose address it registers.
+    silent_until : float
+        Time of trio's clock until which it sends nothing on any connection.
     """
 
     def __init__(
@@ -185,6 +188,7 @@
         self.started_ms = 1
         self.pause_s = random_state.uniform(0.0, MAX_EVENT_PAUSE_S)
         self.proxy: LinkProxy | None = None
+        self.silent_until = float("-inf")
         checker.upstream_domains[name] = domain
 
     def crash(self) -> None:
@@ -207,10 +211,17 @@
         """Report a request that it begins to run to the checker."""
         self.checker.record_run(self.upstream_id, self.service, call, fault)
 
+    def fall_silent(self, duration_s: float) -> None:
+        """Send nothing for a time; a silence is not prolonged while it lasts."""
+        now = trio.current_time()
+        if now >= self.silent_until:
+            self.silent_until = now + duration_s
+
     @property
     def is_link_sound(self) -> bool:
-        """Whether the link from the gateways delivers answers."""
-        return self.proxy is None or self.proxy.fault is LinkFault.NONE
+        """Whether answers are sent now, and the link from the gateways delivers them."""
+        is_silent = trio.current_time() < self.silent_until
+        return not is_silent and (self.proxy is None or self.proxy.fault is LinkFault.NONE)
 
     def record_rejection(self, call: ReceivedRequest, fault: UpstreamFault) -> None:
         """Report a request that it rejects to the checker; choose the time that it sets."""
@@ -223,8 +234,9 @@
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request, and report to the checker if the answer announces the end."""
         is_announced = self.is_leaving
-        is_sent = await super().answer(call, stream)
-        if is_announced and is_sent and self.is_link_sound:
+        is_sent = await super().answer(call, SilentStream(stream, lambda: self.silent_until))
+        # An upstream that is no longer leaving has started again within the answer.
+        if is_announced and self.is_leaving and is_sent and self.is_link_sound:
             self.checker.record_leaving(self.upstream_id, call)
         return is_sent
 
--- a/crocusvalve/soak/processes/base.py
+++ b/crocusvalve/soak/processes/base.py
@@ -4,9 +4,20 @@
 
 from msgspec import Struct, field
 
-from crocusvalve.standin import CallerAnswer, CallerRequest
+from crocusvalve.standin import CallerAnswer, CallerRequest, UpstreamFault
 
-__all__ = ["Attempt", "CallKind", "Guarantee", "SoakBounds", "UpstreamRun", "Violation"]
+__all__ = [
+    "SOUND_FAULTS",
+    "Attempt",
+    "CallKind",
+    "Guarantee",
+    "SoakBounds",
+    "UpstreamRun",
+    "Violation",
+]
+
+#: Values of ``UpstreamFault`` with which an answer is complete and good.
+SOUND_FAULTS = (UpstreamFault.NONE, UpstreamFault.SILENT, UpstreamFault.SILENT_FIRST)
 
 
 class SoakBounds(Struct, frozen=True, kw_only=True):
@@ -38,6 +49,10 @@
     revert_s: float = 0.25
     #: A request may reach an upstream up to this long after its caller left.
     leave_slack_s: float = 0.5
+    #: A request whose connection ends later than this after its last byte counts as read.
+    loss_slack_s: float = 0.2
+    #: A gateway may give up this long before a request's time is over, to tell its caller in time.
+    return_margin_s: float = 0.1
 
 
 class CallKind(Enum):
@@ -91,7 +106,8 @@
     EVACUATION = "evacuation"
     #: A request whose caller left reaches no upstream after a bound.
     GONE = "gone"
-    #: A request that ran is answered if no component was disrupted.
+    #: A request that a gateway has read is answered in its time, with the complete answer of a
+    #: sound upstream that ran it.
     LOST = "lost"
     #: A stream has each event exactly once and in order.
     ORDER = "order"
@@ -112,16 +128,21 @@
 
 
 class UpstreamRun(Struct, frozen=True):
-    """The start of a request at an upstream, with its time on the soak's clock."""
+    """The start of a request at an upstream, with its time on the soak's clock.
+
+    ``is_sound`` is whether the upstream injects no fault into the answer, except a silence.
+    """
 
     upstream: str
     started_at: float
+    is_sound: bool = True
 
 
 class Attempt(Struct, kw_only=True):
     """A caller's request with its outcome; times are those of the soak's clock, in seconds.
 
-    ``left_at`` is when the caller closed its connection before the answer had ended.
+    ``whole_at`` is when the last byte was sent, ``left_at`` is when the caller closed its
+    connection before the answer had ended.
     """
 
     req: CallerRequest
@@ -129,6 +150,7 @@
     customer: str
     gateway: str
     sent_at: float
+    whole_at: float | None = None
     left_at: float | None = None
     ended_at: float | None = None
     answer: CallerAnswer = field(default_factory=CallerAnswer)
