--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -395,18 +395,15 @@
     def _check_failure(self, attempt: Attempt) -> None:
         """Check that an error status is a valid refusal, a server error or an injected fault."""
         answer, name = attempt.answer, attempt.req.attempt_id
-        if answer.is_signed:
-            faults = self.injected_faults.get(name, set())
-            if UpstreamFault.FAILURE not in faults or answer.status != 500:
-                self.report(Guarantee.MIXED, f"{name} got {answer.status} with a signature")
+        is_injected = UpstreamFault.FAILURE in self.injected_faults.get(name, set())
+        if answer.is_signed and not (is_injected and answer.status == 500):
+            self.report(Guarantee.MIXED, f"{name} got {answer.status} with a signature")
         elif answer.is_not_executed:
             if attempt.runs:
                 self.report(Guarantee.REFUSED, f"{name} got {answer.status} and has run")
         elif answer.status < 500:
             self.report(Guarantee.DENIED, f"{name} got {answer.status} at {attempt.req.path}")
-        if answer.is_not_executed or not attempt.runs:
-            return
-        if self.loss_judge.is_answer_due(attempt, self.clock()):
+        elif attempt.runs and self.loss_judge.is_answer_due(attempt, self.clock()):
             description = f"{name} got {answer.status} though a sound upstream ran it: {attempt}"
             self.report(Guarantee.LOST, description)
 
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -45,6 +45,12 @@
       | once   | 4 runs with a part known to crash upstreams                 | budget     |
       | unsafe | no answer after a run                                       | lost       |
       | unsafe | no answer by the deadline                                   | config     |
+      | stream | a cut stream of a sound upstream beside one that fails      | lost       |
+      | stream | a failure in place of a sound upstream's answer             | lost       |
+      | unsafe | no answer after a run at a gateway that stopped as planned  | lost       |
+      | unsafe | no answer after a run while the store was disrupted         | lost       |
+      | unsafe | an unanswered request that the gateway must have read       | lost       |
+      | unsafe | no answer after a run at the end of a timeout that was raised before | lost |
 
   Scenario Outline: Behaviour within the bounds is not reported: <observation>
     Given a guarantee checker with a sent request of kind <kind>
@@ -59,6 +65,13 @@
       | stream | a complete stream                                           |
       | unsafe | no answer while the upstream was disrupted                  |
       | unsafe | no answer without a run                                     |
+      | stream | no answer after a run at a faulty upstream                  |
+      | unsafe | no answer after a run at a gateway that was killed          |
+      | stream | no answer after a run while the store was disrupted         |
+      | unsafe | an unanswered request that the caller read late             |
+      | unsafe | no answer after a run at the end of the deadline            |
+      | unsafe | no answer after a run at the end of the route's timeout     |
+      | unsafe | no answer after a run at the end of a timeout that was raised just now |
       | safe   | a run on an upstream drained just now                       |
       | safe   | a run on an upstream drained 6 s ago, during a store outage |
       | safe   | a run on a drained upstream by a paused gateway             |
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -56,7 +56,16 @@
         self.checker.record_request(attempt)
         return attempt
 
-    def run(self, attempt=None, *, upstream=UPSTREAM, service=SERVICE, body=None, **headers):
+    def run(
+        self,
+        attempt=None,
+        *,
+        upstream=UPSTREAM,
+        service=SERVICE,
+        body=None,
+        fault=UpstreamFault.NONE,
+        **headers,
+    ):
         """Record a run of a request at an upstream; ``headers`` replace those that it receives."""
         attempt = attempt or self.attempt
         req = attempt.req
@@ -66,7 +75,7 @@
             "x-deadline-ms": "3000",
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         call = ReceivedRequest(req.method, req.path, fields, req.body if body is None else body)
-        self.checker.record_run(upstream, service, call, UpstreamFault.NONE)
+        self.checker.record_run(upstream, service, call, fault)
 
     def make_call(self, attempt=None):
         """Return a request as an upstream receives it."""
@@ -137,6 +146,47 @@
     harness.checker.record_end(harness.attempt)
 
 
+def observe_cut_beside_failing_upstream(harness):
+    """Cut a stream whose first upstream is sound, after another upstream has broken off."""
+    harness.run(fault=UpstreamFault.SILENT)
+    harness.run(upstream="ops-002", fault=UpstreamFault.BREAK)
+    harness.attempt.answer.status = 200
+    harness.now += 1.5
+    harness.checker.record_end(harness.attempt)
+
+
+def observe_failure_beside_sound_upstream(harness):
+    harness.run()
+    harness.run(upstream="ops-002", fault=UpstreamFault.FAILURE)
+    harness.answer(500, b"failed")
+
+
+def observe_no_answer_at_fault(harness):
+    harness.run(fault=UpstreamFault.BREAK)
+    harness.checker.record_end(harness.attempt)
+
+
+def observe_no_answer_after(harness, disrupt):
+    """End a request that ran without an answer, after something else has happened."""
+    harness.run()
+    disrupt(harness.checker.disruption_table)
+    harness.checker.record_end(harness.attempt)
+
+
+def observe_no_answer_at_end_of(harness, timeouts, *, after_s):
+    """End a request that ran without an answer, some time after the configured timeouts."""
+    for timeout_s, ago_s in timeouts:
+        harness.checker.loss_judge.record_timeout(timeout_s, harness.now - ago_s)
+    observe_no_answer(harness, after_s=after_s)
+
+
+def observe_unread_answer(harness, *, delay_s=0.0):
+    """End a request without an answer 0.3 s after its last byte; the soak may have been delayed."""
+    harness.attempt.whole_at = harness.now
+    harness.checker.loss_judge.record_delay(harness.now + 0.1, harness.now + 0.1 + delay_s)
+    observe_no_answer(harness, after_s=0.3, has_run=False)
+
+
 def observe_no_answer_while_disrupted(harness):
     """End a request without an answer after its upstream was disrupted."""
     harness.run()
@@ -330,6 +380,34 @@
     ),
     "no answer without a run": lambda harness: observe_no_answer(harness, has_run=False),
     "no answer while the upstream was disrupted": observe_no_answer_while_disrupted,
+    "a cut stream of a sound upstream beside one that fails": observe_cut_beside_failing_upstream,
+    "a failure in place of a sound upstream's answer": observe_failure_beside_sound_upstream,
+    "no answer after a run at a faulty upstream": observe_no_answer_at_fault,
+    "no answer after a run at a gateway that stopped as planned": lambda harness: (
+        observe_no_answer_after(harness, lambda table: table.record_restart(GATEWAY, harness.now))
+    ),
+    "no answer after a run at a gateway that was killed": lambda harness: (
+        observe_no_answer_after(harness, lambda table: table.record(GATEWAY, harness.now))
+    ),
+    "no answer after a run while the store was disrupted": lambda harness: (
+        observe_no_answer_after(harness, lambda table: table.record(STORE, harness.now))
+    ),
+    "an unanswered request that the gateway must have read": observe_unread_answer,
+    "an unanswered request that the caller read late": lambda harness: observe_unread_answer(
+        harness, delay_s=0.15
+    ),
+    "no answer after a run at the end of the deadline": lambda harness: observe_no_answer(
+        harness, after_s=3.95
+    ),
+    "no answer after a run at the end of the route's timeout": lambda harness: (
+        observe_no_answer_at_end_of(harness, [(10.0, 9.0), (2.0, 5.0)], after_s=1.95)
+    ),
+    "no answer after a run at the end of a timeout that was raised just now": lambda harness: (
+        observe_no_answer_at_end_of(harness, [(2.0, 9.0), (10.0, 1.0)], after_s=1.95)
+    ),
+    "no answer after a run at the end of a timeout that was raised before": lambda harness: (
+        observe_no_answer_at_end_of(harness, [(2.0, 9.0), (10.0, 2.5)], after_s=1.95)
+    ),
     "4 runs with a part known to crash upstreams": lambda harness: (
         observe_crashing_part(harness, 4, after_s=3.1)
     ),
