--- a/crocusvalve/soak/processes/_callers.py
+++ b/crocusvalve/soak/processes/_callers.py
@@ -16,7 +16,7 @@
 REQUEST_DEADLINES_S = {True: 6.0, False: 4.0}
 #: Mean pause between two requests of a caller.
 MEAN_PAUSE_S = 0.08
-#: Pause before a caller tries another gateway after it failed to connect.
+#: Pause before a caller connects again after it failed to connect or got no answer.
 RETRY_PAUSE_S = 0.05
 CONNECT_TIMEOUT_S = 1.0
 MAX_BODY_BYTES = 20_000
@@ -71,16 +71,20 @@
                 except OSError:
                     # The gateway doesn't listen; another one is tried after a pause.
                     pass
-            if caller is None:
+            is_answered = False
+            if caller is not None:
+                try:
+                    is_answered = await self._send_requests(caller, gateway.name)
+                finally:
+                    await caller.close()
+            if not is_answered:
                 await trio.sleep(RETRY_PAUSE_S)
-                continue
-            try:
-                await self._send_requests(caller, gateway.name)
-            finally:
-                await caller.close()
 
-    async def _send_requests(self, caller: StandinCaller, gateway: str) -> None:
-        """Send requests on a connection until it ends, or up to a random number of them."""
+    async def _send_requests(self, caller: StandinCaller, gateway: str) -> bool:
+        """Send requests on a connection until it ends, or up to a random number of them.
+
+        Returns whether the last one got an answer, so that a caller without one waits a little.
+        """
         n_requests = self.random_state.randint(1, MAX_REQUESTS_PER_CONNECTION)
         is_kept = self.random_state.random() < KEEP_PROBABILITY
         while is_kept or n_requests > 0:
@@ -105,8 +109,9 @@
                 attempt.left_at = self.checker.clock()
             self.checker.record_end(attempt)
             if not is_open or scope.cancelled_caught:
-                return
+                return attempt.answer.status > 0
             await trio.sleep(self._sample_pause_s())
+        return True
 
     def _sample_pause_s(self) -> float:
         """Return the time until the next request on the connection.
--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -147,8 +147,10 @@
         """Start a gateway, and again whenever its process ends, as the platform does."""
         while not self.is_stopping:
             await gateway.start()
+            self.checker.loss_judge.record_process_start(gateway.name, self.checker.clock())
             code = await gateway.process.wait()
             table, now = self.checker.disruption_table, self.checker.clock()
+            self.checker.loss_judge.record_process_end(gateway.name, now)
             if code == 0 and gateway.is_stop_requested:
                 table.record_restart(gateway.name, now)
             else:
--- a/crocusvalve/soak/processes/_loss.py
+++ b/crocusvalve/soak/processes/_loss.py
@@ -26,11 +26,21 @@
         self.store = store
         self._timeouts: list[tuple[float, float]] = []
         self._delays: list[tuple[float, float]] = []
+        self._started_at: dict[str, float] = {}
+        self._ended_at: dict[str, float] = {}
 
     def record_timeout(self, timeout_s: float, now: float) -> None:
         """Record that a configuration gives all routes a timeout."""
         self._timeouts.append((now, timeout_s))
 
+    def record_process_start(self, gateway: str, now: float) -> None:
+        """Record that a gateway's process was started."""
+        self._started_at[gateway] = now
+
+    def record_process_end(self, gateway: str, now: float) -> None:
+        """Record that a gateway's process has ended; it reads nothing until its next start."""
+        self._ended_at[gateway] = now
+
     def record_delay(self, begins_at: float, ends_at: float) -> None:
         """Record that the soak's own tasks didn't run, so that callers read later than they got."""
         self._delays.append((begins_at, ends_at))
@@ -58,9 +68,16 @@
         )
 
     def _compute_wait_s(self, attempt: Attempt, now: float) -> float:
-        """Return for how long a caller has waited since its last byte, without its own delays."""
+        """Return for how long a caller has waited since its last byte, without its own delays.
+
+        That is 0 if no process of the gateway ran when the last byte was sent.
+        """
         if attempt.whole_at is None:
             return 0.0
+        ended_at = self._ended_at.get(attempt.gateway, float("inf"))
+        started_at = self._started_at.get(attempt.gateway, float("-inf"))
+        if ended_at <= attempt.whole_at and not ended_at < started_at <= attempt.whole_at:
+            return 0.0
         delays = (min(now, end) - max(attempt.whole_at, begin) for begin, end in self._delays)
         return now - attempt.whole_at - sum(max(0.0, delay_s) for delay_s in delays)
 
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -69,6 +69,7 @@
       | unsafe | no answer after a run at a gateway that was killed          |
       | stream | no answer after a run while the store was disrupted         |
       | unsafe | an unanswered request that the caller read late             |
+      | unsafe | an unanswered request that was sent to an ended process     |
       | unsafe | no answer after a run at the end of the deadline            |
       | unsafe | no answer after a run at the end of the route's timeout     |
       | unsafe | no answer after a run at the end of a timeout that was raised just now |
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -187,6 +187,12 @@
     observe_no_answer(harness, after_s=0.3, has_run=False)
 
 
+def observe_unread_request_after_end(harness):
+    """End a request without an answer that was sent after its gateway's process had ended."""
+    harness.checker.loss_judge.record_process_end(GATEWAY, harness.now - 0.1)
+    observe_unread_answer(harness)
+
+
 def observe_no_answer_while_disrupted(harness):
     """End a request without an answer after its upstream was disrupted."""
     harness.run()
@@ -393,6 +399,7 @@
         observe_no_answer_after(harness, lambda table: table.record(STORE, harness.now))
     ),
     "an unanswered request that the gateway must have read": observe_unread_answer,
+    "an unanswered request that was sent to an ended process": observe_unread_request_after_end,
     "an unanswered request that the caller read late": lambda harness: observe_unread_answer(
         harness, delay_s=0.15
     ),
