A stream of comments without end is taken over by another upstream

What callers saw: comments (lines that begin with a colon) counted as events, so that an upstream that sent nothing else kept its request until the deadline, and the answer was cut.

Change: the silence of an upstream is measured from its last event with content. Comments before the first such event are held back, since the answer may be discarded; later ones are forwarded as they come.

The test of an unexpected error within a stream replaced a method that no longer exists; it now replaces the one that records the stream's pace, at the same point of the answer.

--- a/crocusvalve/gateway/_stream_attempt.py
+++ b/crocusvalve/gateway/_stream_attempt.py
@@ -49,6 +49,12 @@
     is_over: bool = False
     end: AttemptEnd | None = None
 
+    @property
+    def is_progress(self) -> bool:
+        """Whether the stream has gone on or the attempt has ended; comments are no progress."""
+        has_content = any(event.has_content for event in self.events)
+        return has_content or self.is_over or self.end is not None
+
 
 class StreamAttempt:
     """An attempt of a stream at one upstream.
@@ -69,7 +75,7 @@
     has_reply : bool
         Whether the head of a good reply has been read.
     n_events : int
-        Events that were read.
+        Events that were read; 0 before the first one with content.
     failure : tuple or None
         Head and body of an upstream's failure.
     larger_model : str or None
@@ -150,13 +156,17 @@
         except CallError as exc:
             await self._record_error(exc)
             return StreamStep(end=self._end)
-        if self._first_event_at is None:
-            self._record_first_event()
-        self.n_events += len(step.events)
-        self._load.last_event_at = self._clock.now()
-        self._record_progress(step)
+        if step.is_progress:
+            self._record_progress(step)
         return step
 
+    async def read_progress(self) -> StreamStep:
+        """Read until the stream goes on; comments before that are returned with its events."""
+        events: list[StreamEvent] = []
+        while not (step := await self.read()).is_progress:
+            events += step.events
+        return StreamStep(events + step.events, step.is_over, step.end)
+
     def record_late(self) -> None:
         """Record that the upstream was abandoned because it sent nothing in time."""
         self._note("no event in time")
@@ -231,11 +241,11 @@
                     raise CallError(CallFailure.BROKEN, message, step="read_body", peer=call.peer)
                 return StreamStep(is_over=True)
             events = self._splitter.feed(part)
-            if events:
-                return StreamStep(events)
             if self._splitter.is_too_long:
-                message = "an event is longer than the limit"
+                message = "an event, or the comments between two events, are longer than the limit"
                 raise CallError(CallFailure.CORRUPT, message, step="read_body", peer=call.peer)
+            if events:
+                return StreamStep(events)
 
     async def _record_error(self, exc: CallError) -> None:
         """Record how the attempt ended, and check for a crash."""
@@ -261,10 +271,13 @@
         self._manager.record_outcome(self.req, self.upstream, Outcome.SUCCESS, first_s=first_s)
 
     def _record_progress(self, step: StreamStep) -> None:
-        """Record that the answer goes on for longer than its prompt would take to crash it."""
+        if self._first_event_at is None:
+            self._record_first_event()
+        now = self._load.last_event_at = self._clock.now()
+        self.n_events += len(step.events)
         is_whole = step.is_over and self._attempt.call.is_delimited
-        has_lasted = self._clock.now() - self._first_event_at >= PROGRESS_S
-        if not self._has_progressed and (is_whole or (step.events and has_lasted)):
+        has_lasted = step.events and now - self._first_event_at >= PROGRESS_S
+        if not self._has_progressed and (is_whole or has_lasted):
             self._has_progressed = True
             self._manager.record_answer_progress(self.req)
 
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -84,12 +84,14 @@
         """Forward an attempt's events, or those of one that takes it over; None at the last one."""
         try:
             step = await attempt.send()
+            silent_since = self.clock.now()
             while True:
                 while step is None:
-                    step = await self._read(req, attempt)
+                    step = await self._read(req, attempt, silent_since)
                     if step is None:
                         result = await self._seek_takeover(req, progress, attempt, responder)
                         attempt, step = result.attempt, result.step
+                        silent_since = self.clock.now()
                 if step.end is not None:
                     self.record_attempt_end(req, progress, attempt, step.end)
                     return step.end
@@ -97,20 +99,26 @@
                 if step.is_over:
                     attempt.record_end()
                     return None
+                if step.is_progress:
+                    silent_since = self.clock.now()
                 step = None
         finally:
             await attempt.close()
 
-    async def _read(self, req: GatewayRequest, attempt: StreamAttempt) -> StreamStep | None:
+    async def _read(
+        self, req: GatewayRequest, attempt: StreamAttempt, silent_since: float
+    ) -> StreamStep | None:
         """Read an attempt's next events; None if it is silent and another upstream may be asked."""
+        # The answer begins with its first event that has content, since it might be discarded.
+        read = attempt.read if attempt.n_events else attempt.read_progress
         if not req.route.is_repeatable:
-            return await attempt.read()
+            return await read()
         if attempt.n_events:
             silence_s = STALL_FRACTION * req.route.gap_goal_s
         else:
             silence_s = self.compute_first_event_s(req, attempt)
-        with trio.move_on_after(silence_s):
-            return await attempt.read()
+        with trio.move_on_after(max(0.0, silent_since + silence_s - self.clock.now())):
+            return await read()
         return None
 
     async def _seek_takeover(
@@ -259,7 +267,7 @@
         step: StreamStep,
         responder: Responder,
     ) -> None:
-        if step.events and req.first_event_at is None:
+        if step.is_progress and req.first_event_at is None:
             req.first_event_at = self.clock.now()
         data = b"".join(event.data for event in step.events)
         if not responder.has_started:
@@ -267,7 +275,7 @@
         elif data:
             await responder.send(data)
         for event in step.events:
-            req.n_events += 1
+            req.n_events += event.has_content
             progress.last_event_id = event.event_id or progress.last_event_id
 
 
--- a/crocusvalve/gateway/_takeover.py
+++ b/crocusvalve/gateway/_takeover.py
@@ -84,7 +84,7 @@
         return self._standby_result
 
     async def _read_current(self, scope: trio.CancelScope) -> None:
-        self._current_step = await self._current.read()
+        self._current_step = await self._current.read_progress()
         if _goes_on(self._current_step):
             scope.cancel()
 
@@ -113,7 +113,7 @@
                 step = await standby.read_reply()
                 if step is None and self._current.has_reply:
                     scope.deadline = min(scope.deadline, trio.current_time() + MAX_OVERLAP_S)
-                    step = await standby.read()
+                    step = await standby.read_progress()
             is_late = scope.cancelled_caught
         if self._current_step is not None and _goes_on(self._current_step):
             return None
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -56,6 +56,19 @@
       | endless_body            |
       | endless_event           |
 
+  Scenario Outline: A stream of comments without end is no answer, and another upstream gives it
+    Given a gateway with two upstreams
+    And the first attempt meets <fault>
+    When a caller opens a stream at /stream/1 and times the answer
+    Then it gets a whole answer within <limit> s
+    And the upstreams ran 2 request(s) in total
+    And the endless reply's connection is closed
+
+    Examples:
+      | fault                 | limit |
+      | endless_comments      | 4     |
+      | endless_fast_comments | 1.5   |
+
   Scenario Outline: A stream begins at another upstream when the reply can't be an answer
     Given a gateway with two upstreams
     And the first attempt meets <fault>
--- a/features/gateway/steps/kept_connection_steps.py
+++ b/features/gateway/steps/kept_connection_steps.py
@@ -330,7 +330,7 @@
 def when_error_within(context):
     async def act(harness):
         handler = harness.gateway.request_handler
-        handler.streams._record_pause = raise_unexpected
+        handler.attempt_manager.pace.record_stream = raise_unexpected
         for upstream in harness.upstreams.values():
             upstream.pause_s = 0.05
         await harness.call("/once/1", method="POST", X_Model="*", Accept="text/event-stream")
--- a/features/gateway/steps/takeover_steps.py
+++ b/features/gateway/steps/takeover_steps.py
@@ -45,7 +45,7 @@
         self.replied_at = trio.current_time()
         return None
 
-    async def read(self):
+    async def read_progress(self):
         if not self.has_reply:
             await self.read_reply()
         await trio.sleep(self.step_s - self.reply_s)
