A ready answer is given up only for a larger model's that isn't rejected

What callers saw: an answer of a smaller model with little confidence was discarded before the larger model had been asked; if that one was rejected everywhere, failed or broke, they got an error although an answer had been ready.

Cause: as for silent streams, the connection was closed first. Change: the smaller model's attempt stays open until the larger one's has been accepted, for at most 0.1 s, within which an upstream rejects what it can't take. If none accepts, the smaller model's answer is forwarded. A larger model's attempt that fails later than that is still retried as before; the smaller model isn't asked again (open).

--- a/crocusvalve/gateway/_stream_attempt.py
+++ b/crocusvalve/gateway/_stream_attempt.py
@@ -32,7 +32,7 @@
 class AttemptEnd(Enum):
     """How an attempt ended other than by its last event."""
 
-    #: The answer is discarded and a larger model asked instead.
+    #: A larger model is to be asked, and the answer discarded if that one accepts the request.
     LARGER_MODEL = "larger_model"
     #: The upstream rejected the request or was not reached; it has not run there.
     NOT_RUN = "not_run"
@@ -115,6 +115,11 @@
         self._failure_body = b""
         self._end: AttemptEnd | None = None
 
+    @property
+    def end(self) -> AttemptEnd | None:
+        """How the attempt has ended; None while it goes on, and after its last event."""
+        return self._end
+
     @property
     def reply(self) -> Reply:
         """Head of the reply."""
@@ -146,6 +151,11 @@
                 await self._record_error(exc)
         return None if self._end is None else StreamStep(end=self._end)
 
+    def accept_reply(self) -> None:
+        """Go on with an answer for which a larger model should have been asked, but can't be."""
+        self._end = None
+        self.has_reply = True
+
     async def read(self) -> StreamStep:
         """Return the next complete events."""
         step = await self.read_reply()
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -18,6 +18,8 @@
 FIRST_EVENT_FRACTION = 0.9
 #: Multiple of the expected time for an upstream's queued work that is waited in addition.
 WORK_TIME_FACTOR = 3.0
+#: Time within which an upstream rejects a request that it can't accept, in seconds.
+REJECTION_S = 0.1
 #: Multiple of the expected duration of a larger model's answer that must be left for it.
 DURATION_MARGIN = 1.25
 #: Fraction of the goal for pauses between events after which another upstream is asked as well.
@@ -62,16 +64,21 @@
                 return await self._give_up(req, progress, responder, "attempt")
 
     def make_attempt(
-        self, req: GatewayRequest, progress: _Progress, upstream: Upstream
+        self,
+        req: GatewayRequest,
+        progress: _Progress,
+        upstream: Upstream,
+        model: str | None = None,
     ) -> StreamAttempt:
-        """Return a new attempt at an upstream."""
+        """Return a new attempt at an upstream, by default of the model chosen so far."""
+        model = progress.model if model is None else model
         return StreamAttempt(
             self.attempt_manager,
             req,
             upstream,
-            model=progress.model,
+            model=model,
             last_event_id=progress.last_event_id,
-            choose_larger_model=lambda reply: self._choose_larger_model(req, progress, reply),
+            choose_larger_model=lambda reply: self._choose_larger_model(req, model, reply),
         )
 
     async def _forward(
@@ -92,6 +99,15 @@
                         result = await self._seek_takeover(req, progress, attempt, responder)
                         attempt, step = result.attempt, result.step
                         silent_since = self.clock.now()
+                if step.end is AttemptEnd.LARGER_MODEL:
+                    larger = await self._ask_larger_model(req, progress, attempt)
+                    if larger is None:
+                        attempt.accept_reply()
+                    else:
+                        await attempt.close()
+                        attempt = larger
+                    step, silent_since = None, self.clock.now()
+                    continue
                 if step.end is not None:
                     self.record_attempt_end(req, progress, attempt, step.end)
                     return step.end
@@ -105,6 +121,35 @@
         finally:
             await attempt.close()
 
+    async def _ask_larger_model(
+        self, req: GatewayRequest, progress: _Progress, smaller: StreamAttempt
+    ) -> StreamAttempt | None:
+        """Return an attempt of the larger model that isn't rejected at once, or None.
+
+        The smaller model's answer stays open meanwhile, since it is ready.
+        """
+        model = smaller.larger_model
+        until = self.clock.now() + REJECTION_S
+        while self.clock.now() < until and self.may_continue(req, AttemptEnd.LARGER_MODEL):
+            upstream = self.find_upstream(req, self.clock.now(), model)
+            if upstream is None:
+                return None
+            larger = self.make_attempt(req, progress, upstream, model)
+            try:
+                if await larger.send() is None:
+                    with trio.move_on_after(max(0.0, until - self.clock.now())):
+                        await larger.read_reply()
+            except BaseException:
+                await larger.close()
+                raise
+            if larger.end in (None, AttemptEnd.LARGER_MODEL):
+                self.attempt_manager.observer.count_escalation(req.route.name)
+                progress.model = model
+                return larger
+            self.record_attempt_end(req, progress, larger, larger.end)
+            await larger.close()
+        return None
+
     async def _read(
         self, req: GatewayRequest, attempt: StreamAttempt, silent_since: float
     ) -> StreamStep | None:
@@ -231,15 +276,13 @@
             ends_in_time=first_s + DURATION_MARGIN * stream_s <= req.compute_left_s(now),
         )
 
-    def _choose_larger_model(
-        self, req: GatewayRequest, progress: _Progress, reply: Reply
-    ) -> str | None:
+    def _choose_larger_model(self, req: GatewayRequest, model: str, reply: Reply) -> str | None:
         """Return the model to ask instead of the one that has replied, or None."""
         if not req.route.models or req.n_events:
             return None
         larger = choose_larger_model(
             req.route.models,
-            progress.model,
+            model,
             reply.confidence,
             req.n_attempts_left,
             estimate=lambda model: self._estimate_larger_answer(req, model),
@@ -252,10 +295,6 @@
         self, req: GatewayRequest, progress: _Progress, attempt: StreamAttempt, end: AttemptEnd
     ) -> None:
         """Update the progress of a request by an attempt that ended without its last event."""
-        if end is AttemptEnd.LARGER_MODEL:
-            self.attempt_manager.observer.count_escalation(req.route.name)
-            progress.model = attempt.larger_model
-            return
         progress.failure = attempt.failure or progress.failure
         req.tried.add(attempt.upstream.upstream_id)
 
--- a/crocusvalve/gateway/_takeover.py
+++ b/crocusvalve/gateway/_takeover.py
@@ -13,6 +13,8 @@
 POLL_INTERVAL_S = 0.1
 #: Longest time for which two upstreams work on one stream after the second one's reply has begun.
 MAX_OVERLAP_S = 0.3
+#: Ends of an attempt that has an answer, be it that a larger model is to be asked instead.
+ANSWERED = (None, AttemptEnd.LARGER_MODEL)
 
 
 class TakeoverResult(Struct, frozen=True):
@@ -85,7 +87,7 @@
 
     async def _read_current(self, scope: trio.CancelScope) -> None:
         self._current_step = await self._current.read_progress()
-        if _goes_on(self._current_step):
+        if self._current_step.end in ANSWERED:
             scope.cancel()
 
     async def _seek_standby(self, scope: trio.CancelScope) -> None:
@@ -114,19 +116,14 @@
                 if step is None and self._current.has_reply:
                     scope.deadline = min(scope.deadline, trio.current_time() + MAX_OVERLAP_S)
                     step = await standby.read_progress()
-            is_late = scope.cancelled_caught
-        if self._current_step is not None and _goes_on(self._current_step):
+            is_late = scope.cancelled_caught and standby.end is None
+        if self._current_step is not None and self._current_step.end in ANSWERED:
             return None
         if is_late:
             standby.record_late()
             self._source.record_failure(standby, AttemptEnd.LOST)
             return None
-        if step is not None and not _goes_on(step):
-            self._source.record_failure(standby, step.end)
+        if standby.end not in ANSWERED:
+            self._source.record_failure(standby, standby.end)
             return None
         return TakeoverResult(standby, step)
-
-
-def _goes_on(step: StreamStep) -> bool:
-    """Return whether an attempt has answered, be it that a larger model is to be asked instead."""
-    return step.end in (None, AttemptEnd.LARGER_MODEL)
--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -30,3 +30,17 @@
       | 3.3     | full    |
       | 3.3     | failure |
       | 3.3     | break   |
+
+  Scenario Outline: A ready answer isn't given up for a larger model's that no upstream gives
+    Given a gateway with two upstreams
+    And the smaller model's confidence is 20
+    And the first attempt is sound, and each further one meets <fault>
+    When a caller opens a stream at /stream/1
+    Then the caller gets events 1 to 6 from the model small
+
+    Examples:
+      | fault   |
+      | full    |
+      | failure |
+      | break   |
+      | crossed |
--- a/features/gateway/steps/takeover_steps.py
+++ b/features/gateway/steps/takeover_steps.py
@@ -33,6 +33,7 @@
         self.is_closed = False
         self.replied_at = None
         self.closed_at = None
+        self.end = None
 
     async def send(self):
         await trio.lowlevel.checkpoint()
@@ -40,6 +41,7 @@
     async def read_reply(self):
         await trio.sleep(self.reply_s)
         if self.step.end is not None and self.step_s <= self.reply_s:
+            self.end = self.step.end
             return self.step
         self.has_reply = True
         self.replied_at = trio.current_time()
