Sessions that began before an upgrade keep the old version in its first half

Traced with each choice of a version logged: the order came at 5.39 s, the status at 5.50 s, with a share of 0.09. The four sessions found had their last request on the old version at 2.10, 3.93, 4.78 and 5.05 s, before the order, and their next one, on another gateway, at 5.98 to 9.25 s; their hash is below the share. All gateways knew the same share; the store failed only at 11.9 s, and no gateway had restarted. So neither the store nor the restarts take part: any upgrade moves sessions that straddle its start, more of them the more traffic there is.

Each gateway remembers the sessions that it served within sessionS. At the start of an upgrade it pins those within the first share, and tells the others by gossip; a pinned session keeps the old version until the second half.

The new scenario failed before.

--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -48,7 +48,8 @@
 class UpgradeReport(Struct, frozen=True, kw_only=True, array_like=True):
     """Status of a service's upgrade as a gateway knows it; see ``UpgradeStatus``.
 
-    ``is_bad`` is whether the gateway knows that the new version is bad.
+    ``is_bad`` is whether the gateway knows that the new version is bad, ``pinned`` the points of
+    sessions that keep the old version in the first half.
     """
 
     service: ServiceName
@@ -57,6 +58,7 @@
     share: float
     started_s: float
     is_bad: bool = False
+    pinned: tuple[float, ...] = ()
 
 
 class MemberReport(Struct, frozen=True, array_like=True):
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -9,6 +9,7 @@
 from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway._peers import PeerTable, UpgradeReport
+from crocusvalve.gateway._session_pins import SessionPins, compute_session_point
 from crocusvalve.gateway._status_table import StatusTableHandler
 from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._tables import GatewayTables
@@ -18,6 +19,7 @@
     check_version,
     choose_version,
     compute_next_status,
+    is_first_half,
 )
 from crocusvalve.gateway.base import (
     GatewaySettings,
@@ -79,6 +81,7 @@
         self.clock = clock
         self._bad_orders: dict[ServiceName, StorePosition] = {}
         self._started_at = clock.now()
+        self._pins = SessionPins(settings.bounds.session_s)
 
     def is_active(self) -> bool:
         """Return whether an upgrade is in progress."""
@@ -94,9 +97,20 @@
     def choose_version(self, service: ServiceName, session: str) -> VersionChoice:
         """Choose the version for the requests of a session."""
         order = self.tables.orders.get(service)
-        if order is None:
-            return VersionChoice()
-        return choose_version(order, self.get_status(order), session, self._is_bad(order))
+        status = self.get_status(order) if order is not None else None
+        if not self._begin_first_half(order, status):
+            self._pins.record_session(service, session, self.clock.now())
+        elif self._pins.is_pinned(service, compute_session_point(order.version, session)):
+            return VersionChoice(avoid=order.version)
+        return choose_version(order, status, session, order is not None and self._is_bad(order))
+
+    def _begin_first_half(self, order: UpgradeOrder | None, status: UpgradeStatus | None) -> bool:
+        """Pin sessions if an upgrade is in its first half; return whether it is."""
+        if not is_first_half(status, self.settings.bounds.exposure_share):
+            return False
+        now = self.clock.now()
+        self._pins.begin(order.service, order.position, order.version, status.share, now)
+        return True
 
     def _is_bad(self, order: UpgradeOrder) -> bool:
         return self._bad_orders.get(order.service) == order.position
@@ -136,13 +150,18 @@
                 share=status.share,
                 started_s=status.started_s,
                 is_bad=self._is_bad(order),
+                pinned=(
+                    self._pins.list_points(order.service)
+                    if self._begin_first_half(order, status)
+                    else ()
+                ),
             )
             for order, status in statuses
             if status is not None
         )
 
     def merge_reports(self, reports: Iterable[UpgradeReport], now: float) -> None:
-        """Take the verdict on a version from another gateway, and a status that the store has lost.
+        """Take verdicts and pinned sessions from another gateway, and a status that the store lost.
 
         Only a gateway that has just started takes a status: all others know the status of an order,
         or have received the order after their peer sent the report.
@@ -161,14 +180,18 @@
                     revision=order.revision,
                     era=order.era,
                 )
-            if report.is_bad and not self._is_bad(order):
-                self._merge_verdict(order, report)
+            status = self.get_status(order)
+            if status is not None and abs(status.started_s - report.started_s) < SAME_START_S:
+                self._merge_same_upgrade(order, status, report)
 
-    def _merge_verdict(self, order: UpgradeOrder, report: UpgradeReport) -> None:
-        """Mark a version as bad that a peer has found bad in the same upgrade."""
-        status = self.get_status(order)
-        is_running = status is not None and status.state is UpgradeState.RUNNING
-        if is_running and abs(status.started_s - report.started_s) < SAME_START_S:
+    def _merge_same_upgrade(
+        self, order: UpgradeOrder, status: UpgradeStatus, report: UpgradeReport
+    ) -> None:
+        """Take a peer's verdict and pinned sessions in the same upgrade."""
+        if self._begin_first_half(order, status):
+            self._pins.merge(order.service, report.pinned)
+        is_running = status.state is UpgradeState.RUNNING
+        if report.is_bad and is_running and not self._is_bad(order):
             self._bad_orders[order.service] = order.position
             self.observer.record_bad_version(order.service, order.version, "reported by a peer")
 
--- a/crocusvalve/gateway/_upgrades.py
+++ b/crocusvalve/gateway/_upgrades.py
@@ -5,8 +5,8 @@
 
 from msgspec import Struct
 
+from crocusvalve.gateway._session_pins import compute_session_point
 from crocusvalve.gateway.base import UpgradeOrder, UpgradeState, UpgradeStatus, VersionName
-from crocusvalve.utils import hash_to_unit
 
 __all__ = [
     "OutcomeCounts",
@@ -15,6 +15,7 @@
     "choose_version",
     "compute_next_status",
     "check_version",
+    "is_first_half",
 ]
 
 #: Share of sessions on the new version in the first half of an upgrade, as a fraction of the
@@ -86,11 +87,26 @@
         return VersionChoice(required=order.version)
     if is_bad:
         return VersionChoice(avoid=order.version)
-    if hash_to_unit(f"{order.version}|{session}") < status.share:
+    if compute_session_point(order.version, session) < status.share:
         return VersionChoice(required=order.version)
     return VersionChoice(avoid=order.version)
 
 
+def is_first_half(status: UpgradeStatus | None, exposure_share: float) -> bool:
+    """Return whether an upgrade is in its first half, in which no session may change its version.
+
+    Parameters
+    ----------
+    exposure_share : float
+        Operators' bound on the share of sessions that are exposed to an unproven version.
+    """
+    return (
+        status is not None
+        and status.state is UpgradeState.RUNNING
+        and status.share <= PROBE_SHARE_FACTOR * exposure_share
+    )
+
+
 def check_version(new: dict[str, OutcomeCounts], old: dict[str, OutcomeCounts]) -> Verdict:
     """Check a new version's failures against the old version's, by route and in total.
 
--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -74,6 +74,8 @@
         Extra attempts allowed in a window, over all gateways, whatever the number of requests.
     exposure_share : float
         Upper bound on the share of sessions that an unproven version of a service gets.
+    session_s : float
+        Requests of a session that follow each other within this time, in seconds, belong together.
     """
 
     contact_s: float = 3.0
@@ -83,6 +85,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 54.0
     exposure_share: float = 0.15
+    session_s: float = 5.0
 
 
 class GatewaySettings(Struct, frozen=True, kw_only=True):
--- a/crocusvalve/platform/_boot.py
+++ b/crocusvalve/platform/_boot.py
@@ -35,6 +35,7 @@
     #: Extra attempts of the whole system per window, independent of the number of requests.
     retry_slack: float = field(name="retrySlack", default=0.0)
     exposure_share: float = field(name="exposureShare", default=0.1)
+    session_s: float = field(name="sessionS", default=5.0)
 
 
 class _Store(Struct):
@@ -97,6 +98,7 @@
             retry_window_s=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
             exposure_share=bounds.exposure_share,
+            session_s=bounds.session_s,
         ),
     )
 
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -28,6 +28,13 @@
       | 100     | old  |
       | 50      | new  |
 
+  Scenario: A session that began before an upgrade isn't moved in its first half, whichever gateway it comes to
+    Given 4 gateways, each of which has served 100 sessions 2 s before an upgrade
+    When the upgrade starts with a share of 0.1, and the gateways exchange reports
+    Then no gateway sends one of these sessions to the new version
+    And each gateway sends between 0.07 and 0.13 of 1000 other sessions to it, the same ones
+    And all gateways move between 0.4 and 0.6 of these sessions when the share grows to 0.5
+
   Scenario: A gateway whose check fails as the upgrade is completed doesn't refuse requests once the old upstreams have left
     Given a gateway with an upgrade that began at 100 s, and counts that show nothing
     When a peer reports that the new version is bad, in an upgrade that began at 100 s
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+from types import SimpleNamespace
 
 import msgspec
 import trio
@@ -53,7 +54,7 @@
 from crocusvalve.standin import StandinUpstream
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import ChangeFeed, FeedPage, FeedRow
-from crocusvalve.utils import Clock, MonotonicClock
+from crocusvalve.utils import Clock
 
 NOW = 1_000.0
 SERVICE = ServiceName("llm")
@@ -370,20 +371,21 @@
     )
 
 
-@given("a gateway with an upgrade that began at {started_s:g} s, and counts that show nothing")
-def given_upgrading_gateway(context, started_s):
-    tables = GatewayTables()
-    tables.orders[SERVICE] = UpgradeOrder(SERVICE, VersionName("v2"), 20.0, revision=1)
-    tables.statuses[SERVICE] = UpgradeStatus(
-        version=VersionName("v2"),
-        state=UpgradeState.RUNNING,
-        share=1.0,
-        started_s=started_s,
-        revision=2,
-    )
-    context.upgrades = UpgradeController(
-        settings=None,
-        tables=tables,
+class ManualClock(Clock):
+    """Clock that a step sets."""
+
+    def __init__(self):
+        self.time_s = 1000.0
+
+    def now(self):
+        return self.time_s
+
+
+def make_upgrade_controller(clock):
+    """Return the upgrade controller of a gateway without a store and peers."""
+    return UpgradeController(
+        settings=SimpleNamespace(bounds=GatewayBounds()),
+        tables=GatewayTables(),
         peers=None,
         outcome_counts=OutcomeCountsTable(),
         feed=None,
@@ -391,8 +393,87 @@
         status_handler=None,
         store=None,
         observer=GatewayObserver(CollectorRegistry()),
-        clock=MonotonicClock(),
+        clock=clock,
+    )
+
+
+def set_upgrade(upgrades, share, started_s):
+    """Put an order and a status of version v2 into a gateway's tables."""
+    version = VersionName("v2")
+    upgrades.tables.orders[SERVICE] = UpgradeOrder(SERVICE, version, 20.0, revision=1)
+    upgrades.tables.statuses[SERVICE] = UpgradeStatus(
+        version=version,
+        state=UpgradeState.RUNNING,
+        share=share,
+        started_s=started_s,
+        revision=2,
     )
+
+
+def count_on_new(upgrades, sessions):
+    """Return the set of sessions that a gateway sends to version v2."""
+    return {
+        session
+        for session in sessions
+        if upgrades.choose_version(SERVICE, session).required == VersionName("v2")
+    }
+
+
+@given(
+    "{n:d} gateways, each of which has served {n_sessions:d} sessions {age_s:g} s before an upgrade"
+)
+def given_gateways_with_sessions(context, n, n_sessions, age_s):
+    context.clock = ManualClock()
+    context.gateways = [make_upgrade_controller(context.clock) for _ in range(n)]
+    context.sessions = [f"old-{number}" for number in range(n * n_sessions)]
+    for number, session in enumerate(context.sessions):
+        choice = context.gateways[number % n].choose_version(SERVICE, session)
+        assert choice == VersionChoice()
+    context.clock.time_s += age_s
+
+
+@when("the upgrade starts with a share of {share:g}, and the gateways exchange reports")
+def when_upgrade_starts(context, share):
+    for upgrades in context.gateways:
+        set_upgrade(upgrades, share, 100.0)
+    for sender in context.gateways:
+        for receiver in context.gateways:
+            if receiver is not sender:
+                receiver.merge_reports(sender.list_reports(), context.clock.now())
+
+
+@then("no gateway sends one of these sessions to the new version")
+def then_none_moved(context):
+    for upgrades in context.gateways:
+        assert not count_on_new(upgrades, context.sessions)
+
+
+@then(
+    "each gateway sends between {low:g} and {high:g} of {n:d} other sessions to it, the same ones"
+)
+def then_others_probe(context, low, high, n):
+    others = [f"new-{number}" for number in range(n)]
+    on_new = [count_on_new(upgrades, others) for upgrades in context.gateways]
+    assert all(chosen == on_new[0] for chosen in on_new)
+    assert low <= len(on_new[0]) / n <= high, len(on_new[0])
+
+
+@then(
+    "all gateways move between {low:g} and {high:g} of these sessions when the share grows to "
+    "{share:g}"
+)
+def then_moved_later(context, low, high, share):
+    for upgrades in context.gateways:
+        set_upgrade(upgrades, share, 100.0)
+    on_new = [count_on_new(upgrades, context.sessions) for upgrades in context.gateways]
+    assert all(chosen == on_new[0] for chosen in on_new)
+    assert low <= len(on_new[0]) / len(context.sessions) <= high, len(on_new[0])
+
+
+@given("a gateway with an upgrade that began at {started_s:g} s, and counts that show nothing")
+def given_upgrading_gateway(context, started_s):
+    context.upgrades = make_upgrade_controller(ManualClock())
+    set_upgrade(context.upgrades, 1.0, started_s)
     assert context.upgrades.choose_version(SERVICE, "s").required == "v2"
 
 
