The share of a suspect version doesn't grow, and a suspect one isn't completed

It was found bad at 0.90 of the upgrade, when its share had been raised to 1.0.

Cause: there was nothing between 'bad' at a significance of 0.004 and 'go on'. So an upgrade went on to all sessions with a version that failed clearly more often than the old one, though not yet significantly.

A version is suspect from two failures and a significance of 0.05. Its share stays where it is, and at the last step, where waiting has no use any more, it is reverted.

The new examples of 'An upgrade proceeds step by step' failed before. One example of 'A version is found bad ...' expected 'unsure' of 2 failures in 2 answers; it is 'suspect' now, which acts earlier and doesn't revert by itself, as before.

--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -14,6 +14,7 @@
 from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._upgrades import (
+    OutcomeCounts,
     Verdict,
     VersionChoice,
     check_version,
@@ -119,9 +120,9 @@
         """Check versions and advance upgrades until cancelled."""
         while True:
             for order in list(self.tables.orders.values()):
-                self._check_version(order)
+                verdict = self._check_version(order)
                 if self._may_write(self.clock.now()):
-                    await self._advance_status(order)
+                    await self._advance_status(order, verdict)
             await trio.sleep(CHECK_INTERVAL_S)
 
     def _may_write(self, now: float) -> bool:
@@ -195,27 +196,27 @@
             self._bad_orders[order.service] = order.position
             self.observer.record_bad_version(order.service, order.version, "reported by a peer")
 
-    def _check_version(self, order: UpgradeOrder) -> None:
+    def _check_version(self, order: UpgradeOrder) -> Verdict:
+        """Check the new version of an upgrade in progress; a bad one stays bad."""
+        if self._is_bad(order):
+            return Verdict.BAD
         status = self.get_status(order)
-        is_running = status is not None and status.state is UpgradeState.RUNNING
-        if not is_running or self._is_bad(order):
-            return
+        if status is None or status.state is not UpgradeState.RUNNING:
+            return Verdict.UNSURE
         new, old = self.outcome_counts.sum_by_route(order.service, order.version)
-        if check_version(new, old) is Verdict.BAD:
+        verdict = check_version(new, old)
+        if verdict is Verdict.BAD:
             self._bad_orders[order.service] = order.position
-            counts = "; ".join(
-                f"{route} {on_route.n_failures}/{on_route.n_answers}"
-                for route, on_route in new.items()
-            )
-            self.observer.record_bad_version(order.service, order.version, counts)
+            self.observer.record_bad_version(order.service, order.version, _format_counts(new))
+        return verdict
 
-    async def _advance_status(self, order: UpgradeOrder) -> None:
+    async def _advance_status(self, order: UpgradeOrder, verdict: Verdict) -> None:
         status = self.get_status(order)
         rows = self.tables.by_service.get(order.service, {}).values()
         target = compute_next_status(
             order,
             status,
-            verdict=Verdict.BAD if self._is_bad(order) else Verdict.UNSURE,
+            verdict=verdict,
             exposure_share=self.settings.bounds.exposure_share,
             has_upstreams=any(row.version == order.version and not row.is_draining for row in rows),
             now=self.store.compute_time_s(self.clock.now()),
@@ -257,3 +258,10 @@
         row = FeedRow(key, value, position.version)
         if self.status_handler.replica.merge_row(row):
             self.status_handler.apply_row(row, self.clock.now())
+
+
+def _format_counts(by_route: dict[str, OutcomeCounts]) -> str:
+    """Return failures and answers by route, for the log."""
+    return "; ".join(
+        f"{route} {counts.n_failures}/{counts.n_answers}" for route, counts in by_route.items()
+    )
--- a/crocusvalve/gateway/_upgrades.py
+++ b/crocusvalve/gateway/_upgrades.py
@@ -30,12 +30,16 @@
 #: A new version is bad if the probability of at least as many failures as observed, at the old
 #: version's failure rate, is below this.
 SIGNIFICANCE_LEVEL = 0.004
+#: With a probability below this a new version is suspect: its share doesn't grow meanwhile, and it
+#: is not completed.
+SUSPICION_LEVEL = 0.05
 #: Relative size of the terms of a tail probability that are neglected.
 TAIL_PRECISION = 1e-9
 #: Lower limit of the old version's assumed failure rate.
 MIN_BASE_FAILURE_RATE = 0.03
-#: Minimum number of failures for a version to be bad.
+#: Minimum number of failures for a version to be bad, and to be suspect.
 MIN_FAILURES = 3
+MIN_SUSPICIOUS_FAILURES = 2
 
 
 class OutcomeCounts(Struct, array_like=True):
@@ -54,6 +58,7 @@
     """Result of the check of a new version."""
 
     UNSURE = "unsure"
+    SUSPECT = "suspect"
     BAD = "bad"
 
 
@@ -117,7 +122,7 @@
     """
     pairs = [(counts, old.get(route, OutcomeCounts())) for route, counts in new.items()]
     pairs.append((_sum_counts(new), _sum_counts(old)))
-    return Verdict.BAD if any(_is_worse(*pair) for pair in pairs) else Verdict.UNSURE
+    return max((_check_counts(*pair) for pair in pairs), key=list(Verdict).index)
 
 
 def _sum_counts(outcome_counts: dict[str, OutcomeCounts]) -> OutcomeCounts:
@@ -127,14 +132,14 @@
     return total
 
 
-def _is_worse(new: OutcomeCounts, old: OutcomeCounts) -> bool:
-    if new.n_failures < MIN_FAILURES:
-        return False
+def _check_counts(new: OutcomeCounts, old: OutcomeCounts) -> Verdict:
+    if new.n_failures < MIN_SUSPICIOUS_FAILURES:
+        return Verdict.UNSURE
     base_rate = max(MIN_BASE_FAILURE_RATE, 1.5 * (old.n_failures + 0.5) / (old.n_answers + 10.0))
-    return (
-        _compute_tail_probability(new.n_failures, new.n_answers, min(0.9, base_rate))
-        < SIGNIFICANCE_LEVEL
-    )
+    probability = _compute_tail_probability(new.n_failures, new.n_answers, min(0.9, base_rate))
+    if probability < SIGNIFICANCE_LEVEL and new.n_failures >= MIN_FAILURES:
+        return Verdict.BAD
+    return Verdict.SUSPECT if probability < SUSPICION_LEVEL else Verdict.UNSURE
 
 
 def _compute_tail_probability(n_failures: int, n_answers: int, rate: float) -> float:
@@ -199,6 +204,10 @@
     elapsed_fraction = (now - status.started_s) / max(0.001, order.duration_s)
     if not has_upstreams:
         return None
+    if verdict is Verdict.SUSPECT:
+        # Too late to clear it up by more answers: the last step would expose all sessions.
+        is_over = elapsed_fraction >= SHARE_STEPS[-1][0]
+        return _replace_state(status, UpgradeState.REVERTED, 0.0) if is_over else None
     if elapsed_fraction >= COMPLETE_FRACTION and status.share >= 1.0:
         return _replace_state(status, UpgradeState.COMPLETE, 1.0)
     share = status.share
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -8,7 +8,9 @@
     Examples:
       | new_failures | new_answers | route | old_failures | old_answers | verdict |
       | 0            | 3           | a     | 0            | 50          | unsure  |
-      | 2            | 2           | a     | 0            | 50          | unsure  |
+      | 2            | 2           | a     | 0            | 50          | suspect |
+      | 2            | 12          | a     | 0            | 50          | suspect |
+      | 2            | 14          | a     | 0            | 50          | unsure  |
       | 3            | 4           | a     | 0            | 50          | bad     |
       | 3            | 40          | a     | 0            | 200         | unsure  |
       | 5            | 30          | a     | 30           | 200         | unsure  |
@@ -54,6 +56,10 @@
       | 0.5   | 17     | unsure  | running  | 1.0        |
       | 1.0   | 18     | unsure  | none     | 0          |
       | 1.0   | 19     | unsure  | complete | 1.0        |
+      | 0.1   | 11     | suspect | none     | 0          |
+      | 0.3   | 13     | suspect | none     | 0          |
+      | 0.3   | 17     | suspect | reverted | 0          |
+      | 1.0   | 19     | suspect | reverted | 0          |
       | 0.1   | 2      | bad     | reverted | 0          |
       | 1.0   | 18     | bad     | reverted | 0          |
 
