A good version isn't found bad by one silence of one of its upstreams

What callers would see: a sound upstream of a new version falls silent for a second; ten or more of its requests are given up as late at once, each counts as a failure of the version, and the upgrade is reverted.

Cause: the check takes failures as independent, while those of one silence have one cause.

Late answers of one upstream within 1.5 s count once. A version whose upstreams stay silent is still found bad, since each of them counts again after that time. Slow answers that did come, and failures, count as before.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -260,7 +260,11 @@
         load = self.tables.get_load(upstream.upstream_id)
         if update_health(load, outcome, now):
             self.observer.record_suspension(upstream, outcome, load.suspended_until - now)
-        if outcome in (Outcome.SUCCESS, Outcome.FAILURE, Outcome.LATE):
+        if outcome is Outcome.LATE:
+            self.outcome_counts.record_late(
+                upstream.service, upstream.version, req.route.name, upstream.upstream_id, now
+            )
+        elif outcome in (Outcome.SUCCESS, Outcome.FAILURE):
             order = self.tables.orders.get(upstream.service)
             self.outcome_counts.record_outcome(
                 upstream.service,
--- a/crocusvalve/gateway/_outcome_counts.py
+++ b/crocusvalve/gateway/_outcome_counts.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from crocusvalve.base import UpstreamId
 from crocusvalve.gateway._upgrades import OutcomeCounts
 from crocusvalve.gateway.base import ServiceName, VersionName
 
@@ -18,6 +19,9 @@
 SLIGHTLY_SLOW_MARGINS_S = {"first": 0.03, "pause": 0.003}
 #: Minimum weight of a new sample in the mean time; the first ten samples count equally.
 MIN_MEAN_WEIGHT = 0.1
+#: Late answers of one upstream within this time count once: a sound upstream may fall silent for a
+#: second or so, and all its requests are late together.
+LATE_SPACING_S = 1.5
 #: Number of samples of the mean time that are needed before an answer can count as slow.
 MIN_SAMPLES = 5
 
@@ -55,6 +59,7 @@
         self._local: dict[tuple[str, str, str], OutcomeCounts] = {}
         self._remote: dict[str, tuple[OutcomeCountsRow, ...]] = {}
         self._mean_times: dict[tuple[str, str, str, str], _MeanTime] = {}
+        self._late_at: dict[UpstreamId, float] = {}
 
     def record_outcome(
         self,
@@ -101,6 +106,21 @@
         counts.n_slow += is_slow
         return is_failure
 
+    def record_late(
+        self,
+        service: ServiceName,
+        version: VersionName,
+        route: str,
+        upstream_id: UpstreamId,
+        now: float,
+    ) -> bool:
+        """Count an answer that was given up as late; return whether it counts as a failure."""
+        if now - self._late_at.get(upstream_id, float("-inf")) < LATE_SPACING_S:
+            return False
+        self._late_at = {key: at for key, at in self._late_at.items() if now - at < LATE_SPACING_S}
+        self._late_at[upstream_id] = now
+        return self.record_outcome(service, version, route, is_failure=True)
+
     def list_local(self) -> tuple[OutcomeCountsRow, ...]:
         """Return this gateway's counts."""
         return tuple(OutcomeCountsRow(*key, counts) for key, counts in self._local.items())
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -170,6 +170,19 @@
       | 30    | 2      | 0.052 | unsure  |
       | 30    | 20     | 0.035 | unsure  |
 
+  Scenario Outline: A good version isn't found bad by one silence of one of its upstreams, but one that stays silent is
+    Given 30 answers of the old version on each of 3 routes, with 0.025 s between events
+    And 40 answers of the new version with 0.025 s between events
+    When each of <n_upstreams> upstreams of the new version is <n_late> times late within <span> s
+    Then the counts show that the new version is <verdict>
+
+    Examples:
+      | n_upstreams | n_late | span | verdict |
+      | 1           | 10     | 0.1  | unsure  |
+      | 1           | 30     | 1.0  | unsure  |
+      | 2           | 30     | 1.0  | unsure  |
+      | 4           | 60     | 5.0  | bad     |
+
   Scenario: A request that crashes upstreams is refused after the third crash, whichever gateway saw it
     Given a gateway that recorded 2 upstream crashes caused by one request
     When another gateway reports the same crashes and one more
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -575,6 +575,27 @@
         )
 
 
+@given("{n:d} answers of the new version with {pause_s:g} s between events")
+def given_new_answers(context, n, pause_s):
+    when_paced_answers(context, n, 0, pause_s)
+
+
+@when(
+    "each of {n_upstreams:d} upstreams of the new version is {n_late:d} times late within "
+    "{span_s:g} s"
+)
+def when_late(context, n_upstreams, n_late, span_s):
+    for number in range(n_late):
+        for upstream in range(n_upstreams):
+            context.outcome_counts.record_late(
+                SERVICE,
+                VersionName("v2"),
+                f"r{number % 3}",
+                UpstreamId(f"u{upstream}"),
+                1000.0 + span_s * number / n_late,
+            )
+
+
 @then("the counts show that the new version is {verdict}")
 def then_verdict_by_counts(context, verdict):
     new, old = context.outcome_counts.sum_by_route(SERVICE, VersionName("v2"))
