Slow events of a new version aren't hidden by first events whose time varies

Cause: times to the first event and between events were counted together.

The slow pauses are compared apart as well, over all routes. The second step of the share, which follows the first after 8 hundredths of the upgrade, comes 5 hundredths later, so that more answers are known before it.

The new scenario failed before.

--- a/crocusvalve/gateway/_outcome_counts.py
+++ b/crocusvalve/gateway/_outcome_counts.py
@@ -104,6 +104,9 @@
         counts.n_answers += 1
         counts.n_failures += is_failure
         counts.n_slow += is_slow
+        if pause_s is not None:
+            counts.n_pauses += 1
+            counts.n_slow_pauses += is_slow
         return is_failure
 
     def record_late(
--- a/crocusvalve/gateway/_upgrades.py
+++ b/crocusvalve/gateway/_upgrades.py
@@ -24,7 +24,7 @@
 #: Share of sessions on the new version from a fraction of the upgrade's duration on, as pairs
 #: (fraction, share). Sessions may move to the new version in the second half only, and the old
 #: version must be idle before the end.
-SHARE_STEPS = ((0.52, 0.3), (0.60, 0.5), (0.84, 1.0))
+SHARE_STEPS = ((0.52, 0.3), (0.65, 0.5), (0.84, 1.0))
 #: Fraction of the duration after which an upgrade may be complete.
 COMPLETE_FRACTION = 0.93
 #: A new version is bad if the probability of at least as many failures, or slow answers, as
@@ -46,18 +46,23 @@
 class OutcomeCounts(Struct, array_like=True):
     """Number of answers of a version on one route, and of failures and slow ones among them.
 
-    Failures count as slow as well.
+    Failures count as slow as well. ``n_pauses`` and ``n_slow_pauses`` are those of the answers
+    whose time between events was measured, which is counted apart from the time to the first event.
     """
 
     n_answers: int = 0
     n_failures: int = 0
     n_slow: int = 0
+    n_pauses: int = 0
+    n_slow_pauses: int = 0
 
     def add(self, other: "OutcomeCounts") -> None:
         """Add other counts to these."""
         self.n_answers += other.n_answers
         self.n_failures += other.n_failures
         self.n_slow += other.n_slow
+        self.n_pauses += other.n_pauses
+        self.n_slow_pauses += other.n_slow_pauses
 
 
 class Verdict(Enum):
@@ -121,7 +126,8 @@
 def check_version(new: dict[str, OutcomeCounts], old: dict[str, OutcomeCounts]) -> Verdict:
     """Check a new version's failures and slow answers against the old version's.
 
-    They are compared by route and in total.
+    They are compared by route and in total, and the times between events apart from all others:
+    times to the first event vary much more, and would hide them.
 
     Parameters
     ----------
@@ -129,8 +135,10 @@
         Outcome counts by route.
     """
     pairs = [(counts, old.get(route, OutcomeCounts())) for route, counts in new.items()]
-    pairs.append((_sum_counts(new), _sum_counts(old)))
-    return _choose_worst(*(_check_counts(*pair) for pair in pairs))
+    total_new, total_old = _sum_counts(new), _sum_counts(old)
+    pairs.append((total_new, total_old))
+    verdicts = [_check_counts(*pair) for pair in pairs]
+    return _choose_worst(*verdicts, _check_pauses(total_new, total_old))
 
 
 def _sum_counts(outcome_counts: dict[str, OutcomeCounts]) -> OutcomeCounts:
@@ -147,6 +155,12 @@
     return _choose_worst(by_failures, by_slowness)
 
 
+def _check_pauses(new: OutcomeCounts, old: OutcomeCounts) -> Verdict:
+    return _check_rate(
+        new.n_slow_pauses, new.n_pauses, old.n_slow_pauses, old.n_pauses, MIN_BASE_SLOW_RATE
+    )
+
+
 def _choose_worst(*verdicts: Verdict) -> Verdict:
     return max(verdicts, key=list(Verdict).index)
 
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -170,6 +170,11 @@
       | 30    | 2      | 0.052 | unsure  |
       | 30    | 20     | 0.035 | unsure  |
 
+  Scenario: Slow events of a new version aren't hidden by times to the first event that vary
+    Given 60 answers of the old version, each third one with a first event at 0.3 s, others at 0.06 s, and 0.025 s between events
+    When the new version answers 12 streams in the same way, 6 of them with 0.052 s between events
+    Then the counts show that the new version is bad
+
   Scenario Outline: A good version isn't found bad by one silence of one of its upstreams, but one that stays silent is
     Given 30 answers of the old version on each of 3 routes, with 0.025 s between events
     And 40 answers of the new version with 0.025 s between events
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -575,6 +575,44 @@
         )
 
 
+def record_varying_answers(outcome_counts, version, pauses_s, *, late_s=0.3, early_s=0.06):
+    """Record streams, each third one with a late first event."""
+    for number, pause_s in enumerate(pauses_s):
+        for times in (
+            {"first_s": late_s if number % 3 == 0 else early_s},
+            {"pause_s": pause_s},
+        ):
+            outcome_counts.record_outcome(
+                SERVICE,
+                VersionName(version),
+                f"r{number % 2}",
+                is_failure=False,
+                model="m",
+                is_reference=version == "v1",
+                **times,
+            )
+
+
+@given(
+    "{n:d} answers of the old version, each third one with a first event at {late_s:g} s, others "
+    "at {early_s:g} s, and {pause_s:g} s between events"
+)
+def given_varying_answers(context, n, late_s, early_s, pause_s):
+    context.outcome_counts = OutcomeCountsTable()
+    record_varying_answers(
+        context.outcome_counts, "v1", [pause_s] * n, late_s=late_s, early_s=early_s
+    )
+
+
+@when(
+    "the new version answers {n:d} streams in the same way, {n_slow:d} of them with {pause_s:g} s "
+    "between events"
+)
+def when_varying_answers(context, n, n_slow, pause_s):
+    pauses_s = [pause_s] * n_slow + [0.025] * (n - n_slow)
+    record_varying_answers(context.outcome_counts, "v2", pauses_s)
+
+
 @given("{n:d} answers of the new version with {pause_s:g} s between events")
 def given_new_answers(context, n, pause_s):
     when_paced_answers(context, n, 0, pause_s)
