Log each change of the verdict on a version, with its slow answers

The log had no line for a suspect version, whose upgrade stands still, so that it couldn't be told from one that waits for upstreams.

--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -317,10 +317,12 @@
         }
         logger.info("upgrade of %s: %s", service, status.state.value, extra={"fields": fields})
 
-    def record_bad_version(self, service: ServiceName, version: str, counts: str) -> None:
-        """Log that a new version has failed its check, with its failures and answers by route."""
-        logger.warning(
-            "version %s of %s is bad", version, service, extra={"fields": {"counts": counts}}
+    def record_verdict(self, service: ServiceName, version: str, verdict: str, counts: str) -> None:
+        """Log the check's new verdict on a version, with its failures and answers by route."""
+        level = logging.INFO if verdict == "unsure" else logging.WARNING
+        fields = {"counts": counts}
+        logger.log(
+            level, "version %s of %s is %s", version, service, verdict, extra={"fields": fields}
         )
 
     def record_store_state(self, table: str, exc: CrocusvalveError | None) -> None:
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -81,6 +81,7 @@
         self.observer = observer
         self.clock = clock
         self._bad_orders: dict[ServiceName, StorePosition] = {}
+        self._last_verdicts: dict[StorePosition, Verdict] = {}
         self._started_at = clock.now()
         self._pins = SessionPins(settings.bounds.session_s)
 
@@ -194,7 +195,7 @@
         is_running = status.state is UpgradeState.RUNNING
         if report.is_bad and is_running and not self._is_bad(order):
             self._bad_orders[order.service] = order.position
-            self.observer.record_bad_version(order.service, order.version, "reported by a peer")
+            self._record_verdict(order, Verdict.BAD, "reported by a peer")
 
     def _check_version(self, order: UpgradeOrder) -> Verdict:
         """Check the new version of an upgrade in progress; a bad one stays bad."""
@@ -207,9 +208,16 @@
         verdict = check_version(new, old)
         if verdict is Verdict.BAD:
             self._bad_orders[order.service] = order.position
-            self.observer.record_bad_version(order.service, order.version, _format_counts(new))
+        self._record_verdict(order, verdict, _format_counts(new))
         return verdict
 
+    def _record_verdict(self, order: UpgradeOrder, verdict: Verdict, counts: str) -> None:
+        """Log a verdict that differs from the one before."""
+        previous = self._last_verdicts.get(order.position, Verdict.UNSURE)
+        if verdict is not previous:
+            self._last_verdicts[order.position] = verdict
+            self.observer.record_verdict(order.service, order.version, verdict.value, counts)
+
     async def _advance_status(self, order: UpgradeOrder, verdict: Verdict) -> None:
         status = self.get_status(order)
         rows = self.tables.by_service.get(order.service, {}).values()
