--- a/crocusvalve/gateway/_outcome_counts.py
+++ b/crocusvalve/gateway/_outcome_counts.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from crocusvalve.base import UpstreamId
 from crocusvalve.gateway._upgrades import OutcomeCounts
 from crocusvalve.gateway.base import ServiceName, VersionName
 
@@ -12,8 +13,15 @@
 #: share of such failures is the baseline for the check of the new version.
 SLOW_FACTOR = 2.5
 SLOW_MARGINS_S = {"first": 0.15, "pause": 0.01}
+#: The same for answers that count as slow only. One of them says little, but a version that is
+#: several times slower has many more of them than the old one.
+SLIGHTLY_SLOW_FACTOR = 1.5
+SLIGHTLY_SLOW_MARGINS_S = {"first": 0.03, "pause": 0.003}
 #: Minimum weight of a new sample in the mean time; the first ten samples count equally.
 MIN_MEAN_WEIGHT = 0.1
+#: Late answers of one upstream within this time count once: a sound upstream may fall silent for a
+#: second or so, and all its requests are late together.
+LATE_SPACING_S = 1.5
 #: Number of samples of the mean time that are needed before an answer can count as slow.
 MIN_SAMPLES = 5
 
@@ -33,6 +41,16 @@
     mean_s: float = 0.0
     n_samples: int = 0
 
+    def is_exceeded(self, time_s: float, factor: float, margin_s: float) -> bool:
+        """Return whether a time is more than ``factor`` times the mean plus a margin."""
+        return self.n_samples >= MIN_SAMPLES and time_s > factor * self.mean_s + margin_s
+
+    def update(self, time_s: float) -> None:
+        """Add a sample."""
+        weight = max(MIN_MEAN_WEIGHT, 1.0 / (self.n_samples + 1))
+        self.mean_s += weight * (time_s - self.mean_s)
+        self.n_samples += 1
+
 
 class OutcomeCountsTable:
     """Outcome counts of this gateway, and the last reported ones of each run of its peers."""
@@ -41,6 +59,7 @@
         self._local: dict[tuple[str, str, str], OutcomeCounts] = {}
         self._remote: dict[str, tuple[OutcomeCountsRow, ...]] = {}
         self._mean_times: dict[tuple[str, str, str, str], _MeanTime] = {}
+        self._late_at: dict[UpstreamId, float] = {}
 
     def record_outcome(
         self,
@@ -69,16 +88,42 @@
         is_reference : bool
             Whether the times update the mean times.
         """
+        is_slow = is_failure
         for interval, time_s in (("first", first_s), ("pause", pause_s)):
             if time_s is not None and not is_failure:
                 # The pace of a model's events doesn't depend on the route.
                 key = (service, route if interval == "first" else "", model, interval)
-                is_failure = self._is_slow(key, time_s, is_reference)
+                mean = self._mean_times.setdefault(key, _MeanTime())
+                is_failure = mean.is_exceeded(time_s, SLOW_FACTOR, SLOW_MARGINS_S[interval])
+                is_slow = is_slow or mean.is_exceeded(
+                    time_s, SLIGHTLY_SLOW_FACTOR, SLIGHTLY_SLOW_MARGINS_S[interval]
+                )
+                if is_reference and not is_failure:
+                    mean.update(time_s)
         counts = self._local.setdefault((service, version, route), OutcomeCounts())
         counts.n_answers += 1
         counts.n_failures += is_failure
+        counts.n_slow += is_slow
+        if pause_s is not None:
+            counts.n_pauses += 1
+            counts.n_slow_pauses += is_slow
         return is_failure
 
+    def record_late(
+        self,
+        service: ServiceName,
+        version: VersionName,
+        route: str,
+        upstream_id: UpstreamId,
+        now: float,
+    ) -> bool:
+        """Count an answer that was given up as late; return whether it counts as a failure."""
+        if now - self._late_at.get(upstream_id, float("-inf")) < LATE_SPACING_S:
+            return False
+        self._late_at = {key: at for key, at in self._late_at.items() if now - at < LATE_SPACING_S}
+        self._late_at[upstream_id] = now
+        return self.record_outcome(service, version, route, is_failure=True)
+
     def list_local(self) -> tuple[OutcomeCountsRow, ...]:
         """Return this gateway's counts."""
         return tuple(OutcomeCountsRow(*key, counts) for key, counts in self._local.items())
@@ -104,13 +149,3 @@
         """Remove this gateway's counts of a service, at the start of an upgrade."""
         for key in [key for key in self._local if key[0] == service]:
             del self._local[key]
-
-    def _is_slow(self, key: tuple[str, str, str, str], time_s: float, is_reference: bool) -> bool:
-        mean = self._mean_times.setdefault(key, _MeanTime())
-        bound_s = SLOW_FACTOR * mean.mean_s + SLOW_MARGINS_S[key[-1]]
-        is_slow = mean.n_samples >= MIN_SAMPLES and time_s > bound_s
-        if is_reference and not is_slow:
-            weight = max(MIN_MEAN_WEIGHT, 1.0 / (mean.n_samples + 1))
-            mean.mean_s += weight * (time_s - mean.mean_s)
-            mean.n_samples += 1
-        return is_slow
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -9,15 +9,18 @@
 from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway._peers import PeerTable, UpgradeReport
+from crocusvalve.gateway._session_pins import SessionPins, compute_session_point
 from crocusvalve.gateway._status_table import StatusTableHandler
 from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._upgrades import (
+    OutcomeCounts,
     Verdict,
     VersionChoice,
     check_version,
     choose_version,
     compute_next_status,
+    is_first_half,
 )
 from crocusvalve.gateway.base import (
     GatewaySettings,
@@ -78,7 +81,9 @@
         self.observer = observer
         self.clock = clock
         self._bad_orders: dict[ServiceName, StorePosition] = {}
+        self._last_verdicts: dict[StorePosition, Verdict] = {}
         self._started_at = clock.now()
+        self._pins = SessionPins(settings.bounds.session_s)
 
     def is_active(self) -> bool:
         """Return whether an upgrade is in progress."""
@@ -94,9 +99,20 @@
     def choose_version(self, service: ServiceName, session: str) -> VersionChoice:
         """Choose the version for the requests of a session."""
         order = self.tables.orders.get(service)
-        if order is None:
-            return VersionChoice()
-        return choose_version(order, self.get_status(order), session, self._is_bad(order))
+        status = self.get_status(order) if order is not None else None
+        if not self._begin_first_half(order, status):
+            self._pins.record_session(service, session, self.clock.now())
+        elif self._pins.is_pinned(service, compute_session_point(order.version, session)):
+            return VersionChoice(avoid=order.version)
+        return choose_version(order, status, session, order is not None and self._is_bad(order))
+
+    def _begin_first_half(self, order: UpgradeOrder | None, status: UpgradeStatus | None) -> bool:
+        """Pin sessions if an upgrade is in its first half; return whether it is."""
+        if not is_first_half(status, self.settings.bounds.exposure_share):
+            return False
+        now = self.clock.now()
+        self._pins.begin(order.service, order.position, order.version, status.share, now)
+        return True
 
     def _is_bad(self, order: UpgradeOrder) -> bool:
         return self._bad_orders.get(order.service) == order.position
@@ -105,9 +121,9 @@
         """Check versions and advance upgrades until cancelled."""
         while True:
             for order in list(self.tables.orders.values()):
-                self._check_version(order)
+                verdict = self._check_version(order)
                 if self._may_write(self.clock.now()):
-                    await self._advance_status(order)
+                    await self._advance_status(order, verdict)
             await trio.sleep(CHECK_INTERVAL_S)
 
     def _may_write(self, now: float) -> bool:
@@ -136,13 +152,18 @@
                 share=status.share,
                 started_s=status.started_s,
                 is_bad=self._is_bad(order),
+                pinned=(
+                    self._pins.list_points(order.service)
+                    if self._begin_first_half(order, status)
+                    else ()
+                ),
             )
             for order, status in statuses
             if status is not None
         )
 
     def merge_reports(self, reports: Iterable[UpgradeReport], now: float) -> None:
-        """Take the verdict on a version from another gateway, and a status that the store has lost.
+        """Take verdicts and pinned sessions from another gateway, and a status that the store lost.
 
         Only a gateway that has just started takes a status: all others know the status of an order,
         or have received the order after their peer sent the report.
@@ -161,38 +182,49 @@
                     revision=order.revision,
                     era=order.era,
                 )
-            if report.is_bad and not self._is_bad(order):
-                self._merge_verdict(order, report)
+            status = self.get_status(order)
+            if status is not None and abs(status.started_s - report.started_s) < SAME_START_S:
+                self._merge_same_upgrade(order, status, report)
 
-    def _merge_verdict(self, order: UpgradeOrder, report: UpgradeReport) -> None:
-        """Mark a version as bad that a peer has found bad in the same upgrade."""
-        status = self.get_status(order)
-        is_running = status is not None and status.state is UpgradeState.RUNNING
-        if is_running and abs(status.started_s - report.started_s) < SAME_START_S:
+    def _merge_same_upgrade(
+        self, order: UpgradeOrder, status: UpgradeStatus, report: UpgradeReport
+    ) -> None:
+        """Take a peer's verdict and pinned sessions in the same upgrade."""
+        if self._begin_first_half(order, status):
+            self._pins.merge(order.service, report.pinned)
+        is_running = status.state is UpgradeState.RUNNING
+        if report.is_bad and is_running and not self._is_bad(order):
             self._bad_orders[order.service] = order.position
-            self.observer.record_bad_version(order.service, order.version, "reported by a peer")
+            self._record_verdict(order, Verdict.BAD, "reported by a peer")
 
-    def _check_version(self, order: UpgradeOrder) -> None:
+    def _check_version(self, order: UpgradeOrder) -> Verdict:
+        """Check the new version of an upgrade in progress; a bad one stays bad."""
+        if self._is_bad(order):
+            return Verdict.BAD
         status = self.get_status(order)
-        is_running = status is not None and status.state is UpgradeState.RUNNING
-        if not is_running or self._is_bad(order):
-            return
+        if status is None or status.state is not UpgradeState.RUNNING:
+            return Verdict.UNSURE
         new, old = self.outcome_counts.sum_by_route(order.service, order.version)
-        if check_version(new, old) is Verdict.BAD:
+        verdict = check_version(new, old)
+        if verdict is Verdict.BAD:
             self._bad_orders[order.service] = order.position
-            counts = "; ".join(
-                f"{route} {on_route.n_failures}/{on_route.n_answers}"
-                for route, on_route in new.items()
-            )
-            self.observer.record_bad_version(order.service, order.version, counts)
+        self._record_verdict(order, verdict, _format_counts(new))
+        return verdict
 
-    async def _advance_status(self, order: UpgradeOrder) -> None:
+    def _record_verdict(self, order: UpgradeOrder, verdict: Verdict, counts: str) -> None:
+        """Log a verdict that differs from the one before."""
+        previous = self._last_verdicts.get(order.position, Verdict.UNSURE)
+        if verdict is not previous:
+            self._last_verdicts[order.position] = verdict
+            self.observer.record_verdict(order.service, order.version, verdict.value, counts)
+
+    async def _advance_status(self, order: UpgradeOrder, verdict: Verdict) -> None:
         status = self.get_status(order)
         rows = self.tables.by_service.get(order.service, {}).values()
         target = compute_next_status(
             order,
             status,
-            verdict=Verdict.BAD if self._is_bad(order) else Verdict.UNSURE,
+            verdict=verdict,
             exposure_share=self.settings.bounds.exposure_share,
             has_upstreams=any(row.version == order.version and not row.is_draining for row in rows),
             now=self.store.compute_time_s(self.clock.now()),
@@ -234,3 +266,11 @@
         row = FeedRow(key, value, position.version)
         if self.status_handler.replica.merge_row(row):
             self.status_handler.apply_row(row, self.clock.now())
+
+
+def _format_counts(by_route: dict[str, OutcomeCounts]) -> str:
+    """Return failures and answers by route, and slow ones, for the log."""
+    return "; ".join(
+        f"{route} {counts.n_failures}/{counts.n_answers}, {counts.n_slow} slow"
+        for route, counts in by_route.items()
+    )
--- a/crocusvalve/gateway/_upgrades.py
+++ b/crocusvalve/gateway/_upgrades.py
@@ -5,8 +5,8 @@
 
 from msgspec import Struct
 
+from crocusvalve.gateway._session_pins import compute_session_point
 from crocusvalve.gateway.base import UpgradeOrder, UpgradeState, UpgradeStatus, VersionName
-from crocusvalve.utils import hash_to_unit
 
 __all__ = [
     "OutcomeCounts",
@@ -15,6 +15,7 @@
     "choose_version",
     "compute_next_status",
     "check_version",
+    "is_first_half",
 ]
 
 #: Share of sessions on the new version in the first half of an upgrade, as a fraction of the
@@ -23,36 +24,52 @@
 #: Share of sessions on the new version from a fraction of the upgrade's duration on, as pairs
 #: (fraction, share). Sessions may move to the new version in the second half only, and the old
 #: version must be idle before the end.
-SHARE_STEPS = ((0.52, 0.3), (0.60, 0.5), (0.84, 1.0))
+SHARE_STEPS = ((0.52, 0.3), (0.65, 0.5), (0.84, 1.0))
 #: Fraction of the duration after which an upgrade may be complete.
 COMPLETE_FRACTION = 0.93
-#: A new version is bad if the probability of at least as many failures as observed, at the old
-#: version's failure rate, is below this.
+#: A new version is bad if the probability of at least as many failures, or slow answers, as
+#: observed, at the old version's rate, is below this.
 SIGNIFICANCE_LEVEL = 0.004
+#: With a probability below this a new version is suspect: its share doesn't grow meanwhile, and it
+#: is not completed.
+SUSPICION_LEVEL = 0.05
 #: Relative size of the terms of a tail probability that are neglected.
 TAIL_PRECISION = 1e-9
-#: Lower limit of the old version's assumed failure rate.
+#: Lower limits of the old version's assumed rates of failures and of slow answers.
 MIN_BASE_FAILURE_RATE = 0.03
-#: Minimum number of failures for a version to be bad.
+MIN_BASE_SLOW_RATE = 0.1
+#: Minimum number of failures for a version to be bad, and to be suspect.
 MIN_FAILURES = 3
+MIN_SUSPICIOUS_FAILURES = 2
 
 
 class OutcomeCounts(Struct, array_like=True):
-    """Number of answers of a version on one route, and of failures among them."""
+    """Number of answers of a version on one route, and of failures and slow ones among them.
+
+    Failures count as slow as well. ``n_pauses`` and ``n_slow_pauses`` are those of the answers
+    whose time between events was measured, which is counted apart from the time to the first event.
+    """
 
     n_answers: int = 0
     n_failures: int = 0
+    n_slow: int = 0
+    n_pauses: int = 0
+    n_slow_pauses: int = 0
 
     def add(self, other: "OutcomeCounts") -> None:
         """Add other counts to these."""
         self.n_answers += other.n_answers
         self.n_failures += other.n_failures
+        self.n_slow += other.n_slow
+        self.n_pauses += other.n_pauses
+        self.n_slow_pauses += other.n_slow_pauses
 
 
 class Verdict(Enum):
     """Result of the check of a new version."""
 
     UNSURE = "unsure"
+    SUSPECT = "suspect"
     BAD = "bad"
 
 
@@ -86,13 +103,31 @@
         return VersionChoice(required=order.version)
     if is_bad:
         return VersionChoice(avoid=order.version)
-    if hash_to_unit(f"{order.version}|{session}") < status.share:
+    if compute_session_point(order.version, session) < status.share:
         return VersionChoice(required=order.version)
     return VersionChoice(avoid=order.version)
 
 
+def is_first_half(status: UpgradeStatus | None, exposure_share: float) -> bool:
+    """Return whether an upgrade is in its first half, in which no session may change its version.
+
+    Parameters
+    ----------
+    exposure_share : float
+        Operators' bound on the share of sessions that are exposed to an unproven version.
+    """
+    return (
+        status is not None
+        and status.state is UpgradeState.RUNNING
+        and status.share <= PROBE_SHARE_FACTOR * exposure_share
+    )
+
+
 def check_version(new: dict[str, OutcomeCounts], old: dict[str, OutcomeCounts]) -> Verdict:
-    """Check a new version's failures against the old version's, by route and in total.
+    """Check a new version's failures and slow answers against the old version's.
+
+    They are compared by route and in total, and the times between events apart from all others:
+    times to the first event vary much more, and would hide them.
 
     Parameters
     ----------
@@ -100,8 +135,10 @@
         Outcome counts by route.
     """
     pairs = [(counts, old.get(route, OutcomeCounts())) for route, counts in new.items()]
-    pairs.append((_sum_counts(new), _sum_counts(old)))
-    return Verdict.BAD if any(_is_worse(*pair) for pair in pairs) else Verdict.UNSURE
+    total_new, total_old = _sum_counts(new), _sum_counts(old)
+    pairs.append((total_new, total_old))
+    verdicts = [_check_counts(*pair) for pair in pairs]
+    return _choose_worst(*verdicts, _check_pauses(total_new, total_old))
 
 
 def _sum_counts(outcome_counts: dict[str, OutcomeCounts]) -> OutcomeCounts:
@@ -111,16 +148,33 @@
     return total
 
 
-def _is_worse(new: OutcomeCounts, old: OutcomeCounts) -> bool:
-    if new.n_failures < MIN_FAILURES:
-        return False
-    base_rate = max(MIN_BASE_FAILURE_RATE, 1.5 * (old.n_failures + 0.5) / (old.n_answers + 10.0))
-    return (
-        _compute_tail_probability(new.n_failures, new.n_answers, min(0.9, base_rate))
-        < SIGNIFICANCE_LEVEL
+def _check_counts(new: OutcomeCounts, old: OutcomeCounts) -> Verdict:
+    n_new, n_old = new.n_answers, old.n_answers
+    by_failures = _check_rate(new.n_failures, n_new, old.n_failures, n_old, MIN_BASE_FAILURE_RATE)
+    by_slowness = _check_rate(new.n_slow, n_new, old.n_slow, n_old, MIN_BASE_SLOW_RATE)
+    return _choose_worst(by_failures, by_slowness)
+
+
+def _check_pauses(new: OutcomeCounts, old: OutcomeCounts) -> Verdict:
+    return _check_rate(
+        new.n_slow_pauses, new.n_pauses, old.n_slow_pauses, old.n_pauses, MIN_BASE_SLOW_RATE
     )
 
 
+def _choose_worst(*verdicts: Verdict) -> Verdict:
+    return max(verdicts, key=list(Verdict).index)
+
+
+def _check_rate(n_bad: int, n_answers: int, n_old_bad: int, n_old: int, min_rate: float) -> Verdict:
+    if n_bad < MIN_SUSPICIOUS_FAILURES:
+        return Verdict.UNSURE
+    base_rate = min(0.9, max(min_rate, 1.5 * (n_old_bad + 0.5) / (n_old + 10.0)))
+    probability = _compute_tail_probability(n_bad, n_answers, base_rate)
+    if probability < SIGNIFICANCE_LEVEL and n_bad >= MIN_FAILURES:
+        return Verdict.BAD
+    return Verdict.SUSPECT if probability < SUSPICION_LEVEL else Verdict.UNSURE
+
+
 def _compute_tail_probability(n_failures: int, n_answers: int, rate: float) -> float:
     """Return the binomial probability of at least ``n_failures`` among ``n_answers``.
 
@@ -183,6 +237,10 @@
     elapsed_fraction = (now - status.started_s) / max(0.001, order.duration_s)
     if not has_upstreams:
         return None
+    if verdict is Verdict.SUSPECT:
+        # Too late to clear it up by more answers: the last step would expose all sessions.
+        is_over = elapsed_fraction >= SHARE_STEPS[-1][0]
+        return _replace_state(status, UpgradeState.REVERTED, 0.0) if is_over else None
     if elapsed_fraction >= COMPLETE_FRACTION and status.share >= 1.0:
         return _replace_state(status, UpgradeState.COMPLETE, 1.0)
     share = status.share
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -8,7 +8,9 @@
     Examples:
       | new_failures | new_answers | route | old_failures | old_answers | verdict |
       | 0            | 3           | a     | 0            | 50          | unsure  |
-      | 2            | 2           | a     | 0            | 50          | unsure  |
+      | 2            | 2           | a     | 0            | 50          | suspect |
+      | 2            | 12          | a     | 0            | 50          | suspect |
+      | 2            | 14          | a     | 0            | 50          | unsure  |
       | 3            | 4           | a     | 0            | 50          | bad     |
       | 3            | 40          | a     | 0            | 200         | unsure  |
       | 5            | 30          | a     | 30           | 200         | unsure  |
@@ -28,6 +30,13 @@
       | 100     | old  |
       | 50      | new  |
 
+  Scenario: A session that began before an upgrade isn't moved in its first half, whichever gateway it comes to
+    Given 4 gateways, each of which has served 100 sessions 2 s before an upgrade
+    When the upgrade starts with a share of 0.1, and the gateways exchange reports
+    Then no gateway sends one of these sessions to the new version
+    And each gateway sends between 0.07 and 0.13 of 1000 other sessions to it, the same ones
+    And all gateways move between 0.4 and 0.6 of these sessions when the share grows to 0.5
+
   Scenario: A gateway whose check fails as the upgrade is completed doesn't refuse requests once the old upstreams have left
     Given a gateway with an upgrade that began at 100 s, and counts that show nothing
     When a peer reports that the new version is bad, in an upgrade that began at 100 s
@@ -47,6 +56,10 @@
       | 0.5   | 17     | unsure  | running  | 1.0        |
       | 1.0   | 18     | unsure  | none     | 0          |
       | 1.0   | 19     | unsure  | complete | 1.0        |
+      | 0.1   | 11     | suspect | none     | 0          |
+      | 0.3   | 13     | suspect | none     | 0          |
+      | 0.3   | 17     | suspect | reverted | 0          |
+      | 1.0   | 19     | suspect | reverted | 0          |
       | 0.1   | 2      | bad     | reverted | 0          |
       | 1.0   | 18     | bad     | reverted | 0          |
 
@@ -170,6 +183,36 @@
       | 2     | 0.02  | 0.16 |
       | 2     | 0.02  | 0.08 |
 
+  Scenario Outline: A version that is a few times slower is found bad by many slightly slow answers, and an even service by none
+    Given <n_old> answers of the old version on each of 3 routes, with 0.025 s between events
+    When the new version answers 20 streams, <n_slow> of them with <slow> s between events
+    Then the counts show that the new version is <verdict>
+
+    Examples:
+      | n_old | n_slow | slow  | verdict |
+      | 30    | 10     | 0.052 | bad     |
+      | 30    | 5      | 0.052 | suspect |
+      | 30    | 2      | 0.052 | unsure  |
+      | 30    | 20     | 0.035 | unsure  |
+
+  Scenario: Slow events of a new version aren't hidden by times to the first event that vary
+    Given 60 answers of the old version, each third one with a first event at 0.3 s, others at 0.06 s, and 0.025 s between events
+    When the new version answers 12 streams in the same way, 6 of them with 0.052 s between events
+    Then the counts show that the new version is bad
+
+  Scenario Outline: A good version isn't found bad by one silence of one of its upstreams, but one that stays silent is
+    Given 30 answers of the old version on each of 3 routes, with 0.025 s between events
+    And 40 answers of the new version with 0.025 s between events
+    When each of <n_upstreams> upstreams of the new version is <n_late> times late within <span> s
+    Then the counts show that the new version is <verdict>
+
+    Examples:
+      | n_upstreams | n_late | span | verdict |
+      | 1           | 10     | 0.1  | unsure  |
+      | 1           | 30     | 1.0  | unsure  |
+      | 2           | 30     | 1.0  | unsure  |
+      | 4           | 60     | 5.0  | bad     |
+
   Scenario: A request that crashes upstreams is refused after the third crash, whichever gateway saw it
     Given a gateway that recorded 2 upstream crashes caused by one request
     When another gateway reports the same crashes and one more
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -3,6 +3,7 @@
 import os
 import random
 import time
+from types import SimpleNamespace
 
 import msgspec
 import trio
@@ -54,7 +55,7 @@
 from crocusvalve.standin import StandinUpstream
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import ChangeFeed, FeedPage, FeedRow
-from crocusvalve.utils import Clock, MonotonicClock
+from crocusvalve.utils import Clock
 
 NOW = 1_000.0
 SERVICE = ServiceName("llm")
@@ -423,20 +424,21 @@
     )
 
 
-@given("a gateway with an upgrade that began at {started_s:g} s, and counts that show nothing")
-def given_upgrading_gateway(context, started_s):
-    tables = GatewayTables()
-    tables.orders[SERVICE] = UpgradeOrder(SERVICE, VersionName("v2"), 20.0, revision=1)
-    tables.statuses[SERVICE] = UpgradeStatus(
-        version=VersionName("v2"),
-        state=UpgradeState.RUNNING,
-        share=1.0,
-        started_s=started_s,
-        revision=2,
-    )
-    context.upgrades = UpgradeController(
-        settings=None,
-        tables=tables,
+class ManualClock(Clock):
+    """Clock that a step sets."""
+
+    def __init__(self):
+        self.time_s = 1000.0
+
+    def now(self):
+        return self.time_s
+
+
+def make_upgrade_controller(clock):
+    """Return the upgrade controller of a gateway without a store and peers."""
+    return UpgradeController(
+        settings=SimpleNamespace(bounds=GatewayBounds()),
+        tables=GatewayTables(),
         peers=None,
         outcome_counts=OutcomeCountsTable(),
         feed=None,
@@ -444,8 +446,87 @@
         status_handler=None,
         store=None,
         observer=GatewayObserver(CollectorRegistry()),
-        clock=MonotonicClock(),
+        clock=clock,
+    )
+
+
+def set_upgrade(upgrades, share, started_s):
+    """Put an order and a status of version v2 into a gateway's tables."""
+    version = VersionName("v2")
+    upgrades.tables.orders[SERVICE] = UpgradeOrder(SERVICE, version, 20.0, revision=1)
+    upgrades.tables.statuses[SERVICE] = UpgradeStatus(
+        version=version,
+        state=UpgradeState.RUNNING,
+        share=share,
+        started_s=started_s,
+        revision=2,
     )
+
+
+def count_on_new(upgrades, sessions):
+    """Return the set of sessions that a gateway sends to version v2."""
+    return {
+        session
+        for session in sessions
+        if upgrades.choose_version(SERVICE, session).required == VersionName("v2")
+    }
+
+
+@given(
+    "{n:d} gateways, each of which has served {n_sessions:d} sessions {age_s:g} s before an upgrade"
+)
+def given_gateways_with_sessions(context, n, n_sessions, age_s):
+    context.clock = ManualClock()
+    context.gateways = [make_upgrade_controller(context.clock) for _ in range(n)]
+    context.sessions = [f"old-{number}" for number in range(n * n_sessions)]
+    for number, session in enumerate(context.sessions):
+        choice = context.gateways[number % n].choose_version(SERVICE, session)
+        assert choice == VersionChoice()
+    context.clock.time_s += age_s
+
+
+@when("the upgrade starts with a share of {share:g}, and the gateways exchange reports")
+def when_upgrade_starts(context, share):
+    for upgrades in context.gateways:
+        set_upgrade(upgrades, share, 100.0)
+    for sender in context.gateways:
+        for receiver in context.gateways:
+            if receiver is not sender:
+                receiver.merge_reports(sender.list_reports(), context.clock.now())
+
+
+@then("no gateway sends one of these sessions to the new version")
+def then_none_moved(context):
+    for upgrades in context.gateways:
+        assert not count_on_new(upgrades, context.sessions)
+
+
+@then(
+    "each gateway sends between {low:g} and {high:g} of {n:d} other sessions to it, the same ones"
+)
+def then_others_probe(context, low, high, n):
+    others = [f"new-{number}" for number in range(n)]
+    on_new = [count_on_new(upgrades, others) for upgrades in context.gateways]
+    assert all(chosen == on_new[0] for chosen in on_new)
+    assert low <= len(on_new[0]) / n <= high, len(on_new[0])
+
+
+@then(
+    "all gateways move between {low:g} and {high:g} of these sessions when the share grows to "
+    "{share:g}"
+)
+def then_moved_later(context, low, high, share):
+    for upgrades in context.gateways:
+        set_upgrade(upgrades, share, 100.0)
+    on_new = [count_on_new(upgrades, context.sessions) for upgrades in context.gateways]
+    assert all(chosen == on_new[0] for chosen in on_new)
+    assert low <= len(on_new[0]) / len(context.sessions) <= high, len(on_new[0])
+
+
+@given("a gateway with an upgrade that began at {started_s:g} s, and counts that show nothing")
+def given_upgrading_gateway(context, started_s):
+    context.upgrades = make_upgrade_controller(ManualClock())
+    set_upgrade(context.upgrades, 1.0, started_s)
     assert context.upgrades.choose_version(SERVICE, "s").required == "v2"
 
 
@@ -547,10 +628,69 @@
         )
 
 
-@then("the counts show that the new version is bad")
-def then_bad_by_counts(context):
+def record_varying_answers(outcome_counts, version, pauses_s, *, late_s=0.3, early_s=0.06):
+    """Record streams, each third one with a late first event."""
+    for number, pause_s in enumerate(pauses_s):
+        for times in (
+            {"first_s": late_s if number % 3 == 0 else early_s},
+            {"pause_s": pause_s},
+        ):
+            outcome_counts.record_outcome(
+                SERVICE,
+                VersionName(version),
+                f"r{number % 2}",
+                is_failure=False,
+                model="m",
+                is_reference=version == "v1",
+                **times,
+            )
+
+
+@given(
+    "{n:d} answers of the old version, each third one with a first event at {late_s:g} s, others "
+    "at {early_s:g} s, and {pause_s:g} s between events"
+)
+def given_varying_answers(context, n, late_s, early_s, pause_s):
+    context.outcome_counts = OutcomeCountsTable()
+    record_varying_answers(
+        context.outcome_counts, "v1", [pause_s] * n, late_s=late_s, early_s=early_s
+    )
+
+
+@when(
+    "the new version answers {n:d} streams in the same way, {n_slow:d} of them with {pause_s:g} s "
+    "between events"
+)
+def when_varying_answers(context, n, n_slow, pause_s):
+    pauses_s = [pause_s] * n_slow + [0.025] * (n - n_slow)
+    record_varying_answers(context.outcome_counts, "v2", pauses_s)
+
+
+@given("{n:d} answers of the new version with {pause_s:g} s between events")
+def given_new_answers(context, n, pause_s):
+    when_paced_answers(context, n, 0, pause_s)
+
+
+@when(
+    "each of {n_upstreams:d} upstreams of the new version is {n_late:d} times late within "
+    "{span_s:g} s"
+)
+def when_late(context, n_upstreams, n_late, span_s):
+    for number in range(n_late):
+        for upstream in range(n_upstreams):
+            context.outcome_counts.record_late(
+                SERVICE,
+                VersionName("v2"),
+                f"r{number % 3}",
+                UpstreamId(f"u{upstream}"),
+                1000.0 + span_s * number / n_late,
+            )
+
+
+@then("the counts show that the new version is {verdict}")
+def then_verdict_by_counts(context, verdict):
     new, old = context.outcome_counts.sum_by_route(SERVICE, VersionName("v2"))
-    assert check_version(new, old) is Verdict.BAD, (new, old)
+    assert check_version(new, old) is Verdict(verdict), (new, old)
 
 
 @given("a gateway that recorded 2 upstream crashes caused by one request")
