A stopping entry refuses requests that it has read in part

Callers saw: the connection ended without an answer, if the rest of a request arrived after the entry had no open request any more.

Cause: the entry ended all connections 0.02 s after it had told them to end, though serve_app gives them the time of the drain. Now it waits until they have ended, within the time of the drain. Answers to slow readers are sent to their end by the same wait; that was not run.

Also looked at: the agent serves metrics only by serve_app; its idle close (75 s, hypercorn) does not read on; copies between gateways are asked again, and ReadyListener's callers are probes.

Evidence: the scenario failed before (no bytes instead of 503) and passes now; features/processes/stops.feature: 7 scenarios passed.

--- a/crocusvalve/entry/_process.py
+++ b/crocusvalve/entry/_process.py
@@ -83,12 +83,18 @@
         shutdown = trio.Event()
         app = make_app(entry, registry)
         app.register_blueprint(make_admin_blueprint(entry.admin, clock=clock))
-        http_port = await nursery.start(_serve_callers, app, settings, callers_tls.server, shutdown)
+        served = trio.Event()
+        http_port = await nursery.start(
+            _serve_callers, app, settings, callers_tls.server, shutdown, served
+        )
         task_status.started((entry, EntryPorts(http_port, rpc_port)))
         await stop.wait()
+        drain_until = trio.current_time() + settings.drain_s
         await drain_entry(entry, settings.drain_s)
         shutdown.set()
-        await trio.sleep(DRAIN_POLL_S)
+        # Requests that were read in part are refused, and answers are sent to their end.
+        with trio.move_on_at(max(drain_until, trio.current_time() + DRAIN_POLL_S)):
+            await served.wait()
         entry.pool.close()
         entry.peers.close()
         nursery.cancel_scope.cancel()
@@ -99,9 +105,11 @@
     settings: EntrySettings,
     tls: ssl.SSLContext | None,
     shutdown: trio.Event,
+    served: trio.Event,
     *,
     task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
 ) -> None:
+    """Serve callers until a shutdown; set ``served`` once all their connections have ended."""
     listen = settings.http
     await serve_app(
         app,
@@ -112,6 +120,7 @@
         shutdown=shutdown,
         task_status=task_status,
     )
+    served.set()
 
 
 async def _serve_peers(
--- a/features/processes/steps/process_steps.py
+++ b/features/processes/steps/process_steps.py
@@ -5,6 +5,7 @@
 import socket
 import sys
 import threading
+import time
 from pathlib import Path
 
 import h2.config
@@ -715,6 +716,35 @@
     context.entry_exit_code = proc.wait(timeout=90)
 
 
+@when(
+    "entry 0 is stopped by SIGTERM and the rest of a chat request arrives {delay_s:g} s later",
+)
+def when_entry_stopped_within_request(context, delay_s):
+    body = json.dumps(make_chat_body("hello")).encode()
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {CUSTOMER_KEY}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    proc = context.cluster.processes.pop("entry-0")
+    address = (HOST, context.cluster.ports["http-0"])
+    with socket.create_connection(address, timeout=60) as sock:
+        sock.sendall(head.encode() + body[:5])
+        time.sleep(0.2)
+        proc.send_signal(signal.SIGTERM)
+        time.sleep(delay_s)
+        try:
+            sock.sendall(body[5:])
+            context.raw_answer = sock.recv(65536)
+        except ConnectionError as exc:
+            context.raw_answer = repr(exc).encode()
+    context.entry_exit_code = proc.wait(timeout=90)
+
+
+@then("the chat request is refused as not run")
+def then_chat_refused(context):
+    assert context.raw_answer.startswith(b"HTTP/1.1 503"), context.raw_answer
+
+
 @when("the agent of a streamed chat request is stopped by SIGTERM")
 def when_agent_stopped(context):
     def stop(response):
--- a/features/processes/stops.feature
+++ b/features/processes/stops.feature
@@ -35,6 +35,11 @@
     And the entry has exited with code 0
     And the member's usage eventually counts 1 request
 
+  Scenario: An entry that is stopped refuses a request that it has read in part
+    When entry 0 is stopped by SIGTERM and the rest of a chat request arrives 0.5 s later
+    Then the chat request is refused as not run
+    And the entry has exited with code 0
+
   Scenario: An agent that is stopped during a stream finishes it and accepts no new work
     Given the engines are slow
     When the agent of a streamed chat request is stopped by SIGTERM
