Table copies: give up a copy that only trickles

What would have been seen: a gateway that asks a peer for a copy of tables, and gets a byte each 50 ms, waits for it without limit and asks no other peer.

Cause: as in the client of the store, any byte extended the time limit. The limit on progress is now shared (TransferLimit: pauses, and 4 KiB within twice the longest pause) and applies to both, as well as to requests for copies. The size of a copy was bounded already.

Evidence: features/gateway/endless.feature, "A copy of tables that never ends ...": the trickling copy hadn't failed after 10 s before; it fails after 3.1 s now. The copy at full speed passed before. followers.feature (a copy that takes 3 s) passes.

--- a/crocusvalve/gateway/_table_copies.py
+++ b/crocusvalve/gateway/_table_copies.py
@@ -20,7 +20,7 @@
 from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.gateway.base import Address
 from crocusvalve.store.base import FeedPage
-from crocusvalve.utils import Clock
+from crocusvalve.utils import Clock, TransferLimit
 
 __all__ = ["CopyRequest", "TableCopy", "TableCopyExchange"]
 
@@ -218,13 +218,13 @@
 async def _receive(stream: trio.SocketStream, max_bytes: int) -> bytes:
     """Receive until the peer closes its side; raises ``OSError`` if it stalls or sends too much."""
     data = bytearray()
-    while True:
-        with trio.move_on_after(STALL_TIMEOUT_S) as scope:
-            part = await stream.receive_some(READ_BYTES)
-        if scope.cancelled_caught:
-            raise TimeoutError(f"the peer sent nothing for {STALL_TIMEOUT_S} s")
-        if not part:
-            return bytes(data)
-        data += part
-        if len(data) > max_bytes:
-            raise OSError(f"the message is longer than {max_bytes} bytes")
+    now = trio.current_time()
+    limit = TransferLimit(now, stall_s=STALL_TIMEOUT_S)
+    with trio.CancelScope(deadline=limit.extend(0, now)) as scope:
+        while part := await stream.receive_some(READ_BYTES):
+            data += part
+            if len(data) > max_bytes:
+                raise OSError(f"the message is longer than {max_bytes} bytes")
+            scope.deadline = limit.extend(len(part), trio.current_time())
+        return bytes(data)
+    raise TimeoutError(f"the peer sent too little or nothing for {STALL_TIMEOUT_S} s or more")
--- a/crocusvalve/platform/_store.py
+++ b/crocusvalve/platform/_store.py
@@ -21,6 +21,7 @@
     HistoryLostError,
     StorePosition,
 )
+from crocusvalve.utils import TransferLimit
 
 __all__ = ["PlatformStore"]
 
@@ -31,10 +32,6 @@
 STALL_TIMEOUT_S = 1.5
 #: Longest time for the body of an answer, so that a store that only trickles is given up as well.
 MAX_TRANSFER_S = 30.0
-#: Time within which each further ``MIN_PROGRESS_BYTES`` of an answer have to arrive, so that one
-#: that only trickles is given up before the gateway is out of date. The slowest links take 7 ms.
-PROGRESS_TIMEOUT_S = 3.0
-MIN_PROGRESS_BYTES = 4096
 #: Longest answer; pages of a table have about 1.4 MB, and the changes since a version are replaced
 #: by the whole table if they are longer.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -85,8 +82,6 @@
         self.n_bytes = 0
         self.elapsed_s = 0.0
         self._started_at: float | None = None
-        self._progress_at = 0.0
-        self._n_bytes_at_progress = 0
 
     async def receive(self, response: httpx.Response, scope: trio.CancelScope) -> bytearray:
         """Return the body of a response; the scope's deadline is extended while it progresses.
@@ -96,10 +91,11 @@
         PlatformError
             If the body can't be that of an answer.
         """
-        self._started_at = self._progress_at = trio.current_time()
+        self._started_at = trio.current_time()
+        limit = TransferLimit(self._started_at, stall_s=STALL_TIMEOUT_S, max_s=MAX_TRANSFER_S)
         body = bytearray()
         n_parts = 0
-        self._extend(scope)
+        scope.deadline = limit.extend(0, self._started_at)
         async for part in response.aiter_bytes():
             body += part
             n_parts += 1
@@ -109,19 +105,9 @@
                 raise self._make_error(f"the answer is longer than {MAX_ANSWER_BYTES} bytes")
             if n_parts > MAX_SMALL_PARTS and self.n_bytes < SMALL_PART_BYTES * n_parts:
                 raise self._make_error(f"{n_parts} parts of {self.n_bytes} bytes in all")
-            self._extend(scope)
+            scope.deadline = limit.extend(len(part), trio.current_time())
         return body
 
-    def _extend(self, scope: trio.CancelScope) -> None:
-        now = trio.current_time()
-        if self.n_bytes - self._n_bytes_at_progress >= MIN_PROGRESS_BYTES:
-            self._progress_at, self._n_bytes_at_progress = now, self.n_bytes
-        scope.deadline = min(
-            self._started_at + MAX_TRANSFER_S,
-            self._progress_at + PROGRESS_TIMEOUT_S,
-            now + STALL_TIMEOUT_S,
-        )
-
     def _make_error(self, message: str) -> PlatformError:
         return PlatformError(message, step=self.step, peer=self.peer, maybe_applied=True)
 
--- a/crocusvalve/utils/__init__.py
+++ b/crocusvalve/utils/__init__.py
@@ -3,12 +3,14 @@
 from crocusvalve.utils._clock import BootClock, Clock, MonotonicClock
 from crocusvalve.utils._digest import compute_digest, hash_key, hash_to_unit
 from crocusvalve.utils._signals import run_until_signal
+from crocusvalve.utils._transfer_limit import TransferLimit
 from crocusvalve.utils._wakeup_delay import WakeupDelayMonitor
 from crocusvalve.utils.validation import check_range
 
 __all__ = [
     "BootClock",
     "Clock",
+    "TransferLimit",
     "WakeupDelayMonitor",
     "MonotonicClock",
     "check_range",
--- a/features/gateway/endless.feature
+++ b/features/gateway/endless.feature
@@ -189,3 +189,27 @@
       | TINY_CHUNKS     |
       | SLOW_BODY       |
       | LONG_BODY       |
+
+  Scenario Outline: A copy of tables that never ends is given up in time and within bounded memory
+    Given a peer that sends <n_bytes> bytes each <pause> s without end
+    When a gateway asks it for a copy
+    Then the copy fails within <limit> s
+    And the process has held at most 24 MB more than before
+
+    Examples:
+      | n_bytes | pause | limit |
+      | 65536   | 0     | 2     |
+      | 1       | 0.05  | 4     |
+
+  Scenario Outline: A transfer may go on as long as it progresses, whatever it takes in all
+    Given a transfer with pauses of at most 1.5 s
+    When <n_bytes> bytes arrive each <pause> s
+    Then the transfer is given up after <end> s
+
+    Examples:
+      | n_bytes | pause | end   |
+      | 1       | 0.05  | 3     |
+      | 4096    | 1.4   | never |
+      | 4096    | 1.6   | 1.5   |
+      | 2048    | 1.4   | never |
+      | 100     | 1.4   | 3     |
