Client of the platform's service: bound answers without end

What would have been seen: a rating or a reservation of weights waited without limit while bytes came, for instance interim answers or a body without end, since these two calls are made without the guard that limits an attempt. All calls kept a body of any size for up to 30 s.

Now single calls run within the limit of an attempt too, and an answer has at most 16 MiB, an object 352 MiB (the longest that the settings allow, in Base64).

A body that trickles is still given up after 30 s only (max_transfer_s): the test "An object whose transfer takes longer ..." guards transfers of 500 bytes a second.

--- a/crocusvalve/store/_guard.py
+++ b/crocusvalve/store/_guard.py
@@ -208,11 +208,18 @@
         if n_writes:
             await trio.sleep(self.write_budget.reserve(n_writes, now))
 
+    async def run_once(self, step: str, call: Callable[[], Awaitable[T]]) -> T:
+        """Make one attempt within its time limit, apart from the circuit and all counters."""
+        return await self._limit(step, call, self.settings.attempt_timeout_s)
+
     async def _attempt(self, step: str, call: Callable[[], Awaitable[T]], deadline_at: float) -> T:
         self.counters.n_attempts += 1
         remaining_s = max(0.0, deadline_at - self.clock.now())
+        return await self._limit(step, call, min(self.settings.attempt_timeout_s, remaining_s))
+
+    async def _limit(self, step: str, call: Callable[[], Awaitable[T]], limit_s: float) -> T:
         timeout_s = self.settings.attempt_timeout_s
-        with trio.move_on_after(min(timeout_s, remaining_s)) as scope:
+        with trio.move_on_after(limit_s) as scope:
             AttemptLimit(scope, timeout_s, self.settings.max_transfer_s).activate()
             return await call()
         raise PlatformError("no answer in time", step=step, peer=self.peer, maybe_applied=True)
--- a/crocusvalve/store/_http.py
+++ b/crocusvalve/store/_http.py
@@ -33,6 +33,11 @@
 __all__ = ["HttpPlatform"]
 
 MAX_CONNECTIONS = 16
+#: Longest answer; the longest ones list rows.
+MAX_ANSWER_BYTES = 16 * 2**20
+#: Longest answer with an object: the setting ``max_answer_bytes`` allows 256 MiB, a third more in
+#: Base64.
+MAX_OBJECT_BYTES = 352 * 2**20
 
 
 class _HttpCalls(TableService, ObjectStore):
@@ -56,13 +61,26 @@
                 content=msg.encode_message(message, self._content_type),
                 headers=self._headers,
             ) as response:
-                content = await _receive(response)
+                is_object = call is msg.PlatformCall.OBJECT
+                limit = MAX_OBJECT_BYTES if is_object else MAX_ANSWER_BYTES
+                content = await self._receive(step, response, limit)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
             raise PlatformError(repr(exc), step=step, peer=self._url) from exc
         except httpx.HTTPError as exc:
             raise PlatformError(repr(exc), step=step, peer=self._url, maybe_applied=True) from exc
         return self._decode(call, response.status_code, content)
 
+    async def _receive(self, step: str, response: httpx.Response, max_bytes: int) -> bytes:
+        """Return the body of a response; each part extends the time limit of the attempt."""
+        body = bytearray()
+        async for part in response.aiter_bytes():
+            AttemptLimit.extend_current()
+            body += part
+            if len(body) > max_bytes:
+                message = f"the answer is longer than {max_bytes} bytes"
+                raise PlatformError(message, step=step, peer=self._url, maybe_applied=True)
+        return bytes(body)
+
     def _decode(self, call: msg.PlatformCall, status: int, content: bytes) -> Any:
         step = call.value[0]
         text = content.decode(errors="replace")
@@ -104,15 +122,6 @@
         return reply.data
 
 
-async def _receive(response: httpx.Response) -> bytes:
-    """Return the body of a response; each part extends the time limit of the attempt."""
-    parts = []
-    async for part in response.aiter_bytes():
-        AttemptLimit.extend_current()
-        parts.append(part)
-    return b"".join(parts)
-
-
 class HttpPlatform(TableService, ObjectStore, VmDirectory, RatingService, WeightStore):
     """Client of the platform's service; use it as an asynchronous context manager.
 
@@ -208,14 +217,17 @@
 
     async def rate(self, req: RatingRequest) -> Rating:
         """Rate an answer; not retried, since ratings are only a hint."""
-        reply = await self._calls.call(msg.PlatformCall.RATE, msg.RateRequest(req))
+        reply = await self._run_once(msg.PlatformCall.RATE, msg.RateRequest(req))
         return reply.rating
 
     async def reserve(self, version: VersionRef) -> WeightReservation:
         """Reserve one load of a version's weights; not retried, as it is not idempotent."""
-        reply = await self._calls.call(msg.PlatformCall.RESERVE, msg.ReserveRequest(version))
+        reply = await self._run_once(msg.PlatformCall.RESERVE, msg.ReserveRequest(version))
         return reply.reservation
 
     async def _run(self, call: msg.PlatformCall, message: Any) -> Any:
         reply = await self.guard.run(call.value[0], lambda: self._calls.call(call, message))
         return reply.value
+
+    async def _run_once(self, call: msg.PlatformCall, message: Any) -> Any:
+        return await self.guard.run_once(call.value[0], lambda: self._calls.call(call, message))
--- a/features/store/http.feature
+++ b/features/store/http.feature
@@ -35,3 +35,20 @@
     Given a client with a limit of 0.4 s for an answer and of 1 s for a call
     When it reads an object whose answer stops after its first bytes
     Then the call fails within 1.5 s
+
+  Scenario Outline: A call whose answer never ends is given up, with or without retries
+    Given a client with a limit of 0.4 s for an answer and of 1 s for a call
+    When it makes the call <call> and the answer is the endless reply <reply>
+    Then the call fails within <limit> s
+
+    Examples:
+      | call    | reply           | limit |
+      | get     | HEAD            | 1.5   |
+      | get     | SLOW_INTERIM    | 1.5   |
+      | get     | BODY            | 3     |
+      | get     | CHUNK_EXTENSION | 1.5   |
+      | rate    | HEAD            | 1.5   |
+      | rate    | SLOW_INTERIM    | 1.5   |
+      | rate    | BODY            | 3     |
+      | reserve | SLOW_INTERIM    | 1.5   |
+      | reserve | BODY            | 3     |
--- a/features/store/steps/http_steps.py
+++ b/features/store/steps/http_steps.py
@@ -10,10 +10,18 @@
 from crocusvalve.base import CustomerId, DomainId, VersionRef, WriteId
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.standin import MemoryPlatform, serve_platform
+from crocusvalve.standin._endless import EndlessReply, send_endlessly
 from crocusvalve.standin._http_server import StandinServer
 from crocusvalve.store import GuardSettings, HttpPlatform, RatingRequest, VmInfo, Write
 from crocusvalve.store._messages import MSGPACK_TYPE, ObjectReply, encode_message
 
+RATING = RatingRequest(
+    customer_id=CustomerId("m/c"),
+    class_name="chat",
+    version=VersionRef("m/a@1"),
+    prompt="p",
+    answer="a",
+)
 SETTINGS = GuardSettings(attempt_timeout_s=5.0, call_timeout_s=20.0, backoff_max_s=0.05)
 
 
@@ -51,13 +59,6 @@
     @staticmethod
     async def make_calls(service):
         write = Write(table="t", key="a/1", value=b"x", write_id=WriteId("w1"), if_version=0)
-        rating = RatingRequest(
-            customer_id=CustomerId("m/c"),
-            class_name="chat",
-            version=VersionRef("m/a@1"),
-            prompt="p",
-            answer="a",
-        )
         await service.put_object("o", b"data")
         return [
             await service.transact([write]),
@@ -68,7 +69,7 @@
             await service.get_object("o"),
             await service.get_object("absent"),
             await service.list_vms(),
-            await service.rate(rating),
+            await service.rate(RATING),
             (await service.reserve(VersionRef("m/a@1"))).is_granted,
         ]
 
@@ -199,3 +200,41 @@
 def then_call_fails(context, bound_s):
     assert isinstance(context.result, PlatformError), context.result
     assert context.elapsed_s <= bound_s, context.elapsed_s
+
+
+class EndlessServer(StandinServer):
+    """Answers each call with a reply that never ends."""
+
+    def __init__(self, reply):
+        super().__init__()
+        self.reply = reply
+
+    async def answer(self, call, stream):
+        await send_endlessly(stream, self.reply, b"HTTP/1.1 200 X\r\n")
+        return False
+
+
+@when("it makes the call {call:w} and the answer is the endless reply {reply:w}")
+def when_endless(context, call, reply):
+    calls = {
+        "get": lambda client: client.get("t", "k"),
+        "rate": lambda client: client.rate(RATING),
+        "reserve": lambda client: client.reserve(VersionRef("m/a@1")),
+    }
+
+    async def main():
+        server = EndlessServer(EndlessReply[reply])
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve)
+            async with HttpPlatform(f"http://{server.address}", settings=context.limits) as client:
+                started_at = trio.current_time()
+                context.result = None
+                with trio.move_on_after(10.0):
+                    try:
+                        await calls[call](client)
+                    except PlatformError as exc:
+                        context.result = exc
+                context.elapsed_s = trio.current_time() - started_at
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
