Agent: bound answers of an upstream without end

What would have been seen: a probe of an engine's health, or a question for its loaded models, went on as long as any byte came, so that the agent learned nothing about the upstream and probed it no more. Reports, answers to orders, and a line of an engine's stream were kept whatever their size.

Now a report has to arrive as a whole within the time limit of a probe, reports and answers to orders have at most 1 MiB, as have lines of a stream. An upstream whose answer to a probe never ends is down, like one that doesn't answer. Answers of attempts were bounded already: the buffer stops reading while it is full, and the attempt ends at its deadline.

--- a/crocusvalve/agent/_engine_stream.py
+++ b/crocusvalve/agent/_engine_stream.py
@@ -1,5 +1,6 @@
 """Wire format of an engine: the request body of a completion and its server-sent events."""
 
+from collections.abc import AsyncIterator
 from typing import Any
 
 import httpx
@@ -15,6 +16,8 @@
 
 SSE_PREFIX = "data:"
 SSE_DONE = "[DONE]"
+#: A longer line is no chunk of an answer.
+MAX_LINE_BYTES = 1024 * 1024
 
 
 class _TokenDetails(Struct, frozen=True):
@@ -68,7 +71,7 @@
 async def read_events(reply: httpx.Response, on_data: OnData) -> UpstreamEnd:
     """Read an engine's stream to its end marker; raises ``UpstreamError`` if it is incomplete."""
     usage, finish_reason = Usage(), ""
-    async for line in reply.aiter_lines():
+    async for line in _read_lines(reply):
         if not line.startswith(SSE_PREFIX):
             continue
         data = line[len(SSE_PREFIX) :].strip()
@@ -89,6 +92,25 @@
     )
 
 
+async def _read_lines(reply: httpx.Response) -> AsyncIterator[str]:
+    """Yield the lines of a stream; raises ``UpstreamError`` if one is too long."""
+    buffer = bytearray()
+    n_searched = 0
+    async for part in reply.aiter_bytes():
+        buffer += part
+        start = 0
+        while (end := buffer.find(b"\n", n_searched)) >= 0:
+            yield buffer[start:end].decode(errors="replace").rstrip("\r")
+            start = n_searched = end + 1
+        del buffer[:start]
+        n_searched = len(buffer)
+        if len(buffer) > MAX_LINE_BYTES:
+            message = f"a line of the engine's stream is longer than {MAX_LINE_BYTES} bytes"
+            raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ExecutionStatus.UNKNOWN)
+    if buffer:
+        yield buffer.decode(errors="replace").rstrip("\r")
+
+
 def _decode_chunk(data: str) -> _Chunk:
     try:
         chunk = _CHUNK_DECODER.decode(data)
--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -5,6 +5,7 @@
 
 import httpx
 import msgspec
+import trio
 from msgspec import Struct
 
 from crocusvalve.agent._engine_stream import make_engine_body, read_events
@@ -26,6 +27,8 @@
 KEEPALIVE_EXPIRY_S = 2.0
 MAX_KEEPALIVE_CONNECTIONS = 64
 PROBE_TIMEOUT_S = 1.0
+#: Longest answer to a probe, to a question for the load and to an order.
+MAX_REPORT_BYTES = 1024 * 1024
 ORDERS_PATH = "/orders"
 MAX_CHUNK_BYTES = 64 * 1024
 #: Trace events of the transport right before it writes the headers and the body of a request.
@@ -137,13 +140,13 @@
         any other answer means that it is up, even one whose body cannot be decoded.
         """
         try:
-            reply = await self.http.get(f"{self.url}/health", timeout=PROBE_TIMEOUT_S)
+            status, content = await self._get_report("/health")
         except httpx.HTTPError:
             return HealthReport(is_up=False)
-        if reply.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+        if status == httpx.codes.SERVICE_UNAVAILABLE:
             return HealthReport(is_up=False)
         try:
-            health = msgspec.json.decode(reply.content, type=_Health)
+            health = msgspec.json.decode(content, type=_Health)
             state = UpstreamState(health.state) if health.state else None
         except (msgspec.DecodeError, ValueError):
             return HealthReport(is_up=True)
@@ -153,24 +156,31 @@
     async def list_loaded(self) -> tuple[VersionRef, ...] | None:
         """Return ``loaded`` from ``GET /load``; None if the engine does not report it."""
         try:
-            reply = await self.http.get(f"{self.url}/load", timeout=PROBE_TIMEOUT_S)
+            status, content = await self._get_report("/load")
         except httpx.HTTPError as exc:
             raise _make_send_error(exc, False) from exc
-        if reply.is_server_error:
-            raise _make_status_error(reply)
+        if status >= httpx.codes.INTERNAL_SERVER_ERROR:
+            raise _make_status_error(status)
         try:
-            return msgspec.json.decode(reply.content, type=_Load).loaded
+            return msgspec.json.decode(content, type=_Load).loaded
         except msgspec.DecodeError:
             return None
 
+    async def _get_report(self, path: str) -> tuple[int, bytes]:
+        """Return status and body of a report; raises ``httpx.HTTPError`` if it takes too long."""
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            async with self.http.stream("GET", self.url + path, timeout=PROBE_TIMEOUT_S) as reply:
+                return reply.status_code, await _read_report(reply)
+        raise httpx.ReadTimeout(f"no whole report within {PROBE_TIMEOUT_S} s")
+
     async def order(self, order: UpstreamOrder, *, on_send: OnSend) -> UpstreamOrderReply:
         """Post an order to the engine; a 409 refuses it, as for an outdated number."""
         headers = {"Content-Type": "application/json"}
         call = _Call("POST", ORDERS_PATH, msgspec.json.encode(order), headers, is_order=True)
         async with self._send(call, on_send) as reply:
             if reply.status_code not in (httpx.codes.OK, httpx.codes.CONFLICT):
-                raise _make_status_error(reply)
-            data = await reply.aread()
+                raise _make_status_error(reply.status_code)
+            data = await _read_report(reply)
         try:
             order_reply = msgspec.json.decode(data, type=_OrderReply)
         except msgspec.DecodeError as exc:
@@ -225,7 +235,7 @@
         call = _Call(req.method, req.path, make_engine_body(req), headers, _is_order(req))
         async with self._send(call, on_send) as reply:
             if reply.status_code != httpx.codes.OK:
-                raise _make_status_error(reply)
+                raise _make_status_error(reply.status_code)
             return await read_events(reply, on_data)
 
     async def _call_service(self, req: RunRequest, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
@@ -258,6 +268,16 @@
     return trace
 
 
+async def _read_report(reply: httpx.Response) -> bytes:
+    """Return the body of a report; raises ``httpx.HTTPError`` if it is too long."""
+    content = bytearray()
+    async for part in reply.aiter_bytes():
+        content += part
+        if len(content) > MAX_REPORT_BYTES:
+            raise httpx.RemoteProtocolError(f"the report is over {MAX_REPORT_BYTES} bytes")
+    return bytes(content)
+
+
 def _make_send_error(exc: httpx.HTTPError, is_sent: bool) -> UpstreamError:
     if isinstance(exc, NOT_SENT_ERRORS) and not is_sent:
         message = f"no connection to the upstream: {type(exc).__name__}"
@@ -269,8 +289,7 @@
     return UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ran, is_interrupted=is_sent)
 
 
-def _make_status_error(reply: httpx.Response) -> UpstreamError:
-    status = reply.status_code
+def _make_status_error(status: int) -> UpstreamError:
     message = f"the engine answered with status {status}"
     if status not in ENGINE_NOT_RUN_STATUSES:
         return UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ExecutionStatus.UNKNOWN)
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -50,3 +50,20 @@
   Scenario: Nothing is written to a connection if the attempt is refused after the connection was made
     When a call to a plain service over a real connection is refused right before the send
     Then the service has received no bytes and the attempt has not run
+
+  Scenario Outline: A report that never ends doesn't hold up the agent
+    Given an upstream whose answers are the endless reply <reply>
+    When the agent makes the call <call> with 10 s left
+    Then it fails within <limit> s with at most 12 MB held
+
+    Examples:
+      | call        | reply           | limit |
+      | probe       | SLOW_BODY       | 1.5   |
+      | probe       | SLOW_INTERIM    | 1.5   |
+      | probe       | BODY            | 1.5   |
+      | probe       | HEAD            | 1.5   |
+      | list_loaded | SLOW_BODY       | 1.5   |
+      | list_loaded | BODY            | 1.5   |
+      | order       | BODY            | 2     |
+      | engine      | EVENT           | 2     |
+      | engine      | CHUNK_EXTENSION | 2     |
