--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -38,7 +38,9 @@
 RESTART_PAUSE_S = 0.3
 #: Delay of the soak's own tasks above which bounds on time can't be checked.
 MAX_WAKEUP_DELAY_S = 0.3
-POLL_INTERVAL_S = 0.05
+#: Interval at which the delay is measured, and the delay below which it isn't recorded.
+DELAY_POLL_S = 0.01
+MIN_DELAY_S = 0.001
 #: Timeout of all routes, and time after which gateways close an idle connection, at first.
 DEFAULT_TIMEOUT_S = 10.0
 DEFAULT_IDLE_TIMEOUT_S = 3.0
@@ -179,14 +181,15 @@
                         self.register(upstream)
 
     async def _monitor_wakeup_delay(self) -> None:
-        """Record a disruption of all components whenever the soak's own tasks are delayed.
+        """Record delays of the soak's own tasks, and long ones as a disruption of all components.
 
         Time bounds can't be checked reliably at such times.
         """
         while True:
-            due = trio.current_time() + POLL_INTERVAL_S
+            due = trio.current_time() + DELAY_POLL_S
             await trio.sleep_until(due)
-            self.checker.loss_judge.record_delay(due, trio.current_time())
+            if trio.current_time() - due > MIN_DELAY_S:
+                self.checker.loss_judge.record_delay(due, trio.current_time())
             if trio.current_time() - due > MAX_WAKEUP_DELAY_S:
                 for component in (
                     STORE,
--- a/crocusvalve/soak/processes/_run.py
+++ b/crocusvalve/soak/processes/_run.py
@@ -3,6 +3,7 @@
 import json
 import random
 import tempfile
+import time
 from collections import Counter
 from functools import partial
 from pathlib import Path
@@ -60,7 +61,7 @@
     """Counts, disruptions and violations of a soak.
 
     ``recovered_s`` is the time from the last fault until service recovered, in seconds, and None if
-    it did not.
+    it did not. ``clock_offset_s`` plus a time on the soak's clock is the time in the logs.
     """
 
     seed: int
@@ -68,6 +69,7 @@
     n_served: int = 0
     n_refused: int = 0
     recovered_s: float | None = None
+    clock_offset_s: float = 0.0
     disruptions: list[str] = field(default_factory=list)
     violations: list[Violation] = field(default_factory=list)
 
@@ -198,6 +200,7 @@
     def _fill_report(self) -> ProcessSoakReport:
         """Fill the report with counts and violations and return it."""
         report = self.report
+        report.clock_offset_s = round(time.time() - self.checker.clock(), 3)
         attempts = self.checker.attempts.values()
         counts = Counter(attempt.answer.status for attempt in attempts)
         report.n_requests = len(attempts)
