--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -1,24 +1,37 @@
 """Flow of a plain request: a single answer, read completely before it is forwarded."""
 
+from contextlib import ExitStack
 from enum import Enum
+from functools import partial
 
 import trio
 from msgspec import Struct
 
+from crocusvalve.base import UpstreamId
 from crocusvalve.exceptions import RefusedError
+from crocusvalve.gateway._answer_memory import AnswerMemory
+from crocusvalve.gateway._attempt import Attempt
+from crocusvalve.gateway._attempts import AttemptManager
 from crocusvalve.gateway._flow import Flow, make_gateway_error
 from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._listener import Responder
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
-from crocusvalve.gateway._upstream_call import CallError
+from crocusvalve.gateway._upstream_call import CallError, CallFailure
 from crocusvalve.gateway.base import Reply, RouteKind, Upstream
 
 __all__ = ["PlainFlow"]
 
 #: Longest body of an answer.
 MAX_BODY_BYTES = 8 * 1024 * 1024
-#: A safe request without an answer after this fraction of its goal is sent to a second upstream.
+#: Maximum size of all plain answers that a gateway holds: the smallest VMs have 88 MB, and the
+#: process takes 52 MB of them.
+MAX_HELD_BYTES = 16 * 1024 * 1024
+#: Longer bodies are sent in parts of this size, so that they aren't copied as a whole.
+SEND_BYTES = 65536
+#: A safe request without an answer after this fraction of its goal is sent to a second upstream;
+#: again so after the same time if that upstream has rejected or failed it.
 HEDGE_FRACTION = 0.5
+MIN_HEDGE_S = 0.05
 
 
 class _AttemptEnd(Enum):
@@ -33,63 +46,83 @@
     end: _AttemptEnd
     upstream: Upstream
     reply: Reply | None = None
-    body: bytes = b""
+    body: bytes | bytearray = b""
 
 
 class PlainFlow(Flow):
-    """Answers plain requests, with retries and a hedged attempt if the route allows them."""
+    """Answers plain requests, with retries and a hedged attempt if the route allows them.
+
+    Attributes
+    ----------
+    memory : AnswerMemory
+        Answers that are held until they are complete and have been sent.
+    """
+
+    def __init__(self, attempt_manager: AttemptManager):
+        super().__init__(attempt_manager)
+        self.memory = AnswerMemory(MAX_HELD_BYTES)
 
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
         """Forward the first good answer of an upstream, or the last failure."""
-        result = await self._find_answer(req)
-        reply = result.reply
-        await responder.answer(reply.status, reply.headers, result.body)
-        return RequestEnd.ANSWERED if reply.status < 400 else RequestEnd.UPSTREAM_FAILURE
+        with ExitStack() as held:
+            result = await self._find_answer(req, held)
+            await _send(responder, result)
+        status = result.reply.status
+        return RequestEnd.ANSWERED if status < 400 else RequestEnd.UPSTREAM_FAILURE
 
-    async def _find_answer(self, req: GatewayRequest) -> _Result:
+    async def _find_answer(self, req: GatewayRequest, held: ExitStack) -> _Result:
         async with trio.open_nursery() as nursery:
-            answer = await self._run_attempts(req, nursery)
+            answer = await self._run_attempts(req, nursery, held)
             nursery.cancel_scope.cancel()
         if isinstance(answer, RefusedError):
             raise answer
         return answer
 
     async def _run_attempts(
-        self, req: GatewayRequest, nursery: trio.Nursery
+        self, req: GatewayRequest, nursery: trio.Nursery, held: ExitStack
     ) -> _Result | RefusedError:
         send, receive = trio.open_memory_channel[_Result](req.route.max_attempts + 8)
-        hedge_s: float | None = HEDGE_FRACTION * req.route.goal_s
-        n_pending = 0
+        pending: set[UpstreamId] = set()
         failure: _Result | None = None
         while True:
-            if not n_pending:
+            if not pending:
                 upstream = await self._find_next(req)
                 if upstream is None:
                     message = "no upstream can accept the request"
                     return failure or make_gateway_error(req, message, "place", self.clock.now())
-                nursery.start_soon(self._attempt, req, upstream, send)
-                n_pending += 1
-            result = await self._receive_result(req, receive, hedge_s if n_pending == 1 else None)
+                nursery.start_soon(self._attempt, req, upstream, send, held)
+                pending.add(upstream.upstream_id)
+            result = await self._receive_result(req, receive, may_hedge=len(pending) == 1)
             if result is None:
                 # The answer is late: sends the request to a second upstream as well.
-                hedge_s = None
-                upstream = (
-                    self.find_upstream(req, self.clock.now()) if self._may_repeat(req) else None
-                )
+                upstream = self._find_hedge(req, pending)
                 if upstream is not None:
                     req.notes.append("hedge")
-                    nursery.start_soon(self._attempt, req, upstream, send)
-                    n_pending += 1
+                    nursery.start_soon(self._attempt, req, upstream, send, held)
+                    pending.add(upstream.upstream_id)
                 continue
-            n_pending -= 1
+            pending.discard(result.upstream.upstream_id)
             if result.end is _AttemptEnd.REPLIED:
                 if result.reply.status < 500:
                     return result
                 failure = result
-            if not n_pending and not self._may_continue(req, result):
+            if not pending and not self._may_continue(req, result):
                 message = "the upstream sent no answer"
                 return failure or make_gateway_error(req, message, "attempt", self.clock.now())
 
+    def _find_hedge(self, req: GatewayRequest, pending: set[UpstreamId]) -> Upstream | None:
+        """Return an upstream for a hedged attempt, or None.
+
+        Without another one, upstreams that have rejected or failed the request may get it again.
+        """
+        if not self._may_repeat(req):
+            return None
+        upstream = self.find_upstream(req, self.clock.now())
+        if upstream is None:
+            req.tried.intersection_update(pending)
+            upstream = self.find_upstream(req, self.clock.now())
+        return upstream
+
     def _may_repeat(self, req: GatewayRequest) -> bool:
         return (
             req.route.kind is RouteKind.SAFE
@@ -110,28 +143,40 @@
 
     @staticmethod
     async def _receive_result(
-        req: GatewayRequest, receive: trio.MemoryReceiveChannel, hedge_s: float | None
+        req: GatewayRequest, receive: trio.MemoryReceiveChannel, *, may_hedge: bool
     ) -> _Result | None:
-        if hedge_s is None or req.route.kind is not RouteKind.SAFE:
+        """Return the next result, or None if it is time for a hedged attempt."""
+        if not may_hedge or req.route.kind is not RouteKind.SAFE:
             return await receive.receive()
-        with trio.move_on_after(hedge_s):
+        with trio.move_on_after(max(MIN_HEDGE_S, HEDGE_FRACTION * req.route.goal_s)):
             return await receive.receive()
         return None
 
     async def _attempt(
-        self, req: GatewayRequest, upstream: Upstream, send: trio.MemorySendChannel
+        self,
+        req: GatewayRequest,
+        upstream: Upstream,
+        send: trio.MemorySendChannel,
+        held: ExitStack,
     ) -> None:
         req.tried.add(upstream.upstream_id)
         started_at = self.clock.now()
+        reply: Reply | None = None
         try:
             async with self.attempt_manager.start_attempt(
                 req, upstream, model="", last_event_id=b""
             ) as attempt:
                 reply = await attempt.read_head(req.caller.attempt_id)
-                body = await attempt.read_body(MAX_BODY_BYTES)
+                body = b"" if reply.is_not_run else await self._read_body(attempt, held)
+        except trio.Cancelled:
+            if reply is not None and self._is_late(req, started_at):
+                # Its answer has begun and doesn't end.
+                self.attempt_manager.record_outcome(req, upstream, Outcome.LATE)
+            raise
         except CallError as exc:
             self.attempt_manager.record_call_error(req, upstream, exc)
-            req.notes.append(f"{upstream.upstream_id}:{exc.failure.value}")
+            reason = f", {exc.message}" if exc.failure is CallFailure.CORRUPT else ""
+            req.notes.append(f"{upstream.upstream_id}:{exc.failure.value}{reason}")
             await send.send(
                 _Result(_AttemptEnd.NOT_RUN if exc.is_unsent else _AttemptEnd.LOST, upstream)
             )
@@ -149,3 +194,38 @@
         elif reply.status < 400:
             self.attempt_manager.record_outcome(req, upstream, Outcome.SUCCESS, first_s=elapsed_s)
         await send.send(_Result(_AttemptEnd.REPLIED, upstream, reply, body))
+
+    def _is_late(self, req: GatewayRequest, started_at: float) -> bool:
+        """Return whether an attempt has taken so long that it is hedged, or all of its time."""
+        now = self.clock.now()
+        is_hedged = now - started_at >= HEDGE_FRACTION * req.route.goal_s
+        return is_hedged or req.compute_left_s(now) <= 0.0
+
+    async def _read_body(self, attempt: Attempt, held: ExitStack) -> bytearray:
+        """Read a body within the bound on memory; it is held until ``held`` is closed."""
+        answer = held.enter_context(self.memory.hold())
+        body = bytearray()
+        try:
+            with answer.scope:
+                grow = partial(self.memory.grow, answer)
+                body = await attempt.read_body(MAX_BODY_BYTES, grow)
+                answer.is_complete = True
+        finally:
+            if not answer.is_complete:
+                self.memory.release(answer)
+        if not answer.is_complete:
+            message = f"dropped at {answer.size} bytes, since no memory was left for answers"
+            raise attempt.make_error(message, "read_body")
+        return body
+
+
+async def _send(responder: Responder, result: _Result) -> None:
+    """Send an answer; a long one in parts."""
+    reply, body = result.reply, result.body
+    if len(body) <= SEND_BYTES:
+        await responder.answer(reply.status, reply.headers, bytes(body))
+        return
+    await responder.start(reply.status, reply.headers)
+    for start in range(0, len(body), SEND_BYTES):
+        await responder.send(bytes(body[start : start + SEND_BYTES]))
+    await responder.finish()
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/_request_handler.py
@@ -1,12 +1,18 @@
 """Handles callers' requests: finds route and customer, and refuses or answers them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptManager
 from crocusvalve.gateway._crashing_parts import get_suspect_ids
-from crocusvalve.gateway._listener import AnswerAbortedError, Handler, Responder
+from crocusvalve.gateway._listener import (
+    AnswerAbortedError,
+    CallerLeftError,
+    Handler,
+    Responder,
+)
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._plain_flow import PlainFlow
 from crocusvalve.gateway._request import RETURN_MARGIN_S, GatewayRequest, RequestEnd
@@ -71,24 +77,36 @@
         """Return whether connections are to be closed after the answer in progress."""
         return self.stop_plan is not None
 
-    async def handle(self, req: CallerRequest, responder: Responder) -> None:
-        """Answer a request, and count it as open meanwhile."""
+    def begin_stop(self, plan: StopPlan, now: float) -> None:
+        """Follow a stop plan from now on."""
+        self.stop_plan = plan
+        for flow in (self.plain, self.streams):
+            flow.limit_deadlines(plan.answers_until, now)
+
+    @contextmanager
+    def count_open_request(self) -> Iterator[None]:
+        """Count a request as open, from its first byte to the end of its answer."""
         self.n_open_requests += 1
         try:
-            await self._handle(req, responder)
+            yield
         finally:
             self.n_open_requests -= 1
 
-    async def _handle(self, caller: CallerRequest, responder: Responder) -> None:
+    async def handle(self, req: CallerRequest, responder: Responder) -> None:
+        """Answer a request."""
         now = self.clock.now()
         try:
-            req = self._admit(caller, now)
+            admitted = self._admit(req, now)
         except RefusedError as exc:
             version = self.tables.config.version if self.tables.config else 0
-            request_id = caller.attempt_id.decode("latin-1")
-            self.observer.record_early_refusal(request_id, exc, version, now)
+            self.observer.record_early_refusal(_get_request_id(req), exc, version, now)
             await responder.refuse(exc, HTTP_STATUSES.get(exc.code))
-            return
+        except Exception as exc:
+            await self._answer_unexpected(_get_request_id(req), exc, responder)
+        else:
+            await self._run(admitted, responder)
+
+    async def _run(self, req: GatewayRequest, responder: Responder) -> None:
         end = RequestEnd.CALLER_LEFT
         error: CrocusvalveError | None = None
         reason = ""
@@ -104,10 +122,29 @@
             end = RequestEnd.ABORTED
             reason = str(exc)
             raise
+        except CallerLeftError:
+            raise
+        except Exception as exc:
+            end = RequestEnd.ABORTED if responder.has_started else RequestEnd.FAILED
+            reason = f"unexpected {type(exc).__name__}"
+            await self._answer_unexpected(req.request_id, exc, responder)
         finally:
             now = self.clock.now()
             self.observer.record_request_end(req, end, responder.status, now, error, reason=reason)
 
+    async def _answer_unexpected(
+        self, request_id: str, exc: Exception, responder: Responder
+    ) -> None:
+        """Answer a request that failed by an unexpected exception; raise it within an answer.
+
+        The answer does not say whether the request has run.
+        """
+        if responder.has_started:
+            raise exc
+        self.observer.record_unexpected_error(request_id, exc, self.clock.now())
+        message = "the gateway had an unexpected error"
+        await responder.refuse(CrocusvalveError(ErrorCode.INTERNAL, message, step="handle"))
+
     def _admit(self, caller: CallerRequest, now: float) -> GatewayRequest:
         """Find the route, customer and service of a request.
 
@@ -176,7 +213,7 @@
             allowed_s = min(allowed_s, caller.deadline_s)
         deadline = now + allowed_s - RETURN_MARGIN_S
         if self.stop_plan is not None:
-            deadline = min(deadline, self.stop_plan.ends_at)
+            deadline = min(deadline, self.stop_plan.answers_until)
         self.attempt_manager.get_budget(service.name).count_request(now)
         return GatewayRequest(
             caller=caller,
@@ -197,7 +234,7 @@
             return caller.session
         if caller.prefix:
             return caller.prefix[-1].part_id
-        return caller.attempt_id.decode("latin-1")
+        return _get_request_id(caller)
 
     def _choose_service(self, route: Route, session: str) -> Service:
         targets = route.targets
@@ -217,3 +254,7 @@
     @staticmethod
     def _refuse(code: ErrorCode, message: str, retry_after_s: float) -> RefusedError:
         return RefusedError(code, message, step=STEP, retry_after_s=retry_after_s)
+
+
+def _get_request_id(caller: CallerRequest) -> str:
+    return caller.attempt_id.decode("latin-1")
--- a/features/gateway/decisions.feature
+++ b/features/gateway/decisions.feature
@@ -14,6 +14,25 @@
       | 5            | 30          | a     | 30           | 200         | unsure  |
       | 18           | 30          | a     | 30           | 200         | bad     |
       | 4            | 6           | b     | 0            | 200         | bad     |
+      | 300          | 3000        | a     | 700          | 7000        | unsure  |
+      | 900          | 3000        | a     | 700          | 7000        | bad     |
+      | 9000         | 300000      | a     | 0            | 900000      | unsure  |
+
+  Scenario Outline: A version that one gateway has found bad isn't kept in use by those that lack its counts, <started> s
+    Given a gateway with an upgrade that began at 100 s, and counts that show nothing
+    When a peer reports that the new version is bad, in an upgrade that began at <started> s
+    Then the gateway sends sessions to the <side> version
+
+    Examples:
+      | started | side |
+      | 100     | old  |
+      | 50      | new  |
+
+  Scenario: A gateway whose check fails as the upgrade is completed doesn't refuse requests once the old upstreams have left
+    Given a gateway with an upgrade that began at 100 s, and counts that show nothing
+    When a peer reports that the new version is bad, in an upgrade that began at 100 s
+    And another gateway completes the upgrade
+    Then the gateway sends sessions to the new version
 
   Scenario Outline: An upgrade proceeds step by step
     Given an upgrade of 20 s whose new version has <share> of the sessions
@@ -98,6 +117,31 @@
     When it arrives in chunks of every size from 1 to 40 bytes
     Then the same 20 events are returned each time
 
+  Scenario Outline: An event without content isn't taken for progress of the answer
+    Given an event of the lines <lines>
+    Then it has <content>
+
+    Examples:
+      | lines                | content        |
+      | : ping               | no content     |
+      | event: token         | no content     |
+      | data:                | no content     |
+      | id: , data           | no content     |
+      | data: x              | content        |
+      | id: 7                | content and id |
+      | : ping, id: 7, data: | content and id |
+      | data:, data: x       | content        |
+
+  Scenario: Comments without end are found to be too long, and events with content are not
+    Given a stream of 20000 comments
+    Then the last one makes the stream too long
+    And it isn't if each tenth one is followed by an event with content
+
+  Scenario: An event that arrives byte by byte takes time in proportion to its length
+    Given an event of 400000 bytes that never ends
+    When it arrives byte by byte
+    Then at most 3 s of the processor's time have passed
+
   Scenario: A slow answer counts as a failure of its version
     Given 10 answers of the old version in 0.1 s each
     When the new version answers in 0.9 s
@@ -115,6 +159,17 @@
       | slow  | 0.8   | 0.2   | doesn't count |
       | fast  | 0.15  | 0.05  | doesn't count |
 
+  Scenario Outline: A version whose events come several times slower is found bad though few answers show it, <n_old> on each route
+    Given <n_old> answers of the old version on each of 3 routes, with <pause> s between events
+    When the new version answers 4 streams, 3 of them with <slow> s between events
+    Then the counts show that the new version is bad
+
+    Examples:
+      | n_old | pause | slow |
+      | 10    | 0.02  | 0.08 |
+      | 2     | 0.02  | 0.16 |
+      | 2     | 0.02  | 0.08 |
+
   Scenario: A request that crashes upstreams is refused after the third crash, whichever gateway saw it
     Given a gateway that recorded 2 upstream crashes caused by one request
     When another gateway reports the same crashes and one more
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import time
 
 import msgspec
 import trio
@@ -21,15 +22,17 @@
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import GossipMessage, PeerTable
+from crocusvalve.gateway._peers import GossipMessage, PeerTable, UpgradeReport
 from crocusvalve.gateway._placement import PlacementQuery, PlacementReason, choose_upstream
 from crocusvalve.gateway._prompts import get_shared_parts, record_parts
 from crocusvalve.gateway._replica import TableReplica
 from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
+from crocusvalve.gateway._upgrade_controller import UpgradeController
 from crocusvalve.gateway._upgrades import (
     OutcomeCounts,
     Verdict,
+    VersionChoice,
     check_version,
     choose_version,
     compute_next_status,
@@ -51,7 +54,7 @@
 from crocusvalve.standin import StandinUpstream
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import ChangeFeed, FeedPage, FeedRow
-from crocusvalve.utils import Clock
+from crocusvalve.utils import Clock, MonotonicClock
 
 NOW = 1_000.0
 SERVICE = ServiceName("llm")
@@ -351,6 +354,58 @@
         assert [event.event_id.decode() for event in events] == [str(i) for i in range(n)]
 
 
+@given("an event of the lines {lines}")
+def given_event_lines(context, lines):
+    data = "".join(f"{line.strip()}\n" for line in lines.split(",")) + "\n"
+    (context.event,) = EventSplitter().feed(data.encode())
+    assert context.event.data == data.encode()
+
+
+@then("it has {content}")
+def then_content(context, content):
+    assert context.event.has_content == content.startswith("content"), context.event
+    assert context.event.event_id == (b"7" if content.endswith("id") else b""), context.event
+
+
+@given("a stream of {n:d} comments")
+def given_comments(context, n):
+    context.comments = [b": ping\n\n"] * n
+
+
+@then("the last one makes the stream too long")
+def then_too_long(context):
+    splitter = EventSplitter()
+    assert len(splitter.feed(b"".join(context.comments))) == len(context.comments)
+    assert splitter.is_too_long
+
+
+@then("it isn't if each tenth one is followed by an event with content")
+def then_not_too_long(context):
+    splitter = EventSplitter()
+    for number, comment in enumerate(context.comments):
+        splitter.feed(comment + (b"data: x\n\n" if number % 10 == 0 else b""))
+        assert not splitter.is_too_long
+
+
+@given("an event of {n_bytes:d} bytes that never ends")
+def given_endless_event(context, n_bytes):
+    context.endless_event = b"x" * n_bytes
+
+
+@when("it arrives byte by byte")
+def when_byte_by_byte(context):
+    splitter = EventSplitter()
+    started_at = time.process_time()
+    for start in range(len(context.endless_event)):
+        assert not splitter.feed(context.endless_event[start : start + 1])
+    context.processor_s = time.process_time() - started_at
+
+
+@then("at most {limit_s:g} s of the processor's time have passed")
+def then_processor_time(context, limit_s):
+    assert context.processor_s <= limit_s, context.processor_s
+
+
 @given("{n:d} answers of the old version in {first_s:g} s each")
 def given_answers(context, n, first_s):
     context.outcome_counts = OutcomeCountsTable()
@@ -368,6 +423,58 @@
     )
 
 
+@given("a gateway with an upgrade that began at {started_s:g} s, and counts that show nothing")
+def given_upgrading_gateway(context, started_s):
+    tables = GatewayTables()
+    tables.orders[SERVICE] = UpgradeOrder(SERVICE, VersionName("v2"), 20.0, revision=1)
+    tables.statuses[SERVICE] = UpgradeStatus(
+        version=VersionName("v2"),
+        state=UpgradeState.RUNNING,
+        share=1.0,
+        started_s=started_s,
+        revision=2,
+    )
+    context.upgrades = UpgradeController(
+        settings=None,
+        tables=tables,
+        peers=None,
+        outcome_counts=OutcomeCountsTable(),
+        feed=None,
+        operator_handler=None,
+        status_handler=None,
+        store=None,
+        observer=GatewayObserver(CollectorRegistry()),
+        clock=MonotonicClock(),
+    )
+    assert context.upgrades.choose_version(SERVICE, "s").required == "v2"
+
+
+@when("a peer reports that the new version is bad, in an upgrade that began at {started_s:g} s")
+def when_reported_bad(context, started_s):
+    report = UpgradeReport(
+        service=SERVICE,
+        version=VersionName("v2"),
+        state="running",
+        share=1.0,
+        started_s=started_s,
+        is_bad=True,
+    )
+    context.upgrades.merge_reports([report], 1000.0)
+
+
+@when("another gateway completes the upgrade")
+def when_completed(context):
+    statuses = context.upgrades.tables.statuses
+    statuses[SERVICE] = msgspec.structs.replace(statuses[SERVICE], state=UpgradeState.COMPLETE)
+
+
+@then("the gateway sends sessions to the {side} version")
+def then_sessions_sent(context, side):
+    choice = context.upgrades.choose_version(SERVICE, "s")
+    expected = VersionChoice(avoid="v2") if side == "old" else VersionChoice(required="v2")
+    assert choice == expected, choice
+
+
 @given("10 answers of the old version by two models, one ten times as fast as the other")
 def given_models(context):
     context.outcome_counts = OutcomeCountsTable()
@@ -409,6 +516,43 @@
     assert new["a"].n_failures == expected and old["a"].n_failures == 0
 
 
+@given(
+    "{n:d} answers of the old version on each of {n_routes:d} routes, with {pause_s:g} s between "
+    "events"
+)
+def given_paced_answers(context, n, n_routes, pause_s):
+    context.outcome_counts = OutcomeCountsTable()
+    for number in range(n * n_routes):
+        context.outcome_counts.record_outcome(
+            SERVICE,
+            VersionName("v1"),
+            f"r{number % n_routes}",
+            is_failure=False,
+            model="m",
+            pause_s=pause_s,
+        )
+
+
+@when("the new version answers {n:d} streams, {n_slow:d} of them with {pause_s:g} s between events")
+def when_paced_answers(context, n, n_slow, pause_s):
+    for number in range(n):
+        context.outcome_counts.record_outcome(
+            SERVICE,
+            VersionName("v2"),
+            f"r{number % 3}",
+            is_failure=False,
+            model="m",
+            pause_s=pause_s if number < n_slow else 0.02,
+            is_reference=False,
+        )
+
+
+@then("the counts show that the new version is bad")
+def then_bad_by_counts(context):
+    new, old = context.outcome_counts.sum_by_route(SERVICE, VersionName("v2"))
+    assert check_version(new, old) is Verdict.BAD, (new, old)
+
+
 @given("a gateway that recorded 2 upstream crashes caused by one request")
 def given_crashes(context):
     context.crashes = CrashRegistry()
