--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -340,6 +340,12 @@
         for domain in list(self.checker.evacuated_domains):
             self.evacuate(domain, is_out=False)
 
+    def stop_gateway(self, gateway: GatewayProcess) -> None:
+        """Send SIGTERM to a gateway."""
+        if gateway.is_running and not gateway.is_stop_requested:
+            self.checker.loss_judge.record_stop(gateway.name, self.checker.clock())
+        gateway.send_signal(signal.SIGTERM)
+
     async def stop(self) -> None:
         """Send SIGTERM to all ready gateways and check that they end in time."""
         self.is_stopping = True
@@ -350,7 +356,7 @@
             if gateway.is_running and not gateway.n_missed_probes
         ]
         for gateway in running:
-            gateway.send_signal(signal.SIGTERM)
+            self.stop_gateway(gateway)
         with trio.move_on_after(self.bounds.grace_s + MAX_WAKEUP_DELAY_S):
             for gateway in running:
                 await gateway.process.wait()
--- a/crocusvalve/soak/processes/_disruptions.py
+++ b/crocusvalve/soak/processes/_disruptions.py
@@ -69,7 +69,7 @@
     def begin(self) -> None:
         """Send SIGTERM."""
         for gateway in self.gateways:
-            gateway.send_signal(signal.SIGTERM)
+            self.cluster.stop_gateway(gateway)
 
 
 class GatewayPause(GatewayDisruption):
--- a/crocusvalve/soak/processes/_loss.py
+++ b/crocusvalve/soak/processes/_loss.py
@@ -26,6 +26,7 @@
         self.store = store
         self._timeouts: list[tuple[float, float]] = []
         self._delays: list[tuple[float, float]] = []
+        self._stopped_at: dict[str, float] = {}
         self._started_at: dict[str, float] = {}
         self._ended_at: dict[str, float] = {}
 
@@ -33,6 +34,10 @@
         """Record that a configuration gives all routes a timeout."""
         self._timeouts.append((now, timeout_s))
 
+    def record_stop(self, gateway: str, now: float) -> None:
+        """Record that a gateway's process was sent SIGTERM, for the first time."""
+        self._stopped_at[gateway] = now
+
     def record_process_start(self, gateway: str, now: float) -> None:
         """Record that a gateway's process was started."""
         self._started_at[gateway] = now
@@ -49,12 +54,14 @@
         """Return whether a request that ends now without a success should have had one.
 
         The answer of any sound upstream that ran the request is due, whatever other upstreams have
-        done, until the request's time is over. A request that no upstream ran must only be
-        answered, with a refusal or a failure, if its gateway has read it. A disruption of the store
-        excuses nothing for plain requests.
+        done, until the request's time or its gateway's grace period is over. A request that no
+        upstream ran must only be answered, with a refusal or a failure, if its gateway has read it.
+        A disruption of the store excuses nothing for plain requests.
         """
         if now >= attempt.sent_at + self._compute_allowed_s(attempt) - self.bounds.return_margin_s:
             return False
+        if self._is_cut_by_stop(attempt, now):
+            return False
         components = (attempt.gateway, self.store) if attempt.kind.is_stream else (attempt.gateway,)
         if not self._is_calm(components, attempt):
             return False
@@ -67,6 +74,13 @@
             components, attempt.sent_at, are_restarts_counted=False
         )
 
+    def _is_cut_by_stop(self, attempt: Attempt, now: float) -> bool:
+        """Return whether the gateway's grace period ends and the request wasn't sent too late."""
+        bounds, stopped_at = self.bounds, self._stopped_at.get(attempt.gateway, float("inf"))
+        is_at_end = now >= stopped_at + bounds.stop_fraction * bounds.grace_s
+        is_this_stop = stopped_at > self._started_at.get(attempt.gateway, float("-inf"))
+        return is_at_end and is_this_stop and attempt.sent_at <= stopped_at + bounds.accept_s
+
     def _compute_wait_s(self, attempt: Attempt, now: float) -> float:
         """Return for how long a caller has waited since its last byte, without its own delays.
 
--- a/crocusvalve/soak/processes/base.py
+++ b/crocusvalve/soak/processes/base.py
@@ -51,6 +51,10 @@
     leave_slack_s: float = 0.5
     #: A request whose connection ends later than this after its last byte counts as read.
     loss_slack_s: float = 0.2
+    #: A stopping gateway may cut a request after this fraction of ``grace_s``, if the request was
+    #: sent at most ``accept_s`` after SIGTERM.
+    stop_fraction: float = 5 / 6
+    accept_s: float = 3.0
     #: A gateway may give up this long before a request's time is over, to tell its caller in time.
     return_margin_s: float = 0.1
 
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -50,6 +50,8 @@
       | unsafe | no answer after a run at a gateway that stopped as planned  | lost       |
       | unsafe | no answer after a run while the store was disrupted         | lost       |
       | unsafe | an unanswered request that the gateway must have read       | lost       |
+      | unsafe | a cut 7 s after the stop of its gateway began, sent at 3.5 s | lost      |
+      | unsafe | a cut 6 s after the stop of its gateway began, sent at 2.5 s | lost      |
       | unsafe | no answer after a run at the end of a timeout that was raised before | lost |
 
   Scenario Outline: Behaviour within the bounds is not reported: <observation>
@@ -69,6 +71,8 @@
       | unsafe | no answer after a run at a gateway that was killed          |
       | stream | no answer after a run while the store was disrupted         |
       | unsafe | an unanswered request that the caller read late             |
+      | unsafe | a cut 6.7 s after the stop of its gateway began, sent at 2.9 s |
+      | stream | a complete stream with comments                             |
       | unsafe | an unanswered request that was sent to an ended process     |
       | unsafe | no answer after a run at the end of the deadline            |
       | unsafe | no answer after a run at the end of the route's timeout     |
@@ -112,6 +116,11 @@
     Then no guarantee is broken
     And service recovered and at least 100 requests were served
 
+  Scenario: A run with upstreams that fall silent while others fail loses no answer
+    When gateway processes run with seed 512 for 10 s of UpstreamsSilent,ServiceSpoilt,GatewayStop
+    Then no guarantee is broken
+    And service recovered and at least 100 requests were served
+
   Scenario: An unknown kind of disruption is rejected
     When a soak of processes is started with the kinds StoreRestore,Earthquake
     Then the error names the kinds and the unknown Earthquake
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -173,6 +173,12 @@
     harness.checker.record_end(harness.attempt)
 
 
+def observe_cut_after_stop(harness, *, sent_s, cut_s):
+    """Cut a request that ran, at some times after the stop of its gateway began."""
+    harness.checker.loss_judge.record_stop(GATEWAY, harness.now - sent_s)
+    observe_no_answer(harness, after_s=cut_s - sent_s)
+
+
 def observe_no_answer_at_end_of(harness, timeouts, *, after_s):
     """End a request that ran without an answer, some time after the configured timeouts."""
     for timeout_s, ago_s in timeouts:
@@ -403,6 +409,18 @@
     "an unanswered request that the caller read late": lambda harness: observe_unread_answer(
         harness, delay_s=0.15
     ),
+    "a cut 7 s after the stop of its gateway began, sent at 3.5 s": lambda harness: (
+        observe_cut_after_stop(harness, sent_s=3.5, cut_s=7.0)
+    ),
+    "a cut 6 s after the stop of its gateway began, sent at 2.5 s": lambda harness: (
+        observe_cut_after_stop(harness, sent_s=2.5, cut_s=6.0)
+    ),
+    "a cut 6.7 s after the stop of its gateway began, sent at 2.9 s": lambda harness: (
+        observe_cut_after_stop(harness, sent_s=2.9, cut_s=6.7)
+    ),
+    "a complete stream with comments": lambda harness: observe_answer(
+        harness, 200, b": ping\n\n" + harness.make_events(range(1, N_EVENTS + 1))
+    ),
     "no answer after a run at the end of the deadline": lambda harness: observe_no_answer(
         harness, after_s=3.95
     ),
