--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -36,11 +36,8 @@
 PROBE_TIMEOUT_S = 1.0
 #: Time from the end of a process to its next start, as on the users' platform.
 RESTART_PAUSE_S = 0.3
-#: Delay of the soak's own tasks above which bounds on time can't be checked.
-MAX_WAKEUP_DELAY_S = 0.3
-#: Interval at which the delay is measured, and the delay below which it isn't recorded.
+#: Interval at which the delay of the soak's own tasks is measured.
 DELAY_POLL_S = 0.01
-MIN_DELAY_S = 0.001
 #: Timeout of all routes, and time after which gateways close an idle connection, at first.
 DEFAULT_TIMEOUT_S = 10.0
 DEFAULT_IDLE_TIMEOUT_S = 3.0
@@ -188,9 +185,9 @@
         while True:
             due = trio.current_time() + DELAY_POLL_S
             await trio.sleep_until(due)
-            if trio.current_time() - due > MIN_DELAY_S:
-                self.checker.loss_judge.record_delay(due, trio.current_time())
-            if trio.current_time() - due > MAX_WAKEUP_DELAY_S:
+            now = trio.current_time()
+            self.checker.loss_judge.record_wakeup(due, now, now + DELAY_POLL_S)
+            if now - due > self.bounds.wakeup_s:
                 for component in (
                     STORE,
                     *self.upstreams,
@@ -357,7 +354,7 @@
         ]
         for gateway in running:
             self.stop_gateway(gateway)
-        with trio.move_on_after(self.bounds.grace_s + MAX_WAKEUP_DELAY_S):
+        with trio.move_on_after(self.bounds.grace_s + self.bounds.wakeup_s):
             for gateway in running:
                 await gateway.process.wait()
         for gateway in running:
--- a/crocusvalve/soak/processes/_loss.py
+++ b/crocusvalve/soak/processes/_loss.py
@@ -26,6 +26,7 @@
         self.store = store
         self._timeouts: list[tuple[float, float]] = []
         self._delays: list[tuple[float, float]] = []
+        self._wakeup_due_at = float("inf")
         self._stopped_at: dict[str, float] = {}
         self._started_at: dict[str, float] = {}
         self._ended_at: dict[str, float] = {}
@@ -46,9 +47,14 @@
         """Record that a gateway's process has ended; it reads nothing until its next start."""
         self._ended_at[gateway] = now
 
-    def record_delay(self, begins_at: float, ends_at: float) -> None:
-        """Record that the soak's own tasks didn't run, so that callers read later than they got."""
-        self._delays.append((begins_at, ends_at))
+    def record_wakeup(self, due_at: float, now: float, next_due_at: float) -> None:
+        """Record when a task of the soak was due and has run.
+
+        Callers read their answers late while the soak's own tasks are delayed.
+        """
+        if now > due_at:
+            self._delays.append((due_at, now))
+        self._wakeup_due_at = next_due_at
 
     def is_answer_due(self, attempt: Attempt, now: float) -> bool:
         """Return whether a request that ends now without a success should have had one.
@@ -58,6 +64,8 @@
         upstream ran must only be answered, with a refusal or a failure, if its gateway has read it.
         A disruption of the store excuses nothing for plain requests.
         """
+        if now - self._wakeup_due_at > self.bounds.wakeup_s:
+            return False
         if now >= attempt.sent_at + self._compute_allowed_s(attempt) - self.bounds.return_margin_s:
             return False
         if self._is_cut_by_stop(attempt, now):
@@ -92,8 +100,9 @@
         started_at = self._started_at.get(attempt.gateway, float("-inf"))
         if ended_at <= attempt.whole_at and not ended_at < started_at <= attempt.whole_at:
             return 0.0
-        delays = (min(now, end) - max(attempt.whole_at, begin) for begin, end in self._delays)
-        return now - attempt.whole_at - sum(max(0.0, delay_s) for delay_s in delays)
+        delays = [*self._delays, (self._wakeup_due_at, now)]
+        delays_s = (min(now, end) - max(attempt.whole_at, begin) for begin, end in delays)
+        return now - attempt.whole_at - sum(max(0.0, delay_s) for delay_s in delays_s)
 
     def _compute_allowed_s(self, attempt: Attempt) -> float:
         """Return the shortest time that a configuration which may be in force gives a request.
--- a/crocusvalve/soak/processes/base.py
+++ b/crocusvalve/soak/processes/base.py
@@ -55,6 +55,8 @@
     #: sent at most ``accept_s`` after SIGTERM.
     stop_fraction: float = 5 / 6
     accept_s: float = 3.0
+    #: Delay of the soak's own tasks above which bounds on time can't be checked.
+    wakeup_s: float = 0.3
     #: A gateway may give up this long before a request's time is over, to tell its caller in time.
     return_margin_s: float = 0.1
 
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -189,7 +189,8 @@
 def observe_unread_answer(harness, *, delay_s=0.0):
     """End a request without an answer 0.3 s after its last byte; the soak may have been delayed."""
     harness.attempt.whole_at = harness.now
-    harness.checker.loss_judge.record_delay(harness.now + 0.1, harness.now + 0.1 + delay_s)
+    due_at = harness.now + 0.1
+    harness.checker.loss_judge.record_wakeup(due_at, due_at + delay_s, due_at + 0.2)
     observe_no_answer(harness, after_s=0.3, has_run=False)
 
 
