--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -36,9 +36,8 @@
 PROBE_TIMEOUT_S = 1.0
 #: Time from the end of a process to its next start, as on the users' platform.
 RESTART_PAUSE_S = 0.3
-#: Delay of the soak's own tasks above which bounds on time can't be checked.
-MAX_WAKEUP_DELAY_S = 0.3
-POLL_INTERVAL_S = 0.05
+#: Interval at which the delay of the soak's own tasks is measured.
+DELAY_POLL_S = 0.01
 #: Timeout of all routes, and time after which gateways close an idle connection, at first.
 DEFAULT_TIMEOUT_S = 10.0
 DEFAULT_IDLE_TIMEOUT_S = 3.0
@@ -179,15 +178,16 @@
                         self.register(upstream)
 
     async def _monitor_wakeup_delay(self) -> None:
-        """Record a disruption of all components whenever the soak's own tasks are delayed.
+        """Record delays of the soak's own tasks, and long ones as a disruption of all components.
 
         Time bounds can't be checked reliably at such times.
         """
         while True:
-            due = trio.current_time() + POLL_INTERVAL_S
+            due = trio.current_time() + DELAY_POLL_S
             await trio.sleep_until(due)
-            self.checker.loss_judge.record_delay(due, trio.current_time())
-            if trio.current_time() - due > MAX_WAKEUP_DELAY_S:
+            now = trio.current_time()
+            self.checker.loss_judge.record_wakeup(due, now, now + DELAY_POLL_S)
+            if now - due > self.bounds.wakeup_s:
                 for component in (
                     STORE,
                     *self.upstreams,
@@ -337,6 +337,12 @@
         for domain in list(self.checker.evacuated_domains):
             self.evacuate(domain, is_out=False)
 
+    def stop_gateway(self, gateway: GatewayProcess) -> None:
+        """Send SIGTERM to a gateway."""
+        if gateway.is_running and not gateway.is_stop_requested:
+            self.checker.loss_judge.record_stop(gateway.name, self.checker.clock())
+        gateway.send_signal(signal.SIGTERM)
+
     async def stop(self) -> None:
         """Send SIGTERM to all ready gateways and check that they end in time."""
         self.is_stopping = True
@@ -347,8 +353,8 @@
             if gateway.is_running and not gateway.n_missed_probes
         ]
         for gateway in running:
-            gateway.send_signal(signal.SIGTERM)
-        with trio.move_on_after(self.bounds.grace_s + MAX_WAKEUP_DELAY_S):
+            self.stop_gateway(gateway)
+        with trio.move_on_after(self.bounds.grace_s + self.bounds.wakeup_s):
             for gateway in running:
                 await gateway.process.wait()
         for gateway in running:
