--- a/crocusvalve/gateway/_takeover.py
+++ b/crocusvalve/gateway/_takeover.py
@@ -35,8 +35,8 @@
         """Return whether the request may be sent to a further upstream."""
 
     @abstractmethod
-    def start(self) -> StreamAttempt | None:
-        """Return a new attempt, or None if no upstream can accept the request now."""
+    def start(self, silent: StreamAttempt) -> StreamAttempt | None:
+        """Return an attempt besides a silent one, or None if no upstream can accept it now."""
 
     @abstractmethod
     def compute_first_event_s(self, attempt: StreamAttempt) -> float:
@@ -93,7 +93,7 @@
     async def _seek_standby(self, scope: trio.CancelScope) -> None:
         """Start further attempts, one after the other, until one of them goes on."""
         while self._current_step is None:
-            standby = self._source.start() if self._source.may_start() else None
+            standby = self._source.start(self._current) if self._source.may_start() else None
             if standby is None:
                 await trio.sleep(POLL_INTERVAL_S)
                 continue
--- a/features/gateway/steps/takeover_steps.py
+++ b/features/gateway/steps/takeover_steps.py
@@ -71,7 +71,7 @@
     def may_start(self):
         return True
 
-    def start(self):
+    def start(self, silent):
         make = self.make_attempts[min(len(self.attempts), len(self.make_attempts) - 1)]
         if make is None:
             return None
