Documents that sound prompts share with crashing ones aren't banned in place of the crashing part

Cause: a document counted as nested in the crashing part if half of its lost requests had that part, and if it was in 0.7 of its crashes. Both are common for a document that sound and crashing prompts share.

A nested part has nearly all of its lost requests with the other one now, and at most one crash less. Of parts in the same crashes the one with fewer lost requests is banned, not the one with the larger id.

--- a/crocusvalve/gateway/_crashing_parts.py
+++ b/crocusvalve/gateway/_crashing_parts.py
@@ -28,10 +28,10 @@
 MAX_REPORTED_CRASHES = 8
 #: A part that other prompts share is in at least as many crashes as the part that causes them. So a
 #: part is banned in place of another one if at least ``NESTED_FRACTION`` of its lost requests have
-#: the other one too, it has fewer of them, and it is in at least ``NEAR_FRACTION`` of the other
-#: one's crashes.
-NESTED_FRACTION = 0.5
-NEAR_FRACTION = 0.7
+#: the other one too, it has fewer of them, and at most ``MAX_MISSED_CRASHES`` fewer crashes: the
+#: check of an upstream may miss a request.
+NESTED_FRACTION = 0.9
+MAX_MISSED_CRASHES = 1
 #: Length of a request's digest in the registry, which only has to tell a few requests apart.
 REQUEST_ID_LENGTH = 8
 
@@ -205,20 +205,32 @@
         return new
 
     def _choose_worst(self, open_crashes: dict[str, dict[str, float]]) -> str:
-        """Return the part with the most crashes, or a nested one with nearly as many."""
+        """Return the part with the most crashes, or a nested one with nearly as many.
+
+        Of parts with as many crashes it is the one with the fewest lost requests, since other
+        prompts share the others.
+        """
 
         def rank(part_id: str) -> tuple[int, int, int, str]:
             crashes, requests = open_crashes[part_id], self._evidence[part_id].requests
-            return _count_separate(crashes), len(crashes), len(requests), part_id
+            return _count_separate(crashes), len(crashes), -len(requests), part_id
 
         worst = max(open_crashes, key=rank)
-        n_near = NEAR_FRACTION * len(open_crashes[worst])
+        n_near = len(open_crashes[worst]) - MAX_MISSED_CRASHES
         nested = [
             part_id
             for part_id, crashes in open_crashes.items()
             if len(crashes) >= n_near and self._is_nested(part_id, worst)
         ]
-        return max(nested, key=rank, default=worst)
+        # A document that sound prompts share has fewer lost requests than the crashing part.
+        return max(
+            nested, key=lambda part_id: self._rank_nested(part_id, open_crashes), default=worst
+        )
+
+    def _rank_nested(
+        self, part_id: str, open_crashes: dict[str, dict[str, float]]
+    ) -> tuple[int, int, str]:
+        return len(open_crashes[part_id]), len(self._evidence[part_id].requests), part_id
 
     def _is_nested(self, part_id: str, other_id: str) -> bool:
         """Return whether a part's lost requests are mostly a part of those with another part."""
--- a/features/gateway/crashes.feature
+++ b/features/gateway/crashes.feature
@@ -50,6 +50,17 @@
       | a-bad | 0.18  | 1      |
       | z-bad | 0.18  | 1      |
 
+  Scenario Outline: Documents that sound prompts share with crashing ones aren't banned in place of the part that crashes upstreams: <n_documents>
+    Given the registries of 1 gateways
+    When part "bad" with one of <n_documents> documents crashes upstreams 12 times, every 0.2 s, and each crash loses 2 sound requests as well, which are lost 2 times
+    Then from the sixth crash on only "bad" is banned each time
+
+    Examples:
+      | n_documents |
+      | 3           |
+      | 5           |
+      | 8           |
+
   Scenario: A ban ends when there has been no crash for a long time
     Given the registries of 1 gateways
     When part "bad" is banned and 11 minutes pass without a crash
--- a/features/gateway/steps/crash_steps.py
+++ b/features/gateway/steps/crash_steps.py
@@ -250,6 +250,34 @@
     assert context.registries[0].find_banned(["common"]) is None
 
 
+@when(
+    'part "bad" with one of {n_documents:d} documents crashes upstreams {n:d} times, every '
+    "{pause_s:g} s, and each crash loses {n_sound:d} sound requests as well, which are lost "
+    "{n_lost:d} times"
+)
+def when_documents(context, n_documents, n, pause_s, n_sound, n_lost):
+    registry, rng = context.registries[0], random.Random(7)
+    documents = [f"doc{number}" for number in range(n_documents)]
+    context.banned_after = []
+    lost = []
+    for number in range(n):
+        lost = [(parts, request_id, n_left - 1) for parts, request_id, n_left in lost if n_left]
+        for k in range(n_sound):
+            parts = ["common", rng.choice(documents)]
+            lost.append((parts, f"s{number}-{k}", n_lost - 1))
+        lost.append((["bad", rng.choice(documents)], f"b{number}", n_lost - 1))
+        at = 1.0 + number * pause_s
+        for parts, request_id, _ in lost:
+            registry.record_crash(parts, f"up{number % 2}#{number}", request_id, at)
+        banned = [part for part in ["bad", "common", *documents] if registry.find_banned([part])]
+        context.banned_after.append(banned)
+
+
+@then('from the sixth crash on only "bad" is banned each time')
+def then_only_bad_each_time(context):
+    assert all(banned == ["bad"] for banned in context.banned_after[5:]), context.banned_after
+
+
 @when('part "bad" is banned and {minutes:d} minutes pass without a crash')
 def when_minutes_pass(context, minutes):
     registry = context.registries[0]
