--- a/crocusvalve/gateway/_caller_connection.py
+++ b/crocusvalve/gateway/_caller_connection.py
@@ -76,12 +76,10 @@
         except Exception as exc:
             reason, error = ConnectionEndReason.UNEXPECTED_ERROR, exc
         finally:
-            if self._progress is RequestProgress.NONE:
-                with trio.CancelScope(shield=True):
-                    await trio.aclose_forcefully(self._stream)
-            else:
-                with trio.CancelScope(shield=True):
-                    await reset(self._stream)
+            # An answer that ends early must not look complete.
+            close = trio.aclose_forcefully if self._progress is RequestProgress.NONE else reset
+            with trio.CancelScope(shield=True):
+                await close(self._stream)
             self._on_end(
                 ConnectionEnd(
                     reason=reason,
