Takeover: other upstreams are asked again, and a caller's own error ends it

Found by review, regressions of the takeover. An error of the caller (409) was replaced by a 504 at the deadline. A stream that its caller doesn't read excluded its upstream from all takeovers. Connecting for over 0.1 s lost the smaller model's ready answer.

Change: upstreams that were tried are asked again as long as the silence lasts, with a pause that doubles up to 0.8 s; an error that every upstream would give ends the takeover before the first event; only streams whose next event is awaited count as silent, and silent upstreams are asked too after one more second; the time for a rejection begins once the request is sent. Before the first event a reply takes over after 0.3 s, or with its first event: both attempts stay open until then.

--- a/crocusvalve/gateway/_stream_attempt.py
+++ b/crocusvalve/gateway/_stream_attempt.py
@@ -80,6 +80,8 @@
         Head and body of an upstream's failure.
     larger_model : str or None
         The model to ask instead.
+    progress_at : float
+        Local time of the last event with content, or of the start, in seconds.
     """
 
     def __init__(
@@ -103,11 +105,10 @@
         self._manager = attempt_manager
         self._clock = attempt_manager.clock
         self._choose_larger_model = choose_larger_model
-        self._started_at = self._clock.now()
+        self._started_at = self.progress_at = self._clock.now()
         self._first_event_at: float | None = None
         self._load = attempt_manager.tables.get_load(upstream.upstream_id)
         self._has_progressed = False
-        self._is_counted = False
         self._stack = AsyncExitStack()
         self._attempt: Attempt | None = None
         self._splitter = EventSplitter()
@@ -120,6 +121,11 @@
         """How the attempt has ended; None while it goes on, and after its last event."""
         return self._end
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the upstream has answered with an error that every upstream would answer."""
+        return self.failure is not None and self.failure[0].status < 500
+
     @property
     def reply(self) -> Reply:
         """Head of the reply."""
@@ -161,11 +167,15 @@
         step = await self.read_reply()
         if step is not None:
             return step
+        is_counted = self.n_events > 0
+        self._load.n_streams_read += is_counted
         try:
             step = await self._read_events()
         except CallError as exc:
             await self._record_error(exc)
             return StreamStep(end=self._end)
+        finally:
+            self._load.n_streams_read -= is_counted
         if step.is_progress:
             self._record_progress(step)
         return step
@@ -199,8 +209,6 @@
 
     async def close(self) -> None:
         """Close the connection; before the end of the stream this cancels the upstream's work."""
-        self._load.n_streams -= self._is_counted
-        self._is_counted = False
         await self._stack.aclose()
 
     async def _read_reply(self) -> AttemptEnd | None:
@@ -233,8 +241,7 @@
                 raise CallError(CallFailure.CORRUPT, message, step="read_body", peer=call.peer)
         self.failure = (reply, self._failure_body)
         self._note(f"status {reply.status}")
-        if reply.status < 500:
-            # An error of the caller, which every upstream would answer in the same way.
+        if self.is_final:
             self.req.n_runs = self.req.route.max_attempts
         else:
             self._manager.record_outcome(self.req, self.upstream, Outcome.FAILURE)
@@ -273,8 +280,6 @@
 
     def _record_first_event(self) -> None:
         self._attempt.work.finish()
-        self._load.n_streams += 1
-        self._is_counted = True
         now = self._first_event_at = self._clock.now()
         first_s = now - self._started_at
         self._manager.record_first_event(self.req, self._attempt, first_s)
@@ -283,7 +288,7 @@
     def _record_progress(self, step: StreamStep) -> None:
         if self._first_event_at is None:
             self._record_first_event()
-        now = self._load.last_event_at = self._clock.now()
+        now = self.progress_at = self._load.last_event_at = self._clock.now()
         self.n_events += len(step.events)
         is_whole = step.is_over and self._attempt.call.is_delimited
         has_lasted = step.events and now - self._first_event_at >= PROGRESS_S
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -109,7 +109,7 @@
                 break
             larger = policy.make_attempt(upstream, smaller.larger_model)
             try:
-                await self._await_rejection(larger, until)
+                await self._await_rejection(larger)
             except BaseException:
                 await larger.close()
                 raise
@@ -124,10 +124,11 @@
         smaller.accept_reply()
         return smaller
 
-    async def _await_rejection(self, attempt: StreamAttempt, until: float) -> None:
-        """Send an attempt, and read its reply if it comes before a local time."""
+    @staticmethod
+    async def _await_rejection(attempt: StreamAttempt) -> None:
+        """Send an attempt, and read its reply if it comes within ``REJECTION_S``."""
         if await attempt.send() is None:
-            with trio.move_on_after(max(0.0, until - self.clock.now())):
+            with trio.move_on_after(REJECTION_S):
                 await attempt.read_reply()
 
     def record_cut_answer(self, req: GatewayRequest) -> None:
--- a/crocusvalve/gateway/_stream_policy.py
+++ b/crocusvalve/gateway/_stream_policy.py
@@ -2,6 +2,7 @@
 
 from crocusvalve.gateway._attempts import AttemptManager
 from crocusvalve.gateway._cascade import AnswerEstimate, choose_larger_model
+from crocusvalve.gateway._placement import PlacementReason
 from crocusvalve.gateway._request import GatewayRequest
 from crocusvalve.gateway._stream_attempt import AttemptEnd, StreamAttempt
 from crocusvalve.gateway._takeover import StandbySource
@@ -19,6 +20,8 @@
 STALL_FRACTION = 0.8
 #: The same after which an upstream isn't asked to take over a stream, since it is silent itself.
 SILENT_FRACTION = 0.4
+#: Further seconds after which silent upstreams are asked as well.
+SILENT_PREFERENCE_S = 1.0
 
 
 class StreamPolicy(StandbySource):
@@ -73,8 +76,12 @@
         req, now = self.req, self._clock.now()
         silent_since = now - SILENT_FRACTION * req.route.gap_goal_s
         excluded = req.tried | {silent.upstream.upstream_id}
-        excluded |= self._manager.tables.find_silent(req.service.name, silent_since)
+        if now - silent.progress_at < self.compute_silence_s(silent) + SILENT_PREFERENCE_S:
+            excluded |= self._manager.tables.find_silent(req.service.name, silent_since)
         req.placement = self._manager.place(req, now, self.model, excluded)
+        if req.placement.reason is PlacementReason.ALL_TRIED:
+            # Upstreams that were full or failed are asked again, as long as the silence lasts.
+            req.tried.clear()
         upstream = req.placement.upstream
         return None if upstream is None else self.make_attempt(upstream)
 
@@ -90,6 +97,7 @@
         """Return how many seconds to wait for a first event; more for an upstream with more work.
 
         A busy upstream is given more time, since a second attempt would add to the total load.
+        Infinite if the request can't be sent again.
         """
         if self.req.n_attempts_left > 0 and self.req.route.is_repeatable:
             work_s = self._manager.pace.compute_first_event_s(
--- a/crocusvalve/gateway/_tables.py
+++ b/crocusvalve/gateway/_tables.py
@@ -49,8 +49,8 @@
         Until this time the upstream is cold and handles a light load only.
     cold_send_times : list of float
         Times of the requests sent to the cold upstream within the last second.
-    n_streams : int
-        Streams from this gateway that have had an event and aren't over.
+    n_streams_read : int
+        Streams from this gateway that have had an event and whose next one is awaited.
     last_event_at : float
         Time of the last event of any of them.
     log_slowness : float
@@ -74,7 +74,7 @@
     decayed_at: float = 0.0
     cold_until: float = 0.0
     cold_send_times: list[float] = field(default_factory=list)
-    n_streams: int = 0
+    n_streams_read: int = 0
     last_event_at: float = 0.0
     log_slowness: float = 0.0
     slowness_at: float = 0.0
@@ -183,7 +183,7 @@
     def find_silent(self, service: ServiceName, since: float) -> set[UpstreamId]:
         """Return the upstreams of a service whose streams have had no event since a local time."""
         loads = ((uid, self.get_load(uid)) for uid in self.by_service.get(service, ()))
-        return {uid for uid, load in loads if load.n_streams and load.last_event_at <= since}
+        return {uid for uid, load in loads if load.n_streams_read and load.last_event_at <= since}
 
     def put_upstream(self, row: Upstream, now: float) -> Upstream | None:
         """Store an upstream's entry; return the entry that it replaces, or None.
--- a/crocusvalve/gateway/_takeover.py
+++ b/crocusvalve/gateway/_takeover.py
@@ -9,8 +9,10 @@
 
 __all__ = ["StandbySource", "Takeover", "TakeoverResult"]
 
-#: Seconds between searches for another upstream.
+#: Seconds between searches for another upstream, and the longest such time after rejections and
+#: failures, each of which doubles it.
 POLL_INTERVAL_S = 0.1
+MAX_POLL_INTERVAL_S = 0.8
 #: Longest time for which two upstreams work on one stream after the second one's reply has begun.
 MAX_OVERLAP_S = 0.3
 #: Ends of an attempt that has an answer, be it that a larger model is to be asked instead.
@@ -92,10 +94,11 @@
 
     async def _seek_standby(self, scope: trio.CancelScope) -> None:
         """Start further attempts, one after the other, until one of them goes on."""
+        pause_s = POLL_INTERVAL_S
         while self._current_step is None:
             standby = self._source.start(self._current) if self._source.may_start() else None
             if standby is None:
-                await trio.sleep(POLL_INTERVAL_S)
+                await trio.sleep(pause_s)
                 continue
             try:
                 self._standby_result = await self._try_standby(standby)
@@ -105,6 +108,7 @@
             if self._standby_result is not None:
                 scope.cancel()
                 return
+            pause_s = min(MAX_POLL_INTERVAL_S, 2.0 * pause_s)
 
     async def _try_standby(self, standby: StreamAttempt) -> TakeoverResult | None:
         """Return the result if the new attempt goes on with the stream, otherwise None."""
@@ -113,12 +117,17 @@
         if step is None:
             with trio.move_on_after(self._source.compute_first_event_s(standby)) as scope:
                 step = await standby.read_reply()
-                if step is None and self._current.has_reply:
+                if step is None:
                     scope.deadline = min(scope.deadline, trio.current_time() + MAX_OVERLAP_S)
                     step = await standby.read_progress()
             is_late = scope.cancelled_caught and standby.end is None
         if self._current_step is not None and self._current_step.end in ANSWERED:
             return None
+        is_ahead = standby.has_reply and not self._current.has_reply
+        if is_late and is_ahead:
+            return TakeoverResult(standby, None)
+        if standby.is_final and not self._current.has_reply:
+            return TakeoverResult(standby, step)
         if is_late:
             standby.record_late()
             self._source.record_failure(standby, AttemptEnd.LOST)
--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -31,6 +31,36 @@
       | 3.3     | failure |
       | 3.3     | break   |
 
+  Scenario Outline: A stream whose upstream never goes on is resumed at one that <fault> once
+    Given a gateway with two upstreams
+    And the first attempt hangs <place>, the second one meets <fault>, and all others are sound
+    When a caller opens a stream at /stream/1
+    Then the caller gets events 1 to 6, each once, with the first upstream's signature
+
+    Examples:
+      | place             | fault   |
+      | within the stream | full    |
+      | within the stream | failure |
+      | within the stream | break   |
+
+  Scenario Outline: A request whose upstream never answers is answered by one that <fault> once
+    Given a gateway with two upstreams
+    And the first attempt hangs <place>, the second one meets <fault>, and all others are sound
+    When a caller opens a stream at /stream/1
+    Then the caller gets <status> within 5 s
+
+    Examples:
+      | place             | fault        | status |
+      | before its answer | full         | 200    |
+      | before its answer | failure      | 200    |
+      | before its answer | client_error | 409    |
+
+  Scenario: A stream that its caller doesn't read doesn't keep its upstream from taking over another one
+    Given a gateway with two upstreams
+    And an upstream with a stream that has had no event for 30 s
+    When a stream of the other upstream falls silent for good
+    Then that upstream takes the stream over
+
   Scenario Outline: A ready answer isn't given up for a larger model's that no upstream gives
     Given a gateway with two upstreams
     And the smaller model's confidence is 20
--- a/features/gateway/steps/silence_steps.py
+++ b/features/gateway/steps/silence_steps.py
@@ -1,9 +1,12 @@
 """Steps for upstreams that fall silent within or before an answer, and go on."""
 
-from behave import given, then
+from behave import given, then, when
 
 from crocusvalve.standin import UpstreamFault, make_event
-from features.gateway.steps.closure_steps import RepeatedFault
+from features.gateway.steps.closure_steps import RepeatedFault, request
+
+#: Longer than the deadline of any request.
+HANG_S = 30.0
 
 
 class FirstThenRepeated(RepeatedFault):
@@ -54,3 +57,50 @@
     assert answer.is_complete and answer.body == expected, answer
     name = answer.headers["x-response-signature"].removeprefix("signed-by-")
     assert context.harness.upstreams[name].calls[0].headers["x-model"] == model
+
+
+@given("the first attempt hangs {place}, the second one meets {fault}, and all others are sound")
+def given_hanging_first(context, place, fault):
+    first = UpstreamFault.HANG if place == "before its answer" else UpstreamFault.SILENT
+    shared = [first, UpstreamFault(fault)]
+    for upstream in context.harness.upstreams.values():
+        upstream.faults = shared
+        upstream.silence_s = HANG_S
+
+
+@then("the caller gets {status:d} within {limit_s:g} s")
+def then_status_within(context, status, limit_s):
+    answer = context.harness.answers[0]
+    (record,) = (r for r in context.harness.log_records if r.msg.startswith("request ended"))
+    assert answer.status == status and answer.is_complete, answer
+    assert record.fields["elapsed_ms"] <= 1000 * limit_s, record.fields
+
+
+@given("an upstream with a stream that has had no event for {age_s:g} s")
+def given_old_stream(context, age_s):
+    context.age_s = age_s
+
+
+@when("a stream of the other upstream falls silent for good")
+def when_other_silent(context):
+    async def act(harness):
+        tables, now = harness.gateway.tables, harness.gateway.clock.now()
+        for upstream_id in tables.by_service["llm"]:
+            load = tables.get_load(upstream_id)
+            load.n_streams_read += 1
+            load.last_event_at = now - context.age_s
+        for upstream in harness.upstreams.values():
+            upstream.silence_s = HANG_S
+        shared = [UpstreamFault.SILENT]
+        for upstream in harness.upstreams.values():
+            upstream.faults = shared
+        await request(harness, "/stream/1")
+
+    context.harness.run(act)
+
+
+@then("that upstream takes the stream over")
+def then_taken_over(context):
+    answer = context.harness.answers[0]
+    assert answer.is_complete, answer
+    assert len(context.harness.calls) == 2, context.harness.calls
--- a/features/gateway/steps/takeover_steps.py
+++ b/features/gateway/steps/takeover_steps.py
@@ -34,6 +34,7 @@
         self.replied_at = None
         self.closed_at = None
         self.end = None
+        self.is_final = False
 
     async def send(self):
         await trio.lowlevel.checkpoint()
--- a/features/gateway/takeover.feature
+++ b/features/gateway/takeover.feature
@@ -22,11 +22,11 @@
       | breaks after 0.3 s     | break after 0.5 s, then begin after 0.5 s             | none               | 0.5  |
       | breaks after 0.3 s     | can't be started                                      | none               | 0.3  |
 
-  Scenario: A request whose upstream is late goes to another one as soon as that replies
+  Scenario: A request whose upstream is late goes to another one that has replied
     Given an attempt without a reply that goes on after 9 s
     And further attempts that reply and stay silent
     When a takeover is sought
-    Then attempt 1 goes on after 0 s and all other attempts are closed
+    Then attempt 1 goes on after 0.3 s and all other attempts are closed
 
   Scenario: No stream is sent to an upstream that is silent itself
     Given a gateway with two upstreams
