A further attempt of a request follows the end of an upgrade

What callers would see: a stream that began on the old version is interrupted as the upgrade completes and the old upstreams stop; the choice of its admission excluded the new version, so that no upstream was left and the stream was cut.

Change: each placement takes the version of an upgrade that is complete, and avoids that of a reverted one. While it runs, sessions keep their choice.

Evidence: the case 'complete' of the new scenario failed before; 'reverted' passed and guards it.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -30,6 +30,7 @@
 from crocusvalve.gateway._slowness import record_answer_time
 from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S
 from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
+from crocusvalve.gateway._upgrades import update_choice
 from crocusvalve.gateway._upstream_call import CallError, CallFailure, UpstreamCall
 from crocusvalve.gateway.base import (
     GatewaySettings,
@@ -141,8 +142,11 @@
         excluded: set[UpstreamId] | None = None,
     ) -> Placement:
         """Choose an upstream for the next attempt; by default those already tried are excluded."""
+        service = req.service.name
+        order, status = self.tables.orders.get(service), self.tables.get_status(service)
+        req.versions = update_choice(req.versions, order, status)
         query = PlacementQuery(
-            service=req.service.name,
+            service=service,
             domain=self.settings.domain,
             versions=req.versions,
             affinity=req.affinity,
--- a/crocusvalve/gateway/_upgrades.py
+++ b/crocusvalve/gateway/_upgrades.py
@@ -13,6 +13,7 @@
     "Verdict",
     "VersionChoice",
     "choose_version",
+    "update_choice",
     "compute_next_status",
     "check_version",
     "is_first_half",
@@ -108,6 +109,18 @@
     return VersionChoice(avoid=order.version)
 
 
+def update_choice(
+    choice: VersionChoice, order: UpgradeOrder | None, status: UpgradeStatus | None
+) -> VersionChoice:
+    """Return the choice for a further attempt of a request, which follows the end of an upgrade.
+
+    The upstreams of the other version leave when an upgrade ends.
+    """
+    if order is None or status is None or status.state is UpgradeState.RUNNING:
+        return choice
+    return choose_version(order, status, "", is_bad=False)
+
+
 def is_first_half(status: UpgradeStatus | None, exposure_share: float) -> bool:
     """Return whether an upgrade is in its first half, in which no session may change its version.
 
--- a/features/gateway/gateway_harness.py
+++ b/features/gateway/gateway_harness.py
@@ -62,7 +62,8 @@
     services : dict
         Services that each stand-in upstream is registered for.
     extra_rows : list
-        Further rows of the store, as tuples (table, key, value).
+        Further rows of the store, as tuples (table, key, value); a callable value is called when
+        the stand-in servers listen.
     has_configuration : bool
         Whether the store has a configuration, so that the gateway becomes ready.
     second_gateway : Gateway or None
@@ -131,7 +132,7 @@
                 entry = self.upstreams[name].make_entry(service, f"domain-{name}")
                 self.store.put("servers", f"{name}-{service}", entry)
         for table, key, value in self.extra_rows:
-            self.store.put(table, key, value)
+            self.store.put(table, key, value() if callable(value) else value)
 
     @property
     def store_address(self):
--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -74,3 +74,14 @@
       | failure |
       | break   |
       | crossed |
+
+  Scenario Outline: A stream isn't lost because the upgrade ends that it began before
+    Given a gateway with two upstreams
+    And upstream two has the new version of an upgrade that is running
+    When an upgrade is <state> within a stream of upstream <first>, which then stops
+    Then the caller gets events 1 to 6, each once, with the first upstream's signature
+
+    Examples:
+      | state    | first |
+      | complete | one   |
+      | reverted | two   |
--- a/features/gateway/steps/silence_steps.py
+++ b/features/gateway/steps/silence_steps.py
@@ -1,12 +1,22 @@
 """Steps for upstreams that fall silent within or before an answer, and go on."""
 
+import trio
 from behave import given, then, when
 
+from crocusvalve.base import UpstreamId
+from crocusvalve.gateway.base import (
+    ServiceName,
+    UpgradeOrder,
+    UpgradeState,
+    UpgradeStatus,
+    VersionName,
+)
 from crocusvalve.standin import UpstreamFault, make_event
 from features.gateway.steps.closure_steps import RepeatedFault, request
 
 #: Longer than the deadline of any request.
 HANG_S = 30.0
+NEW_VERSION = VersionName("v2")
 
 
 class FirstThenRepeated(RepeatedFault):
@@ -104,3 +114,43 @@
     answer = context.harness.answers[0]
     assert answer.is_complete, answer
     assert len(context.harness.calls) == 2, context.harness.calls
+
+
+@given("upstream two has the new version of an upgrade that is running")
+def given_running_upgrade(context):
+    two = context.harness.upstreams["two"]
+    context.harness.extra_rows.append(
+        ("servers", "two-llm", lambda: two.make_entry("llm", "domain-two", version=NEW_VERSION))
+    )
+
+
+@when("an upgrade is {state} within a stream of upstream {first}, which then stops")
+def when_upgrade_ends(context, state, first):
+    async def act(harness):
+        share = 1.0 if first == "two" else 0.0
+        set_upgrade(harness, UpgradeState.RUNNING, share)
+        harness.upstreams[first].faults = [UpstreamFault.BREAK_IN_EVENT]
+        harness.upstreams[first].pause_s = 0.4
+        leaving = UpstreamId(f"{first}-llm")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(request, harness, "/stream/1")
+            await harness.wait_for(lambda: harness.upstreams[first].calls)
+            set_upgrade(harness, UpgradeState(state), share)
+            version = harness.gateway.tables.upstreams[leaving].version
+            entry = harness.upstreams[first].make_entry(
+                "llm", f"domain-{first}", state="draining", version=version
+            )
+            harness.store.put("servers", leaving, entry)
+            rows = harness.gateway.tables.upstreams
+            await harness.wait_for(lambda: rows[leaving].is_draining)
+
+    context.harness.run(act)
+
+
+def set_upgrade(harness, state, share):
+    """Set the upgrade of the models' service to the new version."""
+    tables, service = harness.gateway.tables, ServiceName("llm")
+    tables.orders[service] = UpgradeOrder(service, NEW_VERSION, 30.0, 1)
+    tables.statuses[service] = UpgradeStatus(
+        version=NEW_VERSION, state=state, share=share, revision=1
+    )
