--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -362,7 +362,7 @@
         A request without an end half a second after its deadline is excused by a disrupted
         component or an injected fault; ``LossJudge`` decides about one that has ended earlier.
         """
-        description = f"{attempt.req.attempt_id} has no whole answer: {attempt}"
+        description = f"{attempt.req.attempt_id} has no whole answer: {attempt.describe()}"
         if now < attempt.sent_at + attempt.req.deadline_s + self.bounds.answer_slack_s:
             if attempt.left_at is None and self.loss_judge.is_answer_due(attempt, now):
                 self.report(Guarantee.LOST, description)
@@ -404,7 +404,7 @@
         elif answer.status < 500:
             self.report(Guarantee.DENIED, f"{name} got {answer.status} at {attempt.req.path}")
         elif attempt.runs and self.loss_judge.is_answer_due(attempt, self.clock()):
-            description = f"{name} got {answer.status} though a sound upstream ran it: {attempt}"
+            description = f"{name} got no success of a sound upstream: {attempt.describe()}"
             self.report(Guarantee.LOST, description)
 
     def check_version(self, service: str, version: str, is_good: bool, state: str) -> None:
--- a/crocusvalve/soak/processes/base.py
+++ b/crocusvalve/soak/processes/base.py
@@ -163,3 +163,17 @@
     runs: list[UpstreamRun] = field(default_factory=list)
     #: Deadline that was sent to the first upstream.
     upstream_deadline_at: float | None = None
+
+    def describe(self) -> str:
+        """Return what happened to the request, without bodies, for the report."""
+        times = (self.sent_at, self.whole_at, self.left_at, self.ended_at)
+        sent, whole, left, ended = ("-" if at is None else f"{at:.3f}" for at in times)
+        runs = ", ".join(
+            f"{run.upstream} at {run.started_at:.3f}{'' if run.is_sound else ' with a fault'}"
+            for run in self.runs
+        )
+        answer = f"status {self.answer.status}, {len(self.answer.body)} bytes"
+        return (
+            f"{self.kind.value} at {self.gateway}, sent {sent} to {whole}, left {left}, "
+            f"ended {ended}, {answer}, runs: {runs or 'none'}"
+        )
