--- a/crocusvalve/gateway/_stream_attempt.py
+++ b/crocusvalve/gateway/_stream_attempt.py
@@ -41,6 +41,11 @@
     #: The stream was interrupted, abandoned or was corrupt.
     LOST = "lost"
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the attempt has no answer, not even one of too small a model."""
+        return self is not AttemptEnd.LARGER_MODEL
+
 
 class StreamStep(Struct, frozen=True):
     """Result of one read: events and whether they are the last, or how the attempt ended."""
@@ -49,6 +54,11 @@
     is_over: bool = False
     end: AttemptEnd | None = None
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the attempt has ended without an answer."""
+        return self.end is not None and self.end.is_failure
+
     @property
     def is_progress(self) -> bool:
         """Whether the stream has gone on or the attempt has ended; comments are no progress."""
@@ -121,6 +131,11 @@
         """How the attempt has ended; None while it goes on, and after its last event."""
         return self._end
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the attempt has ended without an answer."""
+        return self._end is not None and self._end.is_failure
+
     @property
     def is_final(self) -> bool:
         """Whether the upstream has answered with an error that every upstream would answer."""
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -113,7 +113,7 @@
             except BaseException:
                 await larger.close()
                 raise
-            if larger.end in (None, AttemptEnd.LARGER_MODEL):
+            if not larger.has_failed:
                 policy.model = larger.model
                 self.attempt_manager.observer.count_escalation(policy.req.route.name)
                 await smaller.close()
--- a/crocusvalve/gateway/_stream_policy.py
+++ b/crocusvalve/gateway/_stream_policy.py
@@ -66,12 +66,12 @@
         is_repeatable = self.req.route.is_repeatable or end is AttemptEnd.LARGER_MODEL
         return is_repeatable and self.req.n_attempts_left > 0
 
-    def may_start(self) -> bool:
+    def may_start_standby(self) -> bool:
         """Return whether route, budget and prompt allow an attempt besides a silent one."""
         is_allowed = self.may_continue(AttemptEnd.LOST)
         return is_allowed and self._manager.find_banned_part(self.req) is None
 
-    def start(self, silent: StreamAttempt) -> StreamAttempt | None:
+    def start_standby(self, silent: StreamAttempt) -> StreamAttempt | None:
         """Return an attempt at an upstream that isn't silent itself, or None."""
         req, now = self.req, self._clock.now()
         silent_since = now - SILENT_FRACTION * req.route.gap_goal_s
--- a/crocusvalve/gateway/_takeover.py
+++ b/crocusvalve/gateway/_takeover.py
@@ -15,8 +15,6 @@
 MAX_POLL_INTERVAL_S = 0.8
 #: Longest time for which two upstreams work on one stream after the second one's reply has begun.
 MAX_OVERLAP_S = 0.3
-#: Ends of an attempt that has an answer, be it that a larger model is to be asked instead.
-ANSWERED = (None, AttemptEnd.LARGER_MODEL)
 
 
 class TakeoverResult(Struct, frozen=True):
@@ -33,11 +31,11 @@
     """Provides further attempts of a request."""
 
     @abstractmethod
-    def may_start(self) -> bool:
+    def may_start_standby(self) -> bool:
         """Return whether the request may be sent to a further upstream."""
 
     @abstractmethod
-    def start(self, silent: StreamAttempt) -> StreamAttempt | None:
+    def start_standby(self, silent: StreamAttempt) -> StreamAttempt | None:
         """Return an attempt besides a silent one, or None if no upstream can accept it now."""
 
     @abstractmethod
@@ -57,16 +55,16 @@
 
     Parameters
     ----------
-    current : StreamAttempt
+    silent : StreamAttempt
         The silent attempt.
     source : StandbySource
         Provides attempts at other upstreams.
     """
 
-    def __init__(self, current: StreamAttempt, source: StandbySource):
-        self._current = current
+    def __init__(self, silent: StreamAttempt, source: StandbySource):
+        self._silent = silent
         self._source = source
-        self._current_step: StreamStep | None = None
+        self._silent_step: StreamStep | None = None
         self._standby_result: TakeoverResult | None = None
 
     async def run(self) -> TakeoverResult:
@@ -76,27 +74,31 @@
         """
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read_current, nursery.cancel_scope)
+                nursery.start_soon(self._read_silent, nursery.cancel_scope)
                 await self._seek_standby(nursery.cancel_scope)
         except BaseException:
             if self._standby_result is not None:
                 await self._standby_result.attempt.close()
             raise
         if self._standby_result is None:
-            return TakeoverResult(self._current, self._current_step)
-        await self._current.close()
+            return TakeoverResult(self._silent, self._silent_step)
+        await self._silent.close()
         return self._standby_result
 
-    async def _read_current(self, scope: trio.CancelScope) -> None:
-        self._current_step = await self._current.read_progress()
-        if self._current_step.end in ANSWERED:
+    async def _read_silent(self, scope: trio.CancelScope) -> None:
+        self._silent_step = await self._silent.read_progress()
+        if not self._silent_step.is_failure:
             scope.cancel()
 
     async def _seek_standby(self, scope: trio.CancelScope) -> None:
         """Start further attempts, one after the other, until one of them goes on."""
         pause_s = POLL_INTERVAL_S
-        while self._current_step is None:
-            standby = self._source.start(self._current) if self._source.may_start() else None
+        while self._silent_step is None:
+            standby = (
+                self._source.start_standby(self._silent)
+                if self._source.may_start_standby()
+                else None
+            )
             if standby is None:
                 await trio.sleep(pause_s)
                 continue
@@ -121,18 +123,18 @@
                     scope.deadline = min(scope.deadline, trio.current_time() + MAX_OVERLAP_S)
                     step = await standby.read_progress()
             is_late = scope.cancelled_caught and standby.end is None
-        if self._current_step is not None and self._current_step.end in ANSWERED:
+        if self._silent_step is not None and not self._silent_step.is_failure:
             return None
-        is_ahead = standby.has_reply and not self._current.has_reply
+        is_ahead = standby.has_reply and not self._silent.has_reply
         if is_late and is_ahead:
             return TakeoverResult(standby, None)
-        if standby.is_final and not self._current.has_reply:
+        if standby.is_final and not self._silent.has_reply:
             return TakeoverResult(standby, step)
         if is_late:
             standby.record_late()
             self._source.record_failure(standby, AttemptEnd.LOST)
             return None
-        if standby.end not in ANSWERED:
+        if standby.has_failed:
             self._source.record_failure(standby, standby.end)
             return None
         return TakeoverResult(standby, step)
--- a/features/gateway/steps/takeover_steps.py
+++ b/features/gateway/steps/takeover_steps.py
@@ -35,6 +35,7 @@
         self.closed_at = None
         self.end = None
         self.is_final = False
+        self.has_failed = False
 
     async def send(self):
         await trio.lowlevel.checkpoint()
@@ -43,6 +44,7 @@
         await trio.sleep(self.reply_s)
         if self.step.end is not None and self.step_s <= self.reply_s:
             self.end = self.step.end
+            self.has_failed = True
             return self.step
         self.has_reply = True
         self.replied_at = trio.current_time()
@@ -69,10 +71,10 @@
         self.make_attempts = make_attempts
         self.attempts = []
 
-    def may_start(self):
+    def may_start_standby(self):
         return True
 
-    def start(self, silent):
+    def start_standby(self, silent):
         make = self.make_attempts[min(len(self.attempts), len(self.make_attempts) - 1)]
         if make is None:
             return None
