Bodies that are mostly framing are detected after half as many bytes

Cause: 128 KiB of framing were parsed chunk by chunk, since the limit included a whole head. Now the head isn't counted, and 64 KiB more than the body are the limit, which sound replies had before.

--- a/crocusvalve/gateway/_upstream_call.py
+++ b/crocusvalve/gateway/_upstream_call.py
@@ -14,6 +14,8 @@
 
 #: Longest head of a reply, including the interim answers before it.
 MAX_HEAD_BYTES = 65536
+#: Longest framing of a body beyond the length of the body itself.
+MAX_FRAMING_BYTES = 65536
 #: Maximum number of interim answers (status 1xx) before a reply's head.
 MAX_INTERIM_REPLIES = 16
 #: Maximum number of events that are parsed from received bytes before other tasks may run; 64 KiB
@@ -84,6 +86,7 @@
         self._is_complete = False
         self._n_received = 0
         self._n_events_in_turn = 0
+        self._n_head = 0
         self._n_body = 0
         self._method = b""
         self.is_delimited = False
@@ -125,6 +128,7 @@
         for _ in range(MAX_INTERIM_REPLIES + 1):
             event = await self._next_event("read_head")
             if isinstance(event, h11.Response):
+                self._n_head = self._n_received - len(self._conn.trailing_data[0])
                 fields = dict(event.headers)
                 self.is_delimited = bool(fields.keys() & {b"content-length", b"transfer-encoding"})
                 if self.is_delimited and event.status_code not in BODILESS_STATUSES:
@@ -189,8 +193,8 @@
 
     def _check_framing(self, step: str) -> None:
         """Raise ``CallError`` if a body comes in so many chunks that it is mostly framing."""
-        n_framing = self._n_received - self._n_body
-        if n_framing > self._n_body + 2 * MAX_HEAD_BYTES:
+        n_framing = self._n_received - self._n_head - self._n_body
+        if n_framing > self._n_body + MAX_FRAMING_BYTES:
             message = f"{n_framing} bytes of framing for {self._n_body} bytes of the body"
             raise self._make_error(CallFailure.CORRUPT, message, step)
 
