--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from crocusvalve.soak.processes._disruption_table import DisruptionTable
-from crocusvalve.soak.processes._loss import LossJudge
+from crocusvalve.soak.processes._loss import LossCheck
 from crocusvalve.soak.processes.base import (
     SOUND_FAULTS,
     Attempt,
@@ -99,7 +99,7 @@
         Histories of services, by the first segment of a path.
     injected_faults : dict
         Faults that upstreams injected into attempts, by attempt id.
-    loss_judge : LossJudge
+    loss_check : LossCheck
         Decides whether a missing answer was due.
     """
 
@@ -107,7 +107,7 @@
         self.bounds = bounds
         self.clock = clock
         self.disruption_table = DisruptionTable(bounds.contact_s)
-        self.loss_judge = LossJudge(bounds, self.disruption_table, STORE)
+        self.loss_check = LossCheck(bounds, self.disruption_table, STORE)
         self.violations: list[Violation] = []
         self.attempts: dict[str, Attempt] = {}
         self.drained_upstreams: dict[str, Acknowledgement] = {}
@@ -360,11 +360,11 @@
         """Report a missing or incomplete answer, unless the caller left before its deadline.
 
         A request without an end half a second after its deadline is excused by a disrupted
-        component or an injected fault; ``LossJudge`` decides about one that has ended earlier.
+        component or an injected fault; ``LossCheck`` decides about one that has ended earlier.
         """
         description = f"{attempt.req.attempt_id} has no whole answer: {attempt.describe()}"
         if now < attempt.sent_at + attempt.req.deadline_s + self.bounds.answer_slack_s:
-            if attempt.left_at is None and self.loss_judge.is_answer_due(attempt, now):
+            if attempt.left_at is None and self.loss_check.is_answer_due(attempt, now):
                 self.report(Guarantee.LOST, description)
             return
         components = (attempt.gateway, STORE, *(run.upstream for run in attempt.runs))
@@ -403,7 +403,7 @@
                 self.report(Guarantee.REFUSED, f"{name} got {answer.status} and has run")
         elif answer.status < 500:
             self.report(Guarantee.DENIED, f"{name} got {answer.status} at {attempt.req.path}")
-        elif attempt.runs and self.loss_judge.is_answer_due(attempt, self.clock()):
+        elif attempt.runs and self.loss_check.is_answer_due(attempt, self.clock()):
             description = f"{name} got no success of a sound upstream: {attempt.describe()}"
             self.report(Guarantee.LOST, description)
 
--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -146,10 +146,10 @@
         """Start a gateway, and again whenever its process ends, as the platform does."""
         while not self.is_stopping:
             await gateway.start()
-            self.checker.loss_judge.record_process_start(gateway.name, self.checker.clock())
+            self.checker.loss_check.record_process_start(gateway.name, self.checker.clock())
             code = await gateway.process.wait()
             table, now = self.checker.disruption_table, self.checker.clock()
-            self.checker.loss_judge.record_process_end(gateway.name, now)
+            self.checker.loss_check.record_process_end(gateway.name, now)
             if code == 0 and gateway.is_stop_requested:
                 table.record_restart(gateway.name, now)
             else:
@@ -186,7 +186,7 @@
             due = trio.current_time() + DELAY_POLL_S
             await trio.sleep_until(due)
             now = trio.current_time()
-            self.checker.loss_judge.record_wakeup(due, now, now + DELAY_POLL_S)
+            self.checker.loss_check.record_wakeup(due, now, now + DELAY_POLL_S)
             if now - due > self.bounds.wakeup_s:
                 for component in (
                     STORE,
@@ -294,7 +294,7 @@
         )
         self.operator.put_config(config)
         now = self.checker.clock()
-        self.checker.loss_judge.record_timeout(self.timeout_s, now)
+        self.checker.loss_check.record_timeout(self.timeout_s, now)
         for name, service in self.routes.items():
             history = self.checker.routes.setdefault(name, ServiceHistory([]))
             if not history.changes or history.changes[-1][1] != service:
@@ -340,7 +340,7 @@
     def stop_gateway(self, gateway: GatewayProcess) -> None:
         """Send SIGTERM to a gateway."""
         if gateway.is_running and not gateway.is_stop_requested:
-            self.checker.loss_judge.record_stop(gateway.name, self.checker.clock())
+            self.checker.loss_check.record_stop(gateway.name, self.checker.clock())
         gateway.send_signal(signal.SIGTERM)
 
     async def stop(self) -> None:
--- a/crocusvalve/soak/processes/_loss.py
+++ b/crocusvalve/soak/processes/_loss.py
@@ -3,11 +3,11 @@
 from crocusvalve.soak.processes._disruption_table import DisruptionTable
 from crocusvalve.soak.processes.base import Attempt, SoakBounds
 
-__all__ = ["LossJudge"]
+__all__ = ["LossCheck"]
 
 
-class LossJudge:
-    """Judges missing answers by what callers and upstreams have seen.
+class LossCheck:
+    """Checks whether an answer was due, by what callers and upstreams have seen.
 
     Parameters
     ----------
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -175,14 +175,14 @@
 
 def observe_cut_after_stop(harness, *, sent_s, cut_s):
     """Cut a request that ran, at some times after the stop of its gateway began."""
-    harness.checker.loss_judge.record_stop(GATEWAY, harness.now - sent_s)
+    harness.checker.loss_check.record_stop(GATEWAY, harness.now - sent_s)
     observe_no_answer(harness, after_s=cut_s - sent_s)
 
 
 def observe_no_answer_at_end_of(harness, timeouts, *, after_s):
     """End a request that ran without an answer, some time after the configured timeouts."""
     for timeout_s, ago_s in timeouts:
-        harness.checker.loss_judge.record_timeout(timeout_s, harness.now - ago_s)
+        harness.checker.loss_check.record_timeout(timeout_s, harness.now - ago_s)
     observe_no_answer(harness, after_s=after_s)
 
 
@@ -190,13 +190,13 @@
     """End a request without an answer 0.3 s after its last byte; the soak may have been delayed."""
     harness.attempt.whole_at = harness.now
     due_at = harness.now + 0.1
-    harness.checker.loss_judge.record_wakeup(due_at, due_at + delay_s, due_at + 0.2)
+    harness.checker.loss_check.record_wakeup(due_at, due_at + delay_s, due_at + 0.2)
     observe_no_answer(harness, after_s=0.3, has_run=False)
 
 
 def observe_unread_request_after_end(harness):
     """End a request without an answer that was sent after its gateway's process had ended."""
-    harness.checker.loss_judge.record_process_end(GATEWAY, harness.now - 0.1)
+    harness.checker.loss_check.record_process_end(GATEWAY, harness.now - 0.1)
     observe_unread_answer(harness)
 
 
