--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -93,7 +93,7 @@
             tables=tables,
             crashes=crashes,
             crashing_parts=self.crashing_parts,
-            observer=observer,
+            observer=observer.crashes,
             clock=clock,
         )
         self.spawn: Callable[..., None] = lambda *_: None
--- a/crocusvalve/gateway/_crash_detector.py
+++ b/crocusvalve/gateway/_crash_detector.py
@@ -2,10 +2,10 @@
 
 import trio
 
+from crocusvalve.gateway._crash_observer import CrashCheck, CrashObserver
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, get_suspect_ids
 from crocusvalve.gateway._health import Outcome, update_health
-from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._request import GatewayRequest
 from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S, connect
 from crocusvalve.gateway._tables import GatewayTables
@@ -30,8 +30,8 @@
         Crashes by digest of the request.
     crashing_parts : CrashingPartRegistry
         Crashes by part of the prompt.
-    observer : GatewayObserver
-        Records crashes and banned parts.
+    observer : CrashObserver
+        Records crashes, and what is banned by them.
     clock : Clock
         Clock of this gateway.
     """
@@ -42,7 +42,7 @@
         tables: GatewayTables,
         crashes: CrashRegistry,
         crashing_parts: CrashingPartRegistry,
-        observer: GatewayObserver,
+        observer: CrashObserver,
         clock: Clock,
     ):
         self.tables = tables
@@ -62,35 +62,42 @@
             Whether the answer went on beyond the time at which its prompt would crash.
         """
         try:
-            if await self._has_crashed(upstream):
+            result = await self._check_upstream(upstream)
+            if result is CrashCheck.CRASHED:
                 self._record_crash(req, upstream, has_progressed)
+            else:
+                self.observer.record_check(upstream, req.digest, result)
         finally:
             checked.set()
 
-    async def _has_crashed(self, upstream: Upstream) -> bool:
+    async def _check_upstream(self, upstream: Upstream) -> CrashCheck:
         """Return whether an upstream has started again or refuses connections."""
         for delay_s in CRASH_CHECK_DELAYS_S:
             await trio.sleep(delay_s)
             current = self.tables.upstreams.get(upstream.upstream_id)
             if current is not None and current.started_ms != upstream.started_ms:
-                return True
+                return CrashCheck.CRASHED
             try:
                 stream = await connect(upstream.address, CONNECT_TIMEOUT_S)
             except ConnectionRefusedError:
-                return True
+                return CrashCheck.CRASHED
             except OSError:
-                return False
+                return CrashCheck.UNREACHABLE
             await trio.aclose_forcefully(stream)
-        return False
+        return CrashCheck.ALIVE
 
     def _record_crash(self, req: GatewayRequest, upstream: Upstream, has_progressed: bool) -> None:
         now = self.clock.now()
         update_health(self.tables.get_load(upstream.upstream_id), Outcome.SILENT, now)
         if has_progressed:
+            self.observer.record_check(upstream, req.digest, CrashCheck.ANSWER_WENT_ON)
             return
         incident = f"{upstream.upstream_id}#{upstream.started_ms}"
+        was_banned = self.crashes.is_banned(req.digest)
         n_crashes = self.crashes.record_crash(req.digest, incident)
-        self.observer.record_crash(upstream, req.digest, n_crashes)
+        self.observer.record_check(upstream, req.digest, CrashCheck.CRASHED, n_crashes)
+        if self.crashes.is_banned(req.digest) and not was_banned:
+            self.observer.record_banned_requests([req.digest], self.crashes.n_banned)
         part_ids = get_suspect_ids(req.caller.prefix)
         banned = self.crashing_parts.record_crash(part_ids, incident, req.digest, now)
         self.observer.record_banned_parts(banned)
--- a/crocusvalve/gateway/_crashes.py
+++ b/crocusvalve/gateway/_crashes.py
@@ -37,10 +37,17 @@
         """Return whether a request is permanently refused."""
         return self.count(digest) >= MAX_CRASHES
 
-    def merge(self, digest: str, incidents: Iterable[str]) -> None:
-        """Merge the incidents of a digest that another gateway reported."""
+    @property
+    def n_banned(self) -> int:
+        """Number of requests that are permanently refused."""
+        return sum(len(incidents) >= MAX_CRASHES for incidents in self._incidents.values())
+
+    def merge(self, digest: str, incidents: Iterable[str]) -> bool:
+        """Merge the incidents that another gateway reported; return whether this bans a digest."""
+        was_banned = self.is_banned(digest)
         for incident in incidents:
             self.record_crash(digest, incident)
+        return self.is_banned(digest) and not was_banned
 
     def list_newest(self, n_digests: int) -> dict[str, list[str]]:
         """Return the digests with the most recent crashes, and their incident ids."""
--- a/crocusvalve/gateway/_gossip.py
+++ b/crocusvalve/gateway/_gossip.py
@@ -138,12 +138,19 @@
         self.outcome_counts.merge_remote(
             f"{message.node_id}#{message.boot_id}", message.outcome_counts
         )
-        for digest, incidents in message.crashes.items():
-            self.crashes.merge(digest, incidents)
+        banned_digests = [
+            digest
+            for digest, incidents in message.crashes.items()
+            if self.crashes.merge(digest, incidents)
+        ]
+        if banned_digests:
+            self.observer.crashes.record_banned_requests(
+                banned_digests, self.crashes.n_banned, message.node_id
+            )
         self._merge_sent_parts(message)
         self._merge_leaving(message)
         banned = self.crashing_parts.merge(message.suspect_parts, message.sound_parts, now)
-        self.observer.record_banned_parts(banned)
+        self.observer.crashes.record_banned_parts(banned)
         self.upgrades.merge_reports(message.upgrades, now)
         if now - self._loads_summed_at < LOAD_SUM_INTERVAL_S:
             return
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -1,7 +1,7 @@
 """Log lines and metrics of a gateway."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from msgspec import Struct
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -9,6 +9,7 @@
 from crocusvalve.base import DomainId
 from crocusvalve.exceptions import CrocusvalveError, RefusedError
 from crocusvalve.gateway._connection_end import ConnectionEnd
+from crocusvalve.gateway._crash_observer import CrashObserver
 from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.base import (
@@ -71,9 +72,15 @@
     ----------
     registry : CollectorRegistry
         Registry of the metrics.
+
+    Attributes
+    ----------
+    crashes : CrashObserver
+        Records crashes of upstreams.
     """
 
     def __init__(self, registry: CollectorRegistry):
+        self.crashes = CrashObserver(registry)
         self.registry = registry
         self._successes = LineBudget(MAX_LINES_PER_S)
         self._failures = LineBudget(MAX_FAILURE_LINES_PER_S)
@@ -240,6 +247,7 @@
                     "code": exc.code.code if exc else "",
                     "reason": exc.message if exc else reason,
                     "retry_after_s": exc.retry_after_s if isinstance(exc, RefusedError) else None,
+                    "digest": "" if is_good else req.digest,
                 },
             },
         )
@@ -311,16 +319,6 @@
             extra={"peer": str(row.address), "fields": {"span_s": round(span_s, 2)}},
         )
 
-    def record_crash(self, row: Upstream, digest: str, n_crashes: int) -> None:
-        """Log a crash of an upstream and the digest of the request that caused it."""
-        fields = {"digest": digest, "crashes": n_crashes}
-        logger.warning("upstream %s crashed", row.upstream_id, extra={"fields": fields})
-
-    def record_banned_parts(self, part_ids: Iterable[str]) -> None:
-        """Log parts of prompts that crash upstreams, so that prompts with them are refused."""
-        for part_id in part_ids:
-            logger.warning("prompts with part %s crash upstreams and are refused", part_id)
-
     def record_domain_state(self, domain: DomainId, is_evacuated: bool) -> None:
         """Log that a failure domain has been evacuated, or is in service again."""
         logger.info("failure domain %s: %s", domain, "out" if is_evacuated else "in")
