--- a/crocusvalve/gateway/_gossip.py
+++ b/crocusvalve/gateway/_gossip.py
@@ -21,8 +21,8 @@
 LOAD_SUM_INTERVAL_S = 0.1
 #: A message includes the prompts sent within this time, so that each is included about twice.
 SENT_PARTS_WINDOW_S = 1.0
-#: Maximum number of request digests with crashes in one message.
-MAX_GOSSIP_DIGESTS = 16
+#: Maximum numbers of request digests in one message that are refused, and of others with crashes.
+MAX_GOSSIP_DIGESTS = 32
 #: Maximum numbers of parts of prompts in one message that may crash upstreams, and of those that
 #: don't.
 MAX_GOSSIP_SUSPECT_PARTS = 8
@@ -101,6 +101,7 @@
     def make_message(self, now: float) -> GossipMessage:
         """Return this gateway's state at a local time in seconds."""
         loads = self.tables.loads.items()
+        is_peer_behind = self.peers.has_other_bans(self.crashes.fingerprint, now)
         return GossipMessage(
             node_id=self.settings.node_id,
             boot_id=self.boot_id,
@@ -113,7 +114,8 @@
                 if now - sent.sent_at < SENT_PARTS_WINDOW_S
             ),
             outcome_counts=self.outcome_counts.list_local() if self.upgrades.is_active() else (),
-            crashes=self.crashes.list_newest(MAX_GOSSIP_DIGESTS),
+            crashes=self.crashes.choose_reports(MAX_GOSSIP_DIGESTS, is_peer_behind=is_peer_behind),
+            ban_fingerprint=self.crashes.fingerprint,
             members=self.peers.sample_members(MAX_GOSSIP_MEMBERS, self.random_state, now),
             is_leaving=self.is_leaving(),
             has_store=self.store.is_up,
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -118,6 +118,9 @@
         Parts of prompts that may crash upstreams.
     sound_parts : tuple of SoundPart
         Parts that were in a crash, and that are known not to cause it.
+    ban_fingerprint : int or None
+        Hash of the digests of all requests that the gateway refuses since they crash upstreams;
+        None from an earlier release.
     """
 
     node_id: NodeId
@@ -138,6 +141,7 @@
     positions: dict[str, TablePosition] = field(default_factory=dict)
     suspect_parts: tuple[SuspectPart, ...] = ()
     sound_parts: tuple[SoundPart, ...] = ()
+    ban_fingerprint: int | None = None
 
 
 class _Peer(Struct):
@@ -273,6 +277,11 @@
             if table in peer.message.positions and peer.message.positions[table] > own
         ]
 
+    def has_other_bans(self, fingerprint: int, now: float) -> bool:
+        """Return whether a peer has lately reported that it refuses other requests."""
+        reported = {peer.message.ban_fingerprint for peer in self._list_recent(now)}
+        return bool(reported - {None, fingerprint})
+
     def _list_recent(self, now: float) -> list[_Peer]:
         return [peer for peer in self._peers.values() if now - peer.received_at <= PEER_TIMEOUT_S]
 
--- a/crocusvalve/utils/__init__.py
+++ b/crocusvalve/utils/__init__.py
@@ -1,7 +1,7 @@
 """Clocks, digests, signal handling and checks shared by all packages."""
 
 from crocusvalve.utils._clock import BootClock, Clock, MonotonicClock
-from crocusvalve.utils._digest import compute_digest, hash_key, hash_to_unit
+from crocusvalve.utils._digest import compute_digest, hash_key, hash_to_int, hash_to_unit
 from crocusvalve.utils._signals import run_until_signal
 from crocusvalve.utils._transfer_limit import TransferLimit
 from crocusvalve.utils._wakeup_delay import WakeupDelayMonitor
@@ -16,6 +16,7 @@
     "check_range",
     "compute_digest",
     "hash_key",
+    "hash_to_int",
     "hash_to_unit",
     "run_until_signal",
 ]
--- a/crocusvalve/utils/_digest.py
+++ b/crocusvalve/utils/_digest.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-__all__ = ["compute_digest", "hash_key", "hash_to_unit"]
+__all__ = ["compute_digest", "hash_key", "hash_to_int", "hash_to_unit"]
 
 
 def hash_key(key: str) -> str:
@@ -20,6 +20,11 @@
     return state.hexdigest()
 
 
+def hash_to_int(text: str) -> int:
+    """Map a text to a uniformly distributed 64-bit integer, the same in every process."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 def hash_to_unit(text: str) -> float:
     """Map a text to a uniformly distributed number in ``[0, 1)``, the same in every process."""
-    return xxhash.xxh3_64_intdigest(text.encode()) / 2**64
+    return hash_to_int(text) / 2**64
