--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -9,6 +9,7 @@
 
 from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.gateway._attempt import Attempt, PromptWork
+from crocusvalve.gateway._bans import RequestBans
 from crocusvalve.gateway._budget import AttemptBudget
 from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._cold_start import compute_cold_quota, record_cold_send
@@ -23,6 +24,7 @@
 from crocusvalve.gateway._placement import (
     Placement,
     PlacementQuery,
+    PlacementReason,
     choose_upstream,
 )
 from crocusvalve.gateway._prompts import count_unread_tokens, get_shared_parts, record_parts
@@ -48,6 +50,9 @@
 
 #: Maximum number of recently sent prompts whose parts are reported to the other gateways.
 MAX_SENT_PROMPT_PARTS = 32
+#: Longest time for which a lost request waits for the check whether its upstream has crashed, so
+#: that it isn't sent on if it is known to crash upstreams by then.
+CRASH_CHECK_WAIT_S = 0.15
 #: Status of a reply from another upstream at the same address, whose statements are about itself.
 OTHER_INSTANCE_STATUS = 421
 
@@ -57,8 +62,8 @@
 
     Attributes
     ----------
-    crashing_parts : CrashingPartRegistry
-        Parts of prompts that crash upstreams.
+    bans : RequestBans
+        Requests that get no upstream since they crash them.
     pace : PaceTable
         Expected times of answers.
     spawn : callable
@@ -82,17 +87,15 @@
         self.settings = settings
         self.tables = tables
         self.peers = peers
-        self.crashes = crashes
         self.outcome_counts = outcome_counts
         self.codec = codec
         self.observer = observer
         self.clock = clock
-        self.crashing_parts = CrashingPartRegistry()
+        self.bans = RequestBans(crashes, CrashingPartRegistry())
         self.pace = PaceTable()
         self.crash_detector = CrashDetector(
             tables=tables,
-            crashes=crashes,
-            crashing_parts=self.crashing_parts,
+            bans=self.bans,
             observer=observer.crashes,
             clock=clock,
         )
@@ -142,6 +145,8 @@
         excluded: set[UpstreamId] | None = None,
     ) -> Placement:
         """Choose an upstream for the next attempt; by default those already tried are excluded."""
+        if self.is_banned(req):
+            return Placement(None, PlacementReason.BANNED)
         service = req.service.name
         order, status = self.tables.orders.get(service), self.tables.get_status(service)
         req.versions = update_choice(req.versions, order, status)
@@ -197,6 +202,9 @@
             if not self.tables.is_open(upstream, self.clock.now()):
                 message = "the upstream stopped accepting requests"
                 raise CallError(CallFailure.CLOSED, message, step="send", peer=call.peer)
+            if self.is_banned(req):
+                message = "the request has become known to crash upstreams"
+                raise CallError(CallFailure.CLOSED, message, step="send", peer=call.peer)
             context = SendContext(
                 upstream_id=upstream.upstream_id,
                 deadline_s=left_s,
@@ -308,13 +316,13 @@
             record_answer_time(load, elapsed_s, expected_s, now)
         self.pace.record_plain_answer(req.service.name, elapsed_s, now)
 
-    def find_banned_part(self, req: GatewayRequest) -> str | None:
-        """Return a part of a request's prompt that crashes upstreams, or None."""
-        return self.crashing_parts.find_banned(get_suspect_ids(req.caller.prefix))
+    def is_banned(self, req: GatewayRequest) -> bool:
+        """Return whether a request is refused, since it crashes upstreams."""
+        return self.bans.find_reason(req.digest, req.caller.prefix) is not None
 
     def record_answer_progress(self, req: GatewayRequest) -> None:
         """Record that an answer went on beyond the time at which its prompt would crash."""
-        self.crashing_parts.record_answer(get_suspect_ids(req.caller.prefix), self.clock.now())
+        self.bans.crashing_parts.record_answer(get_suspect_ids(req.caller.prefix), self.clock.now())
 
     def record_call_error(
         self,
@@ -345,3 +353,9 @@
             self.record_outcome(req, upstream, Outcome.BROKEN)
             self.spawn(self.crash_detector.check, req, upstream, has_progressed, checked)
         return checked
+
+    async def wait_for_crash_check(self, req: GatewayRequest, checked: trio.Event) -> None:
+        """Wait for a check for a crash, if its result may be that the request is refused."""
+        if req.caller.prefix or self.bans.crashes.is_suspect(req.digest):
+            with trio.move_on_after(CRASH_CHECK_WAIT_S):
+                await checked.wait()
--- a/crocusvalve/gateway/_crash_detector.py
+++ b/crocusvalve/gateway/_crash_detector.py
@@ -2,9 +2,9 @@
 
 import trio
 
+from crocusvalve.gateway._bans import RequestBans
 from crocusvalve.gateway._crash_observer import CrashCheck, CrashObserver
-from crocusvalve.gateway._crashes import CrashRegistry
-from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, get_suspect_ids
+from crocusvalve.gateway._crashing_parts import get_suspect_ids
 from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._request import GatewayRequest
 from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S, connect
@@ -26,10 +26,8 @@
     ----------
     tables : GatewayTables
         Upstreams' entries and loads.
-    crashes : CrashRegistry
-        Crashes by digest of the request.
-    crashing_parts : CrashingPartRegistry
-        Crashes by part of the prompt.
+    bans : RequestBans
+        Crashes by request and by part of the prompt.
     observer : CrashObserver
         Records crashes, and what is banned by them.
     clock : Clock
@@ -40,14 +38,12 @@
         self,
         *,
         tables: GatewayTables,
-        crashes: CrashRegistry,
-        crashing_parts: CrashingPartRegistry,
+        bans: RequestBans,
         observer: CrashObserver,
         clock: Clock,
     ):
         self.tables = tables
-        self.crashes = crashes
-        self.crashing_parts = crashing_parts
+        self.bans = bans
         self.observer = observer
         self.clock = clock
 
@@ -93,11 +89,15 @@
             self.observer.record_check(upstream, req.digest, CrashCheck.ANSWER_WENT_ON)
             return
         incident = f"{upstream.upstream_id}#{upstream.started_ms}"
-        was_banned = self.crashes.is_banned(req.digest)
-        n_crashes = self.crashes.record_crash(req.digest, incident)
+        crashes = self.bans.crashes
+        was_banned = crashes.is_banned(req.digest)
+        n_crashes = crashes.record_crash(req.digest, incident)
         self.observer.record_check(upstream, req.digest, CrashCheck.CRASHED, n_crashes)
-        if self.crashes.is_banned(req.digest) and not was_banned:
-            self.observer.record_banned_requests([req.digest], self.crashes.n_banned)
+        is_newly_banned = crashes.is_banned(req.digest) and not was_banned
+        if is_newly_banned:
+            self.observer.record_banned_requests([req.digest], crashes.n_banned)
         part_ids = get_suspect_ids(req.caller.prefix)
-        banned = self.crashing_parts.record_crash(part_ids, incident, req.digest, now)
-        self.observer.record_banned_parts(banned)
+        banned_parts = self.bans.crashing_parts.record_crash(part_ids, incident, req.digest, now)
+        self.observer.record_banned_parts(banned_parts)
+        if is_newly_banned or banned_parts:
+            self.bans.on_change()
--- a/crocusvalve/gateway/_crashes.py
+++ b/crocusvalve/gateway/_crashes.py
@@ -88,6 +88,10 @@
         """Return the number of distinct crashes of a digest, up to ``MAX_CRASHES``."""
         return len(self._get_incidents(digest))
 
+    def is_suspect(self, digest: str) -> bool:
+        """Return whether a request was lost in a crash and isn't refused yet."""
+        return digest in self._suspects
+
     def is_banned(self, digest: str) -> bool:
         """Return whether a request is permanently refused."""
         return digest in self._banned
--- a/crocusvalve/gateway/_flow.py
+++ b/crocusvalve/gateway/_flow.py
@@ -31,10 +31,15 @@
 
 def make_gateway_error(req: GatewayRequest, message: str, step: str, now: float) -> RefusedError:
     """Make the error of an abandoned request; its ``ran`` says whether it may have run."""
+    is_banned = req.placement is not None and req.placement.reason is PlacementReason.BANNED
+    if is_banned or req.is_withdrawn:
+        message = "the request, or a part of its prompt, crashes upstreams"
     if req.has_run:
         return RefusedError(
             ErrorCode.UPSTREAM_FAILED, message, step=step, ran=ExecutionStatus.UNKNOWN
         )
+    if is_banned or req.is_withdrawn:
+        return RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=step)
     retry_after_s = compute_retry_after_s(req.placement, now)
     return RefusedError(ErrorCode.NO_UPSTREAM, message, step=step, retry_after_s=retry_after_s)
 
@@ -69,6 +74,16 @@
             left_s = max(0.0, req.compute_left_s(now))
             scope.deadline = min(scope.deadline, trio.current_time() + left_s)
 
+    def withdraw_banned(self) -> None:
+        """End running requests without an answer that have become known to crash upstreams.
+
+        They may wait in the queue of an upstream, which would crash when it begins to run them.
+        """
+        for scope, req in self._running.items():
+            if req.first_event_at is None and self.attempt_manager.is_banned(req):
+                req.is_withdrawn = True
+                scope.cancel()
+
     async def run(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
         """Answer a request before its deadline.
 
@@ -85,6 +100,10 @@
                 return await self.answer(req, responder)
             finally:
                 del self._running[scope]
+        if req.is_withdrawn and responder.has_started:
+            raise AnswerAbortedError("the request has become known to crash upstreams")
+        if req.is_withdrawn:
+            raise make_gateway_error(req, "withdrawn", "wait", self.clock.now())
         if responder.has_started:
             self.record_cut_answer(req)
             raise AnswerAbortedError("the deadline passed within the answer")
@@ -122,7 +141,8 @@
             if req.compute_left_s(now) <= 0.0:
                 return None
             reopens_at = req.placement.reopens_at
-            if upstream is not None or now >= until or (reopens_at or now) > until:
+            is_banned = req.placement.reason is PlacementReason.BANNED
+            if upstream is not None or is_banned or now >= until or (reopens_at or now) > until:
                 return upstream
             req.tried.clear()
             await trio.sleep(POLL_INTERVAL_S)
--- a/crocusvalve/gateway/_gossip.py
+++ b/crocusvalve/gateway/_gossip.py
@@ -88,8 +88,9 @@
         self.store = store
         self.peers = peers
         self.attempt_manager = attempt_manager
-        self.crashes = attempt_manager.crashes
-        self.crashing_parts = attempt_manager.crashing_parts
+        self.bans = attempt_manager.bans
+        self.crashes = self.bans.crashes
+        self.crashing_parts = self.bans.crashing_parts
         self.outcome_counts = outcome_counts
         self.upgrades = upgrades
         self.handlers = handlers
@@ -151,8 +152,10 @@
             )
         self._merge_sent_parts(message)
         self._merge_leaving(message)
-        banned = self.crashing_parts.merge(message.suspect_parts, message.sound_parts, now)
-        self.observer.crashes.record_banned_parts(banned)
+        banned_parts = self.crashing_parts.merge(message.suspect_parts, message.sound_parts, now)
+        self.observer.crashes.record_banned_parts(banned_parts)
+        if banned_digests or banned_parts:
+            self.bans.on_change()
         self.upgrades.merge_reports(message.upgrades, now)
         if now - self._loads_summed_at < LOAD_SUM_INTERVAL_S:
             return
--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -49,6 +49,8 @@
     ALL_CLOSED = "all_closed"
     ALL_TRIED = "all_tried"
     ALL_COLD = "all_cold"
+    #: The request is refused, since it crashes upstreams.
+    BANNED = "banned"
 
 
 class PlacementQuery(Struct, kw_only=True):
--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/_plain_flow.py
@@ -174,7 +174,8 @@
                 self.attempt_manager.record_outcome(req, upstream, Outcome.LATE)
             raise
         except CallError as exc:
-            self.attempt_manager.record_call_error(req, upstream, exc)
+            checked = self.attempt_manager.record_call_error(req, upstream, exc)
+            await self.attempt_manager.wait_for_crash_check(req, checked)
             reason = f", {exc.message}" if exc.failure is CallFailure.CORRUPT else ""
             req.notes.append(f"{upstream.upstream_id}:{exc.failure.value}{reason}")
             await send.send(
--- a/crocusvalve/gateway/_request.py
+++ b/crocusvalve/gateway/_request.py
@@ -58,6 +58,8 @@
         Result of the last search for an upstream.
     waited_s : float
         Time spent waiting for an upstream, in seconds.
+    is_withdrawn : bool
+        Whether the request was ended because it has become known to crash upstreams.
     notes : list of str
         Retries, rejections and failures of the attempts, for the log.
     """
@@ -81,6 +83,7 @@
     n_events: int = 0
     placement: Placement | None = None
     waited_s: float = 0.0
+    is_withdrawn: bool = False
     notes: list[str] = field(default_factory=list)
 
     @property
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/_request_handler.py
@@ -6,7 +6,6 @@
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptManager
-from crocusvalve.gateway._crashing_parts import get_suspect_ids
 from crocusvalve.gateway._listener import (
     AnswerAbortedError,
     CallerLeftError,
@@ -68,6 +67,7 @@
         self.streams = StreamFlow(attempt_manager)
         self.stop_plan: StopPlan | None = None
         self.n_open_requests = 0
+        attempt_manager.bans.on_change = self.streams.withdraw_banned
 
     def get_limits(self) -> RequestLimits:
         """Return the bounds in force on what callers send."""
@@ -168,15 +168,9 @@
         digest = compute_digest(
             caller.target, (customer.name if customer else "").encode(), caller.body
         )
-        if self.attempt_manager.crashes.is_banned(digest):
-            raise RefusedError(
-                ErrorCode.CRASHES_UPSTREAMS, "the request crashes upstreams", step=STEP
-            )
-        suspect_ids = get_suspect_ids(caller.prefix)
-        if self.attempt_manager.crashing_parts.find_banned(suspect_ids) is not None:
-            raise RefusedError(
-                ErrorCode.CRASHES_UPSTREAMS, "a part of the prompt crashes upstreams", step=STEP
-            )
+        ban_reason = self.attempt_manager.bans.find_reason(digest, caller.prefix)
+        if ban_reason is not None:
+            raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, ban_reason, step=STEP)
         return self._make_request(caller, route, customer, digest, now)
 
     def _make_unknown_error(self, code: ErrorCode, message: str, now: float) -> RefusedError:
--- a/crocusvalve/gateway/_stream_attempt.py
+++ b/crocusvalve/gateway/_stream_attempt.py
@@ -4,7 +4,6 @@
 from contextlib import AsyncExitStack
 from enum import Enum
 
-import trio
 from msgspec import Struct
 
 from crocusvalve.gateway._attempt import Attempt
@@ -19,9 +18,6 @@
 
 #: Longest body of an upstream's failure answer that is forwarded.
 MAX_FAILURE_BYTES = 1024 * 1024
-#: Longest time for which a lost request waits for the check whether its upstream has crashed, so
-#: that it isn't sent on if its prompt is known to crash upstreams by then.
-CRASH_CHECK_WAIT_S = 0.15
 #: Minimum number of events of a stream at which the mean time between them is measured.
 MIN_PACED_EVENTS = 4
 #: An answer that goes on for this long after its first event shows that its prompt doesn't crash
@@ -289,9 +285,7 @@
         checked = self._manager.record_call_error(
             req, self.upstream, exc, has_progressed=self._has_progressed
         )
-        if req.caller.prefix:
-            with trio.move_on_after(CRASH_CHECK_WAIT_S):
-                await checked.wait()
+        await self._manager.wait_for_crash_check(req, checked)
 
     def _record_first_event(self) -> None:
         self._attempt.work.finish()
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/_stream_flow.py
@@ -2,7 +2,6 @@
 
 import trio
 
-from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.gateway._flow import Flow, make_gateway_error
 from crocusvalve.gateway._listener import AnswerAbortedError, Responder
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
@@ -26,8 +25,6 @@
             upstream = await self.wait_for_upstream(req, self.clock.now(), policy.model)
             if upstream is None:
                 return await self._give_up(policy, responder, "place")
-            if self.attempt_manager.find_banned_part(req) is not None:
-                return await self._refuse_banned(policy, responder)
             if responder.has_started:
                 self.attempt_manager.observer.count_resume(req.route.name)
             end = await self._forward(policy, policy.make_attempt(upstream), responder)
@@ -150,13 +147,6 @@
             return RequestEnd.UPSTREAM_FAILURE
         raise make_gateway_error(policy.req, "no upstream sent an answer", step, self.clock.now())
 
-    async def _refuse_banned(self, policy: StreamPolicy, responder: Responder) -> RequestEnd:
-        """Give up a request whose prompt has become known to crash upstreams while it waited."""
-        if policy.req.has_run:
-            return await self._give_up(policy, responder, "place")
-        message = "a part of the prompt crashes upstreams"
-        raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step="place")
-
     async def _forward_events(
         self,
         policy: StreamPolicy,
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -31,6 +31,8 @@
     CLIENT_ERROR = "client_error"
     #: Runs the request and closes the connection without an answer.
     BREAK = "break"
+    #: The same after ``silence_s``.
+    BREAK_LATE = "break_late"
     #: Closes the connection within the third event of a stream.
     BREAK_IN_EVENT = "break_in_event"
     #: Answers with the attempt id of another request.
@@ -89,7 +91,8 @@
     pause_s : float
         Pause before each event, in seconds.
     silence_s : float
-        Length of the silence of the faults ``SILENT`` and ``SILENT_FIRST``, in seconds.
+        Length of the silence of the faults ``SILENT``, ``SILENT_FIRST`` and ``BREAK_LATE``, in
+        seconds.
     n_padding_bytes : int
         Number of bytes that are appended to the body of a plain answer.
     n_abandoned : int
@@ -202,6 +205,9 @@
             return await self._send(stream, 409, headers, b"conflict")
         if fault is UpstreamFault.BREAK:
             return False
+        if fault is UpstreamFault.BREAK_LATE:
+            await trio.sleep(self.silence_s)
+            return False
         if fault is UpstreamFault.HANG:
             return await self._hang(stream)
         if fault.endless_reply is not None:
--- /dev/null
+++ b/features/gateway/steps/banned_request_steps.py
@@ -0,0 +1,165 @@
+"""Steps for requests that become known to crash upstreams while they are handled."""
+
+from unittest import mock
+
+import trio
+from behave import given, then, when
+from prometheus_client import CollectorRegistry
+
+from crocusvalve.base import DomainId, NodeId, UpstreamId
+from crocusvalve.gateway import _crash_detector
+from crocusvalve.gateway._bans import RequestBans
+from crocusvalve.gateway._crash_detector import CrashDetector
+from crocusvalve.gateway._crashes import CrashRegistry
+from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, SuspectPart
+from crocusvalve.gateway._observer import GatewayObserver
+from crocusvalve.gateway._peers import GossipMessage
+from crocusvalve.gateway._tables import GatewayTables
+from crocusvalve.gateway.base import Address, ServiceName, Upstream, VersionName
+from crocusvalve.standin import N_EVENTS, UpstreamFault, make_event
+from crocusvalve.utils import BootClock, compute_digest
+from features.gateway.steps.closure_steps import STARTED_MS, request
+
+INCIDENTS = ["u1#1", "u2#1", "u3#1"]
+REPORT_AFTER_S = 0.2
+
+
+def make_report(path, ban):
+    """Return a peer's message that a request, or a part of its prompt, crashes upstreams."""
+    message = GossipMessage(node_id=NodeId("gateway-2"), boot_id="b", host="127.0.0.9")
+    if ban == "prompt":
+        ages_ms = {incident: 1000 * n for n, incident in enumerate(INCIDENTS, 1)}
+        suspects = (SuspectPart("aa", ages_ms, ("r1", "r2")),)
+        return GossipMessage(
+            node_id=message.node_id, boot_id="b", host=message.host, suspect_parts=suspects
+        )
+    digest = compute_digest(path.encode(), b"first", b"")
+    return GossipMessage(
+        node_id=message.node_id, boot_id="b", host=message.host, crashes={digest: INCIDENTS}
+    )
+
+
+def set_first_fault(context, fault, silence_s):
+    shared = [fault]
+    for upstream in context.harness.upstreams.values():
+        upstream.faults = shared
+        upstream.silence_s = silence_s
+
+
+@given("the first attempt breaks after {silence_s:g} s")
+def given_break(context, silence_s):
+    set_first_fault(context, UpstreamFault.BREAK_LATE, silence_s)
+
+
+@given("the first attempt is silent for {silence_s:g} s")
+def given_silent(context, silence_s):
+    set_first_fault(context, UpstreamFault.SILENT_FIRST, silence_s)
+
+
+@given("the first attempt is silent for {silence_s:g} s within the stream")
+def given_silent_within(context, silence_s):
+    set_first_fault(context, UpstreamFault.SILENT, silence_s)
+
+
+@given("both upstreams want no requests for {span_s:g} s")
+def given_both_closed(context, span_s):
+    for upstream in context.harness.upstreams.values():
+        upstream.retry_after = str(span_s)
+        upstream.faults = [UpstreamFault.OVERLOADED]
+
+
+@when(
+    "a caller sends {path}, and another gateway reports 0.2 s later that {it} has crashed "
+    "3 upstreams"
+)
+def when_reported_meanwhile(context, path, it):
+    ban = it.removeprefix("its ")
+
+    async def report(harness):
+        await trio.sleep(REPORT_AFTER_S)
+        harness.gateway.gossip.merge(make_report(path, ban), harness.gateway.clock.now())
+
+    async def act(harness):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(report, harness)
+            started_at = trio.current_time()
+            await request(harness, path)
+            context.elapsed_s = trio.current_time() - started_at
+        await trio.sleep(0.1)
+        context.n_abandoned = sum(up.n_abandoned for up in harness.upstreams.values())
+
+    context.harness.run(act)
+
+
+@then("one upstream got the request, and the caller gets 502")
+def then_one_call(context):
+    (answer,) = context.harness.answers
+    assert len(context.harness.calls) == 1, context.harness.calls
+    assert answer.status == 502, answer
+
+
+@then("one upstream got the request, and the caller gets an answer")
+def then_one_answered(context):
+    (answer,) = context.harness.answers
+    assert len(context.harness.calls) == 1, context.harness.calls
+    assert answer.is_complete, answer
+
+
+@then("the upstream's connection is closed within 0.5 s, and the caller gets 502")
+def then_withdrawn(context):
+    (answer,) = context.harness.answers
+    assert answer.status == 502, answer
+    assert context.elapsed_s < REPORT_AFTER_S + 0.5, context.elapsed_s
+    assert len(context.harness.calls) == 1, context.harness.calls
+
+
+@then("the caller gets the whole stream")
+def then_whole_stream(context):
+    (answer,) = context.harness.answers
+    expected = b"".join(make_event("/stream/1", n) for n in range(1, N_EVENTS + 1))
+    assert answer.is_complete and answer.body == expected, answer
+
+
+@then("no upstream got the request, and the caller gets 503 within 0.3 s")
+def then_refused_waiting(context):
+    (answer,) = context.harness.answers
+    assert not context.harness.calls, context.harness.calls
+    assert answer.status == 503, answer
+    assert context.elapsed_s < REPORT_AFTER_S + 0.3, context.elapsed_s
+
+
+@given(
+    "a crash detector, and an upstream whose address first can't be reached and then refuses "
+    "connections"
+)
+def given_detector(context):
+    context.crashes = CrashRegistry()
+    context.detector = CrashDetector(
+        tables=GatewayTables(),
+        bans=RequestBans(context.crashes, CrashingPartRegistry()),
+        observer=GatewayObserver(CollectorRegistry()).crashes,
+        clock=BootClock(),
+    )
+
+
+@when("the connection of a request to this upstream breaks")
+def when_breaks(context):
+    upstream = Upstream(
+        upstream_id=UpstreamId("u1"),
+        service=ServiceName("ops"),
+        address=Address("127.0.0.1", 1),
+        domain=DomainId("a"),
+        version=VersionName("v1"),
+        slots=1,
+        started_ms=STARTED_MS,
+    )
+    req = mock.Mock(digest="digest")
+    req.caller.prefix = ()
+    errors = [TimeoutError("no answer"), ConnectionRefusedError()]
+    with mock.patch.object(_crash_detector, "connect", side_effect=errors):
+        trio.run(context.detector.check, req, upstream, False, trio.Event())
+
+
+@then("the detector counts a crash of the request")
+def then_counted(context):
+    assert context.crashes.count("digest") == 1
