--- a/crocusvalve/gateway/_crash_detector.py
+++ b/crocusvalve/gateway/_crash_detector.py
@@ -67,7 +67,11 @@
             checked.set()
 
     async def _check_upstream(self, upstream: Upstream) -> CrashCheck:
-        """Return whether an upstream has started again or refuses connections."""
+        """Return whether an upstream has started again or refuses connections.
+
+        A connection that can't be opened shows nothing: the link may be lossy.
+        """
+        result = CrashCheck.ALIVE
         for delay_s in CRASH_CHECK_DELAYS_S:
             await trio.sleep(delay_s)
             current = self.tables.upstreams.get(upstream.upstream_id)
@@ -78,9 +82,11 @@
             except ConnectionRefusedError:
                 return CrashCheck.CRASHED
             except OSError:
-                return CrashCheck.UNREACHABLE
+                result = CrashCheck.UNREACHABLE
+                continue
+            result = CrashCheck.ALIVE
             await trio.aclose_forcefully(stream)
-        return CrashCheck.ALIVE
+        return result
 
     def _record_crash(self, req: GatewayRequest, upstream: Upstream, has_progressed: bool) -> None:
         now = self.clock.now()
--- a/features/gateway/banned_requests.feature
+++ b/features/gateway/banned_requests.feature
@@ -39,3 +39,8 @@
     And both upstreams want no requests for 0.6 s
     When a caller sends /stream/1, and another gateway reports 0.2 s later that it has crashed 3 upstreams
     Then no upstream got the request, and the caller gets 503 within 0.3 s
+
+  Scenario: A crash is recognised though the first connection to the upstream times out
+    Given a crash detector, and an upstream whose address first can't be reached and then refuses connections
+    When the connection of a request to this upstream breaks
+    Then the detector counts a crash of the request
