Entries: crashes that different entries have seen add up, and refused requests aren't displaced (BUDGET)

The same cause as in the gateways' gossip, found by reading: a notice had the number of crashes only, so an entry with one crash that was told of another one still counted one; a process that starts got the 1,000 most recently merged rows, refused or not; a report of known crashes made a row the most recent; and the least recent row was evicted even if refused.

Change: a notice names its crashes (signed); an entry forwards what it knows after the merge; refused digests are told first and evicted last; a report of known crashes moves nothing. An entry of an earlier release drops notices that name crashes, as wrongly signed, until it is updated; agents' reports still reach it.

--- a/crocusvalve/entry/_notice_distributor.py
+++ b/crocusvalve/entry/_notice_distributor.py
@@ -18,6 +18,7 @@
 from crocusvalve.entry._tables import CoreTables
 from crocusvalve.exceptions import CrocusvalveError
 from crocusvalve.membership import NoticeTable
+from crocusvalve.model import N_CRASHES_TO_BAN, QuarantineRow
 from crocusvalve.rpc import Notice, NoticeKind, is_signed_notice, sign_notice
 from crocusvalve.utils import Clock
 
@@ -30,7 +31,8 @@
 FETCH_INTERVAL_S = 30.0
 #: Delay after which a notice that could not be written is tried again.
 RETRY_DELAY_S = 5.0
-#: Quarantined request digests sent to a peer in one reply, at most; the most recent are sent.
+#: Quarantined request digests sent to a peer in one reply, at most: those that are refused, and
+#: the most recent others.
 MAX_QUARANTINE_NOTICES = 1000
 #: Kinds of notices that must eventually be written to the document.
 DOCUMENT_KINDS = frozenset({NoticeKind.DOMAIN_OUT, NoticeKind.DOMAIN_IN, NoticeKind.WITHDRAWN})
@@ -122,19 +124,30 @@
 
     def list_notices(self) -> tuple[Notice, ...]:
         """Return the notices in force and one per request digest that crashed an upstream."""
-        crashed = [
-            sign_notice(
-                Notice(
-                    kind=NoticeKind.QUARANTINE,
-                    subject=row.digest,
-                    number=row.n_crashes,
-                    issuer=self.node_id,
-                ),
-                self.key,
-            )
-            for row in list(self.tables.quarantine.values())[-MAX_QUARANTINE_NOTICES:]
-        ]
-        return (*self.table.list_notices(), *crashed)
+        rows = list(self.tables.quarantine.values())
+        banned = [row for row in rows if row.is_banned]
+        if len(banned) > MAX_QUARANTINE_NOTICES:
+            banned = self.random_state.sample(banned, MAX_QUARANTINE_NOTICES)
+        suspects = [row for row in reversed(rows) if not row.is_banned]
+        reported = [*banned, *suspects[: MAX_QUARANTINE_NOTICES - len(banned)]]
+        return (
+            *self.table.list_notices(),
+            *(self._make_quarantine_notice(row) for row in reported),
+        )
+
+    def _make_quarantine_notice(self, row: QuarantineRow) -> Notice:
+        notice = Notice(
+            kind=NoticeKind.QUARANTINE,
+            subject=row.digest,
+            number=row.n_crashes,
+            issuer=self.node_id,
+            incidents=tuple(sorted(row.upstreams)[:N_CRASHES_TO_BAN]),
+        )
+        return sign_notice(notice, self.key)
+
+    def issue_quarantine(self, digest: str) -> None:
+        """Report the crashes of a request that this entry knows to the others and the agents."""
+        self._distribute(self._make_quarantine_notice(self.tables.quarantine[digest]))
 
     def issue(self, kind: NoticeKind, subject: str, *, number: int | None = None) -> Notice:
         """Sign a notice, apply it to the local tables and distribute it.
@@ -166,6 +179,9 @@
             return False
         if notice.kind in DOCUMENT_KINDS:
             self._pending[_make_key(notice)] = _PendingNotice(notice, now + write_delay_s)
+        if notice.kind is NoticeKind.QUARANTINE:
+            # Has the crashes that this entry knew before as well.
+            notice = self._make_quarantine_notice(self.tables.quarantine[notice.subject])
         self._distribute(notice)
         return True
 
--- a/crocusvalve/entry/_service.py
+++ b/crocusvalve/entry/_service.py
@@ -49,7 +49,7 @@
 from crocusvalve.model import RequestRow
 from crocusvalve.orders import ClaimSettler, OrderRunner
 from crocusvalve.orders._table_store import TableClaimStore
-from crocusvalve.rpc import BillRecord, CrashRecord, NoticeKind, RunEvent
+from crocusvalve.rpc import BillRecord, CrashRecord, RunEvent
 from crocusvalve.sessions import SessionAction, SessionClaim, SessionSigner, resolve_session
 from crocusvalve.settings import EntrySettings
 from crocusvalve.store import HttpPlatform, WriteIdMaker
@@ -276,7 +276,7 @@
 
     def _share_quarantine(self, cmd: ShareQuarantine) -> None:
         logger.warning("request digest %s crashed an upstream (%d)", cmd.digest, cmd.n_crashes)
-        self.notices.issue(NoticeKind.QUARANTINE, cmd.digest, number=cmd.n_crashes)
+        self.notices.issue_quarantine(cmd.digest)
 
     def _merge_crashes(self, upstream_id: UpstreamId, crashes: Sequence[CrashRecord]) -> None:
         quarantine = self.core.policies.get_quarantine(self.tables)
--- a/crocusvalve/membership/_notices.py
+++ b/crocusvalve/membership/_notices.py
@@ -71,7 +71,12 @@
     def _merge_quarantine(self, notice: Notice, now: float) -> bool:
         if self.quarantine is None:
             return False
-        row = QuarantineRow(digest=notice.subject, n_crashes=notice.number, crashed_at=now)
+        row = QuarantineRow(
+            digest=notice.subject,
+            n_crashes=notice.number,
+            crashed_at=now,
+            upstreams={UpstreamId(incident) for incident in notice.incidents},
+        )
         return self.quarantine.merge(row, now)
 
     @staticmethod
--- a/crocusvalve/retry/_quarantine.py
+++ b/crocusvalve/retry/_quarantine.py
@@ -29,7 +29,7 @@
     rows : dict
         Quarantine table of the entry, by digest, in order of use with the oldest first.
     max_rows : int
-        Largest number of rows; the least recently used row is evicted first.
+        Largest number of rows; the least recently used suspect is evicted first.
     max_age_s : float
         Time in seconds after its last crash at which a row is evicted.
 
@@ -167,16 +167,20 @@
 
     def merge(self, remote: QuarantineRow, now: float) -> bool:
         """Merge another entry's row of a digest; return whether the number of crashes rose."""
-        row = self.rows.pop(remote.digest, None)
+        row = self.rows.get(remote.digest)
         if row is None:
             row = QuarantineRow(digest=remote.digest, n_crashes=0, crashed_at=remote.crashed_at)
         before = row.n_crashes
         row.upstreams |= remote.upstreams
         row.n_crashes = max(row.n_crashes, remote.n_crashes, len(row.upstreams))
+        if row.n_crashes == before:
+            # A report of known crashes isn't a use that keeps the row from being evicted.
+            return False
         row.crashed_at = max(row.crashed_at, remote.crashed_at)
+        self.rows.pop(remote.digest, None)
         self.rows[remote.digest] = row
         self._evict(now)
-        return row.n_crashes > before
+        return True
 
     def _remove_running(self, digest: str, upstream_id: UpstreamId | None) -> None:
         running = self.running_.get(digest)
@@ -195,4 +199,6 @@
             is_old = now - oldest.crashed_at > self.max_age_s
             if not is_old and len(self.rows) <= self.max_rows:
                 return
+            if not is_old:
+                oldest = next((row for row in self.rows.values() if not row.is_banned), oldest)
             del self.rows[oldest.digest]
--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -252,13 +252,18 @@
 
 
 class Notice(Struct, frozen=True, kw_only=True):
-    """An urgent notice between processes; the highest ``number`` for a subject wins."""
+    """An urgent notice between processes; the highest ``number`` for a subject wins.
+
+    ``incidents`` names the crashes that a notice of a crashing request counts, so that those of
+    different entries add up.
+    """
 
     kind: NoticeKind
     subject: str
     number: int
     issuer: str
     signature: str = ""
+    incidents: tuple[str, ...] = ()
 
 
 class NoticeAck(Struct, frozen=True):
--- a/crocusvalve/rpc/_signing.py
+++ b/crocusvalve/rpc/_signing.py
@@ -12,6 +12,7 @@
 
 def _compute_signature(notice: Notice, key: str) -> str:
     parts = (notice.kind.value, notice.subject, str(notice.number), notice.issuer)
+    parts += notice.incidents
     return hmac.new(key.encode(), "\0".join(parts).encode(), hashlib.sha256).hexdigest()
 
 
