--- a/crocusvalve/gateway/_closures.py
+++ b/crocusvalve/gateway/_closures.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from crocusvalve.base import UpstreamId
+from crocusvalve.gateway._report_queue import ReportQueue
 from crocusvalve.gateway.base import Upstream
 
 __all__ = ["ClosureTable", "UpstreamRun"]
@@ -36,22 +37,36 @@
 
     def __init__(self) -> None:
         self._leaving: OrderedDict[UpstreamRun, None] = OrderedDict()
+        self._leaving_reports: ReportQueue[UpstreamRun] = ReportQueue()
         self._reopens_at: OrderedDict[UpstreamRun, float] = OrderedDict()
 
-    def mark_leaving(self, run: UpstreamRun) -> bool:
-        """Record that an upstream is about to stop; return whether this was unknown."""
-        is_new = run not in self._leaving
+    def mark_leaving(self, run: UpstreamRun, *, is_own: bool = True) -> bool:
+        """Record that an upstream is about to stop; return whether this was unknown.
+
+        Parameters
+        ----------
+        is_own : bool
+            Whether the upstream has told this gateway.
+        """
+        if run in self._leaving:
+            return False
         self._leaving[run] = None
-        _evict(self._leaving)
-        return is_new
+        self._leaving_reports.add(run, is_own=is_own)
+        for evicted in _evict(self._leaving):
+            self._leaving_reports.discard(evicted)
+        return True
 
     def merge_leaving(self, runs: Iterable[UpstreamRun]) -> list[UpstreamRun]:
         """Record the leaving upstreams that another gateway reports; return the unknown ones."""
-        return [run for run in runs if self.mark_leaving(run)]
+        return [run for run in runs if self.mark_leaving(run, is_own=False)]
+
+    def choose_leaving(self, n_runs: int) -> tuple[UpstreamRun, ...]:
+        """Return leaving upstreams for the next message: new ones first, then all in turn."""
+        return tuple(self._leaving_reports.choose(n_runs, is_complete=True))
 
-    def list_leaving(self, n_runs: int) -> tuple[UpstreamRun, ...]:
-        """Return the newest leaving upstreams."""
-        return tuple(self._leaving)[-n_runs:]
+    def list_leaving(self) -> tuple[UpstreamRun, ...]:
+        """Return the leaving upstreams, the newest last."""
+        return tuple(self._leaving)
 
     def is_leaving(self, upstream: Upstream) -> bool:
         """Return whether an upstream has told a gateway that it is about to stop."""
@@ -72,6 +87,6 @@
         return self._reopens_at.get(UpstreamRun.of(upstream), 0.0)
 
 
-def _evict(runs: OrderedDict) -> None:
-    while len(runs) > MAX_RUNS:
-        runs.popitem(last=False)
+def _evict(runs: OrderedDict) -> list[UpstreamRun]:
+    """Remove the oldest runs above the limit, and return them."""
+    return [runs.popitem(last=False)[0] for _ in range(len(runs) - MAX_RUNS)]
--- a/crocusvalve/gateway/_crashing_parts.py
+++ b/crocusvalve/gateway/_crashing_parts.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct, field
 
+from crocusvalve.gateway._report_queue import ReportQueue
 from crocusvalve.gateway.base import PrefixPart
 
 __all__ = ["CrashingPartRegistry", "SoundPart", "SuspectPart", "get_suspect_ids"]
@@ -80,6 +81,7 @@
         #: Parts that were in a crash, as far as any gateway has reported.
         self._questioned: OrderedDict[str, None] = OrderedDict()
         self._banned: frozenset[str] = frozenset()
+        self._ban_reports: ReportQueue[str] = ReportQueue()
 
     def record_crash(
         self, part_ids: Iterable[str], incident: str, request_id: str, now: float
@@ -113,9 +115,14 @@
         return next((part_id for part_id in part_ids if part_id in self._banned), None)
 
     def list_suspects(self, n_parts: int, now: float) -> tuple[SuspectPart, ...]:
-        """Return the banned parts and those with the most recent crashes, for gossip."""
+        """Return banned parts and those with the most recent crashes, for gossip.
+
+        If there are many banned parts they are returned in turn, new ones first, and leave half of
+        the places, since a part is banned by crashes that different gateways have seen.
+        """
         newest = [part_id for part_id in reversed(self._evidence) if part_id not in self._banned]
-        chosen = [*(part_id for part_id in self._banned if part_id in self._evidence), *newest]
+        n_banned = max(n_parts // 2, n_parts - len(newest))
+        chosen = [*self._ban_reports.choose(n_banned, is_complete=True), *newest]
         return tuple(self._make_report(part_id, now) for part_id in chosen[:n_parts])
 
     def _make_report(self, part_id: str, now: float) -> SuspectPart:
@@ -201,6 +208,10 @@
                 for part_id, crashes in open_crashes.items()
             }
         new = frozenset(banned - self._banned)
+        for part_id in new:
+            self._ban_reports.add(part_id)
+        for part_id in self._banned - banned:
+            self._ban_reports.discard(part_id)
         self._banned = frozenset(banned)
         return new
 
--- a/crocusvalve/gateway/_gossip.py
+++ b/crocusvalve/gateway/_gossip.py
@@ -120,7 +120,7 @@
             members=self.peers.sample_members(MAX_GOSSIP_MEMBERS, self.random_state, now),
             is_leaving=self.is_leaving(),
             has_store=self.store.is_up,
-            leaving=self.tables.closures.list_leaving(MAX_GOSSIP_LEAVING),
+            leaving=self.tables.closures.choose_leaving(MAX_GOSSIP_LEAVING),
             upgrades=self.upgrades.list_reports(),
             suspect_parts=self.crashing_parts.list_suspects(MAX_GOSSIP_SUSPECT_PARTS, now),
             sound_parts=self.crashing_parts.list_sound(MAX_GOSSIP_SOUND_PARTS, now),
--- a/features/gateway/closures.feature
+++ b/features/gateway/closures.feature
@@ -98,3 +98,13 @@
     And both upstreams are overloaded and want no requests for 0.2 s and 9 s
     When callers send /stream/1 3 times
     Then every caller got 200
+
+  Scenario Outline: A gateway that starts later learns of every upstream that is about to stop: <n> of them
+    Given <n> upstreams have told a gateway that they are about to stop
+    When a gateway that has started since gets <n_messages> of its messages
+    Then it knows all of them
+
+    Examples:
+      | n   | n_messages |
+      | 30  | 1          |
+      | 300 | 5          |
--- a/features/gateway/crashes.feature
+++ b/features/gateway/crashes.feature
@@ -31,6 +31,17 @@
     When part "common" is in 6 crashes with part "bad", and an answer with "common" goes on at the other gateway
     Then after they have exchanged reports only "bad" is banned
 
+  Scenario: Many banned parts don't keep gateways from counting the crashes of another one together
+    Given the registries of 3 gateways
+    And 12 parts are banned by all of them
+    When each of them records one crash of a different request with part "bad"
+    Then none of them has banned it before they exchange reports, and each one after
+
+  Scenario: A gateway that starts later learns of every banned part
+    Given the registries of 2 gateways
+    When 12 parts are banned by the first of them and it sends 3 reports
+    Then the other one has banned them too
+
   Scenario: A part that another one explains is released
     Given the registries of 1 gateways
     When parts "bad" and "rare" are in the same 3 crashes, and "bad" is in 2 more
--- a/features/gateway/gateway_harness.py
+++ b/features/gateway/gateway_harness.py
@@ -54,6 +54,29 @@
     return make_config(version, routes, services, **optional_sections) | changes
 
 
+def make_gateway(number):
+    """Return a gateway that is not started; only its gossip is used."""
+    host = f"127.0.1.{number}"
+    settings = GatewaySettings(
+        node_id=NodeId(f"gateway-{number}"),
+        domain=DomainId("domain-one"),
+        front=Address(host, 1),
+        ready=Address(host, 2),
+        peer=Address(host, 3),
+        seeds=(),
+        store=Address(host, 4),
+        bounds=GatewayBounds(),
+    )
+    return Gateway(
+        settings,
+        feed=None,
+        header_codec=PlatformHeaderCodec(),
+        record_codec=PlatformRecordCodec(),
+        clock=BootClock(),
+        random_state=random.Random(number),
+    )
+
+
 class GatewayHarness:
     """Stand-in servers and a gateway; ``run`` executes an action while they all serve.
 
--- a/features/gateway/steps/closure_steps.py
+++ b/features/gateway/steps/closure_steps.py
@@ -10,7 +10,10 @@
 from crocusvalve.gateway.base import Address, ServiceName, Upstream, VersionName
 from crocusvalve.platform import PlatformHeaderCodec
 from crocusvalve.standin import UpstreamFault
+from features.gateway.gateway_harness import make_gateway
 
+#: Messages of a gateway, sent before another one starts.
+N_EARLIER_MESSAGES = 25
 STARTED_MS = 1_700_000_000_000
 ONE = UpstreamRun(UpstreamId("one-ops"), STARTED_MS)
 ONE_LLM = UpstreamRun(UpstreamId("one-llm"), STARTED_MS)
@@ -38,7 +41,7 @@
 
 def is_closed(harness):
     """Return whether the gateway knows that upstream one is about to stop."""
-    leaving = harness.gateway.tables.closures.list_leaving(10)
+    leaving = harness.gateway.tables.closures.list_leaving()
     return ONE in leaving or ONE_LLM in leaving
 
 
@@ -171,7 +174,7 @@
 
 @then("no upstream is closed")
 def then_no_closed(context):
-    assert not context.harness.gateway.tables.closures.list_leaving(10)
+    assert not context.harness.gateway.tables.closures.list_leaving()
 
 
 @when("upstream one closes while a request for {path} connects to it")
@@ -280,3 +283,24 @@
     answer = context.harness.answers[-1]
     assert answer.status == 503 and context.elapsed_s < bound_s, (answer, context.elapsed_s)
     assert low <= float(answer.headers["retry-after"]) <= high, answer
+
+
+@given("{n:d} upstreams have told a gateway that they are about to stop")
+def given_many_leaving(context, n):
+    context.first, context.second = make_gateway(1), make_gateway(2)
+    context.runs = {UpstreamRun(UpstreamId(f"u{number}"), STARTED_MS) for number in range(n)}
+    for run in context.runs:
+        context.first.tables.closures.mark_leaving(run)
+    for _ in range(N_EARLIER_MESSAGES):
+        context.first.gossip.make_message(0.0)
+
+
+@when("a gateway that has started since gets {n:d} of its messages")
+def when_messages(context, n):
+    for _ in range(n):
+        context.second.gossip.merge(context.first.gossip.make_message(0.0), 0.0)
+
+
+@then("it knows all of them")
+def then_all_known(context):
+    assert set(context.second.tables.closures.list_leaving()) == context.runs
--- a/features/gateway/steps/crash_report_steps.py
+++ b/features/gateway/steps/crash_report_steps.py
@@ -4,40 +4,13 @@
 
 from behave import given, then, when
 
-from crocusvalve.base import DomainId, NodeId
-from crocusvalve.gateway import Gateway
-from crocusvalve.gateway.base import Address, GatewayBounds, GatewaySettings
-from crocusvalve.platform import PlatformHeaderCodec, PlatformRecordCodec
-from crocusvalve.utils import BootClock
+from features.gateway.gateway_harness import make_gateway
 
 ROUND_S = 0.4
 N_TARGETS = 6
 N_CRASHES = 3
 
 
-def make_gateway(number):
-    """Return a gateway that is not started; only its gossip is used."""
-    host = f"127.0.1.{number}"
-    settings = GatewaySettings(
-        node_id=NodeId(f"gateway-{number}"),
-        domain=DomainId("domain-one"),
-        front=Address(host, 1),
-        ready=Address(host, 2),
-        peer=Address(host, 3),
-        seeds=(),
-        store=Address(host, 4),
-        bounds=GatewayBounds(),
-    )
-    return Gateway(
-        settings,
-        feed=None,
-        header_codec=PlatformHeaderCodec(),
-        record_codec=PlatformRecordCodec(),
-        clock=BootClock(),
-        random_state=random.Random(number),
-    )
-
-
 class CrashReportSimulation:
     """Gateways that exchange gossip in virtual time, some of its datagrams lost.
 
--- a/features/gateway/steps/crash_steps.py
+++ b/features/gateway/steps/crash_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from crocusvalve.gateway._crashing_parts import CrashingPartRegistry
+from crocusvalve.gateway._gossip import MAX_GOSSIP_SOUND_PARTS, MAX_GOSSIP_SUSPECT_PARTS
 from crocusvalve.standin import CallerAnswer, StandinCaller
 from features.gateway.gateway_harness import API_KEY, FRONT_PORT, GatewayHarness
 
@@ -151,11 +152,13 @@
 
 
 def exchange(registries, now):
-    """Pass the reports of each registry to all others."""
+    """Pass the report of each registry, one message, to all others."""
     for sender in registries:
+        suspects = sender.list_suspects(MAX_GOSSIP_SUSPECT_PARTS, now)
+        sound = sender.list_sound(MAX_GOSSIP_SOUND_PARTS, now)
         for receiver in registries:
             if receiver is not sender:
-                receiver.merge(sender.list_suspects(16, now), sender.list_sound(32, now), now)
+                receiver.merge(suspects, sound, now)
 
 
 @given("the registries of {n:d} gateways")
@@ -181,6 +184,34 @@
         assert not registry.find_banned(["doc0", "doc1", "doc2"])
 
 
+def ban_parts(registries, n):
+    """Let each of some parts be in three crashes of different requests."""
+    for registry in registries:
+        for number in range(3 * n):
+            part, incident = f"banned-{number % n}", f"old{number}#1"
+            registry.record_crash([part], incident, f"old{number}", number / 2)
+
+
+@given("{n:d} parts are banned by all of them")
+def given_banned_parts(context, n):
+    ban_parts(context.registries, n)
+
+
+@when("{n:d} parts are banned by the first of them and it sends {n_reports:d} reports")
+def when_reports(context, n, n_reports):
+    first, second = context.registries
+    ban_parts([first], n)
+    context.banned = [f"banned-{number}" for number in range(n)]
+    for _ in range(n_reports):
+        second.merge(first.list_suspects(MAX_GOSSIP_SUSPECT_PARTS, 60.0), (), 60.0)
+
+
+@then("the other one has banned them too")
+def then_banned_too(context):
+    missing = [part for part in context.banned if not context.registries[1].find_banned([part])]
+    assert not missing, missing
+
+
 @when("one request is lost in {n:d} crashes")
 def when_one_request(context, n):
     for number in range(n):
