--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -99,6 +99,11 @@
         Requests with the fault ``HANG`` whose caller disconnected.
     is_leaving : bool
         Whether its answers say that it is about to stop.
+    rate_limit : str
+        Requests per second that its answers say it takes from all gateways together; empty for no
+        limit.
+    arrived_at : list of float
+        Times of all requests.
     retry_after : str
         Value of ``Retry-After`` in rejections by the fault ``OVERLOADED``.
     n_rejected : int
@@ -124,6 +129,8 @@
         self.n_rejected = 0
         self.is_leaving = False
         self.retry_after = "1"
+        self.rate_limit = ""
+        self.arrived_at: list[float] = []
         self.pause_s = 0.0
         self.silence_s = 1.2
         self.n_padding_bytes = 0
@@ -180,6 +187,7 @@
 
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request, with a fault if one is due."""
+        self.arrived_at.append(trio.current_time())
         expected_instance = call.headers.get("x-expect-instance", self.upstream_id)
         if not expected_instance.startswith(self.upstream_id):
             return await self._send(stream, 421, {}, b"")
@@ -272,6 +280,8 @@
 
     def _make_head(self, status: int, headers: dict[str, str]) -> bytes:
         fields = headers | ({"Server-Leaving": "1"} if self.is_leaving else {})
+        if self.rate_limit:
+            fields["Server-Limit"] = self.rate_limit
         lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in fields.items())]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
--- a/features/gateway/gateway_harness.py
+++ b/features/gateway/gateway_harness.py
@@ -97,6 +97,8 @@
         Host of the gateway that gets the requests; None for the first gateway.
     answers : list
         Answers to the callers' requests, in order.
+    elapsed_s : list of tuple
+        Time to each answer in seconds and the answer, as far as a step records them.
     log_records : list
         Log records of the gateway.
     """
@@ -114,6 +116,7 @@
         self.peer_gossip = None
         self.front_host = None
         self.answers = []
+        self.elapsed_s = []
         self.probe = None
         self.log_records = []
 
@@ -198,7 +201,15 @@
                 await trio.sleep(0.005)
 
     async def call(
-        self, path, *, method="GET", body=b"", key=API_KEY, host="api.example", **headers
+        self,
+        path,
+        *,
+        method="GET",
+        body=b"",
+        key=API_KEY,
+        host="api.example",
+        front_host=None,
+        **headers,
     ):
         """Send a request on a new connection and return the answer."""
         lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", f"X-Attempt-Id: {ATTEMPT_ID}"]
@@ -207,11 +218,14 @@
             lines.append(f"Authorization: Bearer {key}")
         if body:
             lines.append(f"Content-Length: {len(body)}")
-        return await self.send(("\r\n".join(lines) + "\r\n\r\n").encode() + body, method)
+        return await self.send(
+            ("\r\n".join(lines) + "\r\n\r\n").encode() + body, method, front_host=front_host
+        )
 
-    async def send(self, data, method="GET", port=FRONT_PORT):
+    async def send(self, data, method="GET", port=FRONT_PORT, front_host=None):
         """Send bytes on a new connection and return the answer."""
-        stream = await trio.open_tcp_stream(self.front_host or self.host, port)
+        host = front_host or self.front_host or self.host
+        stream = await trio.open_tcp_stream(host, port)
         async with stream:
             await stream.send_all(data)
             answer = await self.read(stream, method)
