Gateways share the rate of requests that an upstream names (LIMIT)

Cause: nothing read the limit. Class: a statement of an upstream about itself that only one part of the system could have known, and no part knew. Ruled out: a limit for each gateway alone, which adds up to n times the rate; equal shares of all gateways, which at 1 a second and 68 gateways serve nobody.

Change: RateLimitTable. Placement treats an upstream as closed until the share allows a request, and the send checks it again, so that repeats, hedges, takeovers, resumed streams and larger models are counted too. Where all upstreams are limited, a caller is refused at once with a time of its own (ReturnSchedule), and one that returns then goes first. An answer without the header ends the limit. Log lines, gauge, reason all_limited.

--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -163,6 +163,10 @@
         )
         return choose_upstream(self.tables, query, now)
 
+    def get_limit_interval_s(self, run: UpstreamRun) -> float | None:
+        """Return the time between two requests to an upstream with a limit, or None."""
+        return self.tables.rate_limits.get_interval_s(run)
+
     def _compute_cold_quota(self, req: GatewayRequest, upstream: Upstream, now: float) -> int:
         rate_per_s = req.service.cold_per_s
         if rate_per_s <= 0.0:
@@ -219,6 +223,7 @@
                 self.get_budget(req.service.name).count_extra_attempt(self.clock.now())
             req.n_arrivals += 1
             req.n_runs += 1
+            self.tables.rate_limits.record_send(UpstreamRun.of(upstream), self.clock.now())
             await call.send(self.spawn, caller.method, caller.target, headers, caller.body)
             yield Attempt(upstream, call, model, work, self._record_reply)
         finally:
@@ -228,13 +233,17 @@
                 await call.close()
 
     def _record_reply(self, upstream: Upstream, reply: Reply) -> None:
-        """Record that an upstream says in a reply that it wants no more requests."""
-        closures = self.tables.closures
-        if reply.is_leaving and reply.status != OTHER_INSTANCE_STATUS:
-            if closures.mark_leaving(UpstreamRun.of(upstream)):
+        """Record that an upstream says in a reply how many more requests it wants."""
+        closures, run, now = self.tables.closures, UpstreamRun.of(upstream), self.clock.now()
+        if reply.status != OTHER_INSTANCE_STATUS:
+            if reply.is_leaving and closures.mark_leaving(run):
                 self.observer.record_upstream_leaving(upstream)
+            rate_limits = self.tables.rate_limits
+            if rate_limits.record_answer(run, reply.rate_limit_per_s, now):
+                self.observer.limits.record_limit(
+                    upstream.upstream_id, reply.rate_limit_per_s, rate_limits.n_active
+                )
         if reply.retry_after_s is not None:
-            now = self.clock.now()
             if closures.close_until(upstream, now + reply.retry_after_s, now):
                 self.observer.record_upstream_closure(upstream, reply.retry_after_s)
 
--- a/crocusvalve/gateway/_flow.py
+++ b/crocusvalve/gateway/_flow.py
@@ -7,10 +7,12 @@
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.gateway._attempts import AttemptManager
+from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._listener import AnswerAbortedError, Responder
 from crocusvalve.gateway._placement import Placement, PlacementReason
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
-from crocusvalve.gateway.base import Upstream
+from crocusvalve.gateway._return_schedule import ReturnSchedule
+from crocusvalve.gateway.base import ServiceName, Upstream
 
 __all__ = ["Flow", "compute_retry_after_s", "make_gateway_error"]
 
@@ -41,6 +43,8 @@
     if is_banned or req.is_withdrawn:
         return RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=step)
     retry_after_s = compute_retry_after_s(req.placement, now)
+    if req.return_at is not None:
+        retry_after_s = max(MIN_RETRY_AFTER_S, req.return_at - now)
     return RefusedError(ErrorCode.NO_UPSTREAM, message, step=step, retry_after_s=retry_after_s)
 
 
@@ -66,6 +70,7 @@
         self.attempt_manager = attempt_manager
         self.clock = attempt_manager.clock
         self._running: dict[trio.CancelScope, GatewayRequest] = {}
+        self._schedules: dict[ServiceName, ReturnSchedule] = {}
 
     def limit_deadlines(self, until: float, now: float) -> None:
         """End all running requests at a local time in seconds, unless they end earlier."""
@@ -138,9 +143,11 @@
         while True:
             now = self.clock.now()
             upstream = self.find_upstream(req, now, model)
+            if self._yield_to_booked(req, upstream, now):
+                upstream = None
             if req.compute_left_s(now) <= 0.0:
                 return None
-            reopens_at = req.placement.reopens_at
+            reopens_at = self._book_return(req, now)
             is_banned = req.placement.reason is PlacementReason.BANNED
             if upstream is not None or is_banned or now >= until or (reopens_at or now) > until:
                 return upstream
@@ -148,6 +155,36 @@
             await trio.sleep(POLL_INTERVAL_S)
             req.waited_s += self.clock.now() - now
 
+    def _book_return(self, req: GatewayRequest, now: float) -> float | None:
+        """Return when an upstream takes a request; those of limited ones follow each other."""
+        placement = req.placement
+        if placement.reason is not PlacementReason.ALL_LIMITED:
+            req.return_at = None
+        elif req.return_at is None or req.return_at <= now:
+            schedule = self._schedules.setdefault(req.service.name, ReturnSchedule())
+            req.return_at = schedule.book(placement.reopens_at, placement.reopen_interval_s, now)
+        return placement.reopens_at if req.return_at is None else req.return_at
+
+    def _yield_to_booked(self, req: GatewayRequest, upstream: Upstream | None, now: float) -> bool:
+        """Return whether a limited upstream's next request is for a caller that was told to return.
+
+        The placement is changed accordingly.
+        """
+        schedule = self._schedules.get(req.service.name)
+        run = None if upstream is None else UpstreamRun.of(upstream)
+        interval_s = None if run is None else self.attempt_manager.get_limit_interval_s(run)
+        if schedule is None or interval_s is None:
+            return False
+        if schedule.take(req.return_at, interval_s, now):
+            return False
+        req.placement = Placement(
+            None,
+            PlacementReason.ALL_LIMITED,
+            reopens_at=now + interval_s,
+            reopen_interval_s=interval_s,
+        )
+        return True
+
     def find_upstream(self, req: GatewayRequest, now: float, model: str = "") -> Upstream | None:
         """Return an upstream for the next attempt, or None; the reason is in ``req.placement``."""
         req.placement = self.attempt_manager.place(req, now, model)
--- a/crocusvalve/gateway/_gossip.py
+++ b/crocusvalve/gateway/_gossip.py
@@ -29,6 +29,8 @@
 MAX_GOSSIP_SOUND_PARTS = 32
 #: Maximum number of leaving upstreams in one message.
 MAX_GOSSIP_LEAVING = 64
+#: Maximum number of upstreams' limits in one message.
+MAX_GOSSIP_LIMITS = 32
 #: Number of other gateways that one message reports as alive.
 MAX_GOSSIP_MEMBERS = 20
 #: Maximum number of silent upstreams in one message.
@@ -102,6 +104,9 @@
     def make_message(self, now: float) -> GossipMessage:
         """Return this gateway's state at a local time in seconds."""
         loads = self.tables.loads.items()
+        own_per_s = self.tables.request_rate.compute(now)
+        rates = self.peers.list_request_rates(own_per_s, now)
+        self.tables.rate_limits.update_shares(rates, now)
         is_peer_behind = self.peers.has_other_bans(self.crashes.fingerprint, now)
         return GossipMessage(
             node_id=self.settings.node_id,
@@ -117,6 +122,8 @@
             outcome_counts=self.outcome_counts.list_local() if self.upgrades.is_active() else (),
             crashes=self.crashes.choose_reports(MAX_GOSSIP_DIGESTS, is_peer_behind=is_peer_behind),
             ban_fingerprint=self.crashes.fingerprint,
+            rate_limits=self.tables.rate_limits.choose_reports(MAX_GOSSIP_LIMITS, now),
+            requests_per_s=own_per_s,
             members=self.peers.sample_members(MAX_GOSSIP_MEMBERS, self.random_state, now),
             is_leaving=self.is_leaving(),
             has_store=self.store.is_up,
@@ -152,6 +159,7 @@
             )
         self._merge_sent_parts(message)
         self._merge_leaving(message)
+        self._merge_rate_limits(message, now)
         banned_parts = self.crashing_parts.merge(message.suspect_parts, message.sound_parts, now)
         self.observer.crashes.record_banned_parts(banned_parts)
         if banned_digests or banned_parts:
@@ -174,6 +182,13 @@
             if row is not None and row.started_ms == run.started_ms:
                 self.observer.record_upstream_leaving(row)
 
+    def _merge_rate_limits(self, message: GossipMessage, now: float) -> None:
+        rate_limits = self.tables.rate_limits
+        for report in rate_limits.merge(message.rate_limits, now):
+            self.observer.limits.record_limit(
+                report.run.upstream_id, report.rate_per_s, rate_limits.n_active, message.node_id
+            )
+
     def _merge_sent_parts(self, message: GossipMessage) -> None:
         """Record the prompt parts that a peer gateway sent to upstreams as cached there."""
         config = self.tables.config
--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -11,6 +11,7 @@
 from crocusvalve.gateway._connection_end import ConnectionEnd
 from crocusvalve.gateway._crash_observer import CrashObserver
 from crocusvalve.gateway._health import Outcome
+from crocusvalve.gateway._limit_observer import LimitObserver
 from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.base import (
     Configuration,
@@ -77,10 +78,13 @@
     ----------
     crashes : CrashObserver
         Records crashes of upstreams.
+    limits : LimitObserver
+        Records limits that upstreams name.
     """
 
     def __init__(self, registry: CollectorRegistry):
         self.crashes = CrashObserver(registry)
+        self.limits = LimitObserver(registry)
         self.registry = registry
         self._successes = LineBudget(MAX_LINES_PER_S)
         self._failures = LineBudget(MAX_FAILURE_LINES_PER_S)
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -9,6 +9,7 @@
 from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._crashing_parts import SoundPart, SuspectPart
 from crocusvalve.gateway._outcome_counts import OutcomeCountsRow
+from crocusvalve.gateway._rate_limits import RateLimitReport
 from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
 
@@ -118,6 +119,10 @@
         Parts of prompts that may crash upstreams.
     sound_parts : tuple of SoundPart
         Parts that were in a crash, and that are known not to cause it.
+    rate_limits : tuple of RateLimitReport
+        Limits that upstreams have named, and those that have ended lately.
+    requests_per_s : float
+        Rate of the callers' requests to the gateway.
     ban_fingerprint : int or None
         Hash of the digests of all requests that the gateway refuses since they crash upstreams;
         None from an earlier release.
@@ -142,6 +147,8 @@
     suspect_parts: tuple[SuspectPart, ...] = ()
     sound_parts: tuple[SoundPart, ...] = ()
     ban_fingerprint: int | None = None
+    rate_limits: tuple[RateLimitReport, ...] = ()
+    requests_per_s: float = 0.0
 
 
 class _Peer(Struct):
@@ -277,6 +284,19 @@
             if table in peer.message.positions and peer.message.positions[table] > own
         ]
 
+    def list_request_rates(self, own_per_s: float, now: float) -> dict[NodeId, float]:
+        """Return the requests per second of each active gateway, including this one.
+
+        A gateway that hasn't reported its rate lately counts with the mean of the others.
+        """
+        recent = {
+            peer.message.node_id: peer.message.requests_per_s for peer in self._list_recent(now)
+        }
+        known = [own_per_s, *recent.values()]
+        mean = sum(known) / len(known)
+        rates = {node_id: recent.get(node_id, mean) for node_id in self.list_alive(now)}
+        return rates | {self.node_id: own_per_s}
+
     def has_other_bans(self, fingerprint: int, now: float) -> bool:
         """Return whether a peer has lately reported that it refuses other requests."""
         reported = {peer.message.ban_fingerprint for peer in self._list_recent(now)}
--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from crocusvalve.base import DomainId, UpstreamId
+from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._cold_start import may_send_cold
 from crocusvalve.gateway._health import is_suspended
 from crocusvalve.gateway._prompts import count_unread_tokens
@@ -47,6 +48,9 @@
     NONE_ALLOWED = "none_allowed"
     #: All allowed upstreams are overloaded and have set a time from which they accept requests.
     ALL_CLOSED = "all_closed"
+    #: All allowed upstreams are closed, and some of them until this gateway's share of the limit
+    #: that they have named allows a further request.
+    ALL_LIMITED = "all_limited"
     ALL_TRIED = "all_tried"
     ALL_COLD = "all_cold"
     #: The request is refused, since it crashes upstreams.
@@ -88,13 +92,15 @@
 
     ``work`` is what the upstream has to process before the first event, including the request's
     prompt, in prompt tokens of the costliest model. ``reopens_at`` is the local time in seconds at
-    which the first of the closed upstreams accepts requests again.
+    which the first of the closed upstreams accepts requests again, ``reopen_interval_s`` the time
+    between the requests that they accept from then on; 0 if that isn't limited.
     """
 
     upstream: Upstream | None
     reason: PlacementReason
     work: float = 0.0
     reopens_at: float | None = None
+    reopen_interval_s: float = 0.0
 
 
 def choose_upstream(tables: GatewayTables, query: PlacementQuery, now: float) -> Placement:
@@ -109,11 +115,9 @@
     allowed = _filter_allowed(tables, query, list(upstreams.values()))
     if not allowed:
         return Placement(None, PlacementReason.NONE_ALLOWED)
-    get_reopens_at = tables.closures.get_reopens_at
-    opened = [upstream for upstream in allowed if get_reopens_at(upstream) <= now]
+    opened = [upstream for upstream in allowed if tables.compute_reopens_at(upstream, now) <= now]
     if not opened:
-        reopens_at = min(get_reopens_at(upstream) for upstream in allowed)
-        return Placement(None, PlacementReason.ALL_CLOSED, reopens_at=reopens_at)
+        return _describe_closure(tables, allowed, now)
     untried = [upstream for upstream in opened if upstream.upstream_id not in query.tried]
     if not untried:
         return Placement(None, PlacementReason.ALL_TRIED)
@@ -138,6 +142,24 @@
     )
 
 
+def _describe_closure(tables: GatewayTables, allowed: list[Upstream], now: float) -> Placement:
+    """Return when the first of some closed upstreams accepts a request, and how many follow."""
+    reopens_at = min(tables.compute_reopens_at(upstream, now) for upstream in allowed)
+    runs = [UpstreamRun.of(upstream) for upstream in allowed]
+    intervals_s = [tables.rate_limits.get_interval_s(run) for run in runs]
+    limited = [interval_s for interval_s in intervals_s if interval_s is not None]
+    if not limited:
+        return Placement(None, PlacementReason.ALL_CLOSED, reopens_at=reopens_at)
+    is_limited_later = len(limited) == len(intervals_s)
+    rate_per_s = sum(1.0 / interval_s for interval_s in limited)
+    return Placement(
+        None,
+        PlacementReason.ALL_LIMITED,
+        reopens_at=reopens_at,
+        reopen_interval_s=1.0 / rate_per_s if is_limited_later else 0.0,
+    )
+
+
 def _filter_allowed(
     tables: GatewayTables, query: PlacementQuery, upstreams: list[Upstream]
 ) -> list[Upstream]:
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -99,7 +99,7 @@
         self.registry = CollectorRegistry()
         self.observer = GatewayObserver(self.registry)
         self.observer.track_dropped_lines(count_dropped_lines)
-        self.tables = GatewayTables()
+        self.tables = GatewayTables(settings.node_id)
         self.store = StoreState()
         self.observer.track_store_age(lambda: clock.now() - self.store.answered_at)
         self.outcome_counts = OutcomeCountsTable()
--- a/crocusvalve/gateway/_request.py
+++ b/crocusvalve/gateway/_request.py
@@ -58,6 +58,8 @@
         Result of the last search for an upstream.
     waited_s : float
         Time spent waiting for an upstream, in seconds.
+    return_at : float or None
+        Time at which an upstream is expected to take the request; None if that isn't limited.
     is_withdrawn : bool
         Whether the request was ended because it has become known to crash upstreams.
     notes : list of str
@@ -83,6 +85,7 @@
     n_events: int = 0
     placement: Placement | None = None
     waited_s: float = 0.0
+    return_at: float | None = None
     is_withdrawn: bool = False
     notes: list[str] = field(default_factory=list)
 
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/_request_handler.py
@@ -209,6 +209,7 @@
         if self.stop_plan is not None:
             deadline = min(deadline, self.stop_plan.answers_until)
         self.attempt_manager.get_budget(service.name).count_request(now)
+        self.tables.request_rate.record_request(now)
         return GatewayRequest(
             caller=caller,
             route=route,
--- a/crocusvalve/gateway/_tables.py
+++ b/crocusvalve/gateway/_tables.py
@@ -2,9 +2,11 @@
 
 from msgspec import Struct, field
 
-from crocusvalve.base import DomainId, UpstreamId
-from crocusvalve.gateway._closures import ClosureTable
+from crocusvalve.base import DomainId, NodeId, UpstreamId
+from crocusvalve.gateway._closures import ClosureTable, UpstreamRun
 from crocusvalve.gateway._directory import Directory
+from crocusvalve.gateway._rate_limits import RateLimitTable
+from crocusvalve.gateway._request_rate import RequestRate
 from crocusvalve.gateway.base import (
     Configuration,
     ServiceName,
@@ -17,6 +19,10 @@
 __all__ = ["GatewayTables", "UpstreamLoad"]
 
 
+#: Identifier of a gateway that has no peers.
+SINGLE_NODE = NodeId("")
+
+
 class UpstreamLoad(Struct):
     """Load and health of an upstream as seen by this gateway; times are local, in seconds.
 
@@ -83,6 +89,11 @@
 class GatewayTables:
     """All tables of a gateway.
 
+    Parameters
+    ----------
+    node_id : NodeId
+        Identifier of this gateway.
+
     Attributes
     ----------
     directory : Directory or None
@@ -101,11 +112,15 @@
         Versions by service that may get requests outside an upgrade.
     closures : ClosureTable
         Upstreams that have asked for no more requests.
+    rate_limits : RateLimitTable
+        Rates of requests that upstreams have named.
+    request_rate : RequestRate
+        Rate of the callers' requests.
     has_upstreams : bool
         Whether the table of upstreams was read.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, node_id: NodeId = SINGLE_NODE) -> None:
         self.directory: Directory | None = None
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self.by_service: dict[ServiceName, dict[UpstreamId, Upstream]] = {}
@@ -115,6 +130,8 @@
         self.statuses: dict[ServiceName, UpgradeStatus] = {}
         self.allowed_versions: dict[ServiceName, set[VersionName]] = {}
         self.closures = ClosureTable()
+        self.rate_limits = RateLimitTable(node_id)
+        self.request_rate = RequestRate()
         self.has_upstreams = False
 
     @property
@@ -159,10 +176,17 @@
         """Return whether an upstream may get new requests, as far as this gateway knows."""
         return (
             self.accepts_work(upstream)
-            and self.closures.get_reopens_at(upstream) <= now
+            and self.compute_reopens_at(upstream, now) <= now
             and upstream.upstream_id in self.upstreams
         )
 
+    def compute_reopens_at(self, upstream: Upstream, now: float) -> float:
+        """Return the local time in seconds from which this gateway may send a request."""
+        reopens_at = self.closures.get_reopens_at(upstream)
+        if self.rate_limits.is_empty:
+            return reopens_at
+        return max(reopens_at, self.rate_limits.get_next_at(UpstreamRun.of(upstream), now))
+
     def accepts_work(self, upstream: Upstream) -> bool:
         """Return whether an upstream is neither leaving nor in an evacuated failure domain."""
         return (
--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -392,6 +392,9 @@
     retry_after_s : float or None
         Seconds for which an upstream that rejected the request wants no more requests; None if it
         sets no time.
+    rate_limit_per_s : float or None
+        Requests per second that the upstream takes from all gateways together, until an answer
+        names none; None without a limit.
     """
 
     status: int
@@ -402,6 +405,7 @@
     confidence: float | None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    rate_limit_per_s: float | None = None
 
 
 class HeaderCodec(ABC):
--- a/crocusvalve/platform/_headers.py
+++ b/crocusvalve/platform/_headers.py
@@ -31,6 +31,7 @@
 CONFIDENCE = b"x-confidence"
 #: Set to 1 by an upstream that is about to stop.
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 #: Status with which an upstream rejects a request for lack of capacity.
 OVERLOADED_STATUS = 503
@@ -156,6 +157,7 @@
             confidence=_read_number(fields.get(CONFIDENCE)),
             is_leaving=fields.get(SERVER_LEAVING, b"").strip() == b"1",
             retry_after_s=_read_retry_after(status, fields.get(RETRY_AFTER)),
+            rate_limit_per_s=_read_rate(fields.get(SERVER_LIMIT)),
         )
 
 
@@ -191,6 +193,12 @@
     return min(number, MAX_RETRY_AFTER_S)
 
 
+def _read_rate(value: bytes | None) -> float | None:
+    """Return a rate per second, or None if it is missing or no finite number of 0 or more."""
+    number = _read_number(value)
+    return None if number is None or not 0.0 <= number < float("inf") else number
+
+
 def _read_milliseconds(value: bytes | None) -> float | None:
     """Return a duration in seconds, or None if it is missing, malformed or out of range."""
     number = _read_number(value)
--- a/features/gateway/gateway_harness.py
+++ b/features/gateway/gateway_harness.py
@@ -99,6 +99,8 @@
         Answers to the callers' requests, in order.
     elapsed_s : list of tuple
         Time to each answer in seconds and the answer, as far as a step records them.
+    return_at : list of float
+        Times from which refused callers may return, as far as a step records them.
     log_records : list
         Log records of the gateway.
     """
@@ -117,6 +119,7 @@
         self.front_host = None
         self.answers = []
         self.elapsed_s = []
+        self.return_at = []
         self.probe = None
         self.log_records = []
 
--- a/features/gateway/steps/rate_limit_steps.py
+++ b/features/gateway/steps/rate_limit_steps.py
@@ -33,7 +33,10 @@
         fields |= {"Accept": "text/event-stream", "X_Prefix_Hash": "aa:200,bb:100"}
     method = "GET" if path.startswith("/safe") else "POST"
     answer = await harness.call(path, method=method, front_host=host, **fields)
-    harness.elapsed_s.append((trio.current_time() - started_at, answer))
+    now = trio.current_time()
+    harness.elapsed_s.append((now - started_at, answer))
+    if answer.status == 503:
+        harness.return_at.append(now + float(answer.headers["retry-after"]))
 
 
 @when("for {span_s:d} s {per_s:d} callers per second send {path}, to two gateways in turn")
@@ -54,10 +57,11 @@
 def when_load(context, span_s, per_s, path):
     async def act(harness):
         await send_load(harness, path, per_s, span_s, [harness.host])
-        refused = [answer for _, answer in harness.elapsed_s if answer.status == 503]
+        # Each refused caller is told a time of its own; the one that is due first returns.
+        due = [at for at in harness.return_at if at >= trio.current_time()]
         context.returned = None
-        if refused:
-            await trio.sleep(float(refused[-1].headers["retry-after"]))
+        if due:
+            await trio.sleep_until(min(due))
             context.returned = await request(harness, path)
 
     context.harness.run(act)
