--- a/crocusvalve/agent/_admission.py
+++ b/crocusvalve/agent/_admission.py
@@ -47,10 +47,12 @@
         self._check_boot(req)
         self.check(tables, req)
         self._check_limit(tables)
+        self._check_named_limit(tables, now)
         tables.guard.admit(req.attempt_id, boot_id=req.boot_id, deadline=req.deadline, now=now)
         generation = tables.limiter.generation
         if not tables.limiter.try_start():
             raise InvariantError("the limit decreased between its check and its use", step=STEP)
+        tables.named_limit.record_send(now)
         row = RunRow(req=req, admitted_at=now, generation=generation)
         tables.runs[req.attempt_id] = row
         return row
@@ -94,6 +96,13 @@
                 retry_after_s=limiter.compute_retry_after_s(),
             )
 
+    @staticmethod
+    def _check_named_limit(tables: AgentTables, now: float) -> None:
+        wait_s = tables.named_limit.compute_wait_s(now)
+        if wait_s > 0.0:
+            message = f"the upstream takes {tables.named_limit.rate_per_s:g} requests a second"
+            raise RefusedError(ErrorCode.UPSTREAM_FULL, message, step=STEP, retry_after_s=wait_s)
+
     def _check_target(self, tables: AgentTables, req: RunRequest) -> None:
         if req.upstream_id != tables.upstream_id:
             message = f"this agent serves only {tables.upstream_id}"
--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from crocusvalve.agent._engine_stream import make_engine_body, read_events
+from crocusvalve.agent._named_limit import parse_rate
 from crocusvalve.agent._upstream import (
     HealthReport,
     OnData,
@@ -30,6 +31,8 @@
 #: Longest answer to a probe, to a question for the load and to an order.
 MAX_REPORT_BYTES = 1024 * 1024
 ORDERS_PATH = "/orders"
+#: Header in which an upstream names the requests per second that it takes.
+RATE_HEADER = "X-Rate-Limit"
 MAX_CHUNK_BYTES = 64 * 1024
 #: Trace events of the transport right before it writes the headers and the body of a request.
 SEND_EVENTS = ("send_request_headers.started", "send_request_body.started")
@@ -94,6 +97,8 @@
         Client for all calls but orders.
     order_http : httpx.AsyncClient or None
         Client for orders, which must not reuse connections; None uses ``http``.
+    on_rate : callable
+        Called with the rate per second that an answer to an attempt names, or None.
     traces_sends : bool
         Whether the client's transport reports when it writes a request; if not, ``on_send`` runs
         before the transport is called.
@@ -105,11 +110,13 @@
         http: httpx.AsyncClient,
         *,
         order_http: httpx.AsyncClient | None = None,
+        on_rate: Callable[[float | None], object] = lambda _: None,
         traces_sends: bool = True,
     ):
         self.url = url.rstrip("/")
         self.http = http
         self.order_http = order_http if order_http is not None else http
+        self.on_rate = on_rate
         self.traces_sends = traces_sends
 
     async def call(self, req: RunRequest, *, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
@@ -220,6 +227,7 @@
             reply = await http.send(request, stream=True)
         except httpx.HTTPError as exc:
             raise _make_send_error(exc, is_sent) from exc
+        self.on_rate(parse_rate(reply.headers.get(RATE_HEADER)))
         try:
             yield reply
         except httpx.HTTPError as exc:
--- a/crocusvalve/agent/_metrics.py
+++ b/crocusvalve/agent/_metrics.py
@@ -19,6 +19,7 @@
     """Set the gauges to the current values in the agent's tables."""
     limiter = tables.limiter
     metrics.set_load(in_flight=limiter.in_flight, limit=limiter.limit, queued=0, state=tables.state)
+    metrics.set_named_limit(tables.named_limit.rate_per_s)
     metrics.set_revision(tables.view.revision if tables.view else Revision(0))
     metrics.set_undelivered_bills(len(tables.bills))
 
--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -220,17 +220,19 @@
         make_http_client() as http,
         make_http_client(reuses_connections=False) as order_http,
     ):
+        upstream = HttpUpstream(settings.upstream_url, http, order_http=order_http)
         agent = Agent(
             node_id=NodeId(settings.node_id),
             upstream_id=UpstreamId(settings.upstream_id),
             domain=DomainId(settings.domain),
-            upstream=HttpUpstream(settings.upstream_url, http, order_http=order_http),
+            upstream=upstream,
             revision_cache=revision_cache,
             clock=clock,
             pull_revision=follower.pull,
             read_lease_number=read_lease_number or make_lease_number_reader(settings.platform),
             answers=make_answer_store(settings.max_answer_bytes),
         )
+        upstream.on_rate = agent.record_rate
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follower.follow, agent)
             nursery.start_soon(watch_tls, (tls,), clock)
--- a/crocusvalve/agent/_service.py
+++ b/crocusvalve/agent/_service.py
@@ -167,6 +167,17 @@
         )
         return FenceReply(req.attempt_id, ran, self.tables.boot_id)
 
+    def record_rate(self, rate_per_s: float | None) -> None:
+        """Record the rate of requests that an answer of the upstream names, or that it names none.
+
+        Parameters
+        ----------
+        rate_per_s : float or None
+            Requests per second.
+        """
+        if self.tables.named_limit.record_answer(rate_per_s):
+            logger.info("the upstream names a limit of %s requests a second", rate_per_s)
+
     async def report(self, req: Empty) -> LoadReport:
         """Return the current load and state of the upstream."""
         tables = self.tables
@@ -184,6 +195,7 @@
             serves=tables.serves,
             loaded=tables.loaded,
             crashes=tuple(tables.crashes),
+            wait_s=tables.named_limit.compute_wait_s(self.clock.now()),
         )
 
     async def push_config(self, req: ConfigPush) -> ConfigAck:
--- a/crocusvalve/agent/_tables.py
+++ b/crocusvalve/agent/_tables.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from crocusvalve.agent._bills import BillHolder
+from crocusvalve.agent._named_limit import NamedLimit
 from crocusvalve.agent._notices import NoticeRegistry
 from crocusvalve.agent._upstream import HealthReport
 from crocusvalve.base import (
@@ -82,6 +83,7 @@
         self.view: DocumentView | None = None
         self.guard = OrderGuard(boot_id=boot_id)
         self.limiter = WarmupLimiter(cold_limit=DEFAULT_COLD_LIMIT, warm_limit=DEFAULT_WARM_LIMIT)
+        self.named_limit = NamedLimit()
         self.notices = NoticeRegistry()
         self.bills = BillHolder()
         self.health = HealthRow()
--- a/crocusvalve/membership/_reports.py
+++ b/crocusvalve/membership/_reports.py
@@ -57,6 +57,8 @@
     elif report.at < row.reported_at:
         return False
     _update_load(row, report, now)
+    if report.wait_s > 0.0:
+        row.full_until = max(row.full_until, now + report.wait_s)
     if report.ewma_service_s > 0.0:
         update_service_time(row, report.ewma_service_s, service_time_gain)
     if report.state is UpstreamState.DRAINING:
--- a/crocusvalve/metrics/_agent.py
+++ b/crocusvalve/metrics/_agent.py
@@ -24,6 +24,9 @@
         self._in_flight = self._make_gauge("in_flight", "Attempts under way at the upstream")
         self._limit = self._make_gauge("limit", "Concurrent attempts that the agent admits")
         self._queued = self._make_gauge("queued", "Attempts that wait for the upstream")
+        self._named_limit = self._make_gauge(
+            "named_limit", "Requests per second that the upstream takes; 0 without a limit"
+        )
         self._revision = self._make_gauge("config_revision", "Revision in force")
         self._undelivered_bills = self._make_gauge("held_bills", "Bills not yet acknowledged")
         self._state = Gauge(
@@ -62,6 +65,10 @@
         for other in UpstreamState:
             self._state.labels(other.value).set(other is state)
 
+    def set_named_limit(self, rate_per_s: float | None) -> None:
+        """Set the rate of requests that the upstream has named, None for none."""
+        self._named_limit.set(rate_per_s or 0.0)
+
     def set_revision(self, revision: Revision) -> None:
         """Set the revision in force."""
         self._revision.set(revision)
--- a/crocusvalve/rpc/_messages.py
+++ b/crocusvalve/rpc/_messages.py
@@ -195,7 +195,8 @@
     time of the report in Unix seconds. ``crashes`` are the most recent crashes, so that entries
     learn of them even if the stream of the attempt was interrupted. ``loaded`` are the versions in
     the engine's memory, or None if the upstream does not report them; ``serves`` are those of them
-    that the configuration assigns to the upstream.
+    that the configuration assigns to the upstream. ``wait_s`` is the time in seconds until the
+    upstream takes the next attempt by the rate that it has named.
     """
 
     upstream_id: UpstreamId
@@ -210,6 +211,7 @@
     serves: tuple[VersionRef, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
     loaded: tuple[VersionRef, ...] | None = None
+    wait_s: float = 0.0
 
 
 class Empty(Struct, frozen=True):
