Soak: one request that crashes upstreams and is sent again and again (BUDGET)

The soak had prompts with a crashing part but no request whose repeats crash, so it could not find that gateways don't hear of such crashes. RequestCrash lets the same request come at all gateways for 6 to 12 s; CrashCheck counts what reaches upstreams later than the bound after the third crash, by the time of each send.

--- a/crocusvalve/soak/processes/_callers.py
+++ b/crocusvalve/soak/processes/_callers.py
@@ -26,6 +26,8 @@
 MAX_WAIT_BEFORE_LEAVING_S = 0.3
 #: Probability that a stream's prompt has the part that crashes upstreams, while there is one.
 CRASH_PART_PROBABILITY = 0.2
+#: Probability that a request is the one that crashes upstreams, while there is one.
+CRASH_TARGET_PROBABILITY = 0.02
 #: Probability that a caller waits longer between two requests, and that it then waits for as long
 #: as the gateway does, so that its request crosses the close of the connection.
 WAIT_PROBABILITY = 0.04
@@ -139,9 +141,14 @@
         key = self.random_state.choice(sorted(CUSTOMERS))
         attempt_id = uuid.UUID(int=self.random_state.getrandbits(128)).hex[:16]
         size = self.random_state.choice((0, 10, self.random_state.randint(0, MAX_BODY_BYTES)))
+        path = f"/{kind.value}/{attempt_id}?a=1"
+        crash_target = self.cluster.crash_target
+        if crash_target and self.random_state.random() < CRASH_TARGET_PROBABILITY:
+            # The same customer and body each time, so that all gateways see one request.
+            kind, key, size, path = CallKind.STREAM, min(CUSTOMERS), 0, crash_target
         req = CallerRequest(
             method="GET" if kind is CallKind.SAFE else "POST",
-            path=f"/{kind.value}/{attempt_id}?a=1",
+            path=path,
             attempt_id=attempt_id,
             key=key,
             deadline_s=REQUEST_DEADLINES_S[kind.is_stream],
--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -1,9 +1,11 @@
 """Checks what callers and upstreams observe against the guarantees."""
 
 from collections.abc import Callable
+from functools import partial
 
 from msgspec import Struct
 
+from crocusvalve.soak.processes._crash_check import CrashCheck
 from crocusvalve.soak.processes._disruption_table import DisruptionTable
 from crocusvalve.soak.processes._loss import LossCheck
 from crocusvalve.soak.processes.base import (
@@ -25,11 +27,9 @@
 MAX_CLOSED_REQUESTS = 2
 #: Requests in one soak that may reach an upstream too long after their callers left.
 MAX_ABANDONED_RUNS = 3
-
-#: Crashes under one part of prompts from which, after the bound, requests with it are counted, and
-#: the number that may still reach upstreams.
+#: Crashes under one part of prompts, and under one request, after which they are to be known.
 N_PART_CRASHES = 5
-MAX_LATE_PARTS = 3
+N_REQUEST_CRASHES = 3
 
 
 class Acknowledgement(Struct, frozen=True):
@@ -101,6 +101,8 @@
         Faults that upstreams injected into attempts, by attempt id.
     loss_check : LossCheck
         Decides whether a missing answer was due.
+    part_check, request_check : CrashCheck
+        Crashes under parts of prompts, and under requests.
     """
 
     def __init__(self, bounds: SoakBounds, clock: Callable[[], float]):
@@ -119,8 +121,9 @@
         self._leaving_since: dict[tuple[str, str], float] = {}
         self._closures: dict[tuple[str, str], _Closure] = {}
         self._seen_changes: dict[tuple[str, str], tuple[int, float]] = {}
-        self._part_crashes: dict[str, list[float]] = {}
-        self._n_late_parts: dict[str, int] = {}
+        table, report_budget = self.disruption_table, partial(self.report, Guarantee.BUDGET)
+        self.part_check = CrashCheck(N_PART_CRASHES, bounds, table, report_budget)
+        self.request_check = CrashCheck(N_REQUEST_CRASHES, bounds, table, report_budget)
 
     def make_acknowledgement(self) -> Acknowledgement:
         """Return the acknowledgement of a change that the store has just accepted."""
@@ -147,7 +150,7 @@
         if fault not in SOUND_FAULTS:
             self.injected_faults.setdefault(attempt.req.attempt_id, set()).add(fault)
         self._check_unchanged(attempt, call)
-        self._check_crash_parts(attempt)
+        self._check_crash_causes(attempt, now)
         self._check_repeat(attempt, upstream)
         attempt.runs.append(UpstreamRun(upstream, now, fault in SOUND_FAULTS))
         self._check_route(attempt, service)
@@ -160,24 +163,19 @@
         if self.disruption_table.is_quiet(components, now):
             self._check_placement(attempt, upstream, now)
 
-    def record_crash(self, part_id: str) -> None:
-        """Record that a prompt with a part has crashed an upstream."""
-        self._part_crashes.setdefault(part_id, []).append(self.clock())
+    def record_crash(self, cause: str) -> None:
+        """Record a crash under a part of a prompt, or under a request's path."""
+        check = self.request_check if cause.startswith("/") else self.part_check
+        check.record_crash(cause, self.clock())
+
+    def _check_crash_causes(self, attempt: Attempt, now: float) -> None:
+        """Check that a request is not known to crash upstreams, and neither a part of its prompt.
 
-    def _check_crash_parts(self, attempt: Attempt) -> None:
-        """Check that a prompt has no part that is known to crash upstreams."""
-        gateway, bounds = attempt.gateway, self.bounds
+        A gateway has to know of a part when a request comes, and of a request whenever it sends it.
+        """
         for part_id in attempt.req.prompt_parts[:-1] if attempt.kind.is_stream else ():
-            crashed_at = self._part_crashes.get(part_id, ())
-            if len(crashed_at) < N_PART_CRASHES:
-                continue
-            known_at = crashed_at[N_PART_CRASHES - 1] + bounds.contact_s
-            is_late = attempt.sent_at > known_at
-            if is_late and self.disruption_table.is_quiet((gateway,), attempt.sent_at):
-                self._n_late_parts[part_id] = self._n_late_parts.get(part_id, 0) + 1
-                if self._n_late_parts[part_id] > MAX_LATE_PARTS:
-                    description = f"{self._n_late_parts[part_id]} requests with part {part_id}"
-                    self.report(Guarantee.BUDGET, f"{description}, which crashes upstreams")
+            self.part_check.check_run(part_id, attempt, attempt.sent_at)
+        self.request_check.check_run(attempt.req.path, attempt, now)
 
     def record_rejection(self, upstream: str, call: ReceivedRequest, span_s: float) -> None:
         """Record a request that an upstream rejects; it wants no more for ``span_s`` seconds.
--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -71,8 +71,8 @@
         All upstreams that were ever started, by id.
     n_extra_routes : int
         Routes that make the configuration longer and get no requests.
-    crash_part : str
-        Part of prompts that crashes upstreams at present; empty for none.
+    crash_part, crash_target : str
+        Part of prompts, and target of a request, that crash upstreams at present; empty for none.
     timeout_s, idle_timeout_s : float
         Timeout of all routes and limit for idle connections, as in the latest configuration.
     is_stopping : bool
@@ -99,6 +99,7 @@
         self.upgrade_order: tuple[str, str, float] | None = None
         self.n_extra_routes = 0
         self.crash_part = ""
+        self.crash_target = ""
         self.timeout_s = DEFAULT_TIMEOUT_S
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.nursery: trio.Nursery | None = None
@@ -209,6 +210,7 @@
         upstream.proxy = self._make_proxy("127.0.0.1", upstream.port)
         self.nursery.start_soon(upstream.proxy.run)
         upstream.crash_part = self.crash_part
+        upstream.crash_target = self.crash_target
         upstream.on_start = partial(self._restart_upstream, upstream)
         self.register(upstream)
         return upstream
@@ -219,6 +221,12 @@
         for upstream in self.upstreams.values():
             upstream.crash_part = part_id
 
+    def set_crash_target(self, target: str) -> None:
+        """Let a request for a target crash the upstreams that begin to answer it; none if empty."""
+        self.crash_target = target
+        for upstream in self.upstreams.values():
+            upstream.crash_target = target
+
     def _restart_upstream(self, upstream: SoakUpstream) -> None:
         """Accept connections again after a crash, and register as a new run unless draining."""
         upstream.proxy.set_fault(LinkFault.NONE)
@@ -334,6 +342,7 @@
         self.store.fault = StoreFault.NONE
         self.store.bytes_per_s = float("inf")
         self.set_crash_part("")
+        self.set_crash_target("")
         for domain in list(self.checker.evacuated_domains):
             self.evacuate(domain, is_out=False)
 
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -195,7 +195,7 @@
         """Reset all connections and accept none until the next start."""
         if self.proxy.fault is LinkFault.DOWN:
             return
-        self.checker.record_crash(self.crash_part)
+        self.checker.record_crash(self.crash_cause)
         self.checker.disruption_table.begin(self.upstream_id, self.checker.clock())
         self.proxy.set_fault(LinkFault.DOWN)
         super().crash()
--- a/crocusvalve/soak/processes/_disruptions.py
+++ b/crocusvalve/soak/processes/_disruptions.py
@@ -16,6 +16,7 @@
 from crocusvalve.soak.processes._disruption import Disruption
 from crocusvalve.soak.processes._proxy import LinkFault
 from crocusvalve.soak.processes._series import LimitsChanged, ServiceSpoilt, UpstreamsSilent
+from crocusvalve.soak.processes.base import CallKind
 from crocusvalve.standin import StoreFault
 
 __all__ = ["Disruption", "find_kinds", "make_disruption", "sample_kinds"]
@@ -37,6 +38,8 @@
 MAX_EXTRA_ROUTES = 1500
 ROUTE_BYTES = 180
 TRANSFER_RANGE_S = (1.4, 1.7)
+#: Time for which callers send a request that crashes upstreams.
+CRASH_RANGE_S = (6.0, 12.0)
 
 
 class GatewayDisruption(Disruption):
@@ -371,6 +374,31 @@
             self.cluster.set_crash_part("")
 
 
+class RequestCrash(Disruption):
+    """One request that callers send again and again crashes each upstream that begins to run it."""
+
+    is_planned = True
+
+    def choose_targets(self) -> None:
+        """Choose the target of the request."""
+        self.target = f"/{CallKind.STREAM.value}/bad{self.random_state.randrange(1 << 20):05x}?a=1"
+        self.components = [self.target]
+
+    def begin(self) -> None:
+        """Let the request crash upstreams, and callers send it, unless there is another one."""
+        if not self.cluster.crash_target:
+            self.cluster.set_crash_target(self.target)
+
+    def sample_duration_s(self) -> float:
+        """Return for how long the request is sent: beyond the bound for all gateways to know it."""
+        return self.random_state.uniform(*CRASH_RANGE_S)
+
+    def end(self) -> None:
+        """Let no request crash upstreams."""
+        if self.cluster.crash_target == self.target:
+            self.cluster.set_crash_target("")
+
+
 class Upgrade(Disruption):
     """The service of the models is upgraded to a good or a bad version."""
 
@@ -439,6 +467,7 @@
     ConfigurationMoved: 2,
     ConfigurationGrown: 2,
     PromptPartCrash: 2,
+    RequestCrash: 2,
     Upgrade: 1,
     UpstreamsSilent: 3,
     ServiceSpoilt: 2,
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -111,6 +111,10 @@
     crash_part : str
         Id of a prompt part; the upstream crashes shortly after it has begun to answer a prompt with
         it. Empty for none.
+    crash_target : str
+        Target of a stream under which the upstream crashes in the same way. Empty for none.
+    crash_cause : str
+        The part or target of the last crash.
     restart_s : float
         Time from a crash to the next start, in seconds.
     n_starts : int
@@ -135,6 +139,8 @@
         self.silence_s = 1.2
         self.n_padding_bytes = 0
         self.crash_part = ""
+        self.crash_target = ""
+        self.crash_cause = ""
         self.restart_s = 0.3
         self.n_starts = 0
         self.on_start: Callable[[], None] = lambda: None
@@ -256,7 +262,8 @@
         if model in self.confidence:
             headers["X-Confidence"] = str(self.confidence[model])
         await stream.send_all(self._make_head(200, headers))
-        if self.has_crash_part(call):
+        if self.has_crash_part(call) or call.target == self.crash_target:
+            self.crash_cause = call.target if call.target == self.crash_target else self.crash_part
             await trio.sleep(CRASH_DELAY_S)
             self.crash()
         for number in range(int(call.headers.get("last-event-id", 0)) + 1, N_EVENTS + 1):
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -124,3 +124,8 @@
   Scenario: An unknown kind of disruption is rejected
     When a soak of processes is started with the kinds StoreRestore,Earthquake
     Then the error names the kinds and the unknown Earthquake
+
+  Scenario: A run with a request that crashes upstreams while gateways are killed
+    When gateway processes run with seed 33 for 20 s of RequestCrash,PromptPartCrash,GatewayKill
+    Then no guarantee is broken
+    And service recovered and at least 100 requests were served
