Soak: upstreams that name a limit (LIMIT)

UpstreamLimited lets an upstream name 0.5 to 4 requests a second for a while; LimitCheck sums what it gets from gateways that were told 0.5 s before, by the users' bound. A disruption of a gateway excuses it.

--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -7,6 +7,7 @@
 
 from crocusvalve.soak.processes._crash_check import CrashCheck
 from crocusvalve.soak.processes._disruption_table import DisruptionTable
+from crocusvalve.soak.processes._limit_check import LimitCheck
 from crocusvalve.soak.processes._loss import LossCheck
 from crocusvalve.soak.processes.base import (
     SOUND_FAULTS,
@@ -103,6 +104,8 @@
         Decides whether a missing answer was due.
     part_check, request_check : CrashCheck
         Crashes under parts of prompts, and under requests.
+    limit_check : LimitCheck
+        Requests to upstreams that name a limit.
     """
 
     def __init__(self, bounds: SoakBounds, clock: Callable[[], float]):
@@ -124,6 +127,7 @@
         table, report_budget = self.disruption_table, partial(self.report, Guarantee.BUDGET)
         self.part_check = CrashCheck(N_PART_CRASHES, bounds, table, report_budget)
         self.request_check = CrashCheck(N_REQUEST_CRASHES, bounds, table, report_budget)
+        self.limit_check = LimitCheck(bounds, table, partial(self.report, Guarantee.LIMIT))
 
     def make_acknowledgement(self) -> Acknowledgement:
         """Return the acknowledgement of a change that the store has just accepted."""
@@ -156,6 +160,7 @@
         self._check_route(attempt, service)
         self._check_regress(attempt, service, now)
         self._check_closures(attempt, upstream, now)
+        self.limit_check.record_arrival(upstream, attempt.gateway, now)
         components = (attempt.gateway, upstream)
         if self.disruption_table.is_quiet(components, now):
             self._check_deadline(attempt, call, now)
@@ -187,6 +192,7 @@
         if attempt is None:
             return
         self._check_closures(attempt, upstream, now)
+        self.limit_check.record_arrival(upstream, attempt.gateway, now)
         if span_s > 0.0:
             self._closures[attempt.gateway, upstream] = _Closure(now, now + span_s)
 
@@ -196,8 +202,15 @@
         if attempt is not None:
             self._leaving_since.setdefault((attempt.gateway, upstream), self.clock())
 
+    def record_limit(self, upstream: str, call: ReceivedRequest) -> None:
+        """Record that an upstream names its limit in a delivered answer."""
+        attempt = self.attempts.get(call.attempt_id)
+        if attempt is not None:
+            self.limit_check.record_answer(upstream, attempt.gateway, self.clock())
+
     def forget_run(self, upstream: str) -> None:
         """Record that an upstream has started again, and knows nothing of what it has said."""
+        self.limit_check.end(upstream)
         for said in (self._leaving_since, self._closures):
             for key in [key for key in said if key[1] == upstream]:
                 del said[key]
--- a/crocusvalve/soak/processes/_cluster.py
+++ b/crocusvalve/soak/processes/_cluster.py
@@ -254,6 +254,7 @@
         """Register a drained or crashed upstream again, as a new run of it."""
         upstream.state = "ready"
         upstream.is_leaving = False
+        upstream.rate_limit = ""
         self.checker.forget_run(upstream.upstream_id)
         upstream.started_ms += 1
         self.checker.drained_upstreams.pop(upstream.upstream_id, None)
@@ -343,6 +344,9 @@
         self.store.bytes_per_s = float("inf")
         self.set_crash_part("")
         self.set_crash_target("")
+        for upstream in self.upstreams.values():
+            upstream.rate_limit = ""
+            self.checker.limit_check.end(upstream.upstream_id)
         for domain in list(self.checker.evacuated_domains):
             self.evacuate(domain, is_out=False)
 
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -233,11 +233,13 @@
 
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request, and report to the checker if the answer announces the end."""
-        is_announced = self.is_leaving
+        is_announced, is_limited = self.is_leaving, bool(self.rate_limit)
         is_sent = await super().answer(call, SilentStream(stream, lambda: self.silent_until))
         # An upstream that is no longer leaving has started again within the answer.
         if is_announced and self.is_leaving and is_sent and self.is_link_sound:
             self.checker.record_leaving(self.upstream_id, call)
+        if is_limited and is_sent and self.is_link_sound:
+            self.checker.record_limit(self.upstream_id, call)
         return is_sent
 
     def make_current_entry(self) -> dict:
--- a/crocusvalve/soak/processes/_disruptions.py
+++ b/crocusvalve/soak/processes/_disruptions.py
@@ -40,6 +40,8 @@
 TRANSFER_RANGE_S = (1.4, 1.7)
 #: Time for which callers send a request that crashes upstreams.
 CRASH_RANGE_S = (6.0, 12.0)
+#: Limits that upstreams name, in requests per second.
+LIMIT_RANGE_PER_S = (0.5, 4.0)
 
 
 class GatewayDisruption(Disruption):
@@ -399,6 +401,24 @@
             self.cluster.set_crash_target("")
 
 
+class UpstreamLimited(UpstreamDisruption):
+    """An upstream names in its answers a low rate of requests that it takes."""
+
+    is_planned = True
+
+    def begin(self) -> None:
+        """Name the limit."""
+        rate_per_s = round(self.random_state.uniform(*LIMIT_RANGE_PER_S), 1)
+        self.upstream.rate_limit = str(rate_per_s)
+        checker = self.cluster.checker
+        checker.limit_check.begin(self.upstream.upstream_id, rate_per_s, checker.clock())
+
+    def end(self) -> None:
+        """Name no limit any more."""
+        self.upstream.rate_limit = ""
+        self.cluster.checker.limit_check.end(self.upstream.upstream_id)
+
+
 class Upgrade(Disruption):
     """The service of the models is upgraded to a good or a bad version."""
 
@@ -468,6 +488,7 @@
     ConfigurationGrown: 2,
     PromptPartCrash: 2,
     RequestCrash: 2,
+    UpstreamLimited: 3,
     Upgrade: 1,
     UpstreamsSilent: 3,
     ServiceSpoilt: 2,
--- a/crocusvalve/soak/processes/base.py
+++ b/crocusvalve/soak/processes/base.py
@@ -45,6 +45,12 @@
     answer_slack_s: float = 0.5
     #: Time after which an upstream's wish for no more requests is followed.
     closure_s: float = 0.5
+    #: An upstream gets at most ``limit_factor`` times its limit and ``limit_slack`` requests in any
+    #: ``limit_span_s``, from gateways that got an answer with it ``limit_known_s`` before.
+    limit_factor: float = 1.5
+    limit_slack: int = 5
+    limit_span_s: float = 4.0
+    limit_known_s: float = 0.5
     #: Time after which a gateway that has used a change does not return to the state before.
     revert_s: float = 0.25
     #: A request may reach an upstream up to this long after its caller left.
@@ -102,6 +108,8 @@
     DENIED = "denied"
     #: A request runs on no more upstreams and with no more time than its caller allowed.
     BUDGET = "budget"
+    #: An upstream gets no more requests than the rate that it names allows.
+    LIMIT = "limit"
     #: A request runs only on services that its route was ever configured for.
     ROUTE = "route"
     #: A changed configuration is in force in time, and a request is answered by its deadline.
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -129,3 +129,8 @@
     When gateway processes run with seed 33 for 20 s of RequestCrash,PromptPartCrash,GatewayKill
     Then no guarantee is broken
     And service recovered and at least 100 requests were served
+
+  Scenario: A run with upstreams that name a limit while gateways stop
+    When gateway processes run with seed 8 for 12 s of UpstreamLimited,GatewayStop,ConnectionsLost
+    Then no guarantee is broken
+    And service recovered and at least 100 requests were served
