--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/_attempts.py
@@ -16,11 +16,12 @@
 from crocusvalve.gateway._crash_detector import CrashDetector
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, get_suspect_ids
+from crocusvalve.gateway._gossip_message import SentPromptParts
 from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway._pace import PaceTable
-from crocusvalve.gateway._peers import PeerTable, SentPromptParts
+from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway._placement import (
     Placement,
     PlacementQuery,
@@ -28,6 +29,7 @@
     choose_upstream,
 )
 from crocusvalve.gateway._prompts import count_unread_tokens, get_shared_parts, record_parts
+from crocusvalve.gateway._reply_recorder import ReplyRecorder
 from crocusvalve.gateway._request import GatewayRequest
 from crocusvalve.gateway._slowness import record_answer_time
 from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S
@@ -37,7 +39,6 @@
 from crocusvalve.gateway.base import (
     GatewaySettings,
     HeaderCodec,
-    Reply,
     SendContext,
     ServiceName,
     Upstream,
@@ -53,8 +54,6 @@
 #: Longest time for which a lost request waits for the check whether its upstream has crashed, so
 #: that it isn't sent on if it is known to crash upstreams by then.
 CRASH_CHECK_WAIT_S = 0.15
-#: Status of a reply from another upstream at the same address, whose statements are about itself.
-OTHER_INSTANCE_STATUS = 421
 
 
 class AttemptManager:
@@ -92,6 +91,7 @@
         self.observer = observer
         self.clock = clock
         self.bans = RequestBans(crashes, CrashingPartRegistry())
+        self._reply_recorder = ReplyRecorder(tables, observer, clock)
         self.pace = PaceTable()
         self.crash_detector = CrashDetector(
             tables=tables,
@@ -225,28 +225,13 @@
             req.n_runs += 1
             self.tables.rate_limits.record_send(UpstreamRun.of(upstream), self.clock.now())
             await call.send(self.spawn, caller.method, caller.target, headers, caller.body)
-            yield Attempt(upstream, call, model, work, self._record_reply)
+            yield Attempt(upstream, call, model, work, self._reply_recorder.record)
         finally:
             load.n_inflight -= 1
             work.finish()
             with trio.CancelScope(shield=True):
                 await call.close()
 
-    def _record_reply(self, upstream: Upstream, reply: Reply) -> None:
-        """Record that an upstream says in a reply how many more requests it wants."""
-        closures, run, now = self.tables.closures, UpstreamRun.of(upstream), self.clock.now()
-        if reply.status != OTHER_INSTANCE_STATUS:
-            if reply.is_leaving and closures.mark_leaving(run):
-                self.observer.record_upstream_leaving(upstream)
-            rate_limits = self.tables.rate_limits
-            if rate_limits.record_answer(run, reply.rate_limit_per_s, now):
-                self.observer.limits.record_limit(
-                    upstream.upstream_id, reply.rate_limit_per_s, rate_limits.n_active
-                )
-        if reply.retry_after_s is not None:
-            if closures.close_until(upstream, now + reply.retry_after_s, now):
-                self.observer.record_upstream_closure(upstream, reply.retry_after_s)
-
     def _queue_prompt(
         self, req: GatewayRequest, upstream: Upstream, load: UpstreamLoad, model: str
     ) -> PromptWork:
--- a/crocusvalve/gateway/_gossip.py
+++ b/crocusvalve/gateway/_gossip.py
@@ -5,9 +5,10 @@
 
 from crocusvalve.gateway._attempts import AttemptManager
 from crocusvalve.gateway._closures import UpstreamRun
+from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import GossipMessage, PeerTable
+from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway._prompts import record_parts
 from crocusvalve.gateway._store_state import StoreState
 from crocusvalve.gateway._table_handler import TableHandler
--- a/crocusvalve/gateway/_peer_link.py
+++ b/crocusvalve/gateway/_peer_link.py
@@ -7,8 +7,9 @@
 import msgspec
 import trio
 
+from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._peers import GossipMessage, PeerTable
+from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway.base import Address
 from crocusvalve.utils import Clock
 
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/_peers.py
@@ -1,19 +1,16 @@
-"""Gossip messages between gateways, and the table of gateways that are alive."""
+"""Table of gateways that are alive, and of their last gossip messages."""
 
 import random
 from collections.abc import Iterable
 
-from msgspec import Struct, field
+from msgspec import Struct
 
-from crocusvalve.base import NodeId, UpstreamId
+from crocusvalve.base import NodeId
 from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._crashing_parts import SoundPart, SuspectPart
-from crocusvalve.gateway._outcome_counts import OutcomeCountsRow
-from crocusvalve.gateway._rate_limits import RateLimitReport
+from crocusvalve.gateway._gossip_message import GossipMessage, MemberReport
 from crocusvalve.gateway._replica import TablePosition
-from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
 
-__all__ = ["GossipMessage", "MemberReport", "PeerTable", "SentPromptParts", "UpgradeReport"]
+__all__ = ["PeerTable"]
 
 #: A gateway without a message for this long, to any gateway as far as known, counts as unavailable.
 PEER_TIMEOUT_S = 4.0
@@ -25,132 +22,6 @@
 LOAD_EXPIRY_S = 3.0
 
 
-class SentPromptParts(Struct, frozen=True, array_like=True):
-    """Parts of a prompt sent to an upstream that other prompts may share.
-
-    Attributes
-    ----------
-    sent_at : float
-        Time of the send in seconds, by the clock of the gateway that sent the prompt.
-    upstream_id : UpstreamId
-        The upstream that got the prompt.
-    model : str
-        The model that the prompt was sent to.
-    parts : tuple of PrefixPart
-        The shared parts, in the order of the prompt.
-    """
-
-    sent_at: float
-    upstream_id: UpstreamId
-    model: str
-    parts: tuple[PrefixPart, ...]
-
-
-class UpgradeReport(Struct, frozen=True, kw_only=True, array_like=True):
-    """Status of a service's upgrade as a gateway knows it; see ``UpgradeStatus``.
-
-    ``is_bad`` is whether the gateway knows that the new version is bad, ``pinned`` the points of
-    sessions that keep the old version in the first half.
-    """
-
-    service: ServiceName
-    version: VersionName
-    state: str
-    share: float
-    started_s: float
-    is_bad: bool = False
-    pinned: tuple[float, ...] = ()
-
-
-class MemberReport(Struct, frozen=True, array_like=True):
-    """A gateway that is alive, as the sender of a message knows it.
-
-    Attributes
-    ----------
-    age_ms : int
-        Time since the gateway's last message to any gateway, as far as the sender knows.
-    """
-
-    node_id: NodeId
-    host: str
-    age_ms: int
-    is_leaving: bool
-    has_store: bool
-
-
-class GossipMessage(Struct, frozen=True, kw_only=True, array_like=True):
-    """State of one gateway; each message is complete and replaces the one before.
-
-    Attributes
-    ----------
-    node_id : NodeId
-        Identifier of the gateway.
-    boot_id : str
-        Identifier of this run of the gateway's process.
-    host : str
-        Host on which the gateway receives gossip and serves table copies.
-    n_inflight : dict
-        Number of requests in flight by upstream.
-    outcome_counts : tuple of OutcomeCountsRow
-        The gateway's counts of answers and failures.
-    crashes : dict
-        Crash incidents by digest of the request that caused them.
-    hosts : tuple of str
-        Hosts of gateways; an earlier release reads them instead of ``members``.
-    pending_work : dict
-        Weighted prompt tokens not yet processed, by upstream.
-    parts : tuple of SentPromptParts
-        Prompt parts recently sent to upstreams.
-    is_leaving : bool
-        Whether the gateway is stopping.
-    has_store : bool
-        Whether the gateway reaches the store.
-    leaving : tuple of UpstreamRun
-        Upstreams that have said that they are about to stop.
-    silent : tuple of UpstreamRun
-        Upstreams to which the gateway recently could open no connection, or that crashed.
-    members : tuple of MemberReport
-        A random part of the gateways that are alive.
-    upgrades : tuple of UpgradeReport
-        Status of the operators' current upgrade orders.
-    positions : dict of str to TablePosition
-        Last change that the gateway has merged, by table of the store.
-    suspect_parts : tuple of SuspectPart
-        Parts of prompts that may crash upstreams.
-    sound_parts : tuple of SoundPart
-        Parts that were in a crash, and that are known not to cause it.
-    rate_limits : tuple of RateLimitReport
-        Limits that upstreams have named, and those that have ended lately.
-    requests_per_s : float
-        Rate of the callers' requests to the gateway.
-    ban_fingerprint : int or None
-        Hash of the digests of all requests that the gateway refuses since they crash upstreams;
-        None from an earlier release.
-    """
-
-    node_id: NodeId
-    boot_id: str
-    host: str
-    n_inflight: dict[str, int] = field(default_factory=dict)
-    outcome_counts: tuple[OutcomeCountsRow, ...] = ()
-    crashes: dict[str, list[str]] = field(default_factory=dict)
-    hosts: tuple[str, ...] = ()
-    pending_work: dict[str, int] = field(default_factory=dict)
-    parts: tuple[SentPromptParts, ...] = ()
-    is_leaving: bool = False
-    has_store: bool = True
-    leaving: tuple[UpstreamRun, ...] = ()
-    upgrades: tuple[UpgradeReport, ...] = ()
-    silent: tuple[UpstreamRun, ...] = ()
-    members: tuple[MemberReport, ...] = ()
-    positions: dict[str, TablePosition] = field(default_factory=dict)
-    suspect_parts: tuple[SuspectPart, ...] = ()
-    sound_parts: tuple[SoundPart, ...] = ()
-    ban_fingerprint: int | None = None
-    rate_limits: tuple[RateLimitReport, ...] = ()
-    requests_per_s: float = 0.0
-
-
 class _Peer(Struct):
     """Last message of a gateway and the local time of its receipt in seconds."""
 
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -5,10 +5,11 @@
 import trio
 
 from crocusvalve.exceptions import PlatformError
+from crocusvalve.gateway._gossip_message import UpgradeReport
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import PeerTable, UpgradeReport
+from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway._session_pins import SessionPins, compute_session_point
 from crocusvalve.gateway._status_table import StatusTableHandler
 from crocusvalve.gateway._store_state import StoreState
--- a/features/gateway/steps/banned_request_steps.py
+++ b/features/gateway/steps/banned_request_steps.py
@@ -12,8 +12,8 @@
 from crocusvalve.gateway._crash_detector import CrashDetector
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, SuspectPart
+from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._peers import GossipMessage
 from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway.base import Address, ServiceName, Upstream, VersionName
 from crocusvalve.standin import N_EVENTS, UpstreamFault, make_event
--- a/features/gateway/steps/closure_steps.py
+++ b/features/gateway/steps/closure_steps.py
@@ -5,7 +5,7 @@
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
 from crocusvalve.gateway._closures import ClosureTable, UpstreamRun
-from crocusvalve.gateway._peers import GossipMessage
+from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._upstream_call import UpstreamCall
 from crocusvalve.gateway.base import Address, ServiceName, Upstream, VersionName
 from crocusvalve.platform import PlatformHeaderCodec
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -19,11 +19,12 @@
 from crocusvalve.gateway._crashes import CrashRegistry
 from crocusvalve.gateway._events import EventSplitter
 from crocusvalve.gateway._followers import TableFollower
+from crocusvalve.gateway._gossip_message import GossipMessage, UpgradeReport
 from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import GossipMessage, PeerTable, UpgradeReport
+from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway._placement import PlacementQuery, PlacementReason, choose_upstream
 from crocusvalve.gateway._prompts import get_shared_parts, record_parts
 from crocusvalve.gateway._replica import TableReplica
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -9,9 +9,9 @@
 from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._followers import TableFollower
+from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._operator_table import OperatorTableHandler
-from crocusvalve.gateway._peers import GossipMessage
 from crocusvalve.gateway._process import BACKOFF_BASE_S, BACKOFF_MAX_S, WAIT_MARGIN_S
 from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway._store_state import StoreState
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
-from crocusvalve.gateway._peers import GossipMessage
+from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._placement import PlacementReason
 from crocusvalve.gateway._stopping import StopPlan
 from crocusvalve.gateway._table_copies import TableCopy
--- a/features/gateway/steps/member_steps.py
+++ b/features/gateway/steps/member_steps.py
@@ -6,7 +6,8 @@
 
 from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.gateway._cold_start import compute_cold_quota
-from crocusvalve.gateway._peers import GossipMessage, PeerTable
+from crocusvalve.gateway._gossip_message import GossipMessage
+from crocusvalve.gateway._peers import PeerTable
 
 ROUND_S = 0.4
 N_MEMBERS = 20
