Soak: a request that has crashed three upstreams may be refused or withdrawn (BUDGET)

The check excuses a request only if it, or a part of its prompt, has crashed three upstreams; one with two crashes is still reported. The checks of RequestCrash and UpstreamLimited have scenarios of their own now.

--- a/crocusvalve/soak/processes/_checker.py
+++ b/crocusvalve/soak/processes/_checker.py
@@ -182,6 +182,12 @@
             self.part_check.check_run(part_id, attempt, attempt.sent_at)
         self.request_check.check_run(attempt.req.path, attempt, now)
 
+    def _may_be_refused(self, attempt: Attempt) -> bool:
+        """Return whether a request, or a part of its prompt, has crashed several upstreams."""
+        parts = attempt.req.prompt_parts[:-1] if attempt.kind.is_stream else ()
+        is_part = any(self.part_check.may_be_refused(part_id) for part_id in parts)
+        return is_part or self.request_check.may_be_refused(attempt.req.path)
+
     def record_rejection(self, upstream: str, call: ReceivedRequest, span_s: float) -> None:
         """Record a request that an upstream rejects; it wants no more for ``span_s`` seconds.
 
@@ -414,6 +420,8 @@
                 self.report(Guarantee.REFUSED, f"{name} got {answer.status} and has run")
         elif answer.status < 500:
             self.report(Guarantee.DENIED, f"{name} got {answer.status} at {attempt.req.path}")
+        elif self._may_be_refused(attempt):
+            return
         elif attempt.runs and self.loss_check.is_answer_due(attempt, self.clock()):
             description = f"{name} got no success of a sound upstream: {attempt.describe()}"
             self.report(Guarantee.LOST, description)
--- a/crocusvalve/soak/processes/_crash_check.py
+++ b/crocusvalve/soak/processes/_crash_check.py
@@ -7,6 +7,8 @@
 
 __all__ = ["CrashCheck"]
 
+#: Crashes after which a cause may be refused, and is withdrawn from upstreams where it waits.
+MIN_CRASHES_TO_REFUSE = 3
 #: Requests that may still reach upstreams after the bound.
 MAX_LATE_REQUESTS = 3
 
@@ -44,6 +46,10 @@
         """Record a crash at a time of the soak, in seconds."""
         self._crashed_at.setdefault(cause, []).append(now)
 
+    def may_be_refused(self, cause: str) -> bool:
+        """Return whether a cause has crashed so many upstreams that it may be refused by now."""
+        return len(self._crashed_at.get(cause, ())) >= MIN_CRASHES_TO_REFUSE
+
     def check_run(self, cause: str, attempt: Attempt, sent_at: float) -> None:
         """Check a request with a cause that an upstream begins to run.
 
--- a/features/soak/processes.feature
+++ b/features/soak/processes.feature
@@ -43,6 +43,9 @@
       | safe   | 3 rejections by an upstream that wants no requests          | budget     |
       | safe   | a return to a service that was replaced just now            | config     |
       | once   | 4 runs with a part known to crash upstreams                 | budget     |
+      | stream | 4 runs of a request known to crash upstreams                | budget     |
+      | stream | a failure of a request that has crashed 2 upstreams         | lost       |
+      | safe   | 12 runs at an upstream that takes 11                        | limit      |
       | unsafe | no answer after a run                                       | lost       |
       | unsafe | no answer by the deadline                                   | config     |
       | stream | a cut stream of a sound upstream beside one that fails      | lost       |
@@ -88,6 +91,11 @@
       | safe   | 2 runs at an upstream that wants none                       |
       | once   | 3 runs with a part known to crash upstreams                 |
       | once   | 4 runs with a part that has just crashed upstreams          |
+      | stream | 3 runs of a request known to crash upstreams                |
+      | stream | 4 runs of a request that has just crashed upstreams         |
+      | stream | a failure of a request that has crashed 3 upstreams         |
+      | safe   | 11 runs at an upstream that takes 11                        |
+      | safe   | 12 runs by a gateway that wasn't told the limit             |
       | safe   | 3 runs at an upstream whose time is over                    |
       | safe   | 3 runs at an upstream that has started again since          |
 
--- a/features/soak/steps/process_soak_steps.py
+++ b/features/soak/steps/process_soak_steps.py
@@ -139,6 +139,37 @@
         harness.run(attempt, x_deadline_ms="1000")
 
 
+def observe_crashing_request(harness, n, *, after_s):
+    """Send a request again that has crashed three upstreams some seconds before."""
+    path = harness.attempt.req.path
+    for _ in range(3):
+        harness.checker.record_crash(path)
+    harness.now += after_s
+    for number in range(n):
+        attempt = harness.send(f"b{number}")
+        attempt.req.path = path
+        harness.run(attempt, x_deadline_ms="1000")
+
+
+def observe_failure_of_crashing_request(harness, n_crashes):
+    """Fail a request that has crashed upstreams, though a sound one runs it now."""
+    for _ in range(n_crashes):
+        harness.checker.record_crash(harness.attempt.req.path)
+    harness.run()
+    harness.answer(502, b"failed", is_signed=False)
+
+
+def observe_limited_upstream(harness, n, *, is_told=True):
+    """Let requests reach an upstream that takes one a second, 3.1 s after it has said so."""
+    harness.checker.limit_check.begin(UPSTREAM, 1.0, harness.now)
+    if is_told:
+        harness.checker.limit_check.record_answer(UPSTREAM, GATEWAY, harness.now)
+    harness.now += 3.1
+    for number in range(n):
+        harness.now += 0.1
+        harness.run(harness.send(f"b{number}"), x_deadline_ms="1000")
+
+
 def observe_no_answer(harness, *, after_s=0.1, has_run=True):
     if has_run:
         harness.run()
@@ -443,6 +474,26 @@
     "4 runs with a part that has just crashed upstreams": lambda harness: (
         observe_crashing_part(harness, 4, after_s=2.9)
     ),
+    "4 runs of a request known to crash upstreams": lambda harness: (
+        observe_crashing_request(harness, 4, after_s=3.1)
+    ),
+    "3 runs of a request known to crash upstreams": lambda harness: (
+        observe_crashing_request(harness, 3, after_s=3.1)
+    ),
+    "4 runs of a request that has just crashed upstreams": lambda harness: (
+        observe_crashing_request(harness, 4, after_s=2.9)
+    ),
+    "a failure of a request that has crashed 3 upstreams": lambda harness: (
+        observe_failure_of_crashing_request(harness, 3)
+    ),
+    "a failure of a request that has crashed 2 upstreams": lambda harness: (
+        observe_failure_of_crashing_request(harness, 2)
+    ),
+    "12 runs at an upstream that takes 11": lambda harness: observe_limited_upstream(harness, 12),
+    "11 runs at an upstream that takes 11": lambda harness: observe_limited_upstream(harness, 11),
+    "12 runs by a gateway that wasn't told the limit": lambda harness: (
+        observe_limited_upstream(harness, 12, is_told=False)
+    ),
     "two runs and the answer of one of them": observe_answer_of_second_run,
 }
 
