--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/_placement.py
@@ -150,13 +150,13 @@
     limited = [interval_s for interval_s in intervals_s if interval_s is not None]
     if not limited:
         return Placement(None, PlacementReason.ALL_CLOSED, reopens_at=reopens_at)
-    is_limited_later = len(limited) == len(intervals_s)
+    are_all_limited = len(limited) == len(intervals_s)
     rate_per_s = sum(1.0 / interval_s for interval_s in limited)
     return Placement(
         None,
         PlacementReason.ALL_LIMITED,
         reopens_at=reopens_at,
-        reopen_interval_s=1.0 / rate_per_s if is_limited_later else 0.0,
+        reopen_interval_s=1.0 / rate_per_s if are_all_limited else 0.0,
     )
 
 
