--- a/features/gateway/steps/banned_request_steps.py
+++ b/features/gateway/steps/banned_request_steps.py
@@ -26,17 +26,12 @@
 
 def make_report(path, ban):
     """Return a peer's message that a request, or a part of its prompt, crashes upstreams."""
-    message = GossipMessage(node_id=NodeId("gateway-2"), boot_id="b", host="127.0.0.9")
     if ban == "prompt":
         ages_ms = {incident: 1000 * n for n, incident in enumerate(INCIDENTS, 1)}
-        suspects = (SuspectPart("aa", ages_ms, ("r1", "r2")),)
-        return GossipMessage(
-            node_id=message.node_id, boot_id="b", host=message.host, suspect_parts=suspects
-        )
-    digest = compute_digest(path.encode(), b"first", b"")
-    return GossipMessage(
-        node_id=message.node_id, boot_id="b", host=message.host, crashes={digest: INCIDENTS}
-    )
+        reports = {"suspect_parts": (SuspectPart("aa", ages_ms, ("r1", "r2")),)}
+    else:
+        reports = {"crashes": {compute_digest(path.encode(), b"first", b""): INCIDENTS}}
+    return GossipMessage(node_id=NodeId("gateway-2"), boot_id="b", host="127.0.0.9", **reports)
 
 
 def set_first_fault(context, fault, silence_s):
