--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -8,11 +8,8 @@
 
 from crocusvalve.base import DomainId
 from crocusvalve.exceptions import CrocusvalveError, RefusedError
-from crocusvalve.gateway._connection_end import ConnectionEnd
 from crocusvalve.gateway._crash_observer import CrashObserver
-from crocusvalve.gateway._health import Outcome
 from crocusvalve.gateway._limit_observer import LimitObserver
-from crocusvalve.gateway._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.base import (
     Configuration,
     ServiceName,
@@ -20,6 +17,9 @@
     UpgradeStatus,
     Upstream,
 )
+from crocusvalve.gateway.callers._connection_end import ConnectionEnd
+from crocusvalve.gateway.decisions._health import Outcome
+from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
 
 __all__ = ["GatewayObserver", "LineBudget"]
 
--- a/crocusvalve/gateway/_upgrade_controller.py
+++ b/crocusvalve/gateway/_upgrade_controller.py
@@ -5,16 +5,17 @@
 import trio
 
 from crocusvalve.exceptions import PlatformError
-from crocusvalve.gateway._gossip_message import UpgradeReport
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._operator_table import OperatorTableHandler
-from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import PeerTable
-from crocusvalve.gateway._session_pins import SessionPins, compute_session_point
-from crocusvalve.gateway._status_table import StatusTableHandler
-from crocusvalve.gateway._store_state import StoreState
-from crocusvalve.gateway._tables import GatewayTables
-from crocusvalve.gateway._upgrades import (
+from crocusvalve.gateway.base import (
+    GatewaySettings,
+    ServiceName,
+    UpgradeOrder,
+    UpgradeState,
+    UpgradeStatus,
+)
+from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsTable
+from crocusvalve.gateway.decisions._session_pins import SessionPins, compute_session_point
+from crocusvalve.gateway.decisions._upgrades import (
     OutcomeCounts,
     Verdict,
     VersionChoice,
@@ -23,13 +24,12 @@
     compute_next_status,
     is_first_half,
 )
-from crocusvalve.gateway.base import (
-    GatewaySettings,
-    ServiceName,
-    UpgradeOrder,
-    UpgradeState,
-    UpgradeStatus,
-)
+from crocusvalve.gateway.shared._gossip_message import UpgradeReport
+from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.tables._operator_table import OperatorTableHandler
+from crocusvalve.gateway.tables._status_table import StatusTableHandler
+from crocusvalve.gateway.tables._store_state import StoreState
+from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.store.base import ChangeFeed, FeedRow, StorePosition
 from crocusvalve.utils import Clock
 
--- /dev/null
+++ b/crocusvalve/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers and of the load balancer: listening, reading requests, writing answers."""
--- a/crocusvalve/gateway/_caller_connection.py
+++ b/crocusvalve/gateway/callers/_caller_connection.py
@@ -6,17 +6,21 @@
 import trio
 
 from crocusvalve.exceptions import RefusedError
-from crocusvalve.gateway._connection_end import ConnectionEnd, ConnectionEndReason, RequestProgress
-from crocusvalve.gateway._listener import (
+from crocusvalve.gateway._sockets import reset, tune_socket, wait_until_closed
+from crocusvalve.gateway.base import CallerRequest, HeaderCodec, Headers
+from crocusvalve.gateway.callers._connection_end import (
+    ConnectionEnd,
+    ConnectionEndReason,
+    RequestProgress,
+)
+from crocusvalve.gateway.callers._listener import (
     AnswerAbortedError,
     CallerLeftError,
     Handler,
     Responder,
     make_error_answer,
 )
-from crocusvalve.gateway._request_reader import RequestReader
-from crocusvalve.gateway._sockets import reset, tune_socket, wait_until_closed
-from crocusvalve.gateway.base import CallerRequest, HeaderCodec, Headers
+from crocusvalve.gateway.callers._request_reader import RequestReader
 
 __all__ = ["CallerConnection"]
 
--- a/crocusvalve/gateway/_listener.py
+++ b/crocusvalve/gateway/callers/_listener.py
@@ -11,7 +11,7 @@
 from crocusvalve.gateway.base import CallerRequest, Headers, RequestLimits
 
 if TYPE_CHECKING:
-    from crocusvalve.gateway._caller_connection import CallerConnection
+    from crocusvalve.gateway.callers._caller_connection import CallerConnection
 
 __all__ = [
     "AnswerAbortedError",
--- a/crocusvalve/gateway/_request_reader.py
+++ b/crocusvalve/gateway/callers/_request_reader.py
@@ -6,9 +6,9 @@
 import trio
 
 from crocusvalve.exceptions import ErrorCode, RefusedError
-from crocusvalve.gateway._listener import CallerLeftError
 from crocusvalve.gateway._sockets import is_readable
 from crocusvalve.gateway.base import CallerRequest, HeaderCodec, RequestLimits
+from crocusvalve.gateway.callers._listener import CallerLeftError
 
 __all__ = ["RequestReader"]
 
--- /dev/null
+++ b/crocusvalve/gateway/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the gateway, without I/O; the present time is an argument."""
--- a/crocusvalve/gateway/_bans.py
+++ b/crocusvalve/gateway/decisions/_bans.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable, Sequence
 
-from crocusvalve.gateway._crashes import CrashRegistry
-from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, get_suspect_ids
 from crocusvalve.gateway.base import PrefixPart
+from crocusvalve.gateway.decisions._crashes import CrashRegistry
+from crocusvalve.gateway.decisions._crashing_parts import CrashingPartRegistry, get_suspect_ids
 
 __all__ = ["RequestBans"]
 
--- a/crocusvalve/gateway/_closures.py
+++ b/crocusvalve/gateway/decisions/_closures.py
@@ -6,8 +6,8 @@
 from msgspec import Struct
 
 from crocusvalve.base import UpstreamId
-from crocusvalve.gateway._report_queue import ReportQueue
 from crocusvalve.gateway.base import Upstream
+from crocusvalve.gateway.shared._report_queue import ReportQueue
 
 __all__ = ["ClosureTable", "UpstreamRun"]
 
--- a/crocusvalve/gateway/_cold_start.py
+++ b/crocusvalve/gateway/decisions/_cold_start.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from crocusvalve.base import NodeId, UpstreamId
-from crocusvalve.gateway._tables import UpstreamLoad
+from crocusvalve.gateway.tables._tables import UpstreamLoad
 from crocusvalve.utils import hash_to_unit
 
 __all__ = ["compute_cold_quota", "may_send_cold", "record_cold_send"]
--- a/crocusvalve/gateway/_crashes.py
+++ b/crocusvalve/gateway/decisions/_crashes.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from crocusvalve.gateway._report_queue import ReportQueue
+from crocusvalve.gateway.shared._report_queue import ReportQueue
 from crocusvalve.utils import hash_to_int
 
 __all__ = ["CrashRegistry"]
--- a/crocusvalve/gateway/_crashing_parts.py
+++ b/crocusvalve/gateway/decisions/_crashing_parts.py
@@ -5,8 +5,8 @@
 
 from msgspec import Struct, field
 
-from crocusvalve.gateway._report_queue import ReportQueue
 from crocusvalve.gateway.base import PrefixPart
+from crocusvalve.gateway.shared._report_queue import ReportQueue
 
 __all__ = ["CrashingPartRegistry", "SoundPart", "SuspectPart", "get_suspect_ids"]
 
--- a/crocusvalve/gateway/_health.py
+++ b/crocusvalve/gateway/decisions/_health.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from crocusvalve.gateway._tables import UpstreamLoad
+from crocusvalve.gateway.tables._tables import UpstreamLoad
 
 __all__ = ["Outcome", "is_suspended", "update_health"]
 
--- a/crocusvalve/gateway/_outcome_counts.py
+++ b/crocusvalve/gateway/decisions/_outcome_counts.py
@@ -3,8 +3,8 @@
 from msgspec import Struct
 
 from crocusvalve.base import UpstreamId
-from crocusvalve.gateway._upgrades import OutcomeCounts
 from crocusvalve.gateway.base import ServiceName, VersionName
+from crocusvalve.gateway.decisions._upgrades import OutcomeCounts
 
 __all__ = ["OutcomeCountsTable", "OutcomeCountsRow"]
 
--- a/crocusvalve/gateway/_placement.py
+++ b/crocusvalve/gateway/decisions/_placement.py
@@ -7,14 +7,14 @@
 from msgspec import Struct
 
 from crocusvalve.base import DomainId, UpstreamId
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._cold_start import may_send_cold
-from crocusvalve.gateway._health import is_suspended
-from crocusvalve.gateway._prompts import count_unread_tokens
-from crocusvalve.gateway._slowness import compute_slowness
-from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
-from crocusvalve.gateway._upgrades import VersionChoice
 from crocusvalve.gateway.base import PrefixPart, ServiceName, Upstream
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.decisions._cold_start import may_send_cold
+from crocusvalve.gateway.decisions._health import is_suspended
+from crocusvalve.gateway.decisions._prompts import count_unread_tokens
+from crocusvalve.gateway.decisions._slowness import compute_slowness
+from crocusvalve.gateway.decisions._upgrades import VersionChoice
+from crocusvalve.gateway.tables._tables import GatewayTables, UpstreamLoad
 from crocusvalve.utils import hash_to_unit
 
 __all__ = ["Placement", "PlacementQuery", "PlacementReason", "choose_upstream"]
--- a/crocusvalve/gateway/_prompts.py
+++ b/crocusvalve/gateway/decisions/_prompts.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 
-from crocusvalve.gateway._tables import UpstreamLoad
 from crocusvalve.gateway.base import PrefixPart
+from crocusvalve.gateway.tables._tables import UpstreamLoad
 
 __all__ = ["count_unread_tokens", "get_shared_parts", "record_parts"]
 
--- a/crocusvalve/gateway/_rate_limits.py
+++ b/crocusvalve/gateway/decisions/_rate_limits.py
@@ -7,8 +7,8 @@
 from msgspec import Struct
 
 from crocusvalve.base import NodeId
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._report_queue import ReportQueue
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.shared._report_queue import ReportQueue
 from crocusvalve.utils import hash_to_unit
 
 __all__ = ["RateLimitReport", "RateLimitTable", "compute_share"]
--- a/crocusvalve/gateway/_slowness.py
+++ b/crocusvalve/gateway/decisions/_slowness.py
@@ -2,7 +2,7 @@
 
 import math
 
-from crocusvalve.gateway._tables import UpstreamLoad
+from crocusvalve.gateway.tables._tables import UpstreamLoad
 
 __all__ = ["compute_slowness", "record_answer_time"]
 
--- a/crocusvalve/gateway/_upgrades.py
+++ b/crocusvalve/gateway/decisions/_upgrades.py
@@ -5,8 +5,8 @@
 
 from msgspec import Struct
 
-from crocusvalve.gateway._session_pins import compute_session_point
 from crocusvalve.gateway.base import UpgradeOrder, UpgradeState, UpgradeStatus, VersionName
+from crocusvalve.gateway.decisions._session_pins import compute_session_point
 
 __all__ = [
     "OutcomeCounts",
--- a/crocusvalve/gateway/_flow.py
+++ b/crocusvalve/gateway/flows/_flow.py
@@ -6,13 +6,13 @@
 
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import ErrorCode, RefusedError
-from crocusvalve.gateway._attempts import AttemptManager
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._listener import AnswerAbortedError, Responder
-from crocusvalve.gateway._placement import Placement, PlacementReason
-from crocusvalve.gateway._request import GatewayRequest, RequestEnd
-from crocusvalve.gateway._return_schedule import ReturnSchedule
 from crocusvalve.gateway.base import ServiceName, Upstream
+from crocusvalve.gateway.callers._listener import AnswerAbortedError, Responder
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.decisions._placement import Placement, PlacementReason
+from crocusvalve.gateway.decisions._return_schedule import ReturnSchedule
+from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
+from crocusvalve.gateway.upstreams._attempts import AttemptManager
 
 __all__ = ["Flow", "compute_retry_after_s", "make_gateway_error"]
 
--- a/crocusvalve/gateway/_plain_flow.py
+++ b/crocusvalve/gateway/flows/_plain_flow.py
@@ -9,15 +9,15 @@
 
 from crocusvalve.base import UpstreamId
 from crocusvalve.exceptions import RefusedError
-from crocusvalve.gateway._answer_memory import AnswerMemory
-from crocusvalve.gateway._attempt import Attempt
-from crocusvalve.gateway._attempts import AttemptManager
-from crocusvalve.gateway._flow import Flow, make_gateway_error
-from crocusvalve.gateway._health import Outcome
-from crocusvalve.gateway._listener import Responder
-from crocusvalve.gateway._request import GatewayRequest, RequestEnd
-from crocusvalve.gateway._upstream_call import CallError, CallFailure
 from crocusvalve.gateway.base import Reply, RouteKind, Upstream
+from crocusvalve.gateway.callers._listener import Responder
+from crocusvalve.gateway.decisions._health import Outcome
+from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
+from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
+from crocusvalve.gateway.upstreams._answer_memory import AnswerMemory
+from crocusvalve.gateway.upstreams._attempt import Attempt
+from crocusvalve.gateway.upstreams._attempts import AttemptManager
+from crocusvalve.gateway.upstreams._upstream_call import CallError, CallFailure
 
 __all__ = ["PlainFlow"]
 
--- a/crocusvalve/gateway/_request.py
+++ b/crocusvalve/gateway/flows/_request.py
@@ -5,9 +5,9 @@
 from msgspec import Struct, field
 
 from crocusvalve.base import UpstreamId
-from crocusvalve.gateway._placement import Placement
-from crocusvalve.gateway._upgrades import VersionChoice
 from crocusvalve.gateway.base import CallerRequest, Customer, Route, RouteKind, Service
+from crocusvalve.gateway.decisions._placement import Placement
+from crocusvalve.gateway.decisions._upgrades import VersionChoice
 
 __all__ = ["GatewayRequest", "RequestEnd"]
 
--- a/crocusvalve/gateway/_request_handler.py
+++ b/crocusvalve/gateway/flows/_request_handler.py
@@ -5,21 +5,21 @@
 
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode, RefusedError
-from crocusvalve.gateway._attempts import AttemptManager
-from crocusvalve.gateway._listener import (
+from crocusvalve.gateway._observer import GatewayObserver
+from crocusvalve.gateway._upgrade_controller import UpgradeController
+from crocusvalve.gateway.base import CallerRequest, Customer, RequestLimits, Route, Service
+from crocusvalve.gateway.callers._listener import (
     AnswerAbortedError,
     CallerLeftError,
     Handler,
     Responder,
 )
-from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._plain_flow import PlainFlow
-from crocusvalve.gateway._request import RETURN_MARGIN_S, GatewayRequest, RequestEnd
-from crocusvalve.gateway._stopping import StopPlan
-from crocusvalve.gateway._stream_flow import StreamFlow
-from crocusvalve.gateway._tables import GatewayTables
-from crocusvalve.gateway._upgrade_controller import UpgradeController
-from crocusvalve.gateway.base import CallerRequest, Customer, RequestLimits, Route, Service
+from crocusvalve.gateway.flows._plain_flow import PlainFlow
+from crocusvalve.gateway.flows._request import RETURN_MARGIN_S, GatewayRequest, RequestEnd
+from crocusvalve.gateway.flows._stopping import StopPlan
+from crocusvalve.gateway.flows._stream_flow import StreamFlow
+from crocusvalve.gateway.tables._tables import GatewayTables
+from crocusvalve.gateway.upstreams._attempts import AttemptManager
 from crocusvalve.utils import Clock, compute_digest, hash_to_unit
 
 __all__ = ["RequestHandler"]
--- a/crocusvalve/gateway/_stream_flow.py
+++ b/crocusvalve/gateway/flows/_stream_flow.py
@@ -2,12 +2,12 @@
 
 import trio
 
-from crocusvalve.gateway._flow import Flow, make_gateway_error
-from crocusvalve.gateway._listener import AnswerAbortedError, Responder
-from crocusvalve.gateway._request import GatewayRequest, RequestEnd
-from crocusvalve.gateway._stream_attempt import AttemptEnd, StreamAttempt, StreamStep
-from crocusvalve.gateway._stream_policy import StreamPolicy
-from crocusvalve.gateway._takeover import Takeover, TakeoverResult
+from crocusvalve.gateway.callers._listener import AnswerAbortedError, Responder
+from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
+from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
+from crocusvalve.gateway.flows._stream_policy import StreamPolicy
+from crocusvalve.gateway.flows._takeover import Takeover, TakeoverResult
+from crocusvalve.gateway.upstreams._stream_attempt import AttemptEnd, StreamAttempt, StreamStep
 
 __all__ = ["StreamFlow"]
 
--- a/crocusvalve/gateway/_stream_policy.py
+++ b/crocusvalve/gateway/flows/_stream_policy.py
@@ -1,12 +1,12 @@
 """Decides which attempts of a stream are made: upstreams, models, times to wait."""
 
-from crocusvalve.gateway._attempts import AttemptManager
-from crocusvalve.gateway._cascade import AnswerEstimate, choose_larger_model
-from crocusvalve.gateway._placement import PlacementReason
-from crocusvalve.gateway._request import GatewayRequest
-from crocusvalve.gateway._stream_attempt import AttemptEnd, StreamAttempt
-from crocusvalve.gateway._takeover import StandbySource
 from crocusvalve.gateway.base import Reply, Upstream
+from crocusvalve.gateway.decisions._cascade import AnswerEstimate, choose_larger_model
+from crocusvalve.gateway.decisions._placement import PlacementReason
+from crocusvalve.gateway.flows._request import GatewayRequest
+from crocusvalve.gateway.flows._takeover import StandbySource
+from crocusvalve.gateway.upstreams._attempts import AttemptManager
+from crocusvalve.gateway.upstreams._stream_attempt import AttemptEnd, StreamAttempt
 
 __all__ = ["StreamPolicy"]
 
--- a/crocusvalve/gateway/_takeover.py
+++ b/crocusvalve/gateway/flows/_takeover.py
@@ -5,7 +5,7 @@
 import trio
 from msgspec import Struct
 
-from crocusvalve.gateway._stream_attempt import AttemptEnd, StreamAttempt, StreamStep
+from crocusvalve.gateway.upstreams._stream_attempt import AttemptEnd, StreamAttempt, StreamStep
 
 __all__ = ["StandbySource", "Takeover", "TakeoverResult"]
 
--- a/crocusvalve/gateway/_gossip.py
+++ b/crocusvalve/gateway/shared/_gossip.py
@@ -3,18 +3,18 @@
 import random
 from collections.abc import Callable, Sequence
 
-from crocusvalve.gateway._attempts import AttemptManager
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import PeerTable
-from crocusvalve.gateway._prompts import record_parts
-from crocusvalve.gateway._store_state import StoreState
-from crocusvalve.gateway._table_handler import TableHandler
-from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway._upgrade_controller import UpgradeController
 from crocusvalve.gateway.base import GatewaySettings
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsTable
+from crocusvalve.gateway.decisions._prompts import record_parts
+from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.tables._store_state import StoreState
+from crocusvalve.gateway.tables._table_handler import TableHandler
+from crocusvalve.gateway.tables._tables import GatewayTables
+from crocusvalve.gateway.upstreams._attempts import AttemptManager
 
 __all__ = ["GossipState"]
 
--- a/crocusvalve/gateway/_gossip_message.py
+++ b/crocusvalve/gateway/shared/_gossip_message.py
@@ -3,12 +3,12 @@
 from msgspec import Struct, field
 
 from crocusvalve.base import NodeId, UpstreamId
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._crashing_parts import SoundPart, SuspectPart
-from crocusvalve.gateway._outcome_counts import OutcomeCountsRow
-from crocusvalve.gateway._rate_limits import RateLimitReport
-from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.decisions._crashing_parts import SoundPart, SuspectPart
+from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsRow
+from crocusvalve.gateway.decisions._rate_limits import RateLimitReport
+from crocusvalve.gateway.tables._replica import TablePosition
 
 __all__ = ["GossipMessage", "MemberReport", "SentPromptParts", "UpgradeReport"]
 
--- a/crocusvalve/gateway/_lag.py
+++ b/crocusvalve/gateway/shared/_lag.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
-from crocusvalve.gateway._peers import PeerTable
-from crocusvalve.gateway._replica import TablePosition
-from crocusvalve.gateway._table_handler import TableHandler
+from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.tables._replica import TablePosition
+from crocusvalve.gateway.tables._table_handler import TableHandler
 
 __all__ = ["LagTracker", "TableLag"]
 
--- a/crocusvalve/gateway/_members.py
+++ b/crocusvalve/gateway/shared/_members.py
@@ -7,8 +7,8 @@
 from crocusvalve.base import NodeId
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._peers import PeerTable
-from crocusvalve.gateway._store_state import StoreState
+from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.tables._store_state import StoreState
 from crocusvalve.store.base import ChangeFeed
 from crocusvalve.utils import Clock
 
--- a/crocusvalve/gateway/_peer_link.py
+++ b/crocusvalve/gateway/shared/_peer_link.py
@@ -7,10 +7,10 @@
 import msgspec
 import trio
 
-from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._peers import PeerTable
 from crocusvalve.gateway.base import Address
+from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.shared._peers import PeerTable
 from crocusvalve.utils import Clock
 
 __all__ = ["PeerLink"]
--- a/crocusvalve/gateway/_peers.py
+++ b/crocusvalve/gateway/shared/_peers.py
@@ -6,9 +6,9 @@
 from msgspec import Struct
 
 from crocusvalve.base import NodeId
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._gossip_message import GossipMessage, MemberReport
-from crocusvalve.gateway._replica import TablePosition
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.shared._gossip_message import GossipMessage, MemberReport
+from crocusvalve.gateway.tables._replica import TablePosition
 
 __all__ = ["PeerTable"]
 
--- a/crocusvalve/gateway/_table_copies.py
+++ b/crocusvalve/gateway/shared/_table_copies.py
@@ -12,13 +12,13 @@
 import trio
 from msgspec import Struct
 
-from crocusvalve.gateway._lag import LagTracker
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._peers import PeerTable
-from crocusvalve.gateway._replica import TablePosition
 from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S, connect
-from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.gateway.base import Address
+from crocusvalve.gateway.shared._lag import LagTracker
+from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.tables._replica import TablePosition
+from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.store.base import FeedPage
 from crocusvalve.utils import Clock, TransferLimit
 
--- a/crocusvalve/gateway/_followers.py
+++ b/crocusvalve/gateway/tables/_followers.py
@@ -5,8 +5,8 @@
 import trio
 
 from crocusvalve.exceptions import PlatformError
-from crocusvalve.gateway._store_state import StoreState
-from crocusvalve.gateway._table_handler import TableHandler
+from crocusvalve.gateway.tables._store_state import StoreState
+from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.store import Backoff
 from crocusvalve.store.base import (
     DEFAULT_TIMEOUT_S,
--- a/crocusvalve/gateway/_operator_table.py
+++ b/crocusvalve/gateway/tables/_operator_table.py
@@ -4,8 +4,8 @@
 
 from crocusvalve.base import DomainId
 from crocusvalve.exceptions import CrocusvalveError
-from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.gateway.base import ServiceName, UpgradeOrder
+from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.store.base import FeedRow
 
 __all__ = ["OperatorTableHandler"]
--- a/crocusvalve/gateway/_status_table.py
+++ b/crocusvalve/gateway/tables/_status_table.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.gateway.base import ServiceName, UpgradeState, UpgradeStatus
+from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.store.base import FeedRow
 
 __all__ = ["StatusTableHandler"]
--- a/crocusvalve/gateway/_table_handler.py
+++ b/crocusvalve/gateway/tables/_table_handler.py
@@ -3,10 +3,10 @@
 from abc import ABC, abstractmethod
 
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._replica import TableReplica
-from crocusvalve.gateway._store_state import StoreState
-from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway.base import RecordCodec
+from crocusvalve.gateway.tables._replica import TableReplica
+from crocusvalve.gateway.tables._store_state import StoreState
+from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.store.base import FeedPage, FeedRow
 
 __all__ = ["TableHandler"]
--- a/crocusvalve/gateway/_tables.py
+++ b/crocusvalve/gateway/tables/_tables.py
@@ -3,10 +3,6 @@
 from msgspec import Struct, field
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
-from crocusvalve.gateway._closures import ClosureTable, UpstreamRun
-from crocusvalve.gateway._directory import Directory
-from crocusvalve.gateway._rate_limits import RateLimitTable
-from crocusvalve.gateway._request_rate import RequestRate
 from crocusvalve.gateway.base import (
     Configuration,
     ServiceName,
@@ -15,6 +11,10 @@
     Upstream,
     VersionName,
 )
+from crocusvalve.gateway.decisions._closures import ClosureTable, UpstreamRun
+from crocusvalve.gateway.decisions._rate_limits import RateLimitTable
+from crocusvalve.gateway.decisions._request_rate import RequestRate
+from crocusvalve.gateway.tables._directory import Directory
 
 __all__ = ["GatewayTables", "UpstreamLoad"]
 
--- a/crocusvalve/gateway/_upstream_table.py
+++ b/crocusvalve/gateway/tables/_upstream_table.py
@@ -1,8 +1,8 @@
 """Handler of the table in which upstreams register."""
 
 from crocusvalve.base import UpstreamId
-from crocusvalve.gateway._table_handler import TableHandler
 from crocusvalve.gateway.base import GatewayBounds
+from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.store.base import FeedRow
 
 __all__ = ["UpstreamTableHandler"]
--- /dev/null
+++ b/crocusvalve/gateway/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at upstreams: connections, replies, and what their outcomes say about an upstream."""
--- a/crocusvalve/gateway/_attempt.py
+++ b/crocusvalve/gateway/upstreams/_attempt.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 
-from crocusvalve.gateway._tables import UpstreamLoad
-from crocusvalve.gateway._upstream_call import CallError, CallFailure, UpstreamCall
 from crocusvalve.gateway.base import Reply, Upstream
+from crocusvalve.gateway.tables._tables import UpstreamLoad
+from crocusvalve.gateway.upstreams._upstream_call import CallError, CallFailure, UpstreamCall
 
 __all__ = ["Attempt", "PromptWork"]
 
--- a/crocusvalve/gateway/_attempts.py
+++ b/crocusvalve/gateway/upstreams/_attempts.py
@@ -8,34 +8,8 @@
 import trio
 
 from crocusvalve.base import NodeId, UpstreamId
-from crocusvalve.gateway._attempt import Attempt, PromptWork
-from crocusvalve.gateway._bans import RequestBans
-from crocusvalve.gateway._budget import AttemptBudget
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._cold_start import compute_cold_quota, record_cold_send
-from crocusvalve.gateway._crash_detector import CrashDetector
-from crocusvalve.gateway._crashes import CrashRegistry
-from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, get_suspect_ids
-from crocusvalve.gateway._gossip_message import SentPromptParts
-from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._pace import PaceTable
-from crocusvalve.gateway._peers import PeerTable
-from crocusvalve.gateway._placement import (
-    Placement,
-    PlacementQuery,
-    PlacementReason,
-    choose_upstream,
-)
-from crocusvalve.gateway._prompts import count_unread_tokens, get_shared_parts, record_parts
-from crocusvalve.gateway._reply_recorder import ReplyRecorder
-from crocusvalve.gateway._request import GatewayRequest
-from crocusvalve.gateway._slowness import record_answer_time
 from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S
-from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
-from crocusvalve.gateway._upgrades import update_choice
-from crocusvalve.gateway._upstream_call import CallError, CallFailure, UpstreamCall
 from crocusvalve.gateway.base import (
     GatewaySettings,
     HeaderCodec,
@@ -43,6 +17,36 @@
     ServiceName,
     Upstream,
 )
+from crocusvalve.gateway.decisions._bans import RequestBans
+from crocusvalve.gateway.decisions._budget import AttemptBudget
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.decisions._cold_start import compute_cold_quota, record_cold_send
+from crocusvalve.gateway.decisions._crashes import CrashRegistry
+from crocusvalve.gateway.decisions._crashing_parts import CrashingPartRegistry, get_suspect_ids
+from crocusvalve.gateway.decisions._health import Outcome, update_health
+from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsTable
+from crocusvalve.gateway.decisions._pace import PaceTable
+from crocusvalve.gateway.decisions._placement import (
+    Placement,
+    PlacementQuery,
+    PlacementReason,
+    choose_upstream,
+)
+from crocusvalve.gateway.decisions._prompts import (
+    count_unread_tokens,
+    get_shared_parts,
+    record_parts,
+)
+from crocusvalve.gateway.decisions._slowness import record_answer_time
+from crocusvalve.gateway.decisions._upgrades import update_choice
+from crocusvalve.gateway.flows._request import GatewayRequest
+from crocusvalve.gateway.shared._gossip_message import SentPromptParts
+from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.tables._tables import GatewayTables, UpstreamLoad
+from crocusvalve.gateway.upstreams._attempt import Attempt, PromptWork
+from crocusvalve.gateway.upstreams._crash_detector import CrashDetector
+from crocusvalve.gateway.upstreams._reply_recorder import ReplyRecorder
+from crocusvalve.gateway.upstreams._upstream_call import CallError, CallFailure, UpstreamCall
 from crocusvalve.utils import Clock
 
 __all__ = ["AttemptManager"]
--- a/crocusvalve/gateway/_crash_detector.py
+++ b/crocusvalve/gateway/upstreams/_crash_detector.py
@@ -2,14 +2,14 @@
 
 import trio
 
-from crocusvalve.gateway._bans import RequestBans
 from crocusvalve.gateway._crash_observer import CrashCheck, CrashObserver
-from crocusvalve.gateway._crashing_parts import get_suspect_ids
-from crocusvalve.gateway._health import Outcome, update_health
-from crocusvalve.gateway._request import GatewayRequest
 from crocusvalve.gateway._sockets import CONNECT_TIMEOUT_S, connect
-from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway.base import Upstream
+from crocusvalve.gateway.decisions._bans import RequestBans
+from crocusvalve.gateway.decisions._crashing_parts import get_suspect_ids
+from crocusvalve.gateway.decisions._health import Outcome, update_health
+from crocusvalve.gateway.flows._request import GatewayRequest
+from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.utils import Clock
 
 __all__ = ["CrashDetector"]
--- a/crocusvalve/gateway/_reply_recorder.py
+++ b/crocusvalve/gateway/upstreams/_reply_recorder.py
@@ -1,9 +1,9 @@
 """Records what upstreams say of themselves in the heads of their replies."""
 
-from crocusvalve.gateway._closures import UpstreamRun
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway.base import Reply, Upstream
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.utils import Clock
 
 __all__ = ["ReplyRecorder"]
--- a/crocusvalve/gateway/_stream_attempt.py
+++ b/crocusvalve/gateway/upstreams/_stream_attempt.py
@@ -6,13 +6,13 @@
 
 from msgspec import Struct
 
-from crocusvalve.gateway._attempt import Attempt
-from crocusvalve.gateway._attempts import AttemptManager
-from crocusvalve.gateway._events import EventSplitter, StreamEvent
-from crocusvalve.gateway._health import Outcome
-from crocusvalve.gateway._request import GatewayRequest
-from crocusvalve.gateway._upstream_call import CallError, CallFailure
 from crocusvalve.gateway.base import Reply, Upstream
+from crocusvalve.gateway.decisions._health import Outcome
+from crocusvalve.gateway.flows._request import GatewayRequest
+from crocusvalve.gateway.upstreams._attempt import Attempt
+from crocusvalve.gateway.upstreams._attempts import AttemptManager
+from crocusvalve.gateway.upstreams._events import EventSplitter, StreamEvent
+from crocusvalve.gateway.upstreams._upstream_call import CallError, CallFailure
 
 __all__ = ["AttemptEnd", "StreamAttempt", "StreamStep"]
 
--- a/features/gateway/steps/answer_memory_steps.py
+++ b/features/gateway/steps/answer_memory_steps.py
@@ -7,7 +7,7 @@
 import trio.testing
 from behave import given, then, when
 
-from crocusvalve.gateway._answer_memory import AnswerMemory
+from crocusvalve.gateway.upstreams._answer_memory import AnswerMemory
 from crocusvalve.standin import UpstreamFault
 from features.gateway.steps.endless_steps import EndlessReplySubject
 
--- a/features/gateway/steps/banned_request_steps.py
+++ b/features/gateway/steps/banned_request_steps.py
@@ -7,15 +7,15 @@
 from prometheus_client import CollectorRegistry
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
-from crocusvalve.gateway import _crash_detector
-from crocusvalve.gateway._bans import RequestBans
-from crocusvalve.gateway._crash_detector import CrashDetector
-from crocusvalve.gateway._crashes import CrashRegistry
-from crocusvalve.gateway._crashing_parts import CrashingPartRegistry, SuspectPart
-from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway.base import Address, ServiceName, Upstream, VersionName
+from crocusvalve.gateway.decisions._bans import RequestBans
+from crocusvalve.gateway.decisions._crashes import CrashRegistry
+from crocusvalve.gateway.decisions._crashing_parts import CrashingPartRegistry, SuspectPart
+from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.tables._tables import GatewayTables
+from crocusvalve.gateway.upstreams import _crash_detector
+from crocusvalve.gateway.upstreams._crash_detector import CrashDetector
 from crocusvalve.standin import N_EVENTS, UpstreamFault, make_event
 from crocusvalve.utils import BootClock, compute_digest
 from features.gateway.steps.closure_steps import STARTED_MS, request
--- a/features/gateway/steps/closure_steps.py
+++ b/features/gateway/steps/closure_steps.py
@@ -4,10 +4,10 @@
 from behave import given, then, when
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
-from crocusvalve.gateway._closures import ClosureTable, UpstreamRun
-from crocusvalve.gateway._gossip_message import GossipMessage
-from crocusvalve.gateway._upstream_call import UpstreamCall
 from crocusvalve.gateway.base import Address, ServiceName, Upstream, VersionName
+from crocusvalve.gateway.decisions._closures import ClosureTable, UpstreamRun
+from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.upstreams._upstream_call import UpstreamCall
 from crocusvalve.platform import PlatformHeaderCodec
 from crocusvalve.standin import UpstreamFault
 from features.gateway.gateway_harness import make_gateway
--- a/features/gateway/steps/crash_steps.py
+++ b/features/gateway/steps/crash_steps.py
@@ -5,8 +5,8 @@
 import trio
 from behave import given, then, when
 
-from crocusvalve.gateway._crashing_parts import CrashingPartRegistry
-from crocusvalve.gateway._gossip import MAX_GOSSIP_SOUND_PARTS, MAX_GOSSIP_SUSPECT_PARTS
+from crocusvalve.gateway.decisions._crashing_parts import CrashingPartRegistry
+from crocusvalve.gateway.shared._gossip import MAX_GOSSIP_SOUND_PARTS, MAX_GOSSIP_SUSPECT_PARTS
 from crocusvalve.standin import CallerAnswer, StandinCaller
 from features.gateway.gateway_harness import API_KEY, FRONT_PORT, GatewayHarness
 
--- a/features/gateway/steps/decision_steps.py
+++ b/features/gateway/steps/decision_steps.py
@@ -13,33 +13,8 @@
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
 from crocusvalve.exceptions import PlatformError
-from crocusvalve.gateway._budget import AttemptBudget
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._cold_start import compute_cold_quota, may_send_cold, record_cold_send
-from crocusvalve.gateway._crashes import CrashRegistry
-from crocusvalve.gateway._events import EventSplitter
-from crocusvalve.gateway._followers import TableFollower
-from crocusvalve.gateway._gossip_message import GossipMessage, UpgradeReport
-from crocusvalve.gateway._health import Outcome, update_health
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._operator_table import OperatorTableHandler
-from crocusvalve.gateway._outcome_counts import OutcomeCountsTable
-from crocusvalve.gateway._peers import PeerTable
-from crocusvalve.gateway._placement import PlacementQuery, PlacementReason, choose_upstream
-from crocusvalve.gateway._prompts import get_shared_parts, record_parts
-from crocusvalve.gateway._replica import TableReplica
-from crocusvalve.gateway._store_state import StoreState
-from crocusvalve.gateway._tables import GatewayTables, UpstreamLoad
 from crocusvalve.gateway._upgrade_controller import UpgradeController
-from crocusvalve.gateway._upgrades import (
-    OutcomeCounts,
-    Verdict,
-    VersionChoice,
-    check_version,
-    choose_version,
-    compute_next_status,
-)
-from crocusvalve.gateway._upstream_table import UpstreamTableHandler
 from crocusvalve.gateway.base import (
     Address,
     GatewayBounds,
@@ -51,6 +26,39 @@
     Upstream,
     VersionName,
 )
+from crocusvalve.gateway.decisions._budget import AttemptBudget
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.decisions._cold_start import (
+    compute_cold_quota,
+    may_send_cold,
+    record_cold_send,
+)
+from crocusvalve.gateway.decisions._crashes import CrashRegistry
+from crocusvalve.gateway.decisions._health import Outcome, update_health
+from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsTable
+from crocusvalve.gateway.decisions._placement import (
+    PlacementQuery,
+    PlacementReason,
+    choose_upstream,
+)
+from crocusvalve.gateway.decisions._prompts import get_shared_parts, record_parts
+from crocusvalve.gateway.decisions._upgrades import (
+    OutcomeCounts,
+    Verdict,
+    VersionChoice,
+    check_version,
+    choose_version,
+    compute_next_status,
+)
+from crocusvalve.gateway.shared._gossip_message import GossipMessage, UpgradeReport
+from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.tables._followers import TableFollower
+from crocusvalve.gateway.tables._operator_table import OperatorTableHandler
+from crocusvalve.gateway.tables._replica import TableReplica
+from crocusvalve.gateway.tables._store_state import StoreState
+from crocusvalve.gateway.tables._tables import GatewayTables, UpstreamLoad
+from crocusvalve.gateway.tables._upstream_table import UpstreamTableHandler
+from crocusvalve.gateway.upstreams._events import EventSplitter
 from crocusvalve.metrics import LineWriter
 from crocusvalve.platform import PlatformRecordCodec
 from crocusvalve.standin import StandinUpstream
--- a/features/gateway/steps/endless_store_steps.py
+++ b/features/gateway/steps/endless_store_steps.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 
 from crocusvalve.exceptions import PlatformError
-from crocusvalve.gateway._replica import TablePosition
-from crocusvalve.gateway._table_copies import CopyRequest
 from crocusvalve.gateway.base import Address
+from crocusvalve.gateway.shared._table_copies import CopyRequest
+from crocusvalve.gateway.tables._replica import TablePosition
 from crocusvalve.platform import PlatformStore
 from crocusvalve.standin import StandinStore, make_loopback_host
 from crocusvalve.standin._endless import EndlessReply
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -8,17 +8,17 @@
 
 from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.exceptions import PlatformError
-from crocusvalve.gateway._followers import TableFollower
-from crocusvalve.gateway._gossip_message import GossipMessage
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._operator_table import OperatorTableHandler
 from crocusvalve.gateway._process import BACKOFF_BASE_S, BACKOFF_MAX_S, WAIT_MARGIN_S
-from crocusvalve.gateway._replica import TablePosition
-from crocusvalve.gateway._store_state import StoreState
-from crocusvalve.gateway._table_copies import CopyRequest
-from crocusvalve.gateway._tables import GatewayTables
-from crocusvalve.gateway._upstream_table import UpstreamTableHandler
 from crocusvalve.gateway.base import Address, GatewayBounds
+from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.shared._table_copies import CopyRequest
+from crocusvalve.gateway.tables._followers import TableFollower
+from crocusvalve.gateway.tables._operator_table import OperatorTableHandler
+from crocusvalve.gateway.tables._replica import TablePosition
+from crocusvalve.gateway.tables._store_state import StoreState
+from crocusvalve.gateway.tables._tables import GatewayTables
+from crocusvalve.gateway.tables._upstream_table import UpstreamTableHandler
 from crocusvalve.platform import PlatformRecordCodec, PlatformStore
 from crocusvalve.standin import (
     StandinStore,
--- a/features/gateway/steps/gateway_steps.py
+++ b/features/gateway/steps/gateway_steps.py
@@ -7,10 +7,10 @@
 from behave import given, then, when
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
-from crocusvalve.gateway._gossip_message import GossipMessage
-from crocusvalve.gateway._placement import PlacementReason
-from crocusvalve.gateway._stopping import StopPlan
-from crocusvalve.gateway._table_copies import TableCopy
+from crocusvalve.gateway.decisions._placement import PlacementReason
+from crocusvalve.gateway.flows._stopping import StopPlan
+from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.shared._table_copies import TableCopy
 from crocusvalve.platform import PlatformStore
 from crocusvalve.standin import StoreFault, UpstreamFault, make_event
 from crocusvalve.store.base import FeedPage, FeedRow
--- a/features/gateway/steps/kept_connection_steps.py
+++ b/features/gateway/steps/kept_connection_steps.py
@@ -9,7 +9,7 @@
 import trio
 from behave import given, then, when
 
-from crocusvalve.gateway._stopping import StopPlan
+from crocusvalve.gateway.flows._stopping import StopPlan
 from crocusvalve.standin import CallerAnswer, StandinCaller
 from features.gateway.gateway_harness import (
     FRONT_PORT,
--- a/features/gateway/steps/limit_share_steps.py
+++ b/features/gateway/steps/limit_share_steps.py
@@ -5,9 +5,9 @@
 from behave import given, then, when
 
 from crocusvalve.base import UpstreamId
-from crocusvalve.gateway._closures import UpstreamRun
-from crocusvalve.gateway._rate_limits import RateLimitReport
-from crocusvalve.gateway._return_schedule import ReturnSchedule
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.decisions._rate_limits import RateLimitReport
+from crocusvalve.gateway.decisions._return_schedule import ReturnSchedule
 from crocusvalve.platform import PlatformHeaderCodec
 from features.gateway.gateway_harness import make_gateway
 
--- a/features/gateway/steps/member_steps.py
+++ b/features/gateway/steps/member_steps.py
@@ -5,9 +5,9 @@
 from behave import given, then, when
 
 from crocusvalve.base import NodeId, UpstreamId
-from crocusvalve.gateway._cold_start import compute_cold_quota
-from crocusvalve.gateway._gossip_message import GossipMessage
-from crocusvalve.gateway._peers import PeerTable
+from crocusvalve.gateway.decisions._cold_start import compute_cold_quota
+from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.shared._peers import PeerTable
 
 ROUND_S = 0.4
 N_MEMBERS = 20
--- a/features/gateway/steps/pace_steps.py
+++ b/features/gateway/steps/pace_steps.py
@@ -5,11 +5,11 @@
 from behave import given, then, when
 
 from crocusvalve.base import DomainId, UpstreamId
-from crocusvalve.gateway._cascade import AnswerEstimate, choose_larger_model
-from crocusvalve.gateway._pace import PaceTable
-from crocusvalve.gateway._placement import PlacementQuery, choose_upstream
-from crocusvalve.gateway._slowness import record_answer_time
 from crocusvalve.gateway.base import PrefixPart, ServiceName
+from crocusvalve.gateway.decisions._cascade import AnswerEstimate, choose_larger_model
+from crocusvalve.gateway.decisions._pace import PaceTable
+from crocusvalve.gateway.decisions._placement import PlacementQuery, choose_upstream
+from crocusvalve.gateway.decisions._slowness import record_answer_time
 from features.gateway.steps.decision_steps import PlacementSubject
 
 NOW = 1_000.0
--- a/features/gateway/steps/restore_steps.py
+++ b/features/gateway/steps/restore_steps.py
@@ -8,10 +8,10 @@
 from crocusvalve.base import DomainId, UpstreamId
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._operator_table import OperatorTableHandler
-from crocusvalve.gateway._store_state import StoreState
-from crocusvalve.gateway._tables import GatewayTables
 from crocusvalve.gateway.base import Address, ServiceName
+from crocusvalve.gateway.tables._operator_table import OperatorTableHandler
+from crocusvalve.gateway.tables._store_state import StoreState
+from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.platform import PlatformRecordCodec, PlatformStore
 from crocusvalve.standin import StandinStore, StoreFault
 from crocusvalve.store.base import FeedPage, FeedRow
--- a/features/gateway/steps/takeover_steps.py
+++ b/features/gateway/steps/takeover_steps.py
@@ -6,8 +6,8 @@
 import trio.testing
 from behave import given, then, when
 
-from crocusvalve.gateway._stream_attempt import AttemptEnd, StreamStep
-from crocusvalve.gateway._takeover import StandbySource, Takeover
+from crocusvalve.gateway.flows._takeover import StandbySource, Takeover
+from crocusvalve.gateway.upstreams._stream_attempt import AttemptEnd, StreamStep
 from crocusvalve.standin import UpstreamFault, make_event
 from features.gateway.steps.closure_steps import RepeatedFault, request
 
