Gossip names the failure domain of gateways

Cause: who follows the store's tables and whom gossip goes to is to be decided by failure domain, which a gateway knows of itself only. Change: a field at the end of GossipMessage and MemberReport, so that the release before reads them; empty from it.

--- a/crocusvalve/gateway/shared/_gossip.py
+++ b/crocusvalve/gateway/shared/_gossip.py
@@ -125,6 +125,7 @@
             ban_fingerprint=self.crashes.fingerprint,
             rate_limits=self.tables.rate_limits.choose_reports(MAX_GOSSIP_LIMITS, now),
             requests_per_s=own_per_s,
+            domain=self.settings.domain,
             members=self.peers.sample_members(MAX_GOSSIP_MEMBERS, self.random_state, now),
             is_leaving=self.is_leaving(),
             has_store=self.store.is_up,
--- a/crocusvalve/gateway/shared/_gossip_message.py
+++ b/crocusvalve/gateway/shared/_gossip_message.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct, field
 
-from crocusvalve.base import NodeId, UpstreamId
+from crocusvalve.base import DomainId, NodeId, UpstreamId
 from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._crashing_parts import SoundPart, SuspectPart
@@ -57,6 +57,8 @@
     ----------
     age_ms : int
         Time since the gateway's last message to any gateway, as far as the sender knows.
+    domain : DomainId
+        Failure domain of the gateway; empty if it is unknown.
     """
 
     node_id: NodeId
@@ -64,6 +66,7 @@
     age_ms: int
     is_leaving: bool
     has_store: bool
+    domain: DomainId = DomainId("")
 
 
 class GossipMessage(Struct, frozen=True, kw_only=True, array_like=True):
@@ -114,6 +117,8 @@
     ban_fingerprint : int or None
         Hash of the digests of all requests that the gateway refuses since they crash upstreams;
         None from an earlier release.
+    domain : DomainId
+        Failure domain of the gateway; empty from an earlier release.
     """
 
     node_id: NodeId
@@ -137,3 +142,4 @@
     ban_fingerprint: int | None = None
     rate_limits: tuple[RateLimitReport, ...] = ()
     requests_per_s: float = 0.0
+    domain: DomainId = DomainId("")
--- a/crocusvalve/gateway/shared/_peers.py
+++ b/crocusvalve/gateway/shared/_peers.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from crocusvalve.base import NodeId
+from crocusvalve.base import DomainId, NodeId
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.shared._gossip_message import GossipMessage, MemberReport
 from crocusvalve.gateway.tables._replica import TablePosition
@@ -36,6 +36,7 @@
     seen_at: float
     is_leaving: bool
     has_store: bool
+    domain: DomainId
 
 
 class PeerTable:
@@ -66,7 +67,7 @@
         is_new = not self._is_alive(message.node_id, now)
         self._peers[message.node_id] = _Peer(message, now)
         self._members[message.node_id] = _Member(
-            message.host, now, message.is_leaving, message.has_store
+            message.host, now, message.is_leaving, message.has_store, message.domain
         )
         for report in message.members:
             self._merge_member(report, now)
@@ -81,7 +82,7 @@
         if report.node_id == self.node_id or (known is not None and known.seen_at >= seen_at):
             return
         self._members[report.node_id] = _Member(
-            report.host, seen_at, report.is_leaving, report.has_store
+            report.host, seen_at, report.is_leaving, report.has_store, report.domain
         )
         if now - seen_at <= PEER_TIMEOUT_S:
             self._hosts[report.host] = max(seen_at, self._hosts.get(report.host, seen_at))
@@ -128,6 +129,7 @@
                 round((now - member.seen_at) * 1000),
                 member.is_leaving,
                 member.has_store,
+                member.domain,
             )
             for node_id, member in random_state.sample(alive, min(n_members, len(alive)))
         )
