Gossip has a slot for learned speeds of upstreams

Placement is to use speeds that gateways learn and exchange, and no message field can carry them yet. GossipMessage ends with upstream_speeds, filled by list_speeds and handed to merge_speeds; both do nothing by default.

--- a/crocusvalve/gateway/shared/_gossip.py
+++ b/crocusvalve/gateway/shared/_gossip.py
@@ -3,9 +3,11 @@
 import random
 from collections.abc import Callable, Sequence
 
+from crocusvalve.base import NodeId
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._upgrade_controller import UpgradeController
 from crocusvalve.gateway.base import GatewaySettings
+from crocusvalve.gateway.decisions._capacity import SpeedReport
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway.decisions._prompts import record_parts
@@ -67,6 +69,10 @@
         Returns whether this gateway is stopping.
     random_state : random.Random
         Source of randomness for the choice of members.
+    list_speeds : callable
+        Returns the speeds of upstreams to report at a local time in seconds.
+    merge_speeds : callable
+        Called with a peer's node id, the speeds that it reports, and the local time in seconds.
     """
 
     def __init__(
@@ -84,6 +90,8 @@
         observer: GatewayObserver,
         is_leaving: Callable[[], bool],
         random_state: random.Random,
+        list_speeds: Callable[[float], Sequence[SpeedReport]] = lambda now: (),
+        merge_speeds: Callable[[NodeId, Sequence[SpeedReport], float], None] = lambda *_: None,
     ):
         self.settings = settings
         self.boot_id = boot_id
@@ -100,6 +108,8 @@
         self.observer = observer
         self.is_leaving = is_leaving
         self.random_state = random_state
+        self.list_speeds = list_speeds
+        self.merge_speeds = merge_speeds
         self._loads_summed_at = float("-inf")
 
     def make_message(self, now: float) -> GossipMessage:
@@ -143,6 +153,7 @@
                 for key, load in loads
                 if load.silent_until > now and (row := self.tables.upstreams.get(key))
             )[:MAX_GOSSIP_SILENT],
+            upstream_speeds=tuple(self.list_speeds(now)),
         )
 
     def merge(self, message: GossipMessage, now: float) -> None:
@@ -167,6 +178,8 @@
         if banned_digests or banned_parts:
             self.bans.on_change()
         self.upgrades.merge_reports(message.upgrades, now)
+        if message.upstream_speeds:
+            self.merge_speeds(message.node_id, message.upstream_speeds, now)
         if now - self._loads_summed_at < LOAD_SUM_INTERVAL_S:
             return
         self._loads_summed_at = now
--- a/crocusvalve/gateway/shared/_gossip_message.py
+++ b/crocusvalve/gateway/shared/_gossip_message.py
@@ -4,6 +4,7 @@
 
 from crocusvalve.base import DomainId, NodeId, UpstreamId
 from crocusvalve.gateway.base import PrefixPart, ServiceName, VersionName
+from crocusvalve.gateway.decisions._capacity import SpeedReport
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._crashing_parts import SoundPart, SuspectPart
 from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsRow
@@ -119,6 +120,8 @@
         None from an earlier release.
     domain : DomainId
         Failure domain of the gateway; empty from an earlier release.
+    upstream_speeds : tuple of SpeedReport
+        Speeds of upstreams that the gateway has learned.
     """
 
     node_id: NodeId
@@ -143,3 +146,4 @@
     rate_limits: tuple[RateLimitReport, ...] = ()
     requests_per_s: float = 0.0
     domain: DomainId = DomainId("")
+    upstream_speeds: tuple[SpeedReport, ...] = ()
