Gossip goes to five of the failure domain and one outside it

With dozens of gateways six targets at random send four or five of six messages between failure domains, and may leave a gateway out for several seconds. The choice is a function of the known hosts, their failure domains and the round: senders take turns, so that 24 gateways of 3 failure domains reach each host of another one every 3 rounds. A gateway in its first 3 s, or that hears from nobody, still chooses six at random.

--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -230,6 +230,7 @@
     def _list_tasks(self) -> list[Callable]:
         link = PeerLink(
             address=self.settings.peer,
+            domain=self.settings.domain,
             table=self.peers,
             make_gossip=self.gossip.make_message,
             merge_gossip=lambda message: self.gossip.merge(message, self.clock.now()),
--- a/crocusvalve/gateway/shared/_peer_link.py
+++ b/crocusvalve/gateway/shared/_peer_link.py
@@ -7,9 +7,11 @@
 import msgspec
 import trio
 
+from crocusvalve.base import DomainId
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway.base import Address
 from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.shared._gossip_targets import TargetQuery, choose_targets
 from crocusvalve.gateway.shared._peers import PeerTable
 from crocusvalve.utils import Clock
 
@@ -17,9 +19,6 @@
 
 #: Pause between two rounds of gossip.
 GOSSIP_INTERVAL_S = 0.4
-#: Maximum number of gateways that get gossip in one round; if there are more, a random sample gets
-#: it.
-MAX_GOSSIP_PEERS = 6
 MAX_DATAGRAM_BYTES = 32768
 
 
@@ -30,6 +29,8 @@
     ----------
     address : Address
         Address on which this gateway receives; its peers use the same port.
+    domain : DomainId
+        Failure domain of this gateway; empty if it is unknown.
     table : PeerTable
         Table of peers, updated with each received message.
     make_gossip : callable
@@ -48,6 +49,7 @@
         self,
         *,
         address: Address,
+        domain: DomainId,
         table: PeerTable,
         make_gossip: Callable[[float], GossipMessage],
         merge_gossip: Callable[[GossipMessage], None],
@@ -56,12 +58,17 @@
         random_state: random.Random,
     ):
         self.address = address
+        self.domain = domain
         self.table = table
         self.make_gossip = make_gossip
         self.merge_gossip = merge_gossip
         self.observer = observer
         self.clock = clock
         self.random_state = random_state
+        self._started_at = clock.now()
+        # Gateways count rounds from about the same number, so that those of a failure domain tell
+        # different hosts at a time.
+        self._round_number = int(self._started_at / GOSSIP_INTERVAL_S)
         self._decoder = msgspec.msgpack.Decoder(GossipMessage)
 
     async def run(self) -> None:
@@ -77,11 +84,20 @@
     async def _send_gossip(self, sock: trio.socket.SocketType) -> None:
         now = self.clock.now()
         self.observer.set_peers(len(self.table.list_alive(now)))
-        hosts = self.table.list_hosts(now)
-        if len(hosts) > MAX_GOSSIP_PEERS:
-            hosts = self.random_state.sample(hosts, MAX_GOSSIP_PEERS)
+        self._round_number += 1
+        targets = choose_targets(
+            TargetQuery(
+                host=self.address.host,
+                domain=self.domain,
+                domains=self.table.list_host_domains(now),
+                round_number=self._round_number,
+                uptime_s=now - self._started_at,
+                is_heard=self.table.has_recent(now),
+            ),
+            self.random_state,
+        )
         data = msgspec.msgpack.encode(self.make_gossip(now))
-        for host in hosts:
+        for host in (*targets.inside, *targets.outside):
             try:
                 await sock.sendto(data, (host, self.address.port))
             except OSError:
--- a/crocusvalve/gateway/shared/_peers.py
+++ b/crocusvalve/gateway/shared/_peers.py
@@ -105,6 +105,21 @@
             del self._hosts[host]
         return list(self._hosts)
 
+    def list_host_domains(self, now: float) -> dict[str, DomainId]:
+        """Return the hosts to send gossip to, with the failure domain of the gateway on each.
+
+        The failure domain is empty if it is unknown, or if the gateway isn't alive.
+        """
+        domains = dict.fromkeys(self.list_hosts(now), DomainId(""))
+        for member in self.list_alive(now).values():
+            if member.host in domains:
+                domains[member.host] = member.domain
+        return domains
+
+    def has_recent(self, now: float) -> bool:
+        """Return whether a message of a peer has arrived lately."""
+        return bool(self._list_recent(now))
+
     def list_alive(self, now: float) -> dict[NodeId, _Member]:
         """Return the peer gateways that are alive; forgets those that have long been silent."""
         for node_id, member in list(self._members.items()):
