Loads, counts and sent prompts reach all gateways by failure domain

Each gateway now hears from most others seldom, so that their loads were missing, and a sent prompt was told to twelve gateways at most. A message to another failure domain has the sums of the sender's failure domain, and while an upgrade is active the counts of its gateways by run; within a failure domain the sums of other ones are passed on. Sent prompts are told on between inside and outside a bounded number of times. Members carry the rate of callers' requests, since the shares of a limit need it from all. Bytes sent and failure domains that were silent are recorded.

--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -9,6 +9,7 @@
 from crocusvalve.base import DomainId
 from crocusvalve.exceptions import CrocusvalveError, RefusedError
 from crocusvalve.gateway._crash_observer import CrashObserver
+from crocusvalve.gateway._gossip_observer import GossipObserver
 from crocusvalve.gateway._limit_observer import LimitObserver
 from crocusvalve.gateway.base import (
     Configuration,
@@ -80,11 +81,14 @@
         Records crashes of upstreams.
     limits : LimitObserver
         Records limits that upstreams name.
+    gossip : GossipObserver
+        Records gossip that is sent and received.
     """
 
     def __init__(self, registry: CollectorRegistry):
         self.crashes = CrashObserver(registry)
         self.limits = LimitObserver(registry)
+        self.gossip = GossipObserver(registry)
         self.registry = registry
         self._successes = LineBudget(MAX_LINES_PER_S)
         self._failures = LineBudget(MAX_FAILURE_LINES_PER_S)
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -104,7 +104,7 @@
         self.observer.track_store_age(lambda: clock.now() - self.store.answered_at)
         self.outcome_counts = OutcomeCountsTable()
         self.crashes = CrashRegistry()
-        self.peers = PeerTable(settings.node_id, settings.peer.host)
+        self.peers = PeerTable(settings.node_id, settings.peer.host, settings.domain)
         self.peers.add_hosts((seed.host for seed in settings.seeds), clock.now())
         shared = (self.tables, record_codec, self.observer, self.store)
         self.operator_handler = OperatorTableHandler(*shared)
@@ -233,6 +233,7 @@
             domain=self.settings.domain,
             table=self.peers,
             make_gossip=self.gossip.make_message,
+            make_outside_gossip=self.gossip.make_outside_message,
             merge_gossip=lambda message: self.gossip.merge(message, self.clock.now()),
             observer=self.observer,
             clock=self.clock,
--- a/crocusvalve/gateway/decisions/_outcome_counts.py
+++ b/crocusvalve/gateway/decisions/_outcome_counts.py
@@ -129,8 +129,13 @@
         return tuple(OutcomeCountsRow(*key, counts) for key, counts in self._local.items())
 
     def merge_remote(self, run_id: str, rows: tuple[OutcomeCountsRow, ...]) -> None:
-        """Store the counts of a run of a peer gateway; they replace its earlier ones."""
-        self._remote[run_id] = rows
+        """Store the counts of a run of a peer gateway.
+
+        They replace its earlier ones with a higher total only, since messages of several gateways
+        pass them on, and may overtake each other.
+        """
+        if _count_answers(rows) > _count_answers(self._remote.get(run_id, ())):
+            self._remote[run_id] = rows
 
     def sum_by_route(
         self, service: ServiceName, version: VersionName
@@ -149,3 +154,7 @@
         """Remove this gateway's counts of a service, at the start of an upgrade."""
         for key in [key for key in self._local if key[0] == service]:
             del self._local[key]
+
+
+def _count_answers(rows: tuple[OutcomeCountsRow, ...]) -> int:
+    return sum(row.counts.n_answers for row in rows)
--- /dev/null
+++ b/crocusvalve/gateway/shared/_domain_loads.py
@@ -0,0 +1,115 @@
+"""Loads of other failure domains, each as sums over its gateways."""
+
+from collections.abc import Iterable, Mapping
+
+from msgspec import Struct
+
+from crocusvalve.base import DomainId, UpstreamId
+
+__all__ = ["DomainLoadTable", "DomainLoads", "UpstreamLoadRow"]
+
+#: The loads that a gateway or a failure domain has reported are used for this long.
+LOAD_EXPIRY_S = 3.0
+#: Sums over fewer gateways replace sums over more only after this time: a gateway that has just
+#: started, or that is cut off from its failure domain, counts few of it.
+FULLER_SUMS_S = 1.0
+
+
+class UpstreamLoadRow(Struct, frozen=True, array_like=True):
+    """Load of an upstream from several gateways.
+
+    Attributes
+    ----------
+    n_inflight : int
+        Requests in flight.
+    pending_work : int
+        Weighted prompt tokens not yet processed.
+    """
+
+    upstream_id: UpstreamId
+    n_inflight: int
+    pending_work: int
+
+
+class DomainLoads(Struct, frozen=True, array_like=True):
+    """Sums of the loads of a failure domain's gateways.
+
+    Attributes
+    ----------
+    domain : DomainId
+        The failure domain.
+    n_gateways : int
+        Number of gateways that the sums include.
+    age_ms : int
+        Time since the sums were made, in milliseconds.
+    rows : tuple of UpstreamLoadRow
+        Loads by upstream; those without a request in flight are left out.
+    """
+
+    domain: DomainId
+    n_gateways: int
+    age_ms: int
+    rows: tuple[UpstreamLoadRow, ...]
+
+    @classmethod
+    def add_up(
+        cls,
+        domain: DomainId,
+        reports: Iterable[tuple[Mapping[str, int], Mapping[str, int]]],
+    ) -> "DomainLoads":
+        """Return the sums of gateways' requests in flight and pending work, by upstream."""
+        n_gateways = 0
+        totals: dict[str, tuple[int, int]] = {}
+        for n_inflight, work in reports:
+            n_gateways += 1
+            for key in n_inflight:
+                count, tokens = totals.get(key, (0, 0))
+                totals[key] = (count + n_inflight[key], tokens + work.get(key, 0))
+        rows = tuple(UpstreamLoadRow(UpstreamId(key), *sums) for key, sums in totals.items())
+        return cls(domain, n_gateways, 0, rows)
+
+
+class _Entry(Struct, frozen=True):
+    """Sums of a failure domain, and the local time in seconds at which they were made."""
+
+    loads: DomainLoads
+    made_at: float
+
+
+class DomainLoadTable:
+    """Last sums of each other failure domain.
+
+    Parameters
+    ----------
+    domain : DomainId
+        Failure domain of this gateway, whose sums are ignored: its gateways report their own loads.
+    """
+
+    def __init__(self, domain: DomainId):
+        self.domain = domain
+        self._entries: dict[DomainId, _Entry] = {}
+
+    def merge(self, loads: DomainLoads, now: float) -> None:
+        """Merge the sums of a failure domain that a peer has made or passed on."""
+        if not loads.domain or loads.domain == self.domain:
+            return
+        made_at = now - max(0, loads.age_ms) / 1000
+        known = self._entries.get(loads.domain)
+        if known is not None:
+            is_fuller = known.loads.n_gateways > loads.n_gateways
+            if made_at <= known.made_at + (FULLER_SUMS_S if is_fuller else 0.0):
+                return
+        self._entries[loads.domain] = _Entry(loads, made_at)
+
+    def list_recent(self, now: float) -> list[DomainLoads]:
+        """Return the sums that may be used, with their present ages."""
+        return [
+            DomainLoads(
+                entry.loads.domain,
+                entry.loads.n_gateways,
+                max(0, round((now - entry.made_at) * 1000)),
+                entry.loads.rows,
+            )
+            for entry in self._entries.values()
+            if now - entry.made_at <= LOAD_EXPIRY_S
+        ]
--- a/crocusvalve/gateway/shared/_gossip.py
+++ b/crocusvalve/gateway/shared/_gossip.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable, Sequence
 
+import msgspec
+
 from crocusvalve.base import NodeId
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._upgrade_controller import UpgradeController
@@ -11,8 +13,15 @@
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway.decisions._prompts import record_parts
-from crocusvalve.gateway.shared._gossip_message import GossipMessage
+from crocusvalve.gateway.shared._domain_loads import DomainLoads
+from crocusvalve.gateway.shared._gossip_message import (
+    GossipMessage,
+    MemberReport,
+    RunCounts,
+    SentPromptParts,
+)
 from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.shared._sent_parts import SentPartsQueue
 from crocusvalve.gateway.tables._store_state import StoreState
 from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.gateway.tables._tables import GatewayTables
@@ -22,8 +31,6 @@
 
 #: The peers' loads are summed at most this often, since the cost grows with the number of peers.
 LOAD_SUM_INTERVAL_S = 0.1
-#: A message includes the prompts sent within this time, so that each is included about twice.
-SENT_PARTS_WINDOW_S = 1.0
 #: Maximum numbers of request digests in one message that are refused, and of others with crashes.
 MAX_GOSSIP_DIGESTS = 32
 #: Maximum numbers of parts of prompts in one message that may crash upstreams, and of those that
@@ -34,8 +41,14 @@
 MAX_GOSSIP_LEAVING = 64
 #: Maximum number of upstreams' limits in one message.
 MAX_GOSSIP_LIMITS = 32
-#: Number of other gateways that one message reports as alive.
-MAX_GOSSIP_MEMBERS = 20
+#: Number of other gateways that one message reports as alive: those of other failure domains and of
+#: the own one, and those of the own one in a message to another failure domain, which hears from
+#: most of them itself.
+MAX_GOSSIP_MEMBERS = 8
+MAX_GOSSIP_MEMBERS_INSIDE = 2
+MAX_GOSSIP_MEMBERS_OUTSIDE = 3
+#: Number of other failure domains whose loads one message passes on within the failure domain.
+MAX_GOSSIP_DOMAINS = 3
 #: Maximum number of silent upstreams in one message.
 MAX_GOSSIP_SILENT = 32
 
@@ -110,6 +123,7 @@
         self.random_state = random_state
         self.list_speeds = list_speeds
         self.merge_speeds = merge_speeds
+        self._sent_parts = SentPartsQueue(random_state)
         self._loads_summed_at = float("-inf")
 
     def make_message(self, now: float) -> GossipMessage:
@@ -118,6 +132,8 @@
         own_per_s = self.tables.request_rate.compute(now)
         rates = self.peers.list_request_rates(own_per_s, now)
         self.tables.rate_limits.update_shares(rates, now)
+        self._sent_parts.add_own(self.attempt_manager.sent_prompt_parts, now)
+        parts, outside_parts = self._sent_parts.choose_inside(now)
         is_peer_behind = self.peers.has_other_bans(self.crashes.fingerprint, now)
         return GossipMessage(
             node_id=self.settings.node_id,
@@ -125,18 +141,17 @@
             host=self.settings.peer.host,
             n_inflight={key: load.n_inflight for key, load in loads if load.n_inflight},
             pending_work={key: int(load.pending_work) for key, load in loads if load.n_inflight},
-            parts=tuple(
-                sent
-                for sent in self.attempt_manager.sent_prompt_parts
-                if now - sent.sent_at < SENT_PARTS_WINDOW_S
-            ),
+            parts=parts,
             outcome_counts=self.outcome_counts.list_local() if self.upgrades.is_active() else (),
             crashes=self.crashes.choose_reports(MAX_GOSSIP_DIGESTS, is_peer_behind=is_peer_behind),
             ban_fingerprint=self.crashes.fingerprint,
             rate_limits=self.tables.rate_limits.choose_reports(MAX_GOSSIP_LIMITS, now),
             requests_per_s=own_per_s,
             domain=self.settings.domain,
-            members=self.peers.sample_members(MAX_GOSSIP_MEMBERS, self.random_state, now),
+            members=(
+                *self._sample_members(MAX_GOSSIP_MEMBERS, now, is_inside=False),
+                *self._sample_members(MAX_GOSSIP_MEMBERS_INSIDE, now, is_inside=True),
+            ),
             is_leaving=self.is_leaving(),
             has_store=self.store.is_up,
             leaving=self.tables.closures.choose_leaving(MAX_GOSSIP_LEAVING),
@@ -154,13 +169,54 @@
                 if load.silent_until > now and (row := self.tables.upstreams.get(key))
             )[:MAX_GOSSIP_SILENT],
             upstream_speeds=tuple(self.list_speeds(now)),
+            domain_loads=self._choose_domain_loads(now),
+            outside_parts=outside_parts,
         )
 
+    def make_outside_message(self, message: GossipMessage, now: float) -> GossipMessage:
+        """Return a message of this round for gateways of other failure domains.
+
+        It has the sums and counts of this failure domain in place of this gateway's own loads.
+
+        Parameters
+        ----------
+        message : GossipMessage
+            Message of this round for gateways of this failure domain.
+        """
+        own = RunCounts(f"{message.node_id}#{message.boot_id}", message.outcome_counts)
+        return msgspec.structs.replace(
+            message,
+            n_inflight={},
+            pending_work={},
+            outcome_counts=(),
+            parts=self._sent_parts.choose_outside(now),
+            members=self._sample_members(MAX_GOSSIP_MEMBERS_OUTSIDE, now, is_inside=True),
+            domain_loads=(
+                self.peers.sum_domain_loads(message.n_inflight, message.pending_work, now),
+            ),
+            domain_counts=(
+                (own, *self.peers.list_run_counts(now)) if self.upgrades.is_active() else ()
+            ),
+            outside_parts=(),
+        )
+
+    def _sample_members(
+        self, n_members: int, now: float, *, is_inside: bool
+    ) -> tuple[MemberReport, ...]:
+        return self.peers.sample_members(n_members, self.random_state, now, is_inside=is_inside)
+
+    def _choose_domain_loads(self, now: float) -> tuple[DomainLoads, ...]:
+        loads = self.peers.list_domain_loads(now)
+        return tuple(self.random_state.sample(loads, min(MAX_GOSSIP_DOMAINS, len(loads))))
+
     def merge(self, message: GossipMessage, now: float) -> None:
         """Merge a peer's message that is received now."""
         self.outcome_counts.merge_remote(
             f"{message.node_id}#{message.boot_id}", message.outcome_counts
         )
+        for counts in message.domain_counts:
+            if counts.run_id != f"{self.settings.node_id}#{self.boot_id}":
+                self.outcome_counts.merge_remote(counts.run_id, counts.rows)
         banned_digests = [
             digest
             for digest, incidents in message.crashes.items()
@@ -170,7 +226,7 @@
             self.observer.crashes.record_banned_requests(
                 banned_digests, self.crashes.n_banned, message.node_id
             )
-        self._merge_sent_parts(message)
+        self._merge_sent_parts(message, now)
         self._merge_leaving(message)
         self._merge_rate_limits(message, now)
         banned_parts = self.crashing_parts.merge(message.suspect_parts, message.sound_parts, now)
@@ -204,12 +260,32 @@
                 report.run.upstream_id, report.rate_per_s, rate_limits.n_active, message.node_id
             )
 
-    def _merge_sent_parts(self, message: GossipMessage) -> None:
-        """Record the prompt parts that a peer gateway sent to upstreams as cached there."""
+    def _merge_sent_parts(self, message: GossipMessage, now: float) -> None:
+        """Record the prompt parts that gateways sent to upstreams as cached there, each once."""
+        if not (message.parts or message.outside_parts):
+            return
+        n_inside, n_domains = self.peers.count_domains(now)
+        is_from_inside = message.domain == self.settings.domain
+        for prompts, is_outside in (
+            (message.parts, not is_from_inside),
+            (message.outside_parts, True),
+        ):
+            for sent in prompts:
+                is_new = self._sent_parts.receive(
+                    sent,
+                    now,
+                    is_outside=is_outside,
+                    is_from_inside=is_from_inside,
+                    n_inside=n_inside,
+                    n_domains=n_domains,
+                )
+                if is_new:
+                    self._record_sent_parts(sent)
+
+    def _record_sent_parts(self, sent: SentPromptParts) -> None:
         config = self.tables.config
-        for sent in message.parts:
-            row = self.tables.upstreams.get(sent.upstream_id)
-            service = config and row and config.services.get(row.service)
-            if service:
-                load = self.tables.get_load(sent.upstream_id)
-                record_parts(load, sent.model, sent.parts, service.memory_tokens)
+        row = self.tables.upstreams.get(sent.upstream_id)
+        service = config and row and config.services.get(row.service)
+        if service:
+            load = self.tables.get_load(sent.upstream_id)
+            record_parts(load, sent.model, sent.parts, service.memory_tokens)
--- a/crocusvalve/gateway/shared/_gossip_message.py
+++ b/crocusvalve/gateway/shared/_gossip_message.py
@@ -9,9 +9,10 @@
 from crocusvalve.gateway.decisions._crashing_parts import SoundPart, SuspectPart
 from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsRow
 from crocusvalve.gateway.decisions._rate_limits import RateLimitReport
+from crocusvalve.gateway.shared._domain_loads import DomainLoads
 from crocusvalve.gateway.tables._replica import TablePosition
 
-__all__ = ["GossipMessage", "MemberReport", "SentPromptParts", "UpgradeReport"]
+__all__ = ["GossipMessage", "MemberReport", "RunCounts", "SentPromptParts", "UpgradeReport"]
 
 
 class SentPromptParts(Struct, frozen=True, array_like=True):
@@ -60,6 +61,8 @@
         Time since the gateway's last message to any gateway, as far as the sender knows.
     domain : DomainId
         Failure domain of the gateway; empty if it is unknown.
+    requests_per_ks : int
+        Callers' requests to the gateway in 1000 s; negative if the rate is unknown.
     """
 
     node_id: NodeId
@@ -68,6 +71,20 @@
     is_leaving: bool
     has_store: bool
     domain: DomainId = DomainId("")
+    requests_per_ks: int = -1
+
+
+class RunCounts(Struct, frozen=True, array_like=True):
+    """Counts of answers and failures of one run of a gateway, passed on by another one.
+
+    Attributes
+    ----------
+    run_id : str
+        Node id and boot id of the gateway, as ``node#boot``.
+    """
+
+    run_id: str
+    rows: tuple[OutcomeCountsRow, ...]
 
 
 class GossipMessage(Struct, frozen=True, kw_only=True, array_like=True):
@@ -122,6 +139,14 @@
         Failure domain of the gateway; empty from an earlier release.
     upstream_speeds : tuple of SpeedReport
         Speeds of upstreams that the gateway has learned.
+    domain_loads : tuple of DomainLoads
+        Sums of loads by failure domain: to another failure domain those of the sender's, in place
+        of ``n_inflight`` and ``pending_work``; otherwise those of other failure domains.
+    domain_counts : tuple of RunCounts
+        Counts of all gateways of the sender's failure domain, to other failure domains.
+    outside_parts : tuple of SentPromptParts
+        Prompt parts that gateways of other failure domains have sent; ``parts`` has those that
+        gateways of the sender's failure domain have sent.
     """
 
     node_id: NodeId
@@ -147,3 +172,6 @@
     requests_per_s: float = 0.0
     domain: DomainId = DomainId("")
     upstream_speeds: tuple[SpeedReport, ...] = ()
+    domain_loads: tuple[DomainLoads, ...] = ()
+    domain_counts: tuple[RunCounts, ...] = ()
+    outside_parts: tuple[SentPromptParts, ...] = ()
--- a/crocusvalve/gateway/shared/_gossip_targets.py
+++ b/crocusvalve/gateway/shared/_gossip_targets.py
@@ -27,10 +27,15 @@
         Hosts of the own failure domain.
     outside : sequence of str
         All other hosts.
+    summarised : frozenset of str
+        Those outside that get the sums of the own failure domain in place of this gateway's loads.
+        With at most ``MAX_GOSSIP_PEERS`` others there are none, since each hears from all. A host
+        without a known failure domain isn't among them: an earlier release can't read the sums.
     """
 
     inside: Sequence[str]
     outside: Sequence[str]
+    summarised: frozenset[str] = frozenset()
 
 
 class TargetQuery(Struct, frozen=True, kw_only=True):
@@ -88,18 +93,24 @@
     )
     rest = sorted(set(domains) - set(outside) - set(own))
     outside += random_state.sample(rest, n_outside - len(outside))
-    return Targets(inside, outside)
+    return Targets(inside, outside, _choose_summarised(query, outside))
 
 
 def _divide(query: TargetQuery, hosts: Sequence[str]) -> Targets:
     """Return hosts as targets, by whether they are of the own failure domain."""
     is_inside = {host: bool(query.domain) and query.domains[host] == query.domain for host in hosts}
+    outside = [host for host in hosts if not is_inside[host]]
     return Targets(
-        [host for host in hosts if is_inside[host]],
-        [host for host in hosts if not is_inside[host]],
+        [host for host in hosts if is_inside[host]], outside, _choose_summarised(query, outside)
     )
 
 
+def _choose_summarised(query: TargetQuery, outside: Sequence[str]) -> frozenset[str]:
+    if not query.domain or len(query.domains) <= MAX_GOSSIP_PEERS:
+        return frozenset()
+    return frozenset(host for host in outside if query.domains[host])
+
+
 def _choose_outside(
     groups: Sequence[Sequence[str]], n_hosts: int, rank: int, n_senders: int, round_number: int
 ) -> list[str]:
--- a/crocusvalve/gateway/shared/_peer_link.py
+++ b/crocusvalve/gateway/shared/_peer_link.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import trio
+from msgspec.msgpack import encode
 
 from crocusvalve.base import DomainId
 from crocusvalve.gateway._observer import GatewayObserver
@@ -35,6 +36,8 @@
         Table of peers, updated with each received message.
     make_gossip : callable
         Returns this gateway's message for the given time.
+    make_outside_gossip : callable
+        Returns the message for other failure domains, for this gateway's message and the time.
     merge_gossip : callable
         Called with each received message.
     observer : GatewayObserver
@@ -52,6 +55,7 @@
         domain: DomainId,
         table: PeerTable,
         make_gossip: Callable[[float], GossipMessage],
+        make_outside_gossip: Callable[[GossipMessage, float], GossipMessage],
         merge_gossip: Callable[[GossipMessage], None],
         observer: GatewayObserver,
         clock: Clock,
@@ -61,6 +65,7 @@
         self.domain = domain
         self.table = table
         self.make_gossip = make_gossip
+        self.make_outside_gossip = make_outside_gossip
         self.merge_gossip = merge_gossip
         self.observer = observer
         self.clock = clock
@@ -96,13 +101,19 @@
             ),
             self.random_state,
         )
-        data = msgspec.msgpack.encode(self.make_gossip(now))
-        for host in (*targets.inside, *targets.outside):
-            try:
-                await sock.sendto(data, (host, self.address.port))
-            except OSError:
-                # The message of the next round replaces this one.
-                continue
+        message = self.make_gossip(now)
+        data = outside_data = encode(message)
+        if targets.summarised:
+            outside_data = encode(self.make_outside_gossip(message, now))
+        for hosts, is_inside in ((targets.inside, True), (targets.outside, False)):
+            for host in hosts:
+                sent = outside_data if host in targets.summarised else data
+                try:
+                    await sock.sendto(sent, (host, self.address.port))
+                except OSError:
+                    # The message of the next round replaces this one.
+                    continue
+                self.observer.gossip.count_sent(len(sent), is_inside=is_inside)
 
     async def _receive_gossip(self, sock: trio.socket.SocketType) -> None:
         while True:
@@ -115,6 +126,8 @@
             except msgspec.MsgspecError as exc:
                 self.observer.record_decode_error("datagram", "", str(exc))
                 continue
-            if self.table.update_peer(message, self.clock.now()):
+            now = self.clock.now()
+            self.observer.gossip.record_message(message.node_id, message.domain, now)
+            if self.table.update_peer(message, now):
                 self.observer.record_peer(message.node_id, message.host)
             self.merge_gossip(message)
--- a/crocusvalve/gateway/shared/_peers.py
+++ b/crocusvalve/gateway/shared/_peers.py
@@ -7,19 +7,19 @@
 
 from crocusvalve.base import DomainId, NodeId
 from crocusvalve.gateway.decisions._closures import UpstreamRun
-from crocusvalve.gateway.shared._gossip_message import GossipMessage, MemberReport
+from crocusvalve.gateway.shared._domain_loads import LOAD_EXPIRY_S, DomainLoads, DomainLoadTable
+from crocusvalve.gateway.shared._gossip_message import GossipMessage, MemberReport, RunCounts
 from crocusvalve.gateway.tables._replica import TablePosition
 
 __all__ = ["PeerTable"]
 
+UNKNOWN_DOMAIN = DomainId("")
 #: A gateway without a message for this long, to any gateway as far as known, counts as unavailable.
 PEER_TIMEOUT_S = 4.0
 #: A report of silent upstreams is used for this long.
 SILENCE_EXPIRY_S = 1.5
 #: A host without a message for this long is removed and gets no more gossip.
 HOST_EXPIRY_S = 30.0
-#: The load that a gateway has reported is used for this long.
-LOAD_EXPIRY_S = 3.0
 
 
 class _Peer(Struct):
@@ -37,6 +37,7 @@
     is_leaving: bool
     has_store: bool
     domain: DomainId
+    requests_per_s: float | None
 
 
 class PeerTable:
@@ -51,11 +52,15 @@
         Identifier of this gateway.
     host : str
         Host of this gateway.
+    domain : DomainId
+        Failure domain of this gateway; empty if it is unknown.
     """
 
-    def __init__(self, node_id: NodeId, host: str):
+    def __init__(self, node_id: NodeId, host: str, domain: DomainId = UNKNOWN_DOMAIN):
         self.node_id = node_id
         self.host = host
+        self.domain = domain
+        self._domain_loads = DomainLoadTable(domain)
         self._peers: dict[NodeId, _Peer] = {}
         self._members: dict[NodeId, _Member] = {}
         self._hosts: dict[str, float] = {}
@@ -67,8 +72,15 @@
         is_new = not self._is_alive(message.node_id, now)
         self._peers[message.node_id] = _Peer(message, now)
         self._members[message.node_id] = _Member(
-            message.host, now, message.is_leaving, message.has_store, message.domain
+            message.host,
+            now,
+            message.is_leaving,
+            message.has_store,
+            message.domain,
+            message.requests_per_s,
         )
+        for loads in message.domain_loads:
+            self._domain_loads.merge(loads, now)
         for report in message.members:
             self._merge_member(report, now)
         self._hosts[message.host] = now
@@ -81,8 +93,11 @@
         known = self._members.get(report.node_id)
         if report.node_id == self.node_id or (known is not None and known.seen_at >= seen_at):
             return
+        rate = report.requests_per_ks / 1000 if report.requests_per_ks >= 0 else None
+        if rate is None and known is not None:
+            rate = known.requests_per_s
         self._members[report.node_id] = _Member(
-            report.host, seen_at, report.is_leaving, report.has_store, report.domain
+            report.host, seen_at, report.is_leaving, report.has_store, report.domain, rate
         )
         if now - seen_at <= PEER_TIMEOUT_S:
             self._hosts[report.host] = max(seen_at, self._hosts.get(report.host, seen_at))
@@ -133,10 +148,25 @@
         }
 
     def sample_members(
-        self, n_members: int, random_state: random.Random, now: float
+        self,
+        n_members: int,
+        random_state: random.Random,
+        now: float,
+        *,
+        is_inside: bool | None = None,
     ) -> tuple[MemberReport, ...]:
-        """Return a random part of the gateways that are alive, for this gateway's own gossip."""
-        alive = list(self.list_alive(now).items())
+        """Return a random part of the gateways that are alive, for this gateway's own gossip.
+
+        Parameters
+        ----------
+        is_inside : bool or None
+            Whether they are of this gateway's failure domain; None for all.
+        """
+        alive = [
+            (node_id, member)
+            for node_id, member in self.list_alive(now).items()
+            if is_inside is None or is_inside == self._is_inside(member.domain)
+        ]
         return tuple(
             MemberReport(
                 node_id,
@@ -145,6 +175,7 @@
                 member.is_leaving,
                 member.has_store,
                 member.domain,
+                -1 if member.requests_per_s is None else round(member.requests_per_s * 1000),
             )
             for node_id, member in random_state.sample(alive, min(n_members, len(alive)))
         )
@@ -175,15 +206,14 @@
     def list_request_rates(self, own_per_s: float, now: float) -> dict[NodeId, float]:
         """Return the requests per second of each active gateway, including this one.
 
-        A gateway that hasn't reported its rate lately counts with the mean of the others.
+        A gateway whose rate isn't known counts with the mean of the others.
         """
-        recent = {
-            peer.message.node_id: peer.message.requests_per_s for peer in self._list_recent(now)
-        }
-        known = [own_per_s, *recent.values()]
+        rates = {node_id: member.requests_per_s for node_id, member in self.list_alive(now).items()}
+        known = [own_per_s, *(rate for rate in rates.values() if rate is not None)]
         mean = sum(known) / len(known)
-        rates = {node_id: recent.get(node_id, mean) for node_id in self.list_alive(now)}
-        return rates | {self.node_id: own_per_s}
+        return {node_id: mean if rate is None else rate for node_id, rate in rates.items()} | {
+            self.node_id: own_per_s
+        }
 
     def has_other_bans(self, fingerprint: int, now: float) -> bool:
         """Return whether a peer has lately reported that it refuses other requests."""
@@ -222,17 +252,66 @@
                     counts[run] = counts.get(run, 0) + 1
         return counts
 
+    def _is_inside(self, domain: DomainId) -> bool:
+        """Return whether a failure domain is the one of this gateway."""
+        return bool(self.domain) and domain == self.domain
+
+    def count_domains(self, now: float) -> tuple[int, int]:
+        """Return the numbers of peers that are alive inside, and of other failure domains."""
+        domains = [member.domain for member in self.list_alive(now).values()]
+        return domains.count(self.domain), len(set(domains) - {self.domain})
+
+    def list_domain_loads(self, now: float) -> list[DomainLoads]:
+        """Return the last sums of other failure domains."""
+        return self._domain_loads.list_recent(now)
+
+    def sum_domain_loads(
+        self, n_inflight: dict[str, int], pending_work: dict[str, int], now: float
+    ) -> DomainLoads:
+        """Return the sums of this gateway's failure domain, to be told to other ones.
+
+        Parameters
+        ----------
+        n_inflight, pending_work : dict
+            Loads from this gateway by upstream.
+        """
+        reports = [(n_inflight, pending_work)]
+        for message in self._list_load_reports(now):
+            if self._is_inside(message.domain):
+                reports.append((message.n_inflight, message.pending_work))
+        return DomainLoads.add_up(self.domain, reports)
+
+    def list_run_counts(self, now: float) -> tuple[RunCounts, ...]:
+        """Return the outcome counts that peers of this failure domain have lately reported."""
+        return tuple(
+            RunCounts(f"{peer.message.node_id}#{peer.message.boot_id}", peer.message.outcome_counts)
+            for peer in self._list_recent(now)
+            if peer.message.outcome_counts and self._is_inside(peer.message.domain)
+        )
+
+    def _list_load_reports(self, now: float) -> list[GossipMessage]:
+        return [
+            peer.message for peer in self._peers.values() if now - peer.received_at <= LOAD_EXPIRY_S
+        ]
+
     def sum_peer_loads(self, now: float) -> tuple[dict[str, int], dict[str, int]]:
-        """Return the requests in flight and pending work, by upstream, that peers lately reported.
+        """Return the requests in flight and pending work, by upstream, of all peers.
 
-        With dozens of gateways these are only a part of them.
+        Each other failure domain counts with its last sums, or with its gateways' own reports if no
+        sums were received lately. So no gateway counts twice.
         """
+        sums = self._domain_loads.list_recent(now)
+        summed = {loads.domain for loads in sums}
         n_inflight: dict[str, int] = {}
         work: dict[str, int] = {}
-        for peer in self._peers.values():
-            if now - peer.received_at > LOAD_EXPIRY_S:
+        for loads in sums:
+            for row in loads.rows:
+                key = row.upstream_id
+                n_inflight[key] = n_inflight.get(key, 0) + row.n_inflight
+                work[key] = work.get(key, 0) + row.pending_work
+        for message in self._list_load_reports(now):
+            if message.domain in summed:
                 continue
-            message = peer.message
             for total, reported in ((n_inflight, message.n_inflight), (work, message.pending_work)):
                 for upstream_id, n in reported.items():
                     total[upstream_id] = total.get(upstream_id, 0) + n
