--- a/crocusvalve/gateway/shared/_domain_loads.py
+++ b/crocusvalve/gateway/shared/_domain_loads.py
@@ -120,13 +120,38 @@
                 return
         self._entries[loads.domain] = _Entry(loads, made_at, not is_passed_on)
 
-    def list_recent(self, now: float) -> list[DomainLoads]:
-        """Return the sums that may be used, with their present ages."""
-        return [
-            entry.make_report(now)
-            for entry in self._entries.values()
+    def add_up(
+        self,
+        reports: Iterable[tuple[DomainId, Mapping[str, int], Mapping[str, int]]],
+        now: float,
+    ) -> tuple[dict[str, int], dict[str, int]]:
+        """Return the requests in flight and pending work of all peers, by upstream.
+
+        Parameters
+        ----------
+        reports : iterable of tuple
+            Failure domain of each peer and the two loads that it has reported itself; they don't
+            count if there are recent sums of its failure domain.
+        """
+        recent = {
+            domain: entry.loads
+            for domain, entry in self._entries.items()
             if now - entry.made_at <= LOAD_EXPIRY_S
-        ]
+        }
+        n_inflight: dict[str, int] = {}
+        work: dict[str, int] = {}
+        for loads in recent.values():
+            for row in loads.rows:
+                key = row.upstream_id
+                n_inflight[key] = n_inflight.get(key, 0) + row.n_inflight
+                work[key] = work.get(key, 0) + row.pending_work
+        for domain, *loads_of_peer in reports:
+            if domain in recent:
+                continue
+            for total, reported in zip((n_inflight, work), loads_of_peer, strict=True):
+                for upstream_id, n in reported.items():
+                    total[upstream_id] = total.get(upstream_id, 0) + n
+        return n_inflight, work
 
     def choose(self, n_domains: int, now: float) -> tuple[DomainLoads, ...]:
         """Return sums for the next message within the own failure domain, the newest first.
--- a/crocusvalve/gateway/shared/_gossip.py
+++ b/crocusvalve/gateway/shared/_gossip.py
@@ -48,7 +48,7 @@
 #: way only.
 MAX_TOLD_INSIDE_OWN = 2
 MAX_TOLD_INSIDE_OTHERS = 8
-MAX_TOLD_OUTSIDE_OWN = 3
+MAX_TOLD_OUTSIDE_OWN = 1
 MAX_TOLD_OUTSIDE_OTHERS = 2
 #: Number of other failure domains whose loads one message passes on within the failure domain.
 MAX_GOSSIP_DOMAINS = 3
--- a/crocusvalve/gateway/shared/_gossip_targets.py
+++ b/crocusvalve/gateway/shared/_gossip_targets.py
@@ -14,6 +14,8 @@
 MAX_GOSSIP_PEERS = 6
 #: Maximum number of them in the own failure domain, if there are more others than that in all.
 MAX_OWN_DOMAIN_PEERS = 5
+#: Further gateways that get gossip in one round since they lack final facts.
+MAX_BEHIND_PEERS = 2
 #: Until it has run for this long, a gateway knows few members and their failure domains.
 START_S = 3.0
 
@@ -55,6 +57,8 @@
         Time since the start of this gateway, in seconds.
     is_heard : bool
         Whether this gateway has lately heard from another one.
+    behind : sequence of str
+        Hosts whose last messages showed that they lack final facts, or have others.
     """
 
     host: str
@@ -63,6 +67,7 @@
     round_number: int
     uptime_s: float
     is_heard: bool
+    behind: Sequence[str] = ()
 
 
 def choose_targets(query: TargetQuery, random_state: random.Random) -> Targets:
@@ -71,8 +76,19 @@
     Load that it answers: a message to another failure domain is dear, and with dozens of gateways
     six at random leave one out for several seconds. Each sender goes through its failure domain and
     through the others in turn; senders of a failure domain start at different hosts, so that those
-    of another one hear from it evenly.
+    of another one hear from it evenly. A gateway that has just started would hear from the few that
+    know it seldom, so those that hear it lacks final facts answer it.
     """
+    targets = _choose_in_turn(query, random_state)
+    chosen = {*targets.inside, *targets.outside}
+    behind = sorted(set(query.behind) & set(query.domains) - chosen)
+    if not behind:
+        return targets
+    behind = random_state.sample(behind, min(MAX_BEHIND_PEERS, len(behind)))
+    return _divide(query, [*targets.inside, *targets.outside, *behind])
+
+
+def _choose_in_turn(query: TargetQuery, random_state: random.Random) -> Targets:
     domains = query.domains
     if len(domains) <= MAX_GOSSIP_PEERS:
         return _divide(query, sorted(domains))
--- a/crocusvalve/gateway/shared/_peer_link.py
+++ b/crocusvalve/gateway/shared/_peer_link.py
@@ -20,7 +20,8 @@
 
 #: Pause between two rounds of gossip.
 GOSSIP_INTERVAL_S = 0.4
-MAX_DATAGRAM_BYTES = 32768
+#: Largest payload of a datagram. The release before received 32768 bytes.
+MAX_DATAGRAM_BYTES = 65507
 
 
 class PeerLink:
@@ -90,6 +91,7 @@
         now = self.clock.now()
         self.observer.set_peers(len(self.table.list_alive(now)))
         self._round_number += 1
+        message = self.make_gossip(now)
         targets = choose_targets(
             TargetQuery(
                 host=self.address.host,
@@ -98,10 +100,10 @@
                 round_number=self._round_number,
                 uptime_s=now - self._started_at,
                 is_heard=self.table.has_recent(now),
+                behind=self.table.list_hosts_behind(message.ban_fingerprint, now),
             ),
             self.random_state,
         )
-        message = self.make_gossip(now)
         data = outside_data = encode(message)
         if targets.summarised:
             outside_data = encode(self.make_outside_gossip(message, now))
--- a/crocusvalve/gateway/shared/_peers.py
+++ b/crocusvalve/gateway/shared/_peers.py
@@ -19,6 +19,8 @@
 PEER_TIMEOUT_S = 4.0
 #: A report of silent upstreams is used for this long.
 SILENCE_EXPIRY_S = 1.5
+#: A gateway that lacks bans is answered within this time, which is a little more than a round.
+ANSWER_S = 0.5
 #: A host without a message for this long is removed and gets no more gossip.
 HOST_EXPIRY_S = 30.0
 
@@ -228,6 +230,15 @@
         reported = {peer.message.ban_fingerprint for peer in self._list_recent(now)}
         return bool(reported - {None, fingerprint})
 
+    def list_hosts_behind(self, fingerprint: int | None, now: float) -> list[str]:
+        """Return the hosts of peers that have just reported that they refuse other requests."""
+        return [
+            peer.message.host
+            for peer in self._peers.values()
+            if now - peer.received_at <= ANSWER_S
+            and peer.message.ban_fingerprint not in (None, fingerprint)
+        ]
+
     def _list_recent(self, now: float) -> list[_Peer]:
         return [peer for peer in self._peers.values() if now - peer.received_at <= PEER_TIMEOUT_S]
 
@@ -309,19 +320,8 @@
         Each other failure domain counts with its last sums, or with its gateways' own reports if no
         sums were received lately. So no gateway counts twice.
         """
-        sums = self._domain_loads.list_recent(now)
-        summed = {loads.domain for loads in sums}
-        n_inflight: dict[str, int] = {}
-        work: dict[str, int] = {}
-        for loads in sums:
-            for row in loads.rows:
-                key = row.upstream_id
-                n_inflight[key] = n_inflight.get(key, 0) + row.n_inflight
-                work[key] = work.get(key, 0) + row.pending_work
-        for message in self._list_load_reports(now):
-            if message.domain in summed:
-                continue
-            for total, reported in ((n_inflight, message.n_inflight), (work, message.pending_work)):
-                for upstream_id, n in reported.items():
-                    total[upstream_id] = total.get(upstream_id, 0) + n
-        return n_inflight, work
+        reports = [
+            (message.domain, message.n_inflight, message.pending_work)
+            for message in self._list_load_reports(now)
+        ]
+        return self._domain_loads.add_up(reports, now)
--- a/crocusvalve/gateway/shared/_sent_parts.py
+++ b/crocusvalve/gateway/shared/_sent_parts.py
@@ -16,8 +16,8 @@
 #: failure domain.
 N_OWN_TELLS = 3
 N_OUTSIDE_TELLS = 3
-#: These messages to five gateways each reach all of a failure domain with at most this many others. In a
-#: larger one this share of the gateways that another one has told passes a prompt on once.
+#: These messages to five gateways each reach all of a failure domain with at most this many others.
+#: In a larger one this share of the gateways that another one has told passes a prompt on once.
 MAX_DIRECT_PEERS = 8
 PASSED_SHARE = 0.5
 #: Messages to each other failure domain that tell of a prompt, of all gateways of this one. With 3,
--- a/features/gateway/fact_simulation.py
+++ b/features/gateway/fact_simulation.py
@@ -49,6 +49,8 @@
         Failure domain whose gateways exchange no messages with others.
     n_bytes : dict
         Bytes sent within and between failure domains.
+    largest : dict
+        Largest size of each field of a message, in bytes.
     """
 
     def __init__(self, n, n_domains, loss, *, is_baseline=False, seed=5):
@@ -63,12 +65,17 @@
         self.events = []
         self.cut_domain = None
         self.prompts = []
-        self.n_bytes = {"within": 0, "between": 0}
-        self.sizes = {}
+        self.reset_counts()
         for _ in range(n):
             self.start_gateway()
         self._add_prompt_event()
 
+    def reset_counts(self):
+        """Count bytes, and the largest size of each field, from now on."""
+        self.n_bytes = {"within": 0, "between": 0}
+        self.counted_since = self.now
+        self.largest = {}
+
     def start_gateway(self):
         """Add a gateway that knows the tables, and of other gateways the seeds only."""
         number = len(self.gateways)
@@ -148,6 +155,7 @@
             message = self._make_baseline(gateway)
             self._deliver(number, hosts, message)
             return
+        message = gateway.gossip.make_message(self.now)
         query = TargetQuery(
             host=gateway.settings.peer.host,
             domain=gateway.settings.domain,
@@ -155,9 +163,9 @@
             round_number=round_number,
             uptime_s=self.now - self.started_at[number],
             is_heard=gateway.peers.has_recent(self.now),
+            behind=gateway.peers.list_hosts_behind(message.ban_fingerprint, self.now),
         )
         targets = choose_targets(query, self.rng)
-        message = gateway.gossip.make_message(self.now)
         hosts = [host for host in targets.outside if host not in targets.summarised]
         self._deliver(number, [*targets.inside, *hosts], message)
         if targets.summarised:
@@ -187,7 +195,7 @@
             self.n_bytes[path] += len(data)
             for name in message.__struct_fields__:
                 size = len(msgspec.msgpack.encode(getattr(message, name)))
-                self.sizes[path, name] = self.sizes.get((path, name), 0) + size
+                self.largest[name] = max(size, self.largest.get(name, 0))
             is_cut = domain != other and self.cut_domain in (domain, other)
             if not is_cut and self.rng.random() >= self.loss:
                 gateway.peers.update_peer(received, self.now)
