--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -15,6 +15,8 @@
 from crocusvalve.gateway.base import GatewaySettings, HeaderCodec, RecordCodec
 from crocusvalve.gateway.callers._caller_connection import CallerConnection
 from crocusvalve.gateway.callers._ready import ReadyListener
+from crocusvalve.gateway.decisions._capacity import SpeedReport
+from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._crashes import CrashRegistry
 from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway.flows._request_handler import RequestHandler
@@ -56,6 +58,8 @@
 #: A gateway that has lacked a change of the operators' table for longer, which a peer has, isn't
 #: ready; otherwise its connections would get answers of an old configuration.
 MAX_READY_LAG_S = 3.0
+#: Maximum number of upstreams' speeds in one gossip message.
+MAX_SPEED_REPORTS = 64
 
 
 class Gateway:
@@ -174,6 +178,8 @@
             observer=self.observer,
             is_leaving=self.request_handler.is_closing,
             random_state=random_state,
+            list_speeds=self._list_speeds,
+            merge_speeds=self.tables.capacities.merge,
         )
         self._nursery: trio.Nursery | None = None
 
@@ -227,6 +233,12 @@
             "settings changed; the process keeps its current settings until the next start"
         )
 
+    def _list_speeds(self, now: float) -> tuple[SpeedReport, ...]:
+        """Return the speeds of upstreams to report, after removing those that have left."""
+        capacities = self.tables.capacities
+        capacities.forget((UpstreamRun.of(row) for row in self.tables.upstreams.values()), now)
+        return capacities.make_reports(MAX_SPEED_REPORTS, now)
+
     def _list_tasks(self) -> list[Callable]:
         link = PeerLink(
             address=self.settings.peer,
--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -103,6 +103,9 @@
         The store, which holds configuration and registered upstreams.
     seeds : tuple of Address
         Hosts on which other gateways may run.
+    uses_prefix_cache : bool
+        Whether prompts are placed on upstreams that have their shared prefix cached, if reading it
+        elsewhere takes longer than waiting there.
     """
 
     node_id: NodeId
@@ -113,6 +116,7 @@
     store: Address
     seeds: tuple[Address, ...] = ()
     bounds: GatewayBounds = GatewayBounds()
+    uses_prefix_cache: bool = True
 
 
 class RouteKind(Enum):
--- a/crocusvalve/gateway/decisions/_placement.py
+++ b/crocusvalve/gateway/decisions/_placement.py
@@ -1,6 +1,5 @@
 """Choice of an upstream for an attempt."""
 
-import heapq
 from collections.abc import Callable, Sequence
 from enum import Enum
 
@@ -11,31 +10,17 @@
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._cold_start import may_send_cold
 from crocusvalve.gateway.decisions._health import is_suspended
-from crocusvalve.gateway.decisions._prompts import count_unread_tokens
+from crocusvalve.gateway.decisions._prompt_placement import (
+    PromptPlacement,
+    PromptQuery,
+    count_inflight,
+)
 from crocusvalve.gateway.decisions._slowness import compute_slowness
 from crocusvalve.gateway.decisions._upgrades import VersionChoice
-from crocusvalve.gateway.tables._tables import GatewayTables, UpstreamLoad
-from crocusvalve.utils import hash_to_unit
+from crocusvalve.gateway.tables._tables import GatewayTables
 
 __all__ = ["Placement", "PlacementQuery", "PlacementReason", "choose_upstream"]
 
-#: Work that a request in flight adds for the other requests on its upstream, in prompt tokens: each
-#: one makes a step of the engine about 3 % longer.
-INFLIGHT_WORK = 100.0
-#: A model whose cost is below this fraction of the costliest model's is light. Requests for light
-#: models share one upstream in ``UPSTREAMS_PER_LIGHT``, rounded up, since in the users' data sheets
-#: they are most of the requests but a sixth of the work.
-LIGHT_WEIGHT = 0.3
-UPSTREAMS_PER_LIGHT = 5
-#: Minimum number of upstreams at which light and heavy models are placed on different upstreams.
-MIN_UPSTREAMS_TO_SPLIT = 4
-#: Extra work, in prompt tokens, that counts against sending a heavy (False) or light (True) request
-#: to an upstream of the other kind.
-MIXING_PENALTY = {False: 40_000.0, True: 10_000.0}
-#: Weights of a prompt's unprocessed tokens on its preferred upstreams, which are the same on all
-#: gateways, from the first one on.
-PREFERRED_FACTORS = (0.4, 0.6, 0.8)
-
 
 class PlacementReason(Enum):
     """Why an upstream was chosen, or none."""
@@ -72,6 +57,10 @@
         Parts of the prompt, in order.
     tried : set of UpstreamId
         Upstreams to which the request was already sent.
+    uses_cache : bool
+        Whether upstreams are preferred that have a shared prefix of the prompt cached.
+    n_gateways : int
+        Number of gateways that send requests.
     cold_quota : callable
         Returns how many requests per second this gateway may send to a cold upstream.
     """
@@ -84,6 +73,8 @@
     model_weight: float = 1.0
     parts: Sequence[PrefixPart] = ()
     tried: set[UpstreamId] = set()
+    uses_cache: bool = True
+    n_gateways: int = 1
     cold_quota: Callable[[Upstream], int]
 
 
@@ -91,14 +82,17 @@
     """The chosen upstream, or None, and the reason.
 
     ``work`` is what the upstream has to process before the first event, including the request's
-    prompt, in prompt tokens of the costliest model. ``reopens_at`` is the local time in seconds at
-    which the first of the closed upstreams accepts requests again, ``reopen_interval_s`` the time
-    between the requests that they accept from then on; 0 if that isn't limited.
+    prompt, in prompt tokens of the costliest model and for an upstream of average speed;
+    ``mean_waiting`` are those queued at an upstream of its kind in the mean. ``reopens_at`` is the
+    local time in seconds at which the first of the closed upstreams accepts requests again,
+    ``reopen_interval_s`` the time between the requests that they accept from then on; 0 if that
+    isn't limited.
     """
 
     upstream: Upstream | None
     reason: PlacementReason
     work: float = 0.0
+    mean_waiting: float = 0.0
     reopens_at: float | None = None
     reopen_interval_s: float = 0.0
 
@@ -135,7 +129,7 @@
         )
         return Placement(best, PlacementReason.LAST_RESORT)
     if query.affinity:
-        return _choose_by_work(tables, query, healthy, now)
+        return _choose_by_cost(tables, query, healthy, now)
     return Placement(
         min(healthy, key=lambda upstream: _rank_by_requests(tables, query, upstream, now)),
         PlacementReason.LEAST_LOADED,
@@ -183,16 +177,12 @@
     return load.cold_until <= now or may_send_cold(load, query.cold_quota(upstream), now)
 
 
-def _count_inflight(load: UpstreamLoad) -> int:
-    return load.n_inflight + load.n_peer_inflight
-
-
 def _rank_by_requests(
     tables: GatewayTables, query: PlacementQuery, upstream: Upstream, now: float
 ) -> tuple[float, int, float]:
     load = tables.get_load(upstream.upstream_id)
     is_far = int(upstream.domain != query.domain)
-    n_requests = _count_inflight(load)
+    n_requests = count_inflight(load)
     slowness = compute_slowness(load, now)
     if slowness > 1.0:
         # Counts the request itself, so that an idle slow upstream ranks behind an idle fast one.
@@ -200,50 +190,24 @@
     return (n_requests / upstream.slots, is_far, load.failure_weight)
 
 
-def _choose_light_upstreams(query: PlacementQuery, upstreams: list[Upstream]) -> set[UpstreamId]:
-    """Return the ids of the upstreams for light models, which are the same on every gateway."""
-    if len(upstreams) < MIN_UPSTREAMS_TO_SPLIT or not query.model:
-        return set()
-    ranked = sorted(upstreams, key=lambda upstream: hash_to_unit(f"light|{upstream.upstream_id}"))
-    return {
-        upstream.upstream_id for upstream in ranked[: -(-len(upstreams) // UPSTREAMS_PER_LIGHT)]
-    }
-
-
-def _choose_by_work(
+def _choose_by_cost(
     tables: GatewayTables, query: PlacementQuery, upstreams: list[Upstream], now: float
 ) -> Placement:
-    """Choose the upstream on which the first event is expected soonest.
-
-    Every gateway ranks the upstreams for a prompt in the same order by rendezvous hashing, and
-    expects the first ones to have its shared parts cached. So the gateways that find the first one
-    busy agree on the next.
-    """
-    light = _choose_light_upstreams(query, upstreams)
-    is_light = query.model_weight < LIGHT_WEIGHT
-    same_kind = [
-        upstream for upstream in upstreams if (upstream.upstream_id in light) == is_light
-    ] or upstreams
-    preferred = heapq.nlargest(
-        len(PREFERRED_FACTORS),
-        same_kind,
-        key=lambda upstream: hash_to_unit(f"{query.affinity}|{upstream.upstream_id}"),
+    """Choose the upstream on which a prompt's answer costs least."""
+    prompt = PromptQuery(
+        affinity=query.affinity,
+        model=query.model,
+        model_weight=query.model_weight,
+        parts=query.parts,
+        uses_cache=query.uses_cache,
+        n_gateways=query.n_gateways,
+    )
+    placement = PromptPlacement(tables, prompt, upstreams, now)
+    best = placement.choose()
+    is_preferred = best is placement.preferred[0]
+    return Placement(
+        best,
+        PlacementReason.AFFINITY if is_preferred else PlacementReason.LEAST_LOADED,
+        placement.compute_work(best),
+        placement.mean_waiting,
     )
-    factors = {
-        upstream.upstream_id: factor
-        for upstream, factor in zip(preferred, PREFERRED_FACTORS, strict=False)
-    }
-
-    def compute_work(upstream: Upstream) -> float:
-        load = tables.get_load(upstream.upstream_id)
-        unread = count_unread_tokens(load, query.model, query.parts) * query.model_weight
-        unread *= factors.get(upstream.upstream_id, 1.0)
-        if light and (upstream.upstream_id in light) != is_light:
-            unread += MIXING_PENALTY[is_light]
-        waiting = load.pending_work + load.peer_pending_work
-        work = unread + waiting + INFLIGHT_WORK * _count_inflight(load)
-        return work * compute_slowness(load, now)
-
-    best = min(upstreams, key=compute_work)
-    reason = PlacementReason.AFFINITY if best is preferred[0] else PlacementReason.LEAST_LOADED
-    return Placement(best, reason, compute_work(best))
--- a/crocusvalve/gateway/tables/_tables.py
+++ b/crocusvalve/gateway/tables/_tables.py
@@ -11,6 +11,7 @@
     Upstream,
     VersionName,
 )
+from crocusvalve.gateway.decisions._capacity import CapacityTable
 from crocusvalve.gateway.decisions._closures import ClosureTable, UpstreamRun
 from crocusvalve.gateway.decisions._rate_limits import RateLimitTable
 from crocusvalve.gateway.decisions._request_rate import RequestRate
@@ -110,6 +111,8 @@
         Status of the upgrades by service.
     allowed_versions : dict
         Versions by service that may get requests outside an upgrade.
+    capacities : CapacityTable
+        Learned speeds of the upstreams.
     closures : ClosureTable
         Upstreams that have asked for no more requests.
     rate_limits : RateLimitTable
@@ -129,6 +132,7 @@
         self.orders: dict[ServiceName, UpgradeOrder] = {}
         self.statuses: dict[ServiceName, UpgradeStatus] = {}
         self.allowed_versions: dict[ServiceName, set[VersionName]] = {}
+        self.capacities = CapacityTable()
         self.closures = ClosureTable()
         self.rate_limits = RateLimitTable(node_id)
         self.request_rate = RequestRate()
@@ -212,7 +216,7 @@
     def put_upstream(self, row: Upstream, now: float) -> Upstream | None:
         """Store an upstream's entry; return the entry that it replaces, or None.
 
-        A restart of the upstream ends its suspension.
+        A restart of the upstream ends its suspension and empties its prefix cache.
         """
         previous = self.upstreams.get(row.upstream_id)
         if previous is not None and previous.service != row.service:
@@ -227,6 +231,8 @@
             load.silent_until = 0.0
             load.n_consecutive_suspensions = 0
             load.log_slowness = 0.0
+            load.cached_parts.clear()
+            load.n_cached_part_tokens = 0
         return previous
 
     def drop_upstream(self, upstream_id: UpstreamId) -> Upstream | None:
--- a/crocusvalve/gateway/upstreams/_attempts.py
+++ b/crocusvalve/gateway/upstreams/_attempts.py
@@ -163,6 +163,8 @@
             model_weight=req.service.get_model_weight(model) if model else 1.0,
             parts=req.caller.prefix,
             tried=req.tried if excluded is None else excluded,
+            uses_cache=self.settings.uses_prefix_cache,
+            n_gateways=len(self.peers.list_active_nodes(now)),
             cold_quota=lambda upstream: self._compute_cold_quota(req, upstream, now),
         )
         return choose_upstream(self.tables, query, now)
@@ -299,8 +301,11 @@
         queued_tokens = attempt.work.queued_tokens
         service, model = req.service.name, attempt.model
         expected_s = self.pace.compute_first_event_s(service, model, queued_tokens, now)
+        run = UpstreamRun.of(attempt.upstream)
+        speed = self.tables.capacities.get_speed(run, now)
         load = self.tables.get_load(attempt.upstream.upstream_id)
-        record_answer_time(load, first_s, expected_s, now)
+        record_answer_time(load, first_s, expected_s / speed, now)
+        self.tables.capacities.record(run, first_s, expected_s, now)
         self.pace.record_first_event(service, model, queued_tokens, first_s, now)
 
     def record_plain_answer(
--- a/crocusvalve/gateway/upstreams/_stream_attempt.py
+++ b/crocusvalve/gateway/upstreams/_stream_attempt.py
@@ -237,6 +237,7 @@
         if self.larger_model is not None:
             waited_s = self._clock.now() - self._started_at
             self._manager.record_outcome(self.req, self.upstream, Outcome.SUCCESS, first_s=waited_s)
+            self._manager.record_first_event(self.req, self._attempt, waited_s)
             confidence = f"{self.model}:confidence {reply.confidence:.0f} after {waited_s:.2f} s"
             self.req.notes.append(confidence)
             return AttemptEnd.LARGER_MODEL
--- a/crocusvalve/platform/_boot.py
+++ b/crocusvalve/platform/_boot.py
@@ -53,6 +53,8 @@
     #: Addresses of other gateways' control listeners; some may be out of date.
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = field(default_factory=_Bounds)
+    #: Whether prompts are placed by the prefixes that upstreams have cached.
+    prefix_cache: bool = field(name="prefixCache", default=True)
 
 
 def load_boot_settings(environ: Mapping[str, str] = os.environ) -> GatewaySettings:
@@ -90,6 +92,7 @@
         peer=Address(boot.ip, boot.internal_ports[0]),
         seeds=tuple(_read_address(seed, "seeds", path) for seed in boot.seeds),
         store=_read_address(boot.platform.address, "platform.address", path),
+        uses_prefix_cache=boot.prefix_cache,
         bounds=GatewayBounds(
             contact_s=bounds.contact_ms / 1000,
             drain_s=bounds.drain_ms / 1000,
