Two gateways per failure domain follow the store's tables, the others copy them

Cause: each gateway follows the tables of upstreams and of operators' records by itself, which is most of the calls to the store. Change: a gateway that isn't chosen as a reader of its failure domain copies the changes from the readers that it hears; it follows the store when it hears none for 1 s, when they don't reach the store, retain entries, or when a change is missing for 1 s. Copies leave out repeated entries.

--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -10,6 +10,7 @@
 from crocusvalve.exceptions import CrocusvalveError, RefusedError
 from crocusvalve.gateway._crash_observer import CrashObserver
 from crocusvalve.gateway._limit_observer import LimitObserver
+from crocusvalve.gateway._table_observer import TableObserver
 from crocusvalve.gateway.base import (
     Configuration,
     ServiceName,
@@ -80,11 +81,14 @@
         Records crashes of upstreams.
     limits : LimitObserver
         Records limits that upstreams name.
+    tables : TableObserver
+        Records calls to the store and who follows its tables.
     """
 
     def __init__(self, registry: CollectorRegistry):
         self.crashes = CrashObserver(registry)
         self.limits = LimitObserver(registry)
+        self.tables = TableObserver(registry)
         self.registry = registry
         self._successes = LineBudget(MAX_LINES_PER_S)
         self._failures = LineBudget(MAX_FAILURE_LINES_PER_S)
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -25,6 +25,7 @@
 from crocusvalve.gateway.shared._peer_link import PeerLink
 from crocusvalve.gateway.shared._peers import PeerTable
 from crocusvalve.gateway.shared._table_copies import TableCopyExchange
+from crocusvalve.gateway.shared._table_reading import TableReading
 from crocusvalve.gateway.tables._followers import TableFollower
 from crocusvalve.gateway.tables._operator_table import OperatorTableHandler
 from crocusvalve.gateway.tables._status_table import StatusTableHandler
@@ -112,14 +113,21 @@
         self.status_handler = StatusTableHandler(*shared)
         handlers = (self.operator_handler, self.upstream_handler, self.status_handler)
         self.lags = LagTracker(handlers, self.peers)
+        common = {"peers": self.peers, "lags": self.lags, "observer": self.observer, "clock": clock}
+        self.reading = TableReading(
+            settings=settings,
+            handlers=(self.operator_handler, self.upstream_handler),
+            store=self.store,
+            is_leaving=lambda: self.request_handler.is_closing(),
+            **common,
+        )
+        self.lags.is_copied = self.reading.is_copied
         self.copy_exchange = TableCopyExchange(
             address=settings.peer,
             handlers=handlers,
-            peers=self.peers,
-            lags=self.lags,
-            observer=self.observer,
-            clock=clock,
+            reading=self.reading,
             random_state=random_state,
+            **common,
         )
         self.upgrades = UpgradeController(
             settings=settings,
@@ -171,6 +179,7 @@
             outcome_counts=self.outcome_counts,
             upgrades=self.upgrades,
             handlers=(self.operator_handler, self.upstream_handler),
+            reading=self.reading,
             observer=self.observer,
             is_leaving=self.request_handler.is_closing,
             random_state=random_state,
@@ -188,10 +197,12 @@
         """Return whether there may be a later configuration than the one in force.
 
         That is so while the store fails for any table, since a call for the operators' table may
-        not have failed yet, and while a peer reports a later change of that table.
+        not have failed yet, while a peer reports a later change of that table, and from the loss of
+        the readers that this gateway relied on until the store answers it.
         """
-        lag_s = self.lags.compute_lag_s(self.operator_handler.table, now)
-        return not self.store.is_up or lag_s > 0.0
+        table = self.operator_handler.table
+        is_behind = self.lags.compute_lag_s(table, now) > 0.0
+        return not self.store.is_up or is_behind or self.reading.is_unsure(table)
 
     async def run(
         self, stop: trio.Event, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
@@ -233,13 +244,14 @@
             table=self.peers,
             make_gossip=self.gossip.make_message,
             merge_gossip=lambda message: self.gossip.merge(message, self.clock.now()),
+            list_required_hosts=self.reading.list_domain_hosts,
             observer=self.observer,
             clock=self.clock,
             random_state=self.random_state,
         )
         return [
-            self._make_follower(self.operator_handler).run,
-            self._make_follower(
+            self._make_reader(self.operator_handler).run,
+            self._make_reader(
                 self.upstream_handler,
                 pause_s=UPSTREAM_PAUSE_FRACTION * self.settings.bounds.drain_s,
                 is_probing=False,
@@ -249,6 +261,7 @@
             ).run,
             self.upgrades.run,
             link.run,
+            self.reading.run,
             self.copy_exchange.run,
             self.members.run,
         ]
@@ -266,6 +279,15 @@
             **kwargs,
         )
 
+    def _make_reader(self, handler, **kwargs) -> TableFollower:
+        """Return a follower of a table that only the readers of a failure domain follow."""
+        return self._make_follower(
+            handler,
+            is_enabled=lambda: self.reading.must_follow(handler.table),
+            measure_outage_s=self.reading.measure_outage_s,
+            **kwargs,
+        )
+
     def _must_follow_status(self) -> bool:
         """Return whether an upgrade is in progress, or its status may have been lost."""
         return self.upgrades.is_active() or self.status_handler.replica.era < self.store.era
--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -103,6 +103,9 @@
         The store, which holds configuration and registered upstreams.
     seeds : tuple of Address
         Hosts on which other gateways may run.
+    n_table_readers : int
+        Number of gateways per failure domain that follow the tables of upstreams and of operators'
+        records in the store; the others copy the changes from them. 0 if all follow.
     """
 
     node_id: NodeId
@@ -113,6 +116,7 @@
     store: Address
     seeds: tuple[Address, ...] = ()
     bounds: GatewayBounds = GatewayBounds()
+    n_table_readers: int = 2
 
 
 class RouteKind(Enum):
--- a/crocusvalve/gateway/shared/_gossip.py
+++ b/crocusvalve/gateway/shared/_gossip.py
@@ -11,6 +11,7 @@
 from crocusvalve.gateway.decisions._prompts import record_parts
 from crocusvalve.gateway.shared._gossip_message import GossipMessage
 from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.shared._table_reading import TableReading
 from crocusvalve.gateway.tables._store_state import StoreState
 from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.gateway.tables._tables import GatewayTables
@@ -61,6 +62,8 @@
         Status of the upgrades.
     handlers : sequence of TableHandler
         Tables whose positions are reported.
+    reading : TableReading
+        Reports of the tables that peers may copy.
     observer : GatewayObserver
         Records what peers report.
     is_leaving : callable
@@ -81,6 +84,7 @@
         outcome_counts: OutcomeCountsTable,
         upgrades: UpgradeController,
         handlers: Sequence[TableHandler],
+        reading: TableReading,
         observer: GatewayObserver,
         is_leaving: Callable[[], bool],
         random_state: random.Random,
@@ -97,6 +101,7 @@
         self.outcome_counts = outcome_counts
         self.upgrades = upgrades
         self.handlers = handlers
+        self.reading = reading
         self.observer = observer
         self.is_leaving = is_leaving
         self.random_state = random_state
@@ -138,6 +143,7 @@
                 for handler in self.handlers
                 if handler.is_loaded
             },
+            table_reports=self.reading.make_reports(now),
             silent=tuple(
                 UpstreamRun.of(row)
                 for key, load in loads
--- a/crocusvalve/gateway/shared/_gossip_message.py
+++ b/crocusvalve/gateway/shared/_gossip_message.py
@@ -10,7 +10,7 @@
 from crocusvalve.gateway.decisions._rate_limits import RateLimitReport
 from crocusvalve.gateway.tables._replica import TablePosition
 
-__all__ = ["GossipMessage", "MemberReport", "SentPromptParts", "UpgradeReport"]
+__all__ = ["GossipMessage", "MemberReport", "SentPromptParts", "TableReport", "UpgradeReport"]
 
 
 class SentPromptParts(Struct, frozen=True, array_like=True):
@@ -69,6 +69,24 @@
     domain: DomainId = DomainId("")
 
 
+class TableReport(Struct, frozen=True, array_like=True):
+    """What a gateway knows of a table of the store, for gateways that copy it.
+
+    Attributes
+    ----------
+    change : TablePosition
+        Last merged change other than a repetition of an entry.
+    age_ms : int
+        Time since the store's last answer for the table; -1 if the gateway doesn't follow it.
+    is_settled : bool
+        Whether the table can be copied now.
+    """
+
+    change: TablePosition
+    age_ms: int
+    is_settled: bool
+
+
 class GossipMessage(Struct, frozen=True, kw_only=True, array_like=True):
     """State of one gateway; each message is complete and replaces the one before.
 
@@ -119,6 +137,8 @@
         None from an earlier release.
     domain : DomainId
         Failure domain of the gateway; empty from an earlier release.
+    table_reports : dict of str to TableReport
+        State of each loaded table; empty from an earlier release.
     """
 
     node_id: NodeId
@@ -143,3 +163,4 @@
     rate_limits: tuple[RateLimitReport, ...] = ()
     requests_per_s: float = 0.0
     domain: DomainId = DomainId("")
+    table_reports: dict[str, TableReport] = field(default_factory=dict)
--- a/crocusvalve/gateway/shared/_lag.py
+++ b/crocusvalve/gateway/shared/_lag.py
@@ -1,6 +1,6 @@
 """How far the tables of a gateway are behind those of its peers."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from crocusvalve.gateway.shared._peers import PeerTable
 from crocusvalve.gateway.tables._replica import TablePosition
@@ -51,14 +51,45 @@
         Handlers of the tables.
     peers : PeerTable
         Peers with their reported positions.
+
+    Attributes
+    ----------
+    is_copied : callable
+        Returns whether this gateway gets the changes of a table from its peers only.
     """
 
     def __init__(self, handlers: Sequence[TableHandler], peers: PeerTable):
+        self.is_copied: Callable[[str], bool] = lambda table: False
         self.peers = peers
         self._handlers = {handler.table: handler for handler in handlers}
         self._lags = {table: TableLag() for table in self._handlers}
+        self._content_lags = {table: TableLag() for table in self._handlers}
 
     def compute_lag_s(self, table: str, now: float) -> float:
-        """Return for how many seconds a table is known to lack a change that a peer has."""
+        """Return for how many seconds a table is known to lack a change that a peer has.
+
+        A table that is copied lacks nothing if its peers' entries were only repeated since.
+        """
+        if self.is_copied(table):
+            self._lags[table] = TableLag()
+            return self.compute_missing_s(table, now)
         own = self._handlers[table].replica.position
         return self._lags[table].update(own, self.peers.find_last_change(table, now), now)
+
+    def compute_missing_s(self, table: str, now: float) -> float:
+        """Return for how many seconds a table is known to lack a change of content."""
+        own = self._handlers[table].replica.position
+        reports = (message.table_reports.get(table) for message, _ in self.peers.list_messages(now))
+        newest = max((report.change for report in reports if report is not None), default=None)
+        return self._content_lags[table].update(own, newest, now)
+
+    def list_hosts_ahead(self, table: str, now: float) -> list[str]:
+        """Return the hosts of peers that have lately reported a change that a table lacks."""
+        own = self._handlers[table].replica.position
+        if not self.is_copied(table):
+            return self.peers.list_hosts_ahead(table, own, now)
+        return [
+            message.host
+            for message, _ in self.peers.list_messages(now)
+            if (report := message.table_reports.get(table)) is not None and report.change > own
+        ]
--- a/crocusvalve/gateway/shared/_peer_link.py
+++ b/crocusvalve/gateway/shared/_peer_link.py
@@ -36,6 +36,8 @@
         Returns this gateway's message for the given time.
     merge_gossip : callable
         Called with each received message.
+    list_required_hosts : callable
+        Returns the hosts that get gossip in each round, for the given time.
     observer : GatewayObserver
         Records new peers and datagrams that can't be decoded.
     clock : Clock
@@ -51,6 +53,7 @@
         table: PeerTable,
         make_gossip: Callable[[float], GossipMessage],
         merge_gossip: Callable[[GossipMessage], None],
+        list_required_hosts: Callable[[float], list[str]] = lambda now: [],
         observer: GatewayObserver,
         clock: Clock,
         random_state: random.Random,
@@ -59,6 +62,7 @@
         self.table = table
         self.make_gossip = make_gossip
         self.merge_gossip = merge_gossip
+        self.list_required_hosts = list_required_hosts
         self.observer = observer
         self.clock = clock
         self.random_state = random_state
@@ -81,7 +85,7 @@
         if len(hosts) > MAX_GOSSIP_PEERS:
             hosts = self.random_state.sample(hosts, MAX_GOSSIP_PEERS)
         data = msgspec.msgpack.encode(self.make_gossip(now))
-        for host in hosts:
+        for host in {*hosts, *self.list_required_hosts(now)}:
             try:
                 await sock.sendto(data, (host, self.address.port))
             except OSError:
--- a/crocusvalve/gateway/shared/_peers.py
+++ b/crocusvalve/gateway/shared/_peers.py
@@ -149,6 +149,10 @@
         positions = (peer.message.positions.get(table) for peer in self._list_recent(now))
         return max((position for position in positions if position is not None), default=None)
 
+    def list_messages(self, now: float) -> list[tuple[GossipMessage, float]]:
+        """Return each live peer's last message and the local time of its receipt in seconds."""
+        return [(peer.message, peer.received_at) for peer in self._list_recent(now)]
+
     def list_hosts_ahead(self, table: str, own: TablePosition, now: float) -> list[str]:
         """Return the hosts of peers that have lately reported a change after a position."""
         return [
--- a/crocusvalve/gateway/shared/_table_copies.py
+++ b/crocusvalve/gateway/shared/_table_copies.py
@@ -17,6 +17,7 @@
 from crocusvalve.gateway.base import Address
 from crocusvalve.gateway.shared._lag import LagTracker
 from crocusvalve.gateway.shared._peers import PeerTable
+from crocusvalve.gateway.shared._table_reading import TableReading
 from crocusvalve.gateway.tables._replica import TablePosition
 from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.store.base import FeedPage
@@ -30,6 +31,12 @@
 #: Time for which a change is known to be missing before a peer is asked for it. The store's feed
 #: normally delivers it before then.
 CATCH_UP_AFTER_S = 0.8
+#: Interval at which a gateway that copies checks whether it lacks a change.
+CHECK_INTERVAL_S = 0.1
+#: A table that is copied is compared with a reader's after this time without a copy. It bounds the
+#: effect of a wrong report. It also keeps the position recent, since the store's feed returns each
+#: repeated entry after it, and 410 if it is too old.
+REFRESH_S = 5.0
 #: Longest pause within a copy. Its total time is not limited, since it depends on size and link.
 STALL_TIMEOUT_S = 1.5
 #: Maximum size of the tables in a copy: fits 3,500 upstreams' entries of about 250 bytes and a
@@ -77,6 +84,8 @@
         Peers that may be asked for a copy.
     lags : LagTracker
         Tables that are behind those of a peer.
+    reading : TableReading
+        Tables that this gateway copies instead of following them.
     observer : GatewayObserver
         Records copies and failures to get one.
     clock : Clock
@@ -92,6 +101,7 @@
         handlers: Sequence[TableHandler],
         peers: PeerTable,
         lags: LagTracker,
+        reading: TableReading,
         observer: GatewayObserver,
         clock: Clock,
         random_state: random.Random,
@@ -100,6 +110,7 @@
         self.handlers = {handler.table: handler for handler in handlers}
         self.peers = peers
         self.lags = lags
+        self.reading = reading
         self.observer = observer
         self.clock = clock
         self.random_state = random_state
@@ -141,7 +152,7 @@
             req, hosts = self._make_request(now)
             if hosts:
                 await self._request_copies(self.random_state.choice(hosts), req)
-            await trio.sleep(ASK_PAUSE_S)
+            await trio.sleep(ASK_PAUSE_S if hosts else CHECK_INTERVAL_S)
 
     def _make_request(self, now: float) -> tuple[CopyRequest, list[str]]:
         """Return what to request, and the hosts that have it."""
@@ -152,12 +163,34 @@
             if not handler.is_loaded and handler.replica.is_empty:
                 positions[table] = TablePosition(handler.replica.era, 0)
                 hosts = hosts or self.peers.list_copy_sources(now)
+            elif self.reading.is_copied(table):
+                if sources := self._list_sources(table, lag_s, now):
+                    positions |= self._list_copied_positions()
+                    hosts = hosts or sources
             elif lag_s > CATCH_UP_AFTER_S:
                 positions[table] = handler.replica.position
-                position = handler.replica.position
-                hosts = hosts or self.peers.list_hosts_ahead(table, position, now)
+                hosts = hosts or self.lags.list_hosts_ahead(table, now)
         return CopyRequest(positions), hosts
 
+    def _list_copied_positions(self) -> dict[str, TablePosition]:
+        return {
+            table: handler.replica.position
+            for table, handler in self.handlers.items()
+            if self.reading.is_copied(table)
+        }
+
+    def _list_sources(self, table: str, lag_s: float, now: float) -> list[str]:
+        """Return the hosts to ask for changes of a table that this gateway doesn't follow."""
+        handler = self.handlers[table]
+        if lag_s > 0.0:
+            sources = self.reading.list_reader_hosts(table, handler.replica.position, now)
+            if not sources and lag_s > CATCH_UP_AFTER_S:
+                sources = self.lags.list_hosts_ahead(table, now)
+            return sources or self.reading.list_reader_hosts(table, None, now)
+        if now - handler.merged_at > REFRESH_S:
+            return self.reading.list_reader_hosts(table, None, now)
+        return []
+
     async def _request_copies(self, host: str, req: CopyRequest) -> None:
         try:
             copies = self._decoder.decode(await self._fetch(host, req))
@@ -201,7 +234,8 @@
                 handler.merge_changes(copy.page, now)
             else:
                 continue
-            versions[table] = copy.page.version
+            if copy.page.rows:
+                versions[table] = copy.page.version
         if versions:
             self.observer.record_table_copy(host, versions)
 
--- a/crocusvalve/gateway/tables/_followers.py
+++ b/crocusvalve/gateway/tables/_followers.py
@@ -19,6 +19,9 @@
 
 __all__ = ["TableFollower"]
 
+#: Interval at which a follower that is disabled checks whether it must follow again.
+DISABLED_POLL_S = 0.1
+
 #: Shortest delay after a failed call.
 MIN_RETRY_DELAY_S = 0.05
 #: Time within which the store must begin to answer most calls while it fails, and the number of
@@ -50,6 +53,10 @@
         Pause in seconds after each call, so that frequent changes arrive in batches.
     is_enabled : callable
         Returns whether changes are to be followed now; the first read is made in any case.
+    measure_outage_s : callable or None
+        Returns for how many seconds the gateways whose copies replaced following may have been
+        without the store; called with the first answer after following was disabled. None if the
+        table is not copied meanwhile.
     is_probing : bool
         Whether this follower finds out when a store that fails for several tables answers again;
         the others wait for it, since each call is charged, a refused one too.
@@ -66,6 +73,7 @@
         wait_s: float,
         pause_s: float = 0.0,
         is_enabled: Callable[[], bool] = lambda: True,
+        measure_outage_s: Callable[[], float] | None = None,
         is_probing: bool = True,
     ):
         self.feed = feed
@@ -76,8 +84,11 @@
         self.wait_s = wait_s
         self.pause_s = pause_s
         self.is_enabled = is_enabled
+        self.measure_outage_s = measure_outage_s
         self.is_probing = is_probing
         self._n_failures = 0
+        #: Whether no call was answered since following was disabled.
+        self._is_resuming = False
         self._outage_since = 0.0
         self._call_started_at = 0.0
 
@@ -86,7 +97,8 @@
         while True:
             if self.handler.is_loaded and not self.is_enabled():
                 self.store.forget(self.handler.table)
-                await trio.sleep(0.2)
+                self._is_resuming = self.measure_outage_s is not None
+                await trio.sleep(DISABLED_POLL_S)
                 continue
             try:
                 await self._read_once()
@@ -106,12 +118,14 @@
 
     async def _read_once(self) -> None:
         handler = self.handler
+        handler.observer.tables.count_store_call(handler.table)
         self._call_started_at = self.clock.now()
         if handler.is_loaded:
             version = handler.replica.version
             wait_s = max(0.0, handler.limit_wait_s(self.wait_s, self.clock.now()))
-            if self._n_failures:
-                # Fetches the changes of the outage in a page of their own, apart from later ones.
+            if self._n_failures or self._is_resuming:
+                # Fetches the changes of the outage in a page of their own, apart from later ones,
+                # and those that copies lacked without delay.
                 wait_s = 0.0
             page = await self._wait_for_changes(version, wait_s)
             self._record_answer(page)
@@ -140,6 +154,8 @@
                 # A call that timed out may have been disconnected since its start.
                 now = self.clock.now()
                 self._outage_since = started_at if now - started_at > wait_s else now
+                if self._is_resuming:
+                    self._outage_since -= self.measure_outage_s()
             raise
 
     def _choose_timeout_s(self) -> float:
@@ -157,7 +173,10 @@
             # Changes that were copied from a peer meanwhile shorten the outage.
             outage_s = now - max(self._outage_since, self.handler.merged_at)
             self.handler.handle_store_recovery(outage_s, now)
+        elif self._is_resuming and (outage_s := self.measure_outage_s()) > 0.0:
+            self.handler.handle_store_recovery(outage_s, now)
         self._n_failures = 0
+        self._is_resuming = False
         if self.store.record_answer(self.handler.table, page, now):
             self.handler.observer.record_store_state(self.handler.table, None)
 
--- a/crocusvalve/gateway/tables/_replica.py
+++ b/crocusvalve/gateway/tables/_replica.py
@@ -1,5 +1,7 @@
 """Replica of a table of the store; a row is never replaced by an older version of the same era."""
 
+from collections.abc import Callable
+
 from msgspec import Struct
 
 from crocusvalve.store.base import FeedPage, FeedRow
@@ -15,15 +17,25 @@
 
 
 class _StoredRow(Struct, frozen=True):
-    """A row of the replica; ``value`` is None for a deleted row."""
+    """A row of the replica; ``value`` is None for a deleted row.
+
+    ``changed`` is the version of the row's last change of content, which is older than ``version``
+    if the row was only refreshed since.
+    """
 
     value: bytes | None
     version: int
+    changed: int
 
 
 class TableReplica:
     """Rows of a table as last received.
 
+    Parameters
+    ----------
+    is_refresh : callable
+        Returns whether a newer version of a row that is present has the content already known.
+
     Attributes
     ----------
     era : int
@@ -32,11 +44,13 @@
         Version of the store from which changes can be followed; None if the table must be read.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_refresh: Callable[[FeedRow], bool] = lambda row: False) -> None:
+        self.is_refresh = is_refresh
         self.era = 0
         self.version: int | None = None
         self._merged_version = 0
         self._last_change = 0
+        self._last_content_change = 0
         self._rows: dict[str, _StoredRow] = {}
 
     @property
@@ -49,6 +63,11 @@
         """Position of the last change that is merged."""
         return TablePosition(self.era, self._last_change)
 
+    @property
+    def last_content_change(self) -> TablePosition:
+        """Position of the last merged change that isn't a mere refresh of a row."""
+        return TablePosition(self.era, self._last_content_change)
+
     @property
     def is_empty(self) -> bool:
         """Whether no row was received yet."""
@@ -75,9 +94,16 @@
         return FeedPage(present, self.version, 0.0, self.era)
 
     def make_changes_page(self, after: int) -> FeedPage:
-        """Return the rows changed after a version of the replica's era, with deleted ones."""
-        rows = (FeedRow(key, row.value, row.version) for key, row in self._rows.items())
-        changed = tuple(row for row in rows if row.version > after)
+        """Return the rows changed after a version of the replica's era, with deleted ones.
+
+        Rows that were only refreshed since are left out: with thousands of upstreams these would be
+        nearly the whole table each time.
+        """
+        changed = tuple(
+            FeedRow(key, row.value, row.version)
+            for key, row in self._rows.items()
+            if row.changed > after
+        )
         return FeedPage(changed, self._merged_version, 0.0, self.era)
 
     def merge_changes(self, page: FeedPage) -> list[FeedRow]:
@@ -101,7 +127,8 @@
             is_missing = stored.value is not None and key not in listed
             if is_missing and stored.version <= page.version:
                 deleted = FeedRow(key, None, page.version)
-                self._rows[key] = _StoredRow(None, page.version)
+                self._rows[key] = _StoredRow(None, page.version, page.version)
+                self._last_content_change = max(self._last_content_change, page.version)
                 new_rows.append(deleted)
         return new_rows
 
@@ -117,7 +144,8 @@
         self.era = page.era
         self.version = self._merged_version = page.version
         self._last_change = max((row.version for row in page.rows), default=0)
-        self._rows = {row.key: _StoredRow(row.value, row.version) for row in page.rows}
+        self._last_content_change = self._last_change
+        self._rows = {row.key: _StoredRow(row.value, row.version, row.version) for row in page.rows}
         different = [row for row in page.rows if _get_value(previous, row.key) != row.value]
         missing = [
             FeedRow(key, None, page.version)
@@ -131,7 +159,11 @@
         stored = self._rows.get(row.key)
         if stored is not None and stored.version >= row.version:
             return False
-        self._rows[row.key] = _StoredRow(row.value, row.version)
+        changed = row.version
+        if stored is not None and None not in (stored.value, row.value) and self.is_refresh(row):
+            changed = stored.changed
+        self._rows[row.key] = _StoredRow(row.value, row.version, changed)
+        self._last_content_change = max(self._last_content_change, changed)
         self._last_change = max(self._last_change, row.version)
         return True
 
--- a/crocusvalve/gateway/tables/_store_state.py
+++ b/crocusvalve/gateway/tables/_store_state.py
@@ -29,6 +29,7 @@
         self.returned_after = float("-inf")
         self.era = 0
         self._failing: set[str] = set()
+        self._answered_at: dict[str, float] = {}
         self._offset_s = 0.0
         self._recovered = trio.Event()
 
@@ -41,6 +42,10 @@
         """Return whether the last call for a table failed."""
         return table in self._failing
 
+    def get_answered_at(self, table: str) -> float:
+        """Return the local time in seconds of a table's last answered call; -inf without one."""
+        return self._answered_at.get(table, float("-inf"))
+
     def has_other_failures(self, table: str) -> bool:
         """Return whether the last call for another table failed."""
         return bool(self._failing - {table})
@@ -53,7 +58,7 @@
         """Record an answered call; return whether the table's call before it had failed."""
         was_failing = table in self._failing
         self._failing.discard(table)
-        self.answered_at = now
+        self.answered_at = self._answered_at[table] = now
         self.era = max(self.era, page.era)
         self._offset_s = page.time_s - now
         self._recovered.set()
@@ -74,6 +79,10 @@
             self._recovered = trio.Event()
         return is_first
 
+    def record_peer_outage(self, started_at: float) -> None:
+        """Record that a call of a peer failed, which started at a local time in seconds."""
+        self.returned_after = max(self.returned_after, started_at)
+
     async def wait_until_up(self, timeout_s: float) -> None:
         """Wait until a call is answered, at most for ``timeout_s`` seconds."""
         with trio.move_on_after(timeout_s):
--- a/crocusvalve/gateway/tables/_table_handler.py
+++ b/crocusvalve/gateway/tables/_table_handler.py
@@ -1,5 +1,6 @@
 """Base of the handlers that apply the rows of the store's tables to the gateway's tables."""
 
+import math
 from abc import ABC, abstractmethod
 
 from crocusvalve.gateway._observer import GatewayObserver
@@ -56,6 +57,8 @@
         if page.era < self.replica.era:
             return
         self.merged_at = now
+        # The page may be a peer's copy, from which this gateway learns of a restore of the store.
+        self.store.era = max(self.store.era, page.era)
         if page.era > self.replica.era and not self.replica.is_empty:
             self.observer.record_store_restore(self.table, page.era, page.version)
             self.begin_restore(now)
@@ -82,6 +85,10 @@
         """
         return None
 
+    def has_delayed_changes(self, now: float) -> bool:
+        """Return whether a later page must carry out changes whose delay has not passed."""
+        return self.limit_wait_s(math.inf, now) < math.inf
+
     @abstractmethod
     def apply_row(self, row: FeedRow, now: float) -> None:
         """Apply a changed row to the gateway's tables."""
--- a/crocusvalve/gateway/tables/_upstream_table.py
+++ b/crocusvalve/gateway/tables/_upstream_table.py
@@ -1,7 +1,10 @@
 """Handler of the table in which upstreams register."""
 
+import msgspec
+
 from crocusvalve.base import UpstreamId
 from crocusvalve.gateway.base import GatewayBounds
+from crocusvalve.gateway.tables._replica import TableReplica
 from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.store.base import FeedRow
 
@@ -37,6 +40,7 @@
     def __init__(self, *args, bounds: GatewayBounds):
         super().__init__(*args)
         self.table = self.codec.upstream_table
+        self.replica = TableReplica(self._is_refresh)
         self.contact_s = bounds.contact_s
         self.expiry_grace_s = min(EXPIRY_GRACE_S, EXPIRY_GRACE_FRACTION * bounds.drain_s)
         #: End of the grace period of missing entries, as local time in seconds.
@@ -48,6 +52,18 @@
         """Whether no missing entry is retained, so that peers may copy the table."""
         return not self._expired
 
+    def _is_refresh(self, row: FeedRow) -> bool:
+        """Return whether a row only repeats a known entry, as each heartbeat of an upstream does.
+
+        An entry that announces a longer cold period than before is no repetition.
+        """
+        known = self.tables.upstreams.get(UpstreamId(row.key))
+        entry = None if known is None else self.codec.read_upstream(row.key, row.value)
+        if entry is None or entry.cold_left_s > known.cold_left_s:
+            return False
+        repeated = {"sequence": known.sequence, "cold_left_s": known.cold_left_s}
+        return msgspec.structs.replace(entry, **repeated) == known
+
     def handle_store_recovery(self, outage_s: float, now: float) -> None:
         """Start the grace period for entries that may have expired in an outage.
 
--- a/crocusvalve/platform/_boot.py
+++ b/crocusvalve/platform/_boot.py
@@ -53,6 +53,8 @@
     #: Addresses of other gateways' control listeners; some may be out of date.
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = field(default_factory=_Bounds)
+    #: Gateways per failure domain that follow the store's tables; 0 if all do.
+    table_readers: int = field(name="tableReaders", default=2)
 
 
 def load_boot_settings(environ: Mapping[str, str] = os.environ) -> GatewaySettings:
@@ -100,6 +102,7 @@
             exposure_share=bounds.exposure_share,
             session_s=bounds.session_s,
         ),
+        n_table_readers=boot.table_readers,
     )
 
 
