--- a/crocusvalve/gateway/_table_observer.py
+++ b/crocusvalve/gateway/_table_observer.py
@@ -6,7 +6,7 @@
 
 __all__ = ["TableObserver"]
 
-logger = logging.getLogger(__name__)
+logger = logging.getLogger("crocusvalve.gateway")
 
 
 class TableObserver:
--- a/crocusvalve/gateway/decisions/_table_readers.py
+++ b/crocusvalve/gateway/decisions/_table_readers.py
@@ -96,9 +96,8 @@
     reason : ReadingReason
         Reason of the last decision.
     outage_since, outage_until : float or None
-        Outage of the store that readers reported when this gateway ceased to copy: earliest start,
-        and a time at which it was over or still lasted, as local times in seconds; None without
-        one.
+        Outage of the store that readers have reported since this gateway last ceased to copy:
+        earliest start, and the last report of it, as local times in seconds; None without one.
     """
 
     def __init__(self, node_id: NodeId, domain: DomainId, n_readers: int):
@@ -148,20 +147,24 @@
         was_copying = not self.must_read
         self.reason = self._decide(members, recent, has_store, is_leaving, missing_s, now)
         if was_copying and self.must_read:
+            self.outage_since = self.outage_until = None
+        if self.must_read and self.reason is not ReadingReason.FEW_GATEWAYS:
             self._record_outage(recent)
         return self.must_read
 
     def _record_outage(self, recent: Sequence[DomainMember]) -> None:
-        """Record the outage that readers report, which this gateway has not seen by itself.
+        """Record the outage that readers report, which this gateway may not see by itself.
 
         Entries of upstreams that expired in it must be retained here as well.
         """
-        self.outage_since = self.outage_until = None
         lost = [member for member in recent if member.has_lost_store]
         retaining = [member for member in recent if member.is_reading and not member.is_settled]
         if lost or retaining:
             self.outage_until = max(member.heard_at for member in (*lost, *retaining))
-            self.outage_since = min(member.answered_at for member in lost) if lost else -math.inf
+            since = min(member.answered_at for member in lost) if lost else -math.inf
+            self.outage_since = (
+                since if self.outage_since is None else min(since, self.outage_since)
+            )
 
     def _decide(
         self,
--- a/crocusvalve/gateway/shared/_table_copies.py
+++ b/crocusvalve/gateway/shared/_table_copies.py
@@ -114,6 +114,7 @@
         self.observer = observer
         self.clock = clock
         self.random_state = random_state
+        self._refreshed_at = float("-inf")
         self._request_decoder = msgspec.msgpack.Decoder(CopyRequest)
         self._decoder = msgspec.msgpack.Decoder(dict[str, TableCopy])
 
@@ -187,7 +188,7 @@
             if not sources and lag_s > CATCH_UP_AFTER_S:
                 sources = self.lags.list_hosts_ahead(table, now)
             return sources or self.reading.list_reader_hosts(table, None, now)
-        if now - handler.merged_at > REFRESH_S:
+        if now - max(handler.merged_at, self._refreshed_at) > REFRESH_S:
             return self.reading.list_reader_hosts(table, None, now)
         return []
 
@@ -222,6 +223,7 @@
             Copies by table.
         """
         now = self.clock.now()
+        self._refreshed_at = now
         versions = {}
         for table, copy in copies.items():
             handler = self.handlers.get(table)
@@ -231,6 +233,9 @@
             if copy.is_complete and (is_later_era or not handler.is_loaded):
                 handler.merge_table(copy.page, now)
             elif not (copy.is_complete or is_later_era or handler.replica.is_empty):
+                if copy.page.version <= handler.replica.position.version:
+                    # A peer without later changes doesn't show that the table is up to date.
+                    continue
                 handler.merge_changes(copy.page, now)
             else:
                 continue
--- a/crocusvalve/gateway/shared/_table_reading.py
+++ b/crocusvalve/gateway/shared/_table_reading.py
@@ -98,8 +98,8 @@
         )
         if must_read and not was_reading:
             self._reads_since = now
-            if readers.outage_until is not None:
-                self.store.record_peer_outage(readers.outage_until - FAILED_CALL_S)
+        if readers.outage_until is not None and any(map(self.is_unsure, self.handlers)):
+            self.store.record_peer_outage(readers.outage_until - FAILED_CALL_S)
         if readers.reason is not self._logged:
             self._logged = readers.reason
             self.observer.tables.record_reading(must_read, readers.reason.value)
--- a/features/gateway/gateway_harness.py
+++ b/features/gateway/gateway_harness.py
@@ -122,6 +122,7 @@
         self.return_at = []
         self.probe = None
         self.log_records = []
+        self._first_scope = trio.CancelScope()
 
     def run(self, action):
         """Start the servers and the gateway, execute an action, and stop; collect log records."""
@@ -142,12 +143,20 @@
                 self._write_rows()
                 async with PlatformStore(self.store_address) as feed:
                     self.gateway = self._make_gateway(feed)
-                    await nursery.start(self.gateway.run, trio.Event())
+                    await nursery.start(self._run_first_gateway)
                     if self.has_configuration:
                         await self.wait_for(self._has_loaded_all)
                     await action(self)
                     nursery.cancel_scope.cancel()
 
+    async def _run_first_gateway(self, *, task_status):
+        with self._first_scope:
+            await self.gateway.run(trio.Event(), task_status=task_status)
+
+    def stop_first_gateway(self):
+        """Stop the first gateway without a drain."""
+        self._first_scope.cancel()
+
     def _has_loaded_all(self):
         n_upstreams = sum(len(services) for services in self.services.values())
         gateway = self.gateway
