An outage of the store isn't shortened by copies from gateways that have it as well

Cause: a gateway that copied is up to 5 s of heartbeats behind when its readers lose the store, and got these from peers during the outage. Change: a copy counts as of the store's last answer to the peer that sent it, and the start of a reported outage is the last answer of the store to any reader.

--- a/crocusvalve/gateway/decisions/_table_readers.py
+++ b/crocusvalve/gateway/decisions/_table_readers.py
@@ -96,8 +96,9 @@
     reason : ReadingReason
         Reason of the last decision.
     outage_since, outage_until : float or None
-        Outage of the store that readers have reported since this gateway last ceased to copy:
-        earliest start, and the last report of it, as local times in seconds; None without one.
+        Outage of the store that readers have reported since this gateway last ceased to copy: the
+        store's last answer to them, and the last report of the outage, as local times in seconds;
+        None without one.
     """
 
     def __init__(self, node_id: NodeId, domain: DomainId, n_readers: int):
@@ -161,10 +162,8 @@
         retaining = [member for member in recent if member.is_reading and not member.is_settled]
         if lost or retaining:
             self.outage_until = max(member.heard_at for member in (*lost, *retaining))
-            since = min(member.answered_at for member in lost) if lost else -math.inf
-            self.outage_since = (
-                since if self.outage_since is None else min(since, self.outage_since)
-            )
+            since = max(member.answered_at for member in lost) if lost else -math.inf
+            self.outage_since = since
 
     def _decide(
         self,
--- a/crocusvalve/gateway/shared/_table_copies.py
+++ b/crocusvalve/gateway/shared/_table_copies.py
@@ -236,7 +236,8 @@
                 if copy.page.version <= handler.replica.position.version:
                     # A peer without later changes doesn't show that the table is up to date.
                     continue
-                handler.merge_changes(copy.page, now)
+                answered_at = self.reading.estimate_answered_at(host, table, now)
+                handler.merge_changes(copy.page, now, answered_at)
             else:
                 continue
             if copy.page.rows:
--- a/crocusvalve/gateway/shared/_table_reading.py
+++ b/crocusvalve/gateway/shared/_table_reading.py
@@ -187,6 +187,17 @@
             return -1
         return round(min(1000 * (now - self.store.get_answered_at(table)), MAX_AGE_MS))
 
+    def estimate_answered_at(self, host: str, table: str, now: float) -> float:
+        """Return the local time in seconds of the store's last answer to a peer for a table.
+
+        It is ``-inf`` if the peer copies the table, and ``now`` for a peer that doesn't report it,
+        which is one of an earlier release and follows all tables.
+        """
+        for message, heard_at in self.peers.list_messages(now):
+            if message.host == host and (report := message.table_reports.get(table)) is not None:
+                return float("-inf") if report.age_ms < 0 else heard_at - report.age_ms / 1000
+        return now
+
     def list_domain_hosts(self, now: float) -> list[str]:
         """Return the hosts that a reader's gossip must reach in each round.
 
--- a/crocusvalve/gateway/tables/_table_handler.py
+++ b/crocusvalve/gateway/tables/_table_handler.py
@@ -23,7 +23,8 @@
     replica : TableReplica
         Rows of the table as last received.
     merged_at : float
-        Local time in seconds at which rows were last received, from the store or from a peer.
+        Local time in seconds at which rows were last received from the store, or at which the
+        store last answered the peer that they were copied from.
     """
 
     table: str
@@ -68,9 +69,17 @@
             return
         self._apply_rows(self.replica.merge_table(page), now)
 
-    def merge_changes(self, page: FeedPage, now: float) -> None:
-        """Merge changed rows and apply those that are new."""
-        self.merged_at = now
+    def merge_changes(self, page: FeedPage, now: float, answered_at: float | None = None) -> None:
+        """Merge changed rows and apply those that are new.
+
+        Parameters
+        ----------
+        answered_at : float or None
+            Local time in seconds at which the store last answered the peer that the page is copied
+            from; None if the store has sent it now. In an outage of the store for all gateways a
+            copy doesn't show that the table is up to date.
+        """
+        self.merged_at = max(self.merged_at, now if answered_at is None else answered_at)
         self._apply_rows(self.replica.merge_changes(page), now)
 
     def _apply_rows(self, rows: list[FeedRow], now: float) -> None:
