--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -102,7 +102,7 @@
         self.observer.track_dropped_lines(count_dropped_lines)
         self.tables = GatewayTables(settings.node_id)
         self.store = StoreState()
-        self.observer.track_store_age(lambda: clock.now() - self.store.answered_at)
+        self.observer.track_store_age(lambda: clock.now() - self.reading.answered_at)
         self.outcome_counts = OutcomeCountsTable()
         self.crashes = CrashRegistry()
         self.peers = PeerTable(settings.node_id, settings.peer.host)
--- a/crocusvalve/gateway/shared/_table_reading.py
+++ b/crocusvalve/gateway/shared/_table_reading.py
@@ -77,6 +77,7 @@
         self.readers = TableReaders(settings.node_id, settings.domain, settings.n_table_readers)
         self.max_age_s = settings.bounds.contact_s + ANSWER_MARGIN_S
         self._reads_since = clock.now()
+        self._peers_answered_at = float("-inf")
         self._logged: ReadingReason | None = None
 
     async def run(self) -> None:
@@ -89,8 +90,13 @@
         """Decide whether this gateway follows the tables; log it if it changes."""
         readers = self.readers
         was_reading = readers.must_read
+        members = self._list_members(now)
+        self._peers_answered_at = max(
+            (member.answered_at for member in members if member.is_reading),
+            default=self._peers_answered_at,
+        )
         must_read = readers.update(
-            self._list_members(now),
+            members,
             has_store=self.store.is_up,
             is_leaving=self.is_leaving(),
             missing_s=max(self.lags.compute_missing_s(table, now) for table in self.handlers),
@@ -141,6 +147,11 @@
             "is_settled": all(report.is_settled for report in reports),
         }
 
+    @property
+    def answered_at(self) -> float:
+        """Local time in seconds of the store's last answer to this gateway, or to its readers."""
+        return max(self.store.answered_at, self._peers_answered_at)
+
     def must_follow(self, table: str) -> bool:
         """Return whether this gateway follows a table of the store itself now.
 
--- a/features/gateway/steps/table_reader_steps.py
+++ b/features/gateway/steps/table_reader_steps.py
@@ -12,9 +12,11 @@
 from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.gateway.tables._upstream_table import UpstreamTableHandler
 from crocusvalve.platform import PlatformRecordCodec, PlatformStore
+from crocusvalve.platform._boot import SETTINGS_VARIABLE, load_boot_settings
 from crocusvalve.standin import StandinUpstream, make_loopback_host
 from crocusvalve.store.base import FeedPage, FeedRow
 from features.gateway.gateway_harness import PEER_PORT, make_gateway_config
+from features.gateway.steps.process_steps import GatewayProcessHarness
 from features.gateway.table_reader_simulation import BOUNDS, ReaderSimulation
 
 #: Time in which all gateways have decided who reads.
@@ -473,3 +475,21 @@
         subject.write(version, sequence=version, **changes)
         assert subject.list_versions(version - 1) == [version], version
         assert replica.last_content_change.version == version
+
+
+@given("a settings file without a number of readers")
+def given_settings(context):
+    context.settings_path = GatewayProcessHarness(context).write_settings()
+
+
+@given('a settings file with "{line}"')
+def given_settings_with(context, line):
+    path = GatewayProcessHarness(context).write_settings()
+    path.write_text(f"{line}\n{path.read_text()}")
+    context.settings_path = path
+
+
+@then("a failure domain has {n:d} readers")
+def then_n_readers(context, n):
+    settings = load_boot_settings({SETTINGS_VARIABLE: str(context.settings_path)})
+    assert settings.n_table_readers == n, settings
--- a/features/gateway/table_readers.feature
+++ b/features/gateway/table_readers.feature
@@ -106,3 +106,13 @@
   Scenario: A table's copy leaves out repeated entries
     Given a replica of the upstreams' table with an entry that was repeated
     Then a copy of the changes has no row for it, and one after its draining has it
+
+  Scenario Outline: Operators set the number of readers, or switch them off
+    Given a settings file <line>
+    Then a failure domain has <n> readers
+
+    Examples:
+      | line                        | n |
+      | without a number of readers | 2 |
+      | with "tableReaders = 0"     | 0 |
+      | with "tableReaders = 3"     | 3 |
