Bounds of a reported outage follow the failing table and the longest failed call

Readers report a failure up to 1.5 s after the return, but 1 s was assumed. Also a reader's answer for one table hid that the other one failed. Change: 1.5 s; peers' reports count only until an own call fails; the older answer of the two counts.

--- a/crocusvalve/gateway/shared/_table_reading.py
+++ b/crocusvalve/gateway/shared/_table_reading.py
@@ -24,8 +24,9 @@
 ANSWER_MARGIN_S = 2.5
 #: Longest age that is reported; that of a table for which the store has never answered.
 MAX_AGE_MS = 10**9
-#: A failed call of a reader started at most this long before its report of the failure.
-FAILED_CALL_S = 1.0
+#: A reader reports a failure until its next call is answered: the call that failed has started at
+#: most this long before (a time-out of 1 s, a delay of 0.45 s, and the next call).
+FAILED_CALL_S = 1.5
 #: Maximum number of gateways of a failure domain to which a reader sends in each round. If there
 #: are more, those that hear readers too rarely follow the store.
 MAX_DOMAIN_HOSTS = 40
@@ -104,7 +105,8 @@
         )
         if must_read and not was_reading:
             self._reads_since = now
-        if readers.outage_until is not None and any(map(self.is_unsure, self.handlers)):
+        is_first_call = self.store.is_up and any(map(self.is_unsure, self.handlers))
+        if readers.outage_until is not None and is_first_call:
             self.store.record_peer_outage(readers.outage_until - FAILED_CALL_S)
         if readers.reason is not self._logged:
             self._logged = readers.reason
@@ -143,7 +145,8 @@
             "heard_at": heard_at,
             "is_reading": message.has_store and max(ages_s) <= self.max_age_s,
             "has_lost_store": not message.has_store,
-            "answered_at": heard_at - min(ages_s),
+            # The failing table counts: the store may answer for the other one already.
+            "answered_at": heard_at - max(ages_s),
             "is_settled": all(report.is_settled for report in reports),
         }
 
