--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -106,6 +106,9 @@
     uses_prefix_cache : bool
         Whether prompts are placed on upstreams that have their shared prefix cached, if reading it
         elsewhere takes longer than waiting there.
+    n_table_readers : int
+        Number of gateways per failure domain that follow the tables of upstreams and of operators'
+        records in the store; the others copy the changes from them. 0 if all follow.
     """
 
     node_id: NodeId
@@ -117,6 +120,7 @@
     seeds: tuple[Address, ...] = ()
     bounds: GatewayBounds = GatewayBounds()
     uses_prefix_cache: bool = True
+    n_table_readers: int = 2
 
 
 class RouteKind(Enum):
--- a/crocusvalve/gateway/shared/_facts.py
+++ b/crocusvalve/gateway/shared/_facts.py
@@ -171,6 +171,16 @@
         max_bytes=60,
         without="the gateway follows the store itself",
     ),
+    Fact(
+        name="table reports",
+        fields=("table_reports",),
+        changed_by="the gateway, for the tables that it follows or copies",
+        known_within_s=None,
+        is_final=False,
+        repaired_by="each message within the failure domain",
+        max_bytes=120,
+        without="the gateway follows the store itself",
+    ),
     Fact(
         name="upstream speeds",
         fields=("upstream_speeds",),
--- a/crocusvalve/gateway/shared/_gossip.py
+++ b/crocusvalve/gateway/shared/_gossip.py
@@ -22,6 +22,7 @@
 )
 from crocusvalve.gateway.shared._peers import PeerTable
 from crocusvalve.gateway.shared._sent_parts import SentPartsQueue
+from crocusvalve.gateway.shared._table_reading import TableReading
 from crocusvalve.gateway.tables._store_state import StoreState
 from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.gateway.tables._tables import GatewayTables
@@ -79,6 +80,8 @@
         Status of the upgrades.
     handlers : sequence of TableHandler
         Tables whose positions are reported.
+    reading : TableReading
+        Reports of the tables that peers may copy.
     observer : GatewayObserver
         Records what peers report.
     is_leaving : callable
@@ -103,6 +106,7 @@
         outcome_counts: OutcomeCountsTable,
         upgrades: UpgradeController,
         handlers: Sequence[TableHandler],
+        reading: TableReading,
         observer: GatewayObserver,
         is_leaving: Callable[[], bool],
         random_state: random.Random,
@@ -121,6 +125,7 @@
         self.outcome_counts = outcome_counts
         self.upgrades = upgrades
         self.handlers = handlers
+        self.reading = reading
         self.observer = observer
         self.is_leaving = is_leaving
         self.random_state = random_state
@@ -167,6 +172,7 @@
                 for handler in self.handlers
                 if handler.is_loaded
             },
+            table_reports=self.reading.make_reports(now),
             silent=tuple(
                 UpstreamRun.of(row)
                 for key, load in loads
@@ -201,6 +207,7 @@
             domain_loads=(
                 self.peers.sum_domain_loads(message.n_inflight, message.pending_work, now),
             ),
+            table_reports={},
             domain_counts=(
                 (own, *self.peers.list_run_counts(now)) if self.upgrades.is_active() else ()
             ),
--- a/crocusvalve/gateway/shared/_gossip_message.py
+++ b/crocusvalve/gateway/shared/_gossip_message.py
@@ -18,6 +18,7 @@
     "MemberReport",
     "RunCounts",
     "SentPromptParts",
+    "TableReport",
     "UpgradeReport",
 ]
 
@@ -121,6 +122,24 @@
     rows: tuple[OutcomeCountsRow, ...]
 
 
+class TableReport(Struct, frozen=True, array_like=True):
+    """What a gateway knows of a table of the store, for gateways that copy it.
+
+    Attributes
+    ----------
+    change : TablePosition
+        Last merged change other than a repetition of an entry.
+    age_ms : int
+        Time since the store's last answer for the table; -1 if the gateway doesn't follow it.
+    is_settled : bool
+        Whether the table can be copied now.
+    """
+
+    change: TablePosition
+    age_ms: int
+    is_settled: bool
+
+
 class GossipMessage(Struct, frozen=True, kw_only=True, array_like=True):
     """State of one gateway; each message is complete and replaces the one before.
 
@@ -181,6 +200,8 @@
     outside_parts : tuple of CompactSentParts
         Prompt parts sent by gateways of other failure domains than the receiver's; ``parts`` has
         those sent by gateways of the sender's failure domain, for receivers in it.
+    table_reports : dict of str to TableReport
+        State of each loaded table; empty from an earlier release.
     """
 
     node_id: NodeId
@@ -209,3 +230,4 @@
     domain_loads: tuple[DomainLoads, ...] = ()
     domain_counts: tuple[RunCounts, ...] = ()
     outside_parts: tuple[CompactSentParts, ...] = ()
+    table_reports: dict[str, TableReport] = field(default_factory=dict)
--- a/crocusvalve/gateway/shared/_peer_link.py
+++ b/crocusvalve/gateway/shared/_peer_link.py
@@ -41,6 +41,8 @@
         Returns the message for other failure domains, for this gateway's message and the time.
     merge_gossip : callable
         Called with each received message.
+    list_required_hosts : callable
+        Returns the hosts that get gossip in each round, for the given time.
     observer : GatewayObserver
         Records new peers and datagrams that can't be decoded.
     clock : Clock
@@ -58,6 +60,7 @@
         make_gossip: Callable[[float], GossipMessage],
         make_outside_gossip: Callable[[GossipMessage, float], GossipMessage],
         merge_gossip: Callable[[GossipMessage], None],
+        list_required_hosts: Callable[[float], list[str]] = lambda now: [],
         observer: GatewayObserver,
         clock: Clock,
         random_state: random.Random,
@@ -68,6 +71,7 @@
         self.make_gossip = make_gossip
         self.make_outside_gossip = make_outside_gossip
         self.merge_gossip = merge_gossip
+        self.list_required_hosts = list_required_hosts
         self.observer = observer
         self.clock = clock
         self.random_state = random_state
@@ -107,7 +111,9 @@
         data = outside_data = encode(message)
         if targets.summarised:
             outside_data = encode(self.make_outside_gossip(message, now))
-        for hosts, is_inside in ((targets.inside, True), (targets.outside, False)):
+        required = set(self.list_required_hosts(now)) - {*targets.inside, *targets.outside}
+        inside = [*targets.inside, *sorted(required)]
+        for hosts, is_inside in ((inside, True), (targets.outside, False)):
             for host in hosts:
                 sent = outside_data if host in targets.summarised else data
                 try:
--- a/crocusvalve/gateway/tables/_table_handler.py
+++ b/crocusvalve/gateway/tables/_table_handler.py
@@ -1,5 +1,6 @@
 """Base of the handlers that apply the rows of the store's tables to the gateway's tables."""
 
+import math
 from abc import ABC, abstractmethod
 
 from crocusvalve.gateway._observer import GatewayObserver
@@ -22,7 +23,8 @@
     replica : TableReplica
         Rows of the table as last received.
     merged_at : float
-        Local time in seconds at which rows were last received, from the store or from a peer.
+        Local time in seconds at which rows were last received from the store, or at which the
+        store last answered the peer that they were copied from.
     """
 
     table: str
@@ -56,6 +58,8 @@
         if page.era < self.replica.era:
             return
         self.merged_at = now
+        # The page may be a peer's copy, from which this gateway learns of a restore of the store.
+        self.store.era = max(self.store.era, page.era)
         if page.era > self.replica.era and not self.replica.is_empty:
             self.observer.record_store_restore(self.table, page.era, page.version)
             self.begin_restore(now)
@@ -65,9 +69,17 @@
             return
         self._apply_rows(self.replica.merge_table(page), now)
 
-    def merge_changes(self, page: FeedPage, now: float) -> None:
-        """Merge changed rows and apply those that are new."""
-        self.merged_at = now
+    def merge_changes(self, page: FeedPage, now: float, answered_at: float | None = None) -> None:
+        """Merge changed rows and apply those that are new.
+
+        Parameters
+        ----------
+        answered_at : float or None
+            Local time in seconds at which the store last answered the peer that the page is copied
+            from; None if the store has sent it now. In an outage of the store for all gateways a
+            copy doesn't show that the table is up to date.
+        """
+        self.merged_at = max(self.merged_at, now if answered_at is None else answered_at)
         self._apply_rows(self.replica.merge_changes(page), now)
 
     def _apply_rows(self, rows: list[FeedRow], now: float) -> None:
@@ -82,6 +94,10 @@
         """
         return None
 
+    def has_delayed_changes(self, now: float) -> bool:
+        """Return whether a later page must carry out changes whose delay has not passed."""
+        return self.limit_wait_s(math.inf, now) < math.inf
+
     @abstractmethod
     def apply_row(self, row: FeedRow, now: float) -> None:
         """Apply a changed row to the gateway's tables."""
--- a/crocusvalve/platform/_boot.py
+++ b/crocusvalve/platform/_boot.py
@@ -55,6 +55,8 @@
     bounds: _Bounds = field(default_factory=_Bounds)
     #: Whether prompts are placed by the prefixes that upstreams have cached.
     prefix_cache: bool = field(name="prefixCache", default=True)
+    #: Gateways per failure domain that follow the store's tables; 0 if all do.
+    table_readers: int = field(name="tableReaders", default=2)
 
 
 def load_boot_settings(environ: Mapping[str, str] = os.environ) -> GatewaySettings:
@@ -103,6 +105,7 @@
             exposure_share=bounds.exposure_share,
             session_s=bounds.session_s,
         ),
+        n_table_readers=boot.table_readers,
     )
 
 
