Stopping gateways end streams that can't end in time in turn

Cause: all streams still open at the end of a planned stop were cut together at 7.01 s of 8 s, and their callers came back at once. A stop signal sent to a suspended process was counted from its resumption: after 3 s of suspension the process ended 9.64 s after the signal, so it was killed. With a full log and other tests beside it, one process took 7.87 s. Change: `StopPlan.must_end` decides per request. Resumable streams that can't end in time are reset between 6.7 s and 6.94 s while another gateway accepts requests; others go on until 7.0 s; a stream that hasn't run is refused as soon as it can't end in time. `LoopMonitor` finds the earliest time at which the signal may have been sent. The listener of callers closes before the process ends, which then waits for 0.05 s without open requests. The process skips the interpreter's own end. Requests are refused from 2.9 s instead of 3 s after the signal, since those sent later than 3 s must not be cut. Result: features of stopping, gateway, caller_connection, process and silence pass (153 scenarios, load 7 to 8 on 7 cores).

--- a/crocusvalve/gateway/__main__.py
+++ b/crocusvalve/gateway/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of a gateway on the users' platform: ``python -m crocusvalve.gateway``."""
 
+import os
 import random
 import signal
 import sys
@@ -61,7 +62,10 @@
             print(exc, file=sys.stderr)
             return EXIT_BAD_SETTINGS
         trio.run(run_gateway, settings, writer)
-    return 0
+    # The interpreter's own end takes up to 0.4 s on a busy machine, and waits for a log that nobody
+    # reads; the process would be killed meanwhile.
+    sys.stderr.flush()
+    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -9,6 +9,7 @@
 import trio
 from prometheus_client import CollectorRegistry
 
+from crocusvalve.gateway._loop_monitor import LoopMonitor
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._sockets import open_listeners
 from crocusvalve.gateway._upgrade_controller import UpgradeController
@@ -51,8 +52,12 @@
 UPSTREAM_PAUSE_FRACTION = 0.3
 BACKOFF_BASE_S = 0.1
 BACKOFF_MAX_S = 0.4
-#: Interval at which a stopping gateway checks whether requests are open.
-DRAIN_POLL_INTERVAL_S = 0.05
+#: Interval at which a stopping gateway checks whether requests are open, and which can't end
+#: in time; those are ended in turn within 0.2 s.
+DRAIN_POLL_INTERVAL_S = 0.02
+#: Time without open requests, after the listener was closed, after which the process ends: requests
+#: on connections that were accepted just before must be answered.
+QUIET_S = 0.05
 #: A gateway that has lacked a change of the operators' table for longer, which a peer has, isn't
 #: ready; otherwise its connections would get answers of an old configuration.
 MAX_READY_LAG_S = 3.0
@@ -175,6 +180,8 @@
             is_leaving=self.request_handler.is_closing,
             random_state=random_state,
         )
+        self.loop_monitor = LoopMonitor(clock.now())
+        self._front_scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
 
     def is_ready(self) -> bool:
@@ -204,10 +211,10 @@
             ready = ReadyListener(self.is_ready, self.registry)
             for listeners, serve in (
                 (open_listeners(settings.ready), ready.serve),
-                (open_listeners(settings.front), self._serve_caller),
                 (open_listeners(settings.peer), self.copy_exchange.serve),
             ):
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
+            nursery.start_soon(self._listen_to_callers, open_listeners(settings.front))
             for task in self._list_tasks():
                 self._spawn(task)
             self.observer.record_process_event(
@@ -251,6 +258,7 @@
             link.run,
             self.copy_exchange.run,
             self.members.run,
+            lambda: self.loop_monitor.run(self.clock),
         ]
 
     def _make_follower(self, handler, **kwargs) -> TableFollower:
@@ -280,6 +288,11 @@
         except Exception as exc:
             self.observer.record_task_failure(task.__qualname__, exc)
 
+    async def _listen_to_callers(self, listeners: list[trio.SocketListener]) -> None:
+        """Accept callers' connections; those that are open outlive the listener."""
+        with self._front_scope:
+            await trio.serve_listeners(self._serve_caller, listeners, handler_nursery=self._nursery)
+
     async def _serve_caller(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
             stream,
@@ -292,16 +305,21 @@
     async def _drain(self) -> None:
         """Serve requests that the balancer still sends, then wait for open ones to end."""
         now = self.clock.now()
-        plan = StopPlan.make(now, self.settings.bounds.grace_s)
+        signalled_at = self.loop_monitor.estimate_signal_time(now)
+        plan = StopPlan.make(now, self.settings.bounds.grace_s, signalled_at)
         self.request_handler.begin_stop(plan, now)
         self.observer.record_process_event(
             "gateway drains", open=self.request_handler.n_open_requests
         )
-        while self._must_keep_serving(plan, self.clock.now()):
+        busy_at = now
+        while now < plan.ends_at:
+            is_busy = now < plan.refuses_at or self.request_handler.n_open_requests > 0
+            if is_busy:
+                busy_at = now
+            if not is_busy or now >= plan.answers_until:
+                self._front_scope.cancel()
+            if self._front_scope.cancel_called and now - busy_at >= QUIET_S:
+                return
+            self.request_handler.end_late_requests(now)
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
-
-    def _must_keep_serving(self, plan: StopPlan, now: float) -> bool:
-        """Return whether a stopping gateway has open requests or may still get some."""
-        if now >= plan.ends_at:
-            return False
-        return now < plan.refuses_at or self.request_handler.n_open_requests > 0
+            now = self.clock.now()
--- a/crocusvalve/gateway/flows/_flow.py
+++ b/crocusvalve/gateway/flows/_flow.py
@@ -1,6 +1,7 @@
 """Base of the flows of plain requests and of streams: search for an upstream, deadline, errors."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import trio
 
@@ -79,6 +80,19 @@
             left_s = max(0.0, req.compute_left_s(now))
             scope.deadline = min(scope.deadline, trio.current_time() + left_s)
 
+    def end_requests(self, must_end: Callable[[GatewayRequest], bool], retry_s: float) -> None:
+        """End the running requests that can't end before the gateway does.
+
+        Parameters
+        ----------
+        retry_s : float
+            Seconds after which their callers may retry those that haven't run.
+        """
+        for scope, req in self._running.items():
+            if req.stop_retry_s is None and must_end(req):
+                req.stop_retry_s = retry_s
+                scope.cancel()
+
     def withdraw_banned(self) -> None:
         """End running requests without an answer that have become known to crash upstreams.
 
@@ -111,12 +125,18 @@
             raise make_gateway_error(req, "withdrawn", "wait", self.clock.now())
         if responder.has_started:
             self.record_cut_answer(req)
-            raise AnswerAbortedError("the deadline passed within the answer")
+            cause = "the deadline passed" if req.stop_retry_s is None else "the gateway has stopped"
+            raise AnswerAbortedError(f"{cause} within the answer")
         if req.has_run:
             message = "no answer before the deadline"
             raise RefusedError(
                 ErrorCode.DEADLINE_PASSED, message, step="wait", ran=ExecutionStatus.UNKNOWN
             )
+        if req.stop_retry_s is not None:
+            message = "the gateway stops before the request could end"
+            raise RefusedError(
+                ErrorCode.DRAINING, message, step="wait", retry_after_s=req.stop_retry_s
+            )
         message = "no upstream was available before the deadline"
         raise make_gateway_error(req, message, "wait", self.clock.now())
 
--- a/crocusvalve/gateway/flows/_request.py
+++ b/crocusvalve/gateway/flows/_request.py
@@ -60,6 +60,9 @@
         Time spent waiting for an upstream, in seconds.
     return_at : float or None
         Time at which an upstream is expected to take the request; None if that isn't limited.
+    stop_retry_s : float or None
+        Seconds after which the caller may retry a request that the gateway's stop has ended; None
+        for one that it hasn't.
     is_withdrawn : bool
         Whether the request was ended because it has become known to crash upstreams.
     notes : list of str
@@ -86,6 +89,7 @@
     placement: Placement | None = None
     waited_s: float = 0.0
     return_at: float | None = None
+    stop_retry_s: float | None = None
     is_withdrawn: bool = False
     notes: list[str] = field(default_factory=list)
 
--- a/crocusvalve/gateway/flows/_request_handler.py
+++ b/crocusvalve/gateway/flows/_request_handler.py
@@ -16,7 +16,7 @@
 )
 from crocusvalve.gateway.flows._plain_flow import PlainFlow
 from crocusvalve.gateway.flows._request import RETURN_MARGIN_S, GatewayRequest, RequestEnd
-from crocusvalve.gateway.flows._stopping import StopPlan
+from crocusvalve.gateway.flows._stopping import OpenRequest, StopPlan
 from crocusvalve.gateway.flows._stream_flow import StreamFlow
 from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.gateway.upstreams._attempts import AttemptManager
@@ -83,6 +83,43 @@
         for flow in (self.plain, self.streams):
             flow.limit_deadlines(plan.answers_until, now)
 
+    def end_late_requests(self, now: float) -> None:
+        """End the open requests that can't end before the process does."""
+        plan = self.stop_plan
+        has_peer = self.attempt_manager.peers.has_accepting_peer(now)
+        retry_s = plan.compute_retry_s(has_peer, now)
+        for flow in (self.plain, self.streams):
+            flow.end_requests(
+                lambda req: (now >= plan.ends_from or not req.has_run)
+                and plan.must_end(self._describe_open(req, now), has_peer, now),
+                retry_s,
+            )
+
+    def _describe_open(self, req: GatewayRequest, now: float) -> OpenRequest:
+        """Return the state of a request that a stop depends on."""
+        pace, name, n_tokens = self.attempt_manager.pace, req.service.name, 0
+        model = req.model or (req.route.models[0] if req.route.models else "")
+        first_s = elapsed_s = 0.0
+        if req.first_event_at is not None:
+            elapsed_s = now - req.first_event_at
+        elif not req.has_run:
+            first_s = pace.compute_first_event_s(name, model, 0.0, now)
+        # A caller that resumes a stream has a part of it that isn't known here.
+        if not req.caller.last_event_id:
+            n_tokens = req.caller.max_output_tokens
+        return OpenRequest(
+            kind=req.route.kind,
+            is_resumable=req.route.is_resumable,
+            has_run=req.has_run,
+            has_begun=req.first_event_at is not None,
+            first_s=first_s,
+            elapsed_s=elapsed_s,
+            stream_s=pace.compute_stream_s(name, model, n_tokens),
+            n_events=req.n_events,
+            n_tokens=n_tokens,
+            position=hash_to_unit(f"{req.request_id}|{req.digest}"),
+        )
+
     @contextmanager
     def count_open_request(self) -> Iterator[None]:
         """Count a request as open, from its first byte to the end of its answer."""
--- a/crocusvalve/gateway/flows/_stopping.py
+++ b/crocusvalve/gateway/flows/_stopping.py
@@ -1,21 +1,33 @@
-"""Which requests a stopping gateway still accepts, and when refused callers may retry."""
+"""What a stopping gateway accepts, when it ends open requests, and when callers may retry."""
 
 from msgspec import Struct
 
 from crocusvalve.gateway.base import RouteKind
 
-__all__ = ["StopPlan"]
+__all__ = ["OpenRequest", "StopPlan"]
 
 #: Seconds for which a stopping gateway accepts all requests. The load balancer probes each second
-#: and removes a gateway after two failed probes; until then it still sends callers here.
-ACCEPT_ALL_S = 3.0
+#: and removes a gateway after two failed probes; until then it still sends callers here. Requests
+#: sent 3 s after the signal or later must not be cut, so that 0.1 s are left for their arrival.
+ACCEPT_ALL_S = 2.9
+#: Fraction of the grace period after which a request in progress may be ended: before that, its
+#: caller counts it as lost.
+END_FRACTION = 5.0 / 6.0
+#: Seconds by which a request is ended after that, since callers' and gateways' times of the signal
+#: differ by the time that the signal takes.
+SIGNAL_MARGIN_S = 0.04
 #: Seconds reserved at the end of the grace period for the process to exit.
 EXIT_MARGIN_S = 0.9
 #: Seconds reserved before that for the answers to requests that can't end in time.
 ANSWER_MARGIN_S = 0.1
+#: Seconds between the last streams that are ended for another gateway and the last other requests.
+SPREAD_MARGIN_S = 0.06
 #: Minimum time left, in seconds, at which a plain request is accepted; such a request takes about a
 #: tenth of a second.
 MIN_PLAIN_S = 0.5
+#: Fraction of the expected time left of a stream in progress that is the least it takes: one that
+#: may end in time must not be cut, and durations vary by about half.
+MIN_DURATION_FACTOR = 0.5
 #: Seconds from the end of the process to the first answer of the next one; the platform starts it
 #: half a second after the end.
 RESTART_GAP_S = 0.8
@@ -23,6 +35,54 @@
 PEER_RETRY_S = 0.05
 
 
+class OpenRequest(Struct, frozen=True, kw_only=True):
+    """State of a request in progress, as far as a stop depends on it.
+
+    Attributes
+    ----------
+    is_resumable : bool
+        Whether another gateway can go on with the stream after its last event.
+    has_run : bool
+        Whether an upstream may have run the request.
+    first_s : float
+        Expected time from now to the first event in seconds; 0 if it has been sent.
+    elapsed_s : float
+        Seconds since the first event; 0 before it.
+    stream_s : float
+        Expected time from the first event to the last one in seconds; 0 if it isn't known.
+    n_events, n_tokens : int
+        Events sent, and the number of output tokens that the caller has stated; 0 if it hasn't.
+    position : float
+        Place of the request among those ended in turn, from 0 to 1.
+    """
+
+    kind: RouteKind
+    is_resumable: bool = False
+    has_run: bool = False
+    has_begun: bool = False
+    first_s: float = 0.0
+    elapsed_s: float = 0.0
+    stream_s: float = 0.0
+    n_events: int = 0
+    n_tokens: int = 0
+    position: float = 0.0
+
+    def compute_min_left_s(self) -> float:
+        """Return the least time in seconds until a stream's last event; 0 if it isn't known.
+
+        The duration of other streams and the rate of this one's events are both considered. An
+        event may have several tokens, so that the rate can only be too low. For a stream that
+        hasn't run it is the expected time, since a refusal costs its caller nothing.
+        """
+        left_s = self.first_s + self.stream_s - self.elapsed_s
+        if self.stream_s <= 0.0 or left_s <= 0.0:
+            return 0.0
+        if self.n_events and self.n_tokens:
+            n_left = max(0, self.n_tokens - self.n_events)
+            left_s = min(left_s, self.elapsed_s * n_left / self.n_events)
+        return MIN_DURATION_FACTOR * left_s if self.has_run else left_s
+
+
 class StopPlan(Struct, frozen=True):
     """Times of a graceful stop, in seconds of the gateway's clock.
 
@@ -32,10 +92,13 @@
         Time from which requests are refused that another gateway can accept.
     ends_at : float
         Time at which the process ends, even if requests are still open.
+    ends_from : float
+        Time from which requests that an upstream has run may be ended.
     """
 
     refuses_at: float
     ends_at: float
+    ends_from: float
 
     @property
     def answers_until(self) -> float:
@@ -43,9 +106,18 @@
         return self.ends_at - ANSWER_MARGIN_S
 
     @classmethod
-    def make(cls, now: float, grace_s: float) -> "StopPlan":
-        """Plan a stop that begins now and must be complete within ``grace_s`` seconds."""
-        return cls(now + ACCEPT_ALL_S, now + grace_s - EXIT_MARGIN_S)
+    def make(cls, now: float, grace_s: float, signalled_at: float | None = None) -> "StopPlan":
+        """Plan a stop that must be complete within ``grace_s`` seconds after the signal.
+
+        Parameters
+        ----------
+        signalled_at : float or None
+            Earliest time at which the signal may have been sent; None for the present time.
+        """
+        since = now if signalled_at is None else min(now, signalled_at)
+        ends_at = since + grace_s - EXIT_MARGIN_S
+        ends_from = now + END_FRACTION * grace_s + SIGNAL_MARGIN_S
+        return cls(since + ACCEPT_ALL_S, ends_at, min(ends_from, ends_at - ANSWER_MARGIN_S))
 
     def is_accepted(self, kind: RouteKind, has_accepting_peer: bool, now: float) -> bool:
         """Return whether a new request is still accepted.
@@ -58,6 +130,34 @@
         is_short = kind is not RouteKind.STREAM
         return is_short and not has_accepting_peer and now <= self.ends_at - MIN_PLAIN_S
 
+    def must_end(self, req: OpenRequest, has_accepting_peer: bool, now: float) -> bool:
+        """Return whether a request in progress is ended now, since it can't end in time.
+
+        Load that it answers: dozens of streams that last longer than the process. They are ended
+        one after the other, so that their callers don't come back to the other gateways at once.
+
+        A request that hasn't run is refused as soon as it can't end in time; one that has run isn't
+        ended before ``ends_from``, and one that may end in time, or that no other gateway can go on
+        with, isn't before ``answers_until``.
+        """
+        if now >= self.answers_until:
+            return True
+        if req.kind is not RouteKind.STREAM:
+            is_too_late = now > self.ends_at - MIN_PLAIN_S
+            return is_too_late and not req.has_run and has_accepting_peer
+        if now + req.compute_min_left_s() <= self.answers_until:
+            return False
+        if not req.has_run:
+            return has_accepting_peer
+        if req.has_begun and not (req.is_resumable and has_accepting_peer):
+            return False
+        return now >= self._compute_turn(req.position)
+
+    def _compute_turn(self, position: float) -> float:
+        """Return when the request at a position from 0 to 1 is ended."""
+        last = max(self.ends_from, self.answers_until - SPREAD_MARGIN_S)
+        return self.ends_from + position * (last - self.ends_from)
+
     def compute_retry_s(self, has_accepting_peer: bool, now: float) -> float:
         """Return the seconds after which a refused caller may retry."""
         if has_accepting_peer:
--- a/features/gateway/gateway_harness.py
+++ b/features/gateway/gateway_harness.py
@@ -89,6 +89,8 @@
         the stand-in servers listen.
     has_configuration : bool
         Whether the store has a configuration, so that the gateway becomes ready.
+    stop : trio.Event or None
+        Stops the gateway; set while it runs.
     second_gateway : Gateway or None
         A second gateway, started by a step.
     peer_gossip : GossipMessage or None
@@ -115,6 +117,7 @@
         self.has_configuration = True
         self.gateway = None
         self.second_gateway = None
+        self.stop = None
         self.peer_gossip = None
         self.front_host = None
         self.answers = []
@@ -142,7 +145,8 @@
                 self._write_rows()
                 async with PlatformStore(self.store_address) as feed:
                     self.gateway = self._make_gateway(feed)
-                    await nursery.start(self.gateway.run, trio.Event())
+                    self.stop = trio.Event()
+                    await nursery.start(self.gateway.run, self.stop)
                     if self.has_configuration:
                         await self.wait_for(self._has_loaded_all)
                     await action(self)
