--- a/crocusvalve/gateway/flows/_plain_flow.py
+++ b/crocusvalve/gateway/flows/_plain_flow.py
@@ -13,7 +13,7 @@
 from crocusvalve.gateway.callers._listener import Responder
 from crocusvalve.gateway.decisions._health import Outcome
 from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
-from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
+from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd, check_claim
 from crocusvalve.gateway.upstreams._answer_memory import AnswerMemory
 from crocusvalve.gateway.upstreams._attempt import Attempt
 from crocusvalve.gateway.upstreams._attempts import AttemptManager
@@ -66,6 +66,7 @@
         """Forward the first good answer of an upstream, or the last failure."""
         with ExitStack() as held:
             result = await self._find_answer(req, held)
+            check_claim(result.reply, result.upstream.upstream_id)
             await _send(responder, result)
         status = result.reply.status
         return RequestEnd.ANSWERED if status < 400 else RequestEnd.UPSTREAM_FAILURE
--- a/crocusvalve/gateway/flows/_request.py
+++ b/crocusvalve/gateway/flows/_request.py
@@ -4,15 +4,37 @@
 
 from msgspec import Struct, field
 
-from crocusvalve.base import UpstreamId
-from crocusvalve.gateway.base import CallerRequest, Customer, Route, RouteKind, Service
+from crocusvalve.base import ExecutionStatus, UpstreamId
+from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.gateway.base import CallerRequest, Customer, Reply, Route, RouteKind, Service
 from crocusvalve.gateway.decisions._placement import Placement
 from crocusvalve.gateway.decisions._upgrades import VersionChoice
 
-__all__ = ["GatewayRequest", "RequestEnd"]
+__all__ = ["GatewayRequest", "RequestEnd", "check_claim"]
 
 #: Part of the caller's time reserved for returning the answer, in seconds.
 RETURN_MARGIN_S = 0.02
+#: Statuses which state to a caller that its request has not run and never will.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+def check_claim(reply: Reply, upstream_id: UpstreamId) -> None:
+    """Check that an upstream's failure doesn't state that a request that may have run hasn't.
+
+    An upstream says in a header field that it hasn't run a request; its status alone says nothing.
+
+    Raises
+    ------
+    RefusedError
+        If the reply can't be forwarded.
+    """
+    if reply.status in NOT_RUN_STATUSES and not reply.is_not_run:
+        raise RefusedError(
+            ErrorCode.UPSTREAM_FAILED,
+            f"upstream {upstream_id} answered {reply.status}; the request may have run",
+            step="answer",
+            ran=ExecutionStatus.UNKNOWN,
+        )
 
 
 class RequestEnd(Enum):
--- a/crocusvalve/gateway/flows/_stream_flow.py
+++ b/crocusvalve/gateway/flows/_stream_flow.py
@@ -4,7 +4,7 @@
 
 from crocusvalve.gateway.callers._listener import AnswerAbortedError, Responder
 from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
-from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
+from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd, check_claim
 from crocusvalve.gateway.flows._stream_policy import StreamPolicy
 from crocusvalve.gateway.flows._takeover import Takeover, TakeoverResult
 from crocusvalve.gateway.upstreams._stream_attempt import AttemptEnd, StreamAttempt, StreamStep
@@ -143,6 +143,7 @@
             raise AnswerAbortedError(f"the stream can't be resumed: {reason}")
         if policy.failure is not None:
             reply, body = policy.failure
+            check_claim(reply, policy.req.upstream_id)
             await responder.answer(reply.status, reply.headers, body)
             return RequestEnd.UPSTREAM_FAILURE
         raise make_gateway_error(policy.req, "no upstream sent an answer", step, self.clock.now())
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -14,6 +14,8 @@
 N_EVENTS = 6
 #: Number of the event before which a stream with the fault ``SILENT`` falls silent.
 FIRST_EVENT_AFTER_SILENCE = 3
+#: Pause between the bytes of a stream with the fault ``TRICKLE``, in seconds.
+TRICKLE_PAUSE_S = 0.3
 #: Time from the head of an answer to the crash that its prompt causes.
 CRASH_DELAY_S = 0.04
 
@@ -35,6 +37,14 @@
     BREAK_LATE = "break_late"
     #: Closes the connection within the third event of a stream.
     BREAK_IN_EVENT = "break_in_event"
+    #: Closes the connection before the third event of a stream.
+    BREAK_BETWEEN_EVENTS = "break_between_events"
+    #: Sends two events of a stream, and then a byte of the third one every 0.3 s without end.
+    TRICKLE = "trickle"
+    #: Runs the request and answers 503 without stating that it was not executed.
+    UNAVAILABLE_AFTER_RUN = "unavailable_after_run"
+    #: Sends the answer again ``silence_s`` after it, on the same connection.
+    TWICE = "twice"
     #: Answers with the attempt id of another request.
     CROSSED = "crossed"
     #: Closes the connection cleanly before the declared length of the answer.
@@ -215,6 +225,8 @@
         }
         if fault is UpstreamFault.FAILURE:
             return await self._send(stream, 500, headers, b"failed")
+        if fault is UpstreamFault.UNAVAILABLE_AFTER_RUN:
+            return await self._send(stream, 503, headers, b"failed")
         if fault is UpstreamFault.CLIENT_ERROR:
             return await self._send(stream, 409, headers, b"conflict")
         if fault is UpstreamFault.BREAK:
@@ -242,6 +254,9 @@
             return False
         body = f"{call.method} {call.target} {len(call.body)} by {self.upstream_id}".encode()
         body += b"x" * self.n_padding_bytes
+        if fault is UpstreamFault.TWICE:
+            await self._send(stream, 200, headers, body)
+            await trio.sleep(self.silence_s)
         return await self._send(stream, 200, headers, body)
 
     async def _hang(self, stream: trio.SocketStream) -> bool:
@@ -274,10 +289,22 @@
             if fault is UpstreamFault.BREAK_IN_EVENT and number == 3:
                 await stream.send_all(_make_chunk(event[:7]))
                 return False
+            if fault is UpstreamFault.BREAK_BETWEEN_EVENTS and number == 3:
+                return False
+            if fault is UpstreamFault.TRICKLE and number == 3:
+                await self._trickle(stream)
             await stream.send_all(_make_chunk(event))
         await stream.send_all(b"0\r\n\r\n")
         return True
 
+    @staticmethod
+    async def _trickle(stream: trio.SocketStream) -> None:
+        """Send the beginning of an event byte by byte until the caller disconnects."""
+        await stream.send_all(_make_chunk(b"data: "))
+        while True:
+            await trio.sleep(TRICKLE_PAUSE_S)
+            await stream.send_all(_make_chunk(b"x"))
+
     async def _send(
         self, stream: trio.SocketStream, status: int, headers: dict, body: bytes
     ) -> bool:
