--- a/features/gateway/gateway_harness.py
+++ b/features/gateway/gateway_harness.py
@@ -89,6 +89,8 @@
         the stand-in servers listen.
     has_configuration : bool
         Whether the store has a configuration, so that the gateway becomes ready.
+    stop : trio.Event or None
+        Stops the gateway; set while it runs.
     second_gateway : Gateway or None
         A second gateway, started by a step.
     peer_gossip : GossipMessage or None
@@ -115,6 +117,7 @@
         self.has_configuration = True
         self.gateway = None
         self.second_gateway = None
+        self.stop = None
         self.peer_gossip = None
         self.front_host = None
         self.answers = []
@@ -143,6 +146,7 @@
                 self._write_rows()
                 async with PlatformStore(self.store_address) as feed:
                     self.gateway = self._make_gateway(feed)
+                    self.stop = trio.Event()
                     await nursery.start(self._run_first_gateway)
                     if self.has_configuration:
                         await self.wait_for(self._has_loaded_all)
@@ -151,7 +155,7 @@
 
     async def _run_first_gateway(self, *, task_status):
         with self._first_scope:
-            await self.gateway.run(trio.Event(), task_status=task_status)
+            await self.gateway.run(self.stop, task_status=task_status)
 
     def stop_first_gateway(self):
         """Stop the first gateway without a drain."""
