Gateway: requests without an upstream wait in a queue of their service

Cause: each request searched for an upstream every 50 ms by itself, so that the first that searched was sent, and refused callers were told the same time.

AttemptManager reports the end of an attempt.

--- a/crocusvalve/gateway/_observer.py
+++ b/crocusvalve/gateway/_observer.py
@@ -8,6 +8,7 @@
 
 from crocusvalve.base import DomainId
 from crocusvalve.exceptions import CrocusvalveError, RefusedError
+from crocusvalve.gateway._admission_observer import AdmissionObserver
 from crocusvalve.gateway._crash_observer import CrashObserver
 from crocusvalve.gateway._limit_observer import LimitObserver
 from crocusvalve.gateway.base import (
@@ -76,6 +77,8 @@
 
     Attributes
     ----------
+    admission : AdmissionObserver
+        Records queues of waiting requests.
     crashes : CrashObserver
         Records crashes of upstreams.
     limits : LimitObserver
@@ -83,6 +86,7 @@
     """
 
     def __init__(self, registry: CollectorRegistry):
+        self.admission = AdmissionObserver(registry)
         self.crashes = CrashObserver(registry)
         self.limits = LimitObserver(registry)
         self.registry = registry
@@ -247,6 +251,9 @@
                     "runs": req.n_runs,
                     **_describe_placement(req),
                     "waited_ms": round(req.waited_s * 1000),
+                    "held_ms": round(req.held_s * 1000),
+                    "queue_length": req.queue_length,
+                    "refusal": req.refusal.value if req.refusal else "",
                     "notes": req.notes,
                     "code": exc.code.code if exc else "",
                     "reason": exc.message if exc else reason,
--- a/crocusvalve/gateway/flows/_flow.py
+++ b/crocusvalve/gateway/flows/_flow.py
@@ -1,6 +1,6 @@
 """Base of the flows of plain requests and of streams: search for an upstream, deadline, errors."""
 
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 
 import trio
 
@@ -12,14 +12,12 @@
 from crocusvalve.gateway.decisions._placement import Placement, PlacementReason
 from crocusvalve.gateway.decisions._return_schedule import ReturnSchedule
 from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
+from crocusvalve.gateway.flows._upstream_wait import UpstreamFinder, UpstreamWait
+from crocusvalve.gateway.flows._waiting import WaitingRoom
 from crocusvalve.gateway.upstreams._attempts import AttemptManager
 
 __all__ = ["Flow", "compute_retry_after_s", "make_gateway_error"]
 
-#: Seconds between searches for an upstream, and the fraction of the route's goal for which a
-#: request waits for one.
-POLL_INTERVAL_S = 0.05
-MAX_WAIT_FRACTION = 0.3
 #: Seconds after which a caller may retry a request that no upstream accepted; suspended upstreams
 #: are tried again by then.
 RETRY_AFTER_S = 0.3
@@ -43,8 +41,9 @@
     if is_banned or req.is_withdrawn:
         return RefusedError(ErrorCode.CRASHES_UPSTREAMS, message, step=step)
     retry_after_s = compute_retry_after_s(req.placement, now)
-    if req.return_at is not None:
-        retry_after_s = max(MIN_RETRY_AFTER_S, req.return_at - now)
+    return_at = req.retry_at if req.return_at is None else req.return_at
+    if return_at is not None:
+        retry_after_s = max(MIN_RETRY_AFTER_S, return_at - now)
     return RefusedError(ErrorCode.NO_UPSTREAM, message, step=step, retry_after_s=retry_after_s)
 
 
@@ -57,17 +56,20 @@
     return ABSENT_RETRY_AFTER_S if placement.reason in ABSENT_REASONS else RETRY_AFTER_S
 
 
-class Flow(ABC):
+class Flow(UpstreamFinder):
     """Life cycle of one kind of request, from its admission to the end of its answer.
 
     Parameters
     ----------
     attempt_manager : AttemptManager
         Chooses upstreams and sends the attempts.
+    waiting_room : WaitingRoom
+        Requests of the gateway that wait for an upstream.
     """
 
-    def __init__(self, attempt_manager: AttemptManager):
+    def __init__(self, attempt_manager: AttemptManager, waiting_room: WaitingRoom):
         self.attempt_manager = attempt_manager
+        self.waiting_room = waiting_room
         self.clock = attempt_manager.clock
         self._running: dict[trio.CancelScope, GatewayRequest] = {}
         self._schedules: dict[ServiceName, ReturnSchedule] = {}
@@ -132,30 +134,18 @@
     ) -> Upstream | None:
         """Return an upstream for the next attempt, waiting up to a fraction of the route's goal.
 
-        Upstreams that rejected the request are considered again while it waits.
+        The queue of the service decides when the request is sent. Upstreams that rejected it are
+        considered again then.
 
         Parameters
         ----------
         since : float
             Time of the gateway's clock in seconds from which the wait is counted.
         """
-        until = since + MAX_WAIT_FRACTION * req.route.goal_s
-        while True:
-            now = self.clock.now()
-            upstream = self.find_upstream(req, now, model)
-            if self._yield_to_booked(req, upstream, now):
-                upstream = None
-            if req.compute_left_s(now) <= 0.0:
-                return None
-            reopens_at = self._book_return(req, now)
-            is_banned = req.placement.reason is PlacementReason.BANNED
-            if upstream is not None or is_banned or now >= until or (reopens_at or now) > until:
-                return upstream
-            req.tried.clear()
-            await trio.sleep(POLL_INTERVAL_S)
-            req.waited_s += self.clock.now() - now
-
-    def _book_return(self, req: GatewayRequest, now: float) -> float | None:
+        now = self.clock.now()
+        return await UpstreamWait(self, req, model, since, now).run(now, self.clock.now)
+
+    def book_return(self, req: GatewayRequest, now: float) -> float | None:
         """Return when an upstream takes a request; those of limited ones follow each other."""
         placement = req.placement
         if placement.reason is not PlacementReason.ALL_LIMITED:
@@ -165,8 +155,8 @@
             req.return_at = schedule.book(placement.reopens_at, placement.reopen_interval_s, now)
         return placement.reopens_at if req.return_at is None else req.return_at
 
-    def _yield_to_booked(self, req: GatewayRequest, upstream: Upstream | None, now: float) -> bool:
-        """Return whether a limited upstream's next request is for a caller that was told to return.
+    def yield_to_booked(self, req: GatewayRequest, upstream: Upstream | None, now: float) -> bool:
+        """Return whether a limited upstream's next request is for another caller.
 
         The placement is changed accordingly.
         """
@@ -189,3 +179,7 @@
         """Return an upstream for the next attempt, or None; the reason is in ``req.placement``."""
         req.placement = self.attempt_manager.place(req, now, model)
         return req.placement.upstream
+
+    def compute_retry_at(self, req: GatewayRequest, now: float) -> float:
+        """Return the local time in seconds before which no upstream takes a request."""
+        return now + compute_retry_after_s(req.placement, now)
--- a/crocusvalve/gateway/flows/_plain_flow.py
+++ b/crocusvalve/gateway/flows/_plain_flow.py
@@ -11,9 +11,11 @@
 from crocusvalve.exceptions import RefusedError
 from crocusvalve.gateway.base import Reply, RouteKind, Upstream
 from crocusvalve.gateway.callers._listener import Responder
+from crocusvalve.gateway.decisions._headroom import find_full
 from crocusvalve.gateway.decisions._health import Outcome
 from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
 from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
+from crocusvalve.gateway.flows._waiting import WaitingRoom
 from crocusvalve.gateway.upstreams._answer_memory import AnswerMemory
 from crocusvalve.gateway.upstreams._attempt import Attempt
 from crocusvalve.gateway.upstreams._attempts import AttemptManager
@@ -58,8 +60,8 @@
         Answers that are held until they are complete and have been sent.
     """
 
-    def __init__(self, attempt_manager: AttemptManager):
-        super().__init__(attempt_manager)
+    def __init__(self, attempt_manager: AttemptManager, waiting_room: WaitingRoom):
+        super().__init__(attempt_manager, waiting_room)
         self.memory = AnswerMemory(MAX_HELD_BYTES)
 
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
@@ -141,6 +143,18 @@
             return self.find_upstream(req, self.clock.now())
         return await self.wait_for_upstream(req, req.arrived_at)
 
+    def estimate_answer_s(
+        self, req: GatewayRequest, model: str, queued_tokens: float, now: float
+    ) -> float | None:
+        """Return the mean time to an answer; None if nothing is learned."""
+        return self.attempt_manager.pace.compute_plain_s(req.service.name)
+
+    def find_crowded(
+        self, req: GatewayRequest, model: str, urgent_goal_s: float, now: float
+    ) -> set[UpstreamId]:
+        """Return the upstreams without a slot besides those kept for more urgent requests."""
+        return find_full(self.attempt_manager.tables, req.service.name)
+
     @staticmethod
     async def _receive_result(
         req: GatewayRequest, receive: trio.MemoryReceiveChannel, *, may_hedge: bool
--- a/crocusvalve/gateway/flows/_request.py
+++ b/crocusvalve/gateway/flows/_request.py
@@ -7,6 +7,7 @@
 from crocusvalve.base import UpstreamId
 from crocusvalve.gateway.base import CallerRequest, Customer, Route, RouteKind, Service
 from crocusvalve.gateway.decisions._placement import Placement
+from crocusvalve.gateway.decisions._tickets import RefusalReason
 from crocusvalve.gateway.decisions._upgrades import VersionChoice
 
 __all__ = ["GatewayRequest", "RequestEnd"]
@@ -60,6 +61,14 @@
         Time spent waiting for an upstream, in seconds.
     return_at : float or None
         Time at which an upstream is expected to take the request; None if that isn't limited.
+    retry_at : float or None
+        Time that the admission gave the caller of a refused request to send it again.
+    queue_length : int
+        Requests that were ahead of it when it began to wait.
+    held_s : float
+        Part of ``waited_s`` for which it left room for more urgent requests, in seconds.
+    refusal : RefusalReason or None
+        Why the admission has refused it.
     is_withdrawn : bool
         Whether the request was ended because it has become known to crash upstreams.
     notes : list of str
@@ -86,6 +95,10 @@
     placement: Placement | None = None
     waited_s: float = 0.0
     return_at: float | None = None
+    retry_at: float | None = None
+    queue_length: int = 0
+    held_s: float = 0.0
+    refusal: RefusalReason | None = None
     is_withdrawn: bool = False
     notes: list[str] = field(default_factory=list)
 
--- a/crocusvalve/gateway/flows/_request_handler.py
+++ b/crocusvalve/gateway/flows/_request_handler.py
@@ -18,6 +18,7 @@
 from crocusvalve.gateway.flows._request import RETURN_MARGIN_S, GatewayRequest, RequestEnd
 from crocusvalve.gateway.flows._stopping import StopPlan
 from crocusvalve.gateway.flows._stream_flow import StreamFlow
+from crocusvalve.gateway.flows._waiting import WaitingRoom
 from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.gateway.upstreams._attempts import AttemptManager
 from crocusvalve.utils import Clock, compute_digest, hash_to_unit
@@ -63,8 +64,9 @@
         self.upgrades = upgrades
         self.observer = observer
         self.clock = clock
-        self.plain = PlainFlow(attempt_manager)
-        self.streams = StreamFlow(attempt_manager)
+        waiting_room = WaitingRoom(attempt_manager)
+        self.plain = PlainFlow(attempt_manager, waiting_room)
+        self.streams = StreamFlow(attempt_manager, waiting_room)
         self.stop_plan: StopPlan | None = None
         self.n_open_requests = 0
         attempt_manager.bans.on_change = self.streams.withdraw_banned
--- a/crocusvalve/gateway/flows/_stream_flow.py
+++ b/crocusvalve/gateway/flows/_stream_flow.py
@@ -2,7 +2,9 @@
 
 import trio
 
+from crocusvalve.base import UpstreamId
 from crocusvalve.gateway.callers._listener import AnswerAbortedError, Responder
+from crocusvalve.gateway.decisions._headroom import find_long_queues
 from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
 from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.flows._stream_policy import StreamPolicy
@@ -21,8 +23,9 @@
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
         """Forward the events of one or several attempts until the stream is complete."""
         policy = StreamPolicy(self.attempt_manager, req)
+        since = self.clock.now()
         while True:
-            upstream = await self.wait_for_upstream(req, self.clock.now(), policy.model)
+            upstream = await self.wait_for_upstream(req, since, policy.model)
             if upstream is None:
                 return await self._give_up(policy, responder, "place")
             if responder.has_started:
@@ -33,6 +36,8 @@
                 return RequestEnd.ANSWERED
             if not policy.may_continue(end):
                 return await self._give_up(policy, responder, "attempt")
+            if end is not AttemptEnd.NOT_RUN:
+                since = self.clock.now()
 
     async def _forward(
         self, policy: StreamPolicy, attempt: StreamAttempt, responder: Responder
@@ -128,6 +133,22 @@
             with trio.move_on_after(REJECTION_S):
                 await attempt.read_reply()
 
+    def estimate_answer_s(
+        self, req: GatewayRequest, model: str, queued_tokens: float, now: float
+    ) -> float | None:
+        """Return the expected time to the first event after so many queued prompt tokens."""
+        pace = self.attempt_manager.pace
+        return pace.compute_first_event_s(req.service.name, model, queued_tokens, now)
+
+    def find_crowded(
+        self, req: GatewayRequest, model: str, urgent_goal_s: float, now: float
+    ) -> set[UpstreamId]:
+        """Return the upstreams whose queued prompts leave no room for a more urgent request."""
+        manager, parts = self.attempt_manager, req.caller.prefix
+        return find_long_queues(
+            manager.tables, manager.pace, req.service, model, parts, urgent_goal_s, now
+        )
+
     def record_cut_answer(self, req: GatewayRequest) -> None:
         """Record how long a stream took that the deadline has cut."""
         now = self.clock.now()
--- a/crocusvalve/gateway/upstreams/_attempts.py
+++ b/crocusvalve/gateway/upstreams/_attempts.py
@@ -71,6 +71,8 @@
         Expected times of answers.
     spawn : callable
         Starts a background task; set by the gateway's process.
+    on_attempt_end : callable
+        Called with the service after an attempt has ended.
     sent_prompt_parts : deque
         Shared parts of recently sent prompts, to be reported to the other gateways.
     """
@@ -104,6 +106,7 @@
             clock=clock,
         )
         self.spawn: Callable[..., None] = lambda *_: None
+        self.on_attempt_end: Callable[[ServiceName], None] = lambda _: None
         self.sent_prompt_parts: deque[SentPromptParts] = deque(maxlen=MAX_SENT_PROMPT_PARTS)
         self._budgets: dict[ServiceName, AttemptBudget] = {}
 
@@ -233,6 +236,7 @@
         finally:
             load.n_inflight -= 1
             work.finish()
+            self.on_attempt_end(req.service.name)
             with trio.CancelScope(shield=True):
                 await call.close()
 
