Gateway: full upstreams are remembered for all requests of a service

Change: FullUpstreams keeps the number of requests in flight at a rejection; no request is sent there until fewer are in flight or a pause is over. Requests that are refused after an attempt get a return time of their own, too.

--- a/crocusvalve/gateway/decisions/_admission.py
+++ b/crocusvalve/gateway/decisions/_admission.py
@@ -49,7 +49,6 @@
         self._share = FairShare()
         self._kinds: dict[Hashable, dict[int, Ticket]] = {}
         self._blocked_until: dict[Hashable, float] = {}
-        self._rejected: set[Hashable] = set()
         self._returns = ReturnTimes()
         self._starts: deque[float] = deque()
         self._busy_since: float | None = None
@@ -61,6 +60,11 @@
     def __len__(self) -> int:
         return sum(len(tickets) for tickets in self._kinds.values())
 
+    @property
+    def n_offered(self) -> int:
+        """Number of requests that are to be sent now, if upstreams are found."""
+        return self._n_offered
+
     def join(self, req: AdmissionRequest, wait_until: float, now: float) -> Ticket:
         """Add a request that may wait until a local time in seconds."""
         is_repeat = self._returns.has(req.key)
@@ -90,7 +94,6 @@
         if not tickets:
             del self._kinds[ticket.req.kind]
             self._blocked_until.pop(ticket.req.kind, None)
-            self._rejected.discard(ticket.req.kind)
         self._withdraw_offer(ticket)
         self._bytes.size -= ticket.held_bytes
         ticket.held_bytes = 0
@@ -138,21 +141,15 @@
         self._n_offered += not ticket.is_offered
         ticket.is_offered = True
 
-    def block(
-        self, ticket: Ticket, reopens_at: float | None, now: float, *, is_rejected: bool = False
-    ) -> None:
+    def block(self, ticket: Ticket, reopens_at: float | None, now: float) -> None:
         """Record that no upstream was found for a request, nor is for others of its kind.
 
         Parameters
         ----------
         reopens_at : float or None
             Time from which an upstream accepts it, if known.
-        is_rejected : bool
-            Whether all upstreams have rejected it.
         """
         self._withdraw_offer(ticket)
-        if is_rejected:
-            self._rejected.add(ticket.req.kind)
         until = now + PROBE_INTERVAL_S
         if reopens_at is not None:
             until = max(now + MIN_PROBE_S, min(until, reopens_at))
@@ -163,12 +160,6 @@
     def record_change(self) -> None:
         """Record that an attempt has ended, so that all kinds are tried again."""
         self._blocked_until.clear()
-        self._rejected.clear()
-
-    def is_rejected(self, ticket: Ticket, now: float) -> bool:
-        """Return whether all upstreams have just rejected a request of this kind."""
-        kind = ticket.req.kind
-        return kind in self._rejected and self._blocked_until.get(kind, now) > now
 
     def get_next_at(self) -> float:
         """Return when waiting requests are to be tried again without a change."""
@@ -232,7 +223,7 @@
                 n_ahead += 1
         return refused
 
-    def book_return(self, ticket: Ticket, earliest_at: float, now: float) -> float:
+    def book_return(self, key: str, earliest_at: float, now: float) -> float:
         """Return when the caller of a refused request is to send it again.
 
         Parameters
@@ -240,7 +231,7 @@
         earliest_at : float
             Time before which no upstream is expected to accept it.
         """
-        return self._returns.book(ticket.req.key, earliest_at, self._compute_interval_s(now), now)
+        return self._returns.book(key, earliest_at, self._compute_interval_s(now), now)
 
     def _withdraw_offer(self, ticket: Ticket) -> None:
         self._n_offered -= ticket.is_offered
--- a/crocusvalve/gateway/flows/_flow.py
+++ b/crocusvalve/gateway/flows/_flow.py
@@ -110,7 +110,7 @@
         if req.is_withdrawn and responder.has_started:
             raise AnswerAbortedError("the request has become known to crash upstreams")
         if req.is_withdrawn:
-            raise make_gateway_error(req, "withdrawn", "wait", self.clock.now())
+            raise self.make_refusal(req, "withdrawn", "wait")
         if responder.has_started:
             self.record_cut_answer(req)
             raise AnswerAbortedError("the deadline passed within the answer")
@@ -120,7 +120,7 @@
                 ErrorCode.DEADLINE_PASSED, message, step="wait", ran=ExecutionStatus.UNKNOWN
             )
         message = "no upstream was available before the deadline"
-        raise make_gateway_error(req, message, "wait", self.clock.now())
+        raise self.make_refusal(req, message, "wait")
 
     @abstractmethod
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
@@ -180,6 +180,14 @@
         req.placement = self.attempt_manager.place(req, now, model)
         return req.placement.upstream
 
+    def make_refusal(self, req: GatewayRequest, message: str, step: str) -> RefusedError:
+        """Make the error of an abandoned request, with a time of its own for its return."""
+        now = self.clock.now()
+        if req.retry_at is None:
+            queue = self.waiting_room.get(req.service.name).queue
+            req.retry_at = queue.book_return(req.digest, self.compute_retry_at(req, now), now)
+        return make_gateway_error(req, message, step, now)
+
     def compute_retry_at(self, req: GatewayRequest, now: float) -> float:
         """Return the local time in seconds before which no upstream takes a request."""
         return now + compute_retry_after_s(req.placement, now)
--- a/crocusvalve/gateway/flows/_plain_flow.py
+++ b/crocusvalve/gateway/flows/_plain_flow.py
@@ -13,7 +13,7 @@
 from crocusvalve.gateway.callers._listener import Responder
 from crocusvalve.gateway.decisions._headroom import find_full
 from crocusvalve.gateway.decisions._health import Outcome
-from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
+from crocusvalve.gateway.flows._flow import Flow
 from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.flows._waiting import WaitingRoom
 from crocusvalve.gateway.upstreams._answer_memory import AnswerMemory
@@ -91,7 +91,7 @@
                 upstream = await self._find_next(req)
                 if upstream is None:
                     message = "no upstream can accept the request"
-                    return failure or make_gateway_error(req, message, "place", self.clock.now())
+                    return failure or self.make_refusal(req, message, "place")
                 nursery.start_soon(self._attempt, req, upstream, send, held)
                 pending.add(upstream.upstream_id)
             result = await self._receive_result(req, receive, may_hedge=len(pending) == 1)
@@ -110,7 +110,7 @@
                 failure = result
             if not pending and not self._may_continue(req, result):
                 message = "the upstream sent no answer"
-                return failure or make_gateway_error(req, message, "attempt", self.clock.now())
+                return failure or self.make_refusal(req, message, "attempt")
 
     def _find_hedge(self, req: GatewayRequest, pending: set[UpstreamId]) -> Upstream | None:
         """Return an upstream for a hedged attempt, or None.
--- a/crocusvalve/gateway/flows/_stream_flow.py
+++ b/crocusvalve/gateway/flows/_stream_flow.py
@@ -5,7 +5,7 @@
 from crocusvalve.base import UpstreamId
 from crocusvalve.gateway.callers._listener import AnswerAbortedError, Responder
 from crocusvalve.gateway.decisions._headroom import find_long_queues
-from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
+from crocusvalve.gateway.flows._flow import Flow
 from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.flows._stream_policy import StreamPolicy
 from crocusvalve.gateway.flows._takeover import Takeover, TakeoverResult
@@ -166,7 +166,7 @@
             reply, body = policy.failure
             await responder.answer(reply.status, reply.headers, body)
             return RequestEnd.UPSTREAM_FAILURE
-        raise make_gateway_error(policy.req, "no upstream sent an answer", step, self.clock.now())
+        raise self.make_refusal(policy.req, "no upstream sent an answer", step)
 
     async def _forward_events(
         self,
--- a/crocusvalve/gateway/flows/_upstream_wait.py
+++ b/crocusvalve/gateway/flows/_upstream_wait.py
@@ -34,10 +34,6 @@
     attempt_manager: AttemptManager
     waiting_room: WaitingRoom
 
-    @abstractmethod
-    def find_upstream(self, req: GatewayRequest, now: float, model: str = "") -> Upstream | None:
-        """Return an upstream for the next attempt, or None; the reason is in ``req.placement``."""
-
     @abstractmethod
     def book_return(self, req: GatewayRequest, now: float) -> float | None:
         """Return when an upstream takes a request; those of limited ones follow each other."""
@@ -89,12 +85,14 @@
         #: Goal of more urgent requests for which this one leaves room, until ``_hold_until``.
         self._urgent_goal_s = self._find_urgent_goal_s()
         self._hold_until: float | None = None
+        self._excluded: set[UpstreamId] = set()
         self._is_place_seen = False
         self._has_slept = False
         described = self._describe(now)
         #: Until then the request waits for upstreams that have set a time themselves.
         self._reopen_limit = wait_until = since + self._wait_s
         if described.was_rejected:
+            self._waiting.record_rejection(req.upstream_id, now)
             # Full upstreams may accept it at any time, as long as it can still be in time.
             wait_until = max(wait_until, described.start_by)
         self._ticket = self._waiting.join(described, wait_until, now)
@@ -115,8 +113,7 @@
                 if not ticket.is_held and self._is_refused(reopens_at, now):
                     return None
                 if ticket.is_offered:
-                    is_rejected = req.placement.reason is PlacementReason.ALL_TRIED
-                    self._waiting.block(ticket, reopens_at, now, is_rejected=is_rejected)
+                    self._waiting.block(ticket, reopens_at, now)
                 self._waiting.begin_wait(ticket, now)
                 while not self._is_turn(now):
                     now = await self._sleep(now, read_clock)
@@ -171,7 +168,9 @@
             self._waiting.offer(ticket)
         if ticket.is_offered and self._has_slept:
             req.tried.clear()
-        upstream = self._finder.find_upstream(req, now, self._model)
+        self._excluded = req.tried | self._waiting.find_full(now)
+        req.placement = self._finder.attempt_manager.place(req, now, self._model, self._excluded)
+        upstream = req.placement.upstream
         if upstream is None:
             if ticket.is_held:
                 self._end_hold(now)
@@ -193,8 +192,6 @@
         if self._urgent_goal_s is not None and now < self._hold_until:
             ticket.is_held = True
             return False
-        if self._waiting.is_rejected(ticket, now):
-            return False
         if ticket.refusal is not None or now >= ticket.wait_until:
             return True
         self._is_place_seen = True
@@ -222,7 +219,7 @@
         if upstream.upstream_id not in crowded:
             return upstream
         manager = self._finder.attempt_manager
-        placement = manager.place(req, now, self._model, req.tried | crowded)
+        placement = manager.place(req, now, self._model, self._excluded | crowded)
         if placement.reason in (PlacementReason.AFFINITY, PlacementReason.LEAST_LOADED):
             req.placement = placement
             return placement.upstream
@@ -257,6 +254,6 @@
             earliest_at = max(earliest_at, now + (queue.estimate(None, now) or 0.0))
         req.refusal = reason
         req.queue_length = len(queue) - 1
-        req.retry_at = queue.book_return(ticket, earliest_at, now)
+        req.retry_at = queue.book_return(req.digest, earliest_at, now)
         self._waiting.count_refusal(reason)
         return True
--- a/crocusvalve/gateway/flows/_waiting.py
+++ b/crocusvalve/gateway/flows/_waiting.py
@@ -2,9 +2,12 @@
 
 import trio
 
+from crocusvalve.base import UpstreamId
 from crocusvalve.gateway._admission_observer import AdmissionObserver
-from crocusvalve.gateway.base import ServiceName
+from crocusvalve.gateway.base import ServiceName, Upstream
 from crocusvalve.gateway.decisions._admission import AdmissionQueue
+from crocusvalve.gateway.decisions._closures import UpstreamRun
+from crocusvalve.gateway.decisions._full_upstreams import FullUpstreams
 from crocusvalve.gateway.decisions._tickets import (
     AdmissionRequest,
     RefusalReason,
@@ -43,6 +46,7 @@
         waiting_bytes: WaitingBytes,
     ):
         self.queue = AdmissionQueue(waiting_bytes)
+        self._full = FullUpstreams()
         self._service = service
         self._tables = tables
         self._observer = observer
@@ -82,23 +86,36 @@
             n_free = max(n_min, self.count_free(now) - n_starting)
         self._wake(self.queue.choose_next(n_free, now))
 
-    def block(
-        self, ticket: Ticket, reopens_at: float | None, now: float, *, is_rejected: bool
-    ) -> None:
+    def block(self, ticket: Ticket, reopens_at: float | None, now: float) -> None:
         """Record that no upstream was found for an offered request, and wake the next kind."""
-        self.queue.block(ticket, reopens_at, now, is_rejected=is_rejected)
+        self.queue.block(ticket, reopens_at, now)
         self.wake_next(now, n_min=1)
 
     def offer(self, ticket: Ticket) -> None:
         """Offer a request out of turn, since it has left room for others long enough."""
         self.queue.offer(ticket)
 
-    def is_rejected(self, ticket: Ticket, now: float) -> bool:
-        """Return whether all upstreams have just rejected a request of the same kind.
-
-        Not so if an upstream is known to have a free slot.
-        """
-        return self.queue.is_rejected(ticket, now) and self.count_free(now) <= 0
+    def record_rejection(self, upstream_id: UpstreamId, now: float) -> None:
+        """Record that an upstream has rejected a request."""
+        upstream = self._tables.upstreams.get(upstream_id)
+        if upstream is not None:
+            n_inflight = self._count_inflight(upstream)
+            self._full.record_rejection(UpstreamRun.of(upstream), n_inflight, now)
+
+    def find_full(self, now: float) -> set[UpstreamId]:
+        """Return the upstreams that would reject a request, since they have just done so."""
+        self._full.drop_old(now)
+        if self._full.is_empty:
+            return set()
+        return {
+            upstream_id
+            for upstream_id, upstream in self._tables.by_service.get(self._service, {}).items()
+            if self._full.is_full(UpstreamRun.of(upstream), self._count_inflight(upstream), now)
+        }
+
+    def _count_inflight(self, upstream: Upstream) -> int:
+        load = self._tables.get_load(upstream.upstream_id)
+        return load.n_inflight + load.n_peer_inflight
 
     def begin_wait(self, ticket: Ticket, now: float) -> None:
         """Count a request's body, and wake those that are refused for lack of memory."""
@@ -129,11 +146,10 @@
 
     def count_free(self, now: float) -> int:
         """Return the number of slots of open upstreams in which no request is known to run."""
-        n_free = 0
-        for upstream in self._tables.by_service.get(self._service, {}).values():
-            if self._tables.is_open(upstream, now):
-                load = self._tables.get_load(upstream.upstream_id)
-                n_free += max(0, upstream.slots - load.n_inflight - load.n_peer_inflight)
+        n_free, full = 0, self.find_full(now)
+        for upstream_id, upstream in self._tables.by_service.get(self._service, {}).items():
+            if upstream_id not in full and self._tables.is_open(upstream, now):
+                n_free += max(0, upstream.slots - self._count_inflight(upstream))
         return n_free
 
     def _wake(self, tickets: list[Ticket]) -> None:
