--- a/crocusvalve/gateway/decisions/_admission.py
+++ b/crocusvalve/gateway/decisions/_admission.py
@@ -13,7 +13,7 @@
     WaitingBytes,
 )
 
-__all__ = ["AdmissionQueue"]
+__all__ = ["PROBE_INTERVAL_S", "AdmissionQueue"]
 
 #: Longest time in seconds after a failed search before the kind is searched for again, if no
 #: change is reported. Peers' requests end and entries appear without a report to the queue.
--- a/crocusvalve/gateway/flows/_request.py
+++ b/crocusvalve/gateway/flows/_request.py
@@ -51,6 +51,8 @@
         Attempts that may have run the request.
     model, upstream_id : str, UpstreamId or None
         Model and upstream of the last attempt.
+    n_sent_beside : int
+        Requests in flight at the upstream when it was last chosen.
     first_event_at : float or None
         Time at which the first event was forwarded.
     n_events : int
@@ -90,6 +92,7 @@
     n_runs: int = 0
     model: str = ""
     upstream_id: UpstreamId | None = None
+    n_sent_beside: int = 0
     first_event_at: float | None = None
     n_events: int = 0
     placement: Placement | None = None
--- a/crocusvalve/gateway/flows/_upstream_wait.py
+++ b/crocusvalve/gateway/flows/_upstream_wait.py
@@ -92,9 +92,9 @@
         #: Until then the request waits for upstreams that have set a time themselves.
         self._reopen_limit = wait_until = since + self._wait_s
         if described.was_rejected:
-            self._waiting.record_rejection(req.upstream_id, now)
-            # Full upstreams may accept it at any time, as long as it can still be in time.
-            wait_until = max(wait_until, described.start_by)
+            self._waiting.record_rejection(req.upstream_id, req.n_sent_beside, now)
+        # Full upstreams may accept it at any time, as long as it can still be in time.
+        wait_until = max(wait_until, described.start_by)
         self._ticket = self._waiting.join(described, wait_until, now)
 
     async def run(self, now: float, read_clock: Callable[[], float]) -> Upstream | None:
@@ -109,6 +109,8 @@
                 reopens_at = self._finder.book_return(req, now)
                 if found is not None or req.placement.reason is PlacementReason.BANNED:
                     upstream = found
+                    if upstream is not None:
+                        req.n_sent_beside = self._waiting.count_inflight(upstream)
                     return upstream
                 if not ticket.is_held and self._is_refused(reopens_at, now):
                     return None
@@ -192,10 +194,12 @@
         if self._urgent_goal_s is not None and now < self._hold_until:
             ticket.is_held = True
             return False
+        if not self._waiting.has_place(now):
+            return False
         if ticket.refusal is not None or now >= ticket.wait_until:
             return True
         self._is_place_seen = True
-        self._waiting.record_change(now)
+        self._waiting.note_place(now)
         return ticket.is_offered
 
     def _end_hold(self, now: float) -> None:
--- a/crocusvalve/gateway/flows/_waiting.py
+++ b/crocusvalve/gateway/flows/_waiting.py
@@ -5,7 +5,7 @@
 from crocusvalve.base import UpstreamId
 from crocusvalve.gateway._admission_observer import AdmissionObserver
 from crocusvalve.gateway.base import ServiceName, Upstream
-from crocusvalve.gateway.decisions._admission import AdmissionQueue
+from crocusvalve.gateway.decisions._admission import PROBE_INTERVAL_S, AdmissionQueue
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._full_upstreams import FullUpstreams
 from crocusvalve.gateway.decisions._tickets import (
@@ -52,11 +52,16 @@
         self._observer = observer
         self._events: dict[int, trio.Event] = {}
         self._timekeeper: Ticket | None = None
+        self._probed_at = float("-inf")
 
     def join(self, req: AdmissionRequest, wait_until: float, now: float) -> Ticket:
-        """Add a request; it is offered at once if no other one is ahead."""
+        """Add a request; it is offered at once if there is a place and no other one is ahead.
+
+        Without a known place, one in ``PROBE_INTERVAL_S`` is offered all the same, since peers'
+        requests may have ended.
+        """
         ticket = self.queue.join(req, wait_until, now)
-        self.wake_next(now, n_min=1)
+        self.wake_next(now, n_min=int(now >= self._probed_at + PROBE_INTERVAL_S))
         return ticket
 
     def leave(self, ticket: Ticket, now: float, *, has_started: bool) -> None:
@@ -79,11 +84,20 @@
             self.queue.record_change()
             self.wake_next(now, n_min=1)
 
+    def note_place(self, now: float) -> None:
+        """Wake the next requests, since a request has found an upstream out of turn."""
+        self.queue.record_change()
+        self.wake_next(now, n_min=0)
+
+    def has_place(self, now: float) -> bool:
+        """Return whether there are more places than requests that are about to be sent."""
+        return self.count_free(now) > self.queue.n_offered
+
     def wake_next(self, now: float, n_min: int, n_starting: int = 0) -> None:
         """Wake as many requests as there are free places, and at least ``n_min``."""
-        n_free = n_min
-        if len(self.queue) > 1 or not n_min:
-            n_free = max(n_min, self.count_free(now) - n_starting)
+        n_free = self.count_free(now) - n_starting
+        if n_free < n_min:
+            n_free, self._probed_at = n_min, now
         self._wake(self.queue.choose_next(n_free, now))
 
     def block(self, ticket: Ticket, reopens_at: float | None, now: float) -> None:
@@ -95,11 +109,10 @@
         """Offer a request out of turn, since it has left room for others long enough."""
         self.queue.offer(ticket)
 
-    def record_rejection(self, upstream_id: UpstreamId, now: float) -> None:
-        """Record that an upstream has rejected a request."""
+    def record_rejection(self, upstream_id: UpstreamId, n_inflight: int, now: float) -> None:
+        """Record that an upstream has rejected a request that was sent beside others."""
         upstream = self._tables.upstreams.get(upstream_id)
         if upstream is not None:
-            n_inflight = self._count_inflight(upstream)
             self._full.record_rejection(UpstreamRun.of(upstream), n_inflight, now)
 
     def find_full(self, now: float) -> set[UpstreamId]:
@@ -110,10 +123,11 @@
         return {
             upstream_id
             for upstream_id, upstream in self._tables.by_service.get(self._service, {}).items()
-            if self._full.is_full(UpstreamRun.of(upstream), self._count_inflight(upstream), now)
+            if self._full.is_full(UpstreamRun.of(upstream), self.count_inflight(upstream), now)
         }
 
-    def _count_inflight(self, upstream: Upstream) -> int:
+    def count_inflight(self, upstream: Upstream) -> int:
+        """Return the number of requests known to be in flight at an upstream."""
         load = self._tables.get_load(upstream.upstream_id)
         return load.n_inflight + load.n_peer_inflight
 
@@ -149,7 +163,7 @@
         n_free, full = 0, self.find_full(now)
         for upstream_id, upstream in self._tables.by_service.get(self._service, {}).items():
             if upstream_id not in full and self._tables.is_open(upstream, now):
-                n_free += max(0, upstream.slots - self._count_inflight(upstream))
+                n_free += max(0, upstream.slots - self.count_inflight(upstream))
         return n_free
 
     def _wake(self, tickets: list[Ticket]) -> None:
