Features of the admission queue, with each request searching by itself as baseline

Cause: order, refusals, return times and holds of the queue had no tests of their own.

Change: admission.feature runs the named loads in virtual time through the flow, the placement and the budget of a gateway, with the queue and with the former poll; each decision has scenarios of its own. Refusals after a rejection are counted, too.

--- a/crocusvalve/gateway/decisions/_admission.py
+++ b/crocusvalve/gateway/decisions/_admission.py
@@ -41,11 +41,11 @@
     Parameters
     ----------
     waiting_bytes : WaitingBytes
-        Shared by all queues of a gateway.
+        Size of the waiting bodies, shared by all queues of a gateway.
     """
 
     def __init__(self, waiting_bytes: WaitingBytes) -> None:
-        self._bytes = waiting_bytes
+        self.waiting_bytes = waiting_bytes
         self._share = FairShare()
         self._kinds: dict[Hashable, dict[int, Ticket]] = {}
         self._blocked_until: dict[Hashable, float] = {}
@@ -95,7 +95,7 @@
             del self._kinds[ticket.req.kind]
             self._blocked_until.pop(ticket.req.kind, None)
         self._withdraw_offer(ticket)
-        self._bytes.size -= ticket.held_bytes
+        self.waiting_bytes.size -= ticket.held_bytes
         ticket.held_bytes = 0
         if has_started:
             self._returns.discard(ticket.req.key)
@@ -179,8 +179,8 @@
         if ticket.held_bytes:
             return []
         ticket.held_bytes = ticket.req.n_bytes
-        self._bytes.size += ticket.held_bytes
-        excess = self._bytes.size - self._bytes.limit
+        self.waiting_bytes.size += ticket.held_bytes
+        excess = self.waiting_bytes.size - self.waiting_bytes.limit
         if excess <= 0:
             return []
         evicted = []
--- a/crocusvalve/gateway/decisions/_tickets.py
+++ b/crocusvalve/gateway/decisions/_tickets.py
@@ -19,6 +19,8 @@
     CLOSED = "closed"
     #: The bodies of waiting requests take all the memory that they may.
     MEMORY = "memory"
+    #: Upstreams have rejected it, and it may not be sent again, or its deadline has passed.
+    REJECTED = "rejected"
 
 
 class AdmissionRequest(Struct, frozen=True, kw_only=True):
--- a/crocusvalve/gateway/flows/_flow.py
+++ b/crocusvalve/gateway/flows/_flow.py
@@ -11,6 +11,7 @@
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._placement import Placement, PlacementReason
 from crocusvalve.gateway.decisions._return_schedule import ReturnSchedule
+from crocusvalve.gateway.decisions._tickets import RefusalReason
 from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd
 from crocusvalve.gateway.flows._upstream_wait import UpstreamFinder, UpstreamWait
 from crocusvalve.gateway.flows._waiting import WaitingRoom
@@ -183,9 +184,13 @@
     def make_refusal(self, req: GatewayRequest, message: str, step: str) -> RefusedError:
         """Make the error of an abandoned request, with a time of its own for its return."""
         now = self.clock.now()
-        if req.retry_at is None:
-            queue = self.waiting_room.get(req.service.name).queue
-            req.retry_at = queue.book_return(req.digest, self.compute_retry_at(req, now), now)
+        is_banned = req.placement is not None and req.placement.reason is PlacementReason.BANNED
+        if req.refusal is None and not (req.has_run or is_banned or req.is_withdrawn):
+            waiting = self.waiting_room.get(req.service.name)
+            earliest_at = self.compute_retry_at(req, now)
+            req.retry_at = waiting.queue.book_return(req.digest, earliest_at, now)
+            req.refusal = RefusalReason.REJECTED
+            waiting.count_refusal(req.refusal)
         return make_gateway_error(req, message, step, now)
 
     def compute_retry_at(self, req: GatewayRequest, now: float) -> float:
--- a/features/gateway/steps/admission_load.py
+++ b/features/gateway/admission_load.py
@@ -15,6 +15,7 @@
     Configuration,
     Customer,
     GatewayBounds,
+    PrefixPart,
     Route,
     RouteKind,
     RouteTarget,
@@ -147,13 +148,7 @@
         self.answer_s = answer_s
         self.clock = TrioClock()
         self.tables = GatewayTables(NodeId("g1"))
-        self.tables.apply_configuration(
-            Configuration(
-                version=1,
-                routes=tuple(ROUTES.values()),
-                services={SERVICE: Service(name=SERVICE)},
-            )
-        )
+        self.configure(ROUTES.values(), version=1)
         self.upstreams = {}
         for number in range(n_upstreams):
             row = Upstream(
@@ -168,9 +163,7 @@
             self.upstreams[row.upstream_id] = SimulatedUpstream(row)
         observer = GatewayObserver(CollectorRegistry())
         self.manager = AttemptManager(
-            settings=SimpleNamespace(
-                node_id=NodeId("g1"), domain=DOMAIN, bounds=GatewayBounds()
-            ),
+            settings=SimpleNamespace(node_id=NodeId("g1"), domain=DOMAIN, bounds=GatewayBounds()),
             tables=self.tables,
             peers=SimpleNamespace(list_active_nodes=lambda now: [NodeId("g1")]),
             crashes=CrashRegistry(),
@@ -188,11 +181,17 @@
         self.n_sends = 0
         self.n_refused_beside_free = 0
 
+    def configure(self, routes, version):
+        """Put a configuration with some routes in force."""
+        services = {SERVICE: Service(name=SERVICE)}
+        config = Configuration(version=version, routes=tuple(routes), services=services)
+        assert self.tables.apply_configuration(config)
+
     @property
     def capacity_per_s(self):
         return sum(up.row.slots for up in self.upstreams.values()) / self.answer_s
 
-    def make_request(self, caller, now):
+    def make_request(self, caller, now, n_tokens=0):
         """Return the gateway's record of a caller's request."""
         route = caller.kind
         return GatewayRequest(
@@ -207,9 +206,9 @@
                 key=None,
                 session="",
                 model="",
-                n_prompt_tokens=0,
+                n_prompt_tokens=n_tokens,
                 max_output_tokens=0,
-                prefix=(),
+                prefix=(PrefixPart("p", n_tokens),) if n_tokens else (),
                 last_event_id=b"",
                 body=caller.body,
             ),
@@ -219,7 +218,7 @@
             versions=VersionChoice(),
             arrived_at=now,
             deadline=now + route.timeout_s,
-            affinity="",
+            affinity="p" if n_tokens else "",
             digest=caller.digest,
         )
 
