--- a/features/gateway/admission_load.py
+++ b/features/gateway/admission_load.py
@@ -322,3 +322,8 @@
         """Return the share of the selected callers that are answered in time."""
         chosen = [caller for caller in self.callers if select(caller)]
         return sum(caller.is_in_time for caller in chosen) / max(1, len(chosen))
+
+
+def check_empty(queue):
+    """Check that nothing is left of the requests that a queue has had."""
+    assert not len(queue) and not queue.n_offered and not queue.waiting_bytes.size
