Admission: waits for absent upstreams end after 0.3 of the goal, rates count waits only

Cause: a request without any upstream would have waited for nearly all of its goal; and the rate of starts was measured while only held requests waited, or not at all if no search failed.

Change: the longer wait applies only if upstreams are there and taken; the rate is measured while requests wait for a place.

--- a/crocusvalve/gateway/decisions/_admission.py
+++ b/crocusvalve/gateway/decisions/_admission.py
@@ -103,7 +103,8 @@
             self._n_starts_since_raise += 1
             if self._busy_since is not None:
                 self._starts.append(now)
-        if not self._kinds:
+        if not any(other.is_waiting and not other.is_held for other in self._list_all()):
+            # Starts are limited by the arrivals from now on, not by the upstreams.
             self._busy_since = None
             self._starts.clear()
 
@@ -154,8 +155,6 @@
         if reopens_at is not None:
             until = max(now + MIN_PROBE_S, min(until, reopens_at))
         self._blocked_until[ticket.req.kind] = until
-        if self._busy_since is None and not ticket.is_held:
-            self._busy_since = now
 
     def record_change(self) -> None:
         """Record that an attempt has ended, so that all kinds are tried again."""
@@ -171,13 +170,16 @@
             default=probe_at,
         )
 
-    def hold_bytes(self, ticket: Ticket, now: float) -> list[Ticket]:
-        """Count the body of a request that begins to wait; return those refused for its sake.
+    def begin_wait(self, ticket: Ticket, now: float) -> list[Ticket]:
+        """Count a request that waits; return those that are refused for lack of memory.
 
         The least urgent ones are refused, perhaps the request itself.
         """
-        if ticket.held_bytes:
+        if self._busy_since is None and not ticket.is_held:
+            self._busy_since = now
+        if ticket.is_waiting:
             return []
+        ticket.is_waiting = True
         ticket.held_bytes = ticket.req.n_bytes
         self.waiting_bytes.size += ticket.held_bytes
         excess = self.waiting_bytes.size - self.waiting_bytes.limit
--- a/crocusvalve/gateway/decisions/_tickets.py
+++ b/crocusvalve/gateway/decisions/_tickets.py
@@ -65,6 +65,8 @@
         Whether its caller was told to return about now, or it was sent before.
     is_offered : bool
         Whether it is to be sent now, if an upstream is found.
+    is_waiting : bool
+        Whether it couldn't be sent when it came.
     is_held : bool
         Whether it waits for its own part to leave room for more urgent ones.
     refusal : RefusalReason or None
@@ -77,6 +79,7 @@
     wait_until: float
     is_returning: bool = False
     is_offered: bool = False
+    is_waiting: bool = False
     is_held: bool = False
     held_bytes: int = 0
     refusal: RefusalReason | None = None
--- a/crocusvalve/gateway/flows/_upstream_wait.py
+++ b/crocusvalve/gateway/flows/_upstream_wait.py
@@ -16,8 +16,15 @@
 
 __all__ = ["MAX_WAIT_FRACTION", "UpstreamFinder", "UpstreamWait"]
 
-#: Fraction of the route's goal for which a request waits for an upstream.
+#: Fraction of the route's goal for which a request waits if all upstreams are closed or absent.
 MAX_WAIT_FRACTION = 0.3
+#: Reasons for which no place becomes free by the end of another request.
+UNAVAILABLE_REASONS = (
+    PlacementReason.NONE_REGISTERED,
+    PlacementReason.NONE_ALLOWED,
+    PlacementReason.ALL_CLOSED,
+    PlacementReason.ALL_LIMITED,
+)
 
 
 class UpstreamFinder(ABC):
@@ -89,13 +96,11 @@
         self._is_place_seen = False
         self._has_slept = False
         described = self._describe(now)
-        #: Until then the request waits for upstreams that have set a time themselves.
-        self._reopen_limit = wait_until = since + self._wait_s
+        #: Until then the request waits for upstreams that are closed or absent.
+        self._reopen_limit = since + self._wait_s
         if described.was_rejected:
             self._waiting.record_rejection(req.upstream_id, req.n_sent_beside, now)
-        # Full upstreams may accept it at any time, as long as it can still be in time.
-        wait_until = max(wait_until, described.start_by)
-        self._ticket = self._waiting.join(described, wait_until, now)
+        self._ticket = self._waiting.join(described, self._reopen_limit, now)
 
     async def run(self, now: float, read_clock: Callable[[], float]) -> Upstream | None:
         """Return the upstream to which the request is to be sent, or None if it is refused."""
@@ -173,6 +178,9 @@
         self._excluded = req.tried | self._waiting.find_full(now)
         req.placement = self._finder.attempt_manager.place(req, now, self._model, self._excluded)
         upstream = req.placement.upstream
+        if req.placement.reason not in UNAVAILABLE_REASONS:
+            # A place may become free at any time, so it waits as long as it can be in time.
+            ticket.wait_until = max(self._reopen_limit, ticket.req.start_by)
         if upstream is None:
             if ticket.is_held:
                 self._end_hold(now)
--- a/crocusvalve/gateway/flows/_waiting.py
+++ b/crocusvalve/gateway/flows/_waiting.py
@@ -133,7 +133,7 @@
 
     def begin_wait(self, ticket: Ticket, now: float) -> None:
         """Count a request's body, and wake those that are refused for lack of memory."""
-        self._wake(self.queue.hold_bytes(ticket, now))
+        self._wake(self.queue.begin_wait(ticket, now))
 
     async def sleep(self, ticket: Ticket, until: float, now: float) -> None:
         """Sleep until a request is offered or refused, or a local time in seconds."""
--- a/features/gateway/admission.feature
+++ b/features/gateway/admission.feature
@@ -122,6 +122,11 @@
       | 0, 9       | 0   | 0.0 | 0.0  |
       | 9, 9       | 9   | 0.0 | 0.0  |
 
+  Scenario: A request without any upstream isn't kept waiting for all of its goal
+    Given a stream service without upstreams
+    When a stream with a goal of 2 s comes
+    Then it is refused after 0.6 s, and may return 2 s later
+
   Scenario: Queue length and refusals by reason are metrics
     Given callers send as usual while half of the upstreams are gone
     When it meets a gateway with the queue, and one where each request searches for itself
--- a/features/gateway/steps/admission_queue_steps.py
+++ b/features/gateway/steps/admission_queue_steps.py
@@ -115,7 +115,8 @@
 def given_slow_queue(context, n, wait_s, rate):
     context.subject = subject = QueueSubject()
     for number in range(n):
-        subject.join(f"{number:03}", wait_s=wait_s, start_s=wait_s + number)
+        ticket = subject.join(f"{number:03}", wait_s=wait_s, start_s=wait_s + number)
+        subject.queue.begin_wait(ticket, subject.now)
     context.rate = rate
     subject.queue.block(subject.tickets["000"], None, subject.now)
 
@@ -151,7 +152,7 @@
     subject, context.refused = context.subject, []
     for number, rank in enumerate(ranks.split(", ")):
         ticket = subject.join(f"{number}", rank=int(rank), n_bytes=n_bytes)
-        for evicted in subject.queue.hold_bytes(ticket, NOW):
+        for evicted in subject.queue.begin_wait(ticket, NOW):
             context.refused.append(evicted.req.rank)
             assert evicted.refusal is RefusalReason.MEMORY
             subject.queue.leave(evicted, NOW)
@@ -289,6 +290,33 @@
     context.room.send(priority, 0, context.change, context.busy_s)
 
 
+@given("a stream service without upstreams")
+def given_no_upstreams(context):
+    context.room = RoomSubject("0, 9", RouteKind.STREAM)
+    for upstream_id in context.room.sim.upstreams:
+        context.room.sim.tables.drop_upstream(upstream_id)
+
+
+@when("a stream with a goal of {goal_s:g} s comes")
+def when_stream_without_upstream(context, goal_s):
+    sim = context.room.sim
+    caller = sim.make_caller("c", "urgent")
+    assert caller.kind.goal_s == goal_s
+
+    async def run():
+        context.retry_s = await sim.serve(sim.make_request(caller, sim.clock.now()))
+        context.refused_s = trio.current_time()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
+@then("it is refused after {refused_s:g} s, and may return {retry_s:g} s later")
+def then_refused_after(context, refused_s, retry_s):
+    assert abs(context.refused_s - refused_s) < 0.01, context.refused_s
+    assert abs(context.retry_s - retry_s) < 0.01, context.retry_s
+    check_empty(context.room.sim.waiting.queue)
+
+
 @then("it is admitted after {low:g} s to {high:g} s")
 def then_admitted(context, low, high):
     assert low - 1e-6 <= context.room.admitted_s <= high + 1e-6, context.room.admitted_s
