Full upstreams: only the gateway's own requests in flight are counted

Cause: reports of peers are up to seconds old, so a lower count of theirs doesn't show a free place that isn't taken by others.

Change: a rejection counts against this gateway's requests in flight at its send.

--- a/crocusvalve/gateway/decisions/_full_upstreams.py
+++ b/crocusvalve/gateway/decisions/_full_upstreams.py
@@ -8,9 +8,9 @@
 
 __all__ = ["FullUpstreams"]
 
-#: Time in seconds after a rejection in which no other request is sent there, unless fewer are in
-#: flight than at the rejection. Each further rejection doubles it: peers' requests end unnoticed
-#: until their next report, which they send every 0.4 s.
+#: Time in seconds after a rejection in which no other request is sent there, unless fewer of this
+#: gateway's are in flight than at the rejection. Each further rejection doubles it: peers' requests
+#: end unnoticed until their next report, which they send every 0.4 s.
 PAUSE_S = 0.05
 MAX_PAUSE_S = 0.4
 #: Time without a rejection after which the first pause applies again.
@@ -27,6 +27,9 @@
 class FullUpstreams:
     """Remembers for all requests of a service which upstreams are full.
 
+    Only the gateway's own requests in flight are counted, since peers' reports are up to seconds
+    old and places that become free there are taken by others.
+
     Load that it answers: all upstreams are full. Were each request sent to each of them to be
     rejected, the budget of extra attempts would be used up by that. Times are local, in seconds.
     """
--- a/crocusvalve/gateway/flows/_request.py
+++ b/crocusvalve/gateway/flows/_request.py
@@ -52,7 +52,7 @@
     model, upstream_id : str, UpstreamId or None
         Model and upstream of the last attempt.
     n_sent_beside : int
-        Requests in flight at the upstream when it was last chosen.
+        This gateway's requests in flight at the upstream when it was last chosen.
     first_event_at : float or None
         Time at which the first event was forwarded.
     n_events : int
--- a/crocusvalve/gateway/flows/_upstream_wait.py
+++ b/crocusvalve/gateway/flows/_upstream_wait.py
@@ -115,7 +115,7 @@
                 if found is not None or req.placement.reason is PlacementReason.BANNED:
                     upstream = found
                     if upstream is not None:
-                        req.n_sent_beside = self._waiting.count_inflight(upstream)
+                        req.n_sent_beside = self._waiting.count_own(upstream)
                     return upstream
                 if not ticket.is_held and self._is_refused(reopens_at, now):
                     return None
--- a/crocusvalve/gateway/flows/_waiting.py
+++ b/crocusvalve/gateway/flows/_waiting.py
@@ -123,9 +123,13 @@
         return {
             upstream_id
             for upstream_id, upstream in self._tables.by_service.get(self._service, {}).items()
-            if self._full.is_full(UpstreamRun.of(upstream), self.count_inflight(upstream), now)
+            if self._full.is_full(UpstreamRun.of(upstream), self.count_own(upstream), now)
         }
 
+    def count_own(self, upstream: Upstream) -> int:
+        """Return the number of this gateway's requests in flight at an upstream."""
+        return self._tables.get_load(upstream.upstream_id).n_inflight
+
     def count_inflight(self, upstream: Upstream) -> int:
         """Return the number of requests known to be in flight at an upstream."""
         load = self._tables.get_load(upstream.upstream_id)
