Request log: queue length is that at the begin of the wait

Cause: the field was set only for refused requests.

Change: it is set when a request begins to wait, or when it is refused at once.

--- a/crocusvalve/gateway/flows/_request.py
+++ b/crocusvalve/gateway/flows/_request.py
@@ -66,7 +66,7 @@
     retry_at : float or None
         Time that the admission gave the caller of a refused request to send it again.
     queue_length : int
-        Requests that were ahead of it when it began to wait.
+        Other requests in the queue of its service when it began to wait or was refused.
     held_s : float
         Part of ``waited_s`` for which it left room for more urgent requests, in seconds.
     refusal : RefusalReason or None
--- a/crocusvalve/gateway/flows/_upstream_wait.py
+++ b/crocusvalve/gateway/flows/_upstream_wait.py
@@ -121,6 +121,8 @@
                     return None
                 if ticket.is_offered:
                     self._waiting.block(ticket, reopens_at, now)
+                if not ticket.is_waiting:
+                    req.queue_length = len(self._waiting.queue) - 1
                 self._waiting.begin_wait(ticket, now)
                 while not self._is_turn(now):
                     now = await self._sleep(now, read_clock)
@@ -265,7 +267,8 @@
         if reason is not RefusalReason.CLOSED:
             earliest_at = max(earliest_at, now + (queue.estimate(None, now) or 0.0))
         req.refusal = reason
-        req.queue_length = len(queue) - 1
+        if not ticket.is_waiting:
+            req.queue_length = len(queue) - 1
         req.retry_at = queue.book_return(req.digest, earliest_at, now)
         self._waiting.count_refusal(reason)
         return True
