--- a/crocusvalve/gateway/flows/_plain_flow.py
+++ b/crocusvalve/gateway/flows/_plain_flow.py
@@ -11,9 +11,11 @@
 from crocusvalve.exceptions import RefusedError
 from crocusvalve.gateway.base import Reply, RouteKind, Upstream
 from crocusvalve.gateway.callers._listener import Responder
+from crocusvalve.gateway.decisions._headroom import find_full
 from crocusvalve.gateway.decisions._health import Outcome
-from crocusvalve.gateway.flows._flow import Flow, make_gateway_error
+from crocusvalve.gateway.flows._flow import Flow
 from crocusvalve.gateway.flows._request import GatewayRequest, RequestEnd, check_claim
+from crocusvalve.gateway.flows._waiting import WaitingRoom
 from crocusvalve.gateway.upstreams._answer_memory import AnswerMemory
 from crocusvalve.gateway.upstreams._attempt import Attempt
 from crocusvalve.gateway.upstreams._attempts import AttemptManager
@@ -58,8 +60,8 @@
         Answers that are held until they are complete and have been sent.
     """
 
-    def __init__(self, attempt_manager: AttemptManager):
-        super().__init__(attempt_manager)
+    def __init__(self, attempt_manager: AttemptManager, waiting_room: WaitingRoom):
+        super().__init__(attempt_manager, waiting_room)
         self.memory = AnswerMemory(MAX_HELD_BYTES)
 
     async def answer(self, req: GatewayRequest, responder: Responder) -> RequestEnd:
@@ -90,7 +92,7 @@
                 upstream = await self._find_next(req)
                 if upstream is None:
                     message = "no upstream can accept the request"
-                    return failure or make_gateway_error(req, message, "place", self.clock.now())
+                    return failure or self.make_refusal(req, message, "place")
                 nursery.start_soon(self._attempt, req, upstream, send, held)
                 pending.add(upstream.upstream_id)
             result = await self._receive_result(req, receive, may_hedge=len(pending) == 1)
@@ -109,7 +111,7 @@
                 failure = result
             if not pending and not self._may_continue(req, result):
                 message = "the upstream sent no answer"
-                return failure or make_gateway_error(req, message, "attempt", self.clock.now())
+                return failure or self.make_refusal(req, message, "attempt")
 
     def _find_hedge(self, req: GatewayRequest, pending: set[UpstreamId]) -> Upstream | None:
         """Return an upstream for a hedged attempt, or None.
@@ -142,6 +144,18 @@
             return self.find_upstream(req, self.clock.now())
         return await self.wait_for_upstream(req, req.arrived_at)
 
+    def estimate_answer_s(
+        self, req: GatewayRequest, model: str, queued_tokens: float, now: float
+    ) -> float | None:
+        """Return the mean time to an answer; None if nothing is learned."""
+        return self.attempt_manager.pace.compute_plain_s(req.service.name)
+
+    def find_crowded(
+        self, req: GatewayRequest, model: str, urgent_goal_s: float, now: float
+    ) -> set[UpstreamId]:
+        """Return the upstreams without a slot besides those kept for more urgent requests."""
+        return find_full(self.attempt_manager.tables, req.service.name)
+
     @staticmethod
     async def _receive_result(
         req: GatewayRequest, receive: trio.MemoryReceiveChannel, *, may_hedge: bool
--- a/crocusvalve/gateway/flows/_request.py
+++ b/crocusvalve/gateway/flows/_request.py
@@ -8,6 +8,7 @@
 from crocusvalve.exceptions import ErrorCode, RefusedError
 from crocusvalve.gateway.base import CallerRequest, Customer, Reply, Route, RouteKind, Service
 from crocusvalve.gateway.decisions._placement import Placement
+from crocusvalve.gateway.decisions._tickets import RefusalReason
 from crocusvalve.gateway.decisions._upgrades import VersionChoice
 
 __all__ = ["GatewayRequest", "RequestEnd", "check_claim"]
@@ -72,6 +73,8 @@
         Attempts that may have run the request.
     model, upstream_id : str, UpstreamId or None
         Model and upstream of the last attempt.
+    n_sent_beside : int
+        This gateway's requests in flight at the upstream when it was last chosen.
     first_event_at : float or None
         Time at which the first event was forwarded.
     n_events : int
@@ -85,6 +88,14 @@
     stop_retry_s : float or None
         Seconds after which the caller may retry a request that the gateway's stop has ended; None
         for one that it hasn't.
+    retry_at : float or None
+        Time that the admission gave the caller of a refused request to send it again.
+    queue_length : int
+        Other requests in the queue of its service when it began to wait or was refused.
+    held_s : float
+        Part of ``waited_s`` for which it left room for more urgent requests, in seconds.
+    refusal : RefusalReason or None
+        Why the admission has refused it.
     is_withdrawn : bool
         Whether the request was ended because it has become known to crash upstreams.
     notes : list of str
@@ -106,12 +117,17 @@
     n_runs: int = 0
     model: str = ""
     upstream_id: UpstreamId | None = None
+    n_sent_beside: int = 0
     first_event_at: float | None = None
     n_events: int = 0
     placement: Placement | None = None
     waited_s: float = 0.0
     return_at: float | None = None
     stop_retry_s: float | None = None
+    retry_at: float | None = None
+    queue_length: int = 0
+    held_s: float = 0.0
+    refusal: RefusalReason | None = None
     is_withdrawn: bool = False
     notes: list[str] = field(default_factory=list)
 
