--- a/crocusvalve/gateway/decisions/_headroom.py
+++ b/crocusvalve/gateway/decisions/_headroom.py
@@ -9,7 +9,13 @@
 from crocusvalve.gateway.decisions._slowness import compute_slowness
 from crocusvalve.gateway.tables._tables import GatewayTables
 
-__all__ = ["compute_hold_s", "find_full", "find_long_queues", "find_urgent_goal_s"]
+__all__ = [
+    "compute_hold_s",
+    "find_full",
+    "find_long_queues",
+    "find_urgent_goal_s",
+    "must_hold_escalation",
+]
 
 #: Part of an urgent request's goal for which prompts may be queued ahead of it. The other half is
 #: for its own prompt, and for a second attempt, which begins after 0.9 of the goal at the latest.
@@ -23,6 +29,13 @@
 #: Part of an upstream's slots that is kept free for urgent plain requests.
 FREE_SLOTS_FRACTION = 0.125
 
+#: The same for a larger model's prompts, in the mean over its upstreams. It is smaller, since the
+#: urgent request has spent a part of its goal on the smaller model's answer, and reads its own
+#: prompt several times as slowly.
+ESCALATION_ROOM_FRACTION = 0.2
+#: Part of its own goal for which a request may hold its escalation; its caller then has no event.
+MAX_ESCALATION_HOLD_FRACTION = 0.5
+
 
 def find_urgent_goal_s(
     routes: Iterable[Route], service: ServiceName, own: Route, priority: int
@@ -66,6 +79,31 @@
     return max(0.0, HOLD_FRACTION * slack_s)
 
 
+def must_hold_escalation(
+    goal_s: float, elapsed_s: float, urgent_goal_s: float | None, mean_wait_s: float
+) -> bool:
+    """Return whether a request waits before it is sent to a larger model.
+
+    Load that it answers: long prompts with time to spare fill the upstreams of the largest model,
+    so that urgent ones with a shorter goal get no answer of it in time.
+
+    Parameters
+    ----------
+    goal_s, elapsed_s : float
+        Time in seconds from the request's arrival to its first event that it aims at, and the time
+        since its arrival.
+    urgent_goal_s : float or None
+        Shortest goal of the more urgent routes of the service in seconds; None if there are none.
+    mean_wait_s : float
+        Mean time in seconds until a prompt that is sent now is read. The mean is used, since the
+        queue that seems to be shortest is often the one that is known least.
+    """
+    if urgent_goal_s is None or urgent_goal_s >= goal_s:
+        return False
+    is_held_long = elapsed_s >= MAX_ESCALATION_HOLD_FRACTION * goal_s
+    return not is_held_long and mean_wait_s > ESCALATION_ROOM_FRACTION * urgent_goal_s
+
+
 def find_long_queues(
     tables: GatewayTables,
     pace: PaceTable,
--- a/crocusvalve/gateway/flows/_stream_flow.py
+++ b/crocusvalve/gateway/flows/_stream_flow.py
@@ -15,6 +15,8 @@
 
 #: Time within which an upstream rejects a request that it can't accept, in seconds.
 REJECTION_S = 0.1
+#: Interval at which a held escalation is considered again; gateways report loads each 0.4 s.
+HOLD_POLL_INTERVAL_S = 0.1
 
 
 class StreamFlow(Flow):
@@ -109,6 +111,14 @@
             upstream = self.find_upstream(policy.req, self.clock.now(), smaller.larger_model)
             if upstream is None:
                 break
+            now = self.clock.now()
+            if policy.must_hold_escalation(smaller.larger_model, now):
+                await trio.sleep(HOLD_POLL_INTERVAL_S)
+                held_s = self.clock.now() - now
+                policy.req.held_s += held_s
+                policy.req.waited_s += held_s
+                until += held_s
+                continue
             larger = policy.make_attempt(upstream, smaller.larger_model)
             try:
                 await self._await_rejection(larger)
--- a/features/gateway/admission_load.py
+++ b/features/gateway/admission_load.py
@@ -163,7 +163,12 @@
             self.upstreams[row.upstream_id] = SimulatedUpstream(row)
         observer = GatewayObserver(CollectorRegistry())
         self.manager = AttemptManager(
-            settings=SimpleNamespace(node_id=NodeId("g1"), domain=DOMAIN, bounds=GatewayBounds()),
+            settings=SimpleNamespace(
+                node_id=NodeId("g1"),
+                domain=DOMAIN,
+                bounds=GatewayBounds(),
+                uses_prefix_cache=True,
+            ),
             tables=self.tables,
             peers=SimpleNamespace(list_active_nodes=lambda now: [NodeId("g1")]),
             crashes=CrashRegistry(),
