--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -12,12 +12,11 @@
 from crocusvalve.gateway._loop_monitor import LoopMonitor
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway._sockets import open_listeners
+from crocusvalve.gateway._table_followers import make_followers
 from crocusvalve.gateway._upgrade_controller import UpgradeController
 from crocusvalve.gateway.base import GatewaySettings, HeaderCodec, RecordCodec
 from crocusvalve.gateway.callers._caller_connection import CallerConnection
 from crocusvalve.gateway.callers._ready import ReadyListener
-from crocusvalve.gateway.decisions._capacity import SpeedReport
-from crocusvalve.gateway.decisions._closures import UpstreamRun
 from crocusvalve.gateway.decisions._crashes import CrashRegistry
 from crocusvalve.gateway.decisions._outcome_counts import OutcomeCountsTable
 from crocusvalve.gateway.flows._request_handler import RequestHandler
@@ -36,7 +35,6 @@
 from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.gateway.tables._upstream_table import UpstreamTableHandler
 from crocusvalve.gateway.upstreams._attempts import AttemptManager
-from crocusvalve.store import Backoff
 from crocusvalve.store.base import ChangeFeed
 from crocusvalve.utils import Clock
 
@@ -44,17 +42,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: Calls that wait for changes end this much before the operators' recovery bound (``contact_s``),
-#: so that a store connection that no longer responds is replaced within the bound.
-WAIT_MARGIN_S = 0.5
-#: Shortest time for which a call waits for changes.
-MIN_WAIT_S = 1.0
-#: Pause between two fetches of upstreams' changes, as a fraction of the time within which a
-#: leaving upstream must get no more requests (``drain_s``). Upstreams refresh their entries all the
-#: time, so without a pause each call would return at once.
-UPSTREAM_PAUSE_FRACTION = 0.3
-BACKOFF_BASE_S = 0.1
-BACKOFF_MAX_S = 0.4
 #: Interval at which a stopping gateway checks whether requests are open, and which can't end
 #: in time; those are ended in turn within 0.2 s.
 DRAIN_POLL_INTERVAL_S = 0.02
@@ -64,8 +51,6 @@
 #: A gateway that has lacked a change of the operators' table for longer, which a peer has, isn't
 #: ready; otherwise its connections would get answers of an old configuration.
 MAX_READY_LAG_S = 3.0
-#: Maximum number of upstreams' speeds in one gossip message.
-MAX_SPEED_REPORTS = 64
 
 
 class Gateway:
@@ -192,7 +177,7 @@
             observer=self.observer,
             is_leaving=self.request_handler.is_closing,
             random_state=random_state,
-            list_speeds=self._list_speeds,
+            list_speeds=self.tables.report_speeds,
             merge_speeds=self.tables.capacities.merge,
         )
         self.loop_monitor = LoopMonitor(clock.now())
@@ -251,12 +236,6 @@
             "settings changed; the process keeps its current settings until the next start"
         )
 
-    def _list_speeds(self, now: float) -> tuple[SpeedReport, ...]:
-        """Return the speeds of upstreams to report, after removing those that have left."""
-        capacities = self.tables.capacities
-        capacities.forget((UpstreamRun.of(row) for row in self.tables.upstreams.values()), now)
-        return capacities.make_reports(MAX_SPEED_REPORTS, now)
-
     def _list_tasks(self) -> list[Callable]:
         link = PeerLink(
             address=self.settings.peer,
@@ -271,15 +250,7 @@
             random_state=self.random_state,
         )
         return [
-            self._make_reader(self.operator_handler).run,
-            self._make_reader(
-                self.upstream_handler,
-                pause_s=UPSTREAM_PAUSE_FRACTION * self.settings.bounds.drain_s,
-                is_probing=False,
-            ).run,
-            self._make_follower(
-                self.status_handler, is_enabled=self._must_follow_status, is_probing=False
-            ).run,
+            *(follower.run for follower in self._make_followers()),
             self.upgrades.run,
             link.run,
             self.reading.run,
@@ -288,32 +259,18 @@
             lambda: self.loop_monitor.run(self.clock),
         ]
 
-    def _make_follower(self, handler, **kwargs) -> TableFollower:
-        return TableFollower(
+    def _make_followers(self) -> list[TableFollower]:
+        return make_followers(
             feed=self.feed,
-            handler=handler,
             store=self.store,
-            backoff=Backoff(
-                base_s=BACKOFF_BASE_S, max_s=BACKOFF_MAX_S, random_state=self.random_state
-            ),
+            bounds=self.settings.bounds,
+            reading=self.reading,
+            upgrades=self.upgrades,
+            handlers=(self.operator_handler, self.upstream_handler, self.status_handler),
             clock=self.clock,
-            wait_s=max(MIN_WAIT_S, self.settings.bounds.contact_s - WAIT_MARGIN_S),
-            **kwargs,
-        )
-
-    def _make_reader(self, handler, **kwargs) -> TableFollower:
-        """Return a follower of a table that only the readers of a failure domain follow."""
-        return self._make_follower(
-            handler,
-            is_enabled=lambda: self.reading.must_follow(handler.table),
-            measure_outage_s=self.reading.measure_outage_s,
-            **kwargs,
+            random_state=self.random_state,
         )
 
-    def _must_follow_status(self) -> bool:
-        """Return whether an upgrade is in progress, or its status may have been lost."""
-        return self.upgrades.is_active() or self.status_handler.replica.era < self.store.era
-
     def _spawn(self, task: Callable, *args) -> None:
         """Start a task; an exception in it is logged and ends only this task."""
         self._nursery.start_soon(self._run_guarded, task, *args)
--- a/crocusvalve/gateway/decisions/_capacity.py
+++ b/crocusvalve/gateway/decisions/_capacity.py
@@ -8,7 +8,7 @@
 from crocusvalve.base import NodeId
 from crocusvalve.gateway.decisions._closures import UpstreamRun
 
-__all__ = ["CapacityTable", "SpeedReport"]
+__all__ = ["MAX_SPEED_REPORTS", "CapacityTable", "SpeedReport"]
 
 #: Seconds in which a sample loses half its weight, so that a change of speed shows within seconds.
 HALF_LIFE_S = 12.0
@@ -20,6 +20,8 @@
 MAX_SAMPLE_FACTOR = 4.0
 #: A peer's report is used for this long.
 REPORT_EXPIRY_S = 15.0
+#: Maximum number of upstreams' speeds in one gossip message.
+MAX_SPEED_REPORTS = 64
 #: Minimum weight of the samples that are reported.
 MIN_REPORT_WEIGHT = 0.5
 
--- a/crocusvalve/gateway/tables/_tables.py
+++ b/crocusvalve/gateway/tables/_tables.py
@@ -11,7 +11,11 @@
     Upstream,
     VersionName,
 )
-from crocusvalve.gateway.decisions._capacity import CapacityTable
+from crocusvalve.gateway.decisions._capacity import (
+    MAX_SPEED_REPORTS,
+    CapacityTable,
+    SpeedReport,
+)
 from crocusvalve.gateway.decisions._closures import ClosureTable, UpstreamRun
 from crocusvalve.gateway.decisions._rate_limits import RateLimitTable
 from crocusvalve.gateway.decisions._request_rate import RequestRate
@@ -243,6 +247,11 @@
             self.loads.pop(upstream_id, None)
         return row
 
+    def report_speeds(self, now: float) -> tuple[SpeedReport, ...]:
+        """Return the speeds of upstreams to report, after removing those that have left."""
+        self.capacities.forget((UpstreamRun.of(row) for row in self.upstreams.values()), now)
+        return self.capacities.make_reports(MAX_SPEED_REPORTS, now)
+
     def mark_cold(self, upstream_id: UpstreamId, until: float) -> None:
         """Treat an upstream as cold until a local time in seconds, or longer if it already is."""
         load = self.get_load(upstream_id)
--- a/features/gateway/steps/follower_steps.py
+++ b/features/gateway/steps/follower_steps.py
@@ -9,7 +9,7 @@
 from crocusvalve.base import NodeId, UpstreamId
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._process import BACKOFF_BASE_S, BACKOFF_MAX_S, WAIT_MARGIN_S
+from crocusvalve.gateway._table_followers import BACKOFF_BASE_S, BACKOFF_MAX_S, WAIT_MARGIN_S
 from crocusvalve.gateway.base import Address, GatewayBounds
 from crocusvalve.gateway.shared._gossip_message import GossipMessage
 from crocusvalve.gateway.shared._table_copies import CopyRequest
--- a/features/gateway/table_reader_simulation.py
+++ b/features/gateway/table_reader_simulation.py
@@ -13,7 +13,7 @@
 from crocusvalve.base import DomainId, NodeId, UpstreamId
 from crocusvalve.exceptions import PlatformError
 from crocusvalve.gateway._observer import GatewayObserver
-from crocusvalve.gateway._process import (
+from crocusvalve.gateway._table_followers import (
     BACKOFF_BASE_S,
     BACKOFF_MAX_S,
     UPSTREAM_PAUSE_FRACTION,
