--- a/crocusvalve/gateway/decisions/_admission.py
+++ b/crocusvalve/gateway/decisions/_admission.py
@@ -245,14 +245,14 @@
     def _make_key(self, now: float) -> Callable[[Ticket], tuple]:
         """Return the function by which requests are ordered now."""
         waiting = {ticket.req.customer for ticket in self._list_all()}
-        greedy = self._share.find_over_share(waiting, now)
+        over_share = self._share.find_over_share(waiting, now)
 
         def make_key(ticket: Ticket) -> tuple:
             req = ticket.req
             is_late = req.start_by < now
             is_newcomer = not ticket.is_returning
-            is_greedy = req.customer in greedy
-            return (req.rank, is_late, is_greedy, is_newcomer, req.start_by, ticket.sequence)
+            is_over_share = req.customer in over_share
+            return (req.rank, is_late, is_over_share, is_newcomer, req.start_by, ticket.sequence)
 
         return make_key
 
