--- a/crocusvalve/gateway/flows/_upstream_wait.py
+++ b/crocusvalve/gateway/flows/_upstream_wait.py
@@ -209,7 +209,7 @@
         if ticket.refusal is not None or now >= ticket.wait_until:
             return True
         self._is_place_seen = True
-        self._waiting.note_place(now)
+        self._waiting.record_free_place(now)
         return ticket.is_offered
 
     def _end_hold(self, now: float) -> None:
--- a/crocusvalve/gateway/flows/_waiting.py
+++ b/crocusvalve/gateway/flows/_waiting.py
@@ -84,7 +84,7 @@
             self.queue.record_change()
             self.wake_next(now, n_min=1)
 
-    def note_place(self, now: float) -> None:
+    def record_free_place(self, now: float) -> None:
         """Wake the next requests, since a request has found an upstream out of turn."""
         self.queue.record_change()
         self.wake_next(now, n_min=0)
