--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -296,7 +296,11 @@
         self.running = {}
         self.runs = []
         self.is_registered = False
-        #: Called with path, fields and body; returns bytes to send in place of an answer, or None.
+        #: Prefix of the paths that are answered by a stream, its events and the pause between them.
+        self.streams, self.n_events, self.pause_s = "", 20, 0.15
+        #: Seconds of its stream after which a deadly request ends the process.
+        self.dies_after_s = 0.0
+        #: Called with path and fields; returns bytes to send in place of an answer, or None.
         self.spoil = lambda path, fields: None
         #: Whether a request ends the process once it begins to run.
         self.is_deadly = lambda path, fields, body: False
@@ -382,7 +386,10 @@
         token = object()
         self.running[token] = (path, attempt)
         try:
-            if self.is_deadly(path, fields, body):
+            is_deadly = self.is_deadly(path, fields, body)
+            if self.streams and path.startswith(self.streams):
+                return await self._stream(writer, path, fields, is_deadly)
+            if is_deadly:
                 await asyncio.sleep(0.03)
                 self.crash("crash-by-request")
                 return False
@@ -402,6 +409,27 @@
         finally:
             del self.running[token]
 
+    async def _stream(self, writer, path, fields, is_deadly):
+        attempt = fields.get("x-attempt-id", "")
+        head = "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        head += f"X-Attempt-Id: {attempt}\r\nX-Response-Signature: {self.name}.{attempt}\r\n\r\n"
+        await asyncio.sleep(random.uniform(*self.work_s))
+        writer.write(head.encode())
+        began_at = time.monotonic()
+        for number in range(int(fields.get("last-event-id", 0)) + 1, self.n_events + 1):
+            if is_deadly and time.monotonic() >= began_at + self.dies_after_s:
+                self.crash("crash-by-request")
+                return False
+            event = f"id: {number}\ndata: piece {number} of {path}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(self.pause_s)
+            if self.server is None:
+                return False
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
     @staticmethod
     async def _send(writer, status, fields, body):
         head = f"HTTP/1.1 {status} X\r\n"
