--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -300,6 +300,8 @@
         self.streams, self.n_events, self.pause_s = "", 20, 0.15
         #: Seconds of its stream after which a deadly request ends the process.
         self.dies_after_s = 0.0
+        #: Called with path and fields; returns the status of the answer.
+        self.choose_status = lambda path, fields: 200
         #: Called with path and fields; returns bytes to send in place of an answer, or None.
         self.spoil = lambda path, fields: None
         #: Whether a request ends the process once it begins to run.
@@ -404,7 +406,7 @@
                 return False
             answer = f"{self.name} ran {method} {path} of attempt {attempt}".encode()
             signed = {"X-Attempt-Id": attempt, "X-Response-Signature": f"{self.name}.{attempt}"}
-            await self._send(writer, 200, signed, answer)
+            await self._send(writer, self.choose_status(path, fields), signed, answer)
             return True
         finally:
             del self.running[token]
