standin: upstream's faults in a module of their own; replies that are no answer

Its own rejections had no attempt id, although the platform's upstreams repeat the id in every response.

Result: no behaviour of the product changes.

--- a/crocusvalve/standin/__init__.py
+++ b/crocusvalve/standin/__init__.py
@@ -37,12 +37,8 @@
 from crocusvalve.standin._platform_faults import ALL_CALLS, PlatformFaults, RatingFault
 from crocusvalve.standin._platform_server import make_platform_app, serve_platform
 from crocusvalve.standin._store import StandinStore, StoreFault
-from crocusvalve.standin._upstream import (
-    N_EVENTS,
-    StandinUpstream,
-    UpstreamFault,
-    make_event,
-)
+from crocusvalve.standin._upstream import N_EVENTS, StandinUpstream, make_event
+from crocusvalve.standin._upstream_fault import UpstreamFault
 
 __all__ = [
     "ALL_CALLS",
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -1,14 +1,15 @@
 """Stand-in for an upstream of a gateway: plain answers, event streams, and faults per request."""
 
 from collections.abc import Callable
-from enum import Enum
 
 import trio
 
-from crocusvalve.standin._endless import EndlessReply, send_endlessly
+from crocusvalve.standin._endless import send_endlessly
 from crocusvalve.standin._http_server import ReceivedRequest, StandinServer
+from crocusvalve.standin._invalid_reply import make_invalid_reply
+from crocusvalve.standin._upstream_fault import UpstreamFault
 
-__all__ = ["N_EVENTS", "StandinUpstream", "UpstreamFault", "make_event"]
+__all__ = ["N_EVENTS", "StandinUpstream", "make_event"]
 
 #: Number of events of a complete stream.
 N_EVENTS = 6
@@ -20,67 +21,6 @@
 CRASH_DELAY_S = 0.04
 
 
-class UpstreamFault(Enum):
-    """Fault of an upstream in its answer to one request."""
-
-    NONE = "none"
-    #: Answers 503 and states that the request was not executed.
-    FULL = "full"
-    #: The same, and wants no requests for ``retry_after``.
-    OVERLOADED = "overloaded"
-    FAILURE = "failure"
-    #: Answers 409, an error of the caller.
-    CLIENT_ERROR = "client_error"
-    #: Runs the request and closes the connection without an answer.
-    BREAK = "break"
-    #: The same after ``silence_s``.
-    BREAK_LATE = "break_late"
-    #: Closes the connection within the third event of a stream.
-    BREAK_IN_EVENT = "break_in_event"
-    #: Closes the connection before the third event of a stream.
-    BREAK_BETWEEN_EVENTS = "break_between_events"
-    #: Sends two events of a stream, and then a byte of the third one every 0.3 s without end.
-    TRICKLE = "trickle"
-    #: Runs the request and answers 503 without stating that it was not executed.
-    UNAVAILABLE_AFTER_RUN = "unavailable_after_run"
-    #: Sends the answer again ``silence_s`` after it, on the same connection.
-    TWICE = "twice"
-    #: Answers with the attempt id of another request.
-    CROSSED = "crossed"
-    #: Closes the connection cleanly before the declared length of the answer.
-    SHORT = "short"
-    ENCODED = "encoded"
-    HANG = "hang"
-    #: Falls silent for ``silence_s`` after the second event of a stream, or before the head of a
-    #: plain answer, and then goes on. This is no fault of the answer, which is complete.
-    SILENT = "silent"
-    #: Falls silent for ``silence_s`` before the head of an answer, and then goes on.
-    SILENT_FIRST = "silent_first"
-    #: Replies that never end; what they consist of is described at ``EndlessReply``.
-    ENDLESS_HEAD = "endless_head"
-    ENDLESS_GARBAGE = "endless_garbage"
-    ENDLESS_INTERIM = "endless_interim"
-    ENDLESS_SLOW_INTERIM = "endless_slow_interim"
-    ENDLESS_CHUNK_EXTENSION = "endless_chunk_extension"
-    ENDLESS_BODY = "endless_body"
-    ENDLESS_TINY_CHUNKS = "endless_tiny_chunks"
-    ENDLESS_SLOW_BODY = "endless_slow_body"
-    ENDLESS_LONG_BODY = "endless_long_body"
-    ENDLESS_COMMENTS = "endless_comments"
-    ENDLESS_FAST_COMMENTS = "endless_fast_comments"
-    ENDLESS_EVENT = "endless_event"
-    #: Answers 503, states that the request was not executed, and sends a body without end.
-    ENDLESS_REJECTION = "endless_rejection"
-
-    @property
-    def endless_reply(self) -> EndlessReply | None:
-        """The endless reply of a fault; None for any other fault."""
-        if self is UpstreamFault.ENDLESS_REJECTION:
-            return EndlessReply.SLOW_BODY
-        prefix, _, name = self.name.partition("ENDLESS_")
-        return None if prefix else EndlessReply[name]
-
-
 class StandinUpstream(StandinServer):
     """One upstream of a gateway.
 
@@ -204,25 +144,26 @@
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request, with a fault if one is due."""
         self.arrived_at.append(trio.current_time())
+        attempt = {"X-Attempt-Id": call.headers.get("x-attempt-id", "")}
         expected_instance = call.headers.get("x-expect-instance", self.upstream_id)
         if not expected_instance.startswith(self.upstream_id):
-            return await self._send(stream, 421, {}, b"")
+            return await self._send(stream, 421, attempt, b"")
         fault = self.choose_fault()
         if fault in (UpstreamFault.FULL, UpstreamFault.OVERLOADED):
             self.record_rejection(call, fault)
-            headers = {"X-Not-Executed": "1"}
+            headers = attempt | {"X-Not-Executed": "1"}
             if fault is UpstreamFault.OVERLOADED:
                 headers["Retry-After"] = self.retry_after
             return await self._send(stream, 503, headers, b"")
         if fault is UpstreamFault.ENDLESS_REJECTION:
             self.record_rejection(call, fault)
-            head = self._make_head(503, {"X-Not-Executed": "1"}).removesuffix(b"\r\n")
+            head = self._make_head(503, attempt | {"X-Not-Executed": "1"}).removesuffix(b"\r\n")
             await send_endlessly(stream, fault.endless_reply, head)
         self.record_run(call, fault)
-        headers = {
-            "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
-            "X-Response-Signature": f"signed-by-{self.upstream_id}",
-        }
+        headers = attempt | {"X-Response-Signature": f"signed-by-{self.upstream_id}"}
+        if fault.invalid_reply is not None:
+            await stream.send_all(make_invalid_reply(fault.invalid_reply, headers))
+            return False
         if fault is UpstreamFault.FAILURE:
             return await self._send(stream, 500, headers, b"failed")
         if fault is UpstreamFault.UNAVAILABLE_AFTER_RUN:
