A reply counts only with the attempt's id, and a success only with a signature

By the same cause a rejection without id was believed, so that a request that may run only once ran a second time at another upstream.

Cause: Attempt.read_head compared ids only if the reply had one, and nothing looked for the signature. Ruled out: the parsing of the reply; h11 had read it as it was sent.

Change: a reply whose id isn't the attempt's, or a 2xx without a signature, is no answer: the request counts as one that may have run, and is sent on only if it may be repeated. Such a reply doesn't change what is known of the upstream either (Retry-After, rate); only the statement that the upstream is about to stop still holds in a reply to another request.

--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -388,7 +388,9 @@
     headers : sequence of (bytes, bytes)
         Header fields to be forwarded to the caller.
     attempt_id : bytes
-        Attempt id that the reply belongs to; empty if the upstream sends none.
+        Attempt id that the reply belongs to; empty if the reply has none.
+    is_signed : bool
+        Whether the reply has an upstream's signature.
     is_not_run : bool
         Whether the upstream declares that it did not run the request.
     is_encoded : bool
@@ -408,6 +410,7 @@
     status: int
     headers: Headers
     attempt_id: bytes
+    is_signed: bool
     is_not_run: bool
     is_encoded: bool
     confidence: float | None
@@ -415,6 +418,11 @@
     retry_after_s: float | None = None
     rate_limit_per_s: float | None = None
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the status says that the request was carried out."""
+        return 200 <= self.status < 300
+
 
 class HeaderCodec(ABC):
     """Decodes and encodes header fields in the format of a platform."""
--- a/crocusvalve/gateway/upstreams/_attempt.py
+++ b/crocusvalve/gateway/upstreams/_attempt.py
@@ -4,6 +4,7 @@
 
 from crocusvalve.gateway.base import Reply, Upstream
 from crocusvalve.gateway.tables._tables import UpstreamLoad
+from crocusvalve.gateway.upstreams._reply_recorder import ReplyRecorder
 from crocusvalve.gateway.upstreams._upstream_call import CallError, CallFailure, UpstreamCall
 
 __all__ = ["Attempt", "PromptWork"]
@@ -47,9 +48,9 @@
         call: UpstreamCall,
         model: str,
         work: PromptWork,
-        record_reply: Callable[[Upstream, Reply], None],
+        reply_recorder: ReplyRecorder,
     ):
-        self._record_reply = record_reply
+        self._reply_recorder = reply_recorder
         self.upstream = upstream
         self.work = work
         self.call = call
@@ -59,16 +60,27 @@
     async def read_head(self, attempt_id: bytes) -> Reply:
         """Read the reply's head.
 
+        Upstreams repeat the attempt's id in every reply and sign each success, so any other reply
+        says nothing about the request. Of a reply to another request only the statement that the
+        upstream is about to stop holds, since it doesn't depend on the time of the reply.
+
         Raises
         ------
         CallError
-            If the reply belongs to another request or its body has a content encoding.
+            If the reply doesn't have the attempt's id, is a success without a signature, or has a
+            body with a content encoding.
         """
         reply = await self.call.read_head()
+        if reply.attempt_id != attempt_id:
+            message = "the reply has no attempt id"
+            if reply.attempt_id:
+                self._reply_recorder.record_leaving(self.upstream, reply)
+                message = "the reply belongs to another request"
+            raise self.make_error(message, "read_head")
+        if reply.is_success and not reply.is_signed:
+            raise self.make_error("the reply has no signature", "read_head")
         self.reply = reply
-        self._record_reply(self.upstream, reply)
-        if reply.attempt_id and reply.attempt_id != attempt_id:
-            raise self.make_error("the reply belongs to another request", "read_head")
+        self._reply_recorder.record(self.upstream, reply)
         if reply.is_encoded and not reply.is_not_run:
             message = "the reply's body was encoded between the upstream and the gateway"
             raise self.make_error(message, "read_head")
--- a/crocusvalve/gateway/upstreams/_attempts.py
+++ b/crocusvalve/gateway/upstreams/_attempts.py
@@ -244,7 +244,7 @@
             req.n_runs += 1
             self.tables.rate_limits.record_send(UpstreamRun.of(upstream), self.clock.now())
             await call.send(self.spawn, caller.method, caller.target, headers, caller.body)
-            yield Attempt(upstream, call, model, work, self._reply_recorder.record)
+            yield Attempt(upstream, call, model, work, self._reply_recorder)
         finally:
             load.n_inflight -= 1
             work.finish()
--- a/crocusvalve/gateway/upstreams/_reply_recorder.py
+++ b/crocusvalve/gateway/upstreams/_reply_recorder.py
@@ -32,15 +32,21 @@
 
     def record(self, upstream: Upstream, reply: Reply) -> None:
         """Record how many more requests an upstream wants, by its reply."""
-        closures, run, now = self.tables.closures, UpstreamRun.of(upstream), self.clock.now()
+        now = self.clock.now()
+        self.record_leaving(upstream, reply)
         if reply.status != OTHER_INSTANCE_STATUS:
-            if reply.is_leaving and closures.mark_leaving(run):
-                self.observer.record_upstream_leaving(upstream)
-            self._record_limit(run, reply, now)
+            self._record_limit(UpstreamRun.of(upstream), reply, now)
         if reply.retry_after_s is not None:
-            if closures.close_until(upstream, now + reply.retry_after_s, now):
+            if self.tables.closures.close_until(upstream, now + reply.retry_after_s, now):
                 self.observer.record_upstream_closure(upstream, reply.retry_after_s)
 
+    def record_leaving(self, upstream: Upstream, reply: Reply) -> None:
+        """Record whether an upstream is about to stop, by a reply to any request."""
+        if reply.status == OTHER_INSTANCE_STATUS or not reply.is_leaving:
+            return
+        if self.tables.closures.mark_leaving(UpstreamRun.of(upstream)):
+            self.observer.record_upstream_leaving(upstream)
+
     def _record_limit(self, run: UpstreamRun, reply: Reply, now: float) -> None:
         rate_limits = self.tables.rate_limits
         if rate_limits.record_answer(run, reply.rate_limit_per_s, now):
--- a/crocusvalve/platform/_headers.py
+++ b/crocusvalve/platform/_headers.py
@@ -15,6 +15,7 @@
 STEP = "read_head"
 
 ATTEMPT_ID = b"x-attempt-id"
+SIGNATURE = b"x-response-signature"
 DEADLINE_MS = b"x-deadline-ms"
 AUTHORIZATION = b"authorization"
 SESSION = b"session"
@@ -152,6 +153,7 @@
             status=status,
             headers=[(name, value) for name, value in headers if name not in dropped],
             attempt_id=fields.get(ATTEMPT_ID, b""),
+            is_signed=bool(fields.get(SIGNATURE, b"").strip()),
             is_not_run=NOT_EXECUTED in fields or status == 421,
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
             confidence=_read_number(fields.get(CONFIDENCE)),
