An answered request isn't refused for crashes that it was open in

Cause: the log of a run shows one digest with three incidents of the same upstream, 2.8 s apart, and answered requests with the same digest between them. CrashRegistry only added crashes; nothing told a request that causes crashes from one that is open in them. Ruled out: incidents counted twice (each id stands once), and a cause in one gateway (all three had seen the crashes themselves).

Change: a complete success clears the request of the crashes so far and of those in the 10 s after it, since a request that crashes upstreams is never answered. Cleared crashes are a second set that only grows and is told like crashes; a gateway that lacks one hears it when the fingerprints of refused requests differ. An answer to an attempt that is still open ends a ban. The digest has the request's method and host, so that an answer clears only the same request. The registries of the own protocol (retry/_quarantine.py) clear on success already.

--- a/crocusvalve/gateway/_crash_observer.py
+++ b/crocusvalve/gateway/_crash_observer.py
@@ -20,6 +20,8 @@
     CRASHED = "crashed"
     #: The upstream has crashed after the request's answer had gone on.
     ANSWER_WENT_ON = "answer_went_on"
+    #: The upstream has crashed, and the same request was answered shortly before.
+    ANSWERED = "answered"
     #: Its address accepts connections and its entry is of the same run.
     ALIVE = "alive"
     #: No connection could be opened, and none was refused.
@@ -78,6 +80,23 @@
             fields = {"digest": digest, "reporter": reporter}
             logger.warning("a request crashes upstreams and is refused", extra={"fields": fields})
 
+    def record_released_requests(
+        self, digests: Iterable[str], n_banned: int, reporter: str = ""
+    ) -> None:
+        """Record requests that are no longer refused, since they have been answered.
+
+        Parameters
+        ----------
+        n_banned : int
+            Number of all requests that are refused.
+        reporter : str
+            Gateway that has reported the answer; empty for this one.
+        """
+        self._banned_requests.set(n_banned)
+        for digest in digests:
+            fields = {"digest": digest, "reporter": reporter}
+            logger.info("an answered request is no longer refused", extra={"fields": fields})
+
     def record_banned_parts(self, part_ids: Iterable[str]) -> None:
         """Log parts of prompts that crash upstreams, so that prompts with them are refused."""
         for part_id in part_ids:
--- a/crocusvalve/gateway/flows/_plain_flow.py
+++ b/crocusvalve/gateway/flows/_plain_flow.py
@@ -198,6 +198,8 @@
             await send.send(_Result(_AttemptEnd.NOT_RUN, upstream))
             return
         self.attempt_manager.record_plain_answer(req, upstream, elapsed_s)
+        if reply.is_success:
+            self.attempt_manager.crash_detector.record_answer(req)
         if reply.status >= 500:
             self.attempt_manager.record_outcome(req, upstream, Outcome.FAILURE, first_s=elapsed_s)
         elif reply.status < 400:
--- a/crocusvalve/gateway/flows/_request_handler.py
+++ b/crocusvalve/gateway/flows/_request_handler.py
@@ -23,7 +23,7 @@
 from crocusvalve.gateway.upstreams._attempts import AttemptManager
 from crocusvalve.utils import Clock, compute_digest, hash_to_unit
 
-__all__ = ["RequestHandler"]
+__all__ = ["RequestHandler", "compute_request_digest"]
 
 STEP = "admission"
 #: Retry delay in seconds for a caller that has reached a gateway without a configuration.
@@ -204,9 +204,7 @@
         if not directory.is_allowed(route, customer):
             raise self._make_unknown_error(ErrorCode.BAD_KEY, "unknown key", now)
         self._check_stopping(route, now)
-        digest = compute_digest(
-            caller.target, (customer.name if customer else "").encode(), caller.body
-        )
+        digest = compute_request_digest(caller, customer.name if customer else "")
         ban_reason = self.attempt_manager.bans.find_reason(digest, caller.prefix, now)
         if ban_reason is not None:
             raise RefusedError(ErrorCode.CRASHES_UPSTREAMS, ban_reason, step=STEP)
@@ -292,3 +290,13 @@
 
 def _get_request_id(caller: CallerRequest) -> str:
     return caller.attempt_id.decode("latin-1")
+
+
+def compute_request_digest(caller: CallerRequest, customer_name: str) -> str:
+    """Return the digest by which a repeated request is recognised.
+
+    Requests that differ in method or host don't share a digest, since the answer to one of them
+    says nothing about the other.
+    """
+    head = (caller.method, caller.host.encode(), caller.target, customer_name.encode())
+    return compute_digest(b"\n".join(head), b"\n", caller.body)
--- a/crocusvalve/gateway/shared/_facts.py
+++ b/crocusvalve/gateway/shared/_facts.py
@@ -107,13 +107,22 @@
     Fact(
         name="banned requests",
         fields=("crashes", "ban_fingerprint"),
-        changed_by="any gateway that sees a crash; crashes are only added",
+        changed_by="any gateway that sees a crash; crashes are only added, and may be cleared",
         known_within_s=3.0,
         is_final=True,
         repaired_by="all in turn, once a peer's fingerprint differs",
         max_bytes=8000,
         without="the request may crash one more upstream",
     ),
+    Fact(
+        name="cleared crashes",
+        fields=("cleared_crashes",),
+        changed_by="any gateway whose upstream answers the request; cleared ones are only added",
+        known_within_s=3.0,
+        repaired_by="all in turn, once a peer's fingerprint differs",
+        max_bytes=7000,
+        without="a sound request may be refused, until its next answer",
+    ),
     Fact(
         name="crashing parts",
         fields=("suspect_parts",),
--- a/crocusvalve/gateway/shared/_gossip.py
+++ b/crocusvalve/gateway/shared/_gossip.py
@@ -34,6 +34,8 @@
 LOAD_SUM_INTERVAL_S = 0.1
 #: Maximum numbers of request digests in one message that are refused, and of others with crashes.
 MAX_GOSSIP_DIGESTS = 32
+#: Maximum number of request digests in one message that are cleared of crashes.
+MAX_GOSSIP_CLEARED = 16
 #: Maximum numbers of parts of prompts in one message that may crash upstreams, and of those that
 #: don't.
 MAX_GOSSIP_SUSPECT_PARTS = 8
@@ -153,6 +155,9 @@
             parts=parts,
             outcome_counts=self.outcome_counts.list_local() if self.upgrades.is_active() else (),
             crashes=self.crashes.choose_reports(MAX_GOSSIP_DIGESTS, is_peer_behind=is_peer_behind),
+            cleared_crashes=self.crashes.choose_cleared_reports(
+                MAX_GOSSIP_CLEARED, is_peer_behind=is_peer_behind
+            ),
             ban_fingerprint=self.crashes.fingerprint,
             rate_limits=self.tables.rate_limits.choose_reports(MAX_GOSSIP_LIMITS, now),
             requests_per_s=own_per_s,
@@ -229,15 +234,7 @@
         for counts in message.domain_counts:
             if counts.run_id != f"{self.settings.node_id}#{self.boot_id}":
                 self.outcome_counts.merge_remote(counts.run_id, counts.rows)
-        banned_digests = [
-            digest
-            for digest, incidents in message.crashes.items()
-            if self.crashes.merge(digest, incidents)
-        ]
-        if banned_digests:
-            self.observer.crashes.record_banned_requests(
-                banned_digests, self.crashes.n_banned, message.node_id
-            )
+        banned_digests = self._merge_crashes(message)
         self._merge_sent_parts(message, now)
         self._merge_leaving(message)
         self._merge_rate_limits(message, now)
@@ -259,6 +256,25 @@
             load.n_peer_inflight = n_inflight.get(upstream_id, 0)
             load.peer_pending_work = work.get(upstream_id, 0)
 
+    def _merge_crashes(self, message: GossipMessage) -> list[str]:
+        """Merge a peer's crashes, cleared ones first; return the digests that become refused."""
+        crashes, observer = self.crashes, self.observer.crashes
+        released = [
+            digest
+            for digest, incidents in message.cleared_crashes.items()
+            if crashes.merge_cleared(digest, incidents)
+        ]
+        if released:
+            observer.record_released_requests(released, crashes.n_banned, message.node_id)
+        banned = [
+            digest
+            for digest, incidents in message.crashes.items()
+            if crashes.merge(digest, incidents)
+        ]
+        if banned:
+            observer.record_banned_requests(banned, crashes.n_banned, message.node_id)
+        return banned
+
     def _merge_leaving(self, message: GossipMessage) -> None:
         for run in self.tables.closures.merge_leaving(message.leaving):
             row = self.tables.upstreams.get(run.upstream_id)
--- a/crocusvalve/gateway/shared/_gossip_message.py
+++ b/crocusvalve/gateway/shared/_gossip_message.py
@@ -202,6 +202,8 @@
         those sent by gateways of the sender's failure domain, for receivers in it.
     table_reports : dict of str to TableReport
         State of each loaded table; empty from an earlier release.
+    cleared_crashes : dict
+        Incidents in ``crashes`` that don't count, by digest, since the request has been answered.
     """
 
     node_id: NodeId
@@ -231,3 +233,4 @@
     domain_counts: tuple[RunCounts, ...] = ()
     outside_parts: tuple[CompactSentParts, ...] = ()
     table_reports: dict[str, TableReport] = field(default_factory=dict)
+    cleared_crashes: dict[str, list[str]] = field(default_factory=dict)
--- a/crocusvalve/gateway/upstreams/_crash_detector.py
+++ b/crocusvalve/gateway/upstreams/_crash_detector.py
@@ -22,6 +22,8 @@
 class CrashDetector:
     """Checks upstreams whose connections broke, and records crashes with the requests lost in them.
 
+    A request that is answered is cleared of the crashes in which it was lost.
+
     Parameters
     ----------
     tables : GatewayTables
@@ -66,6 +68,12 @@
         finally:
             checked.set()
 
+    def record_answer(self, req: GatewayRequest) -> None:
+        """Record that a request was answered completely, so that it doesn't crash upstreams."""
+        crashes = self.bans.crashes
+        if crashes.record_answer(req.digest, self.clock.now()):
+            self.observer.record_released_requests([req.digest], crashes.n_banned)
+
     async def _check_upstream(self, upstream: Upstream) -> CrashCheck:
         """Return whether an upstream has started again or refuses connections.
 
@@ -96,6 +104,10 @@
             return
         incident = f"{upstream.upstream_id}#{upstream.started_ms}"
         crashes = self.bans.crashes
+        if crashes.was_answered(req.digest, now):
+            crashes.clear(req.digest, (incident,))
+            self.observer.record_check(upstream, req.digest, CrashCheck.ANSWERED)
+            return
         was_banned = crashes.is_banned(req.digest)
         n_crashes = crashes.record_crash(req.digest, incident)
         self.observer.record_check(upstream, req.digest, CrashCheck.CRASHED, n_crashes)
--- a/crocusvalve/gateway/upstreams/_stream_attempt.py
+++ b/crocusvalve/gateway/upstreams/_stream_attempt.py
@@ -207,7 +207,8 @@
             self._manager.record_first_event(self.req, self._attempt, waited_s)
 
     def record_end(self) -> None:
-        """Record the pace of a stream whose last event was forwarded."""
+        """Record that a stream's last event was forwarded, and its pace."""
+        self._manager.crash_detector.record_answer(self.req)
         now = self._clock.now()
         first_at = self._first_event_at
         if self.n_events >= MIN_PACED_EVENTS:
--- a/features/gateway/banned_requests.feature
+++ b/features/gateway/banned_requests.feature
@@ -44,3 +44,10 @@
     Given a crash detector, and an upstream whose address first can't be reached and then refuses connections
     When the connection of a request to this upstream breaks
     Then the detector counts a crash of the request
+
+  # Guards against the permanent refusal of a sound request that was open in three crashes.
+  Scenario: A request that is polled while an upstream goes down and up goes on being served
+    Given a gateway with two upstreams
+    When /safe/1 is polled by 4 callers for 6 s while upstream one crashes every 0.9 s
+    Then at least 3 polls were lost in crashes and none was refused
+    And the last polls are answered
--- a/features/gateway/fact_probes.py
+++ b/features/gateway/fact_probes.py
@@ -50,6 +50,19 @@
         return gateway.crashes.is_banned(self.label)
 
 
+class ClearedCrashProbe(Probe):
+    """A crash that isn't held against a request, since the request has been answered."""
+
+    fact = "cleared crashes"
+
+    def begin(self, gateway, now):
+        gateway.crashes.record_crash(f"sound-{self.label}", "i-0#1")
+        gateway.crashes.record_answer(f"sound-{self.label}", now)
+
+    def is_known(self, gateway, now):
+        return gateway.crashes.is_cleared(f"sound-{self.label}", "i-0#1")
+
+
 class BannedPartProbe(Probe):
     """A part of prompts that has crashed three upstreams."""
 
@@ -263,4 +276,5 @@
     LoadProbe,
     StopProbe,
     RateProbe,
+    ClearedCrashProbe,
 )
--- a/features/gateway/steps/banned_request_steps.py
+++ b/features/gateway/steps/banned_request_steps.py
@@ -12,13 +12,15 @@
 from crocusvalve.gateway.decisions._bans import RequestBans
 from crocusvalve.gateway.decisions._crashes import CrashRegistry
 from crocusvalve.gateway.decisions._crashing_parts import CrashingPartRegistry, SuspectPart
+from crocusvalve.gateway.flows._request_handler import compute_request_digest
 from crocusvalve.gateway.shared._gossip_message import GossipMessage
 from crocusvalve.gateway.tables._tables import GatewayTables
 from crocusvalve.gateway.upstreams import _crash_detector
 from crocusvalve.gateway.upstreams._crash_detector import CrashDetector
+from crocusvalve.platform import PlatformHeaderCodec
 from crocusvalve.standin import N_EVENTS, UpstreamFault, make_event
-from crocusvalve.utils import BootClock, compute_digest
-from features.gateway.steps.closure_steps import STARTED_MS, request
+from crocusvalve.utils import BootClock
+from features.gateway.steps.closure_steps import STARTED_MS, RepeatedFault, request
 
 INCIDENTS = ["u1#1", "u2#1", "u3#1"]
 REPORT_AFTER_S = 0.2
@@ -30,7 +32,10 @@
         ages_ms = {incident: 1000 * n for n, incident in enumerate(INCIDENTS, 1)}
         reports = {"suspect_parts": (SuspectPart("aa", ages_ms, ("r1", "r2")),)}
     else:
-        reports = {"crashes": {compute_digest(path.encode(), b"first", b""): INCIDENTS}}
+        method = b"GET" if path.startswith("/safe") else b"POST"
+        fields = [(b"host", b"api.example")]
+        caller = PlatformHeaderCodec().read_request(method, path.encode(), fields)
+        reports = {"crashes": {compute_request_digest(caller, "first"): INCIDENTS}}
     return GossipMessage(node_id=NodeId("gateway-2"), boot_id="b", host="127.0.0.9", **reports)
 
 
@@ -158,3 +163,48 @@
 @then("the detector counts a crash of the request")
 def then_counted(context):
     assert context.crashes.count("digest") == 1
+
+
+@when(
+    "{path} is polled by {n_callers:d} callers for {span_s:g} s while upstream one crashes every "
+    "{pause_s:g} s"
+)
+def when_polled(context, path, n_callers, span_s, pause_s):
+    async def poll(harness, end):
+        while trio.current_time() < end:
+            await harness.call(path)
+            await trio.sleep(0.02)
+
+    async def act(harness):
+        upstream = harness.upstreams["one"]
+        for row in harness.upstreams.values():
+            row.faults, row.silence_s = RepeatedFault([UpstreamFault.SILENT_FIRST]), 0.15
+        upstream.on_start = lambda: harness.store.put(
+            "servers", "one-ops", upstream.make_entry("ops", "domain-one")
+        )
+        end = trio.current_time() + span_s
+        async with trio.open_nursery() as nursery:
+            for _ in range(n_callers):
+                nursery.start_soon(poll, harness, end)
+            while trio.current_time() < end - pause_s:
+                await trio.sleep(pause_s)
+                upstream.crash()
+
+    context.harness.run(act)
+
+
+@then("at least {n:d} polls were lost in crashes and none was refused")
+def then_none_refused(context, n):
+    results = [
+        record.fields["result"]
+        for record in context.harness.log_records
+        if "crash" in record.getMessage() and "result" in record.fields
+    ]
+    assert len(results) >= n, results
+    refused = [answer for answer in context.harness.answers if answer.status == 503]
+    assert not refused, (len(refused), len(context.harness.answers), refused[0])
+
+
+@then("the last polls are answered")
+def then_last_answered(context):
+    assert all(answer.status == 200 for answer in context.harness.answers[-8:])
--- a/features/gateway/steps/crash_report_steps.py
+++ b/features/gateway/steps/crash_report_steps.py
@@ -158,3 +158,88 @@
 def then_no_reports(context):
     for gateway in context.simulation.gateways:
         assert not gateway.gossip.make_message(context.simulation.now).crashes
+
+
+@when(
+    "for {span_s:d} s an upstream crashes every {crash_s:g} s under a request that is answered "
+    "every {pause_s:g} s"
+)
+def when_polled(context, span_s, crash_s, pause_s):
+    simulation, rng = context.simulation, context.simulation.rng
+    start, context.refused_at = simulation.now, []
+    crashes = [(start + n * crash_s, n) for n in range(1, int(span_s / crash_s))]
+    answers = [(start + n * pause_s, None) for n in range(1, int(span_s / pause_s))]
+    for at, number in sorted(crashes + answers, key=lambda event: event[0]):
+        simulation.run(at - simulation.now)
+        if simulation.list_accepting("polled") != list(range(len(simulation.gateways))):
+            context.refused_at.append(at - start)
+        if number is None:
+            rng.choice(simulation.gateways).crashes.record_answer("polled", at)
+            continue
+        # The request is open from half of the gateways, each of which sees the crash.
+        for gateway in rng.sample(simulation.gateways, (len(simulation.gateways) + 1) // 2):
+            if not gateway.crashes.was_answered("polled", at):
+                gateway.crashes.record_crash("polled", f"i-{number:010x}#1")
+            else:
+                gateway.crashes.clear("polled", [f"i-{number:010x}#1"])
+
+
+@then("no gateway has refused the request")
+def then_never_refused(context):
+    assert not context.refused_at, context.refused_at
+
+
+@when("a request that all gateways refuse is answered at one of them while another one is cut off")
+def when_released(context):
+    simulation = context.simulation
+    for _ in range(N_CRASHES):
+        simulation.crash("sound")
+    simulation.run(20.0)
+    assert not simulation.list_accepting("sound")
+    simulation.cut_off = {0}
+    assert simulation.gateways[1].crashes.record_answer("sound", simulation.now)
+    simulation.run(20.0)
+    assert simulation.list_accepting("sound")[0] == 1
+    simulation.cut_off = set()
+
+
+@then("within {bound_s:d} s no gateway refuses it")
+def then_released(context, bound_s):
+    simulation = context.simulation
+    simulation.run(bound_s)
+    assert len(simulation.list_accepting("sound")) == len(simulation.gateways)
+    assert len({gateway.crashes.fingerprint for gateway in simulation.gateways}) == 1
+
+
+@when("two requests are lost in the same 3 crashes and one of them is answered after each")
+def when_lost_together(context):
+    simulation = context.simulation
+    for number in range(N_CRASHES):
+        for digest in ("sound", "bad"):
+            simulation.gateways[number].crashes.record_crash(digest, f"i-{number}#1")
+        simulation.run(1.0)
+        simulation.gateways[3].crashes.record_answer("sound", simulation.now)
+    simulation.run(5.0)
+
+
+@then("every gateway refuses the other one and none the answered one")
+def then_other_refused(context):
+    simulation = context.simulation
+    assert not simulation.list_accepting("bad")
+    assert len(simulation.list_accepting("sound")) == len(simulation.gateways)
+
+
+@when("{n:d} different requests are answered within {span_s:d} s")
+def when_answered(context, n, span_s):
+    context.digests = [f"answered-{number}" for number in range(n)]
+    context.answered_until = 1000.0 + span_s
+    for number, digest in enumerate(context.digests):
+        now = 1000.0 + span_s * number / n
+        context.simulation.gateways[0].crashes.record_answer(digest, now)
+
+
+@then("at most {n:d} of them are remembered, among them the last one")
+def then_remembered(context, n):
+    crashes, now = context.simulation.gateways[0].crashes, context.answered_until
+    assert sum(crashes.was_answered(digest, now) for digest in context.digests) <= n
+    assert crashes.was_answered(context.digests[-1], now)
--- a/features/gateway/steps/shared_fact_steps.py
+++ b/features/gateway/steps/shared_fact_steps.py
@@ -393,13 +393,13 @@
 
     member = cut(MemberReport, N_MEMBER_FIELDS_BEFORE)
     before = cut(GossipMessage, N_FIELDS_BEFORE, members=tuple[member, ...])
-    assert len(before.__struct_fields__) == len(set(GossipMessage.__struct_fields__)) - 5
+    assert len(before.__struct_fields__) == len(set(GossipMessage.__struct_fields__)) - 6
     old = msgspec.msgpack.decode(msgspec.msgpack.encode(context.message), type=before)
     assert (old.domain, old.n_inflight, old.members[0].domain) == ("d", {"u": 1}, "d")
     new = msgspec.msgpack.decode(msgspec.msgpack.encode(old), type=GossipMessage)
     assert new.parts == context.message.parts
     assert (new.domain_loads, new.upstream_speeds, new.outside_parts) == ((), (), ())
-    assert new.table_reports == {}
+    assert new.table_reports == new.cleared_crashes == {}
     assert new.members[0].requests_per_ks < 0
 
 
