A row that can't be read or applied doesn't hold up the others

Cause: msgspec raises RecursionError for such a value, which is none of its own errors; the codec of entries caught only those, the error ended the task of the follower, and _run_guarded logged it and left the gateway ready without it. The same class of fault, found by feeding the codec: ports that are no ASCII digits or have 5,000 of them (ValueError, the same end), slots of 400 digits (accepted, then no float: no upstream could be placed), a start beyond 64 bits (accepted; fits no gossip message). The datagrams of gossip, bodies of callers, chunks of engines, answers of the store and messages between VMs were decoded in the same way.

Change: decode_untrusted and decode_json turn this error into DecodeError at all these places; an entry's address and numbers are checked; a malformed entry is logged once. Should a row still fail, it is logged and the rows after it are applied, a follower that fails reads its table anew, and the tasks that a gateway can't do without are started again after 1 s.

--- a/crocusvalve/admin/_client.py
+++ b/crocusvalve/admin/_client.py
@@ -12,6 +12,7 @@
 from crocusvalve.base import DomainState
 from crocusvalve.config import RolloutStart
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode
+from crocusvalve.utils import decode_json
 
 __all__ = ["AdminClient", "UnreachableError"]
 
@@ -139,7 +140,7 @@
         if response.status_code != httpx.codes.OK:
             raise decode_error(response.content, response.status_code, url)
         try:
-            return msgspec.json.decode(response.content, type=reply_type)
+            return decode_json(response.content, reply_type)
         except msgspec.MsgspecError as exc:
             message = "the entry's answer could not be decoded"
             raise CrocusvalveError(ErrorCode.INTERNAL, message, step="admin", peer=url) from exc
--- a/crocusvalve/admin/_errors.py
+++ b/crocusvalve/admin/_errors.py
@@ -12,6 +12,7 @@
     ErrorCode,
     PlatformError,
 )
+from crocusvalve.utils import decode_json
 
 __all__ = ["decode_error", "encode_error", "get_retry_after_s"]
 
@@ -55,7 +56,7 @@
         URL of the entry, for errors that name no peer.
     """
     try:
-        error = msgspec.json.decode(body, type=ErrorReply).error
+        error = decode_json(body, ErrorReply).error
     except msgspec.MsgspecError:
         message = f"the entry answered with HTTP status {status}"
         return CrocusvalveError(ErrorCode.INTERNAL, message, step="admin", peer=peer)
--- a/crocusvalve/admin/_routes.py
+++ b/crocusvalve/admin/_routes.py
@@ -16,7 +16,7 @@
 from crocusvalve.admin.base import AdminBackend
 from crocusvalve.config import RolloutStart
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode
-from crocusvalve.utils import Clock, MonotonicClock
+from crocusvalve.utils import Clock, MonotonicClock, decode_json
 
 __all__ = ["make_admin_blueprint"]
 
@@ -165,7 +165,7 @@
 async def _read_body(kind: type[T]) -> T:
     data = await request.get_data()
     try:
-        return msgspec.json.decode(data, type=kind)
+        return decode_json(data, kind)
     except msgspec.ValidationError as exc:
         raise _make_error(ErrorCode.BAD_REQUEST, f"the body is invalid: {exc}") from exc
     except msgspec.DecodeError as exc:
--- a/crocusvalve/agent/_engine_stream.py
+++ b/crocusvalve/agent/_engine_stream.py
@@ -11,6 +11,7 @@
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.rpc import RunRequest, Usage
+from crocusvalve.utils import decode_json, decode_untrusted
 
 __all__ = ["make_engine_body", "read_events"]
 
@@ -57,7 +58,7 @@
         The body is not a JSON object.
     """
     try:
-        body = msgspec.json.decode(req.body, type=dict[str, Any])
+        body = decode_json(req.body, dict[str, Any])
     except msgspec.DecodeError as exc:
         message = "the body is not a JSON object"
         raise UpstreamError(ErrorCode.BAD_JSON, message, ran=ExecutionStatus.NOT_RUN) from exc
@@ -113,7 +114,7 @@
 
 def _decode_chunk(data: str) -> _Chunk:
     try:
-        chunk = _CHUNK_DECODER.decode(data)
+        chunk = decode_untrusted(_CHUNK_DECODER, data)
     except msgspec.DecodeError as exc:
         message = "the engine sent a malformed chunk"
         raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ExecutionStatus.RAN) from exc
--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -21,6 +21,7 @@
 from crocusvalve.base import ClassKind, ExecutionStatus, UpstreamKind, UpstreamState, VersionRef
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
+from crocusvalve.utils import decode_json
 
 __all__ = ["HttpUpstream", "make_http_client"]
 
@@ -153,7 +154,7 @@
         if status == httpx.codes.SERVICE_UNAVAILABLE:
             return HealthReport(is_up=False)
         try:
-            health = msgspec.json.decode(content, type=_Health)
+            health = decode_json(content, _Health)
             state = UpstreamState(health.state) if health.state else None
         except (msgspec.DecodeError, ValueError):
             return HealthReport(is_up=True)
@@ -169,7 +170,7 @@
         if status >= httpx.codes.INTERNAL_SERVER_ERROR:
             raise _make_status_error(status)
         try:
-            return msgspec.json.decode(content, type=_Load).loaded
+            return decode_json(content, _Load).loaded
         except msgspec.DecodeError:
             return None
 
@@ -189,7 +190,7 @@
                 raise _make_status_error(reply.status_code)
             data = await _read_report(reply)
         try:
-            order_reply = msgspec.json.decode(data, type=_OrderReply)
+            order_reply = decode_json(data, _OrderReply)
         except msgspec.DecodeError as exc:
             message = "the engine's reply to an order is malformed"
             raise UpstreamError(
--- a/crocusvalve/entry/_parse.py
+++ b/crocusvalve/entry/_parse.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from crocusvalve.exceptions import ErrorCode, RefusedError
+from crocusvalve.utils import decode_json
 
 __all__ = ["CallerHeaders", "ChatBody", "ChatMessage", "parse_chat_body", "parse_headers"]
 
@@ -93,7 +94,7 @@
     if len(raw) > MAX_BODY_BYTES:
         raise _make_refusal(ErrorCode.BODY_TOO_LARGE, f"the body is over {MAX_BODY_BYTES} bytes")
     try:
-        body = msgspec.json.decode(raw, type=ChatBody)
+        body = decode_json(raw, ChatBody)
     except msgspec.ValidationError as exc:
         raise _make_refusal(
             ErrorCode.BAD_REQUEST, f"the body does not match the API schema: {exc}"
--- a/crocusvalve/gateway/_process.py
+++ b/crocusvalve/gateway/_process.py
@@ -51,6 +51,8 @@
 #: A gateway that has lacked a change of the operators' table for longer, which a peer has, isn't
 #: ready; otherwise its connections would get answers of an old configuration.
 MAX_READY_LAG_S = 3.0
+#: Pause before a task that has failed is started again; a follower then reads its whole table.
+TASK_RESTART_S = 1.0
 
 
 class Gateway:
@@ -218,7 +220,7 @@
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
             nursery.start_soon(self._listen_to_callers, open_listeners(settings.front))
             for task in self._list_tasks():
-                self._spawn(task)
+                nursery.start_soon(self._keep_running, task)
             self.observer.record_process_event(
                 "gateway started", node=settings.node_id, boot=self.boot_id, pid=os.getpid()
             )
@@ -281,6 +283,12 @@
         except Exception as exc:
             self.observer.record_task_failure(task.__qualname__, exc)
 
+    async def _keep_running(self, task: Callable) -> None:
+        """Run a task without which the gateway can't serve; it is started again if it fails."""
+        while True:
+            await self._run_guarded(task)
+            await trio.sleep(TASK_RESTART_S)
+
     async def _listen_to_callers(self, listeners: list[trio.SocketListener]) -> None:
         """Accept callers' connections; those that are open outlive the listener."""
         with self._front_scope:
--- a/crocusvalve/gateway/_table_observer.py
+++ b/crocusvalve/gateway/_table_observer.py
@@ -35,6 +35,10 @@
         """Count a call to the store for a table or its changes."""
         self._store_calls.labels(table).inc()
 
+    def record_row_failure(self, table: str, key: str, exc: Exception) -> None:
+        """Log an unexpected exception that kept a row from being applied."""
+        logger.error("row %s/%s was not applied", table, key, exc_info=exc)
+
     def record_reading(self, follows: bool, reason: str) -> None:
         """Log whether this gateway follows the store's tables itself now, and why."""
         self._follows_tables.set(follows)
--- a/crocusvalve/gateway/shared/_peer_link.py
+++ b/crocusvalve/gateway/shared/_peer_link.py
@@ -14,7 +14,7 @@
 from crocusvalve.gateway.shared._gossip_message import GossipMessage
 from crocusvalve.gateway.shared._gossip_targets import TargetQuery, choose_targets
 from crocusvalve.gateway.shared._peers import PeerTable
-from crocusvalve.utils import Clock
+from crocusvalve.utils import Clock, decode_untrusted
 
 __all__ = ["PeerLink"]
 
@@ -127,7 +127,7 @@
         while True:
             try:
                 data, _ = await sock.recvfrom(MAX_DATAGRAM_BYTES)
-                message = self._decoder.decode(data)
+                message = decode_untrusted(self._decoder, data)
             except OSError:
                 # An earlier datagram was sent to a port without a listener.
                 continue
--- a/crocusvalve/gateway/shared/_table_copies.py
+++ b/crocusvalve/gateway/shared/_table_copies.py
@@ -21,7 +21,7 @@
 from crocusvalve.gateway.tables._replica import TablePosition
 from crocusvalve.gateway.tables._table_handler import TableHandler
 from crocusvalve.store.base import FeedPage
-from crocusvalve.utils import Clock, TransferLimit
+from crocusvalve.utils import Clock, TransferLimit, decode_untrusted
 
 __all__ = ["CopyRequest", "TableCopy", "TableCopyExchange"]
 
@@ -139,7 +139,8 @@
         """Send the requested copies to the gateway that has connected."""
         async with stream:
             try:
-                req = self._request_decoder.decode(await _receive(stream, MAX_REQUEST_BYTES))
+                data = await _receive(stream, MAX_REQUEST_BYTES)
+                req = decode_untrusted(self._request_decoder, data)
                 await _send(stream, self.encode_copies(req))
             except (trio.BrokenResourceError, OSError, msgspec.MsgspecError) as exc:
                 # The peer asks again, this gateway or another one.
@@ -194,7 +195,7 @@
 
     async def _request_copies(self, host: str, req: CopyRequest) -> None:
         try:
-            copies = self._decoder.decode(await self._fetch(host, req))
+            copies = decode_untrusted(self._decoder, await self._fetch(host, req))
         except (trio.BrokenResourceError, OSError, zlib.error, msgspec.MsgspecError) as exc:
             self.observer.record_table_copy_failure(host, repr(exc))
             return
--- a/crocusvalve/gateway/tables/_followers.py
+++ b/crocusvalve/gateway/tables/_followers.py
@@ -115,6 +115,10 @@
                     await trio.sleep(self.backoff.compute_delay_s(self._n_failures))
                 else:
                     await self.store.wait_until_up(MAX_RECOVERY_WAIT_S)
+            except Exception:
+                # Some of the page's changes may not be in force, so that the table is read again.
+                self.handler.replica.version = None
+                raise
 
     async def _read_once(self) -> None:
         handler = self.handler
--- a/crocusvalve/gateway/tables/_table_handler.py
+++ b/crocusvalve/gateway/tables/_table_handler.py
@@ -2,6 +2,7 @@
 
 import math
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from crocusvalve.gateway._observer import GatewayObserver
 from crocusvalve.gateway.base import RecordCodec
@@ -63,8 +64,7 @@
         if page.era > self.replica.era and not self.replica.is_empty:
             self.observer.record_store_restore(self.table, page.era, page.version)
             self.begin_restore(now)
-            for row in self.replica.replace_table(page):
-                self.apply_restored_row(row, now)
+            self._apply_each(self.apply_restored_row, self.replica.replace_table(page), now)
             self.finish_page(now)
             return
         self._apply_rows(self.replica.merge_table(page), now)
@@ -83,10 +83,19 @@
         self._apply_rows(self.replica.merge_changes(page), now)
 
     def _apply_rows(self, rows: list[FeedRow], now: float) -> None:
-        for row in rows:
-            self.apply_row(row, now)
+        self._apply_each(self.apply_row, rows, now)
         self.finish_page(now)
 
+    def _apply_each(
+        self, apply: Callable[[FeedRow, float], None], rows: list[FeedRow], now: float
+    ) -> None:
+        """Apply rows one by one, so that one that can't be applied doesn't hold up the others."""
+        for row in rows:
+            try:
+                apply(row, now)
+            except Exception as exc:
+                self.observer.tables.record_row_failure(self.table, row.key, exc)
+
     def compute_max_backlog(self) -> int | None:
         """Return the longest backlog of changes to receive, in bytes; None for any.
 
--- a/crocusvalve/gateway/tables/_upstream_table.py
+++ b/crocusvalve/gateway/tables/_upstream_table.py
@@ -46,6 +46,8 @@
         #: End of the grace period of missing entries, as local time in seconds.
         self._expired: dict[UpstreamId, float] = {}
         self._expiry_grace_until: float | None = None
+        #: Keys of malformed entries, so that each is logged once and not at every heartbeat.
+        self._malformed: set[UpstreamId] = set()
 
     @property
     def is_settled(self) -> bool:
@@ -78,13 +80,18 @@
         """Apply a changed row to the gateway's tables."""
         upstream_id = UpstreamId(row.key)
         if row.value is None:
+            self._malformed.discard(upstream_id)
             self._handle_removal(upstream_id, now)
             return
         entry = self.codec.read_upstream(row.key, row.value)
         self._expired.pop(upstream_id, None)
         if entry is None:
+            if upstream_id not in self._malformed:
+                self._malformed.add(upstream_id)
+                self.observer.record_decode_error(self.table, row.key, "no entry of an upstream")
             self._drop_upstream(upstream_id, "malformed entry")
             return
+        self._malformed.discard(upstream_id)
         previous = self.tables.put_upstream(entry, now)
         if previous is None:
             # The first read returns every upstream; ``finish_page`` logs their counts in one line.
--- a/crocusvalve/platform/_records.py
+++ b/crocusvalve/platform/_records.py
@@ -1,7 +1,10 @@
 """Codec for the records of operators, upstreams and gateways in the platform's store."""
 
+import ipaddress
+from typing import Annotated
+
 import msgspec
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 from crocusvalve.base import DomainId, UpstreamId
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode
@@ -22,10 +25,14 @@
     Upstream,
     VersionName,
 )
+from crocusvalve.utils import decode_json
 
 __all__ = ["PlatformRecordCodec"]
 
 STEP = "decode_record"
+#: Longest text of a port.
+MAX_PORT_DIGITS = 5
+MAX_PORT = 65535
 ROLLOUT_PREFIX = "rollout/"
 EVACUATE_PREFIX = "evacuate/"
 
@@ -42,6 +49,13 @@
 UPGRADE_STATE_NAMES = {state: name for name, state in UPGRADE_STATES.items()}
 
 
+#: Counts and times of an entry. Larger numbers belong to no upstream; they fit neither the messages
+#: between gateways nor a calculation with floats.
+_Number = Annotated[int, Meta(ge=0, le=2**53)]
+_Slots = Annotated[int, Meta(le=1_000_000)]
+_Milliseconds = Annotated[float, Meta(le=1e12)]
+
+
 class _Split(Struct):
     service: str
     weight: float = 1.0
@@ -111,12 +125,12 @@
     zone: str
     version: str
     state: str
-    slots: int
-    sequence: int = 0
+    slots: _Slots
+    sequence: _Number = 0
     #: Time until the upstream can handle its full load; it accepts requests before then.
-    cold_left_ms: float = field(name="coldLeftMs", default=0.0)
+    cold_left_ms: _Milliseconds = field(name="coldLeftMs", default=0.0)
     #: Unix time of the upstream's start in milliseconds.
-    born: int = 0
+    born: _Number = 0
 
 
 class _Order(Struct):
@@ -143,7 +157,7 @@
     def read_configuration(self, value: bytes) -> Configuration:
         """Decode a configuration; raise ``CrocusvalveError`` if it is malformed."""
         try:
-            config = msgspec.json.decode(value, type=_Config)
+            config = decode_json(value, _Config)
             return _make_configuration(config)
         except (msgspec.MsgspecError, KeyError) as exc:
             raise CrocusvalveError(ErrorCode.CONFIG_INVALID, str(exc), step=STEP) from exc
@@ -151,16 +165,16 @@
     def read_upstream(self, key: str, value: bytes) -> Upstream | None:
         """Decode an upstream's entry; return None if it is malformed or in an unknown state."""
         try:
-            entry = msgspec.json.decode(value, type=_Entry)
+            entry = decode_json(value, _Entry)
         except msgspec.MsgspecError:
             return None
-        host, _, port = entry.address.rpartition(":")
-        if entry.state not in ("ready", "draining") or not host or not port.isdigit():
+        address = _read_address(entry.address)
+        if entry.state not in ("ready", "draining") or address is None:
             return None
         return Upstream(
             upstream_id=UpstreamId(key),
             service=ServiceName(entry.service),
-            address=Address(host, int(port)),
+            address=address,
             domain=DomainId(entry.zone),
             version=VersionName(entry.version),
             slots=max(1, entry.slots),
@@ -175,7 +189,7 @@
         if not key.startswith(ROLLOUT_PREFIX):
             return None
         try:
-            order = msgspec.json.decode(value, type=_Order)
+            order = decode_json(value, _Order)
         except msgspec.MsgspecError:
             return None
         return UpgradeOrder(
@@ -199,7 +213,7 @@
     def read_status(self, value: bytes, revision: int) -> UpgradeStatus | None:
         """Decode an upgrade's status; return None if it is malformed or in an unknown state."""
         try:
-            status = msgspec.json.decode(value, type=_Status)
+            status = decode_json(value, _Status)
         except msgspec.MsgspecError:
             return None
         state = UPGRADE_STATES.get(status.state)
@@ -225,6 +239,18 @@
         )
 
 
+def _read_address(text: str) -> Address | None:
+    """Return an address as IP:PORT, or None if it can't be connected to."""
+    host, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
+        return None
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    return Address(host, int(port)) if 0 < int(port) <= MAX_PORT else None
+
+
 def _is_evacuation(key: str) -> bool:
     return key.startswith(EVACUATE_PREFIX) and len(key) > len(EVACUATE_PREFIX)
 
--- a/crocusvalve/platform/_store.py
+++ b/crocusvalve/platform/_store.py
@@ -21,7 +21,7 @@
     HistoryLostError,
     StorePosition,
 )
-from crocusvalve.utils import TransferLimit
+from crocusvalve.utils import TransferLimit, decode_json
 
 __all__ = ["PlatformStore"]
 
@@ -310,7 +310,7 @@
                 f"status {status}", step=step, peer=self.peer, maybe_applied=may_be_applied
             )
         try:
-            return msgspec.json.decode(content, type=reply_type)
+            return decode_json(content, reply_type)
         except msgspec.MsgspecError as exc:
             raise PlatformError(str(exc), step=step, peer=self.peer, maybe_applied=True) from exc
 
--- a/crocusvalve/rpc/_codec.py
+++ b/crocusvalve/rpc/_codec.py
@@ -5,6 +5,8 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from crocusvalve.utils import decode_untrusted
+
 __all__ = ["MessagePackCodec", "decode", "encode"]
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -21,7 +23,7 @@
     decoder = _DECODERS.get(message_type)
     if decoder is None:
         decoder = _DECODERS[message_type] = msgspec.msgpack.Decoder(message_type)
-    return decoder.decode(data)
+    return decode_untrusted(decoder, data)
 
 
 class MessagePackCodec(CodecBase):
--- a/crocusvalve/store/_messages.py
+++ b/crocusvalve/store/_messages.py
@@ -16,6 +16,7 @@
     Write,
     WriteResult,
 )
+from crocusvalve.utils import decode_json, decode_untrusted
 
 __all__ = [
     "ANSWER_LOST_STATUS",
@@ -183,5 +184,5 @@
 def decode_message(data: bytes, message_type: type, content_type: str = MSGPACK_TYPE) -> Any:
     """Decode a message; raises ``msgspec.DecodeError`` if it is malformed or of another type."""
     if content_type == JSON_TYPE:
-        return msgspec.json.decode(data, type=message_type)
-    return msgspec.msgpack.decode(data, type=message_type)
+        return decode_json(data, message_type)
+    return decode_untrusted(msgspec.msgpack.Decoder(message_type), data)
--- a/crocusvalve/utils/__init__.py
+++ b/crocusvalve/utils/__init__.py
@@ -1,6 +1,7 @@
-"""Clocks, digests, signal handling and checks shared by all packages."""
+"""Clocks, decoding, digests, signal handling and checks shared by all packages."""
 
 from crocusvalve.utils._clock import BootClock, Clock, MonotonicClock
+from crocusvalve.utils._decoding import decode_json, decode_untrusted
 from crocusvalve.utils._digest import compute_digest, hash_key, hash_to_int, hash_to_unit
 from crocusvalve.utils._signals import run_until_signal
 from crocusvalve.utils._transfer_limit import TransferLimit
@@ -15,6 +16,8 @@
     "MonotonicClock",
     "check_range",
     "compute_digest",
+    "decode_json",
+    "decode_untrusted",
     "hash_key",
     "hash_to_int",
     "hash_to_unit",
