A stream goes on only with events after its last one

Cause: an attempt that resumes a stream was checked for status, id and signature only. A signed 200 that is no stream of events went through the splitter, which passed on what ended in an empty line; one without a body ended the answer as complete. In a body that only the end of the connection delimits, the head of an error reply counted as an event without content. An upstream that ignores Last-Event-Id repeated events. Ruled out: other statuses and chunked streams, which were never forwarded (see the scenarios that passed before).

Change: the reply that resumes a stream must have the type text/event-stream; an event that begins like the head of a reply, or whose id the caller has already, ends the attempt as corrupt, so that another upstream goes on or the answer is cut. A stream whose last event has no id isn't resumed, since its position is unknown.

--- a/crocusvalve/gateway/base.py
+++ b/crocusvalve/gateway/base.py
@@ -395,6 +395,8 @@
         Whether the upstream declares that it did not run the request.
     is_encoded : bool
         Whether the body has a content encoding.
+    is_event_stream : bool
+        Whether the body consists of server-sent events.
     confidence : float or None
         The model's own estimate of the quality of its answer, 0 to 100.
     is_leaving : bool
@@ -413,6 +415,7 @@
     is_signed: bool
     is_not_run: bool
     is_encoded: bool
+    is_event_stream: bool
     confidence: float | None
     is_leaving: bool = False
     retry_after_s: float | None = None
--- a/crocusvalve/gateway/flows/_stream_flow.py
+++ b/crocusvalve/gateway/flows/_stream_flow.py
@@ -176,3 +176,5 @@
         for event in step.events:
             req.n_events += event.has_content
             policy.last_event_id = event.event_id or policy.last_event_id
+            if event.has_content:
+                policy.has_position = bool(event.event_id)
--- a/crocusvalve/gateway/flows/_stream_policy.py
+++ b/crocusvalve/gateway/flows/_stream_policy.py
@@ -37,6 +37,9 @@
         Model of the next attempt.
     last_event_id : bytes
         Id of the last event that the caller has; empty for none.
+    has_position : bool
+        Whether the last event that the caller has is known by its id, so that another upstream can
+        go on after it.
     failure : tuple or None
         Head and body of the last failure of an upstream, forwarded if no attempt succeeds.
     """
@@ -46,6 +49,7 @@
         self._manager = attempt_manager
         self._clock = attempt_manager.clock
         self.last_event_id = req.caller.last_event_id
+        self.has_position = True
         self.failure: tuple[Reply, bytes] | None = None
         self._smaller_confidence: float | None = None
         self.model = self._choose_first_model()
@@ -68,6 +72,8 @@
             return False
         if end is AttemptEnd.NOT_RUN:
             return True
+        if not self.has_position:
+            return False
         is_repeatable = self.req.route.is_repeatable or end is AttemptEnd.LARGER_MODEL
         return is_repeatable and self.req.n_attempts_left > 0
 
@@ -120,6 +126,8 @@
         """Return why a request that has run is not sent to another upstream."""
         if not self.req.route.is_repeatable:
             return "it may run only once"
+        if not self.has_position:
+            return "its last event has no id"
         if self.req.n_attempts_left <= 0:
             return f"it has run {self.req.n_runs} times"
         if not self._manager.may_send_again(self.req, now):
--- a/crocusvalve/gateway/upstreams/_events.py
+++ b/crocusvalve/gateway/upstreams/_events.py
@@ -11,6 +11,9 @@
 #: Maximum size of comments and other events without content between two events with content.
 MAX_EMPTY_BYTES = 64 * 1024
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+#: An upstream that fails within a stream that only the end of the connection delimits may write an
+#: error reply into it.
+REPLY_HEAD_START = b"HTTP/"
 #: Number of bytes at the end of a buffer that may be the beginning of an event's end.
 MAX_PARTIAL_END = 3
 #: Fields with which an event has content. Comments and fields without a value have none.
@@ -35,9 +38,22 @@
 
 
 class EventSplitter:
-    """Buffers received bytes and returns complete events."""
+    """Buffers received bytes and returns complete events.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    after : bytes
+        Id of the event after which the stream goes on; empty if it begins.
+
+    Attributes
+    ----------
+    fault : str
+        Why the events can't be those of the stream; empty if they can.
+    """
+
+    def __init__(self, after: bytes = b"") -> None:
+        self.after = after
+        self.fault = ""
         self._buffer = bytearray()
         self._n_searched = 0
         self._n_empty_bytes = 0
@@ -68,6 +84,8 @@
         return events
 
     def _make_event(self, data: bytes) -> StreamEvent:
+        if data.startswith(REPLY_HEAD_START):
+            self.fault = "the stream has the head of another reply in it"
         event_id = b""
         has_content = False
         for line in data.splitlines():
@@ -77,5 +95,15 @@
                 has_content = True
                 if name == b"id":
                     event_id = event_id or value
+        if _is_repeated(event_id, self.after):
+            self.fault = "the stream repeats events of before its interruption"
         self._n_empty_bytes = 0 if has_content else self._n_empty_bytes + len(data)
         return StreamEvent(data, event_id, has_content)
+
+
+def _is_repeated(event_id: bytes, after: bytes) -> bool:
+    """Return whether an event comes before the end of another one, if both ids are numbers."""
+    if not event_id.isdigit() or not after.isdigit():
+        return False
+    number, last = event_id.lstrip(b"0"), after.lstrip(b"0")
+    return (len(number), number) <= (len(last), last)
--- a/crocusvalve/gateway/upstreams/_stream_attempt.py
+++ b/crocusvalve/gateway/upstreams/_stream_attempt.py
@@ -117,7 +117,7 @@
         self._has_progressed = False
         self._stack = AsyncExitStack()
         self._attempt: Attempt | None = None
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(last_event_id)
         self._head: Reply | None = None
         self._failure_body = b""
         self._end: AttemptEnd | None = None
@@ -234,6 +234,8 @@
             return AttemptEnd.NOT_RUN
         if reply.status != 200:
             return await self._read_failure(reply)
+        if self.last_event_id and not reply.is_event_stream:
+            raise self._attempt.make_error("the reply is no stream of events", "read_head")
         self.larger_model = self._choose_larger_model(reply)
         if self.larger_model is not None:
             waited_s = self._clock.now() - self._started_at
@@ -271,6 +273,8 @@
                     raise CallError(CallFailure.BROKEN, message, step="read_body", peer=call.peer)
                 return StreamStep(is_over=True)
             events = self._splitter.feed(part)
+            if self._splitter.fault:
+                raise self._attempt.make_error(self._splitter.fault, "read_body")
             if self._splitter.is_too_long:
                 message = "an event, or the comments between two events, are longer than the limit"
                 raise CallError(CallFailure.CORRUPT, message, step="read_body", peer=call.peer)
--- a/crocusvalve/platform/_headers.py
+++ b/crocusvalve/platform/_headers.py
@@ -156,6 +156,7 @@
             is_signed=bool(fields.get(SIGNATURE, b"").strip()),
             is_not_run=NOT_EXECUTED in fields or status == 421,
             is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
+            is_event_stream=_is_event_stream(fields.get(b"content-type", b"")),
             confidence=_read_number(fields.get(CONFIDENCE)),
             is_leaving=fields.get(SERVER_LEAVING, b"").strip() == b"1",
             retry_after_s=_read_retry_after(status, fields.get(RETRY_AFTER)),
@@ -163,6 +164,10 @@
         )
 
 
+def _is_event_stream(content_type: bytes) -> bool:
+    return content_type.split(b";", 1)[0].strip().lower() == b"text/event-stream"
+
+
 def _read_host(value: bytes) -> str:
     """Return the host in lower case, without the port."""
     return value.decode("latin-1").rsplit(":", 1)[0].lower()
--- a/crocusvalve/standin/_upstream_fault.py
+++ b/crocusvalve/standin/_upstream_fault.py
@@ -67,6 +67,15 @@
     INVALID_UNIDENTIFIED_FAILURE = "invalid_unidentified_failure"
     INVALID_UNIDENTIFIED_REJECTION = "invalid_unidentified_rejection"
     INVALID_REPEATED_REJECTION = "invalid_repeated_rejection"
+    INVALID_HEAD_CUT_IN_STATUS = "invalid_head_cut_in_status"
+    INVALID_HEAD_CUT_AFTER_STATUS = "invalid_head_cut_after_status"
+    INVALID_HEAD_CUT_IN_FIELD = "invalid_head_cut_in_field"
+    INVALID_HEAD_CUT_BEFORE_END = "invalid_head_cut_before_end"
+    INVALID_ERROR_PAGE = "invalid_error_page"
+    INVALID_EMPTY = "invalid_empty"
+    INVALID_ERROR_IN_STREAM = "invalid_error_in_stream"
+    INVALID_ERROR_IN_CHUNKED_STREAM = "invalid_error_in_chunked_stream"
+    INVALID_RESTARTED_STREAM = "invalid_restarted_stream"
 
     @property
     def invalid_reply(self) -> InvalidReply | None:
--- a/features/gateway/reported_faults.feature
+++ b/features/gateway/reported_faults.feature
@@ -56,3 +56,69 @@
     And the first attempt encounters the fault break_between_events
     When a caller opens a stream at /once/1
     Then the caller gets a part of the answer that is recognizably incomplete, after 1 run
+
+  # Guards against text of an error, or the head of another reply, in a stream that has begun, and
+  # against a stream that ends as if it were complete.
+  Scenario Outline: A stream that has begun goes on with events only, whatever the next upstream answers: <fault>
+    Given a gateway with two upstreams
+    And the first attempt breaks off in an event, the second one encounters <fault> and further ones none
+    When a caller opens a stream at /stream/1
+    Then the caller gets events 1 to 6, or the first two and a recognizably incomplete answer
+
+    Examples:
+      | fault                           |
+      | failure                         |
+      | client_error                    |
+      | unavailable_after_run           |
+      | full                            |
+      | crossed                         |
+      | encoded                         |
+      | invalid_unidentified            |
+      | invalid_unsigned                |
+      | invalid_unidentified_failure    |
+      | invalid_error_page              |
+      | invalid_empty                   |
+      | invalid_error_in_stream         |
+      | invalid_error_in_chunked_stream |
+      | invalid_restarted_stream        |
+      | invalid_head_cut_after_status   |
+
+  # Guards against the same if no upstream can go on with the stream.
+  Scenario Outline: A stream that no upstream goes on with is recognizably incomplete: <fault>
+    Given a gateway with two upstreams
+    And the first attempt breaks off in an event, the second one encounters <fault> and further ones the same
+    When a caller opens a stream at /stream/1
+    Then the caller gets the first two events and a recognizably incomplete answer
+
+    Examples:
+      | fault                           |
+      | failure                         |
+      | client_error                    |
+      | invalid_error_page              |
+      | invalid_empty                   |
+      | invalid_error_in_stream         |
+      | invalid_error_in_chunked_stream |
+      | invalid_restarted_stream        |
+
+  # Guards against a success without a body, or with a part of it, in place of an answer whose head
+  # ended early.
+  Scenario Outline: A head that ends early is no answer: <fault>, <path>
+    Given a gateway with two upstreams
+    And the first attempt encounters the fault <fault>
+    When a caller sends <path>, with a prompt if it is a stream
+    Then the caller gets <status> after <n_runs> runs
+
+    Examples:
+      | fault                         | path      | status | n_runs |
+      | invalid_head_cut_in_status    | /safe/1   | 200    | 2      |
+      | invalid_head_cut_after_status | /safe/1   | 200    | 2      |
+      | invalid_head_cut_in_field     | /safe/1   | 200    | 2      |
+      | invalid_head_cut_before_end   | /safe/1   | 200    | 2      |
+      | invalid_head_cut_in_status    | /unsafe/1 | 502    | 1      |
+      | invalid_head_cut_after_status | /unsafe/1 | 502    | 1      |
+      | invalid_head_cut_in_field     | /unsafe/1 | 502    | 1      |
+      | invalid_head_cut_before_end   | /unsafe/1 | 502    | 1      |
+      | invalid_head_cut_after_status | /stream/1 | 200    | 2      |
+      | invalid_head_cut_before_end   | /stream/1 | 200    | 2      |
+      | invalid_head_cut_after_status | /once/1   | 502    | 1      |
+      | invalid_head_cut_before_end   | /once/1   | 502    | 1      |
--- a/features/gateway/steps/reported_fault_steps.py
+++ b/features/gateway/steps/reported_fault_steps.py
@@ -30,6 +30,19 @@
         upstream.pause_s = pause_s
 
 
+@given(
+    "the first attempt breaks off in an event, the second one encounters {fault} and further ones "
+    "{further}"
+)
+def given_two_faults(context, fault, further):
+    faults = [UpstreamFault.BREAK_IN_EVENT, UpstreamFault(fault)]
+    if further == "the same":
+        faults += 8 * [UpstreamFault(fault)]
+    # The upstreams share one list of faults.
+    for upstream in context.harness.upstreams.values():
+        upstream.faults = faults
+
+
 @when("one caller sends {n:d} requests for {prefix} on a kept connection, {pause_s:g} s apart")
 def when_kept_requests(context, n, prefix, pause_s):
     async def act(harness):
@@ -65,3 +78,21 @@
     answer = context.harness.answers[0]
     expected = b"".join(make_event(target, number) for number in range(1, N_EVENTS + 1))
     assert n == N_EVENTS and answer.is_complete and answer.body == expected, answer
+
+
+def make_events(first, last):
+    """Return events of the stream as bytes."""
+    return b"".join(make_event("/stream/1", number) for number in range(first, last + 1))
+
+
+@then("the caller gets events 1 to 6, or the first two and a recognizably incomplete answer")
+def then_whole_or_cut(context):
+    answer = context.harness.answers[0]
+    expected = make_events(1, N_EVENTS) if answer.is_complete else make_events(1, 2)
+    assert answer.status == 200 and answer.body == expected, answer
+
+
+@then("the caller gets the first two events and a recognizably incomplete answer")
+def then_cut(context):
+    answer = context.harness.answers[0]
+    assert not answer.is_complete and answer.body == make_events(1, 2), answer
