The agent opens a connection for each call to its upstream

Cause: the agent kept connections for all calls but orders. An upstream that sends an answer once more on such a connection, together with it or as the next request arrives, had the copy taken for the answer to the next call: a caller got the answer to another request. A refusal after a complete answer would have counted as one of the next call, 'not run' although it ran. Ruled out: a refusal sent twice after a refusal, since a call that ends with a refusal closes its connection (both scenarios passed before).

Change: no call reuses a connection, so that the separate client for orders goes.

Evidence: agent/http.feature, 'A reply that is sent once more': 2 of 4 scenarios failed 3 of 3 times before ([b'ok', b'ok'] where the second answer is 'second'), 4 pass.

--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -18,7 +18,7 @@
     UpstreamEnd,
     UpstreamError,
 )
-from crocusvalve.base import ClassKind, ExecutionStatus, UpstreamKind, UpstreamState, VersionRef
+from crocusvalve.base import ExecutionStatus, UpstreamKind, UpstreamState, VersionRef
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
 from crocusvalve.utils import decode_json
@@ -26,8 +26,6 @@
 __all__ = ["HttpUpstream", "make_http_client"]
 
 CONNECT_TIMEOUT_S = 1.0
-KEEPALIVE_EXPIRY_S = 2.0
-MAX_KEEPALIVE_CONNECTIONS = 64
 PROBE_TIMEOUT_S = 1.0
 #: Longest answer to a probe, to a question for the load and to an order.
 MAX_REPORT_BYTES = 1024 * 1024
@@ -48,7 +46,6 @@
     path: str
     body: bytes
     headers: dict[str, str]
-    is_order: bool
 
 
 class _OrderReply(Struct, frozen=True):
@@ -67,23 +64,15 @@
     loaded: tuple[VersionRef, ...] | None = None
 
 
-def make_http_client(*, reuses_connections: bool = True) -> httpx.AsyncClient:
+def make_http_client() -> httpx.AsyncClient:
     """Create the agent's HTTP client; the attempt's deadline limits the total time of each call.
 
-    Parameters
-    ----------
-    reuses_connections : bool
-        Whether idle connections are kept open and reused. An upstream may close an idle
-        connection at the moment when a request is sent on it, and then it is unknown whether the
-        call ran.
+    Each call has a connection of its own. On a kept one an upstream may send a reply once more,
+    which would count as that to the next call, or close it as a request is sent, so that it is
+    unknown whether the call ran.
     """
     timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S)
-    max_keepalive = MAX_KEEPALIVE_CONNECTIONS if reuses_connections else 0
-    limits = httpx.Limits(
-        max_connections=None,
-        max_keepalive_connections=max_keepalive,
-        keepalive_expiry=KEEPALIVE_EXPIRY_S,
-    )
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
     return httpx.AsyncClient(timeout=timeout, limits=limits)
 
 
@@ -95,9 +84,7 @@
     url : str
         Base URL.
     http : httpx.AsyncClient
-        Client for all calls but orders.
-    order_http : httpx.AsyncClient or None
-        Client for orders, which must not reuse connections; None uses ``http``.
+        Client for all calls.
     on_rate : callable
         Called with the rate per second that an answer to an attempt names, or None.
     traces_sends : bool
@@ -110,13 +97,11 @@
         url: str,
         http: httpx.AsyncClient,
         *,
-        order_http: httpx.AsyncClient | None = None,
         on_rate: Callable[[float | None], object] = lambda _: None,
         traces_sends: bool = True,
     ):
         self.url = url.rstrip("/")
         self.http = http
-        self.order_http = order_http if order_http is not None else http
         self.on_rate = on_rate
         self.traces_sends = traces_sends
 
@@ -184,7 +169,7 @@
     async def order(self, order: UpstreamOrder, *, on_send: OnSend) -> UpstreamOrderReply:
         """Post an order to the engine; a 409 refuses it, as for an outdated number."""
         headers = {"Content-Type": "application/json"}
-        call = _Call("POST", ORDERS_PATH, msgspec.json.encode(order), headers, is_order=True)
+        call = _Call("POST", ORDERS_PATH, msgspec.json.encode(order), headers)
         async with self._send(call, on_send) as reply:
             if reply.status_code not in (httpx.codes.OK, httpx.codes.CONFLICT):
                 raise _make_status_error(reply.status_code)
@@ -216,8 +201,7 @@
         extensions = {"trace": _make_trace(mark_sent)} if self.traces_sends else {}
         if not self.traces_sends:
             mark_sent()
-        http = self.order_http if call.is_order else self.http
-        request = http.build_request(
+        request = self.http.build_request(
             call.method,
             self.url + call.path,
             content=call.body or None,
@@ -225,7 +209,7 @@
             extensions=extensions,
         )
         try:
-            reply = await http.send(request, stream=True)
+            reply = await self.http.send(request, stream=True)
         except httpx.HTTPError as exc:
             raise _make_send_error(exc, is_sent) from exc
         self.on_rate(parse_rate(reply.headers.get(RATE_HEADER)))
@@ -241,7 +225,7 @@
 
     async def _call_engine(self, req: RunRequest, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
         headers = {"Content-Type": "application/json", "X-Request-Id": req.attempt_id}
-        call = _Call(req.method, req.path, make_engine_body(req), headers, _is_order(req))
+        call = _Call(req.method, req.path, make_engine_body(req), headers)
         async with self._send(call, on_send) as reply:
             if reply.status_code != httpx.codes.OK:
                 raise _make_status_error(reply.status_code)
@@ -253,7 +237,7 @@
             headers["Content-Type"] = req.content_type
         if req.idempotency_key:
             headers["Idempotency-Key"] = req.idempotency_key
-        call = _Call(req.method, req.path, req.body, headers, _is_order(req))
+        call = _Call(req.method, req.path, req.body, headers)
         async with self._send(call, on_send) as reply:
             if reply.is_server_error:
                 # A status of 500 or above does not prove that the call had no effect.
@@ -265,10 +249,6 @@
             return UpstreamEnd(Usage(), "stop", reply.status_code, content_type)
 
 
-def _is_order(req: RunRequest) -> bool:
-    return req.kind is ClassKind.ORDER
-
-
 def _make_trace(mark_sent: Callable[[], None]) -> Callable[[str, dict], Awaitable[None]]:
     async def trace(event: str, info: dict) -> None:
         if event.endswith(SEND_EVENTS):
--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -218,9 +218,8 @@
     async with (
         trio_asyncio.open_loop(),
         make_http_client() as http,
-        make_http_client(reuses_connections=False) as order_http,
     ):
-        upstream = HttpUpstream(settings.upstream_url, http, order_http=order_http)
+        upstream = HttpUpstream(settings.upstream_url, http)
         agent = Agent(
             node_id=NodeId(settings.node_id),
             upstream_id=UpstreamId(settings.upstream_id),
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -47,6 +47,35 @@
     When an attempt and then an order are sent to it
     Then the order is answered on a new connection
 
+  # Guards against an earlier refusal or answer that is taken for the answer to a call which the
+  # upstream runs.
+  Scenario Outline: A reply that is sent once more isn't taken for the answer to the next call: <reply>, <time>
+    Given a service that sends its first <reply> once more <time>
+    When two attempts are sent to it
+    Then the second one gets its own answer
+
+    Examples:
+      | reply   | time                        |
+      | refusal | together with it            |
+      | refusal | as the next request arrives |
+      | answer  | together with it            |
+      | answer  | as the next request arrives |
+
+  # Guards against an empty answer in place of one whose head ended early.
+  Scenario Outline: An answer whose head ends early is none: <kind>, after <n> bytes
+    Given a service whose answer ends after <n> bytes
+    When an attempt of kind <kind> is sent to this service
+    Then it ends as failed, and may have run
+
+    Examples:
+      | kind   | n  |
+      | plain  | 10 |
+      | plain  | 17 |
+      | plain  | 26 |
+      | plain  | 36 |
+      | engine | 17 |
+      | engine | 36 |
+
   Scenario: Nothing is written to a connection if the attempt is refused after the connection was made
     When a call to a plain service over a real connection is refused right before the send
     Then the service has received no bytes and the attempt has not run
--- a/features/agent/steps/http_steps.py
+++ b/features/agent/steps/http_steps.py
@@ -1,5 +1,7 @@
 """Steps about upstreams over HTTP, with a fake transport and one real connection."""
 
+import contextlib
+
 import httpx
 import msgspec
 import trio
@@ -148,14 +150,10 @@
         pass
 
     async def main():
-        async with (
-            trio.open_nursery() as nursery,
-            make_http_client() as http,
-            make_http_client(reuses_connections=False) as order_http,
-        ):
+        async with trio.open_nursery() as nursery, make_http_client() as http:
             listeners = await nursery.start(trio.serve_tcp, context.serve, 0)
             url = f"http://127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-            upstream = HttpUpstream(url, http, order_http=order_http)
+            upstream = HttpUpstream(url, http)
             for kind in (ClassKind.LOOKUP, ClassKind.ORDER):
                 req = make_request(kind=kind, upstream_kind=UpstreamKind.PLAIN, body=b"")
                 context.end = await upstream.call(req, on_send=lambda: None, on_data=handle_data)
@@ -167,3 +165,99 @@
 @then("the order is answered on a new connection")
 def then_new_connection(context):
     assert context.end.status == 200 and context.n_connections == 2
+
+
+BODY = b"{}"
+REFUSAL = b"HTTP/1.1 503 X\r\ncontent-length: 4\r\n\r\nfull"
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+SECOND_ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond"
+
+
+@given("a service that sends its first {reply} once more {time}")
+def given_repeated_reply(context, reply, time):
+    context.n_requests = 0
+    first = {"refusal": REFUSAL, "answer": ANSWER}[reply]
+    is_late = time == "as the next request arrives"
+
+    async def serve(stream):
+        while await receive_request(stream):
+            context.n_requests += 1
+            if context.n_requests == 1:
+                await stream.send_all(first if is_late else 2 * first)
+                continue
+            if is_late and context.kept is stream:
+                await stream.send_all(first)
+            await stream.send_all(SECOND_ANSWER)
+
+    async def serve_first(stream):
+        context.kept = getattr(context, "kept", stream)
+        with contextlib.suppress(trio.BrokenResourceError):
+            await serve(stream)
+
+    context.serve = serve_first
+
+
+@given("a service whose answer ends after {n:d} bytes")
+def given_cut_answer(context, n):
+    async def serve(stream):
+        await stream.receive_some()
+        await stream.send_all(ANSWER[:n])
+
+    context.serve = serve
+
+
+async def receive_request(stream):
+    """Return whether a whole request has arrived, whose head and body come separately."""
+    data = b""
+    while not data.endswith(BODY):
+        part = await stream.receive_some()
+        if not part:
+            return False
+        data += part
+    return True
+
+
+async def call_real_service(context, kinds):
+    """Send attempts over real connections; return how each ended."""
+    ends = []
+    context.data = []
+
+    async def handle_data(data):
+        context.data.append(data)
+
+    async with trio.open_nursery() as nursery, make_http_client() as http:
+        listeners = await nursery.start(trio.serve_tcp, context.serve, 0)
+        url = f"http://127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        upstream = HttpUpstream(url, http)
+        for kind in kinds:
+            req = make_request(kind=ClassKind.LOOKUP, upstream_kind=kind, body=BODY)
+            try:
+                end = await upstream.call(req, on_send=lambda: None, on_data=handle_data)
+            except UpstreamError as exc:
+                end = exc
+            ends.append(end)
+            await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    return ends
+
+
+@when("two attempts are sent to it")
+def when_two_attempts(context):
+    context.ends = trio.run(call_real_service, context, 2 * [UpstreamKind.PLAIN])
+
+
+@when("an attempt of kind {kind} is sent to this service")
+def when_attempt_of_kind(context, kind):
+    context.ends = trio.run(call_real_service, context, [UpstreamKind(kind)])
+
+
+@then("the second one gets its own answer")
+def then_own_answer(context):
+    assert not isinstance(context.ends[1], UpstreamError), context.ends
+    assert context.data[-1] == b"second", context.data
+
+
+@then("it ends as failed, and may have run")
+def then_may_have_run(context):
+    (end,) = context.ends
+    assert isinstance(end, UpstreamError) and end.ran is ExecutionStatus.UNKNOWN, end
