--- a/crocusvalve/gateway/upstreams/_events.py
+++ b/crocusvalve/gateway/upstreams/_events.py
@@ -96,13 +96,13 @@
                 if name == b"id":
                     event_id = event_id or value
         if _is_repeated(event_id, self.after):
-            self.fault = "the stream repeats events of before its interruption"
+            self.fault = "the stream repeats events from before its interruption"
         self._n_empty_bytes = 0 if has_content else self._n_empty_bytes + len(data)
         return StreamEvent(data, event_id, has_content)
 
 
 def _is_repeated(event_id: bytes, after: bytes) -> bool:
-    """Return whether an event comes before the end of another one, if both ids are numbers."""
+    """Return whether an event isn't later than another one; False unless both ids are numbers."""
     if not event_id.isdigit() or not after.isdigit():
         return False
     number, last = event_id.lstrip(b"0"), after.lstrip(b"0")
