soak: no replies that an upstream has signed as its answer

Cause: since the stand-in has InvalidReply, the soak's profile of any fault drew its signed kinds too, such as the text of an error with id and signature, for plain requests and beginnings of streams. Trace: the request has one attempt, no notes and is answered with id and signature of the upstream that ran it; the users' rule asks for the engine's signature and its whole body, and both are there.

No check of the soak changes. reported_faults.feature plays them where they can be told.

--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -124,12 +124,13 @@
     OVERLOADED = "overloaded"
 
 
+#: Faults whose answer is as the upstream has made it, so that nothing shows a gateway the fault.
+UNDETECTABLE_FAULTS = {
+    fault for fault in UpstreamFault if fault.invalid_reply and fault.invalid_reply.is_signed
+} | {UpstreamFault.NONE, UpstreamFault.CLIENT_ERROR}
 #: Probability of a fault per request, and the faults to choose from.
 PROFILE_FAULTS = {
-    UpstreamFaultProfile.ANY_FAULT: (
-        0.4,
-        tuple(set(UpstreamFault) - {UpstreamFault.NONE, UpstreamFault.CLIENT_ERROR}),
-    ),
+    UpstreamFaultProfile.ANY_FAULT: (0.4, tuple(set(UpstreamFault) - UNDETECTABLE_FAULTS)),
     UpstreamFaultProfile.FULL: (0.8, (UpstreamFault.FULL,)),
     UpstreamFaultProfile.FAILING: (0.5, (UpstreamFault.FAILURE,)),
     UpstreamFaultProfile.OVERLOADED: (0.3, (UpstreamFault.OVERLOADED,)),
--- a/crocusvalve/standin/_invalid_reply.py
+++ b/crocusvalve/standin/_invalid_reply.py
@@ -36,7 +36,19 @@
     #: An earlier rejection that is sent once more: it states that another request was not executed.
     REPEATED_REJECTION = "repeated_rejection"
 
+    @property
+    def is_signed(self) -> bool:
+        """Whether it is a whole, signed answer, which is invalid only within a stream."""
+        return self in SIGNED_REPLIES
 
+
+SIGNED_REPLIES = (
+    InvalidReply.ERROR_PAGE,
+    InvalidReply.EMPTY,
+    InvalidReply.ERROR_IN_STREAM,
+    InvalidReply.ERROR_IN_CHUNKED_STREAM,
+    InvalidReply.RESTARTED_STREAM,
+)
 EVENTS = b"id: 1\ndata: wrong bytes\n\n"
 ERROR_TEXT = b"wrong bytes: the upstream has failed\n\n"
 ERROR = b"HTTP/1.1 500 X\r\nContent-Type: text/plain\r\nContent-Length: 38\r\n\r\n" + ERROR_TEXT
@@ -56,7 +68,7 @@
     Parameters
     ----------
     headers : dict
-        Id and signature of a valid reply.
+        Id and signature of a valid reply, in this order.
     """
     if reply in CUT_AT:
         return _make_head(200, headers | STREAM)[: CUT_AT[reply]]
