An answer without a length that a reset cuts is incomplete

What callers saw: a long upload was answered at once with a 200 without a length, a part of its body and a reset while the upload was still being written; they got the part as the whole answer.

Cause: a request over 8 KB is written by a background task while the reply is read. The system reports a socket's error once. If the writer got the reset, it dropped the error, and the reader saw a plain end of the connection, which is how a reply without a length ends. Which of the two tasks got the error was a matter of chance.

Change: at the end of the connection the reader asks whether the writer has failed or the socket was reset; either makes the reply incomplete (502, or a cut stream). The first alone isn't enough: trio lets other tasks run between the failed system call and the writer's handler.

An upstream that ends its sending side and is reset by a later part of the upload may count as incomplete too: the connection has reported an error, and the state of the socket doesn't show which came first. An answer that ends with an open connection stays whole; that is the third case.

--- a/crocusvalve/gateway/_sockets.py
+++ b/crocusvalve/gateway/_sockets.py
@@ -11,6 +11,7 @@
 __all__ = [
     "CONNECT_TIMEOUT_S",
     "connect",
+    "has_broken",
     "is_readable",
     "open_listeners",
     "reset",
@@ -88,6 +89,14 @@
     return bool(_poll(sock, select.POLLIN))
 
 
+def has_broken(sock: trio.socket.SocketType) -> bool:
+    """Return whether a connection was reset or timed out, even if its error has been reported.
+
+    A connection whose peer has only closed its sending side isn't broken.
+    """
+    return bool(_poll(sock, select.POLLERR | select.POLLHUP))
+
+
 async def wait_until_closed(sock: trio.socket.SocketType) -> None:
     """Wait until the peer closes its sending side or the connection breaks, reading no bytes."""
     try:
--- a/crocusvalve/gateway/upstreams/_upstream_call.py
+++ b/crocusvalve/gateway/upstreams/_upstream_call.py
@@ -7,7 +7,7 @@
 import trio
 
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode
-from crocusvalve.gateway._sockets import connect, reset
+from crocusvalve.gateway._sockets import connect, has_broken, reset
 from crocusvalve.gateway.base import Address, HeaderCodec, Headers, Reply
 
 __all__ = ["CallError", "CallFailure", "UpstreamCall"]
@@ -84,6 +84,7 @@
         self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._stream: trio.SocketStream | None = None
         self._is_complete = False
+        self._has_write_failed = False
         self._n_received = 0
         self._n_events_in_turn = 0
         self._n_head = 0
@@ -121,7 +122,7 @@
         if len(data) <= INLINE_REQUEST_BYTES:
             await self._write(data)
         else:
-            spawn(self._write_ignoring_errors, self._stream, data)
+            spawn(self._write_in_background, self._stream, data)
 
     async def read_head(self) -> Reply:
         """Read the head of the reply; raises ``CallError`` if too much precedes it."""
@@ -177,6 +178,8 @@
                     return event
                 self._check_framing(step)
                 data = await self._stream.receive_some(READ_BYTES)
+                if not data and self._has_been_reset():
+                    raise self._make_error(CallFailure.BROKEN, "connection reset", step)
                 self._n_events_in_turn = 0
                 self._n_received += len(data)
                 self._conn.receive_data(data)
@@ -204,13 +207,21 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as exc:
             raise self._make_error(CallFailure.BROKEN, "connection lost", "send") from exc
 
-    @staticmethod
-    async def _write_ignoring_errors(stream: trio.SocketStream, data: bytes) -> None:
-        """Write in the background; a broken connection is reported by whoever reads the reply."""
+    async def _write_in_background(self, stream: trio.SocketStream, data: bytes) -> None:
+        """Write the request; a failure makes the end of the connection an error for the reader."""
         try:
             await stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-            return
+            self._has_write_failed = True
+
+    def _has_been_reset(self) -> bool:
+        """Return whether a connection that has ended for the reader was reset.
+
+        The system reports the error of a socket once. If the task that writes the request gets it,
+        the reader sees a plain end, as of a complete reply without a length. The writer may not
+        have recorded its failure yet, so the state of the socket counts as well.
+        """
+        return self._has_write_failed or has_broken(self._stream.socket)
 
     def _make_error(self, failure: CallFailure, message: str, step: str) -> CallError:
         return CallError(failure, message, step=step, peer=self.peer)
--- a/crocusvalve/standin/_http_server.py
+++ b/crocusvalve/standin/_http_server.py
@@ -65,6 +65,13 @@
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request; return whether the connection stays open."""
 
+    async def answer_early(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
+        """Answer a request whose body hasn't been read yet, or return False.
+
+        After such an answer the rest of the request isn't read, and the connection closes.
+        """
+        return False
+
     async def serve(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; reports as started once the server listens."""
         listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
@@ -85,20 +92,22 @@
         finally:
             self.n_open -= 1
 
-    @staticmethod
-    async def _read(conn: h11.Connection, stream: trio.SocketStream) -> ReceivedRequest | None:
-        head: h11.Request | None = None
-        body = b""
+    async def _read(
+        self, conn: h11.Connection, stream: trio.SocketStream
+    ) -> ReceivedRequest | None:
+        call: ReceivedRequest | None = None
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
                 conn.receive_data(await stream.receive_some(READ_BYTES))
             elif isinstance(event, h11.Request):
-                head = event
+                headers = {name.decode(): value.decode() for name, value in event.headers}
+                call = ReceivedRequest(event.method.decode(), event.target.decode(), headers, b"")
+                if await self.answer_early(call, stream):
+                    return None
             elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                headers = {name.decode(): value.decode() for name, value in head.headers}
-                return ReceivedRequest(head.method.decode(), head.target.decode(), headers, body)
+                call.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage) and call is not None:
+                return call
             else:
                 return None
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -1,5 +1,7 @@
 """Stand-in for an upstream of a gateway: plain answers, event streams, and faults per request."""
 
+import socket
+import struct
 from collections.abc import Callable
 
 import trio
@@ -43,6 +45,8 @@
     silence_s : float
         Length of the silence of the faults ``SILENT``, ``SILENT_FIRST`` and ``BREAK_LATE``, in
         seconds.
+    reset_delay_s : float
+        Time from an answer with the fault ``EARLY_RESET`` to the reset, in seconds.
     n_padding_bytes : int
         Number of bytes that are appended to the body of a plain answer.
     n_abandoned : int
@@ -87,6 +91,7 @@
         self.arrived_at: list[float] = []
         self.pause_s = 0.0
         self.silence_s = 1.2
+        self.reset_delay_s = 0.0
         self.n_padding_bytes = 0
         self.crash_part = ""
         self.crash_target = ""
@@ -141,6 +146,30 @@
         """Record a request that the upstream rejects without running it."""
         self.n_rejected += 1
 
+    async def answer_early(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
+        """Answer a request before its body has been read, if the next fault asks for that."""
+        if self.faults[:1] not in ([UpstreamFault.EARLY_RESET], [UpstreamFault.EARLY_END]):
+            return False
+        fault = self.choose_fault()
+        self.record_run(call, fault)
+        headers = {
+            "X-Attempt-Id": call.attempt_id,
+            "X-Response-Signature": f"signed-by-{self.upstream_id}",
+        }
+        body = b"begun early"
+        if call.headers.get("accept") == "text/event-stream":
+            headers["Content-Type"] = "text/event-stream"
+            body = make_event(call.target, 1) + make_event(call.target, 2)
+        await stream.send_all(self._make_head(200, headers) + body)
+        if fault is UpstreamFault.EARLY_END:
+            await stream.send_eof()
+            while await stream.receive_some():
+                pass
+            return True
+        await trio.sleep(self.reset_delay_s)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        return True
+
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request, with a fault if one is due."""
         self.arrived_at.append(trio.current_time())
--- a/crocusvalve/standin/_upstream_fault.py
+++ b/crocusvalve/standin/_upstream_fault.py
@@ -38,6 +38,11 @@
     #: Closes the connection cleanly before the declared length of the answer.
     SHORT = "short"
     ENCODED = "encoded"
+    #: Answers with a part of a body without a length before it has read the request's body, and
+    #: resets the connection ``reset_delay_s`` later.
+    EARLY_RESET = "early_reset"
+    #: The same, but the answer is whole, and its end is that of the upstream's sending side.
+    EARLY_END = "early_end"
     HANG = "hang"
     #: Falls silent for ``silence_s`` after the second event of a stream, or before the head of a
     #: plain answer, and then goes on. This is no fault of the answer, which is complete.
