The agent doesn't take an answer that a reset cuts for a whole one

What callers saw: a plain service that answers a long upload at once, without a length, and resets the connection while the agent writes: the part that had come was passed on as the whole answer.

Cause: the agent's HTTP transport ignores an error of its write, so that it can read an early answer. The reset is reported to that write; the read after it sees a plain end of the connection, which is how an answer without a length ends.

Change: the transport's trace reports the failed write. An answer of a plain service without a length or chunks then counts as interrupted, and may have run. Answers of engines have an end marker and are read as before. The clients of the stores read one JSON or MessagePack value, which an early end leaves incomplete, so that nothing changes there.

--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -1,6 +1,6 @@
 """Upstreams over HTTP: OpenAI-compatible engines and plain services."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import httpx
@@ -35,6 +35,8 @@
 MAX_CHUNK_BYTES = 64 * 1024
 #: Trace events of the transport right before it writes the headers and the body of a request.
 SEND_EVENTS = ("send_request_headers.started", "send_request_body.started")
+#: Trace events of a write that failed; the transport reads the answer all the same.
+FAILURE_EVENTS = ("send_request_headers.failed", "send_request_body.failed")
 #: Statuses with which an engine refuses a request before it runs any part of it.
 ENGINE_NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422, 429, 503})
 #: Errors that occur before there is a connection, so that nothing was written.
@@ -190,17 +192,22 @@
         return UpstreamOrderReply(False, order_reply.number, code=code.name)
 
     @asynccontextmanager
-    async def _send(self, call: _Call, on_send: OnSend) -> AsyncIterator[httpx.Response]:
-        is_sent = False
-
-        def mark_sent() -> None:
-            nonlocal is_sent
-            on_send()
-            is_sent = True
-
-        extensions = {"trace": _make_trace(mark_sent)} if self.traces_sends else {}
+    async def _send(
+        self, call: _Call, on_send: OnSend, *, has_end_marker: bool = True
+    ) -> AsyncIterator[httpx.Response]:
+        """Make a call; the body of its answer is read within the block.
+
+        Parameters
+        ----------
+        has_end_marker : bool
+            Whether the body itself shows that it is complete. If not, one without a length counts
+            as interrupted if the request could not be written: the reset that cut the answer was
+            then reported to the writer, and the reader saw a plain end of the connection.
+        """
+        writing = _Writing(on_send)
+        extensions = {"trace": writing.trace} if self.traces_sends else {}
         if not self.traces_sends:
-            mark_sent()
+            writing.start()
         request = self.http.build_request(
             call.method,
             self.url + call.path,
@@ -211,10 +218,12 @@
         try:
             reply = await self.http.send(request, stream=True)
         except httpx.HTTPError as exc:
-            raise _make_send_error(exc, is_sent) from exc
+            raise _make_send_error(exc, writing.has_started) from exc
         self.on_rate(parse_rate(reply.headers.get(RATE_HEADER)))
         try:
             yield reply
+            if writing.has_failed and not has_end_marker and not _is_delimited(reply):
+                raise httpx.WriteError("the request was not written completely")
         except httpx.HTTPError as exc:
             message = f"the connection to the upstream was interrupted: {type(exc).__name__}"
             raise UpstreamError(
@@ -238,7 +247,7 @@
         if req.idempotency_key:
             headers["Idempotency-Key"] = req.idempotency_key
         call = _Call(req.method, req.path, req.body, headers)
-        async with self._send(call, on_send) as reply:
+        async with self._send(call, on_send, has_end_marker=False) as reply:
             if reply.is_server_error:
                 # A status of 500 or above does not prove that the call had no effect.
                 message = f"the service answered with status {reply.status_code}"
@@ -249,12 +258,28 @@
             return UpstreamEnd(Usage(), "stop", reply.status_code, content_type)
 
 
-def _make_trace(mark_sent: Callable[[], None]) -> Callable[[str, dict], Awaitable[None]]:
-    async def trace(event: str, info: dict) -> None:
+class _Writing:
+    """Progress of writing a request, as the transport's trace reports it."""
+
+    def __init__(self, on_send: OnSend):
+        self.on_send = on_send
+        self.has_started = False
+        self.has_failed = False
+
+    def start(self) -> None:
+        self.on_send()
+        self.has_started = True
+
+    async def trace(self, event: str, info: dict) -> None:
         if event.endswith(SEND_EVENTS):
-            mark_sent()
+            self.start()
+        elif event.endswith(FAILURE_EVENTS):
+            self.has_failed = True
+
 
-    return trace
+def _is_delimited(reply: httpx.Response) -> bool:
+    """Return whether a body has a length or is chunked, so that an early end of it is an error."""
+    return "content-length" in reply.headers or "transfer-encoding" in reply.headers
 
 
 async def _read_report(reply: httpx.Response) -> bytes:
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -76,6 +76,26 @@
       | engine | 17 |
       | engine | 36 |
 
+  # Guards against a part of an answer that passes as the whole one: the transport ignores the error
+  # of its write, and then sees a plain end of the connection.
+  Scenario Outline: An answer that is cut by a reset before the request is written is none: <kind>
+    Given a service that answers <kind> an upload at once and resets the connection after <delay> s
+    When 6 attempts with an upload of 6000000 bytes are sent to it
+    Then each ends as failed, and may have run
+
+    Examples:
+      | kind                        | delay |
+      | without a length to         | 0     |
+      | without a length to         | 0.02  |
+      | with too long a length to   | 0.02  |
+      | with an unfinished chunk to | 0.02  |
+
+  # Guards against the loss of a whole answer because its request was not read to the end.
+  Scenario: An answer with a length is whole though the request isn't read to its end
+    Given a service that answers with its length to an upload at once and resets the connection after 0.02 s
+    When 6 attempts with an upload of 6000000 bytes are sent to it
+    Then each ends as whole
+
   Scenario: Nothing is written to a connection if the attempt is refused after the connection was made
     When a call to a plain service over a real connection is refused right before the send
     Then the service has received no bytes and the attempt has not run
--- a/features/agent/steps/http_steps.py
+++ b/features/agent/steps/http_steps.py
@@ -1,6 +1,8 @@
 """Steps about upstreams over HTTP, with a fake transport and one real connection."""
 
 import contextlib
+import socket
+import struct
 
 import httpx
 import msgspec
@@ -217,7 +219,7 @@
     return True
 
 
-async def call_real_service(context, kinds):
+async def call_real_service(context, kinds, body=BODY):
     """Send attempts over real connections; return how each ended."""
     ends = []
     context.data = []
@@ -230,7 +232,7 @@
         url = f"http://127.0.0.1:{listeners[0].socket.getsockname()[1]}"
         upstream = HttpUpstream(url, http)
         for kind in kinds:
-            req = make_request(kind=ClassKind.LOOKUP, upstream_kind=kind, body=BODY)
+            req = make_request(kind=ClassKind.LOOKUP, upstream_kind=kind, body=body)
             try:
                 end = await upstream.call(req, on_send=lambda: None, on_data=handle_data)
             except UpstreamError as exc:
@@ -241,6 +243,46 @@
     return ends
 
 
+EARLY_BODIES = {
+    "without a length to": b"\r\nbegun early",
+    "with too long a length to": b"content-length: 12\r\n\r\nbegun early",
+    "with an unfinished chunk to": b"transfer-encoding: chunked\r\n\r\nc\r\nbegun early",
+    "with its length to": b"content-length: 11\r\n\r\nbegun early",
+}
+
+
+@given(
+    "a service that answers {kind} an upload at once and resets the connection after {delay_s:g} s"
+)
+def given_early_reset(context, kind, delay_s):
+    async def serve(stream):
+        await stream.receive_some()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n" + EARLY_BODIES[kind])
+        await trio.sleep(delay_s)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await trio.aclose_forcefully(stream)
+
+    context.serve = serve
+
+
+@when("{n:d} attempts with an upload of {n_bytes:d} bytes are sent to it")
+def when_uploaded(context, n, n_bytes):
+    kinds = n * [UpstreamKind.PLAIN]
+    context.ends = trio.run(call_real_service, context, kinds, bytes(n_bytes))
+
+
+@then("each ends as failed, and may have run")
+def then_all_may_have_run(context):
+    for end in context.ends:
+        assert isinstance(end, UpstreamError) and end.ran is ExecutionStatus.UNKNOWN, context.ends
+
+
+@then("each ends as whole")
+def then_all_whole(context):
+    assert all(not isinstance(end, UpstreamError) for end in context.ends), context.ends
+    assert set(context.data) == {b"begun early"}, context.data
+
+
 @when("two attempts are sent to it")
 def when_two_attempts(context):
     context.ends = trio.run(call_real_service, context, 2 * [UpstreamKind.PLAIN])
