Tests: replies with an invalid status or field name are no answers

Two reports of other operators: a status of 000, and a blank or a control byte in the name of a field. Neither is passed on here: h11 refuses such a head, and the attempt counts as one that may have run. The tests stay: 8 statuses and 11 names at the gateway, on each of the four kinds of route (malformed_heads.feature), and 14 of them at the agent's calls of plain services (http.feature).

--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -75,6 +75,8 @@
         Starts of the upstream.
     on_start : callable
         Called at each start after a crash.
+    edit_head : callable
+        Called with the head of each reply, as bytes; returns the head to send.
     """
 
     def __init__(self, upstream_id: str):
@@ -99,6 +101,7 @@
         self.restart_s = 0.3
         self.n_starts = 0
         self.on_start: Callable[[], None] = lambda: None
+        self.edit_head: Callable[[bytes], bytes] = lambda head: head
         self._run_scope = trio.CancelScope()
 
     async def serve(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
@@ -287,7 +290,7 @@
         if self.rate_limit:
             fields["Server-Limit"] = self.rate_limit
         lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in fields.items())]
-        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+        return self.edit_head(("\r\n".join(lines) + "\r\n\r\n").encode())
 
 
 def make_event(target: str, number: int) -> bytes:
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -96,6 +96,29 @@
     When 6 attempts with an upload of 6000000 bytes are sent to it
     Then each ends as whole
 
+  # Guards against a malformed status or field that is passed on as a part of an answer.
+  Scenario Outline: An answer whose head is malformed is none: <fault>
+    Given a service whose answer has <fault>
+    When an attempt of kind plain is sent to this service
+    Then it ends as failed, and may have run
+
+    Examples:
+      | fault                         |
+      | status 000                    |
+      | status 000 without a reason   |
+      | status 099                    |
+      | status 101                    |
+      | status 20                     |
+      | status 2000                   |
+      | a name with a blank in it     |
+      | a name with a blank after it  |
+      | a name with a blank before it |
+      | a name with byte 0            |
+      | a name with byte 1            |
+      | a name with a carriage return |
+      | an empty name                 |
+      | a line without a colon        |
+
   Scenario: Nothing is written to a connection if the attempt is refused after the connection was made
     When a call to a plain service over a real connection is refused right before the send
     Then the service has received no bytes and the attempt has not run
--- a/features/agent/steps/http_steps.py
+++ b/features/agent/steps/http_steps.py
@@ -13,6 +13,7 @@
 from crocusvalve.agent import HttpUpstream, UpstreamError, make_http_client
 from crocusvalve.base import ClassKind, ExecutionStatus, UpstreamKind
 from crocusvalve.exceptions import ErrorCode, RefusedError
+from features.support.malformed_heads import MALFORMED_HEADS
 
 TEXTS = ["one ", "two"]
 MALFORMED_CHUNK = b"data: {nonsense\n\n"
@@ -208,6 +209,18 @@
     context.serve = serve
 
 
+@given("a service whose answer has {fault}")
+def given_malformed_head(context, fault):
+    head = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n"
+
+    async def serve(stream):
+        await receive_request(stream)
+        await stream.send_all(MALFORMED_HEADS[fault](head) + b"ok")
+        await stream.receive_some()
+
+    context.serve = serve
+
+
 async def receive_request(stream):
     """Return whether a whole request has arrived, whose head and body come separately."""
     data = b""
--- /dev/null
+++ b/features/gateway/malformed_heads.feature
@@ -0,0 +1,38 @@
+Feature: A reply whose head is malformed is no answer
+
+  # Guards against a malformed status that reaches the caller as that of an answer.
+  Scenario Outline: A reply with an invalid status is no answer: <fault>
+    Given a gateway with two upstreams
+    When requests of each kind meet a first reply with <fault>
+    Then none gets that reply, and only those that may run again do
+
+    Examples:
+      | fault                       |
+      | status 000                  |
+      | status 000 without a reason |
+      | status 099                  |
+      | status 101                  |
+      | status 20                   |
+      | status 2000                 |
+      | status +20                  |
+      | a status with a tab         |
+
+  # Guards against a malformed field that is passed on, or that hides the end of the head.
+  Scenario Outline: A reply with an invalid field name is no answer: <fault>
+    Given a gateway with two upstreams
+    When requests of each kind meet a first reply with <fault>
+    Then none gets that reply, and only those that may run again do
+
+    Examples:
+      | fault                         |
+      | a name with a blank in it     |
+      | a name with a blank after it  |
+      | a name with a blank before it |
+      | a name with a tab             |
+      | a name with byte 0            |
+      | a name with byte 1            |
+      | a name with a carriage return |
+      | a name with byte 127          |
+      | a name in Latin-1             |
+      | an empty name                 |
+      | a line without a colon        |
