A status above 599 is no answer

What callers saw: a reply with the id and the signature and with status 600 or 999 was passed on as it was, on routes whose requests run once; so was one of a plain service behind an agent.

Cause: the parser takes any three digits from 200 up, and nothing else looked at the range. The report was of status 000, which the parser refuses; these are its neighbours at the other end.

Evidence: malformed_heads.feature and http.feature with the two statuses: 4 scenarios failed on the code before (status 600 and 999 at the caller, and as a whole answer of the agent).

Change: the gateway treats such a reply as corrupt (502, or another upstream). The agent treats it as a status of 500 or above: the call may have run.

--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -248,8 +248,9 @@
             headers["Idempotency-Key"] = req.idempotency_key
         call = _Call(req.method, req.path, req.body, headers)
         async with self._send(call, on_send, has_end_marker=False) as reply:
-            if reply.is_server_error:
-                # A status of 500 or above does not prove that the call had no effect.
+            if reply.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+                # A status of 500 or above does not prove that the call had no effect. One above 599
+                # is invalid and counts as a server error as well.
                 message = f"the service answered with status {reply.status_code}"
                 raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ExecutionStatus.UNKNOWN)
             async for data in reply.aiter_bytes(MAX_CHUNK_BYTES):
--- a/crocusvalve/gateway/upstreams/_upstream_call.py
+++ b/crocusvalve/gateway/upstreams/_upstream_call.py
@@ -9,6 +9,7 @@
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode
 from crocusvalve.gateway._sockets import connect, has_broken, reset
 from crocusvalve.gateway.base import Address, HeaderCodec, Headers, Reply
+from crocusvalve.gateway.upstreams._reply_head import find_head_fault
 
 __all__ = ["CallError", "CallFailure", "UpstreamCall"]
 
@@ -125,10 +126,12 @@
             spawn(self._write_in_background, self._stream, data)
 
     async def read_head(self) -> Reply:
-        """Read the head of the reply; raises ``CallError`` if too much precedes it."""
+        """Read the head of the reply; raises ``CallError`` if it, or what precedes it, is bad."""
         for _ in range(MAX_INTERIM_REPLIES + 1):
             event = await self._next_event("read_head")
             if isinstance(event, h11.Response):
+                if fault := find_head_fault(event):
+                    raise self._make_error(CallFailure.CORRUPT, fault, "read_head")
                 self._n_head = self._n_received - len(self._conn.trailing_data[0])
                 fields = dict(event.headers)
                 self.is_delimited = bool(fields.keys() & {b"content-length", b"transfer-encoding"})
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -110,6 +110,8 @@
       | status 101                    |
       | status 20                     |
       | status 2000                   |
+      | status 600                    |
+      | status 999                    |
       | a name with a blank in it     |
       | a name with a blank after it  |
       | a name with a blank before it |
--- a/features/gateway/malformed_heads.feature
+++ b/features/gateway/malformed_heads.feature
@@ -16,6 +16,8 @@
       | status 2000                 |
       | status +20                  |
       | a status with a tab         |
+      | status 600                  |
+      | status 999                  |
 
   # Guards against a malformed field that is passed on, or that hides the end of the head.
   Scenario Outline: A reply with an invalid field name is no answer: <fault>
