A reply in another version of HTTP is no answer

What callers saw: a reply that began with HTTP/2.0 or HTTP/0.9 reached them as a 200, on all four kinds of route and through the agent.

Cause: the parser takes any two digits with a dot as the version, and nothing else looked at it.

Evidence: malformed_heads.feature and http.feature with the two versions: 4 scenarios failed on the code before.

Change: the check of a parsed head moves to utils, since the agent uses it as well, and takes the version: only HTTP/1.x is an answer. The agent's check of the status goes there too.

--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -21,7 +21,7 @@
 from crocusvalve.base import ExecutionStatus, UpstreamKind, UpstreamState, VersionRef
 from crocusvalve.exceptions import ErrorCode
 from crocusvalve.rpc import RunRequest, UpstreamOrder, UpstreamOrderReply, Usage
-from crocusvalve.utils import decode_json
+from crocusvalve.utils import decode_json, find_head_fault
 
 __all__ = ["HttpUpstream", "make_http_client"]
 
@@ -219,8 +219,11 @@
             reply = await self.http.send(request, stream=True)
         except httpx.HTTPError as exc:
             raise _make_send_error(exc, writing.has_started) from exc
-        self.on_rate(parse_rate(reply.headers.get(RATE_HEADER)))
         try:
+            version = reply.http_version.removeprefix("HTTP/").encode()
+            if fault := find_head_fault(reply.status_code, version):
+                raise UpstreamError(ErrorCode.UPSTREAM_FAILED, fault, ran=ExecutionStatus.UNKNOWN)
+            self.on_rate(parse_rate(reply.headers.get(RATE_HEADER)))
             yield reply
             if writing.has_failed and not has_end_marker and not _is_delimited(reply):
                 raise httpx.WriteError("the request was not written completely")
@@ -248,9 +251,8 @@
             headers["Idempotency-Key"] = req.idempotency_key
         call = _Call(req.method, req.path, req.body, headers)
         async with self._send(call, on_send, has_end_marker=False) as reply:
-            if reply.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
-                # A status of 500 or above does not prove that the call had no effect. One above 599
-                # is invalid and counts as a server error as well.
+            if reply.is_server_error:
+                # A status of 500 or above does not prove that the call had no effect.
                 message = f"the service answered with status {reply.status_code}"
                 raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ExecutionStatus.UNKNOWN)
             async for data in reply.aiter_bytes(MAX_CHUNK_BYTES):
--- a/crocusvalve/gateway/upstreams/_upstream_call.py
+++ b/crocusvalve/gateway/upstreams/_upstream_call.py
@@ -9,7 +9,7 @@
 from crocusvalve.exceptions import CrocusvalveError, ErrorCode
 from crocusvalve.gateway._sockets import connect, has_broken, reset
 from crocusvalve.gateway.base import Address, HeaderCodec, Headers, Reply
-from crocusvalve.gateway.upstreams._reply_head import find_head_fault
+from crocusvalve.utils import find_head_fault
 
 __all__ = ["CallError", "CallFailure", "UpstreamCall"]
 
@@ -130,7 +130,7 @@
         for _ in range(MAX_INTERIM_REPLIES + 1):
             event = await self._next_event("read_head")
             if isinstance(event, h11.Response):
-                if fault := find_head_fault(event):
+                if fault := find_head_fault(event.status_code, event.http_version):
                     raise self._make_error(CallFailure.CORRUPT, fault, "read_head")
                 self._n_head = self._n_received - len(self._conn.trailing_data[0])
                 fields = dict(event.headers)
--- a/crocusvalve/utils/__init__.py
+++ b/crocusvalve/utils/__init__.py
@@ -3,6 +3,7 @@
 from crocusvalve.utils._clock import BootClock, Clock, MonotonicClock
 from crocusvalve.utils._decoding import decode_json, decode_untrusted
 from crocusvalve.utils._digest import compute_digest, hash_key, hash_to_int, hash_to_unit
+from crocusvalve.utils._reply_head import find_head_fault
 from crocusvalve.utils._signals import run_until_signal
 from crocusvalve.utils._transfer_limit import TransferLimit
 from crocusvalve.utils._wakeup_delay import WakeupDelayMonitor
@@ -18,6 +19,7 @@
     "compute_digest",
     "decode_json",
     "decode_untrusted",
+    "find_head_fault",
     "hash_key",
     "hash_to_int",
     "hash_to_unit",
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -112,6 +112,8 @@
       | status 2000                   |
       | status 600                    |
       | status 999                    |
+      | version HTTP/2.0              |
+      | version HTTP/0.9              |
       | a name with a blank in it     |
       | a name with a blank after it  |
       | a name with a blank before it |
--- a/features/gateway/malformed_heads.feature
+++ b/features/gateway/malformed_heads.feature
@@ -38,3 +38,14 @@
       | a name in Latin-1             |
       | an empty name                 |
       | a line without a colon        |
+
+  # Guards against bytes of another protocol, or of none, that are passed on as an answer.
+  Scenario Outline: A reply in another version of HTTP is no answer: <fault>
+    Given a gateway with two upstreams
+    When requests of each kind meet a first reply with <fault>
+    Then none gets that reply, and only those that may run again do
+
+    Examples:
+      | fault            |
+      | version HTTP/2.0 |
+      | version HTTP/0.9 |
--- a/features/support/malformed_heads.py
+++ b/features/support/malformed_heads.py
@@ -16,6 +16,13 @@
     return lambda head: head.replace(b"\r\n", b"\r\n" + line + b"\r\n", 1)
 
 
+def add_second_framing(head):
+    """Add a length to a chunked reply, and a whole chunked body to one with a length."""
+    if b"chunked" in head:
+        return add_line(b"Content-Length: 5")(head)
+    return add_line(b"Transfer-Encoding: chunked")(head) + b"5\r\nwrong\r\n0\r\n\r\n"
+
+
 MALFORMED_HEADS = {
     "status 000": replace_status(b"000 X"),
     "status 000 without a reason": replace_status(b"000"),
@@ -42,5 +49,5 @@
     "a line without a colon": add_line(b"X-Odd"),
     "a value with byte 1": add_line(b"X-Odd: a\x01b"),
     "a value with byte 127": add_line(b"X-Odd: a\x7fb"),
-    "a length and chunks": add_line(b"Transfer-Encoding: chunked\r\nContent-Length: 5"),
+    "a length and chunks": add_second_framing,
 }
