A reply with a control byte in a field's value is no answer

What callers saw: a reply with byte 1 or 127 in the value of a field was passed on as it was, on all four kinds of route; behind an agent it counted as a whole answer.

Cause: the parser refuses such bytes in names, and in values only those that end a line. HTTP allows none but the tab, and a caller's parser may refuse the whole answer.

Change: the check of a parsed head looks at the values; such a reply is corrupt.

--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -221,7 +221,7 @@
             raise _make_send_error(exc, writing.has_started) from exc
         try:
             version = reply.http_version.removeprefix("HTTP/").encode()
-            if fault := find_head_fault(reply.status_code, version):
+            if fault := find_head_fault(reply.status_code, version, reply.headers.raw):
                 raise UpstreamError(ErrorCode.UPSTREAM_FAILED, fault, ran=ExecutionStatus.UNKNOWN)
             self.on_rate(parse_rate(reply.headers.get(RATE_HEADER)))
             yield reply
--- a/crocusvalve/gateway/upstreams/_upstream_call.py
+++ b/crocusvalve/gateway/upstreams/_upstream_call.py
@@ -130,7 +130,8 @@
         for _ in range(MAX_INTERIM_REPLIES + 1):
             event = await self._next_event("read_head")
             if isinstance(event, h11.Response):
-                if fault := find_head_fault(event.status_code, event.http_version):
+                fault = find_head_fault(event.status_code, event.http_version, event.headers)
+                if fault:
                     raise self._make_error(CallFailure.CORRUPT, fault, "read_head")
                 self._n_head = self._n_received - len(self._conn.trailing_data[0])
                 fields = dict(event.headers)
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -114,6 +114,8 @@
       | status 999                    |
       | version HTTP/2.0              |
       | version HTTP/0.9              |
+      | a value with byte 1           |
+      | a value with byte 127         |
       | a name with a blank in it     |
       | a name with a blank after it  |
       | a name with a blank before it |
--- a/features/gateway/malformed_heads.feature
+++ b/features/gateway/malformed_heads.feature
@@ -49,3 +49,14 @@
       | fault            |
       | version HTTP/2.0 |
       | version HTTP/0.9 |
+
+  # Guards against control bytes that callers' parsers may refuse or read as the end of a line.
+  Scenario Outline: A reply with a control byte in a field's value is no answer: <fault>
+    Given a gateway with two upstreams
+    When requests of each kind meet a first reply with <fault>
+    Then none gets that reply, and only those that may run again do
+
+    Examples:
+      | fault                 |
+      | a value with byte 1   |
+      | a value with byte 127 |
