A reply with both a length and chunks is no answer

What callers saw: nothing. Their connection was reset without a status, also for an order that had run, and the log had an unexpected LocalProtocolError.

Cause: the parser of the reply takes both fields and reads the chunks; the fields without Transfer-Encoding, which is not forwarded, are sent to the caller with the length. The body then has another length than its head, which the caller's side of the parser refuses within the answer.

Evidence: malformed_heads.feature with such a reply on each kind of route: status 0 (no answer) for all four on the code before. At the agent it passed as a whole answer.

Change: the check of a parsed head refuses it, as the HTTP specification advises, since either field may be wrong: 502 for a request that may have run, another upstream for one that may run again. Forwarding the chunks without the length was weighed: it would pass on a body that may be cut.

--- a/crocusvalve/utils/_reply_head.py
+++ b/crocusvalve/utils/_reply_head.py
@@ -11,6 +11,8 @@
 MAJOR_VERSION = b"1."
 #: Control bytes that no field's value may have. The parser refuses those that end a line.
 CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+#: Fields that must not come together: intermediaries may take either for the end of the body.
+TWO_FRAMINGS = {b"content-length", b"transfer-encoding"}
 
 
 def find_head_fault(status: int, version: bytes, headers: Iterable[tuple[bytes, bytes]]) -> str:
@@ -27,7 +29,11 @@
         return f"{status} is no status of HTTP"
     if not version.startswith(MAJOR_VERSION):
         return f"the reply is one of HTTP/{version.decode('latin-1')}"
-    for name, value in headers:
+    fields = list(headers)
+    names = {name.lower() for name, _ in fields}
+    if names >= TWO_FRAMINGS:
+        return "the reply has both a Content-Length and a Transfer-Encoding"
+    for name, value in fields:
         if CONTROL_BYTE.search(value):
             return f"the value of the field {name.decode('latin-1')} has a control byte"
     return ""
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -116,6 +116,7 @@
       | version HTTP/0.9              |
       | a value with byte 1           |
       | a value with byte 127         |
+      | a length and chunks           |
       | a name with a blank in it     |
       | a name with a blank after it  |
       | a name with a blank before it |
--- a/features/gateway/malformed_heads.feature
+++ b/features/gateway/malformed_heads.feature
@@ -60,3 +60,10 @@
       | fault                 |
       | a value with byte 1   |
       | a value with byte 127 |
+
+  # Guards against an unexpected error that cuts the caller's connection without an answer: the
+  # parser of the reply takes both fields, and the caller's side refuses to send both.
+  Scenario: A reply with a length and chunks is no answer
+    Given a gateway with two upstreams
+    When requests of each kind meet a first reply with a length and chunks
+    Then none gets that reply, and only those that may run again do
