--- a/crocusvalve/agent/_engine_stream.py
+++ b/crocusvalve/agent/_engine_stream.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Struct
 
+from crocusvalve.agent._answer_limit import read_parts
 from crocusvalve.agent._upstream import OnData, UpstreamEnd, UpstreamError
 from crocusvalve.base import ExecutionStatus
 from crocusvalve.exceptions import ErrorCode
@@ -97,7 +98,7 @@
     """Yield the lines of a stream; raises ``UpstreamError`` if one is too long."""
     buffer = bytearray()
     n_searched = 0
-    async for part in reply.aiter_bytes():
+    async for part in read_parts(reply):
         buffer += part
         start = 0
         while (end := buffer.find(b"\n", n_searched)) >= 0:
--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -8,6 +8,7 @@
 import trio
 from msgspec import Struct
 
+from crocusvalve.agent._answer_limit import check_length, limit_answer, read_parts
 from crocusvalve.agent._engine_stream import make_engine_body, read_events
 from crocusvalve.agent._named_limit import parse_rate
 from crocusvalve.agent._upstream import (
@@ -32,7 +33,6 @@
 ORDERS_PATH = "/orders"
 #: Header in which an upstream names the requests per second that it takes.
 RATE_HEADER = "X-Rate-Limit"
-MAX_CHUNK_BYTES = 64 * 1024
 #: Trace events of the transport right before it writes the headers and the body of a request.
 SEND_EVENTS = ("send_request_headers.started", "send_request_body.started")
 #: Trace events of a write that failed; the transport reads the answer all the same.
@@ -109,6 +109,7 @@
 
     async def call(self, req: RunRequest, *, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
         """Run an attempt."""
+        on_data = limit_answer(on_data)
         if req.upstream_kind is UpstreamKind.ENGINE:
             return await self._call_engine(req, on_send, on_data)
         return await self._call_service(req, on_send, on_data)
@@ -255,7 +256,8 @@
                 # A status of 500 or above does not prove that the call had no effect.
                 message = f"the service answered with status {reply.status_code}"
                 raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ExecutionStatus.UNKNOWN)
-            async for data in reply.aiter_bytes(MAX_CHUNK_BYTES):
+            check_length(reply)
+            async for data in read_parts(reply):
                 await on_data(data)
             content_type = reply.headers.get("content-type", "application/octet-stream")
             return UpstreamEnd(Usage(), "stop", reply.status_code, content_type)
--- a/crocusvalve/standin/_endless.py
+++ b/crocusvalve/standin/_endless.py
@@ -12,6 +12,7 @@
 #: Pause between the parts of a slow reply.
 SLOW_PAUSE_S = 0.05
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+TOKEN_EVENT = b'data: {"choices": [{"delta": {"content": "' + 200 * b"x" + b'"}}]}\n\n'
 
 
 class _Parts(Struct, frozen=True):
@@ -43,6 +44,8 @@
     EVENT = _Parts(
         CHUNKED + b"5\r\ndata:\r\n", b"%x\r\n" % PART_BYTES + b"x" * PART_BYTES + b"\r\n"
     )
+    #: Events of an engine, each with a token of the same answer.
+    TOKENS = _Parts(CHUNKED, b"%x\r\n" % (64 * len(TOKEN_EVENT)) + 64 * TOKEN_EVENT + b"\r\n")
 
 
 async def send_endlessly(stream: trio.SocketStream, reply: EndlessReply, head: bytes) -> None:
--- a/features/agent/http.feature
+++ b/features/agent/http.feature
@@ -130,7 +130,9 @@
     When a call to a plain service over a real connection is refused right before the send
     Then the service has received no bytes and the attempt has not run
 
-  Scenario Outline: A report that never ends doesn't hold up the agent
+  # Guards against an answer or a report that never ends and is passed on until the deadline, which
+  # an entry keeps in memory.
+  Scenario Outline: A reply that never ends is given up early: <call>, <reply>
     Given an upstream whose answers are the endless reply <reply>
     When the agent makes the call <call> with 10 s left
     Then it fails within <limit> s with at most 12 MB held
@@ -146,3 +148,25 @@
       | order       | BODY            | 2     |
       | engine      | EVENT           | 2     |
       | engine      | CHUNK_EXTENSION | 2     |
+      | engine      | HEAD            | 2     |
+      | engine      | GARBAGE         | 2     |
+      | engine      | TOKENS          | 4     |
+      | plain       | HEAD            | 2     |
+      | plain       | GARBAGE         | 2     |
+      | plain       | CHUNK_EXTENSION | 2     |
+      | plain       | BODY            | 2     |
+      | plain       | LONG_BODY       | 2     |
+      | plain       | TINY_CHUNKS     | 2     |
+      | engine      | TINY_CHUNKS     | 2     |
+
+  # Guards against interim answers that are kept until the process has no memory left.
+  Scenario Outline: Interim answers without end are dropped until the deadline: <call>, <reply>
+    Given an upstream whose answers are the endless reply <reply>
+    When the agent makes the call <call> with 2 s left
+    Then it is given up within 2.5 s with at most 12 MB held
+
+    Examples:
+      | call   | reply        |
+      | plain  | INTERIM      |
+      | plain  | SLOW_INTERIM |
+      | engine | INTERIM      |
--- a/features/agent/steps/endless_steps.py
+++ b/features/agent/steps/endless_steps.py
@@ -68,7 +68,7 @@
             elif name == "order":
                 await upstream.order(ORDER, on_send=do_nothing)
             else:
-                req = make_request(upstream_kind=UpstreamKind.ENGINE)
+                req = make_request(upstream_kind=UpstreamKind(name))
                 await upstream.call(req, on_send=do_nothing, on_data=drop)
         except UpstreamError:
             return True
@@ -90,3 +90,10 @@
     endless = context.endless
     assert endless.has_failed and endless.elapsed_s <= limit_s, endless.elapsed_s
     assert endless.n_held_bytes <= limit * 10**6, endless.n_held_bytes
+
+
+@then("it is given up within {limit_s:g} s with at most {limit:d} MB held")
+def then_given_up(context, limit_s, limit):
+    endless = context.endless
+    assert not endless.has_failed and endless.elapsed_s <= limit_s, endless.elapsed_s
+    assert endless.n_held_bytes <= limit * 10**6, endless.n_held_bytes
