An entry bounds the memory of all answers that it holds

What callers saw (report of other operators): answers without end took all the memory of the machine that had called, and the requests of its other callers ended with it.

Cause: an entry keeps the parts of plain answers and of cascades until they are complete. The agents' limit is one for each answer; nothing bounded the sum.

Change: HeldAnswers counts the parts by request. Above 24 MiB in all, the attempt with the largest incomplete answer ends as failed and is cancelled at its agent; its request follows the retry policy as for any failure. Answers of up to 16 KiB and complete ones are not dropped. It is the rule that the gateway has (AnswerMemory), as a decision without I/O.

Not covered: parts of streams that wait for a slow caller, and answers to orders, which are bounded one by one only.

--- a/crocusvalve/entry/_finisher.py
+++ b/crocusvalve/entry/_finisher.py
@@ -188,6 +188,7 @@
         tables.queue.remove(req.request_id)
         tables.requests.pop(req.request_id, None)
         tables.progress.pop(req.request_id, None)
+        tables.held_answers.release(req.request_id)
         customer = tables.customers.get(req.customer_id)
         if customer is not None:
             customer.in_flight = max(0, customer.in_flight - 1)
--- a/crocusvalve/entry/_outcome.py
+++ b/crocusvalve/entry/_outcome.py
@@ -112,13 +112,27 @@
         progress = tables.progress[attempt.request_id]
         if progress.is_buffered:
             progress.buffer.append(frame.data)
-            return commands
+            too_long = tables.held_answers.add(req.request_id, len(frame.data))
+            return commands if too_long is None else commands + self._drop(tables, too_long, now)
         req.n_frames_out += 1
         if self.policies.should_sample(tables, req, attempt.version):
             progress.sample.append(frame.data)
         commands.append(Deliver(req.request_id, attempt.version, attempt.upstream_id, frame.data))
         return commands
 
+    def _drop(self, tables: CoreTables, request_id: RequestId, now: float) -> list[Command]:
+        """End the attempt whose incomplete answer takes the most memory."""
+        attempt = tables.attempts[tables.progress[request_id].leader]
+        refused = Refused(
+            attempt_id=attempt.attempt_id,
+            code=ErrorCode.UPSTREAM_FAILED.name,
+            message="the answer was dropped, since no memory was left for answers",
+            ran=ExecutionStatus.UNKNOWN,
+            step="answer",
+            peer=attempt.upstream_id,
+        )
+        return self._handle_refused(tables, attempt, refused, now)
+
     def _handle_final(
         self, tables: CoreTables, attempt: AttemptRow, final: Final, now: float
     ) -> list[Command]:
@@ -147,6 +161,7 @@
             content_type=final.content_type,
         )
         progress.buffer = []
+        tables.held_answers.mark_complete(req.request_id)
         progress.leader = None
         if self._has_next_step(req):
             answer = b"".join(progress.pending_answer.data)
@@ -204,6 +219,7 @@
         self.finisher.end_attempt(tables, attempt, now, is_crash=refused.crashed)
         progress.leader = None
         progress.buffer = []
+        tables.held_answers.release(req.request_id)
         is_banned = self.policies.get_quarantine(tables).is_banned(req.digest)
         if decision.action is RetryAction.RETRY and not is_banned:
             self._retry(tables, req, attempt, refused, decision, now)
--- a/crocusvalve/entry/_tables.py
+++ b/crocusvalve/entry/_tables.py
@@ -7,6 +7,7 @@
 from crocusvalve.answers import AnswerAssembler
 from crocusvalve.base import AttemptId, ExecutionStatus, RequestId
 from crocusvalve.config import DocumentView
+from crocusvalve.entry._held_answers import HeldAnswers
 from crocusvalve.limits import FairQueue
 from crocusvalve.model import EntryTables
 from crocusvalve.rpc import Usage
@@ -63,6 +64,7 @@
         self.queue = FairQueue()
         self.progress: dict[RequestId, ProgressRow] = {}
         self.assemblers: dict[AttemptId, AnswerAssembler] = {}
+        self.held_answers = HeldAnswers()
         self.deadlines: list[Timer] = []
         self.hedges: list[Timer] = []
 
