Tests: further odd entries of another writer name no upstream

Report of other operators: one entry that is very deeply nested, has a number too large or a port out of range ended the machines that read the list, or stopped them from following it. The scenarios stay and get eight more kinds: 32,000 lists, 1e999, ports 0 and -1, a lone surrogate, slots of -1 and of minus 400 digits, a cold time of 1e308.

--- a/features/gateway/malformed_rows.feature
+++ b/features/gateway/malformed_rows.feature
@@ -18,6 +18,14 @@
       | an entry with a name as its address    |
       | an entry with slots of 400 digits      |
       | an entry with a start of 30 digits     |
+      | an entry within 32000 lists            |
+      | an entry with a start of 1e999         |
+      | an entry with a port of 0              |
+      | an entry with a port of -1             |
+      | an entry with a lone surrogate         |
+      | an entry with slots of minus 400 digits |
+      | an entry with slots of -1              |
+      | an entry with a cold time of 1e308     |
 
   # Guards against a gateway that never becomes ready while such an entry is stored.
   Scenario Outline: A gateway that starts while such an entry is stored becomes ready: <entry>
--- a/features/gateway/steps/malformed_row_steps.py
+++ b/features/gateway/steps/malformed_row_steps.py
@@ -31,12 +31,22 @@
     host, _, port = entry["address"].partition(":")
     if name == "an entry within 2000 lists":
         return b"[" * N_LISTS + b"]" * N_LISTS
+    if name == "an entry within 32000 lists":
+        return b"[" * 32_000 + b"]" * 32_000
+    if name == "an entry with a start of 1e999":
+        return json.dumps(entry | {"born": 0}).encode().replace(b'"born": 0', b'"born": 1e999')
     if name == "an entry with a field of 2000 lists":
         return json.dumps(entry).encode()[:-1] + b',"x":' + b"[" * N_LISTS + b"]" * N_LISTS + b"}"
     changes = {
         "an entry with a port that is no number": {"address": f"{host}:\u00b2"},
         "an entry with a port of 5000 digits": {"address": f"{host}:{'1' * 5000}"},
         "an entry with a port over 65535": {"address": f"{host}:70000"},
+        "an entry with a port of 0": {"address": f"{host}:0"},
+        "an entry with a port of -1": {"address": f"{host}:-1"},
+        "an entry with a lone surrogate": {"zone": "\ud800"},
+        "an entry with slots of minus 400 digits": {"slots": -(10**400)},
+        "an entry with slots of -1": {"slots": -1},
+        "an entry with a cold time of 1e308": {"coldLeftMs": 1e308},
         "an entry with a name as its address": {"address": f"a\0b:{port}"},
         "an entry with slots of 400 digits": {"slots": 10**400},
         "an entry with a start of 30 digits": {"born": 10**30},
