--- a/features/gateway/steps/stopping_steps.py
+++ b/features/gateway/steps/stopping_steps.py
@@ -131,6 +131,29 @@
     context.stream = StopOfStream(text)
 
 
+@given("a stop plan for a grace time of {grace_s:g} s")
+def given_plan_only(context, grace_s):
+    context.plan = StopPlan.make(0.0, grace_s)
+
+
+@when(
+    "a new {kind:w} request is expected to take {expected_s:g} s "
+    "and {peer} other gateway accepts requests"
+)
+def when_new_request(context, kind, expected_s, peer):
+    times = [number * STEP_S for number in range(int(GRACE_S / STEP_S))]
+    context.taken_at = [
+        now
+        for now in times
+        if context.plan.is_accepted(RouteKind[kind.upper()], peer == "one", now, expected_s)
+    ]
+
+
+@then("such requests are taken until {until_s:g} s after the signal")
+def then_taken_up_to(context, until_s):
+    assert context.taken_at[0] == 0.0 and abs(context.taken_at[-1] - until_s) <= 0.02
+
+
 @when("requests are accepted by {peer} gateway")
 def when_peer(context, peer):
     context.end = context.stream.find_end(context.plan, peer == "another")
--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -27,6 +27,22 @@
       | is a plain request, takes 1.5 s and has not run | no      | 5.5  |
       | is a plain request, takes 1.5 s and has run     | no      | 7.0  |
 
+  # Guards against plain requests that are taken though their route's answers take too long.
+  Scenario Outline: A new request is taken while it can end in time: <kind>, <expected> s, <peer> other gateway
+    Given a stop plan for a grace time of 8 s
+    When a new <kind> request is expected to take <expected> s and <peer> other gateway accepts requests
+    Then such requests are taken until <until> s after the signal
+
+    Examples:
+      | kind   | expected | peer | until |
+      | unsafe | 0        | one  | 2.9   |
+      | unsafe | 0        | no   | 6.6   |
+      | unsafe | 1.5      | one  | 2.9   |
+      | unsafe | 1.5      | no   | 5.5   |
+      | unsafe | 5        | one  | 2.0   |
+      | safe   | 5        | no   | 2.0   |
+      | stream | 0        | no   | 2.9   |
+
   Scenario Outline: A process that is late still has time for its last answers
     When the last open requests are ended <ended> s after a signal with a grace time of 8 s
     Then the process ends at most <over> s after the signal
