--- a/crocusvalve/gateway/flows/_plain_flow.py
+++ b/crocusvalve/gateway/flows/_plain_flow.py
@@ -180,6 +180,7 @@
             if reply is not None and self._is_late(req, started_at):
                 # Its answer has begun and doesn't end.
                 self.attempt_manager.record_outcome(req, upstream, Outcome.LATE)
+            self._record_unanswered(req)
             raise
         except CallError as exc:
             checked = self.attempt_manager.record_call_error(req, upstream, exc)
@@ -206,6 +207,13 @@
             self.attempt_manager.record_outcome(req, upstream, Outcome.SUCCESS, first_s=elapsed_s)
         await send.send(_Result(_AttemptEnd.REPLIED, upstream, reply, body))
 
+    def _record_unanswered(self, req: GatewayRequest) -> None:
+        """Record that a request has no answer at its deadline, as one that takes so long."""
+        now = self.clock.now()
+        if req.compute_left_s(now) <= 0.0:
+            times = self.attempt_manager.pace.plain_times
+            times.record(req.route.name, now - req.arrived_at, now)
+
     def _is_late(self, req: GatewayRequest, started_at: float) -> bool:
         """Return whether an attempt has taken so long that it is hedged, or all of its time."""
         now = self.clock.now()
--- a/crocusvalve/gateway/flows/_request_handler.py
+++ b/crocusvalve/gateway/flows/_request_handler.py
@@ -101,11 +101,14 @@
         """Return the state of a request that a stop depends on."""
         pace, name, n_tokens = self.attempt_manager.pace, req.service.name, 0
         model = req.model or (req.route.models[0] if req.route.models else "")
-        first_s = elapsed_s = 0.0
+        first_s = elapsed_s = plain_s = 0.0
         if req.first_event_at is not None:
             elapsed_s = now - req.first_event_at
-        elif not req.has_run:
+        elif req.is_stream and not req.has_run:
             first_s = pace.compute_first_event_s(name, model, 0.0, now)
+        elif not req.has_run:
+            allowed_s = req.arrived_at + _get_allowed_s(req.caller, req.route) - now
+            plain_s = min(self._estimate_plain_s(req.route, now), allowed_s)
         # A caller that resumes a stream has a part of it that isn't known here.
         if not req.caller.last_event_id:
             n_tokens = req.caller.max_output_tokens
@@ -116,10 +119,7 @@
             has_begun=req.first_event_at is not None,
             first_s=first_s,
             elapsed_s=elapsed_s,
-            plain_s=min(
-                self._estimate_plain_s(req.route, now),
-                req.arrived_at + _get_allowed_s(req.caller, req.route) - now,
-            ),
+            plain_s=plain_s,
             stream_s=pace.compute_stream_s(name, model, n_tokens),
             n_events=req.n_events,
             n_tokens=n_tokens,
--- a/crocusvalve/soak/processes/_components.py
+++ b/crocusvalve/soak/processes/_components.py
@@ -127,7 +127,7 @@
 #: Faults whose answer is as the upstream has made it, so that nothing shows a gateway the fault.
 UNDETECTABLE_FAULTS = {
     fault for fault in UpstreamFault if fault.invalid_reply and fault.invalid_reply.is_signed
-} | {UpstreamFault.NONE, UpstreamFault.CLIENT_ERROR}
+} | {UpstreamFault.NONE, UpstreamFault.CLIENT_ERROR, UpstreamFault.EARLY_END}
 #: Probability of a fault per request, and the faults to choose from.
 PROFILE_FAULTS = {
     UpstreamFaultProfile.ANY_FAULT: (0.4, tuple(set(UpstreamFault) - UNDETECTABLE_FAULTS)),
--- a/crocusvalve/standin/_upstream.py
+++ b/crocusvalve/standin/_upstream.py
@@ -155,6 +155,17 @@
             return False
         fault = self.choose_fault()
         self.record_run(call, fault)
+        await self._send_undelimited(call, stream)
+        if fault is UpstreamFault.EARLY_RESET:
+            await self._reset(stream)
+            return True
+        await stream.send_eof()
+        while await stream.receive_some():
+            pass
+        return True
+
+    async def _send_undelimited(self, call: ReceivedRequest, stream: trio.SocketStream) -> None:
+        """Send an answer that only the end of the connection delimits."""
         headers = {
             "X-Attempt-Id": call.attempt_id,
             "X-Response-Signature": f"signed-by-{self.upstream_id}",
@@ -164,14 +175,10 @@
             headers["Content-Type"] = "text/event-stream"
             body = make_event(call.target, 1) + make_event(call.target, 2)
         await stream.send_all(self._make_head(200, headers) + body)
-        if fault is UpstreamFault.EARLY_END:
-            await stream.send_eof()
-            while await stream.receive_some():
-                pass
-            return True
+
+    async def _reset(self, stream: trio.SocketStream) -> None:
         await trio.sleep(self.reset_delay_s)
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        return True
 
     async def answer(self, call: ReceivedRequest, stream: trio.SocketStream) -> bool:
         """Answer a request, with a fault if one is due."""
@@ -202,6 +209,10 @@
             return await self._send(stream, 503, headers, b"failed")
         if fault is UpstreamFault.CLIENT_ERROR:
             return await self._send(stream, 409, headers, b"conflict")
+        if fault is UpstreamFault.EARLY_RESET:
+            await self._send_undelimited(call, stream)
+            await self._reset(stream)
+            return False
         if fault is UpstreamFault.BREAK:
             return False
         if fault is UpstreamFault.BREAK_LATE:
--- a/features/gateway/steps/stopping_steps.py
+++ b/features/gateway/steps/stopping_steps.py
@@ -607,3 +607,17 @@
     median = sorted(context.late.last_taken_s)[len(context.late.last_taken_s) // 2]
     # The last order before that time comes up to some tenths of a second earlier.
     assert median >= until_s - 0.3, median
+
+
+@when("an order arrives for a route whose requests may take {limit_s:g} s")
+def when_short_order(context, limit_s):
+    context.harness.run(lambda harness: harness.call("/short/1", method="POST"))
+
+
+@then("the route's orders are expected to take at least {least_s:g} s")
+def then_expected(context, least_s):
+    gateway = context.harness.gateway
+    times = gateway.attempt_manager.pace.plain_times
+    share = ANSWER_SHARES[RouteKind.UNSAFE]
+    expected_s = times.compute_quantile_s("short", share, gateway.clock.now())
+    assert expected_s >= least_s, expected_s
--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -141,3 +141,10 @@
       | 0.2 s, or 2 s in a tenth | 4.9  |
       | exponentially 0.5 s     | 4.5   |
       | log-normally 1 s        | 2.0   |
+
+  # Guards against a route whose slow orders aren't known, since only answers count.
+  Scenario: An order without an answer at its deadline counts as one that takes so long
+    Given a gateway with two upstreams
+    And the upstreams answer plain requests after 5 s
+    When an order arrives for a route whose requests may take 0.3 s
+    Then the route's orders are expected to take at least 0.25 s
