--- a/crocusvalve/agent/_answer_limit.py
+++ b/crocusvalve/agent/_answer_limit.py
@@ -10,8 +10,8 @@
 
 __all__ = ["MAX_ANSWER_BYTES", "check_length", "limit_answer", "read_parts"]
 
-#: Longest answer that an agent passes on. Entries hold the answers of plain requests and of
-#: cascades until they are complete.
+#: Longest answer that an agent passes on unless its settings allow more. Entries hold the answers
+#: of plain requests and of cascades until they are complete.
 MAX_ANSWER_BYTES = 8 * 2**20
 #: Bytes with which HTTP frames a chunk of a body: its length and two ends of a line.
 CHUNK_FRAMING_BYTES = 5
@@ -19,21 +19,21 @@
 MAX_FRAMING_BYTES = 64 * 1024
 
 
-def limit_answer(on_data: OnData) -> OnData:
+def limit_answer(on_data: OnData, max_bytes: int) -> OnData:
     """Return a callback that passes on an answer, and raises ``UpstreamError`` if it is too long.
 
     Parameters
     ----------
     on_data : callable
-        Called with each part of the answer, up to ``MAX_ANSWER_BYTES`` bytes in all.
+        Called with each part of the answer, up to ``max_bytes`` bytes in all.
     """
     n_bytes = 0
 
     async def pass_on(data: bytes) -> None:
         nonlocal n_bytes
         n_bytes += len(data)
-        if n_bytes > MAX_ANSWER_BYTES:
-            raise _make_error(f"the answer is longer than {MAX_ANSWER_BYTES} bytes")
+        if n_bytes > max_bytes:
+            raise _make_error(f"the answer is longer than {max_bytes} bytes")
         await on_data(data)
 
     return pass_on
@@ -50,11 +50,11 @@
         yield part
 
 
-def check_length(reply: httpx.Response) -> None:
-    """Raise ``UpstreamError`` if an answer declares a length that none has."""
+def check_length(reply: httpx.Response, max_bytes: int) -> None:
+    """Raise ``UpstreamError`` if an answer declares a length over ``max_bytes``."""
     length = reply.headers.get("content-length", "")
-    if length.isdigit() and int(length) > MAX_ANSWER_BYTES:
-        raise _make_error(f"the answer is to have {length} bytes")
+    if length.isdigit() and int(length) > max_bytes:
+        raise _make_error(f"the answer is to have {length} bytes, more than {max_bytes}")
 
 
 def _make_error(message: str) -> UpstreamError:
--- a/crocusvalve/agent/_http_upstream.py
+++ b/crocusvalve/agent/_http_upstream.py
@@ -8,7 +8,12 @@
 import trio
 from msgspec import Struct
 
-from crocusvalve.agent._answer_limit import check_length, limit_answer, read_parts
+from crocusvalve.agent._answer_limit import (
+    MAX_ANSWER_BYTES,
+    check_length,
+    limit_answer,
+    read_parts,
+)
 from crocusvalve.agent._engine_stream import make_engine_body, read_events
 from crocusvalve.agent._named_limit import parse_rate
 from crocusvalve.agent._upstream import (
@@ -92,6 +97,8 @@
     traces_sends : bool
         Whether the client's transport reports when it writes a request; if not, ``on_send`` runs
         before the transport is called.
+    max_answer_bytes : int
+        Longest answer that is passed on, in bytes.
     """
 
     def __init__(
@@ -101,15 +108,17 @@
         *,
         on_rate: Callable[[float | None], object] = lambda _: None,
         traces_sends: bool = True,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ):
         self.url = url.rstrip("/")
         self.http = http
         self.on_rate = on_rate
         self.traces_sends = traces_sends
+        self.max_answer_bytes = max_answer_bytes
 
     async def call(self, req: RunRequest, *, on_send: OnSend, on_data: OnData) -> UpstreamEnd:
         """Run an attempt."""
-        on_data = limit_answer(on_data)
+        on_data = limit_answer(on_data, self.max_answer_bytes)
         if req.upstream_kind is UpstreamKind.ENGINE:
             return await self._call_engine(req, on_send, on_data)
         return await self._call_service(req, on_send, on_data)
@@ -256,7 +265,7 @@
                 # A status of 500 or above does not prove that the call had no effect.
                 message = f"the service answered with status {reply.status_code}"
                 raise UpstreamError(ErrorCode.UPSTREAM_FAILED, message, ran=ExecutionStatus.UNKNOWN)
-            check_length(reply)
+            check_length(reply, self.max_answer_bytes)
             async for data in read_parts(reply):
                 await on_data(data)
             content_type = reply.headers.get("content-type", "application/octet-stream")
--- a/crocusvalve/agent/_process.py
+++ b/crocusvalve/agent/_process.py
@@ -9,6 +9,7 @@
 import trio_asyncio
 from prometheus_client import CollectorRegistry
 
+from crocusvalve.agent._answer_limit import MAX_ANSWER_BYTES
 from crocusvalve.agent._http_upstream import HttpUpstream, make_http_client
 from crocusvalve.agent._lease_number_factory import make_lease_number_reader
 from crocusvalve.agent._metrics import make_metrics_app, update_gauges
@@ -219,7 +220,9 @@
         trio_asyncio.open_loop(),
         make_http_client() as http,
     ):
-        upstream = HttpUpstream(settings.upstream_url, http)
+        # The setting bounds what is kept for a resume, and may be far smaller than an answer.
+        max_answer_bytes = max(MAX_ANSWER_BYTES, settings.max_answer_bytes)
+        upstream = HttpUpstream(settings.upstream_url, http, max_answer_bytes=max_answer_bytes)
         agent = Agent(
             node_id=NodeId(settings.node_id),
             upstream_id=UpstreamId(settings.upstream_id),
--- a/crocusvalve/entry/_held_answers.py
+++ b/crocusvalve/entry/_held_answers.py
@@ -5,8 +5,8 @@
 
 __all__ = ["HeldAnswers"]
 
-#: Maximum sum of the sizes of all answers: a process of the smallest VMs may use 128 MB, and
-#: joining the parts of an answer takes its size once more.
+#: Maximum sum of the sizes of all answers: a node may use 128 MB, and joining the parts of an
+#: answer takes its size once more.
 MAX_HELD_BYTES = 24 * 2**20
 #: Answers up to this size are not dropped.
 SMALL_BYTES = 16 * 1024
--- a/crocusvalve/gateway/decisions/_answer_times.py
+++ b/crocusvalve/gateway/decisions/_answer_times.py
@@ -31,9 +31,6 @@
     def __init__(self) -> None:
         self._routes: OrderedDict[str, _Recent] = OrderedDict()
 
-    def __len__(self) -> int:
-        return len(self._routes)
-
     def record(self, route: str, elapsed_s: float, now: float) -> None:
         """Record the time to an answer, or a time within which none has come."""
         recent = self._routes.get(route)
--- a/crocusvalve/gateway/upstreams/_upstream_call.py
+++ b/crocusvalve/gateway/upstreams/_upstream_call.py
@@ -126,7 +126,7 @@
             spawn(self._write_in_background, self._stream, data)
 
     async def read_head(self) -> Reply:
-        """Read the head of the reply; raises ``CallError`` if it, or what precedes it, is bad."""
+        """Read the head of the reply; raises ``CallError`` if it is no head of an answer."""
         for _ in range(MAX_INTERIM_REPLIES + 1):
             event = await self._next_event("read_head")
             if isinstance(event, h11.Response):
--- a/crocusvalve/utils/_reply_head.py
+++ b/crocusvalve/utils/_reply_head.py
@@ -20,6 +20,8 @@
 
     Parameters
     ----------
+    status : int
+        Status code.
     version : bytes
         Version in the status line, such as ``b"1.1"``.
     headers : iterable of tuple
